--- /dev/null
+++ b/packages/lovage-core/src/store.ts
@@ -0,0 +1,73 @@
+import type {Step} from './step.js';
+
+/** Hears of each finished state, with the state before it. */
+export type Listener<State> = (state: State, previous: State) => void;
+
+/** Runs one effect of a transition. */
+export type EffectHandler<Effect> = (effect: Effect) => void;
+
+/** Holder of one immutable state, changed only through `update`. */
+export type Store<State, Event> = Readonly<{
+	/** Returns the current state. */
+	read: () => State;
+	/** Applies an event. Events raised while one is applied wait their turn. */
+	update: (event: Event) => void;
+	/** Adds a listener; the function returned removes it. */
+	registerListener: (listener: Listener<State>) => () => void;
+}>;
+
+/**
+ * Creates a store over a step function. Effects run in order after the state
+ * has changed; listeners run after the effects and see finished states only.
+ */
+export function createStore<State, Event, Effect>(
+	step: Step<State, Event, Effect>,
+	initial: State,
+	runEffect: EffectHandler<Effect>,
+): Store<State, Event> {
+	let state = initial;
+	let running = false;
+	const pending: Event[] = [];
+	const listeners = new Set<Listener<State>>();
+
+	const apply = (event: Event): void => {
+		const previous = state;
+		const transition = step(state, event);
+		state = transition.state;
+		transition.effects.forEach((effect) => {
+			runEffect(effect);
+		});
+		listeners.forEach((listener) => {
+			listener(state, previous);
+		});
+	};
+
+	const drain = (): void => {
+		while (pending.length > 0) {
+			apply(pending.shift()!);
+		}
+	};
+
+	return {
+		read: () => state,
+		update(event) {
+			pending.push(event);
+			if (running) {
+				return;
+			}
+
+			running = true;
+			try {
+				drain();
+			} finally {
+				running = false;
+			}
+		},
+		registerListener(listener) {
+			listeners.add(listener);
+			return () => {
+				listeners.delete(listener);
+			};
+		},
+	};
+}
