Let root configuration files stay outside the linted projects

Cause: XO lints typed files only, and the root *.config.js belong to no tsconfig. Ruled out: a tsconfig for three files. After: lint passes.

--- a/xo.config.js
+++ b/xo.config.js
@@ -15,7 +15,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['**/dist/**']},
+	{ignores: ['**/dist/**', '*.config.js']},
 	{
 		prettier: true,
 		space: false,
@@ -33,8 +33,12 @@
 		},
 	},
 	{
-		files: ['**/*.config.js'],
-		rules: {'unicorn/no-anonymous-default-export': 'off'},
+		// The root holds the development dependencies that tests import.
+		files: ['**/__tests__/**/*.ts'],
+		rules: {
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
 	},
 ];
 
