Define the contracts between the parts

Schemas of configuration, the routers between the programs, the interfaces towards callers and backend servers, and the events and effects of a generation, so that the parts can be built side by side.

--- a/packages/lovage-generation/src/index.ts
+++ b/packages/lovage-generation/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+export type {
+	Attempt,
+	FailureReason,
+	GenerationEffect,
+	GenerationEvent,
+} from './types.js';
--- /dev/null
+++ b/packages/lovage-wire/src/backend-api.ts
@@ -0,0 +1,134 @@
+import {z} from 'zod';
+
+/** Load as a backend server reports it, with a lag. */
+export const loadSchema = z.strictObject({
+	running: z.number().int().min(0),
+	waiting: z.number().int().min(0),
+	/** Current pace of one stream. */
+	msPerToken: z.number().min(0).optional(),
+});
+
+/** A change of the prefix cache; events may come late and with gaps. */
+export const cacheEventSchema = z.strictObject({
+	sequence: z.number().int().min(0),
+	kind: z.enum(['stored', 'evicted']),
+	/** Digest of the prompt's leading bytes, see docs/protocols.md. */
+	prefix: z.string().max(128),
+});
+
+/** Body of `POST /v1/backend-servers`, sent by a backend server to any entry. */
+export const announcementSchema = z.strictObject({
+	id: z.string().min(1).max(63),
+	service: z.string().min(1).max(63),
+	dataCentre: z.string().min(1).max(63),
+	rack: z.string().max(63).optional(),
+	/** Base URL of the backend server. */
+	address: z.url(),
+	/** Grows with each start of the backend server. */
+	incarnation: z.number().int().min(0),
+	/** Grows with each announcement of one incarnation. */
+	sequence: z.number().int().min(0),
+	state: z.enum(['serving', 'leaving']),
+	/** Generations or calls that run at the same time. */
+	capacity: z.number().int().min(1).max(100_000),
+	role: z.string().max(32).optional(),
+	models: z
+		.array(
+			z.strictObject({
+				id: z.string().max(63),
+				version: z.string().max(64),
+				adapters: z.array(z.string().max(63)).max(64).default([]),
+			}),
+		)
+		.max(64)
+		.default([]),
+	load: loadSchema,
+	cacheEvents: z.array(cacheEventSchema).max(1024).default([]),
+});
+
+/** A checked announcement. */
+export type Announcement = z.output<typeof announcementSchema>;
+
+/** Answer to an announcement. */
+export type AnnouncementAnswer = Readonly<{
+	/** When to announce again. */
+	everyMs: number;
+	/** Entries that may be announced to instead. */
+	entries: readonly string[];
+	/** False when the inventory does not name this backend server. */
+	known: boolean;
+}>;
+
+/** Body of `POST /v1/generations` at an engine. */
+export const engineStartSchema = z.strictObject({
+	generation: z.string().min(1).max(128),
+	attempt: z.number().int().min(1),
+	model: z.string().max(63).optional(),
+	prompt: z.string(),
+	/** Delivered tokens that the answer goes on from. */
+	prefix: z.array(z.string()).default([]),
+	/** Tokens of the whole answer at most, prefix included. */
+	maxTokens: z.number().int().min(1),
+	priority: z.number().int().min(0).max(9).default(0),
+});
+
+/** A checked start of a generation. */
+export type EngineStart = z.output<typeof engineStartSchema>;
+
+/** SSE event `tokens` of an engine. */
+export const engineTokensSchema = z.object({
+	generation: z.string(),
+	attempt: z.number().int(),
+	offset: z.number().int().min(0),
+	tokens: z.array(z.string()),
+});
+
+/** SSE event `done` of an engine. */
+export const engineDoneSchema = z.object({
+	generation: z.string(),
+	attempt: z.number().int(),
+	total: z.number().int().min(0),
+});
+
+/** Answer of `GET /v1/generations/:generation` at an engine. */
+export const engineStatusSchema = z.object({
+	generation: z.string(),
+	attempt: z.number().int(),
+	length: z.number().int().min(0),
+	state: z.enum(['running', 'done']),
+});
+
+/** Body of `POST /v1/orders` at a backend server. */
+export const orderSchema = z.strictObject({
+	order: z.string().min(1).max(128),
+	/** Backend servers that check it refuse a number below the highest seen. */
+	fencing: z.number().int().min(0),
+	action: z.discriminatedUnion('kind', [
+		z.strictObject({
+			kind: z.literal('load-model'),
+			model: z.string(),
+			version: z.string(),
+			adapters: z.array(z.string()).default([]),
+		}),
+		z.strictObject({
+			kind: z.literal('unload-model'),
+			model: z.string(),
+			version: z.string(),
+		}),
+		z.strictObject({kind: z.literal('set-role'), role: z.string()}),
+	]),
+});
+
+/** A checked order. */
+export type Order = z.output<typeof orderSchema>;
+
+/** Body of `POST /v1/calls` at a plain service. */
+export const backendCallSchema = z.strictObject({
+	requestId: z.string(),
+	customer: z.string(),
+	operation: z.string(),
+	body: z.json(),
+});
+
+/** A checked call as a backend server gets it. */
+export type BackendCall = z.output<typeof backendCallSchema>;
--- /dev/null
+++ b/packages/lovage-wire/src/client.ts
@@ -0,0 +1,80 @@
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {ResultAsync} from 'neverthrow';
+import {Agent, fetch as undiciFetch} from 'undici';
+import type {ControlRouter} from './control-api.js';
+import type {EntryPeerRouter} from './entry-peer-api.js';
+
+/** Path of the routers between the system's processes. */
+export const RPC_PATH = '/rpc';
+
+/** An exchange between processes that gave no answer in time. */
+export type RpcError = Readonly<{kind: 'rpc-failed'; message: string}>;
+
+/** Connections to the other processes, shared by one program. */
+export type RpcPool = Readonly<{
+	agent: Agent;
+	/** Closes every connection at once. */
+	close: () => Promise<void>;
+}>;
+
+/** Creates a pool of connections that never pipelines. */
+export function createRpcPool(): RpcPool {
+	const agent = new Agent({
+		pipelining: 0,
+		connections: 16,
+		connect: {timeout: 1000},
+	});
+	return {agent, close: async () => agent.destroy()};
+}
+
+function createLink(address: string, pool: RpcPool) {
+	const fetchWithPool = async (input: unknown, init: unknown) =>
+		undiciFetch(input as string, {
+			...(init as Record<string, unknown>),
+			dispatcher: pool.agent,
+		});
+	return httpLink({
+		url: `${address}${RPC_PATH}`,
+		fetch: fetchWithPool as unknown as typeof fetch,
+	});
+}
+
+/** Client of a control instance. */
+export type ControlClient = TRPCClient<ControlRouter>;
+/** Client of another entry. */
+export type EntryPeerClient = TRPCClient<EntryPeerRouter>;
+
+/** Creates a client of the control instance at `address`. */
+export function createControlClient(
+	address: string,
+	pool: RpcPool,
+): ControlClient {
+	return createTRPCClient<ControlRouter>({links: [createLink(address, pool)]});
+}
+
+/** Creates a client of the entry at `address`. */
+export function createEntryPeerClient(
+	address: string,
+	pool: RpcPool,
+): EntryPeerClient {
+	return createTRPCClient<EntryPeerRouter>({
+		links: [createLink(address, pool)],
+	});
+}
+
+/**
+ * Runs one exchange with a deadline in milliseconds. The connection of an
+ * exchange that missed it is closed.
+ */
+export function callRpc<T>(
+	exchange: (signal: AbortSignal) => Promise<T>,
+	timeoutMs: number,
+): ResultAsync<T, RpcError> {
+	return ResultAsync.fromPromise(
+		exchange(AbortSignal.timeout(timeoutMs)),
+		(err): RpcError => ({
+			kind: 'rpc-failed',
+			message: err instanceof Error ? err.message : String(err),
+		}),
+	);
+}
--- /dev/null
+++ b/packages/lovage-wire/src/entry-peer-api.ts
@@ -0,0 +1,64 @@
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import {announcementSchema, type Announcement} from './backend-api.js';
+
+const generationPlaceSchema = z.strictObject({
+	customer: z.string(),
+	requestId: z.string(),
+	digest: z.string(),
+	generation: z.string(),
+	attempt: z.number().int(),
+	backend: z.string(),
+	/** Entry that serves the caller. */
+	entry: z.string(),
+});
+
+/** Where a generation lives, kept in memory at its home entry. */
+export type GenerationPlace = z.output<typeof generationPlaceSchema>;
+
+const lookUpSchema = z.strictObject({
+	customer: z.string(),
+	requestId: z.string(),
+	digest: z.string(),
+});
+
+/** Answer of a home entry. */
+export type LookUpAnswer =
+	| {kind: 'found'; place: GenerationPlace}
+	| {kind: 'absent'}
+	/** The same id came with another body. */
+	| {kind: 'conflict'};
+
+/** What an entry does for the other entries. */
+export type EntryPeerHandlers = Readonly<{
+	relayAnnouncements: (input: {
+		announcements: readonly Announcement[];
+	}) => Promise<{kind: 'taken'}>;
+	/** Registers a generation unless another is there, and says which holds. */
+	registerGeneration: (input: GenerationPlace) => Promise<LookUpAnswer>;
+	lookUpGeneration: (
+		input: z.output<typeof lookUpSchema>,
+	) => Promise<LookUpAnswer>;
+}>;
+
+const t = initTRPC.create();
+
+/** Router of an entry towards other entries. */
+export function createEntryPeerRouter(handlers: EntryPeerHandlers) {
+	return t.router({
+		relayAnnouncements: t.procedure
+			.input(
+				z.strictObject({announcements: z.array(announcementSchema).max(1024)}),
+			)
+			.mutation(async ({input}) => handlers.relayAnnouncements(input)),
+		registerGeneration: t.procedure
+			.input(generationPlaceSchema)
+			.mutation(async ({input}) => handlers.registerGeneration(input)),
+		lookUpGeneration: t.procedure
+			.input(lookUpSchema)
+			.query(async ({input}) => handlers.lookUpGeneration(input)),
+	});
+}
+
+/** Type of the entry's router. */
+export type EntryPeerRouter = ReturnType<typeof createEntryPeerRouter>;
--- a/packages/lovage-wire/src/index.ts
+++ b/packages/lovage-wire/src/index.ts
@@ -1,1 +1,76 @@
-export {};
+export type {
+	Announcement,
+	AnnouncementAnswer,
+	BackendCall,
+	EngineStart,
+	Order,
+} from './backend-api.js';
+export {
+	announcementSchema,
+	backendCallSchema,
+	cacheEventSchema,
+	engineDoneSchema,
+	engineStartSchema,
+	engineStatusSchema,
+	engineTokensSchema,
+	loadSchema,
+	orderSchema,
+} from './backend-api.js';
+export type {
+	AddressesAnswer,
+	CallAnswer,
+	CallRequest,
+	DoneEvent,
+	GenerationRequest,
+	TokensEvent,
+} from './caller-api.js';
+export {callRequestSchema, generationRequestSchema} from './caller-api.js';
+export type {
+	ControlClient,
+	EntryPeerClient,
+	RpcError,
+	RpcPool,
+} from './client.js';
+export {
+	callRpc,
+	createControlClient,
+	createEntryPeerClient,
+	createRpcPool,
+	RPC_PATH,
+} from './client.js';
+export type {
+	ApplyAnswer,
+	ApplyRequest,
+	ClaimAnswer,
+	ClaimKey,
+	ConfigurationAnswer,
+	ControlHandlers,
+	ControlRouter,
+	ControlStatus,
+	DeathsAnswer,
+	DeathsReport,
+	EntryInfo,
+	InitialiseRequest,
+	JoinRequest,
+	ProgressAnswer,
+	QuarantineView,
+	Redirect,
+	RenewAnswer,
+	RenewRequest,
+	SettleRequest,
+	StoredAnswer,
+} from './control-api.js';
+export {
+	createControlRouter,
+	entryInfoSchema,
+	storedAnswerSchema,
+} from './control-api.js';
+export type {
+	EntryPeerHandlers,
+	EntryPeerRouter,
+	GenerationPlace,
+	LookUpAnswer,
+} from './entry-peer-api.js';
+export {createEntryPeerRouter} from './entry-peer-api.js';
+export type {Outcome, Problem, ProblemType} from './problem.js';
+export {createProblem, isProblem, PROBLEM_CONTENT_TYPE} from './problem.js';
