Explore small models exhaustively with xstate

Model and explore are the frame of the specification: a breadth-first visit of every reachable state through getAdjacencyMap, the first violation with its shortest path. Edges aren't stored: one shared edge key keeps memory at one entry a state. A model over 150,000 states is refused, not cut.

--- /dev/null
+++ b/packages/lovage-spec/src/explore.ts
@@ -0,0 +1,99 @@
+import {fromTransition} from 'xstate';
+import {getAdjacencyMap} from 'xstate/graph';
+import type {ModelResult, Violation} from './model.js';
+
+/** States that one model may have. */
+export const STATE_LIMIT = 150_000;
+
+/** Event of a model; `type` and the other fields name it in a path. */
+export type ModelEvent = Readonly<{type: string}>;
+
+/** What the exploration needs to know of a model. */
+export type Exploration<State, Event extends ModelEvent> = Readonly<{
+	initial: State;
+	/** Events possible in a state. */
+	events: (state: State) => readonly Event[];
+	step: (state: State, event: Event) => State;
+	/** Name of an invariant that does not hold. */
+	findViolation: (state: State) => string | undefined;
+	/** Equal keys for states that need no second visit; JSON by default. */
+	createKey?: (state: State) => string;
+}>;
+
+type Origin = Readonly<{from?: string; event?: ModelEvent}>;
+
+function describeEvent(event: ModelEvent): string {
+	const {type, ...rest} = event;
+	const details = Object.entries(rest).map(
+		([name, value]) => `${name}=${JSON.stringify(value)}`,
+	);
+	return [type, ...details].join(' ');
+}
+
+function findPath(origins: ReadonlyMap<string, Origin>, end: string): string[] {
+	const path: string[] = [];
+	let origin = origins.get(end);
+	while (origin?.event !== undefined) {
+		path.unshift(describeEvent(origin.event));
+		origin = origin.from === undefined ? undefined : origins.get(origin.from);
+	}
+
+	return path;
+}
+
+/**
+ * Visits every reachable state, nearest first, up to the first violation.
+ * Throws when there are more than {@link STATE_LIMIT} states.
+ */
+export function explore<State, Event extends ModelEvent>(
+	exploration: Exploration<State, Event>,
+): ModelResult {
+	const {initial, events, step, findViolation} = exploration;
+	const createKey =
+		exploration.createKey ?? ((state: State) => JSON.stringify(state));
+	const origins = new Map<string, Origin>();
+	const keys = new WeakMap<WeakKey, string>();
+	const findKey = (snapshot: {context: State}): string => {
+		const known = keys.get(snapshot);
+		const key = known ?? createKey(snapshot.context);
+		keys.set(snapshot, key);
+		return key;
+	};
+
+	let violation: Violation | undefined;
+	const logic = fromTransition<State, Event, never, never>(step, initial);
+	getAdjacencyMap(logic, {
+		events: (snapshot) => events(snapshot.context),
+		serializeState(snapshot, event, previous) {
+			const key = findKey(snapshot);
+			if (violation === undefined && !origins.has(key)) {
+				origins.set(key, {
+					from: previous === undefined ? undefined : findKey(previous),
+					event,
+				});
+			}
+
+			if (origins.size > STATE_LIMIT) {
+				throw new RangeError(`More than ${STATE_LIMIT} states`);
+			}
+
+			return key;
+		},
+		// The edges are not needed, so that each overwrites the one before.
+		serializeEvent: () => '',
+		stopWhen(snapshot) {
+			if (violation !== undefined) {
+				return true;
+			}
+
+			const invariant = findViolation(snapshot.context);
+			if (invariant === undefined) {
+				return false;
+			}
+
+			violation = {invariant, path: findPath(origins, findKey(snapshot))};
+			return true;
+		},
+	});
+	return {states: origins.size, violation};
+}
--- a/packages/lovage-spec/src/index.ts
+++ b/packages/lovage-spec/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export type {Exploration, ModelEvent} from './explore.js';
+export {explore, STATE_LIMIT} from './explore.js';
+export type {Model, ModelResult, Violation} from './model.js';
