Add the runtime of the programs: supervisor tree, settings, logs, HTTP

roarr writes nothing by itself, so the programs install a writer; metrics go over UDP only when a destination is set.

--- /dev/null
+++ b/packages/lovage-runtime/src/http-server.ts
@@ -0,0 +1,60 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import {createAdaptorServer} from '@hono/node-server';
+import type {Hono} from 'hono';
+import {err, ok, type Result} from 'neverthrow';
+
+/** An HTTP server that listens. */
+export type HttpServer = Readonly<{
+	port: number;
+	/** Takes no new connection and resolves when each request has ended. */
+	drain: () => Promise<void>;
+	/** Ends every connection at once. */
+	close: () => Promise<void>;
+}>;
+
+/** The server could not listen. */
+export type ListenError = Readonly<{kind: 'listen-failed'; message: string}>;
+
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+const MAX_HEADERS = 64;
+
+async function stop(server: Server): Promise<void> {
+	const closed = once(server, 'close');
+	server.close();
+	server.closeIdleConnections();
+	await closed;
+}
+
+/** Serves a Hono application over HTTP. Port 0 takes a free one. */
+export async function serveHttp(
+	app: Hono,
+	host: string,
+	port: number,
+): Promise<Result<HttpServer, ListenError>> {
+	const server = createAdaptorServer({fetch: app.fetch}) as Server;
+	server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+	server.headersTimeout = HEADERS_TIMEOUT_MS;
+	server.maxHeadersCount = MAX_HEADERS;
+	server.requestTimeout = 0;
+	try {
+		server.listen(port, host);
+		await once(server, 'listening');
+	} catch (error) {
+		const message = error instanceof Error ? error.message : String(error);
+		return err({kind: 'listen-failed', message});
+	}
+
+	const address = server.address();
+	const bound = typeof address === 'object' && address ? address.port : port;
+	return ok({
+		port: bound,
+		drain: async () => stop(server),
+		async close() {
+			const closed = stop(server);
+			server.closeAllConnections();
+			await closed;
+		},
+	});
+}
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -1,1 +1,20 @@
-export {};
+export type {Clock} from './clock.js';
+export {createClock} from './clock.js';
+export type {HttpServer, ListenError} from './http-server.js';
+export {serveHttp} from './http-server.js';
+export type {LogContext, Logger, LogLevel} from './logs.js';
+export {createLogger, installLogWriter} from './logs.js';
+export type {Metrics, MetricsSettings} from './metrics.js';
+export {createMetrics, metricsSettingsSchema} from './metrics.js';
+export {EXIT_CODES, waitForStop} from './program.js';
+export type {SettingsError} from './settings.js';
+export {loadSettings, parseSettings} from './settings.js';
+export type {
+	ChildSpec,
+	PartError,
+	RestartPolicy,
+	Running,
+	Supervisor,
+	SupervisorOptions,
+} from './supervisor.js';
+export {startSupervisor} from './supervisor.js';
--- /dev/null
+++ b/packages/lovage-runtime/src/logs.ts
@@ -0,0 +1,53 @@
+import process from 'node:process';
+import {Roarr, ROARR} from 'roarr';
+
+/** Values that go with a log line. */
+export type LogContext = Readonly<Record<string, string | number | boolean>>;
+
+/** Writes short sentences with the fixed prefix of one part. */
+export type Logger = Readonly<{
+	debug: (message: string, context?: LogContext) => void;
+	info: (message: string, context?: LogContext) => void;
+	warn: (message: string, context?: LogContext) => void;
+	error: (message: string, context?: LogContext) => void;
+}>;
+
+/** Lowest level that is written. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+const LEVELS: Readonly<Record<LogLevel, number>> = {
+	debug: 20,
+	info: 30,
+	warn: 40,
+	error: 50,
+};
+
+/** Makes roarr write JSON lines to standard error, without any environment variable. */
+export function installLogWriter(level: LogLevel): void {
+	ROARR.write = (line) => {
+		const {context} = JSON.parse(line) as {context: {logLevel?: number}};
+		if ((context.logLevel ?? LEVELS.info) >= LEVELS[level]) {
+			process.stderr.write(`${line}\n`);
+		}
+	};
+}
+
+/** Creates the logger of a part, such as `entry.lease`. */
+export function createLogger(part: string): Logger {
+	const log = Roarr.child({part});
+	const prefix = `${part}: `;
+	return {
+		debug(message, context = {}) {
+			log.debug(context, prefix + message);
+		},
+		info(message, context = {}) {
+			log.info(context, prefix + message);
+		},
+		warn(message, context = {}) {
+			log.warn(context, prefix + message);
+		},
+		error(message, context = {}) {
+			log.error(context, prefix + message);
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-runtime/src/metrics.ts
@@ -0,0 +1,53 @@
+import {StatsD} from 'hot-shots';
+import {z} from 'zod';
+
+/** Settings of the metrics' destination; without a host nothing is sent. */
+export const metricsSettingsSchema = z.strictObject({
+	host: z.string().optional(),
+	port: z.number().int().min(1).max(65_535).default(8125),
+});
+
+/** Where metrics go. */
+export type MetricsSettings = z.output<typeof metricsSettingsSchema>;
+
+/** Sends metrics under the prefix `lovage.`. */
+export type Metrics = Readonly<{
+	increment: (name: string, count?: number, tags?: readonly string[]) => void;
+	gauge: (name: string, value: number, tags?: readonly string[]) => void;
+	/** Takes milliseconds. */
+	timing: (name: string, ms: number, tags?: readonly string[]) => void;
+	close: () => void;
+}>;
+
+// A destination that does not listen must not stop the program.
+const ignoreError = (): undefined => undefined;
+
+/** Creates the sender of metrics over UDP. */
+export function createMetrics(
+	cfg: MetricsSettings,
+	globalTags: Readonly<Record<string, string>>,
+): Metrics {
+	const client = new StatsD({
+		host: cfg.host ?? '127.0.0.1',
+		port: cfg.port,
+		prefix: 'lovage.',
+		globalTags: {...globalTags},
+		mock: cfg.host === undefined,
+		maxBufferSize: 1400,
+		errorHandler: ignoreError,
+	});
+	return {
+		increment(name, count = 1, tags = []) {
+			client.increment(name, count, [...tags]);
+		},
+		gauge(name, value, tags = []) {
+			client.gauge(name, value, [...tags]);
+		},
+		timing(name, ms, tags = []) {
+			client.timing(name, ms, [...tags]);
+		},
+		close() {
+			client.close();
+		},
+	};
+}
