--- a/packages/lovage-consensus/src/index.ts
+++ b/packages/lovage-consensus/src/index.ts
@@ -1,1 +1,30 @@
-export {};
+export {allGuards} from './guards.js';
+export type {RaftGuards} from './guards.js';
+export {defaultSettings} from './settings.js';
+export type {
+	AppendAnswerMessage,
+	AppendMessage,
+	HardState,
+	JoiningMember,
+	LogEntry,
+	Member,
+	PendingRead,
+	PendingWrite,
+	Progress,
+	RaftEffect,
+	RaftEvent,
+	RaftLog,
+	RaftMessage,
+	RaftRole,
+	RaftSettings,
+	RaftState,
+	RecoveredState,
+	RefusalReason,
+	ReplicaId,
+	Snapshot,
+	SnapshotAnswerMessage,
+	SnapshotMessage,
+	TimeoutNowMessage,
+	VoteAnswerMessage,
+	VoteMessage,
+} from './types.js';
--- /dev/null
+++ b/packages/lovage-consensus/src/settings.ts
@@ -0,0 +1,19 @@
+import {allGuards} from './guards.js';
+import type {RaftSettings} from './types.js';
+
+const ELECTION_TIMEOUT_MS = 1000;
+const HEARTBEAT_INTERVAL_MS = 250;
+
+/** Settings for links of about a millisecond. */
+export const defaultSettings: RaftSettings = {
+	electionTimeoutMs: ELECTION_TIMEOUT_MS,
+	heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+	maxInflightAppends: 8,
+	maxAppendEntries: 256,
+	maxAppendCharacters: 262_144,
+	maxUncommittedEntries: 4096,
+	maxPendingReads: 4096,
+	snapshotPieceCharacters: 262_144,
+	trailingEntries: 1024,
+	guards: allGuards,
+};
