Add the step of one generation

Silence is judged against the attempt's own pace, then a probe on a new connection decides: held means resume in place at the delivered offset, lost means another backend server with the delivered prefix. A generation adopted by cursor fetches the delivered tokens from the engine and retains them, so that a later loss needs no restart. A caller that blocks stops the judgement.

Each protecting rule has a switch for the specification.

--- /dev/null
+++ b/packages/lovage-generation/src/__tests__/unit/generation.test.ts
@@ -0,0 +1,261 @@
+import {describe, expect, it} from 'vitest';
+import {
+	ALL_GUARDS,
+	createGeneration,
+	getDetectionPolicy,
+	getNextDeadline,
+	stepGeneration,
+	type GenerationEffect,
+	type GenerationEvent,
+	type GenerationGuards,
+	type GenerationStart,
+	type GenerationState,
+} from '../../index.js';
+
+const POLICY = getDetectionPolicy('resume-latency');
+
+const NEW: GenerationStart = {kind: 'new'};
+
+function begin(start = NEW, guards: Partial<GenerationGuards> = {}) {
+	return createGeneration(
+		{
+			id: 'g',
+			policy: POLICY,
+			retryLimit: 3,
+			start,
+			guards: {...ALL_GUARDS, ...guards},
+		},
+		0,
+	).state;
+}
+
+function run(state: GenerationState, events: readonly GenerationEvent[]) {
+	const effects: GenerationEffect[] = [];
+	const last = events.reduce((current, event) => {
+		const transition = stepGeneration(current, event);
+		effects.push(...transition.effects);
+		return transition.state;
+	}, state);
+	return {state: last, effects};
+}
+
+function chunk(
+	offset: number,
+	now: number,
+	other: Partial<Extract<GenerationEvent, {kind: 'chunk-received'}>> = {},
+): GenerationEvent {
+	return {
+		kind: 'chunk-received',
+		connection: 1,
+		generation: 'g',
+		attempt: 1,
+		offset,
+		count: 1,
+		now,
+		...other,
+	};
+}
+
+const placed: GenerationEvent = {kind: 'placed', backend: 'a', now: 0};
+
+function flow(tokens: number): readonly GenerationEvent[] {
+	return Array.from({length: tokens}, (_, i) => chunk(i, 20 * (i + 1)));
+}
+
+function kinds(effects: readonly GenerationEffect[]) {
+	return effects.map((effect) => effect.kind);
+}
+
+describe('detection', () => {
+	it('probes after a silence measured against the own pace', () => {
+		const {state} = run(begin(), [placed, ...flow(20)]);
+		expect(getNextDeadline(state)).toBe(400 + POLICY.minimumSilenceMs);
+		const early = run(state, [{kind: 'ticked', now: 699}]);
+		expect(early.effects).toEqual([]);
+		const late = run(state, [{kind: 'ticked', now: 700}]);
+		expect(kinds(late.effects)).toEqual(['probe']);
+	});
+
+	it('resumes in place on a new connection when the attempt is held', () => {
+		const {state, effects} = run(begin(), [
+			placed,
+			...flow(10),
+			{kind: 'ticked', now: 5000},
+			{kind: 'probe-answered', probe: 1, held: true, length: 30, now: 5001},
+			chunk(10, 5002),
+			chunk(10, 5003, {connection: 2, count: 20}),
+		]);
+		expect(effects.slice(-4)).toEqual([
+			{kind: 'close', connection: 1},
+			{kind: 'resume', backend: 'a', attempt: 1, connection: 2, offset: 10},
+			{kind: 'deliver', offset: 10, count: 20},
+			{kind: 'report-resume', waitMs: 4803, inPlace: true},
+		]);
+		expect(state.retries).toBe(0);
+	});
+
+	it('goes on elsewhere with the prefix after the last failed probe', () => {
+		const {effects} = run(begin(), [
+			placed,
+			...flow(10),
+			{kind: 'connection-lost', connection: 1, now: 300},
+			{kind: 'probe-failed', probe: 1, now: 301},
+			{kind: 'ticked', now: 301 + POLICY.probeTimeoutMs},
+			{kind: 'placed', backend: 'b', now: 600},
+		]);
+		expect(effects.slice(11)).toEqual([
+			{kind: 'probe', backend: 'a', attempt: 1, probe: 1},
+			{kind: 'probe', backend: 'a', attempt: 1, probe: 2},
+			{kind: 'cancel', backend: 'a', attempt: 1},
+			{kind: 'report-death', backend: 'a', attempt: 1, cause: 'unreachable'},
+			{kind: 'place', excluded: ['a'], resumed: true},
+			{
+				kind: 'start',
+				backend: 'b',
+				attempt: 2,
+				connection: 2,
+				prefixLength: 10,
+			},
+		]);
+	});
+
+	it('takes a token during a probe as life', () => {
+		const {state, effects} = run(begin(), [
+			placed,
+			...flow(10),
+			{kind: 'ticked', now: 5000},
+			chunk(10, 5001),
+			{kind: 'probe-failed', probe: 1, now: 5002},
+		]);
+		expect(state.phase.kind).toBe('streaming');
+		expect(kinds(effects.slice(11))).toEqual(['probe', 'deliver']);
+	});
+
+	it('judges no silence while the caller blocks', () => {
+		const {state} = run(begin(), [
+			placed,
+			...flow(10),
+			{kind: 'caller-blocked', now: 200},
+		]);
+		expect(getNextDeadline(state)).toBeUndefined();
+		const {effects} = run(state, [
+			{kind: 'ticked', now: 60_000},
+			{kind: 'caller-ready', now: 60_001},
+			{kind: 'ticked', now: 60_002},
+		]);
+		expect(effects).toEqual([]);
+	});
+
+	it('leaves a backend server that answers probes without a token', () => {
+		let {state} = run(begin(), [placed, ...flow(10)]);
+		const effects: GenerationEffect[] = [];
+		while (state.phase.kind !== 'placing') {
+			const now = getNextDeadline(state)!;
+			const probed = run(state, [{kind: 'ticked', now}]);
+			const answered = run(probed.state, [
+				{
+					kind: 'probe-answered',
+					probe: probed.state.probes,
+					held: true,
+					length: 10,
+					now,
+				},
+			]);
+			effects.push(...answered.effects);
+			state = answered.state;
+		}
+
+		expect(kinds(effects)).toContain('report-death');
+		expect(effects.filter((effect) => effect.kind === 'resume')).toHaveLength(
+			POLICY.stalledResumes,
+		);
+	});
+});
+
+describe('stitching', () => {
+	it('drops the repeated part of a chunk', () => {
+		const {effects} = run(begin(), [
+			placed,
+			...flow(3),
+			chunk(1, 80, {count: 5}),
+		]);
+		expect(effects.at(-1)).toEqual({kind: 'deliver', offset: 3, count: 3});
+	});
+
+	it.each([
+		['a gap', chunk(4, 80)],
+		['a foreign generation', chunk(3, 80, {generation: 'x'})],
+		['another attempt', chunk(3, 80, {attempt: 2})],
+	])('takes %s as a fault of the connection', (_, event) => {
+		const {effects} = run(begin(), [placed, ...flow(3), event]);
+		expect(kinds(effects.slice(4))).toEqual(['close', 'probe']);
+	});
+
+	it('takes an end that comes too early as a fault', () => {
+		const {state, effects} = run(begin(), [
+			placed,
+			...flow(3),
+			{
+				kind: 'end-received',
+				connection: 1,
+				generation: 'g',
+				attempt: 1,
+				total: 4,
+				now: 80,
+			},
+		]);
+		expect(state.phase.kind).toBe('probing');
+		expect(kinds(effects)).not.toContain('finish');
+	});
+
+	it('ignores chunks of the connection that it left', () => {
+		const {state} = run(begin(), [
+			placed,
+			...flow(3),
+			{kind: 'connection-lost', connection: 1, now: 80},
+			{kind: 'probe-answered', probe: 1, held: true, length: 9, now: 81},
+			chunk(3, 82),
+		]);
+		expect(state.offset).toBe(3);
+	});
+});
+
+describe('adoption', () => {
+	const start: GenerationStart = {
+		kind: 'adopt',
+		backend: 'a',
+		attempt: 2,
+		offset: 5,
+		prefixAvailable: false,
+	};
+
+	it('retains the tokens that another entry delivered', () => {
+		const {effects} = run(begin(start), [chunk(0, 10, {attempt: 2, count: 8})]);
+		expect(effects.slice(0, 2)).toEqual([
+			{kind: 'retain', offset: 0, count: 5},
+			{kind: 'deliver', offset: 5, count: 3},
+		]);
+	});
+
+	it('fails rather than restart without the delivered prefix', () => {
+		const lost: readonly GenerationEvent[] = [
+			{kind: 'connection-lost', connection: 1, now: 10},
+			{kind: 'probe-answered', probe: 1, held: false, length: 0, now: 11},
+		];
+		expect(run(begin(start), lost).effects.at(-1)).toEqual({
+			kind: 'fail',
+			reason: 'prefix-missing',
+		});
+		const held = begin({...start, prefixAvailable: true});
+		expect(run(held, lost).effects.at(-1)?.kind).toBe('place');
+	});
+
+	it('cancels nothing when another entry took it over', () => {
+		const {effects} = run(begin(), [
+			placed,
+			...flow(2),
+			{kind: 'taken-over', now: 60},
+		]);
+		expect(kinds(effects.slice(3))).toEqual(['close']);
+	});
+});
--- /dev/null
+++ b/packages/lovage-generation/src/loss.ts
@@ -0,0 +1,173 @@
+import {createTransition} from '@lovagevalve/core';
+import {UNKNOWN_PACE} from './pace.js';
+import type {GenerationState, GenerationTransition, Phase} from './state.js';
+import type {DeathCause, FailureReason, GenerationEffect} from './types.js';
+
+const MAXIMUM_EXCLUDED = 8;
+
+/** Phase of an attempt whose backend server is being asked. */
+export type ProbingPhase = Extract<Phase, {kind: 'probing'}>;
+type StreamingPhase = Extract<Phase, {kind: 'streaming'}>;
+
+/** Phases with an attempt under way; a lost connection has no number. */
+export type RunningPhase =
+	ProbingPhase | (Omit<StreamingPhase, 'connection'> & {connection?: number});
+
+/** Ends a generation without the rest of its answer. */
+export function failGeneration(
+	state: GenerationState,
+	reason: FailureReason,
+	before: readonly GenerationEffect[] = [],
+): GenerationTransition {
+	return createTransition<GenerationState, GenerationEffect>(
+		{...state, phase: {kind: 'ended', outcome: reason}},
+		[...before, {kind: 'fail', reason}],
+	);
+}
+
+/** Lists the effects that leave the present attempt behind. */
+export function abandonAttempt(
+	state: GenerationState,
+	phase: RunningPhase,
+): readonly GenerationEffect[] {
+	const {backend} = phase;
+	const cancel: readonly GenerationEffect[] = state.guards.cancelOld
+		? [{kind: 'cancel', backend, attempt: state.attempt}]
+		: [];
+	return [...closeConnection(phase), ...cancel];
+}
+
+/** Lists the effect that closes the connection, unless it is lost. */
+export function closeConnection(
+	phase: RunningPhase,
+): readonly GenerationEffect[] {
+	return phase.connection === undefined
+		? []
+		: [{kind: 'close', connection: phase.connection}];
+}
+
+/** Asks the backend server on a new connection whether it holds the attempt. */
+export function probeBackend(
+	state: GenerationState,
+	phase: RunningPhase,
+	now: number,
+): GenerationTransition {
+	if (!state.guards.probeBeforeDeath) {
+		return continueElsewhere(state, phase, 'unreachable');
+	}
+
+	const {backend, connection} = phase;
+	const probe = state.probes + 1;
+	const probesSent = phase.kind === 'probing' ? phase.probesSent + 1 : 1;
+	return createTransition<GenerationState, GenerationEffect>(
+		{
+			...state,
+			phase: {
+				kind: 'probing',
+				backend,
+				connection,
+				probe,
+				probesSent,
+				sentAt: now,
+			},
+			probes: probe,
+		},
+		[{kind: 'probe', backend, attempt: state.attempt, probe}],
+	);
+}
+
+/** Handles the loss or a fault of the present connection. */
+export function loseConnection(
+	state: GenerationState,
+	phase: RunningPhase,
+	now: number,
+	isOpen: boolean,
+): GenerationTransition {
+	const effects = isOpen ? closeConnection(phase) : [];
+	const next = noteLoss(state);
+	if (phase.kind === 'probing') {
+		const lost: Phase = {...phase, connection: undefined};
+		return createTransition({...next, phase: lost}, effects);
+	}
+
+	const probed = probeBackend(next, {...phase, connection: undefined}, now);
+	return createTransition(probed.state, [...effects, ...probed.effects]);
+}
+
+function noteLoss(state: GenerationState): GenerationState {
+	const {attempt, lastTokenAt} = state;
+	return {...state, loss: state.loss ?? {attempt, lastTokenAt}};
+}
+
+/** Opens a new stream of the attempt that the backend server still holds. */
+export function resumeInPlace(
+	state: GenerationState,
+	phase: RunningPhase,
+	now: number,
+): GenerationTransition {
+	if (state.stalls >= state.policy.stalledResumes) {
+		return continueElsewhere(state, phase, 'stalled');
+	}
+
+	const {backend} = phase;
+	const connection = state.connections + 1;
+	const {attempt, held: offset} = state;
+	return createTransition<GenerationState, GenerationEffect>(
+		{
+			...noteLoss(state),
+			phase: {kind: 'streaming', backend, connection, silentSince: now},
+			connections: connection,
+			stalls: state.stalls + 1,
+		},
+		[
+			...closeConnection(phase),
+			{kind: 'resume', backend, attempt, connection, offset},
+		],
+	);
+}
+
+/** Leaves a backend server that lost the generation and goes on elsewhere. */
+export function continueElsewhere(
+	state: GenerationState,
+	phase: RunningPhase,
+	cause: DeathCause,
+): GenerationTransition {
+	const {backend} = phase;
+	const {attempt} = state;
+	return placeAgain(noteLoss(state), backend, [
+		...abandonAttempt(state, phase),
+		{kind: 'report-death', backend, attempt, cause},
+	]);
+}
+
+/** Asks for another backend server, within the limits. */
+export function placeAgain(
+	state: GenerationState,
+	backend: string,
+	before: readonly GenerationEffect[],
+): GenerationTransition {
+	if (state.retries >= state.retryLimit) {
+		return failGeneration(state, 'retry-budget-spent', before);
+	}
+
+	if (state.guards.prefixRequired && state.held < state.offset) {
+		return failGeneration(state, 'prefix-missing', before);
+	}
+
+	const excluded = [
+		...state.excluded.filter((other) => other !== backend),
+		backend,
+	].slice(-MAXIMUM_EXCLUDED);
+	return createTransition<GenerationState, GenerationEffect>(
+		{
+			...state,
+			phase: {kind: 'placing'},
+			retries: state.retries + 1,
+			stalls: 0,
+			pace: UNKNOWN_PACE,
+			flowing: false,
+			excluded,
+		},
+		[...before, {kind: 'place', excluded, resumed: state.offset > 0}],
+	);
+}
--- /dev/null
+++ b/packages/lovage-generation/src/state.ts
@@ -0,0 +1,137 @@
+import {createTransition, type Transition} from '@lovagevalve/core';
+import {ALL_GUARDS, type GenerationGuards} from './guards.js';
+import {UNKNOWN_PACE, type Pace} from './pace.js';
+import type {DetectionPolicy} from './policy.js';
+import type {Attempt, FailureReason, GenerationEffect} from './types.js';
+
+/** How a generation begins at this host. */
+export type GenerationStart =
+	| {kind: 'new'}
+	/** Another entry began it and delivered `offset` tokens to the caller. */
+	| {
+			kind: 'adopt';
+			backend: string;
+			attempt: Attempt;
+			offset: number;
+			/** Whether the host holds the delivered tokens. */
+			prefixAvailable: boolean;
+	  };
+
+/** Settings of one generation. */
+export type GenerationOptions = Readonly<{
+	id: string;
+	policy: DetectionPolicy;
+	/** Attempts after the first one at most. */
+	retryLimit: number;
+	start: GenerationStart;
+	guards?: GenerationGuards;
+}>;
+
+/** What a generation is doing. */
+export type Phase =
+	| {kind: 'placing'}
+	| {
+			kind: 'streaming';
+			backend: string;
+			connection: number;
+			/** Time of the last sign of life. */
+			silentSince: number;
+	  }
+	| {
+			kind: 'probing';
+			backend: string;
+			/** The silent connection, unless it is lost. */
+			connection?: number;
+			probe: number;
+			probesSent: number;
+			sentAt: number;
+	  }
+	| {kind: 'ended'; outcome: 'finished' | 'taken-over' | FailureReason};
+
+/** A loss that the caller waits on. */
+export type PendingLoss = Readonly<{attempt: Attempt; lastTokenAt: number}>;
+
+/** State of one generation; its size is bounded. */
+export type GenerationState = Readonly<{
+	id: string;
+	policy: DetectionPolicy;
+	retryLimit: number;
+	guards: GenerationGuards;
+	phase: Phase;
+	attempt: Attempt;
+	/** Tokens delivered to the caller. */
+	offset: number;
+	/** Leading tokens that the host holds. */
+	held: number;
+	connections: number;
+	probes: number;
+	retries: number;
+	/** Resumes in place since the last new token. */
+	stalls: number;
+	pace: Pace;
+	/** Whether a token of this attempt came. */
+	flowing: boolean;
+	lastTokenAt: number;
+	/** Whether the host reads nothing because the caller is slow. */
+	blocked: boolean;
+	loss?: PendingLoss;
+	/** Backend servers that lost or refused it, newest last. */
+	excluded: readonly string[];
+}>;
+
+/** Transition of one generation. */
+export type GenerationTransition = Transition<
+	GenerationState,
+	GenerationEffect
+>;
+
+/** Begins a generation; the effects say what to do first. */
+export function createGeneration(
+	options: GenerationOptions,
+	now: number,
+): GenerationTransition {
+	const base: GenerationState = {
+		id: options.id,
+		policy: options.policy,
+		retryLimit: options.retryLimit,
+		guards: options.guards ?? ALL_GUARDS,
+		phase: {kind: 'placing'},
+		attempt: 0,
+		offset: 0,
+		held: 0,
+		connections: 0,
+		probes: 0,
+		retries: 0,
+		stalls: 0,
+		pace: UNKNOWN_PACE,
+		flowing: false,
+		lastTokenAt: now,
+		blocked: false,
+		excluded: [],
+	};
+	return options.start.kind === 'new'
+		? createTransition(base, [{kind: 'place', excluded: [], resumed: false}])
+		: adopt(base, options.start, now);
+}
+
+function adopt(
+	base: GenerationState,
+	start: Extract<GenerationStart, {kind: 'adopt'}>,
+	now: number,
+): GenerationTransition {
+	const {backend, attempt, offset} = start;
+	const held = start.prefixAvailable ? offset : 0;
+	const connection = 1;
+	return createTransition<GenerationState, GenerationEffect>(
+		{
+			...base,
+			phase: {kind: 'streaming', backend, connection, silentSince: now},
+			attempt,
+			offset,
+			held,
+			connections: connection,
+			loss: {attempt, lastTokenAt: now},
+		},
+		[{kind: 'resume', backend, attempt, connection, offset: held}],
+	);
+}
--- /dev/null
+++ b/packages/lovage-generation/src/stitch.ts
@@ -0,0 +1,130 @@
+import {createTransition} from '@lovagevalve/core';
+import {loseConnection, type RunningPhase} from './loss.js';
+import {updatePace} from './pace.js';
+import type {GenerationState, GenerationTransition} from './state.js';
+import type {GenerationEffect, GenerationEvent} from './types.js';
+
+type Chunk = Extract<GenerationEvent, {kind: 'chunk-received'}>;
+type End = Extract<GenerationEvent, {kind: 'end-received'}>;
+
+/** Tells whether a chunk or end belongs to the present connection. */
+export function isCurrent(
+	state: GenerationState,
+	phase: RunningPhase,
+	event: Chunk | End,
+): boolean {
+	return !state.guards.connectionCheck || event.connection === phase.connection;
+}
+
+function isForeign(state: GenerationState, event: Chunk | End): boolean {
+	const {guards} = state;
+	return (
+		(guards.generationCheck && event.generation !== state.id) ||
+		(guards.attemptCheck && event.attempt !== state.attempt)
+	);
+}
+
+/** Passes on the tokens of a chunk that the caller has not seen yet. */
+export function receiveChunk(
+	state: GenerationState,
+	phase: RunningPhase,
+	chunk: Chunk,
+): GenerationTransition {
+	const isGap = state.guards.gapCheck && chunk.offset > state.held;
+	if (isForeign(state, chunk) || isGap) {
+		return loseConnection(state, phase, chunk.now, true);
+	}
+
+	const end = chunk.offset + chunk.count;
+	const position = state.guards.overlapCheck ? end : state.held + chunk.count;
+	if (position <= state.held) {
+		return createTransition(state);
+	}
+
+	const held = position;
+	const retained = Math.max(0, Math.min(held, state.offset) - state.held);
+	const delivered = Math.max(0, held - state.offset);
+	const effects: readonly GenerationEffect[] = [
+		...createRetain(state, retained),
+		...createDelivery(state, delivered, chunk.now),
+	];
+	return createTransition(
+		{
+			...state,
+			phase: {
+				kind: 'streaming',
+				backend: phase.backend,
+				connection: chunk.connection,
+				silentSince: chunk.now,
+			},
+			held,
+			...(delivered > 0 ? noteDelivery(state, delivered, chunk.now) : {}),
+		},
+		effects,
+	);
+}
+
+function noteDelivery(
+	state: GenerationState,
+	delivered: number,
+	now: number,
+): Partial<GenerationState> {
+	return {
+		offset: state.offset + delivered,
+		pace:
+			state.flowing && state.loss === undefined
+				? updatePace(state.pace, now - state.lastTokenAt)
+				: state.pace,
+		flowing: true,
+		lastTokenAt: now,
+		stalls: 0,
+		loss: undefined,
+	};
+}
+
+function createRetain(
+	state: GenerationState,
+	count: number,
+): readonly GenerationEffect[] {
+	return count > 0 ? [{kind: 'retain', offset: state.held, count}] : [];
+}
+
+function createDelivery(
+	state: GenerationState,
+	count: number,
+	now: number,
+): readonly GenerationEffect[] {
+	if (count === 0) {
+		return [];
+	}
+
+	const {offset, loss} = state;
+	const deliver: GenerationEffect = {kind: 'deliver', offset, count};
+	if (loss === undefined || offset === 0) {
+		return [deliver];
+	}
+
+	const waitMs = now - loss.lastTokenAt;
+	const inPlace = loss.attempt === state.attempt;
+	return [deliver, {kind: 'report-resume', waitMs, inPlace}];
+}
+
+/** Finishes the generation if the caller has every token. */
+export function receiveEnd(
+	state: GenerationState,
+	phase: RunningPhase,
+	end: End,
+): GenerationTransition {
+	const isShort = state.guards.endTotalCheck && end.total !== state.offset;
+	if (isForeign(state, end) || isShort) {
+		return loseConnection(state, phase, end.now, true);
+	}
+
+	return createTransition<GenerationState, GenerationEffect>(
+		{...state, phase: {kind: 'ended', outcome: 'finished'}},
+		[
+			{kind: 'close', connection: end.connection},
+			{kind: 'finish', total: state.offset},
+		],
+	);
+}
--- a/packages/lovage-generation/src/types.ts
+++ b/packages/lovage-generation/src/types.ts
@@ -11,6 +11,15 @@
 	| 'prefix-missing'
 	| 'caller-left';
 
+/** How a backend server lost a generation. */
+export type DeathCause =
+	/** No probe was answered. */
+	| 'unreachable'
+	/** It answers, but holds the generation no more: it may have restarted. */
+	| 'not-held'
+	/** It answers, but went on too long without a token or with faults. */
+	| 'stalled';
+
 /** Events of one generation. Times are monotonic milliseconds. */
 export type GenerationEvent =
 	/** A backend server was chosen; answers the effect `place`. */
@@ -60,7 +69,14 @@
 	| {kind: 'probe-failed'; probe: number; now: number}
 	/** The backend server left the view or was declared dead by other means. */
 	| {kind: 'backend-lost'; backend: string; now: number}
+	/** The caller won't come back: the work is cancelled. */
 	| {kind: 'caller-left'; now: number}
+	/** Another entry took the generation over: nothing is cancelled. */
+	| {kind: 'taken-over'; now: number}
+	/** Reading stopped because the caller is slow: silence proves nothing. */
+	| {kind: 'caller-blocked'; now: number}
+	/** Reading goes on. */
+	| {kind: 'caller-ready'; now: number}
 	| {kind: 'ticked'; now: number};
 
 /** Effects of one generation, run by the host in order. */
@@ -91,8 +107,18 @@
 	| {kind: 'cancel'; backend: string; attempt: Attempt}
 	/** Pass on the last `count` tokens of the chunk just received. */
 	| {kind: 'deliver'; offset: number; count: number}
-	/** The backend server is taken as dead while it ran this generation. */
-	| {kind: 'report-death'; backend: string; attempt: Attempt}
+	/**
+	 * Keep `count` tokens of the chunk just received, from `offset` on, as
+	 * prefix without passing them on: another entry delivered them.
+	 */
+	| {kind: 'retain'; offset: number; count: number}
+	/** The backend server lost this generation while it ran it. */
+	| {
+			kind: 'report-death';
+			backend: string;
+			attempt: Attempt;
+			cause: DeathCause;
+	  }
 	/** The caller waited this long between two tokens because of a loss. */
 	| {kind: 'report-resume'; waitMs: number; inPlace: boolean}
 	/** The whole answer was passed on. */
