--- /dev/null
+++ b/packages/lovage-inventory/src/check-inventory.ts
@@ -0,0 +1,102 @@
+import type {Finding} from './explain-issue.js';
+import {findDuplicates, type UniqueEntry} from './find-duplicates.js';
+import type {InventoryOutline} from './outline.js';
+
+type ServiceOutline = InventoryOutline['services'][number];
+type HolderOutline = InventoryOutline['customers'][number];
+
+function listIds(
+	items: ReadonlyArray<{id?: string | undefined}>,
+	...parent: Array<string | number>
+): readonly UniqueEntry[] {
+	return items.map(({id}, i) => ({value: id, path: [...parent, i, 'id']}));
+}
+
+function listKeys(
+	items: readonly HolderOutline[],
+	parent: string,
+): readonly UniqueEntry[] {
+	return items.map(({keyHash}, i) => ({
+		value: keyHash,
+		path: [parent, i, 'keyHash'],
+	}));
+}
+
+function checkModels(service: ServiceOutline, index: number): Finding[] {
+	const path = ['services', index, 'models'];
+	if (service.kind === 'engine' && service.models.length === 0) {
+		return [{path, message: 'an engine service needs a model'}];
+	}
+
+	return service.kind === 'plain' && service.models.length > 0
+		? [{path, message: 'a plain service has no models'}]
+		: [];
+}
+
+function checkDataCentres(
+	service: ServiceOutline,
+	index: number,
+	known: ReadonlySet<string | undefined>,
+): Finding[] {
+	return service.workers.flatMap(({dataCentre}, i) =>
+		dataCentre === undefined || known.has(dataCentre)
+			? []
+			: [
+					{
+						path: ['services', index, 'workers', i, 'dataCentre'],
+						message: `data centre "${dataCentre}" is not in dataCentres`,
+					},
+				],
+	);
+}
+
+function checkService(
+	service: ServiceOutline,
+	index: number,
+	known: ReadonlySet<string | undefined>,
+): readonly Finding[] {
+	return [
+		...checkModels(service, index),
+		...checkDataCentres(service, index, known),
+		...findDuplicates(
+			listIds(service.models, 'services', index, 'models'),
+			(id) => `model "${id}" stands twice in this service`,
+		),
+	];
+}
+
+/** Checks what the schema can't: references and what must be unique. */
+export function checkInventory(inventory: InventoryOutline): Finding[] {
+	const {dataCentres, services, customers, operators} = inventory;
+	const known = new Set(dataCentres.map(({id}) => id));
+	const workers = services.flatMap((service, i) =>
+		listIds(service.workers, 'services', i, 'workers'),
+	);
+	return [
+		...services.flatMap((service, i) => checkService(service, i, known)),
+		...findDuplicates(
+			listIds(dataCentres, 'dataCentres'),
+			(id) => `data centre "${id}" stands twice`,
+		),
+		...findDuplicates(
+			listIds(services, 'services'),
+			(id) => `service "${id}" stands twice`,
+		),
+		...findDuplicates(workers, (id) => `worker "${id}" stands twice`),
+		...findDuplicates(
+			listIds(customers, 'customers'),
+			(id) => `customer "${id}" stands twice`,
+		),
+		...findDuplicates(
+			listIds(operators, 'operators'),
+			(id) => `operator "${id}" stands twice`,
+		),
+		...findDuplicates(
+			[
+				...listKeys(customers, 'customers'),
+				...listKeys(operators, 'operators'),
+			],
+			() => 'another customer or operator has the same key',
+		),
+	];
+}
--- a/packages/lovage-inventory/src/configuration.ts
+++ b/packages/lovage-inventory/src/configuration.ts
@@ -65,7 +65,8 @@
 		.optional(),
 });
 
-const objectiveSchema = z.strictObject({
+/** Objective of one service. */
+export const objectiveSchema = z.strictObject({
 	service: identifier,
 	weighs: z.enum(['resume-latency', 'resource-use']),
 	/** Share of the events that must be good, such as 0.99. */
@@ -140,3 +141,5 @@
 export type Customer = Inventory['customers'][number];
 /** The objective of one service. */
 export type Objective = Rules['objectives'][number];
+/** An operator of the deployment. */
+export type Operator = Inventory['operators'][number];
--- /dev/null
+++ b/packages/lovage-inventory/src/find-duplicates.ts
@@ -0,0 +1,26 @@
+import type {Finding} from './explain-issue.js';
+import type {ValuePath} from './configuration-error.js';
+
+/** A value that must be unique, and its place. */
+export type UniqueEntry = Readonly<{
+	/** Left out of the check when undefined. */
+	value: string | undefined;
+	path: ValuePath;
+}>;
+
+/** Reports each entry whose value an earlier entry has. */
+export function findDuplicates(
+	entries: readonly UniqueEntry[],
+	describe: (value: string) => string,
+): readonly Finding[] {
+	const seen = new Set<string>();
+	return entries.flatMap(({value, path}) => {
+		if (value === undefined) {
+			return [];
+		}
+
+		const isRepeated = seen.has(value);
+		seen.add(value);
+		return isRepeated ? [{path, message: describe(value)}] : [];
+	});
+}
--- /dev/null
+++ b/packages/lovage-inventory/src/yaml-source.ts
@@ -0,0 +1,161 @@
+import {Buffer} from 'node:buffer';
+import {Result} from 'neverthrow';
+import {
+	isAlias,
+	isCollection,
+	isMap,
+	isNode,
+	isScalar,
+	isSeq,
+	LineCounter,
+	parseDocument,
+	type Document,
+	type YAMLError,
+} from 'yaml';
+import {
+	formatPath,
+	type ConfigurationError,
+	type ValuePath,
+} from './configuration-error.js';
+
+/** Largest file of an inventory or of rules, in bytes. */
+export const MAX_FILE_BYTES = 8 * 1024 * 1024;
+
+const MAX_ALIASES = 100;
+
+/** A parsed YAML text that knows the place of each value. */
+export type YamlSource = Readonly<{
+	file: string;
+	value: unknown;
+	errors: readonly ConfigurationError[];
+	/** False when the syntax is broken, so that `value` means nothing. */
+	isReadable: boolean;
+	/** Builds an error at a value, or at its nearest parent that exists. */
+	createError: (path: ValuePath, message: string) => ConfigurationError;
+}>;
+
+type Place = Readonly<{line: number; column: number}>;
+
+const START: Place = {line: 1, column: 1};
+
+function resolveNode(document: Document, node: unknown): unknown {
+	return isAlias(node) ? node.resolve(document) : node;
+}
+
+function findChild(
+	node: unknown,
+	segment: string | number,
+): {place: unknown; value: unknown} | undefined {
+	if (isSeq(node) && typeof segment === 'number') {
+		const item = node.items[segment];
+		return item === undefined ? undefined : {place: item, value: item};
+	}
+
+	if (!isMap(node)) {
+		return undefined;
+	}
+
+	const pair = node.items.find(
+		({key}) => isScalar(key) && String(key.value) === String(segment),
+	);
+	return pair && {place: pair.key, value: pair.value};
+}
+
+/** Finds the node at a path, or the last one on the way to it. */
+function findOffset(document: Document, path: ValuePath): number {
+	let node: unknown = document.contents;
+	let offset = 0;
+	for (const segment of path) {
+		const child = findChild(resolveNode(document, node), segment);
+		if (child === undefined) {
+			break;
+		}
+
+		offset = isNode(child.place) ? (child.place.range?.[0] ?? offset) : offset;
+		node = child.value;
+	}
+
+	return offset;
+}
+
+function getPlace(counter: LineCounter, offset: number): Place {
+	const {line, col} = counter.linePos(offset);
+	return line === 0 ? START : {line, column: col};
+}
+
+function describeSyntaxError(err: YAMLError): string {
+	return err.code === 'DUPLICATE_KEY'
+		? 'the same key stands twice in one mapping'
+		: `is not valid YAML: ${err.message.replaceAll(/\s+/g, ' ')}`;
+}
+
+function createUnreadable(file: string, message: string): YamlSource {
+	const createError = (path: ValuePath, text: string) => ({
+		file,
+		...START,
+		path: formatPath(path),
+		message: text,
+	});
+	return {
+		file,
+		value: undefined,
+		errors: [createError([], message)],
+		isReadable: false,
+		createError,
+	};
+}
+
+function readDocument(
+	file: string,
+	document: Document,
+	counter: LineCounter,
+): YamlSource {
+	const createError = (path: ValuePath, message: string) => ({
+		file,
+		...getPlace(counter, findOffset(document, path)),
+		path: formatPath(path),
+		message,
+	});
+	const convert = Result.fromThrowable(
+		() => document.toJS({maxAliasCount: MAX_ALIASES}) as unknown,
+		(err) => (err instanceof Error ? err.message : String(err)),
+	);
+	const errors = document.errors.map((err) => ({
+		file,
+		...getPlace(counter, err.pos[0]),
+		path: '',
+		message: describeSyntaxError(err),
+	}));
+	const hasBrokenSyntax = document.errors.some(
+		({code}) => code !== 'DUPLICATE_KEY',
+	);
+	return convert().match(
+		(value) => ({
+			file,
+			value,
+			errors,
+			isReadable: !hasBrokenSyntax && isCollection(document.contents),
+			createError,
+		}),
+		(message) =>
+			createUnreadable(file, `cannot be read: ${message.toLowerCase()}`),
+	);
+}
+
+/** Parses a YAML text; mistakes of syntax are in `errors`. */
+export function parseYamlSource(file: string, text: string): YamlSource {
+	if (Buffer.byteLength(text) > MAX_FILE_BYTES) {
+		return createUnreadable(file, `is larger than ${MAX_FILE_BYTES} bytes`);
+	}
+
+	const counter = new LineCounter();
+	const document = parseDocument(text, {
+		lineCounter: counter,
+		prettyErrors: false,
+	});
+	const source = readDocument(file, document, counter);
+	const isEmpty = source.errors.length === 0 && !source.isReadable;
+	return isEmpty
+		? createUnreadable(file, 'must be a mapping of keys to values')
+		: source;
+}
