Add the fakes of engines, services, weight store and callers

Each token of the fake engine follows from the prompt and the token before it, with a salt that enters only at the start of a run. So an answer can be checked by itself: a missing, repeated or crossed token and a splice of two runs are all found (unit tests bring about each).

The relay drops bytes of open connections in one or both directions while new connections work, and counts what it passes on.

--- a/packages/lovage-fakes/src/index.ts
+++ b/packages/lovage-fakes/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export type {AddressBook} from './addresses.js';
+export {createAddressBook} from './addresses.js';
+export type {CallOutcome, ServiceCall} from './caller-calls.js';
+export {callOnce, callUntilSettled} from './caller-calls.js';
+export type {ConnectionRecord, GenerationCall, Transcript} from './caller.js';
+export {runGeneration} from './caller.js';
+export type {Relay, SilentDirections} from './relay.js';
+export {startRelay} from './relay.js';
+export type {RunRecord, TimedRunRecord} from './run-record.js';
+export {readRecords} from './run-record.js';
+export {findTranscriptFault, verifyTranscript} from './tokens.js';
--- /dev/null
+++ b/packages/lovage-fakes/src/listen.ts
@@ -0,0 +1,24 @@
+import process from 'node:process';
+import {serve} from '@hono/node-server';
+import type {Hono} from 'hono';
+
+/** A listening fake. */
+export type Listener = Readonly<{port: number; close: () => void}>;
+
+/** Serves on loopback and prints one JSON line with the port when ready. */
+export async function listen(app: Hono, port: number): Promise<Listener> {
+	return new Promise((resolve) => {
+		const server = serve(
+			{fetch: app.fetch, port, hostname: '127.0.0.1'},
+			(info) => {
+				process.stdout.write(`${JSON.stringify({port: info.port})}\n`);
+				resolve({
+					port: info.port,
+					close() {
+						server.close();
+					},
+				});
+			},
+		);
+	});
+}
--- /dev/null
+++ b/packages/lovage-fakes/src/orders.ts
@@ -0,0 +1,53 @@
+import type {Order} from '@lovagevalve/wire';
+import {err, ok, type Result} from 'neverthrow';
+
+/** A model with its adapters, as it is announced. */
+export type LoadedModel = Readonly<{
+	id: string;
+	version: string;
+	adapters: readonly string[];
+}>;
+
+/** What orders change at a backend server. */
+export type Equipment = Readonly<{
+	models: readonly LoadedModel[];
+	role?: string;
+	/** Highest fencing number seen. */
+	fencing: number;
+}>;
+
+function isModel(model: LoadedModel, id: string, version: string): boolean {
+	return model.id === id && model.version === version;
+}
+
+function obey(equipment: Equipment, {action, fencing}: Order): Equipment {
+	const next = {...equipment, fencing: Math.max(equipment.fencing, fencing)};
+	switch (action.kind) {
+		case 'load-model': {
+			const {model: id, version, adapters} = action;
+			const others = next.models.filter((held) => !isModel(held, id, version));
+			return {...next, models: [...others, {id, version, adapters}]};
+		}
+
+		case 'unload-model': {
+			const {model: id, version} = action;
+			const models = next.models.filter((held) => !isModel(held, id, version));
+			return {...next, models};
+		}
+
+		case 'set-role': {
+			return {...next, role: action.role};
+		}
+	}
+}
+
+/** Applies an order; an engine that checks fencing refuses an old number. */
+export function applyOrder(
+	equipment: Equipment,
+	order: Order,
+	checksFencing: boolean,
+): Result<Equipment, 'old-fencing'> {
+	return checksFencing && order.fencing < equipment.fencing
+		? err('old-fencing')
+		: ok(obey(equipment, order));
+}
--- /dev/null
+++ b/packages/lovage-fakes/src/run-stream.ts
@@ -0,0 +1,69 @@
+import type {Run} from './batch.js';
+
+const HEARTBEAT_MS = 250;
+const encoder = new TextEncoder();
+
+function encodeEvent(event: string, data: unknown): Uint8Array {
+	return encoder.encode(`event: ${event}\ndata: ${JSON.stringify(data)}\n\n`);
+}
+
+async function waitForChange(run: Run): Promise<'changed' | 'silent'> {
+	return new Promise((resolve) => {
+		const listener = (): void => {
+			clearTimeout(timer);
+			run.listeners.delete(listener);
+			resolve('changed');
+		};
+
+		const timer = setTimeout(() => {
+			run.listeners.delete(listener);
+			resolve('silent');
+		}, HEARTBEAT_MS);
+		run.listeners.add(listener);
+	});
+}
+
+/**
+ * Streams a run as SSE from `offset` on. A reader that leaves does not stop
+ * the run.
+ */
+export function createRunStream(
+	run: Run,
+	offset: number,
+): ReadableStream<Uint8Array> {
+	const {generation, attempt} = run.request;
+	let sent = offset;
+
+	return new ReadableStream<Uint8Array>(
+		{
+			async pull(controller) {
+				const isIdle = run.tokens.length <= sent && run.state !== 'done';
+				const change =
+					isIdle && run.state !== 'cancelled'
+						? await waitForChange(run)
+						: 'changed';
+				const tokens = run.tokens.slice(sent);
+				if (tokens.length > 0) {
+					controller.enqueue(
+						encodeEvent('tokens', {generation, attempt, offset: sent, tokens}),
+					);
+					sent += tokens.length;
+				} else if (run.state === 'done') {
+					controller.enqueue(
+						encodeEvent('done', {
+							generation,
+							attempt,
+							total: run.tokens.length,
+						}),
+					);
+					controller.close();
+				} else if (run.state === 'cancelled') {
+					controller.close();
+				} else if (change === 'silent') {
+					controller.enqueue(encoder.encode(': heartbeat\n\n'));
+				}
+			},
+		},
+		{highWaterMark: 1},
+	);
+}
--- /dev/null
+++ b/packages/lovage-fakes/src/tokens.ts
@@ -0,0 +1,59 @@
+import {createHash} from 'node:crypto';
+
+const TOKEN_DIGITS = 12;
+
+function digest(...parts: readonly string[]): string {
+	const hash = createHash('sha256');
+	parts.forEach((part) => {
+		hash.update(part).update('\0');
+	});
+	return hash.digest('hex').slice(0, TOKEN_DIGITS);
+}
+
+/** Creates the first token of a run; runs with another salt differ. */
+export function createFirstToken(prompt: string, salt: string): string {
+	return `${salt}.${digest(prompt, salt)}`;
+}
+
+/** Creates the token at `index`, which follows from the one before it. */
+export function createNextToken(
+	prompt: string,
+	index: number,
+	previous: string,
+): string {
+	return `w${digest(prompt, String(index), previous)}`;
+}
+
+function createExpectedToken(
+	prompt: string,
+	tokens: readonly string[],
+	index: number,
+): string {
+	if (index === 0) {
+		return createFirstToken(prompt, tokens[0]!.split('.')[0]!);
+	}
+
+	return createNextToken(prompt, index, tokens[index - 1]!);
+}
+
+/**
+ * Returns the index of the first token that is missing, repeated, or of
+ * another run or prompt; undefined if the answer is one run's.
+ */
+export function findTranscriptFault(
+	prompt: string,
+	tokens: readonly string[],
+): number | undefined {
+	const index = tokens.findIndex(
+		(token, i) => token !== createExpectedToken(prompt, tokens, i),
+	);
+	return index === -1 ? undefined : index;
+}
+
+/** Tells whether the tokens are a run's answer to the prompt from its start. */
+export function verifyTranscript(
+	prompt: string,
+	tokens: readonly string[],
+): boolean {
+	return findTranscriptFault(prompt, tokens) === undefined;
+}
