Choose backend servers by load, cache and distance

A few random candidates and the holders of the prompt's prefix are compared, so that entries with one lagging view do not herd. Suspects go to a backend server that all entries agree on by hash, and never beside another suspect.

Tried: with the check of excluded, state, room or suspects removed, the property test fails in each case.

--- /dev/null
+++ b/packages/lovage-placement/src/__tests__/unit/choose.test.ts
@@ -0,0 +1,120 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	chooseBackend,
+	estimateOccupancy,
+	type Candidate,
+	type PlacementRequest,
+} from '../../index.js';
+
+const SEED = 5501;
+
+function createCandidate(id: string, change: Partial<Candidate> = {}) {
+	const candidate: Candidate = {
+		id,
+		dataCentre: 'a',
+		state: 'serving',
+		incarnation: 1,
+		capacity: 8,
+		models: ['m'],
+		inFlight: 0,
+		cachedPrefixes: new Set(),
+		suspects: [],
+		...change,
+	};
+	return candidate;
+}
+
+const request: PlacementRequest = {
+	dataCentre: 'a',
+	model: 'm',
+	prefixes: [],
+	excluded: [],
+};
+
+const candidates = fc.uniqueArray(
+	fc.record({
+		id: fc.constantFrom('1', '2', '3', '4', '5', '6'),
+		state: fc.constantFrom('serving' as const, 'leaving' as const),
+		inFlight: fc.nat(9),
+		running: fc.nat(9),
+		prefixes: fc.subarray(['p', 'q']),
+		suspects: fc.subarray(['s', 't']),
+		models: fc.subarray(['m', 'n']),
+	}),
+	{selector: ({id}) => id, maxLength: 6},
+);
+
+describe('chooseBackend', () => {
+	it('never picks one that is excluded, leaving, full or without the model', () => {
+		fc.assert(
+			fc.property(
+				candidates,
+				fc.subarray(['1', '2', '3']),
+				fc.option(fc.constantFrom('s', 't'), {nil: undefined}),
+				fc.double({min: 0, max: 0.999, noNaN: true}),
+				(drawn, excluded, suspect, random) => {
+					const view = drawn.map(({running, prefixes, ...rest}) =>
+						createCandidate(rest.id, {
+							...rest,
+							report: {running, waiting: 0, inFlightThen: 0},
+							cachedPrefixes: new Set(prefixes),
+						}),
+					);
+					const isAllowed = (candidate: Candidate) =>
+						candidate.state === 'serving' &&
+						candidate.models.includes('m') &&
+						!excluded.includes(candidate.id) &&
+						estimateOccupancy(candidate) < candidate.capacity &&
+						(suspect === undefined ||
+							candidate.suspects.every((other) => other === suspect));
+					const chosen = chooseBackend(
+						view,
+						{...request, excluded, suspect, prefixes: ['p', 'q']},
+						random,
+					);
+					return chosen === undefined
+						? !view.some(isAllowed)
+						: isAllowed(chosen);
+				},
+			),
+			{seed: SEED, numRuns: 2000},
+		);
+	});
+
+	it('prefers the holder of the prefix while its queue allows', () => {
+		const idle = createCandidate('idle');
+		const cachedPrefixes = new Set(['p']);
+		const holder = createCandidate('holder', {cachedPrefixes, inFlight: 1});
+		const busy = createCandidate('holder', {cachedPrefixes, inFlight: 7});
+		const asked = {...request, prefixes: ['p']};
+		expect(chooseBackend([idle, holder], asked, 0.5)?.id).toBe('holder');
+		expect(chooseBackend([idle, busy], asked, 0.5)?.id).toBe('idle');
+	});
+
+	it('spreads the choices of entries with the same view', () => {
+		const view = Array.from({length: 12}, (_, i) => createCandidate(`${i}`));
+		const chosen = Array.from(
+			{length: 12},
+			(_, i) => chooseBackend(view, request, i / 12)?.id,
+		);
+		expect(new Set(chosen).size).toBeGreaterThan(5);
+	});
+
+	it('places a suspect on the same backend server at each entry', () => {
+		const view = Array.from({length: 6}, (_, i) => createCandidate(`${i}`));
+		const asked = {...request, suspect: 's'};
+		const [first, second] = [0.1, 0.9].map(
+			(random) => chooseBackend(view, asked, random)?.id,
+		);
+		expect(first).toBeDefined();
+		expect(second).toBe(first);
+	});
+
+	it('corrects a lagging report by its own work since', () => {
+		const report = {running: 4, waiting: 1, inFlightThen: 2};
+		expect(estimateOccupancy(createCandidate('1', {report, inFlight: 5}))).toBe(
+			8,
+		);
+	});
+});
--- /dev/null
+++ b/packages/lovage-placement/src/choose.ts
@@ -0,0 +1,105 @@
+import {hashText} from './hash.js';
+import {estimateLoadShare, estimateOccupancy, getCachedShare} from './load.js';
+import {sample} from './sample.js';
+import {
+	DEFAULT_PLACEMENT_POLICY,
+	type Candidate,
+	type PlacementPolicy,
+	type PlacementRequest,
+} from './types.js';
+
+/** Tells whether a backend server may get this work now. */
+export function isEligible(
+	candidate: Candidate,
+	request: PlacementRequest,
+): boolean {
+	return (
+		candidate.state === 'serving' &&
+		estimateOccupancy(candidate) < candidate.capacity &&
+		!request.excluded.includes(candidate.id) &&
+		(request.model === undefined || candidate.models.includes(request.model)) &&
+		(request.role === undefined || candidate.role === request.role) &&
+		isApart(candidate, request.suspect)
+	);
+}
+
+/** A suspect never runs where another suspect does. */
+function isApart(candidate: Candidate, suspect: string | undefined): boolean {
+	return (
+		suspect === undefined ||
+		candidate.suspects.every((other) => other === suspect)
+	);
+}
+
+/**
+ * Chooses a backend server with room, or none. `random` lies in [0, 1); the
+ * choice among a few random candidates keeps entries from herding.
+ */
+export function chooseBackend(
+	view: readonly Candidate[],
+	request: PlacementRequest,
+	random: number,
+	policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
+): Candidate | undefined {
+	const eligible = view.filter((candidate) => isEligible(candidate, request));
+	if (request.suspect !== undefined) {
+		return chooseForSuspect(eligible, request.suspect);
+	}
+
+	const compared = [
+		...sample(eligible, policy.choices, random),
+		...listPrefixHolders(eligible, request, policy),
+	];
+	return pickLowest(compared, (candidate) =>
+		scoreCandidate(candidate, request, policy),
+	);
+}
+
+/**
+ * Entries agree on the backend server for a suspect without talking, so that
+ * different suspects of different entries rarely meet.
+ */
+function chooseForSuspect(
+	eligible: readonly Candidate[],
+	suspect: string,
+): Candidate | undefined {
+	return pickLowest(eligible, ({id}) => hashText(`${suspect} ${id}`));
+}
+
+function listPrefixHolders(
+	eligible: readonly Candidate[],
+	request: PlacementRequest,
+	policy: PlacementPolicy,
+): readonly Candidate[] {
+	return eligible.filter(
+		(candidate) =>
+			getCachedShare(candidate, request.prefixes) > 0 &&
+			estimateLoadShare(candidate) <= policy.prefixLoadLimit,
+	);
+}
+
+function scoreCandidate(
+	candidate: Candidate,
+	request: PlacementRequest,
+	policy: PlacementPolicy,
+): number {
+	const load = estimateLoadShare(candidate);
+	const cached =
+		load <= policy.prefixLoadLimit
+			? getCachedShare(candidate, request.prefixes)
+			: 0;
+	const distance = candidate.dataCentre === request.dataCentre ? 0 : 1;
+	return load - cached * policy.prefixWeight + distance * policy.distanceWeight;
+}
+
+function pickLowest(
+	candidates: readonly Candidate[],
+	score: (candidate: Candidate) => number,
+): Candidate | undefined {
+	const scored = candidates.map((candidate) => ({
+		candidate,
+		value: score(candidate),
+	}));
+	const lowest = Math.min(...scored.map(({value}) => value));
+	return scored.find(({value}) => value === lowest)?.candidate;
+}
