Add claims of requests that run at most once

ClaimKey gets an optional 'copy' that names an arrival, so that a lost grant can be repeated without granting a second copy at the same entry. Let the factories of immutable pass the linter's new-cap rule.

--- /dev/null
+++ b/packages/lovage-claims/src/dispatch.ts
@@ -0,0 +1,230 @@
+import {createTransition, type Transition} from '@lovagevalve/core';
+import {isAlwaysGuarded, type IsGuarded} from './guards.js';
+import type {
+	ClaimAnswer,
+	ClaimOutcome,
+	ClaimRequest,
+	StoredAnswer,
+} from './types.js';
+
+/** One arrival of a non-idempotent request at an entry. */
+export type DispatchState = Readonly<{
+	request: ClaimRequest;
+	phase:
+		| {kind: 'new'}
+		| {kind: 'asking'; askedAt: number}
+		| {kind: 'ready'; claim: string; writeBefore: number}
+		/** Bytes of the request may have reached a backend server. */
+		| {kind: 'dispatched'; claim: string}
+		/** It was not dispatched here and never will be. */
+		| {kind: 'refusing'}
+		| {kind: 'finished'};
+}>;
+
+/** What an entry tells one arrival; `now` in monotonic milliseconds. */
+export type DispatchEvent =
+	| {kind: 'start'; now: number}
+	| {kind: 'claim-answered'; answer: ClaimAnswer}
+	/** The control group gave no answer in time. */
+	| {kind: 'claim-failed'}
+	/** The connection is open, and the first byte is about to be written. */
+	| {kind: 'write-ready'; now: number}
+	/** It can't or needn't run: no backend server, or the caller left. */
+	| {kind: 'withdraw'}
+	| {kind: 'call-answered'; answer: StoredAnswer}
+	/** The connection was lost after the first byte. */
+	| {kind: 'call-lost'};
+
+/** Final answer to the caller. */
+export type DispatchReply =
+	| Exclude<ClaimAnswer, {kind: 'granted'}>
+	/** Not dispatched here, but no promise could be settled. */
+	| {kind: 'unsettled'};
+
+/** What the entry does for one arrival. */
+export type DispatchEffect =
+	| {kind: 'open-claim'; request: ClaimRequest}
+	| {kind: 'refuse-claim'; request: ClaimRequest}
+	| {kind: 'settle-claim'; claim: string; outcome: ClaimOutcome}
+	/** Opens a connection to a backend server; `write-ready` follows. */
+	| {kind: 'connect'; claim: string}
+	| {kind: 'write'; claim: string}
+	| {kind: 'reply'; reply: DispatchReply};
+
+type Outcome = Transition<DispatchState, DispatchEffect>;
+
+function move(
+	state: DispatchState,
+	phase: DispatchState['phase'],
+	effects: readonly DispatchEffect[] = [],
+): Outcome {
+	return createTransition({...state, phase}, effects);
+}
+
+function finish(state: DispatchState, reply: DispatchReply): Outcome {
+	return move(state, {kind: 'finished'}, [{kind: 'reply', reply}]);
+}
+
+function refuse(state: DispatchState): Outcome {
+	return move(state, {kind: 'refusing'}, [
+		{kind: 'refuse-claim', request: state.request},
+	]);
+}
+
+function settleNotRun(state: DispatchState, claim: string): Outcome {
+	return move(state, {kind: 'refusing'}, [
+		{kind: 'settle-claim', claim, outcome: {kind: 'not-run'}},
+	]);
+}
+
+function start(
+	state: DispatchState,
+	now: number,
+	isGuarded: IsGuarded,
+): Outcome {
+	const ask: DispatchEffect = {kind: 'open-claim', request: state.request};
+	return isGuarded('claimBeforeDispatch')
+		? move(state, {kind: 'asking', askedAt: now}, [ask])
+		: move(state, {kind: 'dispatched', claim: ''}, [
+				ask,
+				{kind: 'write', claim: ''},
+			]);
+}
+
+function readClaim(state: DispatchState, claimAnswer: ClaimAnswer): Outcome {
+	const {phase} = state;
+	if (phase.kind === 'asking') {
+		return claimAnswer.kind === 'granted'
+			? move(
+					state,
+					{
+						kind: 'ready',
+						claim: claimAnswer.claim,
+						writeBefore: phase.askedAt + claimAnswer.dispatchWithinMs,
+					},
+					[{kind: 'connect', claim: claimAnswer.claim}],
+				)
+			: finish(state, claimAnswer);
+	}
+
+	if (phase.kind === 'refusing') {
+		return finish(
+			state,
+			claimAnswer.kind === 'granted' ? {kind: 'unsettled'} : claimAnswer,
+		);
+	}
+
+	return createTransition(state);
+}
+
+function failClaim(state: DispatchState): Outcome {
+	switch (state.phase.kind) {
+		case 'asking': {
+			return refuse(state);
+		}
+
+		case 'refusing': {
+			return finish(state, {kind: 'unsettled'});
+		}
+
+		case 'new':
+		case 'ready':
+		case 'dispatched':
+		case 'finished': {
+			return createTransition(state);
+		}
+	}
+}
+
+function write(
+	state: DispatchState,
+	now: number,
+	isGuarded: IsGuarded,
+): Outcome {
+	const {phase} = state;
+	if (phase.kind !== 'ready') {
+		return createTransition(state);
+	}
+
+	const {claim, writeBefore} = phase;
+	return now < writeBefore || !isGuarded('recheckBeforeDispatch')
+		? move(state, {kind: 'dispatched', claim}, [{kind: 'write', claim}])
+		: settleNotRun(state, claim);
+}
+
+function withdraw(state: DispatchState): Outcome {
+	switch (state.phase.kind) {
+		case 'new':
+		case 'asking': {
+			return refuse(state);
+		}
+
+		case 'ready': {
+			return settleNotRun(state, state.phase.claim);
+		}
+
+		case 'dispatched':
+		case 'refusing':
+		case 'finished': {
+			return createTransition(state);
+		}
+	}
+}
+
+function endCall(
+	state: DispatchState,
+	outcome: Exclude<ClaimOutcome, {kind: 'not-run'}>,
+): Outcome {
+	const {phase} = state;
+	return phase.kind === 'dispatched'
+		? move(state, {kind: 'finished'}, [
+				{kind: 'settle-claim', claim: phase.claim, outcome},
+				{kind: 'reply', reply: outcome},
+			])
+		: createTransition(state);
+}
+
+/** Creates the first state of an arrival. */
+export function createDispatch(request: ClaimRequest): DispatchState {
+	return {request, phase: {kind: 'new'}};
+}
+
+/** Creates the step of one arrival with some rules switched off. */
+export function createDispatchStep(isGuarded: IsGuarded) {
+	return (state: DispatchState, event: DispatchEvent): Outcome => {
+		switch (event.kind) {
+			case 'start': {
+				return state.phase.kind === 'new'
+					? start(state, event.now, isGuarded)
+					: createTransition(state);
+			}
+
+			case 'claim-answered': {
+				return readClaim(state, event.answer);
+			}
+
+			case 'claim-failed': {
+				return failClaim(state);
+			}
+
+			case 'write-ready': {
+				return write(state, event.now, isGuarded);
+			}
+
+			case 'withdraw': {
+				return withdraw(state);
+			}
+
+			case 'call-answered': {
+				return endCall(state, {kind: 'done', answer: event.answer});
+			}
+
+			case 'call-lost': {
+				return endCall(state, {kind: 'unknown'});
+			}
+		}
+	};
+}
+
+/** Decides for one arrival of a non-idempotent request at an entry. */
+export const stepDispatch = createDispatchStep(isAlwaysGuarded);
--- /dev/null
+++ b/packages/lovage-claims/src/guards.ts
@@ -0,0 +1,21 @@
+/** Rules of the claims protocol; the specification switches them off. */
+export const CLAIM_GUARDS = [
+	'claimBeforeDispatch',
+	'digestCheck',
+	'grantOnce',
+	'holderOnlyNotRun',
+	'tombstoneBeforeNotRun',
+	'attemptAboveNotRun',
+	'recheckBeforeDispatch',
+	'unknownNotRetried',
+	'retentionHorizon',
+] as const;
+
+/** Name of a protecting rule. */
+export type ClaimGuard = (typeof CLAIM_GUARDS)[number];
+
+/** Tells whether a rule is on. */
+export type IsGuarded = (guard: ClaimGuard) => boolean;
+
+/** Every rule on. */
+export const isAlwaysGuarded: IsGuarded = () => true;
--- /dev/null
+++ b/packages/lovage-claims/src/request-id.ts
@@ -0,0 +1,40 @@
+import {createHash} from 'node:crypto';
+
+const UUID_V7 =
+	/^[\da-f]{8}-[\da-f]{4}-7[\da-f]{3}-[89ab][\da-f]{3}-[\da-f]{12}$/i;
+const ULID = /^[0-7][\dA-HJKMNP-TV-Z]{25}$/;
+const ULID_ALPHABET = '0123456789ABCDEFGHJKMNPQRSTVWXYZ';
+const ULID_TIME_LENGTH = 10;
+const SPENT_DIGEST_LENGTH = 22;
+
+/** Ids that claim to be from later than this are treated as opaque. */
+export const MAX_AHEAD_MS = 600_000;
+
+function readUlidTime(requestId: string): number {
+	return Array.from({length: ULID_TIME_LENGTH}).reduce<number>(
+		(time, _, i) => time * 32 + ULID_ALPHABET.indexOf(requestId[i]!),
+		0,
+	);
+}
+
+/** Reads the time in milliseconds that a UUIDv7 or a ULID carries. */
+export function readIssuedAt(requestId: string): number | undefined {
+	if (UUID_V7.test(requestId)) {
+		return Number.parseInt(requestId.replace('-', '').slice(0, 12), 16);
+	}
+
+	return ULID.test(requestId) ? readUlidTime(requestId) : undefined;
+}
+
+/** Key of a request in the claims table. */
+export function createRequestKey(customer: string, requestId: string): string {
+	return JSON.stringify([customer, requestId]);
+}
+
+/** Compact digest that stands for an evicted request id. */
+export function createSpentDigest(key: string): string {
+	return createHash('sha256')
+		.update(key)
+		.digest('base64url')
+		.slice(0, SPENT_DIGEST_LENGTH);
+}
--- a/packages/lovage-wire/src/control-api.ts
+++ b/packages/lovage-wire/src/control-api.ts
@@ -135,6 +135,8 @@
 	entry: z.string().max(63),
 	/** Incarnation of that entry. */
 	incarnation: z.string().max(64),
+	/** Names one arrival of the request; asking again with it is a resend. */
+	copy: z.string().min(1).max(64).optional(),
 	/** When the caller's request arrived first, wall clock, for retention. */
 	receivedAt: z.number().int().min(0),
 });
--- a/xo.config.js
+++ b/xo.config.js
@@ -25,11 +25,28 @@
 			'@typescript-eslint/naming-convention': 'off',
 			'@typescript-eslint/switch-exhaustiveness-check': 'error',
 			'@typescript-eslint/consistent-type-imports': 'error',
+			// Collections of the library immutable are made without `new`.
+			'new-cap': [
+				'error',
+				{
+					capIsNewExceptions: [
+						'ImmutableMap',
+						'ImmutableSet',
+						'ImmutableList',
+						'ImmutableOrderedMap',
+					],
+				},
+			],
 			// The house style asks for array methods, and it goes before XO's rules.
 			'unicorn/no-array-for-each': 'off',
 			'unicorn/no-array-reduce': 'off',
 			'unicorn/no-array-callback-reference': 'off',
 			'unicorn/no-array-method-this-argument': 'off',
+			// Factories of the `immutable` library.
+			'new-cap': [
+				'error',
+				{capIsNewExceptions: ['List', 'Map', 'Set', 'OrderedMap']},
+			],
 		},
 	},
 	{
