Name the code of a failed exchange between processes

An input that a router refuses is final; without the code a client could only repeat it until its deadline.

--- a/packages/lovage-wire/src/client.ts
+++ b/packages/lovage-wire/src/client.ts
@@ -1,4 +1,9 @@
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {
+	createTRPCClient,
+	httpLink,
+	TRPCClientError,
+	type TRPCClient,
+} from '@trpc/client';
 import {ResultAsync} from 'neverthrow';
 import {Agent, fetch as undiciFetch} from 'undici';
 import type {ControlRouter} from './control-api.js';
@@ -8,7 +13,12 @@
 export const RPC_PATH = '/rpc';
 
 /** An exchange between processes that gave no answer in time. */
-export type RpcError = Readonly<{kind: 'rpc-failed'; message: string}>;
+export type RpcError = Readonly<{
+	kind: 'rpc-failed';
+	message: string;
+	/** Code of tRPC, such as `BAD_REQUEST`, when the other side answered. */
+	code?: string;
+}>;
 
 /** Connections to the other processes, shared by one program. */
 export type RpcPool = Readonly<{
@@ -62,6 +72,15 @@
 	});
 }
 
+function readCode(err: unknown): string | undefined {
+	if (!(err instanceof TRPCClientError)) {
+		return undefined;
+	}
+
+	const data = err.data as {code?: unknown} | undefined;
+	return typeof data?.code === 'string' ? data.code : undefined;
+}
+
 /**
  * Runs one exchange with a deadline in milliseconds. The connection of an
  * exchange that missed it is closed.
@@ -75,6 +94,7 @@
 		(err): RpcError => ({
 			kind: 'rpc-failed',
 			message: err instanceof Error ? err.message : String(err),
+			code: readCode(err),
 		}),
 	);
 }
