--- a/packages/lovage-fakes/src/engine-main.ts
+++ b/packages/lovage-fakes/src/engine-main.ts
@@ -51,6 +51,8 @@
 			defaultValue: () => 'check' as const,
 		}),
 		crashOn: option({long: 'crash-on', type: optional(string)}),
+		/** Announced in place of the own address, such as a relay's. */
+		address: option({long: 'address', type: optional(string)}),
 		logFile: option({long: 'log-file', type: optional(string)}),
 	},
 	async handler(args) {
@@ -85,7 +87,7 @@
 			service: args.service,
 			dataCentre: args.dataCentre,
 			rack: args.rack,
-			address: `http://127.0.0.1:${port}`,
+			address: args.address ?? `http://127.0.0.1:${port}`,
 			capacity: args.capacity,
 			role: equipment.role,
 			models: equipment.models.map((model) => ({
--- /dev/null
+++ b/packages/lovage-fakes/src/program.ts
@@ -0,0 +1,71 @@
+import {spawn} from 'node:child_process';
+import {createWriteStream, readFileSync} from 'node:fs';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+
+/** How a program ended. */
+export type ProgramExit = Readonly<{
+	code: number | undefined;
+	signal: NodeJS.Signals | undefined;
+}>;
+
+/** A program that runs as a process of its own. */
+export type Program = Readonly<{
+	name: string;
+	pid: number;
+	isRunning: () => boolean;
+	/** What it wrote to both outputs so far. */
+	readOutput: () => string;
+	signal: (signal: NodeJS.Signals) => void;
+	/** Sends a signal and waits for the end. */
+	end: (signal: NodeJS.Signals) => Promise<ProgramExit>;
+	exited: Promise<ProgramExit>;
+}>;
+
+/** Which program to start, and where its output goes. */
+export type ProgramSpec = Readonly<{
+	name: string;
+	/** File of the program, relative to the folder of the packages. */
+	file: string;
+	args: readonly string[];
+	outputFile: string;
+}>;
+
+const PACKAGES = new URL('../../', import.meta.url);
+
+/** Starts a program of this workspace with Node.js. */
+export function startProgram(spec: ProgramSpec): Program {
+	const file = fileURLToPath(new URL(spec.file, PACKAGES));
+	const output = createWriteStream(spec.outputFile, {flags: 'a'});
+	const child = spawn(process.execPath, [file, ...spec.args], {
+		stdio: ['ignore', 'pipe', 'pipe'],
+	});
+	child.stdout.pipe(output, {end: false});
+	child.stderr.pipe(output, {end: false});
+
+	let isRunning = true;
+	const exited = new Promise<ProgramExit>((resolve) => {
+		child.on('exit', (code, signal) => {
+			isRunning = false;
+			output.end();
+			resolve({code: code ?? undefined, signal: signal ?? undefined});
+		});
+	});
+
+	const signal = (name: NodeJS.Signals): void => {
+		child.kill(name);
+	};
+
+	return {
+		name: spec.name,
+		pid: child.pid!,
+		isRunning: () => isRunning,
+		readOutput: () => readFileSync(spec.outputFile, 'utf8'),
+		signal,
+		async end(name) {
+			signal(name);
+			return exited;
+		},
+		exited,
+	};
+}
--- a/packages/lovage-fakes/src/service-main.ts
+++ b/packages/lovage-fakes/src/service-main.ts
@@ -58,6 +58,8 @@
 			type: number,
 			defaultValue: () => 3000,
 		}),
+		/** Announced in place of the own address, such as a relay's. */
+		address: option({long: 'address', type: optional(string)}),
 		logFile: option({long: 'log-file', type: optional(string)}),
 	},
 	async handler(args) {
@@ -78,7 +80,7 @@
 			service: args.service,
 			dataCentre: args.dataCentre,
 			rack: args.rack,
-			address: `http://127.0.0.1:${port}`,
+			address: args.address ?? `http://127.0.0.1:${port}`,
 			capacity: args.capacity,
 			models: [],
 			load: {running, waiting: 0},
