Add the replicated log as a pure step

A step ends with one write for all it decided; votes wait for that write, acknowledgements name only what is synced, and a leader counts its own entries only then.

--- /dev/null
+++ b/packages/lovage-consensus/src/__tests__/unit/cluster.ts
@@ -0,0 +1,341 @@
+import {
+	createRaft,
+	defaultSettings,
+	readLastIndex,
+	readMembers,
+	stepRaft,
+	type LogEntry,
+	type RaftEffect,
+	type RaftEvent,
+	type RaftGuards,
+	type RaftMessage,
+	type RaftState,
+	type RecoveredState,
+	type Snapshot,
+} from '../../index.js';
+
+type Write = Extract<RaftEffect, {kind: 'persist' | 'persist-snapshot'}>;
+type Node = {
+	name: string;
+	state: RaftState | undefined;
+	disk: RecoveredState;
+	unsynced: Array<{write: Write; dueAt: number}>;
+	commands: string[];
+	incarnation: number;
+};
+type Parcel = {message: RaftMessage; dueAt: number};
+
+const STEP_MS = 10;
+const TICK_MS = 50;
+
+/** Applies a write to what a disk holds. */
+export function writeToDisk(
+	disk: RecoveredState,
+	write: Write,
+): RecoveredState {
+	if (write.kind === 'persist-snapshot') {
+		const {snapshot, replacesLog} = write;
+		const entries = replacesLog
+			? []
+			: disk.entries.filter(({index}) => index > snapshot.index);
+		return {...disk, snapshot, entries};
+	}
+
+	const {truncateAfter = Infinity} = write;
+	const kept = disk.entries.filter(({index}) => index <= truncateAfter);
+	const hardState = write.hardState ?? disk.hardState;
+	return {...disk, hardState, entries: [...kept, ...write.entries]};
+}
+
+/** Several replicas, their disks and their links, in virtual time. */
+export function createCluster(
+	names: readonly string[],
+	seed: number,
+	guards: Partial<RaftGuards> = {},
+) {
+	let now = 1000;
+	let random = seed + 1;
+	let parcels: Parcel[] = [];
+	const cuts = new Set<string>();
+	const applied = new Map<number, string>();
+	const leaders = new Map<number, string>();
+	const violations: string[] = [];
+	const reads = new Map<string, number>();
+	const outcomes: RaftEffect[] = [];
+	const settings = {
+		...defaultSettings,
+		maxAppendEntries: 4,
+		maxInflightAppends: 3,
+		snapshotPieceCharacters: 16,
+		trailingEntries: 2,
+		guards: {...defaultSettings.guards, ...guards},
+	};
+
+	const draw = (): number => {
+		random = (random * 48_271) % 2_147_483_647;
+		return random / 2_147_483_647;
+	};
+
+	const createDisk = (replica: string): RecoveredState => ({
+		replica,
+		hardState: {term: 0},
+		entries: [],
+	});
+	const nodes: Node[] = names.map((name) => ({
+		name,
+		state: undefined,
+		disk: createDisk(`${name}-0`),
+		unsynced: [],
+		commands: [],
+		incarnation: 0,
+	}));
+
+	const report = (condition: boolean, violation: string): void => {
+		if (!condition) {
+			violations.push(violation);
+		}
+	};
+
+	const checkApplied = (entry: LogEntry): void => {
+		const text = JSON.stringify(entry);
+		const known = applied.get(entry.index) ?? text;
+		applied.set(entry.index, known);
+		report(known === text, `state machine safety at ${entry.index}`);
+	};
+
+	const listCommands = (until: number): string[] =>
+		[...applied.entries()]
+			.toSorted(([a], [b]) => a - b)
+			.filter(([index]) => index <= until)
+			.map(([, text]) => JSON.parse(text) as LogEntry)
+			.flatMap((entry) => (entry.kind === 'command' ? [entry.data] : []));
+
+	const restore = (node: Node, snapshot: Snapshot | undefined): void => {
+		node.commands = JSON.parse(snapshot?.data ?? '[]') as string[];
+		const expected = JSON.stringify(listCommands(snapshot?.index ?? 0));
+		report(JSON.stringify(node.commands) === expected, 'snapshot content');
+	};
+
+	const post = (message: RaftMessage): void => {
+		if (draw() > 0.05) {
+			const dueAt = now + 1 + draw() * 40;
+			// What crosses a link is a copy.
+			const copy = structuredClone(message);
+			parcels.push({message: copy, dueAt});
+		}
+
+		if (draw() < 0.05) {
+			parcels.push({message, dueAt: now + draw() * 400});
+		}
+	};
+
+	const run = (node: Node, effect: RaftEffect): void => {
+		outcomes.push(effect);
+		switch (effect.kind) {
+			case 'send': {
+				post(effect.message);
+				break;
+			}
+
+			case 'persist':
+			case 'persist-snapshot': {
+				const after = node.unsynced.at(-1)?.dueAt ?? now;
+				const dueAt = Math.max(after, now + draw() * 30);
+				node.unsynced.push({write: effect, dueAt});
+				break;
+			}
+
+			case 'apply': {
+				effect.entries.forEach(checkApplied);
+				node.commands.push(
+					...effect.entries.flatMap((entry) =>
+						entry.kind === 'command' ? [entry.data] : [],
+					),
+				);
+				break;
+			}
+
+			case 'install-snapshot': {
+				restore(node, effect.snapshot);
+				break;
+			}
+
+			case 'became-leader': {
+				const known = leaders.get(effect.term) ?? node.disk.replica;
+				leaders.set(effect.term, known);
+				const isSame = known === node.disk.replica;
+				report(isSame, `two leaders in term ${effect.term}`);
+				break;
+			}
+
+			case 'read-confirmed': {
+				const required = reads.get(effect.read) ?? 0;
+				report(effect.index >= required, `stale read ${effect.read}`);
+				break;
+			}
+
+			case 'proposal-accepted':
+			case 'proposal-refused':
+			case 'read-refused':
+			case 'initialise-answered':
+			case 'membership-answered':
+			case 'stepped-down': {
+				break;
+			}
+		}
+	};
+
+	const handle = (node: Node, event: RaftEvent): void => {
+		if (node.state !== undefined) {
+			const {state, effects} = stepRaft(node.state, event);
+			node.state = state;
+			effects.forEach((effect) => {
+				run(node, effect);
+			});
+		}
+	};
+
+	const sync = (node: Node): void => {
+		const done = node.unsynced.filter(({dueAt}) => dueAt <= now);
+		node.unsynced = node.unsynced.filter(({dueAt}) => dueAt > now);
+		done.forEach(({write}) => {
+			node.disk = writeToDisk(node.disk, write);
+			handle(node, {kind: 'synced', now, sequence: write.sequence});
+		});
+	};
+
+	const deliver = (): void => {
+		const due = parcels.filter(({dueAt}) => dueAt <= now);
+		parcels = parcels.filter(({dueAt}) => dueAt > now);
+		due.forEach(({message}) => {
+			const {from, to} = message;
+			const node = nodes.find(({disk}) => disk.replica === to);
+			const source = from.split('-')[0]!;
+			if (node && !cuts.has(`${source}>${node.name}`)) {
+				handle(node, {kind: 'received', now, message});
+			}
+		});
+	};
+
+	const advanceOnce = (): void => {
+		now += STEP_MS;
+		nodes.forEach(sync);
+		deliver();
+		if (now % TICK_MS === 0) {
+			nodes.forEach((node) => {
+				handle(node, {kind: 'ticked', now});
+			});
+			cluster.join();
+		}
+	};
+
+	const describeMember = ({disk, name}: Node) => ({
+		replica: disk.replica,
+		name,
+		address: `http://${name}`,
+	});
+
+	const cluster = {
+		nodes,
+		violations,
+		outcomes,
+		applied,
+		cuts,
+		read: (name: string) => nodes.find((node) => node.name === name)!,
+		handle,
+		now: () => now,
+		findLeader: () =>
+			nodes
+				.filter(({state}) => state?.role.kind === 'leader')
+				.toSorted((a, b) => b.state!.hardState.term - a.state!.hardState.term)
+				.at(0),
+		initialise(): void {
+			const members = nodes.map(describeMember);
+			nodes.forEach((node) => {
+				const event = {kind: 'initialised', group: 'g', members} as const;
+				handle(node, {...event, now});
+			});
+		},
+		start(node: Node): void {
+			restore(node, node.disk.snapshot);
+			node.state = createRaft({
+				recovered: node.disk,
+				settings,
+				seed: Math.floor(draw() * 1e9),
+				now,
+			});
+		},
+		/** Ends the process; a part of what was not synced may have reached the disk. */
+		crash(node: Node): void {
+			const survivors = Math.floor(draw() * (node.unsynced.length + 1));
+			node.disk = node.unsynced
+				.slice(0, survivors)
+				.reduce((disk, {write}) => writeToDisk(disk, write), node.disk);
+			node.unsynced = [];
+			node.state = undefined;
+		},
+		/** Replaces the disk by an empty one, under a new identity or the old one. */
+		loseDisk(node: Node, keepsIdentity = false): void {
+			node.state = undefined;
+			node.unsynced = [];
+			node.incarnation += keepsIdentity ? 0 : 1;
+			node.disk = createDisk(`${node.name}-${node.incarnation}`);
+		},
+		/** Whether the voters known to be committed all have their disks. */
+		isWhole(): boolean {
+			const identities = new Set(nodes.map(({disk}) => disk.replica));
+			const leader = cluster.findLeader()?.state;
+			const members = leader === undefined ? [] : readMembers(leader);
+			return (
+				members.length === nodes.length &&
+				members.every((it) => it.voter && identities.has(it.replica)) &&
+				leader!.commitIndex === readLastIndex(leader!.log)
+			);
+		},
+		requestRead(node: Node, read: string): void {
+			reads.set(read, Math.max(0, ...applied.keys()));
+			handle(node, {kind: 'read-requested', now, read});
+		},
+		propose(node: Node, proposal: string, commands: readonly string[]): void {
+			handle(node, {kind: 'proposed', now, proposal, commands});
+		},
+		snapshot(node: Node): void {
+			if (node.state !== undefined) {
+				const index = node.state.appliedIndex;
+				const data = JSON.stringify(node.commands);
+				handle(node, {kind: 'snapshot-taken', now, index, data});
+			}
+		},
+		/** Lets time pass; replicas without a group ask to join. */
+		advance(durationMs: number): void {
+			Array.from({length: Math.ceil(durationMs / STEP_MS)}).forEach(
+				advanceOnce,
+			);
+		},
+		join(): void {
+			const leader = cluster.findLeader();
+			nodes
+				.filter(({state}) => state?.role.kind === 'unassigned')
+				.forEach((node) => {
+					const member = describeMember(node);
+					if (leader !== undefined) {
+						handle(leader, {kind: 'join-requested', now, member});
+					}
+				});
+		},
+		advanceUntil(condition: () => boolean, limitMs: number): boolean {
+			const turns = Array.from({length: Math.ceil(limitMs / TICK_MS)});
+			return turns.some(() => {
+				cluster.advance(TICK_MS);
+				return condition();
+			});
+		},
+	};
+	nodes.forEach((node) => {
+		cluster.start(node);
+	});
+	return cluster;
+}
+
+/** The cluster of a test. */
+export type Cluster = ReturnType<typeof createCluster>;
--- a/packages/lovage-consensus/src/index.ts
+++ b/packages/lovage-consensus/src/index.ts
@@ -1,30 +1,38 @@
+export type {RaftEffect, RaftEvent, RefusalReason} from './events.js';
 export {allGuards} from './guards.js';
 export type {RaftGuards} from './guards.js';
-export {defaultSettings} from './settings.js';
 export type {
 	AppendAnswerMessage,
 	AppendMessage,
-	HardState,
-	JoiningMember,
-	LogEntry,
-	Member,
+	RaftMessage,
+	SnapshotAnswerMessage,
+	SnapshotMessage,
+	TimeoutNowMessage,
+	VoteAnswerMessage,
+	VoteMessage,
+} from './messages.js';
+export {createRaft, stepRaft} from './raft.js';
+export type {RaftOptions} from './raft.js';
+export {readMembers} from './members.js';
+export {findLeader} from './turn.js';
+export {readLastIndex} from './log.js';
+export {defaultSettings} from './settings.js';
+export type {
+	LeaderRole,
 	PendingRead,
 	PendingWrite,
 	Progress,
-	RaftEffect,
-	RaftEvent,
 	RaftLog,
-	RaftMessage,
 	RaftRole,
 	RaftSettings,
 	RaftState,
+} from './state.js';
+export type {
+	HardState,
+	JoiningMember,
+	LogEntry,
+	Member,
 	RecoveredState,
-	RefusalReason,
 	ReplicaId,
 	Snapshot,
-	SnapshotAnswerMessage,
-	SnapshotMessage,
-	TimeoutNowMessage,
-	VoteAnswerMessage,
-	VoteMessage,
 } from './types.js';
--- /dev/null
+++ b/packages/lovage-consensus/src/members.ts
@@ -0,0 +1,36 @@
+import {readMembership} from './log.js';
+import type {RaftState} from './state.js';
+import type {Member, ReplicaId} from './types.js';
+
+/** Members as of the end of the log, committed or not. */
+export function readMembers(state: RaftState): readonly Member[] {
+	return readMembership(state.log).members;
+}
+
+/** Voters as of the end of the log. */
+export function readVoters(state: RaftState): readonly ReplicaId[] {
+	return readMembers(state)
+		.filter((member) => member.voter)
+		.map((member) => member.replica);
+}
+
+/** Members other than this replica. */
+export function readOthers(state: RaftState): readonly ReplicaId[] {
+	return readMembers(state)
+		.map((member) => member.replica)
+		.filter((replica) => replica !== state.replica);
+}
+
+/** Whether this replica is a voter. */
+export function isVoter(state: RaftState): boolean {
+	return readVoters(state).includes(state.replica);
+}
+
+/** Whether more than half of the voters are among these replicas. */
+export function isQuorum(
+	state: RaftState,
+	isIncluded: (replica: ReplicaId) => boolean,
+): boolean {
+	const voters = readVoters(state);
+	return voters.filter(isIncluded).length * 2 > voters.length;
+}
--- /dev/null
+++ b/packages/lovage-consensus/src/proposals.ts
@@ -0,0 +1,56 @@
+import type {RefusalReason} from './events.js';
+import {readLastIndex} from './log.js';
+import {findLeaderRole, replicateAll} from './replication.js';
+import type {LeaderRole, RaftState} from './state.js';
+import {appendOwn, emit, findLeader, type Turn} from './turn.js';
+import type {LogEntry} from './types.js';
+
+function findRefusal(
+	state: RaftState,
+	role: LeaderRole | undefined,
+	count: number,
+): RefusalReason | undefined {
+	if (role === undefined) {
+		return 'not-leader';
+	}
+
+	if (role.transfer !== undefined) {
+		return 'busy';
+	}
+
+	const uncommitted = readLastIndex(state.log) - state.commitIndex + count;
+	return uncommitted > state.settings.maxUncommittedEntries
+		? 'overloaded'
+		: undefined;
+}
+
+/** Adds commands to the log: one write and one append for all of them. */
+export function propose(
+	turn: Turn,
+	proposal: string,
+	commands: readonly string[],
+): Turn {
+	const {state} = turn;
+	const role = findLeaderRole(state);
+	const reason = findRefusal(state, role, commands.length);
+	if (reason !== undefined) {
+		const leader = findLeader(state);
+		return emit(turn, {kind: 'proposal-refused', proposal, reason, leader});
+	}
+
+	const {term} = state.hardState;
+	const firstIndex = readLastIndex(state.log) + 1;
+	const entries = commands.map((data, position): LogEntry => ({
+		kind: 'command',
+		index: firstIndex + position,
+		term,
+		data,
+	}));
+	const accepted = emit(appendOwn(turn, entries), {
+		kind: 'proposal-accepted',
+		proposal,
+		firstIndex,
+		term,
+	});
+	return replicateAll(accepted);
+}
--- a/packages/lovage-consensus/src/settings.ts
+++ b/packages/lovage-consensus/src/settings.ts
@@ -1,5 +1,5 @@
 import {allGuards} from './guards.js';
-import type {RaftSettings} from './types.js';
+import type {RaftSettings} from './state.js';
 
 const ELECTION_TIMEOUT_MS = 1000;
 const HEARTBEAT_INTERVAL_MS = 250;
