Add the queue of one service

Requests of one customer go by priority, deadline and arrival; customers by start-time fair queueing over their shares; resumed work goes first; one start in so many goes to the request that waited longest, so that strict priority starves nobody. A full queue pushes out the last request of the customer that holds most of it for its share: a batch can't fill the queue of others. The first extra attempt of a request replaces a loss and is free, further ones take from a token bucket; work with delivered tokens waits for it instead of being refused.

Aging by raised priority was weighed and ruled out: a batch that waits for long would reach the top level and go before fresh urgent work.

--- /dev/null
+++ b/packages/lovage-admission/src/__tests__/unit/admission.test.ts
@@ -0,0 +1,262 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	ALL_GUARDS,
+	countWaiting,
+	createAdmission,
+	stepAdmission,
+	type AdmissionEffect,
+	type AdmissionEvent,
+	type AdmissionGuards,
+	type AdmissionState,
+	type WaitingRequest,
+} from '../../index.js';
+
+const SEED = 5502;
+const QUEUE_LENGTH = 8;
+
+function begin(guards: Partial<AdmissionGuards> = {}) {
+	return createAdmission({
+		queueLength: QUEUE_LENGTH,
+		resumedLength: 8,
+		retryShare: 0.1,
+		shares: {large: 2},
+		oldestEvery: 4,
+		guards: {...ALL_GUARDS, ...guards},
+	});
+}
+
+function request(
+	id: string,
+	change: Partial<WaitingRequest> = {},
+): WaitingRequest {
+	return {
+		id,
+		customer: 'a',
+		priority: 0,
+		cost: 1,
+		durationMs: 100,
+		...change,
+	};
+}
+
+function arrive(item: WaitingRequest, now = 0): AdmissionEvent {
+	return {kind: 'request-arrived', request: item, now};
+}
+
+function run(state: AdmissionState, events: readonly AdmissionEvent[]) {
+	const effects: AdmissionEffect[] = [];
+	const last = events.reduce((current, event) => {
+		const transition = stepAdmission(current, event);
+		effects.push(...transition.effects);
+		return transition.state;
+	}, state);
+	return {state: last, effects};
+}
+
+function started(effects: readonly AdmissionEffect[]) {
+	return effects.filter((effect) => effect.kind === 'start').map(({id}) => id);
+}
+
+describe('order', () => {
+	it('starts resumed work, then priority, then the earliest deadline', () => {
+		const {effects} = run(begin(), [
+			arrive(request('late', {deadline: 9000})),
+			arrive(request('early', {deadline: 5000})),
+			arrive(request('first', {priority: 3})),
+			{
+				kind: 'resumed-arrived',
+				request: {id: 'resumed', retries: 1, isDelivered: true},
+				now: 1,
+			},
+			{kind: 'capacity', free: 3, now: 2},
+		]);
+		expect(started(effects)).toEqual(['resumed', 'first', 'early']);
+	});
+
+	it('gives customers their shares while both wait', () => {
+		const fill = (customer: string, now: number) =>
+			Array.from({length: 4}, (_, i) =>
+				arrive(request(`${customer}${now}${i}`, {customer}), now),
+			);
+		let {state} = run(begin(), [...fill('large', 0), ...fill('a', 0)]);
+		const counts = {large: 0, a: 0};
+		Array.from({length: 30}, (_, i) => i).forEach((i) => {
+			const step = run(state, [
+				{kind: 'capacity', free: 1, now: i},
+				{kind: 'capacity', free: 0, now: i},
+			]);
+			const id = started(step.effects)[0]!;
+			const customer = id.startsWith('large') ? 'large' : 'a';
+			counts[customer]++;
+			state = run(step.state, [
+				arrive(request(`${customer}-${i}`, {customer}), i),
+			]).state;
+		});
+		expect(counts.large).toBeGreaterThanOrEqual(17);
+		expect(counts.large).toBeLessThanOrEqual(22);
+	});
+
+	it.each([
+		[true, true],
+		[false, false],
+	])('with the oldest first %s, a low request starts: %s', (on, starts) => {
+		let {state} = run(begin({oldestFirst: on}), [arrive(request('low'))]);
+		const all = Array.from({length: 20}, (_, i) => {
+			const step = run(state, [
+				arrive(request(`h${i}`, {priority: 9}), i),
+				arrive(request(`k${i}`, {priority: 9}), i),
+				{kind: 'capacity', free: 1, now: i},
+			]);
+			state = step.state;
+			return started(step.effects);
+		}).flat();
+		expect(all.includes('low')).toBe(starts);
+	});
+});
+
+describe('refusal', () => {
+	it('lets a batch of one customer not fill the queue of another', () => {
+		const batch = Array.from({length: QUEUE_LENGTH}, (_, i) =>
+			arrive(request(`b${i}`, {customer: 'batch'})),
+		);
+		const {state, effects} = run(begin(), [...batch, arrive(request('brief'))]);
+		expect(effects).toMatchObject([
+			{kind: 'refuse', id: 'b7', reason: 'queue-full'},
+		]);
+		expect(state.owners.has('brief')).toBe(true);
+	});
+
+	it('refuses at once what cannot meet its deadline', () => {
+		const {effects} = run(begin(), [
+			arrive(request('x', {deadline: 50})),
+			arrive(request('y', {deadline: 200})),
+			{kind: 'ticked', now: 150},
+		]);
+		expect(effects).toMatchObject([
+			{id: 'x', reason: 'deadline-unmeetable'},
+			{id: 'y', reason: 'deadline-unmeetable'},
+		]);
+	});
+
+	it('takes Retry-After from the pace of the queue', () => {
+		const many = Array.from({length: QUEUE_LENGTH}, (_, i) =>
+			arrive(request(`b${i}`)),
+		);
+		const starts = Array.from({length: 30}, (_, i): AdmissionEvent[] => [
+			{kind: 'capacity', free: 1, now: i * 2000},
+			arrive(request(`n${i}`), i * 2000),
+		]).flat();
+		const {effects} = run(begin(), [
+			...many,
+			...starts,
+			arrive(request('last'), 60_000),
+		]);
+		expect(effects.at(-1)).toMatchObject({
+			kind: 'refuse',
+			id: 'last',
+			retryAfterMs: QUEUE_LENGTH * 2000,
+		});
+	});
+
+	it('bounds extra attempts by the budget', () => {
+		const resumed = (i: number, isDelivered: boolean): AdmissionEvent => ({
+			kind: 'resumed-arrived',
+			request: {id: `r${i}`, retries: 2, isDelivered},
+			now: 0,
+		});
+		const events: AdmissionEvent[] = [
+			{kind: 'capacity', free: 100, now: 0},
+			...Array.from({length: 20}, (_, i) => resumed(i, false)),
+			resumed(20, true),
+		];
+		const {state, effects} = run(begin(), events);
+		expect(started(effects)).toHaveLength(10);
+		expect(state.resumed.map(({id}) => id)).toEqual(['r20']);
+		const without = run(begin({retryBudget: false}), events);
+		expect(started(without.effects)).toHaveLength(21);
+	});
+});
+
+const anyEvent: fc.Arbitrary<AdmissionEvent> = fc.oneof(
+	fc.record({
+		kind: fc.constant('request-arrived' as const),
+		request: fc.record({
+			id: fc.nat(60).map(String),
+			customer: fc.constantFrom('a', 'b', 'large'),
+			priority: fc.nat(9),
+			deadline: fc.option(fc.nat(5000), {nil: undefined}),
+			cost: fc.nat(9).map((cost) => cost + 1),
+			durationMs: fc.nat(500),
+		}),
+		now: fc.nat(4000),
+	}),
+	fc.record({
+		kind: fc.constant('resumed-arrived' as const),
+		request: fc.record({
+			id: fc.nat(60).map((id) => `r${id}`),
+			retries: fc.nat(3),
+			isDelivered: fc.boolean(),
+		}),
+		now: fc.nat(4000),
+	}),
+	fc.record({
+		kind: fc.constant('capacity' as const),
+		free: fc.nat(2),
+		now: fc.nat(4000),
+	}),
+	fc.record({
+		kind: fc.constant('left' as const),
+		id: fc.nat(60).map(String),
+		now: fc.nat(4000),
+	}),
+	fc.record({kind: fc.constant('ticked' as const), now: fc.nat(4000)}),
+);
+
+function number(drawn: readonly AdmissionEvent[]): readonly AdmissionEvent[] {
+	return drawn
+		.toSorted((left, right) => left.now - right.now)
+		.map((event, i) =>
+			event.kind === 'request-arrived'
+				? {...event, request: {...event.request, id: `n${i}`}}
+				: event,
+		);
+}
+
+function checkBounds(events: readonly AdmissionEvent[]) {
+	let state = begin();
+	const answered: string[] = [];
+	events.forEach((event) => {
+		const transition = stepAdmission(state, event);
+		state = transition.state;
+		answered.push(...transition.effects.map(({id}) => id));
+		expect(countWaiting(state)).toBeLessThanOrEqual(QUEUE_LENGTH);
+		expect(state.resumed.length).toBeLessThanOrEqual(8);
+		expect(state.customers.size).toBeLessThanOrEqual(3);
+		expect(state.free).toBeGreaterThanOrEqual(0);
+	});
+	const fresh = answered.filter((id) => id.startsWith('n'));
+	expect(new Set(fresh).size).toBe(fresh.length);
+}
+
+describe('bounds', () => {
+	it('holds its limits and answers each request at most once', () => {
+		fc.assert(
+			fc.property(fc.array(anyEvent, {maxLength: 120}), (drawn) => {
+				checkBounds(number(drawn));
+			}),
+			{seed: SEED, numRuns: 500},
+		);
+	});
+
+	it('tries a request without a place again later', () => {
+		const {effects} = run(begin(), [
+			arrive(request('x')),
+			{kind: 'capacity', free: 1, now: 0},
+			{kind: 'returned', id: 'x', now: 1},
+			{kind: 'capacity', free: 1, now: 2},
+			{kind: 'capacity', free: 1, now: 100},
+		]);
+		expect(started(effects)).toEqual(['x', 'x']);
+	});
+});
--- /dev/null
+++ b/packages/lovage-admission/src/budget.ts
@@ -0,0 +1,37 @@
+const INITIAL_TOKENS = 10;
+const MAX_TOKENS = 100;
+const TOKENS_PER_SECOND = 0.1;
+
+/** Token bucket of extra attempts. */
+export type RetryBudget = Readonly<{tokens: number; updatedAt: number}>;
+
+/** Creates a budget that allows a few extra attempts at once. */
+export function createBudget(): RetryBudget {
+	return {tokens: INITIAL_TOKENS, updatedAt: 0};
+}
+
+function addTokens(budget: RetryBudget, tokens: number): RetryBudget {
+	return {...budget, tokens: Math.min(MAX_TOKENS, budget.tokens + tokens)};
+}
+
+/** Earns the share of an extra attempt that a first attempt allows. */
+export function earnRetry(budget: RetryBudget, share: number): RetryBudget {
+	return addTokens(budget, share);
+}
+
+/** Adds the slow refill that lets work go on when nothing new comes. */
+export function refillBudget(budget: RetryBudget, now: number): RetryBudget {
+	const elapsedMs = Math.max(0, now - budget.updatedAt);
+	const refilled = addTokens(budget, (elapsedMs * TOKENS_PER_SECOND) / 1000);
+	return {...refilled, updatedAt: Math.max(now, budget.updatedAt)};
+}
+
+/** Tells whether one more extra attempt is allowed. */
+export function hasRetry(budget: RetryBudget): boolean {
+	return budget.tokens >= 1;
+}
+
+/** Takes one extra attempt from the budget. */
+export function spendRetry(budget: RetryBudget): RetryBudget {
+	return {...budget, tokens: budget.tokens - 1};
+}
--- /dev/null
+++ b/packages/lovage-admission/src/queue.ts
@@ -0,0 +1,94 @@
+import {
+	getShare,
+	type AdmissionState,
+	type CustomerQueue,
+	type QueuedRequest,
+} from './state.js';
+
+const EMPTY_QUEUE: CustomerQueue = {virtualTime: 0, requests: []};
+
+/** Orders the requests of one customer: priority, deadline, arrival. */
+function compareRequests(left: QueuedRequest, right: QueuedRequest): number {
+	const priority = right.priority - left.priority;
+	const deadline =
+		(left.deadline ?? Number.MAX_VALUE) - (right.deadline ?? Number.MAX_VALUE);
+	return priority || deadline || left.order - right.order;
+}
+
+/** Returns the queue of a customer, empty if it has none. */
+export function getQueue(
+	state: AdmissionState,
+	customer: string,
+): CustomerQueue {
+	return state.customers.get(customer) ?? EMPTY_QUEUE;
+}
+
+/** Counts the new requests that wait. */
+export function countWaiting(state: AdmissionState): number {
+	return state.owners.size;
+}
+
+/** Adds a request to the queue of its customer. */
+export function enqueue(
+	state: AdmissionState,
+	request: QueuedRequest,
+): AdmissionState {
+	const {customer, id} = request;
+	const queue = getQueue(state, customer);
+	const position = queue.requests.findIndex(
+		(other) => compareRequests(request, other) < 0,
+	);
+	const index = position === -1 ? queue.requests.length : position;
+	const virtualTime =
+		queue.requests.length === 0
+			? Math.max(queue.virtualTime, state.virtualTime)
+			: queue.virtualTime;
+	const requests = queue.requests.toSpliced(index, 0, request);
+	return {
+		...state,
+		customers: state.customers.set(customer, {virtualTime, requests}),
+		owners: state.owners.set(id, customer),
+	};
+}
+
+/** Removes a waiting request. */
+export function dequeue(state: AdmissionState, id: string): AdmissionState {
+	const customer = state.owners.get(id);
+	if (customer === undefined) {
+		return state;
+	}
+
+	const queue = getQueue(state, customer);
+	const requests = queue.requests.filter((other) => other.id !== id);
+	return forgetIdle(
+		{
+			...state,
+			customers: state.customers.set(customer, {...queue, requests}),
+			owners: state.owners.delete(id),
+		},
+		customer,
+	);
+}
+
+/** Charges started work to the customer, over its share. */
+export function chargeCustomer(
+	state: AdmissionState,
+	request: QueuedRequest,
+): AdmissionState {
+	const {customer, cost} = request;
+	const queue = getQueue(state, customer);
+	const virtualTime = queue.virtualTime + cost / getShare(state, customer);
+	return {
+		...state,
+		virtualTime: Math.max(state.virtualTime, queue.virtualTime),
+		customers: state.customers.set(customer, {...queue, virtualTime}),
+	};
+}
+
+/** Forgets a customer without requests and without a debt. */
+function forgetIdle(state: AdmissionState, customer: string): AdmissionState {
+	const queue = getQueue(state, customer);
+	return queue.requests.length === 0 && queue.virtualTime <= state.virtualTime
+		? {...state, customers: state.customers.delete(customer)}
+		: state;
+}
--- /dev/null
+++ b/packages/lovage-admission/src/select.ts
@@ -0,0 +1,112 @@
+import {countWaiting, getQueue} from './queue.js';
+import {
+	getShare,
+	type AdmissionState,
+	type CustomerQueue,
+	type QueuedRequest,
+} from './state.js';
+import type {WaitingRequest} from './types.js';
+
+type Entry = Readonly<{customer: string; queue: CustomerQueue}>;
+
+function listActive(state: AdmissionState): readonly Entry[] {
+	return [...state.customers]
+		.filter(([, queue]) => queue.requests.length > 0)
+		.map(([customer, queue]) => ({customer, queue}));
+}
+
+/** Returns the new request that starts next. */
+export function selectNext(state: AdmissionState): QueuedRequest | undefined {
+	const isOldestTurn =
+		state.guards.oldestFirst &&
+		state.starts % state.options.oldestEvery === state.options.oldestEvery - 1;
+	return isOldestTurn ? selectOldest(state) : selectByShare(state);
+}
+
+function selectOldest(state: AdmissionState): QueuedRequest | undefined {
+	return listActive(state)
+		.flatMap(({queue}) => queue.requests)
+		.reduce<QueuedRequest | undefined>(
+			(oldest, request) =>
+				oldest === undefined || request.order < oldest.order ? request : oldest,
+			undefined,
+		);
+}
+
+function selectByShare(state: AdmissionState): QueuedRequest | undefined {
+	const best = listActive(state).reduce<Entry | undefined>(
+		(chosen, entry) =>
+			chosen === undefined || isBefore(state, entry, chosen) ? entry : chosen,
+		undefined,
+	);
+	return best?.queue.requests[0];
+}
+
+function isBefore(state: AdmissionState, left: Entry, right: Entry): boolean {
+	const first = left.queue.requests[0]!;
+	const second = right.queue.requests[0]!;
+	if (first.priority !== second.priority) {
+		return first.priority > second.priority;
+	}
+
+	return state.guards.fairShares &&
+		left.queue.virtualTime !== right.queue.virtualTime
+		? left.queue.virtualTime < right.queue.virtualTime
+		: first.order < second.order;
+}
+
+/**
+ * Returns the waiting request that makes room for a new one in a full queue:
+ * the last one of the customer that holds most of the queue for its share.
+ */
+export function selectPushedOut(
+	state: AdmissionState,
+	request: WaitingRequest,
+): QueuedRequest | undefined {
+	if (!state.guards.fairShares) {
+		return undefined;
+	}
+
+	const fill = ({customer, queue}: Entry) =>
+		queue.requests.length / getShare(state, customer);
+	const fullest = listActive(state).reduce<Entry | undefined>(
+		(chosen, entry) =>
+			chosen === undefined || fill(entry) > fill(chosen) ? entry : chosen,
+		undefined,
+	);
+	const own = getQueue(state, request.customer).requests.length + 1;
+	return fullest !== undefined &&
+		own / getShare(state, request.customer) < fill(fullest)
+		? fullest.queue.requests.at(-1)
+		: undefined;
+}
+
+/** Counts the requests that start before a new one, from the shares. */
+export function countAhead(
+	state: AdmissionState,
+	request: WaitingRequest,
+): number {
+	const ownShare = getShare(state, request.customer);
+	const isBefore = (other: QueuedRequest) =>
+		other.priority > request.priority ||
+		(other.priority === request.priority &&
+			(other.deadline ?? Number.MAX_VALUE) <=
+				(request.deadline ?? Number.MAX_VALUE));
+	const own = getQueue(state, request.customer).requests.filter(
+		isBefore,
+	).length;
+	const others = listActive(state)
+		.filter(({customer}) => customer !== request.customer)
+		.map(({customer, queue}) => {
+			const higher = queue.requests.filter(
+				({priority}) => priority > request.priority,
+			).length;
+			const equal = queue.requests.filter(
+				({priority}) => priority === request.priority,
+			).length;
+			const turns = ((own + 1) * getShare(state, customer)) / ownShare;
+			return higher + Math.min(equal, turns);
+		})
+		.reduce((sum, count) => sum + count, 0);
+	return Math.min(countWaiting(state), own + others);
+}
--- /dev/null
+++ b/packages/lovage-admission/src/step.ts
@@ -0,0 +1,263 @@
+import {createTransition} from '@lovagevalve/core';
+import {earnRetry, hasRetry, refillBudget, spendRetry} from './budget.js';
+import {estimateWait, getRetryAfter, noteStart} from './pace.js';
+import {chargeCustomer, countWaiting, dequeue, enqueue} from './queue.js';
+import {countAhead, selectNext, selectPushedOut} from './select.js';
+import type {
+	AdmissionState,
+	AdmissionTransition,
+	QueuedRequest,
+	QueuedResume,
+} from './state.js';
+import type {
+	AdmissionEffect,
+	AdmissionEvent,
+	RefusalReason,
+	ResumedRequest,
+	WaitingRequest,
+} from './types.js';
+
+const RETURN_DELAY_MS = 50;
+
+/** Applies one event to the queue of a service. Pure. */
+export function stepAdmission(
+	state: AdmissionState,
+	event: AdmissionEvent,
+): AdmissionTransition {
+	const budget = refillBudget(state.budget, event.now);
+	const taken = takeIn({...state, budget}, event);
+	return startWaiting(taken.state, event.now, taken.effects);
+}
+
+function takeIn(
+	state: AdmissionState,
+	event: AdmissionEvent,
+): AdmissionTransition {
+	switch (event.kind) {
+		case 'request-arrived': {
+			return admitRequest(state, event.request, event.now);
+		}
+
+		case 'resumed-arrived': {
+			return admitResumed(state, event.request);
+		}
+
+		case 'returned': {
+			return takeBack(state, event.id, event.now);
+		}
+
+		case 'capacity': {
+			return createTransition({...state, free: event.free});
+		}
+
+		case 'finished': {
+			return createTransition({...state, free: state.free + 1});
+		}
+
+		case 'left': {
+			const resumed = state.resumed.filter(({id}) => id !== event.id);
+			return createTransition(dequeue({...state, resumed}, event.id));
+		}
+
+		case 'ticked': {
+			return refuseLate(state, event.now);
+		}
+	}
+}
+
+/** Without a place for one there is hardly one for others: free is unknown. */
+function takeBack(
+	state: AdmissionState,
+	id: string,
+	now: number,
+): AdmissionTransition {
+	const item: QueuedResume = {
+		id,
+		retries: 0,
+		isDelivered: false,
+		needsBudget: false,
+		notBefore: now + RETURN_DELAY_MS,
+	};
+	return createTransition({
+		...state,
+		resumed: [...state.resumed, item],
+		free: 0,
+	});
+}
+
+function createRefusal(
+	state: AdmissionState,
+	id: string,
+	reason: RefusalReason,
+): AdmissionEffect {
+	const retryAfterMs = getRetryAfter(state.pace, countWaiting(state));
+	return {kind: 'refuse', id, reason, retryAfterMs};
+}
+
+function admitRequest(
+	state: AdmissionState,
+	request: WaitingRequest,
+	now: number,
+): AdmissionTransition {
+	if (state.owners.has(request.id)) {
+		return createTransition(state);
+	}
+
+	if (isUnmeetable(state, request, now)) {
+		return createTransition(state, [
+			createRefusal(state, request.id, 'deadline-unmeetable'),
+		]);
+	}
+
+	const {order} = state;
+	const queued: QueuedRequest = {...request, arrivedAt: now, order};
+	const next = {...state, order: order + 1};
+	const isFull =
+		state.guards.lengthLimit &&
+		state.free <= 0 &&
+		countWaiting(state) >= state.options.queueLength;
+	return isFull
+		? pushOut(next, queued)
+		: createTransition(enqueue(next, queued));
+}
+
+function isUnmeetable(
+	state: AdmissionState,
+	request: WaitingRequest,
+	now: number,
+): boolean {
+	if (request.deadline === undefined) {
+		return false;
+	}
+
+	const waitMs =
+		state.free > countWaiting(state)
+			? 0
+			: estimateWait(state.pace, countAhead(state, request));
+	return now + waitMs + request.durationMs > request.deadline;
+}
+
+function pushOut(
+	state: AdmissionState,
+	request: QueuedRequest,
+): AdmissionTransition {
+	const victim = selectPushedOut(state, request);
+	return victim === undefined
+		? createTransition(state, [createRefusal(state, request.id, 'queue-full')])
+		: createTransition(enqueue(dequeue(state, victim.id), request), [
+				createRefusal(state, victim.id, 'queue-full'),
+			]);
+}
+
+/**
+ * The first extra attempt replaces a loss and is free; further ones take from
+ * the budget, and wait for it if the caller has tokens already.
+ */
+function admitResumed(
+	state: AdmissionState,
+	request: ResumedRequest,
+): AdmissionTransition {
+	const needsBudget = state.guards.retryBudget && request.retries > 1;
+	const isRefused =
+		needsBudget && !request.isDelivered && !hasRetry(state.budget);
+	if (isRefused) {
+		return createTransition(state, [
+			createRefusal(state, request.id, 'retry-budget-spent'),
+		]);
+	}
+
+	if (state.resumed.length >= state.options.resumedLength) {
+		return createTransition(state, [
+			createRefusal(state, request.id, 'queue-full'),
+		]);
+	}
+
+	const resumed = [...state.resumed, {...request, needsBudget, notBefore: 0}];
+	return createTransition({...state, resumed});
+}
+
+function refuseLate(state: AdmissionState, now: number): AdmissionTransition {
+	const late = [...state.customers.values()]
+		.flatMap(({requests}) => requests)
+		.filter(
+			({deadline, durationMs}) =>
+				deadline !== undefined && now + durationMs > deadline,
+		);
+	return createTransition(
+		late.reduce((current, {id}) => dequeue(current, id), state),
+		late.map(({id}) => createRefusal(state, id, 'deadline-unmeetable')),
+	);
+}
+
+function startWaiting(
+	initial: AdmissionState,
+	now: number,
+	before: readonly AdmissionEffect[],
+): AdmissionTransition {
+	const effects = [...before];
+	let state = initial;
+	while (state.free > 0) {
+		const started = startOne(state, now);
+		if (started === undefined) {
+			break;
+		}
+
+		effects.push(...started.effects);
+		state = started.state;
+	}
+
+	return createTransition(state, effects);
+}
+
+function startOne(
+	state: AdmissionState,
+	now: number,
+): AdmissionTransition | undefined {
+	return state.guards.resumedFirst
+		? (startResumed(state, now) ?? startNew(state, now))
+		: (startNew(state, now) ?? startResumed(state, now));
+}
+
+function startResumed(
+	state: AdmissionState,
+	now: number,
+): AdmissionTransition | undefined {
+	const next = state.resumed.find(
+		({needsBudget, notBefore}) =>
+			notBefore <= now && (!needsBudget || hasRetry(state.budget)),
+	);
+	return next === undefined
+		? undefined
+		: createTransition<AdmissionState, AdmissionEffect>(
+				{
+					...state,
+					free: state.free - 1,
+					resumed: state.resumed.filter((other) => other !== next),
+					budget: next.needsBudget ? spendRetry(state.budget) : state.budget,
+				},
+				[{kind: 'start', id: next.id}],
+			);
+}
+
+function startNew(
+	state: AdmissionState,
+	now: number,
+): AdmissionTransition | undefined {
+	const next = selectNext(state);
+	if (next === undefined) {
+		return undefined;
+	}
+
+	const charged = dequeue(chargeCustomer(state, next), next.id);
+	const isBacklogged = countWaiting(charged) > 0;
+	return createTransition<AdmissionState, AdmissionEffect>(
+		{
+			...charged,
+			free: charged.free - 1,
+			starts: charged.starts + 1,
+			budget: earnRetry(charged.budget, charged.options.retryShare),
+			pace: noteStart(charged.pace, now, isBacklogged),
+		},
+		[{kind: 'start', id: next.id}],
+	);
+}
