Add the demo over the development cluster

Kills the engine with most running generations and the entry of the first answer, checks each answer's chain of tokens, and sums up what the engines recorded.

--- a/packages/lovage-fakes/src/cluster.ts
+++ b/packages/lovage-fakes/src/cluster.ts
@@ -45,6 +45,8 @@
 	readRecords: () => readonly TimedRunRecord[];
 	/** Starts every program and waits until the entries serve. */
 	start: () => Promise<void>;
+	/** Waits until an entry has taken an announcement of each backend server. */
+	waitForBackends: () => Promise<void>;
 	/** Kills what still runs and removes the files. */
 	remove: () => Promise<void>;
 }>;
@@ -130,6 +132,16 @@
 			backends.forEach(({start}) => start());
 			await waitForHealth(entries);
 		},
+		async waitForBackends() {
+			const names = backends.map(({name}) => name);
+			await waitFor('announcements of the backend servers', () => {
+				const records = readRecords(getRecordFile(folder));
+				const announced = records.filter(({kind}) => kind === 'announced');
+				return names.every((name) =>
+					announced.some(({backend}) => backend === name),
+				);
+			});
+		},
 		async remove() {
 			await Promise.all(members.map(async ({kill}) => kill()));
 			await Promise.all(members.map(async ({relay}) => relay?.close()));
--- /dev/null
+++ b/packages/lovage-fakes/src/demo-main.ts
@@ -0,0 +1,207 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {callUntilSettled, type ServiceCall} from './caller-calls.js';
+import {runGeneration, type GenerationCall} from './caller.js';
+import {createCluster, type Cluster} from './cluster.js';
+import type {BackendSpec} from './cluster-members.js';
+import {
+	formatAnswers,
+	formatCall,
+	formatMeasures,
+	isWhole,
+	type DemoAnswer,
+} from './demo-report.js';
+import {waitFor} from './wait.js';
+import {
+	findBusiestBackend,
+	listAttempts,
+	summariseWork,
+} from './work-summary.js';
+
+const GENERATIONS = 6;
+const MAX_TOKENS = 120;
+const MS_PER_TOKEN = 25;
+const KILL_ENGINE_AT_TOKEN = 30;
+const KILL_ENTRY_AT_TOKEN = 60;
+const SENDS = 20;
+const DATA_CENTRES = ['london-a', 'london-b', 'london-c', 'london-d'];
+
+function print(text: string): void {
+	process.stdout.write(`${text}\n`);
+}
+
+function createBackends(): readonly BackendSpec[] {
+	const engines = DATA_CENTRES.map((dataCentre, index): BackendSpec => ({
+		kind: 'engine',
+		id: `lyric-0${index + 1}`,
+		service: 'lyric-analysis',
+		dataCentre,
+		options: {'ms-per-token': MS_PER_TOKEN, models: 'lyric-large:2026.11'},
+	}));
+	return [
+		...engines,
+		{
+			kind: 'service',
+			id: 'licensing-01',
+			service: 'licensing',
+			dataCentre: 'london-a',
+		},
+		{
+			kind: 'service',
+			id: 'catalogue-01',
+			service: 'catalogue',
+			dataCentre: 'london-c',
+		},
+	];
+}
+
+function createCalls(
+	cluster: Cluster,
+	onProgress: (index: number, tokens: number, address: string) => void,
+): readonly GenerationCall[] {
+	const customers = Object.entries(cluster.example.customerKeys);
+	return Array.from({length: GENERATIONS}, (_, index) => {
+		const [customer, key] = customers[index % customers.length]!;
+		return {
+			entries: cluster.addresses,
+			key,
+			requestId: `${customer}-brief-${index}`,
+			service: 'lyric-analysis',
+			prompt: `Summarise clearance ${index} for ${customer}.`,
+			maxTokens: MAX_TOKENS,
+			onProgress(tokens, address) {
+				onProgress(index, tokens, address);
+			},
+		};
+	});
+}
+
+async function killEngine(cluster: Cluster): Promise<readonly string[]> {
+	const records = cluster.readRecords();
+	const name = findBusiestBackend(records)!;
+	await cluster.find(name).read().end('SIGKILL');
+	const lost = listAttempts(records).filter(
+		({backend, state}) => backend === name && state === 'running',
+	);
+	print(`Killed the engine ${name} with ${lost.length} generations on it.`);
+	return lost.map(({prompt}) => prompt);
+}
+
+async function streamWithFaults(
+	cluster: Cluster,
+): Promise<
+	Readonly<{answers: readonly DemoAnswer[]; interrupted: readonly string[]}>
+> {
+	const lengths = new Map<number, number>();
+	const serving = new Map<number, string>();
+	const calls = createCalls(cluster, (index, tokens, address) => {
+		lengths.set(index, tokens);
+		serving.set(index, address);
+	});
+	const running = Promise.all(
+		calls.map(async (call) => ({call, transcript: await runGeneration(call)})),
+	);
+	const waitForTokens = async (count: number) =>
+		waitFor(`${count} tokens of each answer`, () =>
+			calls.every((_, index) => (lengths.get(index) ?? 0) >= count),
+		);
+
+	await waitForTokens(KILL_ENGINE_AT_TOKEN);
+	const interrupted = await killEngine(cluster);
+	await waitForTokens(KILL_ENTRY_AT_TOKEN);
+	const address = serving.get(0)!;
+	const entry = cluster.entries.find((one) => one.address === address)!;
+	const cut = calls.filter((_, index) => serving.get(index) === address);
+	await entry.read().end('SIGKILL');
+	print(`Killed the entry ${entry.name} with ${cut.length} answers on it.`);
+	return {
+		answers: await running,
+		interrupted: [...interrupted, ...cut.map(({prompt}) => prompt)],
+	};
+}
+
+async function callServices(cluster: Cluster): Promise<boolean> {
+	const key = cluster.example.customerKeys['sync-london']!;
+	const grant: ServiceCall = {
+		key,
+		requestId: 'grant-1',
+		service: 'licensing',
+		operation: 'grant',
+		body: {song: 7, licensee: 'film 12'},
+	};
+	const lookup: ServiceCall = {
+		key,
+		requestId: 'lookup-1',
+		service: 'catalogue',
+		operation: 'lookup',
+		body: {song: 7},
+	};
+	const granted = await callUntilSettled(cluster.addresses, grant, SENDS);
+	const again = await callUntilSettled(cluster.addresses, grant, SENDS);
+	const found = await callUntilSettled(cluster.addresses, lookup, SENDS);
+	print('Calls:');
+	print(formatCall('licence grant', granted));
+	print(formatCall('the same grant sent again', again));
+	print(formatCall('catalogue lookup', found));
+	const runs = cluster
+		.readRecords()
+		.filter((record) => record.kind === 'called')
+		.filter(({operation}) => operation === 'grant');
+	print(`  the licensing service ran the grant ${runs.length} time(s)`);
+	return (
+		runs.length === 1 &&
+		[granted, again, found].every(
+			(outcomes) => outcomes.at(-1)?.kind === 'answered',
+		)
+	);
+}
+
+async function stopAll(cluster: Cluster): Promise<boolean> {
+	const groups = [cluster.backends, cluster.entries, cluster.controls];
+	const running = groups.flat().filter((member) => member.read().isRunning());
+	const exits = await Promise.all(
+		running.map(async (member) => member.read().end('SIGTERM')),
+	);
+	const failed = running.filter((_, index) => exits[index]!.code !== 0);
+	print(
+		failed.length === 0
+			? `Stopped ${running.length} programs with SIGTERM.`
+			: `Did not stop with 0: ${failed.map(({name}) => name).join(', ')}`,
+	);
+	return failed.length === 0;
+}
+
+async function runDemo(cluster: Cluster): Promise<boolean> {
+	await cluster.start();
+	print(
+		`Started ${cluster.controls.length} control instances, ${cluster.entries.length} entries and ${cluster.backends.length} backend servers.`,
+	);
+	await cluster.waitForBackends();
+	const areServicesRight = await callServices(cluster);
+	const {answers, interrupted} = await streamWithFaults(cluster);
+	const prompts = answers.map(({call}) => call.prompt);
+	print(formatAnswers(answers));
+	print(
+		formatMeasures(
+			answers,
+			interrupted,
+			summariseWork(cluster.readRecords(), prompts),
+		),
+	);
+	const areStopped = await stopAll(cluster);
+	const wholeCount = answers.filter(isWhole).length;
+	print(`${wholeCount} of ${answers.length} answers are whole.`);
+	return wholeCount === answers.length && areServicesRight && areStopped;
+}
+
+const cluster = await createCluster({
+	example: 'verselight',
+	entries: 3,
+	controls: 3,
+	backends: createBackends(),
+});
+try {
+	process.exitCode = (await runDemo(cluster)) ? 0 : 1;
+} finally {
+	await cluster.remove();
+}
--- /dev/null
+++ b/packages/lovage-fakes/src/demo-report.ts
@@ -0,0 +1,75 @@
+import type {CallOutcome} from './caller-calls.js';
+import type {GenerationCall, Transcript} from './caller.js';
+import {verifyTranscript} from './tokens.js';
+import type {WorkSummary} from './work-summary.js';
+
+const SHOWN_TOKENS = 3;
+
+/** A generation that the demo asked for, with what came. */
+export type DemoAnswer = Readonly<{
+	call: GenerationCall;
+	transcript: Transcript;
+}>;
+
+/** Tells whether an answer is whole and of one run. */
+export function isWhole({call, transcript}: DemoAnswer): boolean {
+	return (
+		transcript.outcome === 'whole' &&
+		transcript.faults.length === 0 &&
+		verifyTranscript(call.prompt, transcript.tokens)
+	);
+}
+
+function formatAnswer(answer: DemoAnswer): string {
+	const {call, transcript} = answer;
+	const {tokens, connections, longestGapMs, problem} = transcript;
+	const first = tokens.slice(0, SHOWN_TOKENS).join(' ');
+	const last = tokens.slice(-1).join(' ');
+	const verdict = isWhole(answer) ? 'whole' : 'NOT WHOLE';
+	return [
+		`  ${call.requestId}: ${verdict}, ${tokens.length} tokens: ${first} … ${last}`,
+		`    connections ${connections.length}, longest wait ${Math.round(longestGapMs)} ms`,
+		...(problem === undefined
+			? []
+			: [`    ${problem.type}: ${problem.detail}`]),
+		...transcript.faults.map((fault) => `    fault: ${fault}`),
+	].join('\n');
+}
+
+/** Formats the answers, shortened. */
+export function formatAnswers(answers: readonly DemoAnswer[]): string {
+	return ['Answers:', ...answers.map(formatAnswer)].join('\n');
+}
+
+/** Formats the two measures of the demo's run. */
+export function formatMeasures(
+	answers: readonly DemoAnswer[],
+	interrupted: readonly string[],
+	work: WorkSummary,
+): string {
+	const delivered = answers.reduce(
+		(sum, {transcript}) => sum + transcript.tokens.length,
+		0,
+	);
+	const waits = answers
+		.filter(({call}) => interrupted.includes(call.prompt))
+		.map(({transcript}) => Math.round(transcript.longestGapMs))
+		.toSorted((a, b) => a - b);
+	const extra = work.produced - delivered;
+	const share = ((extra / delivered) * 100).toFixed(1);
+	return [
+		`Resume latency of the interrupted answers (ms): ${waits.join(', ')}`,
+		`Extra resource use: ${extra} tokens made beyond the ${delivered} delivered (${share}%), ${work.recomputed} delivered tokens computed again as prefix`,
+	].join('\n');
+}
+
+/** Formats what came of a call of a plain service. */
+export function formatCall(
+	name: string,
+	outcomes: readonly CallOutcome[],
+): string {
+	const last = outcomes.at(-1);
+	return last?.kind === 'answered'
+		? `  ${name}: answered${last.answer.replayed ? ' from the stored answer' : ''}`
+		: `  ${name}: ${JSON.stringify(last)}`;
+}
--- a/packages/lovage-fakes/src/engine-main.ts
+++ b/packages/lovage-fakes/src/engine-main.ts
@@ -82,7 +82,7 @@
 			},
 		});
 		const {port} = await listen(app, args.port);
-		const announcer = createAnnouncer(splitList(args.announce), () => ({
+		const describe = () => ({
 			id: args.id,
 			service: args.service,
 			dataCentre: args.dataCentre,
@@ -96,7 +96,14 @@
 			})),
 			load: batch.load(),
 			cacheEvents: [...cache.takeChanges()],
-		}));
+		});
+		const announcer = createAnnouncer(
+			splitList(args.announce),
+			describe,
+			() => {
+				record({kind: 'announced'});
+			},
+		);
 		leaveOnSignal({
 			onLeave() {
 				record({kind: 'leaving'});
--- a/packages/lovage-fakes/src/service-main.ts
+++ b/packages/lovage-fakes/src/service-main.ts
@@ -75,7 +75,7 @@
 		});
 		const {port} = await listen(app, args.port);
 		const entries = args.announce.split(',').filter((entry) => entry !== '');
-		const announcer = createAnnouncer(entries, () => ({
+		const describe = () => ({
 			id: args.id,
 			service: args.service,
 			dataCentre: args.dataCentre,
@@ -85,7 +85,10 @@
 			models: [],
 			load: {running, waiting: 0},
 			cacheEvents: [],
-		}));
+		});
+		const announcer = createAnnouncer(entries, describe, () => {
+			record({kind: 'announced'});
+		});
 		leaveOnSignal({
 			onLeave() {
 				record({kind: 'leaving'});
--- /dev/null
+++ b/packages/lovage-fakes/src/work-summary.ts
@@ -0,0 +1,97 @@
+import type {TimedRunRecord} from './run-record.js';
+
+/** One attempt as its engine recorded it. */
+export type AttemptWork = Readonly<{
+	backend: string;
+	generation: string;
+	attempt: number;
+	prompt: string;
+	prefixLength: number;
+	/** Tokens made; of a killed engine, those up to its last progress record. */
+	produced: number;
+	state: 'running' | 'done' | 'cancelled';
+}>;
+
+/** What the engines did for a set of prompts. */
+export type WorkSummary = Readonly<{
+	attempts: readonly AttemptWork[];
+	produced: number;
+	/** Delivered tokens that were computed again as prefix. */
+	recomputed: number;
+}>;
+
+function isSameAttempt(
+	a: Readonly<{generation: string; attempt: number; backend: string}>,
+	b: TimedRunRecord,
+): boolean {
+	return (
+		'generation' in b &&
+		a.generation === b.generation &&
+		a.attempt === b.attempt &&
+		a.backend === b.backend
+	);
+}
+
+function toState(last: TimedRunRecord | undefined): AttemptWork['state'] {
+	if (last?.kind !== 'ended') {
+		return 'running';
+	}
+
+	return last.cancelled ? 'cancelled' : 'done';
+}
+
+/** Lists the attempts in the order in which they started. */
+export function listAttempts(
+	records: readonly TimedRunRecord[],
+): readonly AttemptWork[] {
+	return records.flatMap((record) => {
+		if (record.kind !== 'started') {
+			return [];
+		}
+
+		const last = records.findLast(
+			(other) => other.kind !== 'started' && isSameAttempt(record, other),
+		);
+		const produced = last && 'produced' in last ? last.produced : 0;
+		const {backend, generation, attempt, prompt, prefixLength} = record;
+		return [
+			{
+				backend,
+				generation,
+				attempt,
+				prompt,
+				prefixLength,
+				produced,
+				state: toState(last),
+			},
+		];
+	});
+}
+
+/** Sums up the attempts for the given prompts. */
+export function summariseWork(
+	records: readonly TimedRunRecord[],
+	prompts: readonly string[],
+): WorkSummary {
+	const attempts = listAttempts(records).filter(({prompt}) =>
+		prompts.includes(prompt),
+	);
+	return {
+		attempts,
+		produced: attempts.reduce((sum, {produced}) => sum + produced, 0),
+		recomputed: attempts.reduce((sum, one) => sum + one.prefixLength, 0),
+	};
+}
+
+/** Names the backend server with the most running attempts. */
+export function findBusiestBackend(
+	records: readonly TimedRunRecord[],
+): string | undefined {
+	const running = listAttempts(records).filter(
+		({state}) => state === 'running',
+	);
+	const countOf = (name: string): number =>
+		running.filter(({backend}) => backend === name).length;
+	const names = [...new Set(running.map(({backend}) => backend))];
+	return names.toSorted((a, b) => countOf(b) - countOf(a))[0];
+}
