Rename the router's procedure for operators' changes

tRPC reserves the name 'apply': createControlRouter threw 'Reserved words used in router({}) call: apply' as soon as it was called, so no control instance could start. The handler keeps its name; clients call applyConfiguration.

--- a/packages/lovage-wire/src/control-api.ts
+++ b/packages/lovage-wire/src/control-api.ts
@@ -302,7 +302,8 @@
 		renewLease: t.procedure
 			.input(renewSchema)
 			.mutation(async ({input}) => handlers.renewLease(input)),
-		apply: t.procedure
+		// "apply" itself is a reserved word of tRPC.
+		applyConfiguration: t.procedure
 			.input(applySchema)
 			.mutation(async ({input}) => handlers.apply(input)),
 		readConfiguration: t.procedure.query(async () =>
