Add the quarantine of requests that crash backend servers

Each death strikes the digests that ran on it, after a window in which other deaths in the same data centre make it one event. Within such an event only a digest that ran on several of the dead servers is struck: it went from one to the next. Three strikes, two of them as the only suspect on the server, convict; a digest that would be convicted if the pending deaths count is held. To keep attempts sent to a server that was dead already out of the count, the generation now tells whether the lost attempt ever ran.

Tried: each guard (relatedDeaths, aloneOnly, mergeReports, clearCompleted) is run on and off by its test; off, an innocent digest is convicted.

--- a/packages/lovage-generation/src/__tests__/unit/generation.test.ts
+++ b/packages/lovage-generation/src/__tests__/unit/generation.test.ts
@@ -107,7 +107,13 @@
 			{kind: 'probe', backend: 'a', attempt: 1, probe: 1},
 			{kind: 'probe', backend: 'a', attempt: 1, probe: 2},
 			{kind: 'cancel', backend: 'a', attempt: 1},
-			{kind: 'report-death', backend: 'a', attempt: 1, cause: 'unreachable'},
+			{
+				kind: 'report-death',
+				backend: 'a',
+				attempt: 1,
+				cause: 'unreachable',
+				ran: true,
+			},
 			{kind: 'place', excluded: ['a'], resumed: true},
 			{
 				kind: 'start',
@@ -119,6 +125,17 @@
 		]);
 	});
 
+	it('tells a request that never ran from one that did', () => {
+		const {effects} = run(begin(), [
+			placed,
+			{kind: 'connection-lost', connection: 1, now: 10},
+			{kind: 'probe-failed', probe: 1, now: 11},
+			{kind: 'probe-failed', probe: 2, now: 12},
+		]);
+		const death = effects.find((effect) => effect.kind === 'report-death');
+		expect(death).toMatchObject({ran: false});
+	});
+
 	it('takes a token during a probe as life', () => {
 		const {state, effects} = run(begin(), [
 			placed,
--- a/packages/lovage-generation/src/loss.ts
+++ b/packages/lovage-generation/src/loss.ts
@@ -136,7 +136,7 @@
 	const {attempt} = state;
 	return placeAgain(noteLoss(state), backend, [
 		...abandonAttempt(state, phase),
-		{kind: 'report-death', backend, attempt, cause},
+		{kind: 'report-death', backend, attempt, cause, ran: state.accepted},
 	]);
 }
 
@@ -165,6 +165,7 @@
 			retries: state.retries + 1,
 			stalls: 0,
 			pace: UNKNOWN_PACE,
+			accepted: false,
 			flowing: false,
 			excluded,
 		},
--- a/packages/lovage-generation/src/running.ts
+++ b/packages/lovage-generation/src/running.ts
@@ -48,6 +48,7 @@
 			return isCurrent(state, phase, event);
 		}
 
+		case 'connected':
 		case 'connection-lost':
 		case 'backend-refused': {
 			return event.connection === phase.connection;
@@ -62,7 +63,6 @@
 			return phase.kind === 'streaming' && event.backend === phase.backend;
 		}
 
-		case 'connected':
 		case 'caller-left':
 		case 'taken-over':
 		case 'caller-blocked':
@@ -80,7 +80,7 @@
 ): GenerationTransition {
 	switch (event.kind) {
 		case 'connected': {
-			return createTransition(state);
+			return createTransition({...state, accepted: true});
 		}
 
 		case 'chunk-received': {
--- a/packages/lovage-generation/src/state.ts
+++ b/packages/lovage-generation/src/state.ts
@@ -69,6 +69,8 @@
 	/** Resumes in place since the last new token. */
 	stalls: number;
 	pace: Pace;
+	/** Whether the backend server accepted this attempt. */
+	accepted: boolean;
 	/** Whether a token of this attempt came. */
 	flowing: boolean;
 	lastTokenAt: number;
@@ -104,6 +106,7 @@
 		retries: 0,
 		stalls: 0,
 		pace: UNKNOWN_PACE,
+		accepted: options.start.kind === 'adopt',
 		flowing: false,
 		lastTokenAt: now,
 		blocked: false,
--- a/packages/lovage-generation/src/stitch.ts
+++ b/packages/lovage-generation/src/stitch.ts
@@ -75,6 +75,7 @@
 			state.flowing && state.loss === undefined
 				? updatePace(state.pace, now - state.lastTokenAt)
 				: state.pace,
+		accepted: true,
 		flowing: true,
 		lastTokenAt: now,
 		stalls: 0,
--- a/packages/lovage-generation/src/types.ts
+++ b/packages/lovage-generation/src/types.ts
@@ -118,6 +118,8 @@
 			backend: string;
 			attempt: Attempt;
 			cause: DeathCause;
+			/** Whether the attempt ran there: its stream opened. */
+			ran: boolean;
 	  }
 	/** The caller waited this long between two tokens because of a loss. */
 	| {kind: 'report-resume'; waitMs: number; inPlace: boolean}
--- /dev/null
+++ b/packages/lovage-quarantine/src/__tests__/unit/quarantine.test.ts
@@ -0,0 +1,197 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	DEFAULT_QUARANTINE_OPTIONS,
+	createQuarantine,
+	stepQuarantine,
+	viewQuarantine,
+	type QuarantineGuards,
+	type QuarantineState,
+	type ReportedDeath,
+} from '../../index.js';
+
+const SEED = 5503;
+const WINDOW_MS = DEFAULT_QUARANTINE_OPTIONS.windowMs;
+
+function begin(guards: Partial<QuarantineGuards> = {}) {
+	const all = DEFAULT_QUARANTINE_OPTIONS.guards;
+	return createQuarantine({
+		...DEFAULT_QUARANTINE_OPTIONS,
+		guards: {...all, ...guards},
+	});
+}
+
+function death(
+	backend: string,
+	digests: readonly string[],
+	dataCentre = backend,
+): ReportedDeath {
+	return {backend, incarnation: 1, dataCentre, digests};
+}
+
+function report(
+	state: QuarantineState,
+	now: number,
+	deaths: readonly ReportedDeath[],
+	completed: readonly string[] = [],
+) {
+	const event = {kind: 'deaths-reported' as const, deaths, completed, now};
+	return stepQuarantine(state, event).state;
+}
+
+function tick(state: QuarantineState, now: number) {
+	return stepQuarantine(state, {kind: 'ticked', now}).state;
+}
+
+const killedTwice = (state: QuarantineState) =>
+	report(report(state, 0, [death('e1', ['k', 'a', 'b'])]), 20_000, [
+		death('e2', ['k', 'c']),
+	]);
+
+describe('conviction', () => {
+	it('comes with the third engine and holds the request until then', () => {
+		const twice = killedTwice(begin());
+		expect(viewQuarantine(twice)).toMatchObject({
+			suspects: ['a', 'b', 'c', 'k'],
+			held: [],
+			convicted: [],
+		});
+		const third = report(twice, 40_000, [death('e3', ['k', 'd'])]);
+		expect(viewQuarantine(third).held).toEqual(['k']);
+		const judged = tick(third, 40_000 + WINDOW_MS);
+		expect(viewQuarantine(judged).convicted).toEqual(['k']);
+		expect(viewQuarantine(judged).suspects).toEqual(['a', 'b', 'c', 'd']);
+	});
+
+	it('finds a request that goes through one data centre quickly', () => {
+		const states = ['e1', 'e2', 'e3'].reduce(
+			(state, backend, i) =>
+				report(state, i * 2000, [death(backend, ['k', `x${i}`], 'one')]),
+			begin(),
+		);
+		expect(viewQuarantine(states).held).toEqual(['k']);
+		const judged = tick(states, 60_000);
+		expect(viewQuarantine(judged).convicted).toEqual(['k']);
+		expect(viewQuarantine(judged).suspects).toEqual([]);
+	});
+
+	it.each([
+		[true, []],
+		[false, ['a', 'k']],
+	])('needs deaths with a single suspect: %s', (aloneOnly, convicted) => {
+		const state = ['e1', 'e2', 'e3'].reduce(
+			(current, backend, i) =>
+				report(current, i * 20_000, [death(backend, ['k', 'a'])]),
+			begin({aloneOnly}),
+		);
+		const judged = tick(state, 100_000);
+		expect(viewQuarantine(judged).convicted).toEqual(convicted);
+	});
+
+	it.each([
+		[true, []],
+		[false, ['a']],
+	])('counts a rack lost at one time as no strike: %s', (on, convicted) => {
+		const rack = (now: number) => (state: QuarantineState) =>
+			report(state, now, [
+				death(`e${now}`, ['a'], 'one'),
+				death(`f${now}`, ['b'], 'one'),
+			]);
+		const state = [0, 20_000, 40_000].reduce(
+			(current, now) => rack(now)(current),
+			begin({relatedDeaths: on}),
+		);
+		const judged = tick(state, 100_000);
+		expect(viewQuarantine(judged).convicted).toEqual(
+			on ? convicted : [...convicted, 'b'],
+		);
+	});
+
+	it.each([
+		[true, []],
+		[false, ['k']],
+	])('merges the reports of several entries: %s', (on, convicted) => {
+		const state = [0, 10, 20].reduce(
+			(current, now) => report(current, now, [death('e1', ['k'])]),
+			begin({mergeReports: on}),
+		);
+		const judged = tick(state, 100_000);
+		expect(viewQuarantine(judged).convicted).toEqual(convicted);
+	});
+});
+
+describe('clearing', () => {
+	it.each([
+		[true, []],
+		[false, ['k']],
+	])('clears a suspect that ran to its end: %s', (on, convicted) => {
+		const twice = killedTwice(begin({clearCompleted: on}));
+		const cleared = report(twice, 39_000, [], ['k']);
+		const third = report(cleared, 40_000, [death('e3', ['k'])]);
+		const judged = tick(third, 100_000);
+		expect(viewQuarantine(judged).convicted).toEqual(convicted);
+	});
+
+	it('forgets suspects and convictions after their retention', () => {
+		const third = report(killedTwice(begin()), 40_000, [death('e3', ['k'])]);
+		const judged = tick(third, 60_000);
+		const hour = tick(judged, 4_000_000);
+		expect(viewQuarantine(hour)).toMatchObject({
+			suspects: [],
+			convicted: ['k'],
+		});
+		expect(viewQuarantine(tick(hour, 90_000_000)).convicted).toEqual([]);
+	});
+});
+
+const digest = fc.constantFrom('a', 'b', 'c', 'k');
+const anyReport = fc.record({
+	now: fc.nat(200_000),
+	deaths: fc.array(
+		fc.record({
+			backend: fc.constantFrom('e1', 'e2', 'e3'),
+			incarnation: fc.nat(2),
+			dataCentre: fc.constantFrom('one', 'two'),
+			digests: fc.array(digest, {maxLength: 4}),
+		}),
+		{maxLength: 3},
+	),
+	completed: fc.subarray(['a', 'b']),
+});
+
+type Reports = ReadonlyArray<
+	Readonly<{now: number; deaths: ReportedDeath[]; completed: string[]}>
+>;
+
+function copyAsJson(state: QuarantineState): QuarantineState {
+	const text = JSON.stringify(state);
+	return JSON.parse(text) as QuarantineState;
+}
+
+function countDeaths(reports: Reports, one: string): number {
+	const keys = reports
+		.flatMap(({deaths}) => deaths)
+		.filter(({digests}) => digests.includes(one))
+		.map(({backend, incarnation}) => `${backend}#${incarnation}`);
+	return new Set(keys).size;
+}
+
+function checkReports(reports: Reports): boolean {
+	let state = begin();
+	reports.forEach(({now, deaths, completed}) => {
+		const copy = copyAsJson(state);
+		state = report(state, now, deaths, completed);
+		expect(report(copy, now, deaths, completed)).toEqual(state);
+	});
+	const {convicted} = viewQuarantine(tick(state, 300_000));
+	return convicted.every((one) => countDeaths(reports, one) >= 3);
+}
+
+describe('state', () => {
+	it('survives JSON and never convicts after fewer than three deaths', () => {
+		fc.assert(fc.property(fc.array(anyReport, {maxLength: 20}), checkReports), {
+			seed: SEED,
+			numRuns: 300,
+		});
+	});
+});
--- /dev/null
+++ b/packages/lovage-quarantine/src/deaths.ts
@@ -0,0 +1,75 @@
+import type {Death, QuarantineState, ReportedDeath} from './types.js';
+
+/** Adds a report to the deaths; reports of one death are merged. */
+export function mergeDeath(
+	state: QuarantineState,
+	report: ReportedDeath,
+): QuarantineState {
+	const known = state.deaths.find(
+		(death) => state.options.guards.mergeReports && isSameDeath(death, report),
+	);
+	if (known === undefined) {
+		const death: Death = {
+			...report,
+			reportedAt: state.now,
+			verdict: 'pending',
+		};
+		return {...state, deaths: [...state.deaths, death]};
+	}
+
+	const digests = [...new Set([...known.digests, ...report.digests])];
+	const merged: Death = {...known, digests};
+	return {
+		...state,
+		deaths: state.deaths.map((death) => (death === known ? merged : death)),
+	};
+}
+
+function isSameDeath(death: Death, report: ReportedDeath): boolean {
+	return (
+		death.backend === report.backend && death.incarnation === report.incarnation
+	);
+}
+
+/** Lists the other deaths in the same place at about the same time. */
+export function listRelated(
+	state: QuarantineState,
+	death: Death,
+): readonly Death[] {
+	return state.deaths.filter(
+		(other) =>
+			other !== death &&
+			isSamePlace(other, death) &&
+			Math.abs(other.reportedAt - death.reportedAt) < state.options.windowMs,
+	);
+}
+
+function isSamePlace(left: Death, right: Death): boolean {
+	return left.dataCentre === right.dataCentre;
+}
+
+/**
+ * Lists the digests that a death counts against. Of related deaths only a
+ * digest that ran on several of them is struck: it went from one to the next.
+ */
+export function listStruck(
+	state: QuarantineState,
+	death: Death,
+): readonly string[] {
+	const related = listRelated(state, death);
+	if (related.length === 0 || !state.options.guards.relatedDeaths) {
+		return death.digests;
+	}
+
+	return death.digests.filter((digest) =>
+		related.some(({digests}) => digests.includes(digest)),
+	);
+}
+
+/** Tells whether the window for related deaths has passed. */
+export function isDue(state: QuarantineState, death: Death): boolean {
+	return (
+		death.verdict === 'pending' &&
+		death.reportedAt + state.options.windowMs <= state.now
+	);
+}
--- /dev/null
+++ b/packages/lovage-quarantine/src/retention.ts
@@ -0,0 +1,46 @@
+import type {QuarantineState} from './types.js';
+
+/** Deaths are kept for so many windows, for reports that come late. */
+const DEATH_RETENTION_WINDOWS = 8;
+
+/** Drops what is older than its retention, and the oldest beyond the limits. */
+export function forgetOld(state: QuarantineState): QuarantineState {
+	const {options, now} = state;
+	const deathRetentionMs = options.windowMs * DEATH_RETENTION_WINDOWS;
+	return {
+		...state,
+		deaths: state.deaths
+			.filter(({reportedAt}) => now - reportedAt < deathRetentionMs)
+			.slice(-options.maxRecords),
+		records: keepNewest(
+			state.records,
+			({lastAt}) => lastAt,
+			now - options.suspectRetentionMs,
+			options.maxRecords,
+		),
+		convicted: keepNewest(
+			state.convicted,
+			(at) => at,
+			now - options.convictionRetentionMs,
+			options.maxRecords,
+		),
+	};
+}
+
+function keepNewest<Value>(
+	values: Readonly<Record<string, Value>>,
+	getTime: (value: Value) => number,
+	after: number,
+	limit: number,
+): Readonly<Record<string, Value>> {
+	const entries = Object.entries(values);
+	const kept = entries.filter(([, value]) => getTime(value) > after);
+	if (kept.length <= limit) {
+		return kept.length === entries.length ? values : Object.fromEntries(kept);
+	}
+
+	const newest = kept.toSorted(
+		([, left], [, right]) => getTime(right) - getTime(left),
+	);
+	return Object.fromEntries(newest.slice(0, limit));
+}
--- /dev/null
+++ b/packages/lovage-quarantine/src/state.ts
@@ -0,0 +1,24 @@
+import type {QuarantineOptions, QuarantineState} from './types.js';
+
+/** Settings that deployments use unless told otherwise. */
+export const DEFAULT_QUARANTINE_OPTIONS: QuarantineOptions = {
+	windowMs: 8000,
+	strikes: 3,
+	alone: 2,
+	suspectRetentionMs: 3_600_000,
+	convictionRetentionMs: 86_400_000,
+	maxRecords: 10_000,
+	guards: {
+		relatedDeaths: true,
+		aloneOnly: true,
+		mergeReports: true,
+		clearCompleted: true,
+	},
+};
+
+/** Creates a quarantine that knows of no death. */
+export function createQuarantine(
+	options: QuarantineOptions = DEFAULT_QUARANTINE_OPTIONS,
+): QuarantineState {
+	return {options, version: 1, now: 0, deaths: [], records: {}, convicted: {}};
+}
