Add the operators' command line

validate, plan, apply, status, follow, drain, init and hash-key over the control router. Whom to ask next is a pure step; a change is repeated with the same operation id after a lost answer, and the command names the id when the outcome stays unknown. Keys come from a file or the environment only.

--- /dev/null
+++ b/packages/lovagectl/src/__tests__/integration/commands.test.ts
@@ -0,0 +1,265 @@
+import path from 'node:path';
+import {loadConfiguration, type Configuration} from '@lovagevalve/inventory';
+import type {
+	ApplyRequest,
+	ControlHandlers,
+	EntryInfo,
+	ProgressAnswer,
+} from '@lovagevalve/wire';
+import {Hono} from 'hono';
+import {afterEach, expect, test} from 'vitest';
+import {runCommandLine} from '../../run-command-line.js';
+import {
+	createTestHost,
+	serve,
+	serveControl,
+	UNASSIGNED,
+	type FakeServer,
+} from './fake-group.js';
+
+const EXAMPLE = path.resolve(
+	import.meta.dirname,
+	'../../../../../examples/verselight',
+);
+const FILES = [
+	'--inventory',
+	path.join(EXAMPLE, 'inventory.yaml'),
+	'--rules',
+	path.join(EXAMPLE, 'rules.yaml'),
+];
+const ENV = {
+	LOVAGE_OPERATOR: 'verselight-operations',
+	LOVAGE_OPERATOR_KEY: 'demo-verselight-operations',
+};
+const ENTRY: EntryInfo = {
+	id: 'entry-1',
+	address: 'http://127.0.0.1:1',
+	dataCentre: 'london-a',
+	state: 'serving',
+	incarnation: 'first',
+};
+
+const servers: FakeServer[] = [];
+
+afterEach(async () => {
+	await Promise.all(servers.splice(0).map(async ({server}) => server.close()));
+});
+
+async function control(handlers: Partial<ControlHandlers>): Promise<string> {
+	const fake = await serveControl(handlers);
+	servers.push(fake);
+	return fake.address;
+}
+
+async function run(args: readonly string[]) {
+	const {host, results, messages} = createTestHost(ENV);
+	const code = await runCommandLine(args, host);
+	return {code, results, messages};
+}
+
+async function readExample(): Promise<Configuration> {
+	const loaded = await loadConfiguration(FILES[1]!, FILES[3]!);
+	return loaded._unsafeUnwrap();
+}
+
+function createProgress(
+	appliedVersion: number,
+	entry: EntryInfo = ENTRY,
+): ProgressAnswer {
+	return {
+		kind: 'progress',
+		version: 2,
+		inForceEverywhere: appliedVersion === 2,
+		entries: [{entry, appliedVersion, leaseRemainingMs: 900}],
+	};
+}
+
+test('apply follows a redirect and repeats with the same id after a lost answer', async () => {
+	const sent: ApplyRequest[] = [];
+	const leader = await control({
+		async apply(req) {
+			sent.push(req);
+			if (sent.length === 1) {
+				throw new Error('the answer is lost');
+			}
+
+			return {kind: 'accepted', version: 1, repeated: true};
+		},
+	});
+	const other = await control({
+		readConfiguration: async () => ({kind: 'not-leader', leader}),
+		apply: async () => ({kind: 'not-leader', leader}),
+	});
+	const outcome = await run(['apply', '--json', '--control', other, ...FILES]);
+	expect(outcome.code).toBe(0);
+	expect(JSON.parse(outcome.results[0]!)).toEqual({
+		version: 1,
+		repeated: true,
+		operationId: 'generated-id',
+	});
+	expect(sent.map(({operationId}) => operationId)).toEqual([
+		'generated-id',
+		'generated-id',
+	]);
+	expect(sent[0]).toEqual(sent[1]);
+	expect(outcome.messages.at(-1)).toContain(
+		'--base-version 0 --operation-id generated-id',
+	);
+});
+
+test('apply shows the difference of a conflict', async () => {
+	const cfg = await readExample();
+	const winner = {
+		...cfg,
+		rules: {...cfg.rules, claimRetentionMs: 1000},
+	};
+	const address = await control({
+		apply: async () => ({
+			kind: 'conflict',
+			version: 5,
+			operationId: 'theirs',
+			configuration: winner,
+		}),
+	});
+	const args = ['apply', '--control', address, '--base-version', '4'];
+	const outcome = await run([...args, ...FILES]);
+	expect(outcome.code).toBe(4);
+	expect(outcome.messages).toContain(
+		'~ claim retention all: ms 1000 -> 604800000',
+	);
+});
+
+test('apply says what is not known when no answer comes', async () => {
+	const address = await control({
+		apply: async () => ({kind: 'unavailable'}),
+	});
+	const args = ['apply', '--control', address, '--operation-id', 'mine'];
+	const outcome = await run([...args, '--timeout', '1', ...FILES]);
+	expect(outcome.code).toBe(5);
+	expect(outcome.messages.at(-1)).toContain(
+		'repeat it with --base-version 0 --operation-id mine',
+	);
+});
+
+test('a refused key and refused input end at once', async () => {
+	const forbidden = await control({apply: async () => ({kind: 'forbidden'})});
+	const denied = await run(['apply', '--control', forbidden, ...FILES]);
+	expect(denied.code).toBe(6);
+	const tooLong = ['--operation-id', 'x'.repeat(129)];
+	const refused = await run([
+		'apply',
+		'--control',
+		forbidden,
+		...tooLong,
+		...FILES,
+	]);
+	expect(refused.code).toBe(1);
+});
+
+test('plan changes nothing when the files are in force', async () => {
+	const configuration = await readExample();
+	const address = await control({
+		readConfiguration: async () => ({kind: 'read', version: 7, configuration}),
+	});
+	const planned = await run(['plan', '--json', '--control', address, ...FILES]);
+	expect(JSON.parse(planned.results[0]!)).toEqual({
+		baseVersion: 7,
+		changes: [],
+	});
+	const applied = await run(['apply', '--control', address, ...FILES]);
+	expect(applied.results).toEqual(['nothing to change in version 7']);
+});
+
+test('follow shows each entry until the version is in force everywhere', async () => {
+	const versions = [1, 1, 2];
+	const address = await control({
+		progress: async () => createProgress(versions.shift() ?? 2),
+	});
+	const outcome = await run(['follow', '--json', '--control', address]);
+	const lines = outcome.results.map(
+		(line) => JSON.parse(line) as Record<string, unknown>,
+	);
+	expect(outcome.code).toBe(0);
+	expect(lines.map(({standing}) => standing)).toEqual([
+		'waiting',
+		'in-force',
+		undefined,
+	]);
+	expect(lines.at(-1)).toMatchObject({version: 2, inForceEverywhere: true});
+});
+
+test('follow ends with its own code when time is over', async () => {
+	const address = await control({progress: async () => createProgress(1)});
+	const args = ['follow', '--control', address, '--timeout', '2'];
+	const outcome = await run(args);
+	expect(outcome.code).toBe(7);
+});
+
+test('init makes one group once', async () => {
+	const members: unknown[] = [];
+	const address = await control({
+		async initialise(input) {
+			members.push(...input.members);
+			return {kind: 'initialised'};
+		},
+	});
+	const grouped = await control({
+		status: async () => ({...UNASSIGNED, role: 'follower', group: 'g'}),
+	});
+	const args = ['init', '--group', 'g', '--control'];
+	const first = await run([...args, address]);
+	expect(first.code).toBe(0);
+	expect(members).toEqual([{replica: 'r1', name: 'one', address}]);
+	const repeated = await run([...args, grouped]);
+	expect(repeated.results).toEqual(['group g exists already']);
+	const args2 = ['init', '--group', 'h', '--control', grouped];
+	const foreign = await run(args2);
+	expect(foreign.code).toBe(4);
+});
+
+test('drain asks the entry and waits until it is gone', async () => {
+	const asked: unknown[] = [];
+	const app = new Hono();
+	app.post('/v1/operator/drain', async (ctx) => {
+		asked.push(await ctx.req.json(), ctx.req.header('authorization'));
+		return ctx.body(null, 202);
+	});
+	const fake = await serve(app);
+	servers.push(fake);
+	const entry = {...ENTRY, address: fake.address};
+	const leaving = {...entry, state: 'leaving'} as const;
+	const answers = [createProgress(2, entry), createProgress(2, leaving)];
+	const gone = {...createProgress(2), entries: []};
+	const address = await control({
+		progress: async () => answers.shift() ?? gone,
+	});
+	const outcome = await run(['drain', 'entry-1', '--control', address]);
+	expect(outcome.code).toBe(0);
+	expect(asked).toEqual([
+		{operator: 'verselight-operations'},
+		'Bearer demo-verselight-operations',
+	]);
+	const unknown = await run(['drain', 'entry-9', '--control', address]);
+	expect(unknown.code).toBe(1);
+});
+
+test('status shows instances that do not answer', async () => {
+	const address = await control({progress: async () => createProgress(2)});
+	const args = ['--control', address, '--control', 'http://127.0.0.1:1'];
+	const outcome = await run(['status', ...args]);
+	expect(outcome.code).toBe(0);
+	expect(outcome.results.join('\n')).toContain('unreachable');
+	expect(outcome.results.join('\n')).toContain('version 2 in force');
+});
+
+test.each([
+	[['validate', '--rules', '/nowhere/rules.yaml'], 3],
+	[['plan', '--timeout', '1x'], 2],
+	[['plan', '--control', 'ftp://host'], 2],
+	[['unknown'], 2],
+	[['hash-key'], 0],
+	[['--help'], 0],
+])('%j ends with %i', async (args, code) => {
+	const outcome = await run(args);
+	expect(outcome.code).toBe(code);
+});
--- /dev/null
+++ b/packages/lovagectl/src/__tests__/integration/fake-group.ts
@@ -0,0 +1,92 @@
+import {trpcServer} from '@hono/trpc-server';
+import {serveHttp, type HttpServer} from '@lovagevalve/runtime';
+import {
+	createControlRouter,
+	RPC_PATH,
+	type ControlHandlers,
+	type ControlStatus,
+} from '@lovagevalve/wire';
+import {Hono} from 'hono';
+import type {Host} from '../../host.js';
+
+async function refuse(): Promise<never> {
+	throw new Error('not part of this test');
+}
+
+/** State of a control instance that belongs to no group. */
+export const UNASSIGNED: ControlStatus = {
+	replica: 'r1',
+	name: 'one',
+	role: 'unassigned',
+	term: 0,
+	commitIndex: 0,
+	lastIndex: 0,
+	snapshotIndex: 0,
+	configurationVersion: 0,
+	members: [],
+	unknownBackends: [],
+	orders: [],
+};
+
+/** A control instance or an entry that a test plays. */
+export type FakeServer = Readonly<{address: string; server: HttpServer}>;
+
+/** Serves an application on a free port. */
+export async function serve(app: Hono): Promise<FakeServer> {
+	const served = await serveHttp(app, '127.0.0.1', 0);
+	const server = served._unsafeUnwrap();
+	return {address: `http://127.0.0.1:${server.port}`, server};
+}
+
+/** Serves a control instance with the handlers of one test. */
+export async function serveControl(
+	handlers: Partial<ControlHandlers>,
+): Promise<FakeServer> {
+	const router = createControlRouter({
+		deliver: refuse,
+		join: refuse,
+		initialise: refuse,
+		status: async () => UNASSIGNED,
+		renewLease: refuse,
+		apply: refuse,
+		readConfiguration: async () => ({kind: 'read', version: 0}),
+		progress: refuse,
+		openClaim: refuse,
+		refuseClaim: refuse,
+		settleClaim: refuse,
+		reportDeaths: refuse,
+		...handlers,
+	});
+	const app = new Hono();
+	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
+	return serve(app);
+}
+
+/** A host that keeps what was written and does not wait. */
+export function createTestHost(env: Record<string, string> = {}): {
+	host: Host;
+	results: string[];
+	messages: string[];
+} {
+	const results: string[] = [];
+	const messages: string[] = [];
+	let now = 0;
+	const host: Host = {
+		env,
+		writeResult(line) {
+			results.push(line);
+		},
+		writeMessage(line) {
+			messages.push(line);
+		},
+		readInput: async () => 'secret\n',
+		now: () => now,
+		wall: () => now,
+		random: () => 0,
+		createId: () => 'generated-id',
+		async sleep(ms) {
+			now += ms;
+		},
+	};
+	return {host, results, messages};
+}
--- /dev/null
+++ b/packages/lovagectl/src/__tests__/unit/leader-search.test.ts
@@ -0,0 +1,57 @@
+import {expect, test} from 'vitest';
+import {
+	createSearch,
+	stepSearch,
+	type SearchEffect,
+	type SearchEvent,
+	type SearchState,
+} from '../../leader-search.js';
+
+const TIMES = {now: 0, random: 0.5};
+const BEGIN: SearchEvent = {kind: 'begin', ...TIMES};
+const FAILED: SearchEvent = {kind: 'failed', message: 'refused', ...TIMES};
+
+function redirect(leader?: string): SearchEvent {
+	return {kind: 'redirected', redirect: {kind: 'not-leader', leader}, ...TIMES};
+}
+
+function play(events: readonly SearchEvent[]): {
+	state: SearchState;
+	effects: readonly SearchEffect[];
+} {
+	return events.reduce<{state: SearchState; effects: readonly SearchEffect[]}>(
+		({state, effects}, event) => {
+			const step = stepSearch(state, event);
+			return {state: step.state, effects: [...effects, ...step.effects]};
+		},
+		{state: createSearch(['a', 'b'], 100), effects: []},
+	);
+}
+
+test('asks the leader that an answer names', () => {
+	expect(play([BEGIN, redirect('c')]).effects).toEqual([
+		{kind: 'ask', address: 'a', pauseMs: 0},
+		{kind: 'ask', address: 'c', pauseMs: 0},
+	]);
+});
+
+test('pauses after each round through the list', () => {
+	expect(play([BEGIN, FAILED, redirect(), FAILED]).effects).toEqual([
+		{kind: 'ask', address: 'a', pauseMs: 0},
+		{kind: 'ask', address: 'b', pauseMs: 0},
+		{kind: 'ask', address: 'a', pauseMs: 200},
+		{kind: 'ask', address: 'b', pauseMs: 0},
+	]);
+});
+
+test('leaves a circle of redirects', () => {
+	const circle = Array.from({length: 4}, () => redirect('c'));
+	const {effects} = play([BEGIN, ...circle]);
+	expect(effects.at(-1)).toEqual({kind: 'ask', address: 'b', pauseMs: 0});
+});
+
+test('gives up at the deadline and keeps the reason', () => {
+	const {state, effects} = play([BEGIN, {...FAILED, now: 100}]);
+	expect(effects.at(-1)).toEqual({kind: 'give-up'});
+	expect(state.lastFailure).toBe('refused');
+});
--- /dev/null
+++ b/packages/lovagectl/src/command-hash-key.ts
@@ -0,0 +1,20 @@
+import {hashKey} from '@lovagevalve/inventory';
+import type {Host} from './host.js';
+import {createOutput, fail, type CommandResult} from './outcome.js';
+
+const MAX_KEY_LENGTH = 256;
+
+/** Hashes the key on standard input the way the inventory holds it. */
+export async function printKeyHash(host: Host): Promise<CommandResult> {
+	const input = await host.readInput();
+	const key = input.trim();
+	if (key === '' || key.length > MAX_KEY_LENGTH) {
+		return fail(
+			'usage',
+			`a key of 1 to ${MAX_KEY_LENGTH} characters is read from standard input`,
+		);
+	}
+
+	const keyHash = hashKey(key);
+	return createOutput([keyHash], {keyHash});
+}
--- /dev/null
+++ b/packages/lovagectl/src/command-plan.ts
@@ -0,0 +1,75 @@
+import {
+	diffConfigurations,
+	formatChange,
+	type Change,
+	type Configuration,
+} from '@lovagevalve/inventory';
+import type {ConfigurationAnswer} from '@lovagevalve/wire';
+import {err, type Result} from 'neverthrow';
+import {
+	readConfigurationFiles,
+	type ConfigurationFiles,
+} from './configuration-files.js';
+import type {ControlSession} from './control-session.js';
+import {
+	createOutput,
+	type CommandError,
+	type CommandResult,
+} from './outcome.js';
+
+/** What a change would do. */
+export type Plan = Readonly<{
+	/** Version that the change builds on; 0 for the first. */
+	baseVersion: number;
+	configuration: Configuration;
+	changes: readonly Change[];
+}>;
+
+/** Compares the files with the configuration now accepted. */
+export async function createPlan(
+	files: ConfigurationFiles,
+	session: ControlSession,
+	timeoutMs: number,
+): Promise<Result<Plan, CommandError>> {
+	const cfg = await readConfigurationFiles(files);
+	if (cfg.isErr()) {
+		return err(cfg.error);
+	}
+
+	const configuration = cfg.value;
+	const current = await session.askLeader<ConfigurationAnswer>(
+		async (client, signal) =>
+			client.readConfiguration.query(undefined, {signal}),
+		timeoutMs,
+	);
+	return current.map((answer) => ({
+		baseVersion: answer.version,
+		configuration,
+		changes: diffConfigurations(answer.configuration, configuration),
+	}));
+}
+
+/** Writes a plan for people. */
+export function formatPlan(plan: Plan): readonly string[] {
+	const count =
+		plan.changes.length === 1 ? '1 change' : `${plan.changes.length} changes`;
+	return [
+		`${count} against version ${plan.baseVersion}`,
+		...plan.changes.map(formatChange),
+	];
+}
+
+/** Shows what `apply` would change. */
+export async function plan(
+	files: ConfigurationFiles,
+	session: ControlSession,
+	timeoutMs: number,
+): Promise<CommandResult> {
+	const created = await createPlan(files, session, timeoutMs);
+	return created.andThen((read) =>
+		createOutput(formatPlan(read), {
+			baseVersion: read.baseVersion,
+			changes: read.changes,
+		}),
+	);
+}
--- /dev/null
+++ b/packages/lovagectl/src/entry-client.ts
@@ -0,0 +1,94 @@
+import {Buffer} from 'node:buffer';
+import {isProblem, type EntryInfo} from '@lovagevalve/wire';
+import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {request, type Agent} from 'undici';
+import type {Credentials} from './connection.js';
+
+const EXCHANGE_TIMEOUT_MS = 5000;
+const MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+/** A request to an entry that gave no answer of use. */
+export type EntryError = Readonly<{
+	entry: string;
+	message: string;
+	isForbidden: boolean;
+}>;
+
+/** Who asks an entry, and over which connections. */
+export type EntryCaller = Readonly<{credentials: Credentials; agent: Agent}>;
+
+type Answer = Readonly<{status: number; body: unknown}>;
+
+async function readBody(body: AsyncIterable<Uint8Array>): Promise<unknown> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of body) {
+		size += chunk.byteLength;
+		if (size > MAX_BODY_BYTES) {
+			throw new Error(`the answer is larger than ${MAX_BODY_BYTES} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	const text = Buffer.concat(chunks).toString('utf8');
+	return text === '' ? undefined : (JSON.parse(text) as unknown);
+}
+
+async function exchange(
+	url: string,
+	method: 'GET' | 'POST',
+	{credentials, agent}: EntryCaller,
+): Promise<Answer> {
+	const response = await request(url, {
+		method,
+		dispatcher: agent,
+		signal: AbortSignal.timeout(EXCHANGE_TIMEOUT_MS),
+		headers: {
+			authorization: `Bearer ${credentials.key}`,
+			'content-type': 'application/json',
+		},
+		body:
+			method === 'POST'
+				? JSON.stringify({operator: credentials.operator})
+				: null,
+	});
+	return {
+		status: response.statusCode,
+		body: await readBody(response.body),
+	};
+}
+
+function checkAnswer(
+	entry: EntryInfo,
+	{status, body}: Answer,
+): Result<unknown, EntryError> {
+	if (status >= 200 && status < 300) {
+		return ok(body);
+	}
+
+	const detail = isProblem(body) ? body.detail : `HTTP status ${status}`;
+	return err({
+		entry: entry.id,
+		message: `${entry.address}: ${detail}`,
+		isForbidden: status === 401 || status === 403,
+	});
+}
+
+/** Sends an operator's request to an entry; repeating it does no harm. */
+export function callEntry(
+	entry: EntryInfo,
+	path: string,
+	method: 'GET' | 'POST',
+	caller: EntryCaller,
+): ResultAsync<unknown, EntryError> {
+	const address = entry.address.replace(/\/+$/, '');
+	return ResultAsync.fromPromise(
+		exchange(`${address}${path}`, method, caller),
+		(cause): EntryError => ({
+			entry: entry.id,
+			message: `${entry.address}: ${cause instanceof Error ? cause.message : String(cause)}`,
+			isForbidden: false,
+		}),
+	).andThen((answer) => checkAnswer(entry, answer));
+}
--- /dev/null
+++ b/packages/lovagectl/src/exit-codes.ts
@@ -0,0 +1,23 @@
+/** Why a command failed. */
+export type ErrorKind =
+	| 'failed'
+	| 'usage'
+	| 'invalid-configuration'
+	| 'conflict'
+	| 'unavailable'
+	| 'forbidden'
+	| 'timed-out';
+
+/** Exit code of a command that did what it was asked. */
+export const EXIT_OK = 0;
+
+/** Exit codes of the failures, see docs/operations.md. */
+export const EXIT_CODES: Readonly<Record<ErrorKind, number>> = {
+	failed: 1,
+	usage: 2,
+	'invalid-configuration': 3,
+	conflict: 4,
+	unavailable: 5,
+	forbidden: 6,
+	'timed-out': 7,
+};
--- /dev/null
+++ b/packages/lovagectl/src/leader-search.ts
@@ -0,0 +1,105 @@
+import {createTransition, type Transition} from '@lovagevalve/core';
+import type {Redirect} from '@lovagevalve/wire';
+
+const MAX_HOPS = 3;
+const RETRY_PAUSE_MS = 200;
+
+/** Search for the control instance that answers for the group. */
+export type SearchState = Readonly<{
+	/** Addresses that the operator gave. */
+	addresses: readonly string[];
+	/** Position of the next one to ask. */
+	next: number;
+	/** Redirects followed since an address of the list was asked. */
+	hops: number;
+	/** Monotonic time at which the search ends. */
+	deadline: number;
+	/** Why the last exchange gave no outcome. */
+	lastFailure: string;
+}>;
+
+/** What the search hears. */
+export type SearchEvent =
+	| {kind: 'begin'; now: number; random: number}
+	| {kind: 'redirected'; redirect: Redirect; now: number; random: number}
+	| {kind: 'failed'; message: string; now: number; random: number};
+
+/** What the search asks for. */
+export type SearchEffect =
+	/** Ask an address after a pause. */
+	{kind: 'ask'; address: string; pauseMs: number} | {kind: 'give-up'};
+
+/** Starts a search that ends at `deadline`. */
+export function createSearch(
+	addresses: readonly string[],
+	deadline: number,
+): SearchState {
+	return {
+		addresses,
+		next: 0,
+		hops: 0,
+		deadline,
+		lastFailure: 'no control instance was asked',
+	};
+}
+
+function askNext(
+	state: SearchState,
+	random: number,
+): Transition<SearchState, SearchEffect> {
+	const {addresses, next} = state;
+	const isNewRound = next > 0 && next % addresses.length === 0;
+	const pauseMs = isNewRound ? RETRY_PAUSE_MS * (0.5 + random) : 0;
+	const address = addresses[next % addresses.length]!;
+	return createTransition({...state, next: next + 1, hops: 0}, [
+		{kind: 'ask', address, pauseMs},
+	]);
+}
+
+function followRedirect(
+	state: SearchState,
+	redirect: Redirect,
+	random: number,
+): Transition<SearchState, SearchEffect> {
+	const leader = redirect.kind === 'not-leader' ? redirect.leader : undefined;
+	if (leader === undefined || state.hops >= MAX_HOPS) {
+		return askNext(state, random);
+	}
+
+	return createTransition({...state, hops: state.hops + 1}, [
+		{kind: 'ask', address: leader, pauseMs: 0},
+	]);
+}
+
+function describeRedirect(redirect: Redirect): string {
+	return redirect.kind === 'unavailable'
+		? 'no quorum of control instances answers'
+		: 'no leader of the control group is known';
+}
+
+/**
+ * Decides whom to ask next: the leader that an answer names, else the next
+ * address, with a pause after each round through the list.
+ */
+export function stepSearch(
+	state: SearchState,
+	event: SearchEvent,
+): Transition<SearchState, SearchEffect> {
+	const heard =
+		event.kind === 'begin'
+			? state
+			: {
+					...state,
+					lastFailure:
+						event.kind === 'failed'
+							? event.message
+							: describeRedirect(event.redirect),
+				};
+	if (event.now >= state.deadline) {
+		return createTransition(heard, [{kind: 'give-up'}]);
+	}
+
+	return event.kind === 'redirected'
+		? followRedirect(heard, event.redirect, event.random)
+		: askNext(heard, event.random);
+}
--- /dev/null
+++ b/packages/lovagectl/src/run-command-line.ts
@@ -0,0 +1,44 @@
+import {runSafely} from 'cmd-ts';
+import {createApp, type Handled} from './app.js';
+import {EXIT_CODES, EXIT_OK} from './exit-codes.js';
+import type {Host} from './host.js';
+import type {CommandError, Output} from './outcome.js';
+
+function printOutput(output: Output, isJson: boolean, host: Host): number {
+	const lines = isJson ? [JSON.stringify(output.json)] : output.lines;
+	lines.forEach((line) => {
+		host.writeResult(line);
+	});
+	return EXIT_OK;
+}
+
+function printError(error: CommandError, isJson: boolean, host: Host): number {
+	error.messages.forEach((message) => {
+		host.writeMessage(message);
+	});
+	if (isJson) {
+		host.writeResult(JSON.stringify({error}));
+	}
+
+	return EXIT_CODES[error.kind];
+}
+
+/** Runs one command line; returns the exit code. */
+export async function runCommandLine(
+	args: readonly string[],
+	host: Host,
+): Promise<number> {
+	const parsed = await runSafely(createApp(host), [...args]);
+	if (parsed._tag === 'error') {
+		const {exitCode, message, into} = parsed.error.config;
+		const write = into === 'stdout' ? host.writeResult : host.writeMessage;
+		write(message);
+		return exitCode === 0 ? EXIT_OK : EXIT_CODES.usage;
+	}
+
+	const {isJson, result}: Handled = await parsed.value.value;
+	return result.match(
+		(output) => printOutput(output, isJson, host),
+		(error) => printError(error, isJson, host),
+	);
+}
