Add the control role as one step over the replicated log

Configuration with base version and operation id, claims, and the right to give orders live in the replicated state machine; leases and orders are soft state of the leader. A new leader waits out its predecessor's leases before it calls a version in force. Leases are kept by entry and incarnation, because an earlier process of an entry may only be paused. Run: vitest packages/lovage-control-role, 15 passed.

--- /dev/null
+++ b/packages/lovage-control-role/src/__tests__/unit/control.test.ts
@@ -0,0 +1,271 @@
+import {describe, expect, test} from 'vitest';
+import {
+	type ControlInput,
+	decodeMachine,
+	describeControl,
+} from '../../index.js';
+import {createApply, createConfiguration, Group, settings} from './group.js';
+
+const createRenew = (
+	id: string,
+	appliedVersion: number,
+	models: Array<{id: string; version: string; adapters: string[]}> = [],
+	engines = 0,
+): ControlInput => ({
+	kind: 'renew',
+	entry: {
+		id,
+		address: `http://${id}`,
+		dataCentre: 'dc-1',
+		state: 'serving',
+		incarnation: 'a',
+	},
+	appliedVersion,
+	backends: Array.from({length: engines}, (_, i) => ({
+		id: `engine-${i}`,
+		service: 'lyrics',
+		address: `http://engine-${i}`,
+		incarnation: 1,
+		state: 'serving' as const,
+		models,
+	})),
+});
+
+const createOpen = (entry: string): ControlInput => ({
+	kind: 'claim',
+	command: {
+		kind: 'open',
+		request: {
+			customer: 'label',
+			requestId: 'grant-1',
+			attempt: 1,
+			digest: 'body',
+			entry,
+			incarnation: 'a',
+		},
+	},
+});
+
+const progress: ControlInput = {kind: 'progress'};
+
+describe('configuration', () => {
+	test('accepts one of two changes with equal numbers', () => {
+		const group = new Group(3);
+		const first = group.ask(group.leader!, createApply('first', 0));
+		const second = group.ask(group.leader!, createApply('second', 0));
+		expect(group.wait(first)).toEqual({
+			kind: 'accepted',
+			version: 1,
+			repeated: false,
+		});
+		expect(group.wait(second)).toMatchObject({
+			kind: 'conflict',
+			version: 1,
+			operationId: 'first',
+		});
+	});
+
+	test('gives a resend the first outcome, also after later changes', () => {
+		const group = new Group(3);
+		group.call(createApply('first', 0));
+		group.call(createApply('second', 1));
+		expect(group.call(createApply('first', 0))).toEqual({
+			kind: 'accepted',
+			version: 1,
+			repeated: true,
+		});
+		const other = createConfiguration('other');
+		expect(group.call(createApply('first', 2, other))).toMatchObject({
+			kind: 'conflict',
+		});
+	});
+
+	test('refuses a key that no operator of the current version has', () => {
+		const group = new Group(1);
+		const keyHash = `sha256:${'b'.repeat(64)}`;
+		const configuration = createConfiguration('first');
+		const applyWithKey = (baseVersion: number) =>
+			group.call(
+				createApply(`op-${baseVersion}`, baseVersion, configuration, keyHash),
+			);
+		expect(applyWithKey(0)).toEqual({kind: 'forbidden'});
+		group.call(createApply('first', 0));
+		expect(applyWithKey(1)).toEqual({kind: 'forbidden'});
+	});
+
+	test('names the leader to those who ask another instance', () => {
+		const group = new Group(3);
+		group.pass(500);
+		const other = group.states.findIndex((_, i) => i !== group.leader);
+		expect(group.wait(group.ask(other, createApply('first', 0)))).toEqual({
+			kind: 'not-leader',
+			leader: `http://127.0.0.1:${group.leader! + 1}`,
+		});
+	});
+
+	test('survives snapshots', () => {
+		const group = new Group(3);
+		Array.from({length: 60}).forEach((_, i) => {
+			group.call(createApply(`change-${i}`, i));
+		});
+		const {snapshot} = group.states[group.leader!]!.raft;
+		expect(decodeMachine(snapshot!.data).version).toBeGreaterThan(30);
+	});
+});
+
+describe('leases', () => {
+	test('an isolated leader renews nothing and serves no old state', () => {
+		const group = new Group(3);
+		group.call(createApply('first', 0));
+		const old = group.leader!;
+		group.isolated.add(old);
+		const renewal = group.ask(old, createRenew('entry-1', 1));
+		const read = group.ask(old, {kind: 'read-configuration'});
+		group.call(createApply('second', 1));
+		expect(group.wait(renewal)).toEqual({kind: 'not-leader'});
+		expect(group.wait(read)).toEqual({kind: 'not-leader'});
+		expect(group.call({kind: 'read-configuration'})).toMatchObject({
+			version: 2,
+		});
+	});
+
+	test('a version is in force when each lease is at it or has ended', () => {
+		const group = new Group(3);
+		group.call(createApply('first', 0));
+		group.pass(settings.lease.leaseMs * 2);
+		expect(group.call(progress)).toMatchObject({inForceEverywhere: true});
+		group.call(createRenew('entry-1', 0));
+		expect(group.call(progress)).toMatchObject({inForceEverywhere: false});
+		group.call(createRenew('entry-1', 1));
+		expect(group.call(progress)).toMatchObject({inForceEverywhere: true});
+		group.call(createRenew('entry-2', 0));
+		group.pass(settings.lease.leaseMs);
+		expect(group.call(progress)).toMatchObject({inForceEverywhere: false});
+		group.runUntil(() => {
+			const report = group.call(progress);
+			return report.kind === 'progress' && report.inForceEverywhere;
+		});
+	});
+
+	test('a new leader waits for the leases of its predecessor', () => {
+		const group = new Group(3);
+		group.call(createApply('first', 0));
+		group.pass(settings.lease.leaseMs * 2);
+		group.call(createRenew('entry-1', 0));
+		group.isolated.add(group.leader!);
+		group.runUntil(() => group.leader !== undefined);
+		expect(group.call(progress)).toMatchObject({
+			inForceEverywhere: false,
+			entries: [],
+		});
+		group.runUntil(() => {
+			const report = group.call(progress);
+			return report.kind === 'progress' && report.inForceEverywhere;
+		});
+	});
+
+	test('lists the entries and sends the configuration to those behind', () => {
+		const group = new Group(1);
+		group.call(createApply('first', 0));
+		group.call(createRenew('entry-1', 1));
+		const behind = group.call(createRenew('entry-2', 0));
+		expect(behind).toMatchObject({
+			kind: 'granted',
+			version: 1,
+			configuration: {inventory: {name: 'first'}},
+			entries: [{id: 'entry-1'}, {id: 'entry-2'}],
+		});
+		expect(group.call(createRenew('entry-2', 1))).not.toHaveProperty(
+			'configuration.inventory',
+		);
+	});
+});
+
+describe('claims', () => {
+	test('a grant survives the death of the leader', () => {
+		const group = new Group(3);
+		expect(group.call(createOpen('entry-1'))).toMatchObject({kind: 'granted'});
+		group.isolated.add(group.leader!);
+		expect(group.call(createOpen('entry-2'))).toEqual({kind: 'in-progress'});
+	});
+
+	test('a claim lapses to unknown, and later than its holder may write', () => {
+		const group = new Group(1);
+		group.call(createOpen('entry-1'));
+		group.pass(settings.claimHoldMs);
+		expect(group.call(createOpen('entry-2'))).toEqual({kind: 'in-progress'});
+		group.runUntil(() => {
+			const {kind} = group.call(createOpen('entry-2'));
+			return kind === 'unknown';
+		});
+	});
+});
+
+describe('orders', () => {
+	const loaded = [{id: 'lyric', version: '2', adapters: ['label']}];
+	const apply = createApply('first', 0, createConfiguration('first', 6));
+
+	test('loads what the inventory says, some engines at a time', () => {
+		const group = new Group(1);
+		group.call(apply);
+		group.call(createRenew('entry-1', 1, [], 6));
+		group.runUntil(() => group.orders.length > 0);
+		group.pass(settings.orders.holderLeaseMs * 2);
+		group.pass(settings.orders.holderLeaseMs * 2);
+		expect(group.orders).toHaveLength(2);
+		expect(group.orders[0]?.action).toEqual({
+			kind: 'load-model',
+			model: 'lyric',
+			version: '2',
+			adapters: ['label'],
+		});
+		group.call(createRenew('entry-1', 1, loaded, 2));
+		group.runUntil(() => group.orders.length === 2);
+	});
+
+	test('a successor has a higher number and waits where it is ignored', () => {
+		const group = new Group(3);
+		group.call(apply);
+		group.call(createRenew('entry-1', 1, [], 2));
+		group.runUntil(() => group.orders.length > 0);
+		const [first] = group.orders.splice(0);
+		group.isolated.add(group.leader!);
+		group.runUntil(() => group.leader !== undefined);
+		const {since} = group.states[group.leader!]!.leadership!.orders;
+		group.call(createRenew('entry-1', 1, [], 2));
+		group.runUntil(() => group.orders.length > 0);
+		expect(group.orders[0]?.address).toBe('http://engine-0');
+		expect(group.orders[0]?.fencing).toBeGreaterThan(first!.fencing);
+		group.feed(group.leader!, {
+			kind: 'order-answered',
+			order: group.orders[0]!.order,
+			outcome: 'refused',
+			detail: 'full',
+		});
+		group.runUntil(() =>
+			group.orders.some(({address}) => address === 'http://engine-1'),
+		);
+		const {holderLeaseMs, deliverWithinMs} = settings.orders;
+		expect(group.now - since).toBeGreaterThan(holderLeaseMs + deliverWithinMs);
+	});
+
+	test('an isolated leader gives no order', () => {
+		const group = new Group(3);
+		group.call(apply);
+		const old = group.leader!;
+		group.call(createRenew('entry-1', 1, [], 0));
+		group.isolated.add(old);
+		group.pass(settings.orders.holderLeaseMs);
+		group.runUntil(() => group.leader !== undefined);
+		expect(group.states[old]!.leadership).toBeUndefined();
+		expect(group.orders).toEqual([]);
+	});
+
+	test('reports backend servers that the inventory does not know', () => {
+		const group = new Group(1);
+		group.call(createApply('first', 0, createConfiguration('first', 1)));
+		group.call(createRenew('entry-1', 1, [], 2));
+		const report = describeControl(group.states[0]!);
+		expect(report.unknownBackends).toEqual(['engine-1']);
+	});
+});
--- /dev/null
+++ b/packages/lovage-control-role/src/apply-configuration.ts
@@ -0,0 +1,89 @@
+import {createHash} from 'node:crypto';
+import type {IsGuarded} from './guards.js';
+import type {
+	ApplyCommand,
+	ApplyOutcome,
+	MachineState,
+	Operation,
+} from './machine-types.js';
+
+/** Accepted changes that are remembered for resends. */
+const MAX_OPERATIONS = 1000;
+
+type Outcome = Readonly<{state: MachineState; outcome: ApplyOutcome}>;
+
+function digestConfiguration(command: ApplyCommand): string {
+	return createHash('sha256')
+		.update(JSON.stringify(command.configuration))
+		.digest('base64url');
+}
+
+function isAllowed(state: MachineState, command: ApplyCommand): boolean {
+	if (state.configuration === undefined) {
+		return command.isBootstrap;
+	}
+
+	return state.configuration.inventory.operators.some(
+		({id, keyHash}) => id === command.operator && keyHash === command.keyHash,
+	);
+}
+
+function conflict(state: MachineState): Outcome {
+	const {version, operationId, configuration} = state;
+	return {
+		state,
+		outcome:
+			configuration === undefined
+				? {kind: 'conflict-without-configuration'}
+				: {kind: 'conflict', version, operationId, configuration},
+	};
+}
+
+function accept(
+	state: MachineState,
+	command: ApplyCommand,
+	digest: string,
+): Outcome {
+	const {operationId, configuration} = command;
+	const version = state.version + 1;
+	const operations = [
+		...state.operations.slice(1 - MAX_OPERATIONS),
+		{operationId, digest, version},
+	];
+	return {
+		state: {...state, version, operationId, configuration, operations},
+		outcome: {kind: 'accepted', version, repeated: false},
+	};
+}
+
+/**
+ * Applies an operator's change: once for each operation id, and only on the
+ * version that it builds on.
+ */
+export function applyConfiguration(
+	state: MachineState,
+	command: ApplyCommand,
+	isGuarded: IsGuarded,
+): Outcome {
+	const digest = digestConfiguration(command);
+	const known = isGuarded('operationHistory')
+		? state.operations.find(
+				({operationId}) => operationId === command.operationId,
+			)
+		: undefined;
+	// A change may remove its own operator, and its resend must still be known.
+	if (known?.digest === digest) {
+		const {version} = known;
+		return {state, outcome: {kind: 'accepted', version, repeated: true}};
+	}
+
+	if (!isAllowed(state, command)) {
+		return {state, outcome: {kind: 'forbidden'}};
+	}
+
+	const isStale =
+		command.baseVersion !== state.version && isGuarded('baseVersionCheck');
+	return known !== undefined || isStale
+		? conflict(state)
+		: accept(state, command, digest);
+}
--- /dev/null
+++ b/packages/lovage-control-role/src/control-types.ts
@@ -0,0 +1,186 @@
+import type {ClaimAnswer, ClaimCommand} from '@lovagevalve/claims';
+import type {
+	JoiningMember,
+	RaftEffect,
+	RaftMessage,
+	RaftState,
+} from '@lovagevalve/consensus';
+import type {Configuration} from '@lovagevalve/inventory';
+import type {Map} from 'immutable';
+import type {BackendView, EntryInfo, LeaseTable, LeaseTerms} from './leases.js';
+import type {
+	ApplyCommand,
+	ApplyOutcome,
+	MachineState,
+} from './machine-types.js';
+import type {OrderAction, OrderBook, OrderTerms} from './order-types.js';
+
+/** Fixed settings of a control instance. */
+export type ControlSettings = Readonly<{
+	lease: LeaseTerms;
+	orders: OrderTerms;
+	/** Time after which an unsettled claim lapses; above `dispatchWithinMs`. */
+	claimHoldMs: number;
+	snapshotEveryEntries: number;
+	/** Requests that may wait for the group. */
+	maxWaiting: number;
+	/** Operator's key for the first configuration. */
+	bootstrapKeyHash: string;
+}>;
+
+/** What others ask of a control instance. */
+export type ControlInput =
+	| Omit<ApplyCommand, 'isBootstrap'>
+	| Readonly<{
+			kind: 'renew';
+			entry: EntryInfo;
+			appliedVersion: number;
+			backends: readonly BackendView[];
+	  }>
+	| Readonly<{kind: 'read-configuration'}>
+	| Readonly<{kind: 'progress'}>
+	| Readonly<{kind: 'claim'; command: ClaimCommand}>
+	| Readonly<{kind: 'join'; member: JoiningMember}>
+	| Readonly<{
+			kind: 'initialise';
+			group: string;
+			members: readonly JoiningMember[];
+	  }>;
+
+/** Answer of an instance that can't do what was asked. */
+export type Redirect =
+	/** Ask the leader, at its address if known. */
+	| {kind: 'not-leader'; leader?: string}
+	/** No quorum answered; whether a change took place is not known. */
+	| {kind: 'unavailable'};
+
+/** What an entry gets for renewing its lease. */
+export type LeaseAnswer = {
+	kind: 'granted';
+	leaseMs: number;
+	version: number;
+	/** Present when the entry's version differs. */
+	configuration?: Configuration;
+	entries: readonly EntryInfo[];
+};
+
+/** How far the current version is in force. */
+export type ProgressReport = {
+	kind: 'progress';
+	version: number;
+	inForceEverywhere: boolean;
+	entries: ReadonlyArray<{
+		entry: EntryInfo;
+		appliedVersion: number;
+		leaseRemainingMs: number;
+	}>;
+};
+
+/** Answer to one request. */
+export type ControlAnswer =
+	| Readonly<{to: 'apply'; answer: ApplyOutcome | Redirect}>
+	| Readonly<{to: 'renew'; answer: LeaseAnswer | Redirect}>
+	| Readonly<{
+			to: 'read-configuration';
+			answer:
+				| {kind: 'read'; version: number; configuration?: Configuration}
+				| Redirect;
+	  }>
+	| Readonly<{to: 'progress'; answer: ProgressReport | Redirect}>
+	| Readonly<{to: 'claim'; answer: ClaimAnswer | Redirect}>
+	| Readonly<{
+			to: 'join';
+			answer: {kind: 'taken'} | {kind: 'refused'; reason: string} | Redirect;
+	  }>
+	| Readonly<{
+			to: 'initialise';
+			answer: {kind: 'initialised'} | {kind: 'refused'; reason: string};
+	  }>;
+
+/** What happens to a control instance; monotonic and wall clock in milliseconds. */
+export type ControlEvent = Readonly<{now: number; wall: number}> &
+	(
+		| Readonly<{kind: 'ticked'}>
+		| Readonly<{kind: 'received'; message: RaftMessage}>
+		/** Writes up to `sequence` are on disk. */
+		| Readonly<{kind: 'synced'; sequence: number}>
+		/** `request` names it to the host and is never reused. */
+		| Readonly<{kind: 'requested'; request: string; input: ControlInput}>
+		| Readonly<{
+				kind: 'order-answered';
+				order: string;
+				outcome: 'accepted' | 'refused' | 'failed';
+				detail: string;
+		  }>
+		/** Planned stop. */
+		| Readonly<{kind: 'transfer-requested'}>
+	);
+
+type StorageEffect = Extract<
+	RaftEffect,
+	{kind: 'send' | 'persist' | 'persist-snapshot'}
+>;
+
+/** What the host does after a step, in order. */
+export type ControlEffect =
+	| StorageEffect
+	| Readonly<{kind: 'respond'; request: string; response: ControlAnswer}>
+	| Readonly<{
+			kind: 'send-order';
+			address: string;
+			order: string;
+			fencing: number;
+			action: OrderAction;
+	  }>
+	| Readonly<{kind: 'became-leader'; term: number}>
+	| Readonly<{kind: 'stepped-down'; term: number}>;
+
+/** A request whose command is in the log and not applied yet. */
+export type WaitingCommand = Readonly<{
+	term: number;
+	/** Absent for a command of the instance itself. */
+	request?: string;
+	to: 'apply' | 'claim';
+}>;
+
+/** A request that waits for a read confirmed by the quorum. */
+export type WaitingRead = Readonly<{
+	request: string;
+	input: Extract<
+		ControlInput,
+		{kind: 'renew' | 'read-configuration' | 'progress'}
+	>;
+}>;
+
+/** What a leader keeps in memory. */
+export type Leadership = Readonly<{
+	term: number;
+	leases: LeaseTable;
+	orders: OrderBook;
+	/** When each open claim was first seen. */
+	claimsSeen: Readonly<Record<string, number>>;
+	/** When the right to give orders is asked for, unless it is held. */
+	askOrdersAt: number;
+	/** Next look at claims, leases and orders. */
+	reviewAt: number;
+}>;
+
+/** A control instance. */
+export type ControlState = Readonly<{
+	settings: ControlSettings;
+	raft: RaftState;
+	machine: MachineState;
+	/** The command that is being proposed in this step. */
+	proposing?: Readonly<{
+		proposal: string;
+		command: Omit<WaitingCommand, 'term'>;
+	}>;
+	/** By log index. */
+	waiting: Map<number, WaitingCommand>;
+	reads: Map<string, WaitingRead>;
+	/** Requests for membership, by replica. */
+	joins: Map<string, readonly string[]>;
+	leadership?: Leadership;
+	snapshotIndex: number;
+	nextInternal: number;
+}>;
--- /dev/null
+++ b/packages/lovage-control-role/src/machine.ts
@@ -0,0 +1,104 @@
+import {
+	type ClaimLimits,
+	createClaims,
+	decodeClaims,
+	DEFAULT_CLAIM_LIMITS,
+	encodeClaims,
+	stepClaims,
+} from '@lovagevalve/claims';
+import {applyConfiguration} from './apply-configuration.js';
+import {isAlwaysGuarded, type IsGuarded} from './guards.js';
+import type {
+	LoggedCommand,
+	MachineAnswer,
+	MachineSnapshot,
+	MachineState,
+} from './machine-types.js';
+
+const DEFAULT_RETENTION_MS = 604_800_000;
+
+type Outcome = Readonly<{state: MachineState; answer: MachineAnswer}>;
+
+/** Creates the empty replicated state. */
+export function createMachine(
+	limits: ClaimLimits = DEFAULT_CLAIM_LIMITS,
+): MachineState {
+	return {
+		appliedIndex: 0,
+		time: 0,
+		version: 0,
+		operationId: '',
+		operations: [],
+		claims: createClaims(limits),
+		orders: {fencing: 0},
+	};
+}
+
+function applyCommand(
+	state: MachineState,
+	{command}: LoggedCommand,
+	isGuarded: IsGuarded,
+): Outcome {
+	switch (command.kind) {
+		case 'apply': {
+			const applied = applyConfiguration(state, command, isGuarded);
+			return {
+				state: applied.state,
+				answer: {kind: 'applied', outcome: applied.outcome},
+			};
+		}
+
+		case 'claim': {
+			const {state: claims, effects} = stepClaims(state.claims, {
+				command: command.command,
+				at: state.time,
+				retentionMs:
+					state.configuration?.rules.claimRetentionMs ?? DEFAULT_RETENTION_MS,
+			});
+			const [effect] = effects;
+			return {
+				state: {...state, claims},
+				answer:
+					effect === undefined
+						? {kind: 'none'}
+						: {kind: 'claim', answer: effect.answer},
+			};
+		}
+
+		case 'take-orders': {
+			const fencing = isGuarded('fencingNumber')
+				? state.appliedIndex
+				: state.orders.fencing;
+			return {
+				state: {...state, orders: {fencing, holder: command.holder}},
+				answer: {kind: 'orders-taken', fencing},
+			};
+		}
+	}
+}
+
+/** Applies one committed command of the log. */
+export function applyLogged(
+	state: MachineState,
+	index: number,
+	logged: LoggedCommand,
+	isGuarded: IsGuarded = isAlwaysGuarded,
+): Outcome {
+	const time = Math.max(state.time, logged.at);
+	return applyCommand({...state, appliedIndex: index, time}, logged, isGuarded);
+}
+
+/** Writes the replicated state as text for a snapshot. */
+export function encodeMachine(state: MachineState): string {
+	const snapshot: MachineSnapshot = {
+		...state,
+		claims: encodeClaims(state.claims),
+	};
+	return JSON.stringify(snapshot);
+}
+
+/** Reads the replicated state back from a snapshot's text. */
+export function decodeMachine(text: string): MachineState {
+	const snapshot = JSON.parse(text) as MachineSnapshot;
+	return {...snapshot, claims: decodeClaims(snapshot.claims)};
+}
--- /dev/null
+++ b/packages/lovage-control-role/src/order-plan.ts
@@ -0,0 +1,219 @@
+import type {Configuration, Service} from '@lovagevalve/inventory';
+import type {IsGuarded} from './guards.js';
+import type {BackendView, LeaseTable} from './leases.js';
+import type {
+	OrderAction,
+	OrderBook,
+	OrderEntry,
+	OrderTerms,
+} from './order-types.js';
+
+/** Loads at the same time where the inventory names no weight store. */
+const DEFAULT_PARALLEL_LOADS = 2;
+/** Finished orders that are kept for `status`. */
+const MAX_FINISHED = 100;
+
+/** What the plan of the orders is made from. */
+export type OrderPlan = Readonly<{
+	configuration: Configuration;
+	backends: readonly BackendView[];
+	fencing: number;
+	terms: OrderTerms;
+	now: number;
+	isGuarded: IsGuarded;
+}>;
+
+type Model = Service['models'][number];
+
+/** What the leases' backend views say together; the newest incarnation counts. */
+export function mergeBackends(table: LeaseTable): readonly BackendView[] {
+	const newestFirst = Object.values(table.leases).toSorted(
+		(a, b) => b.expiresAt - a.expiresAt,
+	);
+	const merged = new Map<string, BackendView>();
+	newestFirst
+		.flatMap(({backends}) => backends)
+		.forEach((view) => {
+			const known = merged.get(view.id);
+			if (known === undefined || view.incarnation > known.incarnation) {
+				merged.set(view.id, view);
+			}
+		});
+	return [...merged.values()];
+}
+
+/** Backend servers that the inventory doesn't name for their service. */
+export function findUnknownBackends(
+	configuration: Configuration,
+	backends: readonly BackendView[],
+): readonly string[] {
+	const known = new Set(
+		configuration.inventory.services.flatMap(({id, workers}) =>
+			workers.map((worker) => `${id}/${worker.id}`),
+		),
+	);
+	return backends
+		.filter(({id, service}) => !known.has(`${service}/${id}`))
+		.map(({id}) => id);
+}
+
+function holdsModel(view: BackendView, model: Model): boolean {
+	return view.models.some(
+		({id, version, adapters}) =>
+			id === model.id &&
+			version === model.version &&
+			model.adapters.every((adapter) => adapters.includes(adapter)),
+	);
+}
+
+function findAction(
+	service: Service,
+	view: BackendView,
+): OrderAction | undefined {
+	const missing = service.models.find((model) => !holdsModel(view, model));
+	if (missing !== undefined) {
+		const {id, version, adapters} = missing;
+		return {kind: 'load-model', model: id, version, adapters};
+	}
+
+	const surplus = view.models.find(
+		({id, version}) =>
+			!service.models.some(
+				(model) => model.id === id && model.version === version,
+			),
+	);
+	return surplus === undefined
+		? undefined
+		: {kind: 'unload-model', model: surplus.id, version: surplus.version};
+}
+
+function isFulfilled(entry: OrderEntry, view: BackendView): boolean {
+	const {action} = entry;
+	const holds = view.models.some(
+		({id, version, adapters}) =>
+			id === action.model &&
+			version === action.version &&
+			(action.kind === 'unload-model' ||
+				action.adapters.every((adapter) => adapters.includes(adapter))),
+	);
+	return action.kind === 'load-model' ? holds : !holds;
+}
+
+function isActive({state}: OrderEntry): boolean {
+	return state === 'pending' || state === 'sent';
+}
+
+function reviewEntry(
+	entry: OrderEntry,
+	view: BackendView | undefined,
+	terms: OrderTerms,
+	now: number,
+): OrderEntry {
+	if (!isActive(entry)) {
+		return entry;
+	}
+
+	if (view?.incarnation !== entry.incarnation) {
+		return {...entry, state: 'refused', detail: 'restarted or gone', at: now};
+	}
+
+	if (isFulfilled(entry, view)) {
+		return {...entry, state: 'done', detail: '', at: now};
+	}
+
+	const isLate = entry.state === 'sent' && now >= entry.at + terms.loadWithinMs;
+	return isLate
+		? {...entry, state: 'refused', detail: 'not reported in time', at: now}
+		: entry;
+}
+
+/** Follows up the orders given, by what the backend servers report. */
+export function reviewOrders(
+	book: OrderBook,
+	backends: readonly BackendView[],
+	terms: OrderTerms,
+	now: number,
+): OrderBook {
+	const views = new Map(backends.map((view) => [view.id, view]));
+	const reviewed = book.entries.map((entry) =>
+		reviewEntry(entry, views.get(entry.backend), terms, now),
+	);
+	const finished = reviewed.filter((entry) => !isActive(entry));
+	const forgotten = new Set(finished.slice(0, -MAX_FINISHED));
+	return {
+		...book,
+		entries: reviewed.filter((entry) => !forgotten.has(entry)),
+	};
+}
+
+function isBusy(
+	book: OrderBook,
+	view: BackendView,
+	{terms, now}: OrderPlan,
+): boolean {
+	return book.entries.some(
+		(entry) =>
+			entry.backend === view.id &&
+			(isActive(entry) ||
+				(entry.state === 'refused' &&
+					entry.incarnation === view.incarnation &&
+					now < entry.at + terms.retryAfterMs)),
+	);
+}
+
+function planService(
+	book: OrderBook,
+	service: Service,
+	plan: OrderPlan,
+): OrderBook {
+	const {backends, configuration, fencing, now, isGuarded} = plan;
+	const parallelLoads =
+		configuration.inventory.weightStore?.parallelLoads ??
+		DEFAULT_PARALLEL_LOADS;
+	const workers = new Map(service.workers.map((worker) => [worker.id, worker]));
+	const views = backends.filter(
+		({id, service: of, state}) =>
+			of === service.id && state === 'serving' && workers.has(id),
+	);
+	// At least half of a service's engines keep serving.
+	const serviceSlots = Math.max(1, Math.floor(views.length / 2));
+	return views.reduce((current, view) => {
+		const active = current.entries.filter(isActive);
+		const ofService = active.filter(({service: of}) => of === service.id);
+		const isPaced =
+			(active.length < parallelLoads && ofService.length < serviceSlots) ||
+			!isGuarded('paceLoads');
+		const action = findAction(service, view);
+		if (action === undefined || !isPaced || isBusy(current, view, plan)) {
+			return current;
+		}
+
+		const entry: OrderEntry = {
+			order: `o${fencing}-${current.nextOrder}`,
+			backend: view.id,
+			service: service.id,
+			address: view.address,
+			incarnation: view.incarnation,
+			checksFencing: workers.get(view.id)?.checksFencing ?? false,
+			action,
+			state: 'pending',
+			detail: '',
+			at: now,
+		};
+		return {
+			...current,
+			nextOrder: current.nextOrder + 1,
+			entries: [...current.entries, entry],
+		};
+	}, book);
+}
+
+/**
+ * Adds the orders that bring the engines to what the inventory says, as many
+ * as the weight store can feed at the same time.
+ */
+export function planOrders(book: OrderBook, plan: OrderPlan): OrderBook {
+	return plan.configuration.inventory.services
+		.filter(({kind, models}) => kind === 'engine' && models.length > 0)
+		.reduce((current, service) => planService(current, service, plan), book);
+}
--- /dev/null
+++ b/packages/lovage-control-role/src/status.ts
@@ -0,0 +1,94 @@
+import type {Member} from '@lovagevalve/consensus';
+import type {ControlState} from './control-types.js';
+import {listMembers} from './members.js';
+import {findUnknownBackends, mergeBackends} from './order-plan.js';
+import type {OrderEntry} from './order-types.js';
+
+/** State of one control instance, not confirmed by the group. */
+export type ControlReport = Readonly<{
+	replica: string;
+	group?: string;
+	role: 'unassigned' | 'learner' | 'follower' | 'candidate' | 'leader';
+	term: number;
+	/** Address of the leader. */
+	leader?: string;
+	commitIndex: number;
+	lastIndex: number;
+	snapshotIndex: number;
+	configurationVersion: number;
+	members: readonly Member[];
+	unknownBackends: readonly string[];
+	orders: readonly OrderEntry[];
+}>;
+
+function describeRole(
+	state: ControlState,
+	members: readonly Member[],
+): ControlReport['role'] {
+	const {role, replica} = state.raft;
+	switch (role.kind) {
+		case 'unassigned':
+		case 'leader': {
+			return role.kind;
+		}
+
+		case 'pre-candidate':
+		case 'candidate': {
+			return 'candidate';
+		}
+
+		case 'follower': {
+			const self = members.find((member) => member.replica === replica);
+			return self?.voter ? 'follower' : 'learner';
+		}
+	}
+}
+
+function findLeaderId({raft}: ControlState): string | undefined {
+	switch (raft.role.kind) {
+		case 'leader': {
+			return raft.replica;
+		}
+
+		case 'follower': {
+			return raft.role.leader;
+		}
+
+		case 'unassigned':
+		case 'pre-candidate':
+		case 'candidate': {
+			return undefined;
+		}
+	}
+}
+
+function listUnknownBackends(state: ControlState): readonly string[] {
+	const {leadership, machine} = state;
+	return leadership === undefined || machine.configuration === undefined
+		? []
+		: findUnknownBackends(
+				machine.configuration,
+				mergeBackends(leadership.leases),
+			);
+}
+
+/** Describes a control instance for operators. */
+export function describeControl(state: ControlState): ControlReport {
+	const {raft, machine, leadership} = state;
+	const members = listMembers(state);
+	const leader = findLeaderId(state);
+	return {
+		replica: raft.replica,
+		group: raft.hardState.group,
+		role: describeRole(state, members),
+		term: raft.hardState.term,
+		leader: members.find(({replica}) => replica === leader)?.address,
+		commitIndex: raft.commitIndex,
+		lastIndex: raft.log.baseIndex + raft.log.entries.size,
+		snapshotIndex: raft.snapshot?.index ?? 0,
+		configurationVersion: machine.version,
+		members,
+		unknownBackends: listUnknownBackends(state),
+		orders: leadership?.orders.entries ?? [],
+	};
+}
