Replicate the quarantine in the control role

Reports of deaths are commands of the log; the leader proposes a judgement when a window has passed, and entries get the view with their lease. Orders carry the time by which the host must have connected.

--- a/packages/lovage-control-role/src/__tests__/unit/control.test.ts
+++ b/packages/lovage-control-role/src/__tests__/unit/control.test.ts
@@ -21,6 +21,7 @@
 		incarnation: 'a',
 	},
 	appliedVersion,
+	quarantineVersion: 0,
 	backends: Array.from({length: engines}, (_, i) => ({
 		id: `engine-${i}`,
 		service: 'lyrics',
@@ -269,3 +270,34 @@
 		expect(report.unknownBackends).toEqual(['engine-1']);
 	});
 });
+
+describe('quarantine', () => {
+	test('is replicated, judged after its window and sent to entries', () => {
+		const group = new Group(3);
+		const report = (incarnation: number): ControlInput => ({
+			kind: 'report-deaths',
+			deaths: [
+				{
+					backend: 'engine-1',
+					incarnation,
+					dataCentre: 'dc-1',
+					digests: ['killer'],
+				},
+			],
+			completed: [],
+		});
+		const convict = (incarnation: number) => {
+			const answer = group.call(report(incarnation));
+			expect(answer).toMatchObject({kind: 'taken'});
+			group.pass(20_000);
+		};
+
+		convict(1);
+		group.isolated.add(group.leader!);
+		convict(2);
+		convict(3);
+		expect(group.call(createRenew('entry-1', 0))).toMatchObject({
+			quarantine: {convicted: ['killer']},
+		});
+	});
+});
--- a/packages/lovage-control-role/src/answer-requests.ts
+++ b/packages/lovage-control-role/src/answer-requests.ts
@@ -1,4 +1,5 @@
 import type {RaftEffect, RefusalReason} from '@lovagevalve/consensus';
+import {viewQuarantine} from '@lovagevalve/quarantine';
 import type {
 	LeaseAnswer,
 	Leadership,
@@ -48,7 +49,7 @@
 	request: string,
 	input: Extract<WaitingRead['input'], {kind: 'renew'}>,
 ): Turn {
-	const {entry, appliedVersion, backends} = input;
+	const {entry, appliedVersion, quarantineVersion, backends} = input;
 	const {settings, machine} = turn.state;
 	const next = updateLeadership(turn, (leadership) => ({
 		...leadership,
@@ -74,6 +75,10 @@
 		version: machine.version,
 		configuration: isCurrent ? undefined : machine.configuration,
 		entries: listEntries(leadership, turn.now),
+		quarantine:
+			quarantineVersion === machine.quarantine.version
+				? undefined
+				: viewQuarantine(machine.quarantine),
 	};
 	return respond(next, request, {to: 'renew', answer});
 }
--- a/packages/lovage-control-role/src/control-types.ts
+++ b/packages/lovage-control-role/src/control-types.ts
@@ -6,6 +6,7 @@
 	RaftState,
 } from '@lovagevalve/consensus';
 import type {Configuration} from '@lovagevalve/inventory';
+import type {QuarantineSummary, ReportedDeath} from '@lovagevalve/quarantine';
 import type {Map} from 'immutable';
 import type {BackendView, EntryInfo, LeaseTable, LeaseTerms} from './leases.js';
 import type {
@@ -35,11 +36,18 @@
 			kind: 'renew';
 			entry: EntryInfo;
 			appliedVersion: number;
+			/** Version of the quarantine that the entry knows; 0 for none. */
+			quarantineVersion: number;
 			backends: readonly BackendView[];
 	  }>
 	| Readonly<{kind: 'read-configuration'}>
 	| Readonly<{kind: 'progress'}>
 	| Readonly<{kind: 'claim'; command: ClaimCommand}>
+	| Readonly<{
+			kind: 'report-deaths';
+			deaths: readonly ReportedDeath[];
+			completed: readonly string[];
+	  }>
 	| Readonly<{kind: 'join'; member: JoiningMember}>
 	| Readonly<{
 			kind: 'initialise';
@@ -62,6 +70,8 @@
 	/** Present when the entry's version differs. */
 	configuration?: Configuration;
 	entries: readonly EntryInfo[];
+	/** Present when the entry's version of it differs. */
+	quarantine?: QuarantineSummary;
 };
 
 /** How far the current version is in force. */
@@ -88,6 +98,10 @@
 	  }>
 	| Readonly<{to: 'progress'; answer: ProgressReport | Redirect}>
 	| Readonly<{to: 'claim'; answer: ClaimAnswer | Redirect}>
+	| Readonly<{
+			to: 'report-deaths';
+			answer: {kind: 'taken'; quarantine: QuarantineSummary} | Redirect;
+	  }>
 	| Readonly<{
 			to: 'join';
 			answer: {kind: 'taken'} | {kind: 'refused'; reason: string} | Redirect;
@@ -130,6 +144,8 @@
 			address: string;
 			order: string;
 			fencing: number;
+			/** The host drops it if its connection isn't open by then; monotonic. */
+			sendBefore: number;
 			action: OrderAction;
 	  }>
 	| Readonly<{kind: 'became-leader'; term: number}>
@@ -140,7 +156,7 @@
 	term: number;
 	/** Absent for a command of the instance itself. */
 	request?: string;
-	to: 'apply' | 'claim';
+	to: 'apply' | 'claim' | 'report-deaths';
 }>;
 
 /** A request that waits for a read confirmed by the quorum. */
--- a/packages/lovage-control-role/src/control.ts
+++ b/packages/lovage-control-role/src/control.ts
@@ -79,8 +79,9 @@
 			return propose(turn, {...input, isBootstrap}, {request, to: 'apply'});
 		}
 
-		case 'claim': {
-			return propose(turn, input, {request, to: 'claim'});
+		case 'claim':
+		case 'report-deaths': {
+			return propose(turn, input, {request, to: input.kind});
 		}
 
 		case 'renew':
--- a/packages/lovage-control-role/src/handle-raft.ts
+++ b/packages/lovage-control-role/src/handle-raft.ts
@@ -1,7 +1,9 @@
 import type {LogEntry, RaftEffect} from '@lovagevalve/consensus';
+import {viewQuarantine} from '@lovagevalve/quarantine';
 import {answerMembership, answerRead, failRead} from './answer-requests.js';
 import type {
 	ControlAnswer,
+	ControlState,
 	Leadership,
 	WaitingCommand,
 } from './control-types.js';
@@ -24,9 +26,15 @@
 } from './turn.js';
 
 function createResponse(
+	{machine}: ControlState,
 	to: WaitingCommand['to'],
 	answer: MachineAnswer,
 ): ControlAnswer {
+	if (to === 'report-deaths' && answer.kind === 'deaths-taken') {
+		const quarantine = viewQuarantine(machine.quarantine);
+		return {to, answer: {kind: 'taken', quarantine}};
+	}
+
 	if (to === 'apply' && answer.kind === 'applied') {
 		return {to, answer: answer.outcome};
 	}
@@ -54,7 +62,11 @@
 	// Another leader's entry took the place of the command: it is lost.
 	const isLost = waiting.term !== entry.term;
 	const outcome: MachineAnswer = isLost ? {kind: 'none'} : answer;
-	return respond(next, waiting.request, createResponse(waiting.to, outcome));
+	return respond(
+		next,
+		waiting.request,
+		createResponse(next.state, waiting.to, outcome),
+	);
 }
 
 function applyEntry(turn: Turn, entry: LogEntry): Turn {
--- a/packages/lovage-control-role/src/machine-types.ts
+++ b/packages/lovage-control-role/src/machine-types.ts
@@ -5,6 +5,7 @@
 	ClaimsState,
 } from '@lovagevalve/claims';
 import type {Configuration} from '@lovagevalve/inventory';
+import type {QuarantineState, ReportedDeath} from '@lovagevalve/quarantine';
 
 /** An operator's change with the hash of the key that it came with. */
 export type ApplyCommand = Readonly<{
@@ -24,6 +25,14 @@
 export type MachineCommand =
 	| ApplyCommand
 	| Readonly<{kind: 'claim'; command: ClaimCommand}>
+	| Readonly<{
+			kind: 'report-deaths';
+			deaths: readonly ReportedDeath[];
+			/** Suspects that ran to their end. */
+			completed: readonly string[];
+	  }>
+	/** The window of some deaths has passed. */
+	| Readonly<{kind: 'judge-deaths'}>
 	/** A new leader asks for the right to give orders. */
 	| Readonly<{kind: 'take-orders'; holder: string}>;
 
@@ -52,6 +61,7 @@
 	| Readonly<{kind: 'applied'; outcome: ApplyOutcome}>
 	| Readonly<{kind: 'claim'; answer: ClaimAnswer}>
 	| Readonly<{kind: 'orders-taken'; fencing: number}>
+	| Readonly<{kind: 'deaths-taken'}>
 	| Readonly<{kind: 'none'}>;
 
 /** An accepted change that is remembered for resends. */
@@ -80,6 +90,7 @@
 	/** Newest last, bounded. */
 	operations: readonly Operation[];
 	claims: ClaimsState;
+	quarantine: QuarantineState;
 	orders: OrderGrant;
 }>;
 
--- a/packages/lovage-control-role/src/machine.ts
+++ b/packages/lovage-control-role/src/machine.ts
@@ -6,6 +6,7 @@
 	encodeClaims,
 	stepClaims,
 } from '@lovagevalve/claims';
+import {createQuarantine, stepQuarantine} from '@lovagevalve/quarantine';
 import {applyConfiguration} from './apply-configuration.js';
 import {isAlwaysGuarded, type IsGuarded} from './guards.js';
 import type {
@@ -30,6 +31,7 @@
 		operationId: '',
 		operations: [],
 		claims: createClaims(limits),
+		quarantine: createQuarantine(),
 		orders: {fencing: 0},
 	};
 }
@@ -65,6 +67,26 @@
 			};
 		}
 
+		case 'report-deaths': {
+			const {deaths, completed} = command;
+			const now = state.time;
+			const {state: quarantine} = stepQuarantine(state.quarantine, {
+				kind: 'deaths-reported',
+				deaths,
+				completed,
+				now,
+			});
+			return {state: {...state, quarantine}, answer: {kind: 'deaths-taken'}};
+		}
+
+		case 'judge-deaths': {
+			const {state: quarantine} = stepQuarantine(state.quarantine, {
+				kind: 'ticked',
+				now: state.time,
+			});
+			return {state: {...state, quarantine}, answer: {kind: 'none'}};
+		}
+
 		case 'take-orders': {
 			const fencing = isGuarded('fencingNumber')
 				? state.appliedIndex
--- a/packages/lovage-control-role/src/review.ts
+++ b/packages/lovage-control-role/src/review.ts
@@ -3,6 +3,7 @@
 import type {ControlSettings, Leadership} from './control-types.js';
 import {isAlwaysGuarded} from './guards.js';
 import {proposeInternal, runRaft} from './handle-raft.js';
+import type {MachineState} from './machine-types.js';
 import {boundLease, forgetLeases} from './leases.js';
 import {mergeBackends, planOrders, reviewOrders} from './order-plan.js';
 import {mayOrder} from './order-rights.js';
@@ -10,6 +11,8 @@
 import {emit, type Turn, update, updateLeadership} from './turn.js';
 
 const REVIEW_INTERVAL_MS = 500;
+/** How often records of the quarantine are looked at for their age. */
+const FORGET_INTERVAL_MS = 60_000;
 /** How long the lease of an entry that went away is shown. */
 const SHOW_ENDED_MS = 60_000;
 /** Claims that one command makes lapse. */
@@ -56,6 +59,23 @@
 			});
 }
 
+function isJudgementDue({quarantine}: MachineState, wall: number): boolean {
+	const {deaths, options, records, convicted, now} = quarantine;
+	const isWindowOver = deaths.some(
+		({verdict, reportedAt}) =>
+			verdict === 'pending' && wall >= reportedAt + options.windowMs,
+	);
+	const holdsRecords =
+		Object.keys(records).length + Object.keys(convicted).length > 0;
+	return isWindowOver || (holdsRecords && wall >= now + FORGET_INTERVAL_MS);
+}
+
+function reviewQuarantine(turn: Turn): Turn {
+	return isJudgementDue(turn.state.machine, turn.wall)
+		? proposeInternal(turn, {kind: 'judge-deaths'})
+		: turn;
+}
+
 function reviewLeases(turn: Turn): Turn {
 	const {lease} = turn.state.settings;
 	return updateLeadership(turn, (leadership) => ({
@@ -68,8 +88,12 @@
 	}));
 }
 
-function sendOrder(turn: Turn, entry: OrderEntry): Turn {
-	const {machine} = turn.state;
+function sendOrder(
+	turn: Turn,
+	entry: OrderEntry,
+	leadership: Leadership,
+): Turn {
+	const {machine, settings} = turn.state;
 	const sent = updateLeadership(turn, (leadership) => ({
 		...leadership,
 		orders: {
@@ -86,6 +110,7 @@
 		address: entry.address,
 		order: entry.order,
 		fencing: machine.orders.fencing,
+		sendBefore: leadership.orders.confirmedAt + settings.orders.holderLeaseMs,
 		action: entry.action,
 	});
 }
@@ -110,7 +135,7 @@
 					isGuarded: isAlwaysGuarded,
 				}),
 		)
-		.reduce(sendOrder, turn);
+		.reduce((next, entry) => sendOrder(next, entry, leadership), turn);
 }
 
 function reviewBackends(turn: Turn): Turn {
@@ -157,5 +182,6 @@
 
 	const reviewAt = turn.now + REVIEW_INTERVAL_MS;
 	const next = updateLeadership(turn, (current) => ({...current, reviewAt}));
-	return reviewBackends(reviewLeases(reviewClaims(next, leadership)));
+	const reviewed = reviewQuarantine(reviewClaims(next, leadership));
+	return reviewBackends(reviewLeases(reviewed));
 }
