--- /dev/null
+++ b/packages/lovage-entry-role/src/addresses.ts
@@ -0,0 +1,61 @@
+import type {EntryOptions} from './options.js';
+import type {EntryPeer, Lease} from './lease.js';
+import {rankByRendezvous} from './rendezvous.js';
+
+const MAX_ADDRESSES = 5;
+
+function listServing(
+	options: EntryOptions,
+	lease: Lease,
+	isLeaving: boolean,
+): readonly EntryPeer[] {
+	const others = lease.entries.filter(
+		(entry) => entry.id !== options.id && entry.state === 'serving',
+	);
+	const self: EntryPeer = {
+		id: options.id,
+		address: options.address,
+		dataCentre: options.dataCentre,
+		incarnation: options.incarnation,
+		state: 'serving',
+	};
+	return isLeaving ? others : [self, ...others];
+}
+
+/**
+ * Lists the addresses that a customer should use: this entry's data centre
+ * first, spread by customer within each data centre.
+ */
+export function listAddresses(
+	options: EntryOptions,
+	lease: Lease,
+	isLeaving: boolean,
+	customer: string,
+): readonly string[] {
+	const serving = listServing(options, lease, isLeaving);
+	const isNear = (entry: EntryPeer) => entry.dataCentre === options.dataCentre;
+	const rank = (entries: readonly EntryPeer[]) =>
+		rankByRendezvous(
+			entries.map((entry) => entry.address),
+			customer,
+		);
+	return [
+		...rank(serving.filter(isNear)),
+		...rank(serving.filter((entry) => !isNear(entry))),
+	].slice(0, MAX_ADDRESSES);
+}
+
+/** The entry that remembers where a request's generation lives. */
+export function findHome(
+	options: EntryOptions,
+	lease: Lease,
+	isLeaving: boolean,
+	key: string,
+): EntryPeer | undefined {
+	const serving = listServing(options, lease, isLeaving);
+	const [home] = rankByRendezvous(
+		serving.map((entry) => entry.id),
+		key,
+	);
+	return serving.find((entry) => entry.id === home);
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -0,0 +1,208 @@
+import {getNextDeadline} from '@lovagevalve/generation';
+import {answerClaim} from './arrivals.js';
+import {
+	answerCall,
+	continueLostCall,
+	continueUnsentCall,
+	requestCall,
+	sendConnectedCall,
+} from './calls.js';
+import {acknowledgeLeaving, continueDrain, startDrain} from './drain.js';
+import type {EntryEffect, EntryEvent} from './events.js';
+import {expireHomes} from './homes.js';
+import {applyGrant} from './lease.js';
+import {placeStream, stepStream, type Moment} from './machine.js';
+import {registerPlace, removePlace} from './places.js';
+import type {EntryState, Stream} from './state.js';
+import {answerHome, leaveStream, requestGeneration} from './streams.js';
+import {
+	chain,
+	chainEach,
+	transition,
+	type EntryTransition,
+} from './transition.js';
+import {applyAnnouncement, expireBackends} from './view.js';
+
+const CANCEL_FOR_MS = 120_000;
+
+/** Decides everything that an entry instance decides. Pure. */
+export function stepEntry(
+	state: EntryState,
+	event: EntryEvent,
+): EntryTransition {
+	switch (event.kind) {
+		case 'generation-requested': {
+			return requestGeneration(state, event);
+		}
+
+		case 'home-answered': {
+			return answerHome(state, event);
+		}
+
+		case 'generation-event': {
+			const {stream, event: inner, random} = event;
+			const moment = {now: inner.now, random};
+			return chain(stepStream(state, stream, inner, moment), (next) =>
+				placeWaiting(next, moment),
+			);
+		}
+
+		case 'caller-left': {
+			return chain(leaveStream(state, event), (next) =>
+				placeWaiting(next, event),
+			);
+		}
+
+		case 'generation-released': {
+			const abandoned = state.abandoned.delete(event.generation);
+			return transition({...state, abandoned});
+		}
+
+		case 'place-registered': {
+			return transition(registerPlace(state, event.place, event.now).state);
+		}
+
+		case 'place-forgotten': {
+			return transition(removePlace(state, event.place));
+		}
+
+		case 'call-requested': {
+			return requestCall(state, event);
+		}
+
+		case 'claim-answered': {
+			return answerClaim(state, event);
+		}
+
+		case 'call-connected': {
+			return sendConnectedCall(state, event);
+		}
+
+		case 'call-answered': {
+			return answerCall(state, event);
+		}
+
+		case 'call-not-sent': {
+			return continueUnsentCall(state, event);
+		}
+
+		case 'call-lost': {
+			return continueLostCall(state, event);
+		}
+
+		case 'backend-announced': {
+			return takeAnnouncement(state, event);
+		}
+
+		case 'lease-granted': {
+			const {askedAt, grant, now} = event;
+			const lease = applyGrant(state.lease, grant, askedAt);
+			return transition(acknowledgeLeaving({...state, lease}, askedAt, now));
+		}
+
+		case 'quarantine-learned': {
+			const {quarantine} = event;
+			return transition(
+				quarantine.version > state.quarantine.version
+					? {...state, quarantine}
+					: state,
+			);
+		}
+
+		case 'drain-requested': {
+			return startDrain(state, event.now);
+		}
+
+		case 'ticked': {
+			return tick(state, event);
+		}
+	}
+}
+
+function takeAnnouncement(
+	state: EntryState,
+	event: Extract<EntryEvent, {kind: 'backend-announced'}>,
+): EntryTransition {
+	const {announcement, now, isDirect} = event;
+	const {announcementLifetimeMs} = state.options;
+	const view = applyAnnouncement(
+		state.view,
+		announcement,
+		now,
+		announcementLifetimeMs,
+	);
+	if (view === state.view) {
+		return transition(state);
+	}
+
+	const relay: readonly EntryEffect[] = isDirect
+		? [{kind: 'relay-announcement', announcement}]
+		: [];
+	return chain(transition({...state, view}, relay), (next) =>
+		placeWaiting(next, event),
+	);
+}
+
+/** Order in which waiting streams get backend servers. */
+function compareWaiting(a: Stream, b: Stream): number {
+	const isResumed = (stream: Stream) =>
+		stream.phase.kind === 'queued' && stream.phase.isResumed ? 1 : 0;
+	return (
+		isResumed(b) - isResumed(a) ||
+		b.priority - a.priority ||
+		a.arrivedAt - b.arrivedAt
+	);
+}
+
+function placeWaiting(state: EntryState, moment: Moment): EntryTransition {
+	const waiting = [...state.streams.values()]
+		.filter(({phase}) => phase.kind === 'queued')
+		.toSorted(compareWaiting);
+	return chainEach(state, waiting, (next, stream) =>
+		placeStream(next, stream, moment),
+	);
+}
+
+function tickStreams(state: EntryState, moment: Moment): EntryTransition {
+	const {now} = moment;
+	const due = [...state.streams.values()].filter(({machine}) => {
+		const deadline = machine && getNextDeadline(machine);
+		return deadline !== undefined && deadline <= now;
+	});
+	return chainEach(state, due, (next, {id}) =>
+		stepStream(next, id, {kind: 'ticked', now}, moment),
+	);
+}
+
+function cancelAbandoned(state: EntryState, now: number): EntryTransition {
+	const due = [...state.abandoned.values()].filter(
+		({expiresAt}) => expiresAt <= now,
+	);
+	return chainEach(state, due, (next, {generation, attempt, address}) =>
+		transition({...next, abandoned: next.abandoned.delete(generation)}, [
+			{
+				kind: 'cancel-attempt',
+				address,
+				generation,
+				attempt,
+				giveUpAfterMs: CANCEL_FOR_MS,
+			},
+		]),
+	);
+}
+
+function tick(state: EntryState, moment: Moment): EntryTransition {
+	const {now} = moment;
+	const {announcementLifetimeMs} = state.options;
+	const cleaned: EntryState = {
+		...state,
+		view: expireBackends(state.view, now, announcementLifetimeMs),
+		homes: expireHomes(state.homes, now),
+	};
+	return [
+		(next: EntryState) => tickStreams(next, moment),
+		(next: EntryState) => cancelAbandoned(next, now),
+		(next: EntryState) => placeWaiting(next, moment),
+		(next: EntryState) => continueDrain(next, now),
+	].reduce(chain, transition(cleaned));
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/rendezvous.ts
@@ -0,0 +1,16 @@
+import {createHash} from 'node:crypto';
+
+function weigh(candidate: string, key: string): string {
+	return createHash('sha256').update(`${candidate}\0${key}`).digest('hex');
+}
+
+/** Orders candidates for a key so that the loss of one moves only its keys. */
+export function rankByRendezvous(
+	candidates: readonly string[],
+	key: string,
+): readonly string[] {
+	return candidates
+		.map((candidate) => ({candidate, weight: weigh(candidate, key)}))
+		.toSorted((a, b) => (a.weight < b.weight ? 1 : -1))
+		.map(({candidate}) => candidate);
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/state.ts
@@ -0,0 +1,128 @@
+import {Map as ImmutableMap} from 'immutable';
+import type {DispatchState} from '@lovagevalve/claims';
+import type {GenerationState} from '@lovagevalve/generation';
+import type {
+	CallInput,
+	GenerationInput,
+	Quarantine,
+	RefusalDetail,
+} from './events.js';
+import type {Homes, Place} from './homes.js';
+import {NO_LEASE, type Lease} from './lease.js';
+import type {EntryOptions} from './options.js';
+import type {View} from './view.js';
+
+/** What a stream is waiting for. */
+export type StreamPhase =
+	/** The home's answer. */
+	| {kind: 'registering'}
+	/** Its turn in the queue. */
+	| {kind: 'queued'; isResumed: boolean; excluded: readonly string[]}
+	| {kind: 'running'};
+
+/** One caller's stream and its generation. */
+export type Stream = Readonly<{
+	id: string;
+	customer: string;
+	input: GenerationInput;
+	generation: string;
+	priority: number;
+	arrivedAt: number;
+	/** Monotonic time until which the answer is of use. */
+	deadlineAt: number | undefined;
+	phase: StreamPhase;
+	machine: GenerationState | undefined;
+	/** Backend server of the present attempt, counted in its in-flight. */
+	backend: Readonly<{id: string; address: string}> | undefined;
+	hasToken: boolean;
+	/** Whether its attempt was begun for an earlier stream. */
+	isAdopted: boolean;
+}>;
+
+/** An attempt whose caller left and may come back, here or elsewhere. */
+export type Abandoned = Readonly<{
+	generation: string;
+	attempt: number;
+	address: string;
+	/** Time at which the attempt is cancelled. */
+	expiresAt: number;
+}>;
+
+/** What a call is waiting for. */
+export type CallPhase =
+	/** The control group's answer. */
+	| {kind: 'claiming'}
+	| {kind: 'connecting'; backend: string}
+	/** Bytes may have been handed to the backend server. */
+	| {kind: 'dispatched'; backend: string};
+
+/** One call of a plain service. */
+export type Call = Readonly<{
+	id: string;
+	customer: string;
+	input: CallInput;
+	phase: CallPhase;
+	/** Claim and dispatch of a non-idempotent call. */
+	arrival: DispatchState | undefined;
+	/** Number of the latest dispatch; counts from 1. */
+	dispatch: number;
+	deadlineAt: number | undefined;
+	excluded: readonly string[];
+	/** Why the entry gives the call up, while "not run" is being settled. */
+	refusal: RefusalDetail | undefined;
+}>;
+
+/** Whether the entry takes new work. */
+export type EntryPhase =
+	| {kind: 'serving'}
+	/** No longer named; takes what callers with older answers send. */
+	| {kind: 'leaving'; since: number; isAcknowledged: boolean}
+	/** Takes nothing new and finishes what it holds. */
+	| {kind: 'finishing'}
+	| {kind: 'drained'};
+
+/** State of an entry instance: bounded, immutable, rebuilt after a restart. */
+export type EntryState = Readonly<{
+	options: EntryOptions;
+	phase: EntryPhase;
+	lease: Lease;
+	quarantine: Quarantine;
+	view: View;
+	homes: Homes;
+	streams: ImmutableMap<string, Stream>;
+	abandoned: ImmutableMap<string, Abandoned>;
+	calls: ImmutableMap<string, Call>;
+}>;
+
+/** Creates the state of an entry that has just started. */
+export function createEntry(options: EntryOptions): EntryState {
+	return {
+		options,
+		phase: {kind: 'serving'},
+		lease: NO_LEASE,
+		quarantine: {version: 0, suspects: [], convicted: []},
+		view: ImmutableMap(),
+		homes: ImmutableMap(),
+		streams: ImmutableMap(),
+		abandoned: ImmutableMap(),
+		calls: ImmutableMap(),
+	};
+}
+
+/** Whether the entry has left the answers that name addresses. */
+export function isLeaving(state: EntryState): boolean {
+	return state.phase.kind !== 'serving';
+}
+
+/** Describes where a stream's generation lives. */
+export function describePlace(state: EntryState, stream: Stream): Place {
+	return {
+		customer: stream.customer,
+		requestId: stream.input.requestId,
+		digest: stream.input.digest,
+		generation: stream.generation,
+		attempt: stream.machine?.attempt ?? 0,
+		backend: stream.backend?.id ?? '',
+		entry: state.options.id,
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/suspects.ts
@@ -0,0 +1,24 @@
+import type {EntryState} from './state.js';
+
+/** Digest under which a request of a customer is suspected and convicted. */
+export function strikeDigest(customer: string, digest: string): string {
+	return `${customer}/${digest}`;
+}
+
+/** Tells whether a request is to be kept apart from other suspects. */
+export function isSuspect(
+	state: EntryState,
+	customer: string,
+	digest: string,
+): boolean {
+	return state.quarantine.suspects.includes(strikeDigest(customer, digest));
+}
+
+/** Tells whether a request is refused because it crashes backend servers. */
+export function isConvicted(
+	state: EntryState,
+	customer: string,
+	digest: string,
+): boolean {
+	return state.quarantine.convicted.includes(strikeDigest(customer, digest));
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/transition.ts
@@ -0,0 +1,35 @@
+import {createTransition, type Transition} from '@lovagevalve/core';
+import type {EntryEffect} from './events.js';
+import type {EntryState} from './state.js';
+
+/** Transition of an entry instance. */
+export type EntryTransition = Transition<EntryState, EntryEffect>;
+
+/** Builds a transition of an entry instance. */
+export function transition(
+	state: EntryState,
+	effects: readonly EntryEffect[] = [],
+): EntryTransition {
+	return createTransition(state, effects);
+}
+
+/** Runs a further change after a transition and joins the effects. */
+export function chain(
+	before: EntryTransition,
+	change: (state: EntryState) => EntryTransition,
+): EntryTransition {
+	const after = change(before.state);
+	return createTransition(after.state, [...before.effects, ...after.effects]);
+}
+
+/** Applies a change for each item in turn and joins the effects. */
+export function chainEach<T>(
+	state: EntryState,
+	items: readonly T[],
+	change: (state: EntryState, item: T) => EntryTransition,
+): EntryTransition {
+	return items.reduce<EntryTransition>(
+		(before, item) => chain(before, (next) => change(next, item)),
+		transition(state),
+	);
+}
--- /dev/null
+++ b/packages/lovage-entry-role/src/view.ts
@@ -0,0 +1,154 @@
+import type {Map as ImmutableMap} from 'immutable';
+import type {Inventory} from '@lovagevalve/inventory';
+
+/** What a backend server announces of itself. */
+export type BackendAnnouncement = Readonly<{
+	id: string;
+	service: string;
+	dataCentre: string;
+	rack?: string;
+	address: string;
+	incarnation: number;
+	sequence: number;
+	state: 'serving' | 'leaving';
+	capacity: number;
+	role?: string;
+	models: ReadonlyArray<
+		Readonly<{id: string; version: string; adapters: readonly string[]}>
+	>;
+	load: Readonly<{running: number; waiting: number; msPerToken?: number}>;
+	cacheEvents: ReadonlyArray<
+		Readonly<{sequence: number; kind: 'stored' | 'evicted'; prefix: string}>
+	>;
+}>;
+
+/** A backend server as this entry sees it. */
+export type Backend = Readonly<{
+	announcement: BackendAnnouncement;
+	/** Monotonic time at which it leaves the view unless it announces again. */
+	expiresAt: number;
+	/** Prefix digests that its cache is thought to hold, oldest first. */
+	cachedPrefixes: ReadonlySet<string>;
+	/** Work that this entry has on it. */
+	inFlight: number;
+	/** Monotonic time until which it gets no new work after a failure. */
+	avoidUntil: number;
+	/** Incarnation whose death this entry reported. */
+	reportedIncarnation?: number;
+}>;
+
+/** The backend servers that an entry knows, by id. */
+export type View = ImmutableMap<string, Backend>;
+
+const MAX_CACHED_PREFIXES = 4096;
+
+/** Tells whether `next` is later than what is known of the same backend server. */
+function isLater(known: BackendAnnouncement, next: BackendAnnouncement) {
+	return (
+		next.incarnation > known.incarnation ||
+		(next.incarnation === known.incarnation && next.sequence > known.sequence)
+	);
+}
+
+function applyCacheEvents(
+	known: ReadonlySet<string>,
+	announcement: BackendAnnouncement,
+): ReadonlySet<string> {
+	if (announcement.cacheEvents.length === 0) {
+		return known;
+	}
+
+	const next = new Set(known);
+	announcement.cacheEvents.forEach((event) => {
+		next.delete(event.prefix);
+		if (event.kind === 'stored') {
+			next.add(event.prefix);
+		}
+	});
+	return new Set([...next].slice(-MAX_CACHED_PREFIXES));
+}
+
+/** Takes an announcement in; an older one than the known changes nothing. */
+export function applyAnnouncement(
+	view: View,
+	announcement: BackendAnnouncement,
+	now: number,
+	lifetimeMs: number,
+): View {
+	const known = view.get(announcement.id);
+	if (known && !isLater(known.announcement, announcement)) {
+		return view;
+	}
+
+	const isSameRun =
+		known?.announcement.incarnation === announcement.incarnation;
+	const cached = isSameRun ? known.cachedPrefixes : new Set<string>();
+	const next: Backend = {
+		announcement,
+		expiresAt: now + lifetimeMs,
+		cachedPrefixes: applyCacheEvents(cached, announcement),
+		inFlight: known?.inFlight ?? 0,
+		avoidUntil: isSameRun ? known.avoidUntil : 0,
+		reportedIncarnation: known?.reportedIncarnation,
+	};
+	return view.set(announcement.id, next);
+}
+
+/** Counts work of this entry on a backend server up or down. */
+export function countInFlight(view: View, id: string, change: number): View {
+	const backend = view.get(id);
+	if (!backend) {
+		return view;
+	}
+
+	const inFlight = Math.max(0, backend.inFlight + change);
+	return view.set(id, {...backend, inFlight});
+}
+
+/** Keeps new work from a backend server until a time. */
+export function avoidBackend(view: View, id: string, until: number): View {
+	const backend = view.get(id);
+	return backend ? view.set(id, {...backend, avoidUntil: until}) : view;
+}
+
+/** Tells whether the inventory names a backend server under this service. */
+export function isExpected(
+	inventory: Inventory,
+	announcement: Readonly<{id: string; service: string}>,
+): boolean {
+	const service = inventory.services.find(
+		({id}) => id === announcement.service,
+	);
+	return Boolean(service?.workers.some(({id}) => id === announcement.id));
+}
+
+/** Backend servers of a service that may get new work now. */
+export function listUsable(
+	view: View,
+	inventory: Inventory,
+	service: string,
+	now: number,
+): readonly Backend[] {
+	return [...view.values()].filter(
+		({announcement, expiresAt, avoidUntil}) =>
+			announcement.service === service &&
+			announcement.state === 'serving' &&
+			expiresAt > now &&
+			avoidUntil <= now &&
+			isExpected(inventory, announcement),
+	);
+}
+
+/**
+ * Drops the backend servers that were silent for long and hold no work of
+ * this entry, with a factor for those whose return is awaited.
+ */
+export function expireBackends(
+	view: View,
+	now: number,
+	lifetimeMs: number,
+): View {
+	const isKept = (backend: Backend) =>
+		backend.expiresAt > now - lifetimeMs || backend.inFlight > 0;
+	return view.every(isKept) ? view : view.filter(isKept);
+}
--- /dev/null
+++ b/packages/lovage-entry/src/backend-app.ts
@@ -0,0 +1,36 @@
+import {isExpected, listAddresses} from '@lovagevalve/entry-role';
+import {announcementSchema, type AnnouncementAnswer} from '@lovagevalve/wire';
+import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {readBody} from './caller-app.js';
+import {createProblemResponse} from './caller-stream.js';
+import type {EntryHost} from './host.js';
+
+const MAX_ANNOUNCEMENT_BYTES = 262_144;
+
+/** Creates the HTTP interface towards backend servers. */
+export function createBackendApp(host: EntryHost): Hono {
+	const app = new Hono();
+	const limit = bodyLimit({maxSize: MAX_ANNOUNCEMENT_BYTES});
+
+	app.post('/v1/backend-servers', limit, async (ctx) => {
+		const announcement = await readBody(ctx, announcementSchema);
+		if (announcement.isErr()) {
+			return createProblemResponse(announcement.error);
+		}
+
+		host.takeAnnouncement(announcement.value, true);
+		const state = host.readState();
+		const {options, lease} = state;
+		const {configuration} = lease;
+		const answer: AnnouncementAnswer = {
+			everyMs: options.announceEveryMs,
+			entries: listAddresses(options, lease, false, announcement.value.id),
+			known: configuration
+				? isExpected(configuration.inventory, announcement.value)
+				: false,
+		};
+		return ctx.json(answer);
+	});
+	return app;
+}
--- /dev/null
+++ b/packages/lovage-entry/src/call-host.ts
@@ -0,0 +1,138 @@
+import type {EntryEffect, EntryEvent} from '@lovagevalve/entry-role';
+import type {Clock} from '@lovagevalve/runtime';
+import type {CallAnswer, CallRequest} from '@lovagevalve/wire';
+import {exchangeCall} from './call-exchange.js';
+import {createProblemResponse} from './caller-stream.js';
+import {createRefusalProblem} from './problems.js';
+
+const CALL_EFFECTS = [
+	'connect-call',
+	'write-call',
+	'answer-call',
+	'refuse-call',
+] as const;
+
+/** Effects on the calls of one entry. */
+export type CallEffect = Extract<
+	EntryEffect,
+	{kind: (typeof CALL_EFFECTS)[number]}
+>;
+
+/** Tells whether an effect is one on calls. */
+export function isCallEffect(effect: EntryEffect): effect is CallEffect {
+	return CALL_EFFECTS.includes(effect.kind);
+}
+
+type ConnectEffect = Extract<CallEffect, {kind: 'connect-call'}>;
+
+/** What the host of the calls works on. */
+export type CallHostParts = Readonly<{
+	clock: Clock;
+	update: (event: EntryEvent) => void;
+	random: () => number;
+}>;
+
+/** Runs the effects of the calls. */
+export type CallHost = Readonly<{
+	/** Adds a call before its request is told to the entry. */
+	add: (id: string, req: CallRequest) => Promise<Response>;
+	run: (effect: CallEffect) => void;
+}>;
+
+type Hosted = {
+	req: CallRequest;
+	respond: (res: Response) => void;
+	/** Dispatch that may be written now. */
+	permitted: number;
+};
+
+/** Creates the host of the calls of one entry. */
+export function createCallHost({
+	clock,
+	update,
+	random,
+}: CallHostParts): CallHost {
+	const hosted = new Map<string, Hosted>();
+
+	const mayWrite = (call: string, dispatch: number): boolean => {
+		const now = clock.now();
+		update({kind: 'call-connected', call, dispatch, now, random: random()});
+		return hosted.get(call)?.permitted === dispatch;
+	};
+
+	const connect = async (
+		{req}: Hosted,
+		{call, dispatch, customer, address, timeoutMs}: ConnectEffect,
+	): Promise<void> => {
+		const {requestId, operation, body} = req;
+		const outcome = await exchangeCall({
+			address,
+			body: {requestId, customer, operation, body},
+			timeoutMs,
+			mayWrite: () => mayWrite(call, dispatch),
+		});
+		const at = {call, dispatch, now: clock.now(), random: random()};
+		switch (outcome.kind) {
+			case 'answered': {
+				update({kind: 'call-answered', ...at, result: outcome.result});
+				return;
+			}
+
+			case 'not-sent': {
+				update({kind: 'call-not-sent', ...at});
+				return;
+			}
+
+			case 'lost': {
+				update({kind: 'call-lost', ...at});
+			}
+		}
+	};
+
+	const respond = (call: string, res: Response): void => {
+		hosted.get(call)?.respond(res);
+		hosted.delete(call);
+	};
+
+	return {
+		add: async (id, req) =>
+			new Promise((resolve) => {
+				hosted.set(id, {req, respond: resolve, permitted: 0});
+			}),
+		run(effect) {
+			const call = hosted.get(effect.call);
+			if (!call) {
+				return;
+			}
+
+			switch (effect.kind) {
+				case 'connect-call': {
+					void connect(call, effect);
+					return;
+				}
+
+				case 'write-call': {
+					call.permitted = effect.dispatch;
+					return;
+				}
+
+				case 'answer-call': {
+					const {result, replayed} = effect;
+					const answer: CallAnswer = {
+						requestId: call.req.requestId,
+						replayed,
+						status: result.status,
+						body: result.body,
+					};
+					respond(effect.call, Response.json(answer));
+					return;
+				}
+
+				case 'refuse-call': {
+					const problem = createRefusalProblem(effect.refusal);
+					respond(effect.call, createProblemResponse(problem));
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/caller-stream.ts
@@ -0,0 +1,142 @@
+import {
+	PROBLEM_CONTENT_TYPE,
+	type Problem,
+	type TokensEvent,
+} from '@lovagevalve/wire';
+
+const MAX_UNREAD_BYTES = 1_048_576;
+const HEARTBEAT_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+/** The answer to one caller: a status before the first byte, then events. */
+export type CallerStream = Readonly<{
+	/** Resolves once it is known whether a stream or a refusal is sent. */
+	response: Promise<Response>;
+	/** Sends tokens with the cursor that goes on after them. */
+	sendTokens: (cursor: string, event: TokensEvent) => void;
+	finish: (total: number) => void;
+	/** Sends a final refusal, as a status if no byte was sent yet. */
+	refuse: (problem: Problem) => void;
+	/** Sends a comment so that the caller sees that the stream lives. */
+	heartbeat: () => void;
+}>;
+
+/** Builds the HTTP response of a problem. */
+export function createProblemResponse(problem: Problem): Response {
+	const headers = new Headers({'content-type': PROBLEM_CONTENT_TYPE});
+	if (problem.retryAfterMs !== undefined) {
+		const seconds = Math.ceil(problem.retryAfterMs / MS_PER_SECOND);
+		headers.set('retry-after', String(seconds));
+	}
+
+	return new Response(JSON.stringify(problem), {
+		status: problem.status,
+		headers,
+	});
+}
+
+function formatEvent(event: string, data: unknown, id?: string): string {
+	const idLine = id === undefined ? '' : `id: ${id}\n`;
+	return `${idLine}event: ${event}\ndata: ${JSON.stringify(data)}\n\n`;
+}
+
+/**
+ * Creates the stream to one caller. A caller that reads too slowly is cut off
+ * at a bound of unread bytes and goes on later with its cursor.
+ */
+export function createCallerStream(onLeft: () => void): CallerStream {
+	const encoder = new TextEncoder();
+	let controller: ReadableStreamDefaultController<Uint8Array> | undefined;
+	let isOver = false;
+	let respond: (res: Response) => void;
+	const response = new Promise<Response>((resolve) => {
+		respond = resolve;
+	});
+	const opening = setTimeout(() => {
+		open();
+	}, HEARTBEAT_MS);
+
+	const end = (): void => {
+		isOver = true;
+		clearTimeout(opening);
+	};
+
+	const leave = (): void => {
+		if (!isOver) {
+			end();
+			onLeft();
+		}
+	};
+
+	const open = (): void => {
+		const isOpen = controller !== undefined;
+		if (isOpen || isOver) {
+			return;
+		}
+
+		clearTimeout(opening);
+		const body = new ReadableStream<Uint8Array>(
+			{
+				start(streamController) {
+					controller = streamController;
+				},
+				cancel: leave,
+			},
+			new ByteLengthQueuingStrategy({highWaterMark: MAX_UNREAD_BYTES}),
+		);
+		respond(
+			new Response(body, {
+				headers: {
+					'content-type': 'text/event-stream',
+					'cache-control': 'no-store',
+				},
+			}),
+		);
+	};
+
+	const send = (text: string): void => {
+		open();
+		if (isOver || !controller) {
+			return;
+		}
+
+		controller.enqueue(encoder.encode(text));
+		if ((controller.desiredSize ?? 0) <= 0) {
+			controller.error(new Error('The caller reads too slowly.'));
+			leave();
+		}
+	};
+
+	const close = (): void => {
+		if (!isOver) {
+			end();
+			controller?.close();
+		}
+	};
+
+	return {
+		response,
+		sendTokens(cursor, event) {
+			send(formatEvent('tokens', event, cursor));
+		},
+		finish(total) {
+			send(formatEvent('done', {total}));
+			close();
+		},
+		refuse(problem) {
+			if (controller) {
+				send(formatEvent('problem', problem));
+				close();
+				return;
+			}
+
+			if (!isOver) {
+				end();
+				respond(createProblemResponse(problem));
+			}
+		},
+		heartbeat() {
+			send(': waiting\n\n');
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/control-link.ts
@@ -0,0 +1,109 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	callRpc,
+	createControlClient,
+	type ControlClient,
+	type Redirect,
+	type RpcPool,
+} from '@lovagevalve/wire';
+
+const EXCHANGE_TIMEOUT_MS = 700;
+const PAUSE_MS = 50;
+
+/** Answer that is no redirect. */
+export type Settled<T> = Exclude<T, Redirect>;
+
+/** One exchange with a control instance. */
+export type ControlExchange<T> = (
+	client: ControlClient,
+	signal: AbortSignal,
+) => Promise<T>;
+
+/** Finds the leader of the control group and talks to it. */
+export type ControlLink = Readonly<{
+	/**
+	 * Repeats an exchange at one control instance after the other until one
+	 * answers for the group, for at most `withinMs`. The exchange must be safe
+	 * to repeat. Resolves to undefined when none answered in time.
+	 */
+	ask: <T extends {kind: string}>(
+		exchange: ControlExchange<T>,
+		withinMs: number,
+	) => Promise<Settled<T> | undefined>;
+}>;
+
+function isRedirect(answer: {kind: string}): answer is Redirect {
+	return answer.kind === 'not-leader' || answer.kind === 'unavailable';
+}
+
+/** Creates the link to the control instances at these addresses. */
+export function createControlLink(
+	addresses: readonly string[],
+	pool: RpcPool,
+): ControlLink {
+	const clients = new Map<string, ControlClient>();
+	let current = addresses[0]!;
+
+	const getClient = (address: string): ControlClient => {
+		const client = clients.get(address) ?? createControlClient(address, pool);
+		clients.set(address, client);
+		return client;
+	};
+
+	const moveOn = (from: string, leader?: string): void => {
+		const next = (addresses.indexOf(from) + 1) % addresses.length;
+		current =
+			leader !== undefined && addresses.includes(leader)
+				? leader
+				: addresses[next]!;
+	};
+
+	const askOnce = async <T extends {kind: string}>(
+		exchange: ControlExchange<T>,
+		timeoutMs: number,
+	): Promise<Settled<T> | undefined> => {
+		const address = current;
+		const client = getClient(address);
+		const answer = await callRpc(
+			async (signal) => exchange(client, signal),
+			timeoutMs,
+		);
+		if (answer.isErr()) {
+			moveOn(address);
+			return undefined;
+		}
+
+		if (isRedirect(answer.value)) {
+			const redirect: Redirect = answer.value;
+			moveOn(
+				address,
+				redirect.kind === 'not-leader' ? redirect.leader : undefined,
+			);
+			return undefined;
+		}
+
+		return answer.value as Settled<T>;
+	};
+
+	return {
+		async ask(exchange, withinMs) {
+			const until = performance.now() + withinMs;
+			let remaining = withinMs;
+			while (remaining > 0) {
+				const timeoutMs = Math.min(EXCHANGE_TIMEOUT_MS, remaining);
+				// Each try depends on the redirect of the one before.
+				// eslint-disable-next-line no-await-in-loop
+				const answer = await askOnce(exchange, timeoutMs);
+				if (answer) {
+					return answer;
+				}
+
+				// eslint-disable-next-line no-await-in-loop
+				await delay(PAUSE_MS);
+				remaining = until - performance.now();
+			}
+
+			return undefined;
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/engine-exchange.ts
@@ -0,0 +1,87 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {engineStatusSchema} from '@lovagevalve/wire';
+import {ResultAsync} from 'neverthrow';
+import {Client} from 'undici';
+
+const CANCEL_TIMEOUT_MS = 1000;
+const CANCEL_RETRY_MS = 1000;
+
+/** One attempt at an engine. */
+export type AttemptAddress = Readonly<{
+	address: string;
+	generation: string;
+	attempt: number;
+}>;
+
+/** Answer of an engine to a probe. */
+export type ProbeAnswer = Readonly<{held: boolean; length: number}>;
+
+/** The engine gave no answer in time. */
+export type ExchangeError = Readonly<{kind: 'exchange-failed'}>;
+
+async function exchange<T>(
+	address: string,
+	timeoutMs: number,
+	run: (client: Client, signal: AbortSignal) => Promise<T>,
+): Promise<T> {
+	const client = new Client(address, {
+		connect: {timeout: timeoutMs},
+		pipelining: 1,
+	});
+	try {
+		return await run(client, AbortSignal.timeout(timeoutMs));
+	} finally {
+		void client.destroy();
+	}
+}
+
+/** Asks on a new connection whether an engine holds an attempt. */
+export function probeAttempt(
+	{address, generation, attempt}: AttemptAddress,
+	timeoutMs: number,
+): ResultAsync<ProbeAnswer, ExchangeError> {
+	const path = `/v1/generations/${encodeURIComponent(generation)}`;
+	const ask = async (): Promise<ProbeAnswer> =>
+		exchange(address, timeoutMs, async (client, signal) => {
+			const res = await client.request({method: 'GET', path, signal});
+			if (res.statusCode === 404) {
+				return {held: false, length: 0};
+			}
+
+			const status = engineStatusSchema.parse(await res.body.json());
+			return {held: status.attempt === attempt, length: status.length};
+		});
+	return ResultAsync.fromPromise(ask(), () => ({kind: 'exchange-failed'}));
+}
+
+async function sendCancel(attempt: AttemptAddress): Promise<boolean> {
+	const id = encodeURIComponent(attempt.generation);
+	const path = `/v1/generations/${id}?attempt=${attempt.attempt}`;
+	try {
+		return await exchange(
+			attempt.address,
+			CANCEL_TIMEOUT_MS,
+			async (client, signal) => {
+				const res = await client.request({method: 'DELETE', path, signal});
+				await res.body.dump();
+				return res.statusCode < 500;
+			},
+		);
+	} catch {
+		return false;
+	}
+}
+
+/** Cancels an attempt, trying again while the engine does not answer. */
+export async function cancelAttempt(
+	attempt: AttemptAddress,
+	giveUpAt: number,
+): Promise<void> {
+	const isDone = await sendCancel(attempt);
+	if (isDone || performance.now() >= giveUpAt) {
+		return;
+	}
+
+	await delay(CANCEL_RETRY_MS, undefined, {ref: false});
+	await cancelAttempt(attempt, giveUpAt);
+}
--- /dev/null
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -0,0 +1,172 @@
+import {
+	engineDoneSchema,
+	engineTokensSchema,
+	type EngineStart,
+} from '@lovagevalve/wire';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {Client, type Dispatcher} from 'undici';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const TRANSIENT_STATUSES: ReadonlySet<number> = new Set([
+	404, 408, 409, 429, 500, 502, 503, 504,
+]);
+
+/** A chunk of tokens as an engine sends it. */
+export type EngineChunk = Readonly<{
+	generation: string;
+	attempt: number;
+	offset: number;
+	tokens: readonly string[];
+}>;
+
+/** What comes of one connection to an engine. Called in order, never after `abort`. */
+export type EngineListener = Readonly<{
+	onOpen: () => void;
+	onChunk: (chunk: EngineChunk) => void;
+	onEnd: (
+		end: Readonly<{generation: string; attempt: number; total: number}>,
+	) => void;
+	onLost: () => void;
+	onRefused: (isTransient: boolean) => void;
+}>;
+
+/** A request for a stream of an engine. */
+export type EngineRequest =
+	| {kind: 'start'; address: string; body: EngineStart}
+	| {
+			kind: 'resume';
+			address: string;
+			generation: string;
+			attempt: number;
+			offset: number;
+	  };
+
+async function dispatch(
+	client: Client,
+	req: EngineRequest,
+	signal: AbortSignal,
+): Promise<Dispatcher.ResponseData> {
+	if (req.kind === 'start') {
+		return client.request({
+			method: 'POST',
+			path: '/v1/generations',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(req.body),
+			signal,
+		});
+	}
+
+	const {generation, attempt, offset} = req;
+	const id = encodeURIComponent(generation);
+	return client.request({
+		method: 'GET',
+		path: `/v1/generations/${id}/stream?attempt=${attempt}&from=${offset}`,
+		signal,
+	});
+}
+
+function parseData(event: EventSourceMessage): unknown {
+	try {
+		return JSON.parse(event.data) as unknown;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Passes an event on; false when it is not one of the protocol. */
+function takeEvent(
+	event: EventSourceMessage,
+	listener: EngineListener,
+): boolean {
+	if (event.event === 'tokens') {
+		const chunk = engineTokensSchema.safeParse(parseData(event));
+		if (chunk.success) {
+			listener.onChunk(chunk.data);
+		}
+
+		return chunk.success;
+	}
+
+	if (event.event === 'done') {
+		const end = engineDoneSchema.safeParse(parseData(event));
+		if (end.success) {
+			listener.onEnd(end.data);
+		}
+
+		return end.success;
+	}
+
+	return true;
+}
+
+async function readBody(
+	res: Dispatcher.ResponseData,
+	listener: EngineListener,
+	signal: AbortSignal,
+): Promise<void> {
+	let isValid = true;
+	const parser = createParser({
+		onEvent(event) {
+			if (isValid && !signal.aborted) {
+				isValid = takeEvent(event, listener);
+			}
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const bytes of res.body) {
+		parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+		if (!isValid || signal.aborted) {
+			return;
+		}
+	}
+}
+
+async function run(
+	req: EngineRequest,
+	listener: EngineListener,
+	signal: AbortSignal,
+): Promise<void> {
+	const client = new Client(req.address, {
+		pipelining: 1,
+		connect: {timeout: CONNECT_TIMEOUT_MS},
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+	try {
+		const res = await dispatch(client, req, signal);
+		if (signal.aborted) {
+			return;
+		}
+
+		if (res.statusCode !== 200) {
+			listener.onRefused(TRANSIENT_STATUSES.has(res.statusCode));
+			return;
+		}
+
+		listener.onOpen();
+		await readBody(res, listener, signal);
+	} catch {
+		// The connection failed: told below like one that ended early.
+	} finally {
+		void client.destroy();
+	}
+
+	if (!signal.aborted) {
+		listener.onLost();
+	}
+}
+
+/**
+ * Opens a stream on a connection of its own. The function returned closes it;
+ * nothing is heard of it afterwards.
+ */
+export function openEngineStream(
+	req: EngineRequest,
+	listener: EngineListener,
+): () => void {
+	const controller = new AbortController();
+	void run(req, listener, controller.signal);
+	return () => {
+		controller.abort();
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/peer-handlers.ts
@@ -0,0 +1,31 @@
+import {lookUpHome} from '@lovagevalve/entry-role';
+import type {Clock} from '@lovagevalve/runtime';
+import type {EntryPeerHandlers} from '@lovagevalve/wire';
+import type {EntryHost} from './host.js';
+
+/** Creates what this entry does for the other entries. */
+export function createPeerHandlers(
+	host: EntryHost,
+	clock: Clock,
+): EntryPeerHandlers {
+	return {
+		async relayAnnouncements({announcements}) {
+			announcements.forEach((announcement) => {
+				host.takeAnnouncement(announcement, false);
+			});
+			return {kind: 'taken'};
+		},
+		async registerGeneration(place) {
+			host.registerPlace(place);
+			return lookUpHome(host.readState().homes, place, clock.now());
+		},
+		async forgetGeneration(place) {
+			host.update({kind: 'place-forgotten', place});
+			return {kind: 'taken'};
+		},
+		async releaseGeneration({generation}) {
+			host.update({kind: 'generation-released', generation});
+			return {kind: 'taken'};
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/peers.ts
@@ -0,0 +1,91 @@
+import type {
+	BackendAnnouncement,
+	HomeAnswer,
+	Place,
+} from '@lovagevalve/entry-role';
+import {
+	callRpc,
+	createEntryPeerClient,
+	type Announcement,
+	type EntryPeerClient,
+	type RpcPool,
+} from '@lovagevalve/wire';
+
+const PEER_TIMEOUT_MS = 500;
+const GATHER_MS = 50;
+
+/** Exchanges with the other entries. */
+export type Peers = Readonly<{
+	/** Registers a place at its home; undefined when the home does not answer. */
+	register: (address: string, place: Place) => Promise<HomeAnswer | undefined>;
+	update: (address: string, place: Place) => void;
+	forget: (address: string, place: Place) => void;
+	release: (address: string, generation: string) => void;
+	/** Passes an announcement on to the other entries, gathered for a moment. */
+	relay: (announcement: BackendAnnouncement) => void;
+}>;
+
+/** Creates the exchanges with the entries that `listAddresses` names. */
+export function createPeers(
+	pool: RpcPool,
+	listAddresses: () => readonly string[],
+): Peers {
+	const clients = new Map<string, EntryPeerClient>();
+	let gathered: BackendAnnouncement[] = [];
+
+	const getClient = (address: string): EntryPeerClient => {
+		const client = clients.get(address) ?? createEntryPeerClient(address, pool);
+		clients.set(address, client);
+		return client;
+	};
+
+	const send = async <T>(
+		address: string,
+		exchange: (client: EntryPeerClient, signal: AbortSignal) => Promise<T>,
+	): Promise<T | undefined> => {
+		const client = getClient(address);
+		const answer = await callRpc(
+			async (signal) => exchange(client, signal),
+			PEER_TIMEOUT_MS,
+		);
+		return answer.isOk() ? answer.value : undefined;
+	};
+
+	const relayGathered = (): void => {
+		const announcements = gathered as unknown as Announcement[];
+		gathered = [];
+		listAddresses().forEach((address) => {
+			void send(address, async (client, signal) =>
+				client.relayAnnouncements.mutate({announcements}, {signal}),
+			);
+		});
+	};
+
+	return {
+		register: async (address, place) =>
+			send(address, async (client, signal) =>
+				client.registerGeneration.mutate(place, {signal}),
+			),
+		update(address, place) {
+			void send(address, async (client, signal) =>
+				client.registerGeneration.mutate(place, {signal}),
+			);
+		},
+		forget(address, place) {
+			void send(address, async (client, signal) =>
+				client.forgetGeneration.mutate(place, {signal}),
+			);
+		},
+		release(address, generation) {
+			void send(address, async (client, signal) =>
+				client.releaseGeneration.mutate({generation}, {signal}),
+			);
+		},
+		relay(announcement) {
+			gathered.push(announcement);
+			if (gathered.length === 1) {
+				setTimeout(relayGathered, GATHER_MS);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/program.ts
@@ -0,0 +1,170 @@
+import {randomUUID} from 'node:crypto';
+import {trpcServer} from '@hono/trpc-server';
+import {
+	createClock,
+	createLogger,
+	createMetrics,
+	serveHttp,
+	startSupervisor,
+	type ChildSpec,
+	type PartError,
+	type Supervisor,
+} from '@lovagevalve/runtime';
+import {
+	createEntryPeerRouter,
+	createRpcPool,
+	RPC_PATH,
+} from '@lovagevalve/wire';
+import {Hono} from 'hono';
+import {ok} from 'neverthrow';
+import {createBackendApp} from './backend-app.js';
+import {createCallerApp} from './caller-app.js';
+import {createClaimsLink} from './claims-link.js';
+import {createControlLink} from './control-link.js';
+import {createDeathsLink} from './deaths-link.js';
+import {createEntryHost, type EntryHost, type HostLinks} from './host.js';
+import {startLeaseRenewal, type LeaseRenewal} from './lease-renewal.js';
+import {createOperatorApp} from './operator-app.js';
+import {createPeerHandlers} from './peer-handlers.js';
+import {createPeers} from './peers.js';
+import {createEntryOptions, type EntrySettings} from './settings.js';
+
+const TICK_MS = 25;
+const HEARTBEAT_MS = 1000;
+const RESTART_POLICY = {maxRestarts: 3, withinMs: 60_000};
+
+/** The program while it runs. */
+export type EntryProgram = Readonly<{
+	/** Finishes what the entry holds, then stops. */
+	drain: () => Promise<void>;
+	/** Resolves when a drain, by signal or by an operator, has ended. */
+	stopped: Promise<void>;
+}>;
+
+function createTimer(
+	name: string,
+	run: () => void,
+	everyMs: number,
+): ChildSpec {
+	return {
+		name,
+		async start() {
+			const timer = setInterval(run, everyMs);
+			return ok({
+				async stop() {
+					clearInterval(timer);
+				},
+			});
+		},
+	};
+}
+
+/** Wires the parts of an entry and starts them. */
+export async function startEntryProgram(
+	cfg: EntrySettings,
+	giveUp: (error: PartError) => void,
+): Promise<EntryProgram> {
+	const clock = createClock();
+	const entry = createEntryOptions(cfg, randomUUID());
+	const metrics = createMetrics(cfg.metrics, {entry: cfg.id});
+	const pool = createRpcPool();
+	const link = createControlLink(cfg.controls, pool);
+	let resolveDrained: () => void;
+	const drained = new Promise<void>((resolve) => {
+		resolveDrained = resolve;
+	});
+	let renewal: LeaseRenewal | undefined;
+
+	const createLinks = ({
+		readState,
+		update,
+	}: Pick<EntryHost, 'readState' | 'update'>): HostLinks => ({
+		claims: createClaimsLink(link, clock),
+		deaths: createDeathsLink(cfg.id, link, (quarantine) => {
+			update({kind: 'quarantine-learned', quarantine});
+		}),
+		peers: createPeers(pool, () =>
+			readState()
+				.lease.entries.filter(({id}) => id !== cfg.id)
+				.map(({address}) => address),
+		),
+		renewNow() {
+			renewal?.renewNow();
+		},
+		record(fact) {
+			metrics.increment(`entry.${fact.kind}`);
+		},
+		onDrained() {
+			resolveDrained();
+		},
+	});
+
+	const host = createEntryHost({
+		entry,
+		cursorSecret: cfg.cursorSecret,
+		clock,
+		log: createLogger('entry.host'),
+		createLinks,
+	});
+	const drain = (): void => {
+		host.update({kind: 'drain-requested', now: clock.now()});
+	};
+
+	const app = new Hono();
+	const router = createEntryPeerRouter(createPeerHandlers(host, clock));
+	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
+	app.route('/', createOperatorApp(host, {drain, readReport: () => ({})}));
+	app.route('/', createBackendApp(host));
+	app.route('/', createCallerApp(host, cfg));
+
+	const specs: readonly ChildSpec[] = [
+		createTimer('ticker', host.tick, TICK_MS),
+		createTimer('heartbeat', host.heartbeat, HEARTBEAT_MS),
+		{
+			name: 'http',
+			async start() {
+				const {host: address, port} = cfg.listen;
+				const server = await serveHttp(app, address, port);
+				return server.map(({close}) => ({stop: close}));
+			},
+		},
+		{
+			name: 'lease',
+			async start() {
+				renewal = startLeaseRenewal({
+					link,
+					clock,
+					log: createLogger('entry.lease'),
+					readState: host.readState,
+					update: host.update,
+				});
+				const {stop} = renewal;
+				return ok({
+					async stop() {
+						stop();
+					},
+				});
+			},
+		},
+	];
+	const supervisor: Supervisor = await startSupervisor(specs, {
+		name: 'entry',
+		log: createLogger('entry.supervisor'),
+		now: clock.now,
+		policy: RESTART_POLICY,
+		giveUp,
+	});
+	const stopped = (async () => {
+		await drained;
+		await supervisor.stop();
+		await pool.close();
+		metrics.close();
+	})();
+	return {
+		async drain() {
+			drain();
+			await stopped;
+		},
+		stopped,
+	};
+}
--- /dev/null
+++ b/packages/lovage-entry/src/stream-host.ts
@@ -0,0 +1,335 @@
+import type {
+	Cursor,
+	EntryEffect,
+	EntryEvent,
+	EntryState,
+} from '@lovagevalve/entry-role';
+import type {Clock} from '@lovagevalve/runtime';
+import type {GenerationRequest} from '@lovagevalve/wire';
+import {createCallerStream, type CallerStream} from './caller-stream.js';
+import {writeCursor} from './cursor.js';
+import {appendTokens, createDelivered, readDigest} from './delivered.js';
+import {cancelAttempt, probeAttempt} from './engine-exchange.js';
+import {
+	openEngineStream,
+	type EngineChunk,
+	type EngineListener,
+	type EngineRequest,
+} from './engine-stream.js';
+import {createRefusalProblem} from './problems.js';
+
+const PROBE_TIMEOUT_MS = 1000;
+
+const STREAM_EFFECTS = [
+	'start-attempt',
+	'resume-attempt',
+	'close-connection',
+	'probe-attempt',
+	'cancel-attempt',
+	'deliver-tokens',
+	'retain-tokens',
+	'finish-stream',
+	'refuse-stream',
+] as const;
+
+/** Effects on the streams of one entry. */
+export type StreamEffect = Extract<
+	EntryEffect,
+	{kind: (typeof STREAM_EFFECTS)[number]}
+>;
+
+/** Tells whether an effect is one on streams. */
+export function isStreamEffect(effect: EntryEffect): effect is StreamEffect {
+	return STREAM_EFFECTS.includes(effect.kind);
+}
+
+type StartEffect = Extract<StreamEffect, {kind: 'start-attempt'}>;
+type ResumeEffect = Extract<StreamEffect, {kind: 'resume-attempt'}>;
+type InnerEvent = Extract<EntryEvent, {kind: 'generation-event'}>['event'];
+
+/** What the host of the streams works on. */
+export type StreamHostParts = Readonly<{
+	clock: Clock;
+	cursorSecret: string;
+	readState: () => EntryState;
+	update: (event: EntryEvent) => void;
+	random: () => number;
+}>;
+
+/** Runs the effects of the streams: connections, buffers, callers. */
+export type StreamHost = Readonly<{
+	/** Adds the stream of a caller before its request is told to the entry. */
+	add: (id: string, req: GenerationRequest) => CallerStream;
+	run: (effect: StreamEffect) => void;
+	heartbeat: () => void;
+	size: () => number;
+}>;
+
+type Hosted = {
+	req: GenerationRequest;
+	caller: CallerStream;
+	delivered: ReturnType<typeof createDelivered>;
+	/** Chunk that the entry decides on now. */
+	chunk: readonly string[];
+	connections: Map<number, () => void>;
+};
+
+/** Creates the host of the streams of one entry. */
+export function createStreamHost(parts: StreamHostParts): StreamHost {
+	const {clock, readState, update, random} = parts;
+	const hosted = new Map<string, Hosted>();
+
+	const tell = (stream: string, event: InnerEvent): void => {
+		update({kind: 'generation-event', stream, event, random: random()});
+	};
+
+	const remove = (id: string): void => {
+		hosted.get(id)?.connections.forEach((close) => {
+			close();
+		});
+		hosted.delete(id);
+	};
+
+	const takeChunk = (id: string, connection: number, chunk: EngineChunk) => {
+		const stream = hosted.get(id);
+		if (!stream) {
+			return;
+		}
+
+		const {generation, attempt, offset, tokens} = chunk;
+		stream.chunk = tokens;
+		tell(id, {
+			kind: 'chunk-received',
+			connection,
+			generation,
+			attempt,
+			offset,
+			count: tokens.length,
+			now: clock.now(),
+		});
+		stream.chunk = [];
+	};
+
+	const createListener = (id: string, connection: number): EngineListener => ({
+		onOpen() {
+			tell(id, {kind: 'connected', connection, now: clock.now()});
+		},
+		onChunk(chunk) {
+			takeChunk(id, connection, chunk);
+		},
+		onEnd(end) {
+			tell(id, {kind: 'end-received', connection, ...end, now: clock.now()});
+		},
+		onLost() {
+			tell(id, {kind: 'connection-lost', connection, now: clock.now()});
+		},
+		onRefused(transient) {
+			const now = clock.now();
+			tell(id, {kind: 'backend-refused', connection, transient, now});
+		},
+	});
+
+	const connect = (
+		id: string,
+		connection: number,
+		req: EngineRequest,
+	): void => {
+		const listener = createListener(id, connection);
+		if (req.address === '') {
+			setImmediate(listener.onLost);
+			return;
+		}
+
+		const close = openEngineStream(req, listener);
+		hosted.get(id)?.connections.set(connection, close);
+	};
+
+	const start = (effect: StartEffect): void => {
+		const stream = hosted.get(effect.stream);
+		if (!stream) {
+			return;
+		}
+
+		const {generation, attempt, priority, prefixLength, address} = effect;
+		const {model, prompt, maxTokens} = stream.req;
+		const prefix = stream.delivered.tokens.slice(0, prefixLength);
+		const body = {
+			generation,
+			attempt,
+			model,
+			prompt,
+			prefix,
+			maxTokens,
+			priority,
+		};
+		connect(effect.stream, effect.connection, {kind: 'start', address, body});
+	};
+
+	const resume = (effect: ResumeEffect): void => {
+		const {stream, connection, address, generation, attempt, offset} = effect;
+		connect(stream, connection, {
+			kind: 'resume',
+			address,
+			generation,
+			attempt,
+			offset,
+		});
+	};
+
+	const close = (id: string, connection: number): void => {
+		const stream = hosted.get(id);
+		stream?.connections.get(connection)?.();
+		stream?.connections.delete(connection);
+	};
+
+	const probe = (
+		effect: Extract<StreamEffect, {kind: 'probe-attempt'}>,
+	): void => {
+		const {stream, probe, address} = effect;
+		if (address === '') {
+			setImmediate(() => {
+				tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
+			});
+			return;
+		}
+
+		void probeAttempt(effect, PROBE_TIMEOUT_MS).match(
+			({held, length}) => {
+				const now = clock.now();
+				tell(stream, {kind: 'probe-answered', probe, held, length, now});
+			},
+			() => {
+				tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
+			},
+		);
+	};
+
+	const createCursor = (id: string, offset: number): Cursor | undefined => {
+		const state = readState();
+		const stream = state.streams.get(id);
+		return stream?.machine && stream.backend
+			? {
+					customer: stream.customer,
+					requestId: stream.input.requestId,
+					generation: stream.generation,
+					backend: stream.backend.id,
+					attempt: stream.machine.attempt,
+					entry: state.options.id,
+					offset,
+				}
+			: undefined;
+	};
+
+	const deliver = (
+		effect: Extract<StreamEffect, {kind: 'deliver-tokens'}>,
+	): void => {
+		const {stream: id, offset, count} = effect;
+		const stream = hosted.get(id);
+		const cursor = createCursor(id, offset + count);
+		if (!stream || !cursor) {
+			return;
+		}
+
+		const tokens = stream.chunk.slice(-count);
+		appendTokens(stream.delivered, tokens);
+		const deliveredDigest = readDigest(stream.delivered);
+		stream.caller.sendTokens(
+			writeCursor({cursor, deliveredDigest}, parts.cursorSecret),
+			{offset, tokens},
+		);
+	};
+
+	const retain = (
+		effect: Extract<StreamEffect, {kind: 'retain-tokens'}>,
+	): void => {
+		const stream = hosted.get(effect.stream);
+		const state = readState().streams.get(effect.stream);
+		if (!stream || !state?.machine) {
+			return;
+		}
+
+		const from = stream.chunk.length - (state.machine.held - effect.offset);
+		const tokens = stream.chunk.slice(from, from + effect.count);
+		appendTokens(stream.delivered, tokens);
+	};
+
+	return {
+		add(id, req) {
+			const caller = createCallerStream(() => {
+				remove(id);
+				const now = clock.now();
+				update({kind: 'caller-left', stream: id, now, random: random()});
+			});
+			const delivered = createDelivered();
+			appendTokens(delivered, req.delivered ?? []);
+			hosted.set(id, {
+				req,
+				caller,
+				delivered,
+				chunk: [],
+				connections: new Map(),
+			});
+			return caller;
+		},
+		run(effect) {
+			switch (effect.kind) {
+				case 'start-attempt': {
+					start(effect);
+					return;
+				}
+
+				case 'resume-attempt': {
+					resume(effect);
+					return;
+				}
+
+				case 'close-connection': {
+					close(effect.stream, effect.connection);
+					return;
+				}
+
+				case 'probe-attempt': {
+					probe(effect);
+					return;
+				}
+
+				case 'cancel-attempt': {
+					if (effect.address !== '') {
+						const giveUpAt = clock.now() + effect.giveUpAfterMs;
+						void cancelAttempt(effect, giveUpAt);
+					}
+
+					return;
+				}
+
+				case 'deliver-tokens': {
+					deliver(effect);
+					return;
+				}
+
+				case 'retain-tokens': {
+					retain(effect);
+					return;
+				}
+
+				case 'finish-stream': {
+					hosted.get(effect.stream)?.caller.finish(effect.total);
+					remove(effect.stream);
+					return;
+				}
+
+				case 'refuse-stream': {
+					const problem = createRefusalProblem(effect.refusal);
+					hosted.get(effect.stream)?.caller.refuse(problem);
+					remove(effect.stream);
+				}
+			}
+		},
+		heartbeat() {
+			hosted.forEach(({caller}) => {
+				caller.heartbeat();
+			});
+		},
+		size: () => hosted.size,
+	};
+}
--- a/packages/lovage-wire/src/entry-peer-api.ts
+++ b/packages/lovage-wire/src/entry-peer-api.ts
@@ -16,12 +16,6 @@
 /** Where a generation lives, kept in memory at its home entry. */
 export type GenerationPlace = z.output<typeof generationPlaceSchema>;
 
-const lookUpSchema = z.strictObject({
-	customer: z.string(),
-	requestId: z.string(),
-	digest: z.string(),
-});
-
 /** Answer of a home entry. */
 export type LookUpAnswer =
 	| {kind: 'found'; place: GenerationPlace}
@@ -36,9 +30,10 @@
 	}) => Promise<{kind: 'taken'}>;
 	/** Registers a generation unless another is there, and says which holds. */
 	registerGeneration: (input: GenerationPlace) => Promise<LookUpAnswer>;
-	lookUpGeneration: (
-		input: z.output<typeof lookUpSchema>,
-	) => Promise<LookUpAnswer>;
+	/** Forgets a generation that ended without a whole answer. */
+	forgetGeneration: (input: GenerationPlace) => Promise<{kind: 'taken'}>;
+	/** Another entry serves the caller now: its attempt is not cancelled. */
+	releaseGeneration: (input: {generation: string}) => Promise<{kind: 'taken'}>;
 }>;
 
 const t = initTRPC.create();
@@ -54,9 +49,12 @@
 		registerGeneration: t.procedure
 			.input(generationPlaceSchema)
 			.mutation(async ({input}) => handlers.registerGeneration(input)),
-		lookUpGeneration: t.procedure
-			.input(lookUpSchema)
-			.query(async ({input}) => handlers.lookUpGeneration(input)),
+		forgetGeneration: t.procedure
+			.input(generationPlaceSchema)
+			.mutation(async ({input}) => handlers.forgetGeneration(input)),
+		releaseGeneration: t.procedure
+			.input(z.strictObject({generation: z.string().max(128)}))
+			.mutation(async ({input}) => handlers.releaseGeneration(input)),
 	});
 }
 
--- a/packages/lovage-wire/src/index.ts
+++ b/packages/lovage-wire/src/index.ts
@@ -72,5 +72,6 @@
 	LookUpAnswer,
 } from './entry-peer-api.js';
 export {createEntryPeerRouter} from './entry-peer-api.js';
+export {digestPromptPrefix} from './prefix.js';
 export type {Outcome, Problem, ProblemType} from './problem.js';
 export {createProblem, isProblem, PROBLEM_CONTENT_TYPE} from './problem.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -25,18 +25,6 @@
 			'@typescript-eslint/naming-convention': 'off',
 			'@typescript-eslint/switch-exhaustiveness-check': 'error',
 			'@typescript-eslint/consistent-type-imports': 'error',
-			// Collections of the library immutable are made without `new`.
-			'new-cap': [
-				'error',
-				{
-					capIsNewExceptions: [
-						'ImmutableMap',
-						'ImmutableSet',
-						'ImmutableList',
-						'ImmutableOrderedMap',
-					],
-				},
-			],
 			// The house style asks for array methods, and it goes before XO's rules.
 			'unicorn/no-array-for-each': 'off',
 			'unicorn/no-array-reduce': 'off',
@@ -45,7 +33,15 @@
 			// Factories of the `immutable` library.
 			'new-cap': [
 				'error',
-				{capIsNewExceptions: ['List', 'Map', 'Set', 'OrderedMap']},
+				{
+					capIsNewExceptions: [
+						'ImmutableMap',
+						'List',
+						'Map',
+						'OrderedMap',
+						'Set',
+					],
+				},
 			],
 		},
 	},
