Let the programs log without an environment variable

Cause: roarr reads ROARR_LOG when it is imported and hands out a silent logger without it; a writer installed later is never called. Ruled out: the writer (set, never called) and the level filter. The variable is now set in a module loaded before roarr; a test reads the lines.

--- a/packages/lovage-runtime/src/logs.ts
+++ b/packages/lovage-runtime/src/logs.ts
@@ -1,4 +1,8 @@
 import process from 'node:process';
+// Must be loaded before roarr.
+// eslint-disable-next-line import-x/no-unassigned-import
+import './enable-roarr.js';
+// eslint-disable-next-line import-x/order
 import {Roarr, ROARR} from 'roarr';
 
 /** Values that go with a log line. */
@@ -22,6 +26,9 @@
 	error: 50,
 };
 
+// A program that installs no writer, such as a command line, logs nothing.
+ROARR.write = () => undefined;
+
 /** Makes roarr write JSON lines to standard error, without any environment variable. */
 export function installLogWriter(level: LogLevel): void {
 	ROARR.write = (line) => {
