--- a/packages/lovage-fakes/src/addresses.ts
+++ b/packages/lovage-fakes/src/addresses.ts
@@ -40,13 +40,17 @@
 	return (await ask(entry, key)) ?? askFirst(others, key);
 }
 
-/** Creates an empty book; `entries` are known from the caller's settings. */
+/**
+ * Creates a book; `entries` are known from the caller's settings, and `held`
+ * from an answer that the caller keeps for good.
+ */
 export function createAddressBook(
 	entries: readonly string[],
 	key: string,
+	held: readonly string[] = [],
 ): AddressBook {
-	let addresses: readonly string[] = [];
-	let expiresAt = 0;
+	let addresses = held;
+	let expiresAt = held.length > 0 ? Number.POSITIVE_INFINITY : 0;
 
 	return {
 		async next() {
--- a/packages/lovage-fakes/src/announcer.ts
+++ b/packages/lovage-fakes/src/announcer.ts
@@ -37,7 +37,6 @@
 export function createAnnouncer(
 	entries: readonly string[],
 	describe: () => Omit<Announcement, Generated>,
-	onFirstTaken: () => void,
 ): Announcer {
 	const incarnation = Date.now();
 	let sequence = 0;
@@ -46,7 +45,6 @@
 	let timer: NodeJS.Timeout | undefined;
 	let stopped = entries.length === 0;
 	let sending = false;
-	let isTaken = false;
 
 	const schedule = (delayMs: number): void => {
 		clearTimeout(timer);
@@ -69,9 +67,6 @@
 		sending = false;
 		if (everyMs === undefined) {
 			entryIndex += 1;
-		} else if (!isTaken) {
-			isTaken = true;
-			onFirstTaken();
 		}
 
 		schedule(sentState === state ? (everyMs ?? RETRY_MS) : 0);
--- /dev/null
+++ b/packages/lovage-fakes/src/bench-main.ts
@@ -0,0 +1,229 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {command, flag, oneOf, option, run} from 'cmd-ts';
+import {
+	measureCommits,
+	measureRest,
+	measureRestart,
+	type RestartRow,
+} from './bench-control.js';
+import {
+	measureLatency,
+	measureMemory,
+	measureThroughput,
+	type StreamPath,
+} from './bench-stream.js';
+import {createCluster, type Cluster, type ClusterSpec} from './cluster.js';
+import type {BackendSpec} from './cluster-members.js';
+import {startProgram} from './program.js';
+import {waitFor} from './wait.js';
+
+const LATENCY_STREAMS = 40;
+const LATENCY_TOKENS = 60;
+const THROUGHPUT_STREAMS = 100;
+const THROUGHPUT_TOKENS = 200;
+const MEMORY_STEPS = [0, 200, 400, 800];
+const MEMORY_SETTLE_MS = 4000;
+const REST_MS = 10_000;
+const CONTROL_NAMES = ['control-1', 'control-2', 'control-3'];
+
+/** Results of one part of the bench. */
+type Rows = Readonly<Record<string, ReadonlyArray<Record<string, unknown>>>>;
+
+function createEngine(
+	index: number,
+	options: BackendSpec['options'],
+): BackendSpec {
+	const id = `lyric-${String(index + 1).padStart(2, '0')}`;
+	const dataCentre = `london-${'abcd'[index % 4]!}`;
+	return {
+		kind: 'engine',
+		id,
+		service: 'lyric-analysis',
+		dataCentre,
+		options: {
+			models: 'lyric-large:2026.11',
+			capacity: 4096,
+			'slowdown-share': 0,
+			'prefill-ms-per-kb': 0,
+			...options,
+		},
+	};
+}
+
+async function withCluster<T>(
+	spec: Omit<ClusterSpec, 'example'>,
+	body: (cluster: Cluster) => Promise<T>,
+): Promise<T> {
+	const cluster = await createCluster({example: 'verselight', ...spec});
+	try {
+		await cluster.start();
+		await cluster.waitForBackends();
+		return await body(cluster);
+	} finally {
+		await cluster.remove();
+	}
+}
+
+function createEntryPath(cluster: Cluster): StreamPath {
+	const keys = Object.values(cluster.example.customerKeys);
+	return {
+		name: 'entry',
+		url: `${cluster.addresses[0]!}/v1/generations`,
+		key: keys[0]!,
+		pid: cluster.entries[0]!.read().pid,
+		createBody: (requestId, maxTokens) => ({
+			requestId,
+			service: 'lyric-analysis',
+			prompt: 'Summarise the brief.',
+			maxTokens,
+		}),
+	};
+}
+
+async function createRelayPath(cluster: Cluster): Promise<StreamPath> {
+	const engine = cluster.backends[0]!;
+	const relay = startProgram({
+		name: 'relay',
+		file: 'lovage-fakes/dist/relay-main.js',
+		args: ['--target', String(engine.port)],
+		outputFile: `${cluster.folder}/relay.log`,
+	});
+	const port = await waitFor('the port of the relay', () => {
+		const [line] = relay.readOutput().split('\n');
+		return line === '' || line === undefined
+			? undefined
+			: (JSON.parse(line) as {port: number}).port;
+	});
+	return {
+		name: 'bare relay',
+		url: `http://127.0.0.1:${port}/v1/generations`,
+		key: 'none',
+		pid: relay.pid,
+		createBody: (generation, maxTokens) => ({
+			generation,
+			attempt: 1,
+			prompt: 'Summarise the brief.',
+			maxTokens,
+		}),
+	};
+}
+
+async function withPaths<T>(
+	msPerToken: number,
+	body: (paths: readonly [StreamPath, StreamPath]) => Promise<T>,
+): Promise<T> {
+	const spec = {
+		entries: 1,
+		controls: 3,
+		backends: [createEngine(0, {'ms-per-token': msPerToken})],
+	};
+	return withCluster(spec, async (cluster) => {
+		const relay = await createRelayPath(cluster);
+		try {
+			return await body([relay, createEntryPath(cluster)]);
+		} finally {
+			process.kill(relay.pid, 'SIGKILL');
+		}
+	});
+}
+
+async function benchStreams(): Promise<Rows> {
+	const latency = await withPaths(10, async (paths) =>
+		measureLatency(paths, LATENCY_STREAMS, LATENCY_TOKENS),
+	);
+	const throughput = await withPaths(1, async ([relay, entry]) => [
+		await measureThroughput(relay, THROUGHPUT_STREAMS, THROUGHPUT_TOKENS),
+		await measureThroughput(entry, THROUGHPUT_STREAMS, THROUGHPUT_TOKENS),
+	]);
+	const memory = await withPaths(1000, async ([, entry]) =>
+		measureMemory(entry, MEMORY_STEPS, async () => {
+			await delay(MEMORY_SETTLE_MS);
+		}),
+	);
+	return {latency, throughput, memory};
+}
+
+async function benchCommits(): Promise<Rows> {
+	const spec = {entries: 1, controls: 3, backends: []};
+	return withCluster(spec, async (cluster) => ({
+		commits: [
+			await measureCommits(cluster, 1, 500),
+			await measureCommits(cluster, 16, 4000),
+			await measureCommits(cluster, 64, 8000),
+		],
+	}));
+}
+
+async function benchRest(): Promise<Rows> {
+	const measure = async (entries: number, backends: number) => {
+		const engines = Array.from({length: backends}, (_, index) =>
+			createEngine(index, {}),
+		);
+		const relayed = CONTROL_NAMES;
+		return withCluster(
+			{entries, controls: 3, backends: engines, relayed},
+			async (cluster) => measureRest(cluster, REST_MS),
+		);
+	};
+
+	return {
+		rest: [await measure(1, 1), await measure(4, 1), await measure(1, 15)],
+	};
+}
+
+async function benchRestart(commits: number): Promise<RestartRow> {
+	const spec = {entries: 1, controls: 3, backends: []};
+	return withCluster(spec, async (cluster) => {
+		await measureCommits(cluster, 64, commits);
+		return measureRestart(cluster);
+	});
+}
+
+function printRows(rows: Rows, isJson: boolean): void {
+	if (isJson) {
+		process.stdout.write(`${JSON.stringify(rows, undefined, '\t')}\n`);
+		return;
+	}
+
+	Object.entries(rows).forEach(([name, table]) => {
+		process.stdout.write(`\n${name}\n`);
+		console.table(table);
+	});
+}
+
+const PARTS = {
+	streams: benchStreams,
+	commits: benchCommits,
+	rest: benchRest,
+	restart: async (): Promise<Rows> => ({
+		restart: [await benchRestart(500), await benchRestart(50_000)],
+	}),
+} as const;
+
+type PartName = keyof typeof PARTS;
+
+const PART_NAMES = Object.keys(PARTS) as readonly PartName[];
+
+const bench = command({
+	name: 'bench',
+	description: 'Measures the cost of the programs on loopback.',
+	args: {
+		part: option({
+			long: 'part',
+			type: oneOf<'all' | PartName>(['all', ...PART_NAMES]),
+			defaultValue: (): 'all' | PartName => 'all',
+		}),
+		json: flag({long: 'json'}),
+	},
+	async handler({part, json}) {
+		const names = part === 'all' ? (Object.keys(PARTS) as PartName[]) : [part];
+		await names.reduce<Promise<void>>(async (before, name) => {
+			await before;
+			printRows(await PARTS[name](), json);
+		}, Promise.resolve());
+	},
+});
+
+await run(bench, process.argv.slice(2));
--- a/packages/lovage-fakes/src/caller.ts
+++ b/packages/lovage-fakes/src/caller.ts
@@ -16,6 +16,8 @@
 export type GenerationCall = Readonly<{
 	/** Base URLs known from the settings. */
 	entries: readonly string[];
+	/** Addresses kept from an earlier answer: the entries are not asked. */
+	heldAddresses?: readonly string[];
 	key: string;
 	requestId: string;
 	service: string;
@@ -155,7 +157,7 @@
 /** Runs a generation to its end, reconnecting with the last cursor. */
 export async function runGeneration(call: GenerationCall): Promise<Transcript> {
 	const startedAt = performance.now();
-	const book = createAddressBook(call.entries, call.key);
+	const book = createAddressBook(call.entries, call.key, call.heldAddresses);
 	const progress: Progress = {
 		tokens: [],
 		faults: [],
--- a/packages/lovage-fakes/src/cluster-members.ts
+++ b/packages/lovage-fakes/src/cluster-members.ts
@@ -24,6 +24,7 @@
 	folder: string;
 	controlAddresses: readonly string[];
 	entryAddresses: readonly string[];
+	operatorKey: string;
 }>;
 
 /** A name with the place of its program. */
@@ -86,6 +87,7 @@
 		address: toAddress(place),
 		controls: ctx.controlAddresses,
 		dataFolder,
+		operatorKey: ctx.operatorKey,
 	});
 	return createDaemon(place, 'lovage-control/dist/main.js', settings, ctx);
 }
--- a/packages/lovage-fakes/src/cluster-settings.ts
+++ b/packages/lovage-fakes/src/cluster-settings.ts
@@ -1,5 +1,11 @@
+import {hashKey} from '@lovagevalve/inventory';
 import {stringify} from 'yaml';
 
+const CURSOR_SECRET = 'development-cursor-secret';
+
+/** How long callers of a development cluster keep their addresses. */
+export const ADDRESS_LIFETIME_MS = 2000;
+
 /** What the settings of one program say. */
 export type ProgramSettings = Readonly<{
 	name: string;
@@ -16,13 +22,16 @@
 	address,
 	controls,
 	dataFolder,
-}: ProgramSettings & Readonly<{dataFolder: string}>): string {
+	operatorKey,
+}: ProgramSettings &
+	Readonly<{dataFolder: string; operatorKey: string}>): string {
 	return stringify({
 		name,
 		listen: {host: '127.0.0.1', port},
 		address,
 		controls,
 		dataFolder,
+		bootstrapOperatorKeyHash: hashKey(operatorKey),
 	});
 }
 
@@ -40,5 +49,7 @@
 		address,
 		controls,
 		dataCentre,
+		cursorSecret: CURSOR_SECRET,
+		timings: {addressLifetimeMs: ADDRESS_LIFETIME_MS},
 	});
 }
--- a/packages/lovage-fakes/src/cluster.ts
+++ b/packages/lovage-fakes/src/cluster.ts
@@ -1,7 +1,6 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {fetch} from 'undici';
 import {
 	createBackend,
 	createControl,
@@ -13,13 +12,12 @@
 	type MemberContext,
 } from './cluster-members.js';
 import {createControlGroup, type ControlGroup} from './control-group.js';
+import {isServing, listBackends} from './entry-status.js';
 import {loadExample, type Example, type ExampleName} from './example.js';
 import type {Member} from './member.js';
 import {readRecords, type TimedRunRecord} from './run-record.js';
 import {waitFor} from './wait.js';
 
-const HEALTH_TIMEOUT_MS = 1000;
-
 /** Which programs a cluster has. */
 export type ClusterSpec = Readonly<{
 	example: ExampleName;
@@ -45,34 +43,38 @@
 	readRecords: () => readonly TimedRunRecord[];
 	/** Starts every program and waits until the entries serve. */
 	start: () => Promise<void>;
-	/** Waits until an entry has taken an announcement of each backend server. */
+	/** Waits until each running entry knows each running backend server. */
 	waitForBackends: () => Promise<void>;
 	/** Kills what still runs and removes the files. */
 	remove: () => Promise<void>;
 }>;
 
-/** Tells whether an entry or a control instance answers that it is well. */
-export async function isHealthy(address: string): Promise<boolean> {
-	try {
-		const res = await fetch(`${address}/health`, {
-			signal: AbortSignal.timeout(HEALTH_TIMEOUT_MS),
-		});
-		await res.arrayBuffer();
-		return res.ok;
-	} catch {
-		return false;
-	}
-}
-
-/** Waits until each of the members answers that it is well. */
-export async function waitForHealth(members: readonly Member[]): Promise<void> {
+/** Waits until each of the entries serves. */
+export async function waitForEntries(
+	entries: readonly Member[],
+): Promise<void> {
 	await Promise.all(
-		members.map(async ({name, address}) =>
-			waitFor(`health of ${name}`, async () => isHealthy(address)),
+		entries.map(async ({name, address}) =>
+			waitFor(`${name} to serve`, async () => isServing(address)),
 		),
 	);
 }
 
+async function waitForView(
+	entry: Member,
+	backends: readonly Member[],
+	operatorKey: string,
+): Promise<void> {
+	await waitFor(`the backend servers at ${entry.name}`, async () => {
+		const known = await listBackends(entry.address, operatorKey);
+		return backends.every(({name, read}) =>
+			known.some(
+				({id, incarnation}) => id === name && incarnation >= read().startedAt,
+			),
+		);
+	});
+}
+
 function createNames(prefix: string, count: number): readonly string[] {
 	return Array.from({length: count}, (_, index) => `${prefix}-${index + 1}`);
 }
@@ -95,6 +97,7 @@
 		folder,
 		controlAddresses: controlPlaces.map(toAddress),
 		entryAddresses: entryPlaces.map(toAddress),
+		operatorKey: example.operator.key,
 	};
 	const controls = controlPlaces.map((one) => createControl(one, ctx));
 	const entries = entryPlaces.map((one, index) =>
@@ -130,17 +133,18 @@
 			await group.apply({baseVersion: 0, configuration});
 			entries.forEach(({start}) => start());
 			backends.forEach(({start}) => start());
-			await waitForHealth(entries);
+			await waitForEntries(entries);
 		},
 		async waitForBackends() {
-			const names = backends.map(({name}) => name);
-			await waitFor('announcements of the backend servers', () => {
-				const records = readRecords(getRecordFile(folder));
-				const announced = records.filter(({kind}) => kind === 'announced');
-				return names.every((name) =>
-					announced.some(({backend}) => backend === name),
-				);
-			});
+			const isRunning = ({read}: Member): boolean => read().isRunning();
+			const running = backends.filter(isRunning);
+			await Promise.all(
+				entries
+					.filter(isRunning)
+					.map(async (entry) =>
+						waitForView(entry, running, example.operator.key),
+					),
+			);
 		},
 		async remove() {
 			await Promise.all(members.map(async ({kill}) => kill()));
--- a/packages/lovage-fakes/src/control-group.ts
+++ b/packages/lovage-fakes/src/control-group.ts
@@ -124,7 +124,7 @@
 			};
 			return waitFor('an outcome of the change', async () =>
 				findOutcome<ApplyAnswer>(async (client, signal) =>
-					client.apply.mutate(input, {signal}),
+					client.applyConfiguration.mutate(input, {signal}),
 				),
 			);
 		},
--- a/packages/lovage-fakes/src/demo-main.ts
+++ b/packages/lovage-fakes/src/demo-main.ts
@@ -1,17 +1,16 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import {callUntilSettled, type ServiceCall} from './caller-calls.js';
-import {runGeneration, type GenerationCall} from './caller.js';
+import type {GenerationCall} from './caller.js';
 import {createCluster, type Cluster} from './cluster.js';
 import type {BackendSpec} from './cluster-members.js';
+import {formatAnswers, formatCall, formatMeasures} from './demo-report.js';
 import {
-	formatAnswers,
-	formatCall,
-	formatMeasures,
 	isWhole,
-	type DemoAnswer,
-} from './demo-report.js';
-import {waitFor} from './wait.js';
+	trackGenerations,
+	type Answer,
+	type TrackedGenerations,
+} from './tracked-generations.js';
 import {
 	findBusiestBackend,
 	listAttempts,
@@ -55,25 +54,16 @@
 	];
 }
 
-function createCalls(
-	cluster: Cluster,
-	onProgress: (index: number, tokens: number, address: string) => void,
-): readonly GenerationCall[] {
+function createCalls(cluster: Cluster): readonly GenerationCall[] {
 	const customers = Object.entries(cluster.example.customerKeys);
-	return Array.from({length: GENERATIONS}, (_, index) => {
-		const [customer, key] = customers[index % customers.length]!;
-		return {
-			entries: cluster.addresses,
-			key,
-			requestId: `${customer}-brief-${index}`,
-			service: 'lyric-analysis',
-			prompt: `Summarise clearance ${index} for ${customer}.`,
-			maxTokens: MAX_TOKENS,
-			onProgress(tokens, address) {
-				onProgress(index, tokens, address);
-			},
-		};
-	});
+	return customers.slice(0, GENERATIONS).map(([customer, key], index) => ({
+		entries: cluster.addresses,
+		key,
+		requestId: `${customer}-brief-${index}`,
+		service: 'lyric-analysis',
+		prompt: `Summarise clearance ${index} for ${customer}.`,
+		maxTokens: MAX_TOKENS,
+	}));
 }
 
 async function killEngine(cluster: Cluster): Promise<readonly string[]> {
@@ -87,37 +77,31 @@
 	return lost.map(({prompt}) => prompt);
 }
 
-async function streamWithFaults(
+async function killEntry(
 	cluster: Cluster,
-): Promise<
-	Readonly<{answers: readonly DemoAnswer[]; interrupted: readonly string[]}>
-> {
-	const lengths = new Map<number, number>();
-	const serving = new Map<number, string>();
-	const calls = createCalls(cluster, (index, tokens, address) => {
-		lengths.set(index, tokens);
-		serving.set(index, address);
-	});
-	const running = Promise.all(
-		calls.map(async (call) => ({call, transcript: await runGeneration(call)})),
-	);
-	const waitForTokens = async (count: number) =>
-		waitFor(`${count} tokens of each answer`, () =>
-			calls.every((_, index) => (lengths.get(index) ?? 0) >= count),
-		);
-
-	await waitForTokens(KILL_ENGINE_AT_TOKEN);
-	const interrupted = await killEngine(cluster);
-	await waitForTokens(KILL_ENTRY_AT_TOKEN);
-	const address = serving.get(0)!;
+	generations: TrackedGenerations,
+): Promise<readonly string[]> {
+	const {calls, findAddress} = generations;
+	const address = findAddress(calls[0]!);
 	const entry = cluster.entries.find((one) => one.address === address)!;
-	const cut = calls.filter((_, index) => serving.get(index) === address);
+	const cut = calls.filter((call) => findAddress(call) === address);
 	await entry.read().end('SIGKILL');
 	print(`Killed the entry ${entry.name} with ${cut.length} answers on it.`);
-	return {
-		answers: await running,
-		interrupted: [...interrupted, ...cut.map(({prompt}) => prompt)],
-	};
+	return cut.map(({prompt}) => prompt);
+}
+
+async function streamWithFaults(
+	cluster: Cluster,
+): Promise<
+	Readonly<{answers: readonly Answer[]; interrupted: readonly string[]}>
+> {
+	const generations = trackGenerations(createCalls(cluster));
+	await generations.waitForTokens(KILL_ENGINE_AT_TOKEN);
+	const onEngine = await killEngine(cluster);
+	await generations.waitForTokens(KILL_ENTRY_AT_TOKEN);
+	const onEntry = await killEntry(cluster, generations);
+	const answers = await generations.answers;
+	return {answers, interrupted: [...onEngine, ...onEntry]};
 }
 
 async function callServices(cluster: Cluster): Promise<boolean> {
--- a/packages/lovage-fakes/src/demo-report.ts
+++ b/packages/lovage-fakes/src/demo-report.ts
@@ -1,26 +1,10 @@
 import type {CallOutcome} from './caller-calls.js';
-import type {GenerationCall, Transcript} from './caller.js';
-import {verifyTranscript} from './tokens.js';
+import {isWhole, type Answer} from './tracked-generations.js';
 import type {WorkSummary} from './work-summary.js';
 
 const SHOWN_TOKENS = 3;
 
-/** A generation that the demo asked for, with what came. */
-export type DemoAnswer = Readonly<{
-	call: GenerationCall;
-	transcript: Transcript;
-}>;
-
-/** Tells whether an answer is whole and of one run. */
-export function isWhole({call, transcript}: DemoAnswer): boolean {
-	return (
-		transcript.outcome === 'whole' &&
-		transcript.faults.length === 0 &&
-		verifyTranscript(call.prompt, transcript.tokens)
-	);
-}
-
-function formatAnswer(answer: DemoAnswer): string {
+function formatAnswer(answer: Answer): string {
 	const {call, transcript} = answer;
 	const {tokens, connections, longestGapMs, problem} = transcript;
 	const first = tokens.slice(0, SHOWN_TOKENS).join(' ');
@@ -37,13 +21,13 @@
 }
 
 /** Formats the answers, shortened. */
-export function formatAnswers(answers: readonly DemoAnswer[]): string {
+export function formatAnswers(answers: readonly Answer[]): string {
 	return ['Answers:', ...answers.map(formatAnswer)].join('\n');
 }
 
 /** Formats the two measures of the demo's run. */
 export function formatMeasures(
-	answers: readonly DemoAnswer[],
+	answers: readonly Answer[],
 	interrupted: readonly string[],
 	work: WorkSummary,
 ): string {
--- a/packages/lovage-fakes/src/engine-main.ts
+++ b/packages/lovage-fakes/src/engine-main.ts
@@ -97,13 +97,7 @@
 			load: batch.load(),
 			cacheEvents: [...cache.takeChanges()],
 		});
-		const announcer = createAnnouncer(
-			splitList(args.announce),
-			describe,
-			() => {
-				record({kind: 'announced'});
-			},
-		);
+		const announcer = createAnnouncer(splitList(args.announce), describe);
 		leaveOnSignal({
 			onLeave() {
 				record({kind: 'leaving'});
--- a/packages/lovage-fakes/src/prefix-cache.ts
+++ b/packages/lovage-fakes/src/prefix-cache.ts
@@ -1,7 +1,4 @@
-import {createHash} from 'node:crypto';
-
-/** Leading characters of a prompt that the cache is keyed by. */
-export const CACHE_PREFIX_LENGTH = 1024;
+import {digestPromptPrefix} from '@lovagevalve/wire';
 
 /** A change of the cache, as it is announced. */
 export type CacheChange = Readonly<{
@@ -18,14 +15,6 @@
 	takeChanges: () => readonly CacheChange[];
 }>;
 
-/** Digest of the leading part of a prompt. */
-export function digestPromptPrefix(prompt: string): string {
-	return createHash('sha256')
-		.update(prompt.slice(0, CACHE_PREFIX_LENGTH))
-		.digest('hex')
-		.slice(0, 32);
-}
-
 /** Creates an empty cache of `size` prefixes. */
 export function createPrefixCache(size: number): PrefixCache {
 	const held = new Set<string>();
--- a/packages/lovage-fakes/src/program.ts
+++ b/packages/lovage-fakes/src/program.ts
@@ -13,6 +13,8 @@
 export type Program = Readonly<{
 	name: string;
 	pid: number;
+	/** Wall clock at the start, in milliseconds. */
+	startedAt: number;
 	isRunning: () => boolean;
 	/** What it wrote to both outputs so far. */
 	readOutput: () => string;
@@ -37,6 +39,7 @@
 export function startProgram(spec: ProgramSpec): Program {
 	const file = fileURLToPath(new URL(spec.file, PACKAGES));
 	const output = createWriteStream(spec.outputFile, {flags: 'a'});
+	const startedAt = Date.now();
 	const child = spawn(process.execPath, [file, ...spec.args], {
 		stdio: ['ignore', 'pipe', 'pipe'],
 	});
@@ -59,6 +62,7 @@
 	return {
 		name: spec.name,
 		pid: child.pid!,
+		startedAt,
 		isRunning: () => isRunning,
 		readOutput: () => readFileSync(spec.outputFile, 'utf8'),
 		signal,
--- a/packages/lovage-fakes/src/relay.ts
+++ b/packages/lovage-fakes/src/relay.ts
@@ -12,6 +12,8 @@
 	silenceNew: (directions: SilentDirections) => void;
 	/** Drops the bytes of both open and new connections. */
 	silenceAll: (directions: SilentDirections) => void;
+	/** Closes every open connection, silent or not. */
+	closeOpen: () => void;
 	countOpen: () => number;
 	/** Bytes passed on to the target and to the client. */
 	countBytes: () => Readonly<{toTarget: number; toClient: number}>;
@@ -109,6 +111,13 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 
+	const closeOpen = (): void => {
+		links.forEach(({client, target}) => {
+			client.destroy();
+			target.destroy();
+		});
+	};
+
 	return {
 		port: (server.address() as AddressInfo).port,
 		silenceOpen,
@@ -117,13 +126,11 @@
 			silenceOpen(directions);
 			silenceNew(directions);
 		},
+		closeOpen,
 		countOpen: () => links.size,
 		countBytes: () => ({...counter}),
 		async close() {
-			links.forEach(({client, target}) => {
-				client.destroy();
-				target.destroy();
-			});
+			closeOpen();
 			await new Promise<void>((resolve) => {
 				server.close(() => {
 					resolve();
--- a/packages/lovage-fakes/src/run-record.ts
+++ b/packages/lovage-fakes/src/run-record.ts
@@ -20,8 +20,6 @@
 	  }
 	| {kind: 'called'; requestId: string; customer: string; operation: string}
 	| {kind: 'ordered'; order: string; fencing: number; obeyed: boolean}
-	/** The first announcement of a start was taken. */
-	| {kind: 'announced'}
 	| {kind: 'leaving'};
 
 /** A record with who wrote it and when, in wall-clock milliseconds. */
--- a/packages/lovage-fakes/src/service-main.ts
+++ b/packages/lovage-fakes/src/service-main.ts
@@ -86,9 +86,7 @@
 			load: {running, waiting: 0},
 			cacheEvents: [],
 		});
-		const announcer = createAnnouncer(entries, describe, () => {
-			record({kind: 'announced'});
-		});
+		const announcer = createAnnouncer(entries, describe);
 		leaveOnSignal({
 			onLeave() {
 				record({kind: 'leaving'});
--- /dev/null
+++ b/packages/lovage-fakes/src/tracked-generations.ts
@@ -0,0 +1,58 @@
+import {runGeneration, type GenerationCall, type Transcript} from './caller.js';
+import {verifyTranscript} from './tokens.js';
+import {waitFor} from './wait.js';
+
+/** A generation that was asked for, with what came. */
+export type Answer = Readonly<{call: GenerationCall; transcript: Transcript}>;
+
+/** Generations under way, with how far each caller is. */
+export type TrackedGenerations = Readonly<{
+	calls: readonly GenerationCall[];
+	/** Address that served a call last. */
+	findAddress: (call: GenerationCall) => string | undefined;
+	/** Waits until each caller has this many tokens. */
+	waitForTokens: (count: number) => Promise<void>;
+	answers: Promise<readonly Answer[]>;
+}>;
+
+/** Starts the calls at the same time. */
+export function trackGenerations(
+	calls: readonly GenerationCall[],
+): TrackedGenerations {
+	const lengths = new Map<string, number>();
+	const addresses = new Map<string, string>();
+
+	const answers = Promise.all(
+		calls.map(async (call) => {
+			const transcript = await runGeneration({
+				...call,
+				onProgress(tokens, address) {
+					lengths.set(call.requestId, tokens);
+					addresses.set(call.requestId, address);
+				},
+			});
+			return {call, transcript};
+		}),
+	);
+
+	return {
+		calls,
+		findAddress: ({requestId}) => addresses.get(requestId),
+		async waitForTokens(count) {
+			await waitFor(`${count} tokens of each answer`, () =>
+				calls.every(({requestId}) => (lengths.get(requestId) ?? 0) >= count),
+			);
+		},
+		answers,
+	};
+}
+
+/** Tells whether an answer is whole and of one run. */
+export function isWhole({call, transcript}: Answer): boolean {
+	return (
+		transcript.outcome === 'whole' &&
+		transcript.faults.length === 0 &&
+		transcript.tokens.length === call.maxTokens &&
+		verifyTranscript(call.prompt, transcript.tokens)
+	);
+}
