Place work by the placement and admission packages

The entry's own first-come order and random choice are replaced by the queue of each service (shares, priorities, resumed work first, retry budget) and by the load-aware choice. A request without a model gets the service's first one, so that no backend server runs it before the model is loaded.

--- a/packages/lovage-entry-role/src/checks.ts
+++ b/packages/lovage-entry-role/src/checks.ts
@@ -6,14 +6,16 @@
 
 const COME_BACK_MS = 1000;
 
+/** A request that may go on. */
+export type AllowedRequest = Readonly<{
+	customer: string;
+	service: Service;
+	configuration: Configuration;
+}>;
+
 /** A request that may go on, or why it may not. */
 export type Check =
-	| {
-			kind: 'allowed';
-			customer: string;
-			service: Service;
-			configuration: Configuration;
-	  }
+	| ({kind: 'allowed'} & AllowedRequest)
 	| {kind: 'refused'; refusal: RefusalDetail};
 
 /** Builds a refusal that names other entries and when to come back. */
--- a/packages/lovage-entry-role/src/connect.ts
+++ b/packages/lovage-entry-role/src/connect.ts
@@ -33,25 +33,6 @@
 		: undefined;
 }
 
-function choose(state: EntryState, call: Call, moment: Moment) {
-	const {configuration} = state.lease;
-	return (
-		configuration &&
-		choosePlace(
-			state.view,
-			configuration,
-			{
-				service: call.input.service,
-				prefixes: [],
-				excluded: call.excluded,
-				dataCentre: state.options.dataCentre,
-				isSuspect: false,
-			},
-			moment,
-		)
-	);
-}
-
 /** Connects a call to a backend server, or gives it up at once. */
 export function connectCall(
 	state: EntryState,
@@ -64,7 +45,11 @@
 		return giveUp(state, call, refusal, moment);
 	}
 
-	const place = choose(state, call, moment);
+	const place = choosePlace(
+		state,
+		{service: call.input.service, prefixes: [], excluded: call.excluded},
+		moment,
+	);
 	if (!place) {
 		const detail = 'No backend server has room for this call.';
 		return giveUp(state, call, describe('no-backend-server', detail), moment);
--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -11,9 +11,10 @@
 import type {EntryEffect, EntryEvent} from './events.js';
 import {expireHomes} from './homes.js';
 import {applyGrant} from './lease.js';
-import {placeStream, stepStream, type Moment} from './machine.js';
+import {stepStream, type Moment} from './machine.js';
 import {registerPlace, removePlace} from './places.js';
-import type {EntryState, Stream} from './state.js';
+import {serveQueues} from './queues.js';
+import type {EntryState} from './state.js';
 import {answerHome, leaveStream, requestGeneration} from './streams.js';
 import {
 	chain,
@@ -43,13 +44,13 @@
 			const {stream, event: inner, random} = event;
 			const moment = {now: inner.now, random};
 			return chain(stepStream(state, stream, inner, moment), (next) =>
-				placeWaiting(next, moment),
+				serveQueues(next, moment),
 			);
 		}
 
 		case 'caller-left': {
 			return chain(leaveStream(state, event), (next) =>
-				placeWaiting(next, event),
+				serveQueues(next, event),
 			);
 		}
 
@@ -139,27 +140,7 @@
 		? [{kind: 'relay-announcement', announcement}]
 		: [];
 	return chain(transition({...state, view}, relay), (next) =>
-		placeWaiting(next, event),
-	);
-}
-
-/** Order in which waiting streams get backend servers. */
-function compareWaiting(a: Stream, b: Stream): number {
-	const isResumed = (stream: Stream) =>
-		stream.phase.kind === 'queued' && stream.phase.isResumed ? 1 : 0;
-	return (
-		isResumed(b) - isResumed(a) ||
-		b.priority - a.priority ||
-		a.arrivedAt - b.arrivedAt
-	);
-}
-
-function placeWaiting(state: EntryState, moment: Moment): EntryTransition {
-	const waiting = [...state.streams.values()]
-		.filter(({phase}) => phase.kind === 'queued')
-		.toSorted(compareWaiting);
-	return chainEach(state, waiting, (next, stream) =>
-		placeStream(next, stream, moment),
+		serveQueues(next, event),
 	);
 }
 
@@ -202,7 +183,7 @@
 	return [
 		(next: EntryState) => tickStreams(next, moment),
 		(next: EntryState) => cancelAbandoned(next, now),
-		(next: EntryState) => placeWaiting(next, moment),
+		(next: EntryState) => serveQueues(next, moment),
 		(next: EntryState) => continueDrain(next, now),
 	].reduce(chain, transition(cleaned));
 }
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -223,6 +223,7 @@
 			attempt: number;
 			connection: number;
 			prefixLength: number;
+			model: string | undefined;
 			priority: number;
 	  }
 	| {
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -9,6 +9,7 @@
 import type {EntryEffect, Refusal, RefusalDetail} from './events.js';
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
+import {enqueueStream} from './queues.js';
 import {isSuspect, strikeDigest} from './suspects.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {
@@ -185,7 +186,7 @@
 		backend: undefined,
 		phase: {kind: 'queued', isResumed, excluded},
 	};
-	return placeStream(
+	return enqueueStream(
 		{...released, streams: released.streams.set(stream.id, queued)},
 		queued,
 		moment,
@@ -198,23 +199,19 @@
 	stream: Stream,
 	moment: Moment,
 ): EntryTransition {
-	const {configuration} = state.lease;
-	if (stream.phase.kind !== 'queued' || !configuration) {
+	if (stream.phase.kind !== 'queued') {
 		return transition(state);
 	}
 
-	const {input, customer, phase} = stream;
+	const {input, customer, phase, model} = stream;
+	const {service, prefixes, digest} = input;
+	const {excluded} = phase;
+	const suspect = isSuspect(state, customer, digest)
+		? strikeDigest(customer, digest)
+		: undefined;
 	const place = choosePlace(
-		state.view,
-		configuration,
-		{
-			service: input.service,
-			model: input.model,
-			prefixes: input.prefixes,
-			excluded: phase.excluded,
-			dataCentre: state.options.dataCentre,
-			isSuspect: isSuspect(state, customer, input.digest),
-		},
+		state,
+		{service, model, prefixes, excluded, suspect},
 		moment,
 	);
 	if (!place) {
@@ -253,6 +250,7 @@
 			attempt,
 			connection,
 			prefixLength,
+			model: stream.model,
 			priority: stream.priority,
 		},
 		...(prefixLength > 0
@@ -389,9 +387,13 @@
 	'quarantined',
 ]);
 
-function describeFailure(reason: FailureReason): RefusalDetail {
-	const retryAfterMs = FINAL.has(reason) ? undefined : COME_BACK_MS;
-	return {...FAILURES[reason], retryAfterMs};
+function describeFailure(
+	reason: FailureReason,
+	retryAfterMs = COME_BACK_MS,
+): RefusalDetail {
+	return FINAL.has(reason)
+		? FAILURES[reason]
+		: {...FAILURES[reason], retryAfterMs};
 }
 
 function failStream(
@@ -399,7 +401,7 @@
 	stream: Stream,
 	reason: FailureReason,
 ): EntryTransition {
-	const refusal = describeFailure(reason);
+	const refusal = describeFailure(reason, stream.retryAfterMs);
 	const refused = transition(removeStream(state, stream), [
 		{kind: 'refuse-stream', stream: stream.id, refusal},
 		{
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -1,4 +1,5 @@
 import {Map as ImmutableMap} from 'immutable';
+import type {AdmissionState} from '@lovagevalve/admission';
 import type {DispatchState} from '@lovagevalve/claims';
 import type {GenerationState} from '@lovagevalve/generation';
 import type {
@@ -26,6 +27,7 @@
 	customer: string;
 	input: GenerationInput;
 	generation: string;
+	model: string | undefined;
 	priority: number;
 	arrivedAt: number;
 	/** Monotonic time until which the answer is of use. */
@@ -37,6 +39,8 @@
 	hasToken: boolean;
 	/** Whether its attempt was begun for an earlier stream. */
 	isAdopted: boolean;
+	/** When a refused caller should come back. */
+	retryAfterMs: number | undefined;
 }>;
 
 /** An attempt whose caller left and may come back, here or elsewhere. */
@@ -88,6 +92,8 @@
 	lease: Lease;
 	quarantine: Quarantine;
 	view: View;
+	/** Waiting work of each engine service. */
+	queues: ImmutableMap<string, AdmissionState>;
 	homes: Homes;
 	streams: ImmutableMap<string, Stream>;
 	abandoned: ImmutableMap<string, Abandoned>;
@@ -102,6 +108,7 @@
 		lease: NO_LEASE,
 		quarantine: {version: 0, suspects: [], convicted: []},
 		view: ImmutableMap(),
+		queues: ImmutableMap(),
 		homes: ImmutableMap(),
 		streams: ImmutableMap(),
 		abandoned: ImmutableMap(),
--- a/packages/lovage-entry-role/src/streams.ts
+++ b/packages/lovage-entry-role/src/streams.ts
@@ -5,7 +5,7 @@
 } from '@lovagevalve/generation';
 import type {Configuration} from '@lovagevalve/inventory';
 import {findHome} from './addresses.js';
-import {checkRequest, findBusyRefusal} from './checks.js';
+import {checkRequest, findBusyRefusal, type AllowedRequest} from './checks.js';
 import type {
 	Cursor,
 	EntryEffect,
@@ -16,6 +16,7 @@
 import {homeKey, type HomeAnswer, type Place} from './homes.js';
 import {runMachine, type Moment} from './machine.js';
 import {forgetPlace, publishPlace, registerPlace} from './places.js';
+import {dequeueStream} from './queues.js';
 import {
 	describePlace,
 	isLeaving,
@@ -41,8 +42,7 @@
 }
 
 function checkInput(
-	configuration: Configuration,
-	customer: string,
+	{configuration, customer, service}: AllowedRequest,
 	input: GenerationInput,
 	state: EntryState,
 ): RefusalDetail | undefined {
@@ -57,6 +57,12 @@
 		return {reason: 'invalid-request', detail, outcome: 'not-run'};
 	}
 
+	const {model} = input;
+	if (model !== undefined && !service.models.some(({id}) => id === model)) {
+		const detail = `The service has no model "${model}".`;
+		return {reason: 'invalid-request', detail, outcome: 'not-run'};
+	}
+
 	if (isConvicted(state, customer, input.digest)) {
 		const detail =
 			'This request crashed the backend servers that ran it; it is not run again.';
@@ -90,8 +96,7 @@
 
 function createStream(
 	event: Requested,
-	customer: string,
-	configuration: Configuration,
+	{customer, service, configuration}: AllowedRequest,
 ): Stream {
 	const {input, now} = event;
 	return {
@@ -99,6 +104,7 @@
 		customer,
 		input,
 		generation: input.cursor?.generation ?? event.generation,
+		model: input.model ?? service.models[0]?.id,
 		priority: findPriority(configuration, customer, input.service),
 		arrivedAt: now,
 		deadlineAt:
@@ -108,6 +114,7 @@
 		backend: undefined,
 		hasToken: false,
 		isAdopted: false,
+		retryAfterMs: undefined,
 	};
 }
 
@@ -132,13 +139,12 @@
 		return refuse(state, id, check.refusal);
 	}
 
-	const {configuration, customer} = check;
-	const refusal = checkInput(configuration, customer, input, state);
+	const refusal = checkInput(check, input, state);
 	if (refusal) {
 		return refuse(state, id, refusal);
 	}
 
-	const stream = createStream(event, customer, configuration);
+	const stream = createStream(event, check);
 	const next = {...state, streams: state.streams.set(id, stream)};
 	return input.cursor
 		? adopt(next, stream, input.cursor, event)
@@ -352,10 +358,8 @@
 	}
 
 	const {machine, backend} = stream;
-	const place = describePlace(state, stream);
 	if (!machine || !backend) {
-		const next = {...state, streams: state.streams.delete(stream.id)};
-		return forgetPlace(next, place);
+		return leaveQueue(state, stream, event);
 	}
 
 	const abandoned = {
@@ -377,3 +381,15 @@
 		}),
 	);
 }
+
+function leaveQueue(
+	state: EntryState,
+	stream: Stream,
+	moment: Moment,
+): EntryTransition {
+	const place = describePlace(state, stream);
+	const next = {...state, streams: state.streams.delete(stream.id)};
+	return chain(dequeueStream(next, stream, moment), (after) =>
+		forgetPlace(after, place),
+	);
+}
--- a/packages/lovage-entry-role/src/view.ts
+++ b/packages/lovage-entry-role/src/view.ts
@@ -31,6 +31,8 @@
 	cachedPrefixes: ReadonlySet<string>;
 	/** Work that this entry has on it. */
 	inFlight: number;
+	/** The same when its last load report came. */
+	inFlightAtReport: number;
 	/** Monotonic time until which it gets no new work after a failure. */
 	avoidUntil: number;
 	/** Incarnation whose death this entry reported. */
@@ -88,6 +90,7 @@
 		expiresAt: now + lifetimeMs,
 		cachedPrefixes: applyCacheEvents(cached, announcement),
 		inFlight: known?.inFlight ?? 0,
+		inFlightAtReport: known?.inFlight ?? 0,
 		avoidUntil: isSameRun ? known.avoidUntil : 0,
 		reportedIncarnation: known?.reportedIncarnation,
 	};
--- a/packages/lovage-entry/src/call-host.ts
+++ b/packages/lovage-entry/src/call-host.ts
@@ -20,7 +20,8 @@
 
 /** Tells whether an effect is one on calls. */
 export function isCallEffect(effect: EntryEffect): effect is CallEffect {
-	return CALL_EFFECTS.includes(effect.kind);
+	const kinds: readonly string[] = CALL_EFFECTS;
+	return kinds.includes(effect.kind);
 }
 
 type ConnectEffect = Extract<CallEffect, {kind: 'connect-call'}>;
--- a/packages/lovage-entry/src/stream-host.ts
+++ b/packages/lovage-entry/src/stream-host.ts
@@ -40,7 +40,8 @@
 
 /** Tells whether an effect is one on streams. */
 export function isStreamEffect(effect: EntryEffect): effect is StreamEffect {
-	return STREAM_EFFECTS.includes(effect.kind);
+	const kinds: readonly string[] = STREAM_EFFECTS;
+	return kinds.includes(effect.kind);
 }
 
 type StartEffect = Extract<StreamEffect, {kind: 'start-attempt'}>;
@@ -150,8 +151,9 @@
 			return;
 		}
 
-		const {generation, attempt, priority, prefixLength, address} = effect;
-		const {model, prompt, maxTokens} = stream.req;
+		const {generation, attempt, priority, prefixLength, address, model} =
+			effect;
+		const {prompt, maxTokens} = stream.req;
 		const prefix = stream.delivered.tokens.slice(0, prefixLength);
 		const body = {
 			generation,
