Add the disk store of the replicated log

All writes that wait share one record and one fdatasync: a record that another follows was synced, so a bad one before it is damage, and only the last can be unfinished. A bad last record of full length that doesn't end in zero bytes counts as damage too: that costs a rejoin, where a cut could forget a vote.

The tests fail without the sync of the records, of new files or of the folder, without the rename, when old files go before the new ones are there, without either check sum, when damage is cut like an unfinished write, and when writing goes on after a failure.

--- /dev/null
+++ b/packages/lovage-storage/src/record.ts
@@ -0,0 +1,100 @@
+import {crc32} from 'node:zlib';
+
+/** Marks the begin of a record. */
+const MAGIC = 0x4c_56_52_31;
+const HEADER_BYTES = 16;
+const CHECKED_HEADER_BYTES = 12;
+const LENGTH_OFFSET = 4;
+const PAYLOAD_CHECK_OFFSET = 8;
+const HEADER_CHECK_OFFSET = 12;
+
+/** What a file of records holds. */
+export type DecodedRecords = Readonly<{
+	payloads: readonly string[];
+	/** Length of the valid records at the begin, in bytes. */
+	validBytes: number;
+	/**
+	 * `torn`: the last write did not finish. `damaged`: bytes that had been
+	 * written whole are not what they were.
+	 */
+	state: 'whole' | 'torn' | 'damaged';
+}>;
+
+function createView(bytes: Uint8Array): DataView {
+	return new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
+
+function checkHeader(header: Uint8Array): number {
+	return crc32(header.subarray(0, CHECKED_HEADER_BYTES));
+}
+
+/** Frames a payload by its length and check sums. */
+export function encodeRecord(payload: string): Uint8Array {
+	const body = new TextEncoder().encode(payload);
+	const record = new Uint8Array(HEADER_BYTES + body.length);
+	const view = createView(record);
+	view.setUint32(0, MAGIC);
+	view.setUint32(LENGTH_OFFSET, body.length);
+	view.setUint32(PAYLOAD_CHECK_OFFSET, crc32(body));
+	view.setUint32(HEADER_CHECK_OFFSET, checkHeader(record));
+	record.set(body, HEADER_BYTES);
+	return record;
+}
+
+function isZero(bytes: Uint8Array): boolean {
+	return bytes.every((byte) => byte === 0);
+}
+
+function isHeaderValid(header: Uint8Array): boolean {
+	const view = createView(header);
+	return (
+		view.getUint32(0) === MAGIC &&
+		view.getUint32(HEADER_CHECK_OFFSET) === checkHeader(header)
+	);
+}
+
+type Decoded =
+	| Readonly<{kind: 'record'; payload: string; bytes: number}>
+	| Readonly<{kind: 'torn' | 'damaged'}>;
+
+function decodeRecord(rest: Uint8Array): Decoded {
+	if (rest.length < HEADER_BYTES || isZero(rest)) {
+		return {kind: 'torn'};
+	}
+
+	const header = rest.subarray(0, HEADER_BYTES);
+	if (!isHeaderValid(header)) {
+		return {kind: 'damaged'};
+	}
+
+	const bytes = HEADER_BYTES + createView(header).getUint32(LENGTH_OFFSET);
+	if (rest.length < bytes) {
+		return {kind: 'torn'};
+	}
+
+	const body = rest.subarray(HEADER_BYTES, bytes);
+	if (crc32(body) === createView(header).getUint32(PAYLOAD_CHECK_OFFSET)) {
+		return {kind: 'record', payload: new TextDecoder().decode(body), bytes};
+	}
+
+	// No payload ends with a zero byte: its end never reached the disk.
+	const isUnfinished = isZero(rest.subarray(bytes - 1));
+	return {kind: isUnfinished ? 'torn' : 'damaged'};
+}
+
+/** Reads records up to the first that is not valid. */
+export function decodeRecords(content: Uint8Array): DecodedRecords {
+	const payloads: string[] = [];
+	let validBytes = 0;
+	while (validBytes < content.length) {
+		const decoded = decodeRecord(content.subarray(validBytes));
+		if (decoded.kind !== 'record') {
+			return {payloads, validBytes, state: decoded.kind};
+		}
+
+		payloads.push(decoded.payload);
+		validBytes += decoded.bytes;
+	}
+
+	return {payloads, validBytes, state: 'whole'};
+}
--- /dev/null
+++ b/packages/lovage-storage/src/write-file.ts
@@ -0,0 +1,19 @@
+import type {AppendFile, FileSystem} from './file-system.js';
+import {joinPath, nameUnfinished} from './names.js';
+
+/** Creates a file that is there whole or not at all, and leaves it open at its end. */
+export async function createFile(
+	fileSystem: FileSystem,
+	folder: string,
+	name: string,
+	content: Uint8Array,
+): Promise<AppendFile> {
+	const unfinished = joinPath(folder, nameUnfinished(name));
+	await fileSystem.remove(unfinished);
+	const file = await fileSystem.openAppend(unfinished);
+	await file.append(content);
+	await file.sync();
+	await fileSystem.rename(unfinished, joinPath(folder, name));
+	await fileSystem.syncFolder(folder);
+	return file;
+}
