Add the report on service-level burn

Counts are a pure step over four rings of buckets for each customer and service;

and the page is one file with inline plots. lovagectl report collects them from the entries and names those that did not answer.

Seen to fail without its guard: window filters, limit of series, check of amounts, escaping, bounded latencies; in lovagectl the limit of redirects, the deadline, final refusals, the wait for a drained entry and the judgement of older versions. The page was checked to be well-formed, not looked at in a browser.

--- /dev/null
+++ b/packages/lovage-report/src/__tests__/unit/service-level.test.ts
@@ -0,0 +1,232 @@
+import {rulesSchema} from '@lovagevalve/inventory';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {
+	computeBurn,
+	createServiceLevel,
+	mergeSnapshots,
+	OTHER_CUSTOMERS,
+	renderHtml,
+	renderText,
+	snapshotSchema,
+	stepServiceLevel,
+	takeSnapshot,
+	type ServiceLevelEvent,
+	type ServiceLevelSnapshot,
+} from '../../index.js';
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const NOW = 1000 * 24 * HOUR_MS;
+const RULES = rulesSchema.parse({
+	objectives: [
+		{service: 'lyric', weighs: 'resume-latency', target: 0.9},
+		{service: 'tutoring', weighs: 'resource-use', extraUseShare: 0.1},
+	],
+});
+
+type Counted = Exclude<ServiceLevelEvent, {kind: 'rules-changed'}>;
+type Untimed<T> = T extends unknown
+	? Omit<T, 'customer' | 'service' | 'at'>
+	: never;
+
+function create(
+	event: Untimed<Counted>,
+	at = NOW,
+	service = 'lyric',
+	customer = 'label',
+): ServiceLevelEvent {
+	return {...event, at, service, customer};
+}
+
+function count(
+	events: readonly ServiceLevelEvent[],
+	maxSeries?: number,
+): ServiceLevelSnapshot {
+	const state = events.reduce(
+		(before, event) => stepServiceLevel(before, event).state,
+		createServiceLevel(RULES, maxSeries),
+	);
+	return takeSnapshot(state, NOW);
+}
+
+function repeat(
+	times: number,
+	event: ServiceLevelEvent,
+): readonly ServiceLevelEvent[] {
+	return Array.from({length: times}, () => event);
+}
+
+function burnOf(events: readonly ServiceLevelEvent[], now = NOW) {
+	const [service] = computeBurn(count(events), RULES, now).services;
+	return service!.all;
+}
+
+test('a bad share equal to what the target allows burns at rate 1', () => {
+	const level = burnOf([
+		...repeat(9, create({kind: 'ended', outcome: 'finished'})),
+		create({kind: 'ended', outcome: 'failed'}),
+	]);
+	expect(level.windows.map(({burn}) => burn)).toEqual([
+		expect.closeTo(1),
+		expect.closeTo(1),
+		expect.closeTo(1),
+		expect.closeTo(1),
+	]);
+	expect(level.budgetLeft).toBeCloseTo(0);
+});
+
+test('waits are judged by the objective and listed by cause', () => {
+	const level = burnOf([
+		...repeat(8, create({kind: 'ended', outcome: 'finished'})),
+		create({kind: 'first-token', waitMs: 2001}),
+		create({kind: 'first-token', waitMs: 2000}),
+		create({kind: 'resumed', waitMs: 4001, cause: 'backend-server-lost'}),
+		create({kind: 'resumed', waitMs: 900, cause: 'connection-lost'}),
+	]);
+	expect(level.windows[0]).toMatchObject({requests: 8, bad: 2});
+	expect(level.windows[0]!.latencyBurn).toBeCloseTo(2.5);
+	expect(level.resumes).toEqual({
+		'connection-lost': 1,
+		'backend-server-lost': 1,
+		'entry-lost': 0,
+	});
+	expect(level.resume).toMatchObject({count: 2, p50: 900, max: 4100});
+});
+
+test('a service that weighs resource use burns by its extra use', () => {
+	const events = [
+		create({kind: 'worked', amount: 1000}, NOW, 'tutoring'),
+		create(
+			{kind: 'extra-used', amount: 150, cause: 'recomputed-prefill'},
+			NOW,
+			'tutoring',
+		),
+		create(
+			{kind: 'extra-used', amount: 50, cause: 'wasted-decode'},
+			NOW,
+			'tutoring',
+		),
+	];
+	const level = burnOf(events);
+	expect(level.windows[0]!.burn).toBeCloseTo(2);
+	expect(level.extraShare).toBeCloseTo(0.2);
+	expect(level.extra.map(({amount}) => amount)).toEqual([150, 50, 0]);
+	expect(level.budgetLeft).toBeCloseTo(-1);
+});
+
+test('windows forget what lies before them', () => {
+	const events = [
+		create({kind: 'ended', outcome: 'failed'}, NOW - 3 * HOUR_MS),
+		...repeat(9, create({kind: 'ended', outcome: 'finished'})),
+	];
+	const bad = burnOf(events).windows.map((window) => window.bad);
+	expect(bad).toEqual([0, 0, 1, 1]);
+	const later = burnOf(events, NOW + 100 * HOUR_MS);
+	expect(later.windows.map(({requests}) => requests)).toEqual([0, 0, 0, 0]);
+});
+
+test('memory is bounded in time and in customers', () => {
+	const overYears = Array.from({length: 2000}, (_, i) =>
+		create(
+			{kind: 'resumed', waitMs: i * 37, cause: 'entry-lost'},
+			NOW + i * HOUR_MS,
+		),
+	);
+	const [series] = count(overYears).series;
+	const lengths = Object.values(series!.rings).map((ring) => ring.length);
+	expect(Math.max(...lengths)).toBeLessThanOrEqual(14);
+	const many = Array.from({length: 50}, (_, i) =>
+		create({kind: 'ended', outcome: 'finished'}, NOW, 'lyric', `c${i}`),
+	);
+	const customers = count(many, 10).series.map(({customer}) => customer);
+	expect(customers).toHaveLength(11);
+	expect(customers).toContain(OTHER_CUSTOMERS);
+});
+
+test('refuses amounts that are no numbers from 0', () => {
+	const step = (amount: number) => () =>
+		stepServiceLevel(
+			createServiceLevel(RULES),
+			create({kind: 'worked', amount}),
+		);
+	expect(step(Number.NaN)).toThrow(/must be a number/);
+	expect(step(-1)).toThrow(/must be a number/);
+});
+
+const anyEvent = fc
+	.record({
+		customer: fc.constantFrom('a', 'b'),
+		service: fc.constantFrom('lyric', 'tutoring'),
+		at: fc.integer({min: NOW - 2 * HOUR_MS, max: NOW}),
+		event: fc.oneof(
+			fc.record({
+				kind: fc.constant('resumed' as const),
+				waitMs: fc.integer({min: 0, max: 100_000}),
+				cause: fc.constantFrom(
+					'connection-lost' as const,
+					'entry-lost' as const,
+				),
+			}),
+			fc.record({
+				kind: fc.constant('ended' as const),
+				outcome: fc.constantFrom('finished' as const, 'refused' as const),
+			}),
+			fc.record({
+				kind: fc.constant('extra-used' as const),
+				amount: fc.integer({min: 0, max: 1000}),
+				cause: fc.constant('duplicate-attempt' as const),
+			}),
+		),
+	})
+	.map(({event, at, service, customer}) =>
+		create(event, at, service, customer),
+	);
+
+test('snapshots of several entries add up to one count, through JSON', () => {
+	fc.assert(
+		fc.property(fc.array(anyEvent), fc.array(anyEvent), (a, b) => {
+			const texts = [count(a), count(b)].map((counted) =>
+				JSON.stringify(counted),
+			);
+			const snapshots = texts.map((text) =>
+				snapshotSchema.parse(JSON.parse(text)),
+			);
+			const merged = computeBurn(mergeSnapshots(snapshots), RULES, NOW);
+			const single = computeBurn(count([...a, ...b]), RULES, NOW);
+			expect(merged).toEqual(single);
+		}),
+		{seed: 7, numRuns: 100},
+	);
+});
+
+test('a snapshot from outside is checked', () => {
+	const snapshot = count([create({kind: 'worked', amount: 1})]);
+	const broken = JSON.parse(
+		JSON.stringify(snapshot).replace('"work":1', '"work":"1"'),
+	) as unknown;
+	expect(snapshotSchema.safeParse(broken).success).toBe(false);
+});
+
+test('the page names no other address and escapes what it shows', () => {
+	const events = [
+		create({kind: 'ended', outcome: 'finished'}, NOW, 'lyric', '<b>x</b>'),
+		create({kind: 'resumed', waitMs: 1234, cause: 'entry-lost'}),
+		create({kind: 'extra-used', amount: 3, cause: 'wasted-decode'}),
+	];
+	const report = computeBurn(count(events), RULES, NOW);
+	const page = renderHtml(report, 'A & B');
+	expect(page).toContain('A &amp; B');
+	expect(page).toContain('&lt;b&gt;x&lt;/b&gt;');
+	expect(page).not.toMatch(/<script|src=|href=|https?:\/\/|NaN|undefined/);
+	expect(page.match(/<svg /g)).toHaveLength(3);
+	const text = renderText(report, 'A & B').join('\n');
+	expect(text).toContain('resume: 1 waits');
+	expect(text).not.toMatch(/NaN|undefined/);
+});
+
+test('an empty report is a page, too', () => {
+	const report = computeBurn(count([]), RULES, NOW);
+	expect(renderHtml(report, 'empty')).toContain('No requests yet');
+	expect(renderText(report, 'empty')).toContain('no requests yet');
+});
--- /dev/null
+++ b/packages/lovage-report/src/html.ts
@@ -0,0 +1,23 @@
+const ENTITIES: Readonly<Record<string, string>> = {
+	'&': '&amp;',
+	'<': '&lt;',
+	'>': '&gt;',
+	'"': '&quot;',
+	"'": '&#39;',
+};
+
+/** Escapes a text for HTML and SVG. */
+export function escapeHtml(text: string): string {
+	return text.replaceAll(/[&<>"']/g, (character) => ENTITIES[character]!);
+}
+
+/** Writes a table; the first column is text, the others are figures. */
+export function renderTable(
+	head: readonly string[],
+	rows: ReadonlyArray<readonly string[]>,
+): string {
+	const writeCells = (cells: readonly string[], tag: string) =>
+		cells.map((cell) => `<${tag}>${escapeHtml(cell)}</${tag}>`).join('');
+	const body = rows.map((row) => `<tr>${writeCells(row, 'td')}</tr>`).join('');
+	return `<table><thead><tr>${writeCells(head, 'th')}</tr></thead><tbody>${body}</tbody></table>`;
+}
--- a/packages/lovagectl/src/__tests__/integration/commands.test.ts
+++ b/packages/lovagectl/src/__tests__/integration/commands.test.ts
@@ -1,5 +1,12 @@
+import {mkdtemp, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {loadConfiguration, type Configuration} from '@lovagevalve/inventory';
+import {
+	createServiceLevel,
+	stepServiceLevel,
+	takeSnapshot,
+} from '@lovagevalve/report';
 import type {
 	ApplyRequest,
 	ControlHandlers,
@@ -233,8 +240,14 @@
 	const address = await control({
 		progress: async () => answers.shift() ?? gone,
 	});
-	const outcome = await run(['drain', 'entry-1', '--control', address]);
+	const args = ['drain', 'entry-1', '--json', '--control', address];
+	const outcome = await run(args);
 	expect(outcome.code).toBe(0);
+	expect(answers).toEqual([]);
+	expect(JSON.parse(outcome.results[0]!)).toMatchObject({
+		stopped: true,
+		elapsedMs: 500,
+	});
 	expect(asked).toEqual([
 		{operator: 'verselight-operations'},
 		'Bearer demo-verselight-operations',
@@ -243,6 +256,46 @@
 	expect(unknown.code).toBe(1);
 });
 
+test('report adds up the entries that answer and names the others', async () => {
+	const configuration = await readExample();
+	const {state} = stepServiceLevel(createServiceLevel(configuration.rules), {
+		kind: 'resumed',
+		customer: 'sync-london',
+		service: 'lyric-analysis',
+		at: 0,
+		waitMs: 1200,
+		cause: 'backend-server-lost',
+	});
+	const app = new Hono();
+	app.get('/v1/operator/report', (ctx) => ctx.json(takeSnapshot(state, 0)));
+	const fakes = [await serve(app), await serve(app), await serve(new Hono())];
+	servers.push(...fakes);
+	const entries = fakes.map((fake, i) => ({
+		entry: {...ENTRY, id: `entry-${i}`, address: fake.address},
+		appliedVersion: 2,
+		leaseRemainingMs: 900,
+	}));
+	const address = await control({
+		readConfiguration: async () => ({kind: 'read', version: 2, configuration}),
+		progress: async () => ({...createProgress(2), entries}),
+	});
+	const dir = await mkdtemp(path.join(tmpdir(), 'lovagectl-'));
+	const html = path.join(dir, 'report.html');
+	const args = ['report', '--json', '--control', address, '--html', html];
+	const outcome = await run(args);
+	const page = await readFile(html, 'utf8');
+	await rm(dir, {recursive: true});
+	expect(outcome.code).toBe(0);
+	expect(outcome.messages[0]).toContain('not in the report');
+	expect(JSON.parse(outcome.results[0]!)).toMatchObject({
+		name: 'verselight',
+		entries: 2,
+		missing: ['entry-2'],
+		services: [{service: 'lyric-analysis', all: {resume: {count: 2}}}],
+	});
+	expect(page).toContain('<svg');
+});
+
 test('status shows instances that do not answer', async () => {
 	const address = await control({progress: async () => createProgress(2)});
 	const args = ['--control', address, '--control', 'http://127.0.0.1:1'];
--- /dev/null
+++ b/packages/lovagectl/src/__tests__/unit/judge-progress.test.ts
@@ -0,0 +1,58 @@
+import {expect, test} from 'vitest';
+import {isInForce, judgeEntry, type Progress} from '../../judge-progress.js';
+
+function createProgress(
+	version: number,
+	entries: ReadonlyArray<readonly [number, number]>,
+): Progress {
+	return {
+		kind: 'progress',
+		version,
+		inForceEverywhere: entries.every(
+			([applied, leaseMs]) => applied >= version || leaseMs === 0,
+		),
+		entries: entries.map(([appliedVersion, leaseRemainingMs], i) => ({
+			entry: {
+				id: `entry-${i}`,
+				address: 'http://127.0.0.1:1',
+				dataCentre: 'north',
+				state: 'serving',
+				incarnation: 'first',
+			},
+			appliedVersion,
+			leaseRemainingMs,
+		})),
+	};
+}
+
+test.each([
+	['every entry has it', createProgress(2, [[2, 900]]), 2, true],
+	[
+		'one entry lags',
+		createProgress(2, [
+			[2, 900],
+			[1, 900],
+		]),
+		2,
+		false,
+	],
+	[
+		'the lagging lease ran out',
+		createProgress(2, [
+			[2, 900],
+			[1, 0],
+		]),
+		2,
+		true,
+	],
+	['a newer version is on its way', createProgress(3, [[2, 900]]), 2, true],
+	['an older one is, too', createProgress(3, [[1, 900]]), 2, false],
+	['the version is not accepted', createProgress(1, [[1, 900]]), 2, false],
+])('%s', (_title, progress, version, expected) => {
+	expect(isInForce(progress, version)).toBe(expected);
+});
+
+test('an entry without a lease has stopped, whatever it applied', () => {
+	const [entry] = createProgress(2, [[2, 0]]).entries;
+	expect(judgeEntry(entry!, 2)).toBe('stopped');
+});
--- a/packages/lovagectl/src/app.ts
+++ b/packages/lovagectl/src/app.ts
@@ -13,6 +13,7 @@
 import {printKeyHash} from './command-hash-key.js';
 import {init} from './command-init.js';
 import {plan} from './command-plan.js';
+import {report} from './command-report.js';
 import {status} from './command-status.js';
 import {validate} from './command-validate.js';
 import type {Host} from './host.js';
@@ -193,6 +194,28 @@
 	};
 }
 
+function createReportCommands(host: Host) {
+	return {
+		report: command({
+			name: 'report',
+			description: 'Show service-level burn, waits and extra resource use',
+			args: {
+				...queryOptions,
+				html: createOptional('html', string, 'File for the page with plots'),
+			},
+			async handler({isJson, ...args}): Promise<Handled> {
+				const result = await withCredentials(
+					args,
+					host,
+					async (session, credentials, agent) =>
+						report({...args, credentials}, session, agent, host),
+				);
+				return {isJson, result};
+			},
+		}),
+	};
+}
+
 /** Creates the command line over the process that runs it. */
 export function createApp(host: Host) {
 	return subcommands({
@@ -202,6 +225,7 @@
 			...createFileCommands(host),
 			...createChangeCommands(host),
 			...createGroupCommands(host),
+			...createReportCommands(host),
 		},
 	});
 }
