Judge an older version by its entries alone

The check of inForceEverywhere beside it changed no outcome: its removal failed no test, since a newer version in force everywhere is at least as new at each entry.

--- a/packages/lovagectl/src/judge-progress.ts
+++ b/packages/lovagectl/src/judge-progress.ts
@@ -28,10 +28,9 @@
 
 	return progress.version === version
 		? progress.inForceEverywhere
-		: progress.inForceEverywhere ||
-				progress.entries.every(
-					(entry) => judgeEntry(entry, version) !== 'waiting',
-				);
+		: progress.entries.every(
+				(entry) => judgeEntry(entry, version) !== 'waiting',
+			);
 }
 
 /** Writes where a version stands at an entry. */
