Test the entry's decisions and end convicted work at once

Found by them: an attempt whose caller left freed its slot although it still ran, so a waiting request could overfill a backend server; it now stays counted until it is cancelled or taken over. A conviction now ends what runs or waits under it, with its reason, instead of waiting for the next loss.

--- /dev/null
+++ b/packages/lovage-entry-role/src/__tests__/unit/calls.test.ts
@@ -0,0 +1,104 @@
+import {describe, expect, it} from 'vitest';
+import {createServingEntry, listRefusals, pick} from '../fixture.js';
+
+describe('non-idempotent calls', () => {
+	it('connect nowhere before the claim is granted', () => {
+		const entry = createServingEntry();
+		const asked = entry.requestCall('c');
+		expect(pick(asked, 'connect-call')).toEqual([]);
+		expect(pick(asked, 'open-claim')).toHaveLength(1);
+		expect(pick(entry.grantClaim('c'), 'connect-call')).toHaveLength(1);
+	});
+
+	it('are never sent again after bytes may have left', () => {
+		const entry = createServingEntry();
+		entry.requestCall('c');
+		entry.grantClaim('c');
+		entry.callEvent('call-connected', 'c');
+		const lost = entry.callEvent('call-lost', 'c');
+		expect(pick(lost, 'connect-call')).toEqual([]);
+		expect(listRefusals(lost)).toEqual(['outcome-unknown']);
+		expect(pick(lost, 'settle-claim')).toMatchObject([
+			{outcome: {kind: 'unknown'}},
+		]);
+	});
+
+	it('go to another backend server when no byte left', () => {
+		const entry = createServingEntry();
+		entry.requestCall('c');
+		const [first] = pick(entry.grantClaim('c'), 'connect-call');
+		const [second] = pick(
+			entry.callEvent('call-not-sent', 'c'),
+			'connect-call',
+		);
+		expect(second!.address).not.toBe(first!.address);
+	});
+
+	it('are not written when the process paused past the claim', () => {
+		const entry = createServingEntry();
+		entry.requestCall('c');
+		entry.grantClaim('c');
+		entry.now = 2000;
+		const late = entry.callEvent('call-connected', 'c');
+		expect(pick(late, 'write-call')).toEqual([]);
+		expect(pick(late, 'settle-claim')).toMatchObject([
+			{outcome: {kind: 'not-run'}},
+		]);
+		expect(entry.state.view.get('p1')!.inFlight).toBe(0);
+		expect(entry.state.view.get('p2')!.inFlight).toBe(0);
+	});
+
+	it('are called "not run" only once that is settled', () => {
+		const entry = createServingEntry();
+		entry.announce('p1', {state: 'leaving', sequence: 1});
+		entry.announce('p2', {state: 'leaving', sequence: 1});
+		entry.requestCall('c');
+		expect(listRefusals(entry.grantClaim('c'))).toEqual([]);
+		const settled = entry.apply({
+			kind: 'claim-answered',
+			call: 'c',
+			answer: {kind: 'not-run', attempt: 1},
+			now: 0,
+			random: 0,
+		});
+		expect(pick(settled, 'refuse-call')).toMatchObject([
+			{refusal: {reason: 'no-backend-server', outcome: 'not-run'}},
+		]);
+	});
+
+	it('promise nothing when no quorum settles "not run"', () => {
+		const entry = createServingEntry();
+		entry.requestCall('c');
+		const unavailable = () =>
+			entry.apply({
+				kind: 'claim-answered',
+				call: 'c',
+				answer: {kind: 'unavailable'},
+				now: 0,
+				random: 0,
+			});
+		expect(listRefusals(unavailable())).toEqual([]);
+		const [refused] = pick(unavailable(), 'refuse-call');
+		expect(refused!.refusal.reason).toBe('unsettled');
+		expect(refused!.refusal.outcome).toBeUndefined();
+	});
+});
+
+describe('idempotent calls', () => {
+	it('go to another backend server after a loss', () => {
+		const entry = createServingEntry();
+		const [first] = pick(entry.requestCall('c', 'status'), 'connect-call');
+		entry.callEvent('call-connected', 'c');
+		const [second] = pick(entry.callEvent('call-lost', 'c'), 'connect-call');
+		expect(second!.address).not.toBe(first!.address);
+	});
+
+	it('are given up at once when no backend server is left', () => {
+		const entry = createServingEntry();
+		entry.requestCall('c', 'status');
+		entry.callEvent('call-not-sent', 'c');
+		expect(listRefusals(entry.callEvent('call-not-sent', 'c', 2))).toEqual([
+			'no-backend-server',
+		]);
+	});
+});
--- /dev/null
+++ b/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
@@ -0,0 +1,188 @@
+import {describe, expect, it} from 'vitest';
+import type {EntryEffect} from '../../index.js';
+import {
+	createServingEntry,
+	listRefusals,
+	pick,
+	type EntryDriver,
+} from '../fixture.js';
+
+function startOf(effects: readonly EntryEffect[]) {
+	return pick(effects, 'start-attempt')[0]!;
+}
+
+function probeFailed(entry: EntryDriver, stream: string, probe: number) {
+	return entry.apply({
+		kind: 'generation-event',
+		stream,
+		event: {kind: 'probe-failed', probe, now: entry.now},
+		random: 0.5,
+	});
+}
+
+function loseBackend(entry: EntryDriver, stream: string) {
+	entry.apply({
+		kind: 'generation-event',
+		stream,
+		event: {kind: 'connection-lost', connection: 1, now: entry.now},
+		random: 0.5,
+	});
+	probeFailed(entry, stream, 1);
+	return probeFailed(entry, stream, 2);
+}
+
+const cursor = {
+	customer: 'label',
+	requestId: 'r-s',
+	generation: 'g-old',
+	backend: 'e1',
+	attempt: 1,
+	entry: 'entry-2',
+	offset: 7,
+};
+
+describe('streams', () => {
+	it('go on at another backend server after a death, reported once', () => {
+		const entry = createServingEntry();
+		const first = startOf(entry.requestGeneration('s', {digest: 'x'}));
+		const lost = loseBackend(entry, 's');
+		expect(startOf(lost).backend).not.toBe(first.backend);
+		expect(pick(lost, 'report-death')).toMatchObject([
+			{backend: first.backend, digests: ['label/x']},
+		]);
+		expect(pick(lost, 'cancel-attempt')).toMatchObject([{attempt: 1}]);
+	});
+
+	it('wait for a place and get it when one is free', () => {
+		const entry = createServingEntry();
+		const started = ['a', 'b', 'c', 'd', 'e'].map(
+			(id) => pick(entry.requestGeneration(id), 'start-attempt').length,
+		);
+		expect(started).toEqual([1, 1, 1, 1, 0]);
+		entry.apply({kind: 'caller-left', stream: 'a', now: 0, random: 0.5});
+		expect(pick(entry.tick(), 'start-attempt')).toEqual([]);
+		entry.now = 10_000;
+		entry.announce('e1');
+		entry.announce('e2');
+		expect(pick(entry.tick(), 'start-attempt')).toMatchObject([{stream: 'e'}]);
+	});
+
+	it('are resumed at the engine with an authenticated cursor', () => {
+		const entry = createServingEntry();
+		const effects = entry.requestGeneration('s', {cursor, hasDelivered: true});
+		expect(pick(effects, 'resume-attempt')).toMatchObject([
+			{backend: 'e1', generation: 'g-old', offset: 7},
+		]);
+		expect(pick(effects, 'release-generation')).toMatchObject([
+			{address: 'http://entry-2'},
+		]);
+	});
+
+	it('refuse the cursor of another request', () => {
+		const entry = createServingEntry();
+		const other = {...cursor, requestId: 'other'};
+		const effects = entry.requestGeneration('s', {cursor: other});
+		expect(listRefusals(effects)).toEqual(['invalid-cursor']);
+	});
+
+	it('never restart when the delivered tokens are missing', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s', {cursor});
+		const lost = loseBackend(entry, 's');
+		expect(pick(lost, 'start-attempt')).toEqual([]);
+		expect(listRefusals(lost)).toEqual(['prefix-missing']);
+	});
+
+	it('refuse at once what was convicted', () => {
+		const entry = createServingEntry();
+		entry.apply({
+			kind: 'quarantine-learned',
+			quarantine: {version: 1, suspects: [], convicted: ['label/bad']},
+			now: 0,
+			random: 0,
+		});
+		const effects = entry.requestGeneration('s', {digest: 'bad'});
+		expect(listRefusals(effects)).toEqual(['quarantined']);
+	});
+
+	it('end at once when they are convicted while they run', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s', {digest: 'bad'});
+		const effects = entry.apply({
+			kind: 'quarantine-learned',
+			quarantine: {version: 1, suspects: [], convicted: ['label/bad']},
+			now: 0,
+			random: 0,
+		});
+		expect(listRefusals(effects)).toEqual(['quarantined']);
+		expect(pick(effects, 'cancel-attempt')).toHaveLength(1);
+		expect(entry.state.streams.size).toBe(0);
+	});
+
+	it('join the generation of an earlier send of the same request', () => {
+		const entry = createServingEntry();
+		entry.apply({
+			kind: 'generation-requested',
+			stream: 's',
+			keyHash: `sha256:${'a'.repeat(64)}`,
+			generation: 'g-new',
+			input: {
+				requestId: 'r',
+				service: 'drafts',
+				promptBytes: 1,
+				maxTokens: 10,
+				digest: 'd',
+				prefixes: [],
+				hasDelivered: false,
+			},
+			now: 0,
+			random: 0,
+		});
+		const joined = entry.apply({
+			kind: 'home-answered',
+			stream: 's',
+			answer: {
+				kind: 'found',
+				place: {
+					customer: 'label',
+					requestId: 'r',
+					digest: 'd',
+					generation: 'g-first',
+					attempt: 1,
+					backend: 'e2',
+					entry: 'entry-3',
+				},
+			},
+			now: 0,
+			random: 0,
+		});
+		const isSelfHome = joined.length === 0;
+		const resumed = pick(joined, 'resume-attempt');
+		expect(isSelfHome || resumed[0]?.generation === 'g-first').toBe(true);
+	});
+
+	it('are cancelled when their caller stays away', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s');
+		const left = entry.apply({
+			kind: 'caller-left',
+			stream: 's',
+			now: 0,
+			random: 0,
+		});
+		expect(pick(left, 'cancel-attempt')).toEqual([]);
+		entry.now = 9999;
+		expect(pick(entry.tick(), 'cancel-attempt')).toEqual([]);
+		entry.now = 10_000;
+		expect(pick(entry.tick(), 'cancel-attempt')).toHaveLength(1);
+	});
+
+	it('are left alone when another entry serves the caller now', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s');
+		entry.apply({kind: 'caller-left', stream: 's', now: 0, random: 0});
+		entry.apply({kind: 'generation-released', generation: 'g-s'});
+		entry.now = 20_000;
+		expect(pick(entry.tick(), 'cancel-attempt')).toEqual([]);
+	});
+});
--- a/packages/lovage-entry-role/src/arrivals.ts
+++ b/packages/lovage-entry-role/src/arrivals.ts
@@ -4,6 +4,7 @@
 	type DispatchEvent,
 	type DispatchReply,
 } from '@lovagevalve/claims';
+import {recordEnd, recordWork} from './call-facts.js';
 import {connectCall} from './connect.js';
 import type {EntryEffect, EntryEvent, RefusalDetail} from './events.js';
 import type {Moment} from './machine.js';
@@ -114,13 +115,27 @@
 	return {kind: 'refuse-call', call: call.id, refusal};
 }
 
+function recordReply(call: Call, reply: DispatchReply): readonly EntryEffect[] {
+	const isRun = call.phase.kind === 'dispatched';
+	if (reply.kind === 'done') {
+		return isRun
+			? [recordWork(call), recordEnd(call, 'finished')]
+			: [recordEnd(call, 'finished')];
+	}
+
+	return [recordEnd(call, isRun ? 'failed' : 'refused')];
+}
+
 function replyCall(
 	state: EntryState,
 	call: Call,
 	reply: DispatchReply,
 ): EntryTransition {
 	const next = {...state, calls: state.calls.delete(call.id)};
-	return transition(next, [createReply(call, reply)]);
+	return transition(next, [
+		createReply(call, reply),
+		...recordReply(call, reply),
+	]);
 }
 
 /** Goes on with a call once the control group has answered for its claim. */
--- a/packages/lovage-entry-role/src/calls.ts
+++ b/packages/lovage-entry-role/src/calls.ts
@@ -6,7 +6,8 @@
 import type {CallInput, EntryEvent, RefusalDetail} from './events.js';
 import type {Moment} from './machine.js';
 import type {Call, EntryState} from './state.js';
-import {transition, type EntryTransition} from './transition.js';
+import {recordDuplicate, recordEnd, recordWork} from './call-facts.js';
+import {chain, transition, type EntryTransition} from './transition.js';
 import {countInFlight} from './view.js';
 
 type Requested = Extract<EntryEvent, {kind: 'call-requested'}>;
@@ -31,8 +32,12 @@
 	call: string,
 	refusal: RefusalDetail,
 ): EntryTransition {
+	const known = state.calls.get(call);
 	const next = {...state, calls: state.calls.delete(call)};
-	return transition(next, [{kind: 'refuse-call', call, refusal}]);
+	return transition(next, [
+		{kind: 'refuse-call', call, refusal},
+		...(known ? [recordEnd(known, 'refused')] : []),
+	]);
 }
 
 /** An idempotent call promises nothing when it is given up. */
@@ -169,6 +174,8 @@
 
 	return transition({...released, calls: released.calls.delete(call.id)}, [
 		{kind: 'answer-call', call: call.id, result, replayed: false},
+		recordWork(call),
+		recordEnd(call, 'finished'),
 	]);
 }
 
@@ -205,7 +212,11 @@
 	}
 
 	const released = releaseBackend(state, call);
-	return call.arrival
-		? stepArrival(released, call, {kind: 'call-lost'}, event)
-		: connectElsewhere(released, call, event);
+	if (call.arrival) {
+		return stepArrival(released, call, {kind: 'call-lost'}, event);
+	}
+
+	return chain(transition(released, [recordDuplicate(call)]), (next) =>
+		connectElsewhere(next, call, event),
+	);
 }
--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -1,4 +1,5 @@
 import {getNextDeadline} from '@lovagevalve/generation';
+import {cancelAbandoned, releaseAbandoned} from './abandoned.js';
 import {answerClaim} from './arrivals.js';
 import {
 	answerCall,
@@ -13,6 +14,7 @@
 import {applyGrant} from './lease.js';
 import {stepStream, type Moment} from './machine.js';
 import {registerPlace, removePlace} from './places.js';
+import {learnQuarantine} from './quarantine.js';
 import {serveQueues} from './queues.js';
 import type {EntryState} from './state.js';
 import {answerHome, leaveStream, requestGeneration} from './streams.js';
@@ -24,8 +26,6 @@
 } from './transition.js';
 import {applyAnnouncement, expireBackends} from './view.js';
 
-const CANCEL_FOR_MS = 120_000;
-
 /** Decides everything that an entry instance decides. Pure. */
 export function stepEntry(
 	state: EntryState,
@@ -55,8 +55,7 @@
 		}
 
 		case 'generation-released': {
-			const abandoned = state.abandoned.delete(event.generation);
-			return transition({...state, abandoned});
+			return transition(releaseAbandoned(state, event.generation));
 		}
 
 		case 'place-registered': {
@@ -102,12 +101,7 @@
 		}
 
 		case 'quarantine-learned': {
-			const {quarantine} = event;
-			return transition(
-				quarantine.version > state.quarantine.version
-					? {...state, quarantine}
-					: state,
-			);
+			return learnQuarantine(state, event.quarantine, event);
 		}
 
 		case 'drain-requested': {
@@ -155,23 +149,6 @@
 	);
 }
 
-function cancelAbandoned(state: EntryState, now: number): EntryTransition {
-	const due = [...state.abandoned.values()].filter(
-		({expiresAt}) => expiresAt <= now,
-	);
-	return chainEach(state, due, (next, {generation, attempt, address}) =>
-		transition({...next, abandoned: next.abandoned.delete(generation)}, [
-			{
-				kind: 'cancel-attempt',
-				address,
-				generation,
-				attempt,
-				giveUpAfterMs: CANCEL_FOR_MS,
-			},
-		]),
-	);
-}
-
 function tick(state: EntryState, moment: Moment): EntryTransition {
 	const {now} = moment;
 	const {announcementLifetimeMs} = state.options;
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -157,7 +157,12 @@
 			random: number;
 	  }
 	| {kind: 'lease-granted'; askedAt: number; grant: LeaseGrant; now: number}
-	| {kind: 'quarantine-learned'; quarantine: Quarantine}
+	| {
+			kind: 'quarantine-learned';
+			quarantine: Quarantine;
+			now: number;
+			random: number;
+	  }
 	| {kind: 'drain-requested'; now: number}
 	| {kind: 'ticked'; now: number; random: number};
 
@@ -306,23 +311,20 @@
 	/** Everything is finished: the process may end. */
 	| {kind: 'drained'};
 
-/** A fact for the report on service-level burn. */
+type Subject = Readonly<{customer: string; service: string}>;
+
+/** A fact for the report; amounts are tokens, or calls of a plain service. */
 export type Fact =
-	| {kind: 'admitted'; customer: string; service: string}
-	| {kind: 'first-token'; customer: string; service: string; waitMs: number}
-	| {
+	| (Subject & {kind: 'first-token'; waitMs: number})
+	| (Subject & {
 			kind: 'resumed';
-			customer: string;
-			service: string;
 			waitMs: number;
-			inPlace: boolean;
-	  }
-	| {
-			kind: 'recomputed';
-			customer: string;
-			service: string;
-			/** Tokens given as prefix to a new attempt. */
-			tokens: number;
-	  }
-	| {kind: 'finished'; customer: string; service: string; tokens: number}
-	| {kind: 'refused'; customer: string; service: string; reason: Refusal};
+			cause: 'connection-lost' | 'backend-server-lost' | 'entry-lost';
+	  })
+	| (Subject & {kind: 'ended'; outcome: 'finished' | 'failed' | 'refused'})
+	| (Subject & {kind: 'worked'; amount: number})
+	| (Subject & {
+			kind: 'extra-used';
+			amount: number;
+			cause: 'recomputed-prefill' | 'wasted-decode' | 'duplicate-attempt';
+	  });
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -5,12 +5,13 @@
 	type GenerationEvent,
 	type GenerationTransition,
 } from '@lovagevalve/generation';
+import {CANCEL_FOR_MS} from './abandoned.js';
 import {reportDeath} from './deaths.js';
 import type {EntryEffect, Refusal, RefusalDetail} from './events.js';
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
 import {enqueueStream} from './queues.js';
-import {isSuspect, strikeDigest} from './suspects.js';
+import {isConvicted, isSuspect, strikeDigest} from './suspects.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {
 	chain,
@@ -20,7 +21,6 @@
 } from './transition.js';
 import {countInFlight} from './view.js';
 
-const CANCEL_FOR_MS = 120_000;
 const COME_BACK_MS = 1000;
 
 /** Time and randomness of one event. */
@@ -137,12 +137,9 @@
 
 		case 'report-resume': {
 			const {waitMs, inPlace} = effect;
-			return record(state, {
-				...describeWork(stream),
-				kind: 'resumed',
-				waitMs,
-				inPlace,
-			});
+			const cause = describeResume(stream, inPlace);
+			const work = describeWork(stream);
+			return record(state, {...work, kind: 'resumed', waitMs, cause});
 		}
 
 		case 'finish': {
@@ -159,6 +156,14 @@
 	return {customer: stream.customer, service: stream.input.service};
 }
 
+function describeResume(stream: Stream, isInPlace: boolean) {
+	if (stream.isAdopted) {
+		return 'entry-lost';
+	}
+
+	return isInPlace ? 'connection-lost' : 'backend-server-lost';
+}
+
 function record(
 	state: EntryState,
 	fact: Extract<EntryEffect, {kind: 'record'}>['fact'],
@@ -186,11 +191,22 @@
 		backend: undefined,
 		phase: {kind: 'queued', isResumed, excluded},
 	};
-	return enqueueStream(
-		{...released, streams: released.streams.set(stream.id, queued)},
-		queued,
-		moment,
-	);
+	const next = {
+		...released,
+		streams: released.streams.set(stream.id, queued),
+	};
+	if (isConvicted(state, stream.customer, stream.input.digest)) {
+		const {now} = moment;
+		const reason = 'quarantined';
+		return stepStream(
+			next,
+			stream.id,
+			{kind: 'placement-refused', reason, now},
+			moment,
+		);
+	}
+
+	return enqueueStream(next, queued, moment);
 }
 
 /** Gives a waiting stream a backend server if one has room. */
@@ -259,8 +275,9 @@
 						kind: 'record',
 						fact: {
 							...describeWork(stream),
-							kind: 'recomputed',
-							tokens: prefixLength,
+							kind: 'extra-used',
+							amount: prefixLength,
+							cause: 'recomputed-prefill',
 						},
 					} as const,
 				]
@@ -345,7 +362,11 @@
 		{kind: 'finish-stream', stream: stream.id, total},
 		{
 			kind: 'record',
-			fact: {...describeWork(stream), kind: 'finished', tokens: total},
+			fact: {...describeWork(stream), kind: 'worked', amount: total},
+		},
+		{
+			kind: 'record',
+			fact: {...describeWork(stream), kind: 'ended', outcome: 'finished'},
 		},
 		...completed,
 	]);
@@ -401,12 +422,19 @@
 	stream: Stream,
 	reason: FailureReason,
 ): EntryTransition {
-	const refusal = describeFailure(reason, stream.retryAfterMs);
+	const cause = isConvicted(state, stream.customer, stream.input.digest)
+		? 'quarantined'
+		: reason;
+	const refusal = describeFailure(cause, stream.retryAfterMs);
 	const refused = transition(removeStream(state, stream), [
 		{kind: 'refuse-stream', stream: stream.id, refusal},
 		{
 			kind: 'record',
-			fact: {...describeWork(stream), kind: 'refused', reason: refusal.reason},
+			fact: {
+				...describeWork(stream),
+				kind: 'ended',
+				outcome: stream.hasToken ? 'failed' : 'refused',
+			},
 		},
 	]);
 	return chain(refused, (next) =>
--- /dev/null
+++ b/packages/lovage-entry-role/src/quarantine.ts
@@ -0,0 +1,41 @@
+import type {Quarantine} from './events.js';
+import {stepStream, type Moment} from './machine.js';
+import type {EntryState, Stream} from './state.js';
+import {isConvicted} from './suspects.js';
+import {chainEach, transition, type EntryTransition} from './transition.js';
+
+/** Gives a convicted stream its final answer and cancels its attempt. */
+function refuseConvicted(
+	state: EntryState,
+	{id, phase}: Stream,
+	moment: Moment,
+): EntryTransition {
+	const {now} = moment;
+	return phase.kind === 'queued'
+		? stepStream(
+				state,
+				id,
+				{kind: 'placement-refused', reason: 'quarantined', now},
+				moment,
+			)
+		: stepStream(state, id, {kind: 'caller-left', now}, moment);
+}
+
+/** Learns of suspects and convicts; an older version changes nothing. */
+export function learnQuarantine(
+	state: EntryState,
+	quarantine: Quarantine,
+	moment: Moment,
+): EntryTransition {
+	if (quarantine.version <= state.quarantine.version) {
+		return transition(state);
+	}
+
+	const next = {...state, quarantine};
+	const convicted = [...state.streams.values()].filter(({customer, input}) =>
+		isConvicted(next, customer, input.digest),
+	);
+	return chainEach(next, convicted, (current, stream) =>
+		refuseConvicted(current, stream, moment),
+	);
+}
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -47,7 +47,7 @@
 export type Abandoned = Readonly<{
 	generation: string;
 	attempt: number;
-	address: string;
+	backend: Readonly<{id: string; address: string}>;
 	/** Time at which the attempt is cancelled. */
 	expiresAt: number;
 }>;
--- a/packages/lovage-entry-role/src/streams.ts
+++ b/packages/lovage-entry-role/src/streams.ts
@@ -4,6 +4,7 @@
 	stepGeneration,
 } from '@lovagevalve/generation';
 import type {Configuration} from '@lovagevalve/inventory';
+import {abandonStream, releaseAbandoned} from './abandoned.js';
 import {findHome} from './addresses.js';
 import {checkRequest, findBusyRefusal, type AllowedRequest} from './checks.js';
 import type {
@@ -294,10 +295,10 @@
 		hasToken: offset > 0,
 		isAdopted: true,
 	};
+	const released = releaseAbandoned(state, generation);
 	const next: EntryState = {
-		...state,
-		view: countInFlight(state.view, backend, 1),
-		abandoned: state.abandoned.delete(generation),
+		...released,
+		view: countInFlight(released.view, backend, 1),
 	};
 	return chain(transition(next, releaseElsewhere(state, adopted)), (current) =>
 		chain(runMachine(current, running, begun, moment), (after) =>
@@ -327,15 +328,7 @@
 		},
 		moment.now,
 	);
-	const {customer} = stream;
-	const {service} = stream.input;
-	const admitted: EntryEffect = {
-		kind: 'record',
-		fact: {kind: 'admitted', customer, service},
-	};
-	return chain(transition(state, [admitted]), (next) =>
-		runMachine(next, stream, begun, moment),
-	);
+	return runMachine(state, stream, begun, moment);
 }
 
 function dropStream(
@@ -362,12 +355,6 @@
 		return leaveQueue(state, stream, event);
 	}
 
-	const abandoned = {
-		generation: stream.generation,
-		attempt: machine.attempt,
-		address: backend.address,
-		expiresAt: event.now + state.options.callerGraceMs,
-	};
 	const released = runMachine(
 		state,
 		stream,
@@ -375,10 +362,7 @@
 		event,
 	);
 	return chain(released, (next) =>
-		transition({
-			...next,
-			abandoned: next.abandoned.set(stream.generation, abandoned),
-		}),
+		transition(abandonStream(next, stream, event.now)),
 	);
 }
 
--- a/packages/lovage-entry/src/host.ts
+++ b/packages/lovage-entry/src/host.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {createStore} from '@lovagevalve/core';
+import {createStore, type Listener} from '@lovagevalve/core';
 import {
 	createEntry,
 	stepEntry,
@@ -9,8 +9,10 @@
 	type EntryEvent,
 	type EntryOptions,
 	type EntryState,
+	type Fact,
 	type GenerationInput,
 	type Place,
+	type Quarantine,
 } from '@lovagevalve/entry-role';
 import type {Clock, Logger} from '@lovagevalve/runtime';
 import type {CallRequest, GenerationRequest} from '@lovagevalve/wire';
@@ -24,8 +26,6 @@
 	type StreamEffect,
 } from './stream-host.js';
 
-type Fact = Extract<EntryEffect, {kind: 'record'}>['fact'];
-
 /** Links and sinks that the host runs effects through. */
 export type HostLinks = Readonly<{
 	claims: ClaimsLink;
@@ -55,6 +55,9 @@
 		isDirect: boolean,
 	) => void;
 	registerPlace: (place: Place) => void;
+	learnQuarantine: (quarantine: Quarantine) => void;
+	/** Hears of each finished state; the function returned stops that. */
+	registerListener: (listener: Listener<EntryState>) => () => void;
 	tick: () => void;
 	heartbeat: () => void;
 }>;
@@ -65,7 +68,7 @@
 	cursorSecret: string;
 	clock: Clock;
 	log: Logger;
-	createLinks: (host: Pick<EntryHost, 'readState' | 'update'>) => HostLinks;
+	createLinks: (host: Pick<EntryHost, 'readState'>) => HostLinks;
 }>;
 
 /** Creates the host of one entry. */
@@ -84,7 +87,7 @@
 	const parts = {clock, cursorSecret, readState, update, random};
 	const streams = createStreamHost(parts);
 	const calls = createCallHost(parts);
-	const links = options.createLinks({readState, update});
+	const links = options.createLinks({readState});
 
 	const registerHome = async (
 		effect: Extract<EntryEffect, {kind: 'register-home'}>,
@@ -205,6 +208,10 @@
 		registerPlace(place) {
 			update({kind: 'place-registered', place, now: clock.now()});
 		},
+		learnQuarantine(quarantine) {
+			update({kind: 'quarantine-learned', quarantine, ...moment()});
+		},
+		registerListener: store.registerListener,
 		tick() {
 			update({kind: 'ticked', ...moment()});
 		},
--- a/packages/lovage-entry/src/lease-renewal.ts
+++ b/packages/lovage-entry/src/lease-renewal.ts
@@ -2,6 +2,7 @@
 	isLeaving,
 	type EntryEvent,
 	type EntryState,
+	type Quarantine,
 } from '@lovagevalve/entry-role';
 import type {Clock, Logger} from '@lovagevalve/runtime';
 import type {RenewRequest} from '@lovagevalve/wire';
@@ -21,6 +22,7 @@
 	log: Logger;
 	readState: () => EntryState;
 	update: (event: EntryEvent) => void;
+	learnQuarantine: (quarantine: Quarantine) => void;
 }>;
 
 function describeEntry(state: EntryState): RenewRequest {
@@ -53,7 +55,7 @@
 
 /** Starts the renewals; the first one is sent at once. */
 export function startLeaseRenewal(parts: RenewalParts): LeaseRenewal {
-	const {link, clock, log, readState, update} = parts;
+	const {link, clock, log, readState, update, learnQuarantine} = parts;
 	let timer: NodeJS.Timeout | undefined;
 	let isStopped = false;
 	let isRunning = false;
@@ -79,7 +81,7 @@
 		if (answer) {
 			update({kind: 'lease-granted', askedAt, grant: answer, now: clock.now()});
 			if (answer.quarantine) {
-				update({kind: 'quarantine-learned', quarantine: answer.quarantine});
+				learnQuarantine(answer.quarantine);
 			}
 		}
 	};
--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -27,6 +27,7 @@
 import {createOperatorApp} from './operator-app.js';
 import {createPeerHandlers} from './peer-handlers.js';
 import {createPeers} from './peers.js';
+import {createServiceLevelCounter} from './service-level.js';
 import {createEntryOptions, type EntrySettings} from './settings.js';
 
 const TICK_MS = 25;
@@ -67,6 +68,7 @@
 	const clock = createClock();
 	const entry = createEntryOptions(cfg, randomUUID());
 	const metrics = createMetrics(cfg.metrics, {entry: cfg.id});
+	const serviceLevel = createServiceLevelCounter(clock, metrics);
 	const pool = createRpcPool();
 	const link = createControlLink(cfg.controls, pool);
 	let resolveDrained: () => void;
@@ -77,11 +79,10 @@
 
 	const createLinks = ({
 		readState,
-		update,
-	}: Pick<EntryHost, 'readState' | 'update'>): HostLinks => ({
+	}: Pick<EntryHost, 'readState'>): HostLinks => ({
 		claims: createClaimsLink(link, clock),
 		deaths: createDeathsLink(cfg.id, link, (quarantine) => {
-			update({kind: 'quarantine-learned', quarantine});
+			host.learnQuarantine(quarantine);
 		}),
 		peers: createPeers(pool, () =>
 			readState()
@@ -91,9 +92,7 @@
 		renewNow() {
 			renewal?.renewNow();
 		},
-		record(fact) {
-			metrics.increment(`entry.${fact.kind}`);
-		},
+		record: serviceLevel.record,
 		onDrained() {
 			resolveDrained();
 		},
@@ -106,6 +105,12 @@
 		log: createLogger('entry.host'),
 		createLinks,
 	});
+	host.registerListener((state, previous) => {
+		const {configuration} = state.lease;
+		if (configuration && configuration !== previous.lease.configuration) {
+			serviceLevel.applyRules(configuration.rules);
+		}
+	});
 	const drain = (): void => {
 		host.update({kind: 'drain-requested', now: clock.now()});
 	};
@@ -113,7 +118,13 @@
 	const app = new Hono();
 	const router = createEntryPeerRouter(createPeerHandlers(host, clock));
 	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
-	app.route('/', createOperatorApp(host, {drain, readReport: () => ({})}));
+	app.route(
+		'/',
+		createOperatorApp(host, {
+			drain,
+			readReport: serviceLevel.takeSnapshot,
+		}),
+	);
 	app.route('/', createBackendApp(host));
 	app.route('/', createCallerApp(host, cfg));
 
@@ -137,6 +148,7 @@
 					log: createLogger('entry.lease'),
 					readState: host.readState,
 					update: host.update,
+					learnQuarantine: host.learnQuarantine,
 				});
 				const {stop} = renewal;
 				return ok({
