--- a/vitest.config.js
+++ b/vitest.config.js
@@ -1,9 +1,28 @@
 import {defineConfig} from 'vitest/config';
 
+const limits = {testTimeout: 120_000, hookTimeout: 120_000};
+
 export default defineConfig({
 	test: {
-		include: ['packages/*/src/__tests__/**/*.test.ts'],
-		testTimeout: 60_000,
-		hookTimeout: 60_000,
+		reporters: ['default', 'json'],
+		outputFile: {json: 'coverage/test-report.json'},
+		projects: [
+			{
+				test: {
+					name: 'unit',
+					include: ['packages/*/src/__tests__/unit/**/*.test.ts'],
+					...limits,
+				},
+			},
+			{
+				test: {
+					name: 'integration',
+					include: ['packages/*/src/__tests__/integration/**/*.test.ts'],
+					// Each file starts a dozen processes.
+					maxWorkers: 3,
+					...limits,
+				},
+			},
+		],
 	},
 });
