Add the lovage-control program

The shell around the control role: disk store, batched messages between the instances with one exchange at a time and a deadline, requests as promises, founding of a group through one instance, joining by itself after a lost disk, orders over HTTP, hand-over of the lead at SIGTERM.

--- a/packages/lovage-control-role/src/status.ts
+++ b/packages/lovage-control-role/src/status.ts
@@ -10,7 +10,7 @@
 	group?: string;
 	role: 'unassigned' | 'learner' | 'follower' | 'candidate' | 'leader';
 	term: number;
-	/** Address of the leader. */
+	/** Replica that leads, as far as this instance knows. */
 	leader?: string;
 	commitIndex: number;
 	lastIndex: number;
@@ -76,13 +76,12 @@
 export function describeControl(state: ControlState): ControlReport {
 	const {raft, machine, leadership} = state;
 	const members = listMembers(state);
-	const leader = findLeaderId(state);
 	return {
 		replica: raft.replica,
 		group: raft.hardState.group,
 		role: describeRole(state, members),
 		term: raft.hardState.term,
-		leader: members.find(({replica}) => replica === leader)?.address,
+		leader: findLeaderId(state),
 		commitIndex: raft.commitIndex,
 		lastIndex: raft.log.baseIndex + raft.log.entries.size,
 		snapshotIndex: raft.snapshot?.index ?? 0,
--- a/packages/lovage-control/src/index.ts
+++ b/packages/lovage-control/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export {type ControlProgram, startControlProgram} from './program.js';
+export {
+	type ControlProgramSettings,
+	controlSettingsSchema,
+} from './settings.js';
--- /dev/null
+++ b/packages/lovage-control/src/order-sender.ts
@@ -0,0 +1,65 @@
+import type {ControlEffect, ControlEvent} from '@lovagevalve/control-role';
+import type {Clock} from '@lovagevalve/runtime';
+import type {Order} from '@lovagevalve/wire';
+import {Agent, request} from 'undici';
+
+const ORDER_TIMEOUT_MS = 1000;
+const HTTP_CONFLICT = 409;
+const MAX_DETAIL_LENGTH = 200;
+
+type SendOrder = Extract<ControlEffect, {kind: 'send-order'}>;
+type Answered = Extract<ControlEvent, {kind: 'order-answered'}>;
+
+/** Outcome of one order. */
+export type OrderOutcome = Pick<Answered, 'outcome' | 'detail'>;
+
+/** Gives orders to backend servers over HTTP. */
+export type OrderSender = Readonly<{
+	send: (effect: SendOrder) => Promise<OrderOutcome>;
+	close: () => Promise<void>;
+}>;
+
+/** Creates a sender whose orders are delivered in time or not at all. */
+export function createOrderSender(clock: Clock): OrderSender {
+	const agent = new Agent({
+		pipelining: 0,
+		connect: {timeout: ORDER_TIMEOUT_MS},
+	});
+
+	const post = async (effect: SendOrder): Promise<OrderOutcome> => {
+		const {order, fencing, action, address} = effect;
+		const body: Order = {order, fencing, action};
+		const answer = await request(`${address}/v1/orders`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(body),
+			dispatcher: agent,
+			signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
+		});
+		const text = await answer.body.text();
+		const detail = text.slice(0, MAX_DETAIL_LENGTH);
+		if (answer.statusCode < 300) {
+			return {outcome: 'accepted', detail: ''};
+		}
+
+		return answer.statusCode === HTTP_CONFLICT
+			? {outcome: 'refused', detail}
+			: {outcome: 'failed', detail: `HTTP ${answer.statusCode}: ${detail}`};
+	};
+
+	return {
+		async send(effect) {
+			if (clock.now() >= effect.sendBefore) {
+				return {outcome: 'failed', detail: 'the right to order has run out'};
+			}
+
+			try {
+				return await post(effect);
+			} catch (error) {
+				const detail = error instanceof Error ? error.message : String(error);
+				return {outcome: 'failed', detail};
+			}
+		},
+		close: async () => agent.destroy(),
+	};
+}
--- /dev/null
+++ b/packages/lovage-control/src/program.ts
@@ -0,0 +1,209 @@
+import {randomInt} from 'node:crypto';
+import {setTimeout as wait} from 'node:timers/promises';
+import {trpcServer} from '@hono/trpc-server';
+import {createControl} from '@lovagevalve/control-role';
+import {
+	type ChildSpec,
+	createClock,
+	createLogger,
+	createMetrics,
+	type Logger,
+	type Metrics,
+	type PartError,
+	serveHttp,
+	startSupervisor,
+} from '@lovagevalve/runtime';
+import {createControlRouter, createRpcPool, RPC_PATH} from '@lovagevalve/wire';
+import {Hono} from 'hono';
+import {err, ok, type Result} from 'neverthrow';
+import {openDisk} from './disk.js';
+import {createFounding} from './founding.js';
+import {createHandlers, createStatus} from './handlers.js';
+import {type ControlHost, createControlHost} from './host.js';
+import {createJoining} from './joining.js';
+import {createOrderSender} from './order-sender.js';
+import {createOutbox} from './outbox.js';
+import {
+	type ControlProgramSettings,
+	createRaftSettings,
+	createRoleSettings,
+	trimAddress,
+} from './settings.js';
+import {transferLead} from './transfer.js';
+
+const TICK_MS = 25;
+/** Time for the answers that are under way at a stop. */
+const DRAIN_TIMEOUT_MS = 1000;
+const JOIN_INTERVAL_MS = 1000;
+const METRICS_INTERVAL_MS = 5000;
+const MAX_SEED = 2 ** 31;
+const RESTART_POLICY = {maxRestarts: 3, withinMs: 60_000};
+
+/** The program while it runs. */
+export type ControlProgram = Readonly<{
+	/** Hands over the lead, answers what is under way and stops. */
+	stop: () => Promise<void>;
+}>;
+
+function createTimer(
+	name: string,
+	run: () => void,
+	everyMs: number,
+): ChildSpec {
+	return {
+		name,
+		async start() {
+			const timer = setInterval(run, everyMs);
+			return ok({
+				async stop() {
+					clearInterval(timer);
+				},
+			});
+		},
+	};
+}
+
+function reportMetrics(host: ControlHost, metrics: Metrics): void {
+	const {raft, machine, leadership, waiting, reads} = host.read();
+	metrics.gauge('control.term', raft.hardState.term);
+	metrics.gauge('control.leads', leadership === undefined ? 0 : 1);
+	metrics.gauge('control.commit_index', raft.commitIndex);
+	metrics.gauge('control.configuration_version', machine.version);
+	metrics.gauge('control.claims', machine.claims.records.size);
+	metrics.gauge('control.open_claims', machine.claims.open.size);
+	metrics.gauge('control.waiting_requests', waiting.size + reads.size);
+}
+
+function createApp(
+	cfg: ControlProgramSettings,
+	host: ControlHost,
+	router: ReturnType<typeof createControlRouter>,
+): Hono {
+	const app = new Hono();
+	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
+	app.get('/health', (ctx) => {
+		const {role, group} = createStatus(cfg.name, host);
+		return ctx.json({kind: 'ok', role, group});
+	});
+	return app;
+}
+
+/** Wires the parts of a control instance and starts them. */
+export async function startControlProgram(
+	cfg: ControlProgramSettings,
+	giveUp: (error: PartError) => void,
+): Promise<Result<ControlProgram, PartError>> {
+	const listener = {
+		onSynced(sequence: number) {
+			host.feed({kind: 'synced', sequence});
+		},
+		onFailure({message}: Error) {
+			giveUp({kind: 'disk', message});
+		},
+	};
+	const diskLog = createLogger('control.disk');
+	const opened = await openDisk(cfg.dataFolder, listener, diskLog);
+	if (opened.isErr()) {
+		return err(opened.error);
+	}
+
+	const {store: disk, recovered} = opened.value;
+
+	const clock = createClock();
+	const address = trimAddress(cfg.address);
+	const metrics = createMetrics(cfg.metrics, {instance: cfg.name});
+	const pool = createRpcPool();
+	const outbox = createOutbox(address, pool);
+	const orders = createOrderSender(clock);
+	const log: Logger = createLogger('control.host');
+	const host = createControlHost(
+		createControl({
+			recovered,
+			raft: createRaftSettings(cfg),
+			settings: createRoleSettings(cfg),
+			seed: randomInt(MAX_SEED),
+			now: clock.now(),
+		}),
+		{clock, log, outbox, disk, orders},
+	);
+	const readStatus = () => createStatus(cfg.name, host);
+	const founding = createFounding({address, host, pool, readStatus});
+	const handlers = createHandlers({name: cfg.name, host, founding, log});
+	const app = createApp(cfg, host, createControlRouter(handlers));
+	const join = createJoining({
+		host,
+		pool,
+		log: createLogger('control.join'),
+		peers: cfg.controls.map(trimAddress).filter((peer) => peer !== address),
+		createRequest: () => ({
+			replica: host.read().raft.replica,
+			name: cfg.name,
+			address,
+		}),
+	});
+
+	const specs: readonly ChildSpec[] = [
+		{
+			name: 'disk',
+			start: async () => ok({stop: async () => disk.close()}),
+		},
+		{
+			name: 'connections',
+			start: async () =>
+				ok({
+					async stop() {
+						outbox.close();
+						await orders.close();
+						await pool.close();
+						metrics.close();
+					},
+				}),
+		},
+		createTimer(
+			'ticker',
+			() => {
+				host.feed({kind: 'ticked'});
+			},
+			TICK_MS,
+		),
+		createTimer(
+			'join',
+			() => {
+				void join();
+			},
+			JOIN_INTERVAL_MS,
+		),
+		createTimer(
+			'metrics',
+			() => {
+				reportMetrics(host, metrics);
+			},
+			METRICS_INTERVAL_MS,
+		),
+		{
+			name: 'http',
+			async start() {
+				const server = await serveHttp(app, cfg.listen.host, cfg.listen.port);
+				return server.map(({drain, close}) => ({
+					async stop() {
+						await Promise.race([drain(), wait(DRAIN_TIMEOUT_MS)]);
+						await close();
+					},
+				}));
+			},
+		},
+	];
+	const supervisor = await startSupervisor(specs, {
+		name: 'control',
+		log: createLogger('control.supervisor'),
+		now: clock.now,
+		policy: RESTART_POLICY,
+		giveUp,
+	});
+	return ok({
+		async stop() {
+			await transferLead(host, clock);
+			await supervisor.stop();
+		},
+	});
+}
