Round deadlines of exchanges to whole milliseconds

Cause: what was left of a deadline is fractional, and AbortSignal.timeout throws on fractions, which ended the entry as soon as a control instance did not answer. Ruled out: the drain itself.

--- a/packages/lovage-entry/src/call-exchange.ts
+++ b/packages/lovage-entry/src/call-exchange.ts
@@ -1,5 +1,5 @@
 import type {CallResult} from '@lovagevalve/entry-role';
-import type {BackendCall} from '@lovagevalve/wire';
+import {createDeadline, type BackendCall} from '@lovagevalve/wire';
 import {buildConnector, Client} from 'undici';
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -40,8 +40,8 @@
 	const client = new Client(call.address, {
 		pipelining: 1,
 		maxResponseSize: MAX_ANSWER_BYTES,
-		headersTimeout: call.timeoutMs,
-		bodyTimeout: call.timeoutMs,
+		headersTimeout: 0,
+		bodyTimeout: 0,
 		connect(options, callback) {
 			connector(options, (...outcome) => {
 				const [error, socket] = outcome;
@@ -69,7 +69,7 @@
 			path: '/v1/calls',
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(call.body),
-			signal: AbortSignal.timeout(call.timeoutMs),
+			signal: createDeadline(call.timeoutMs),
 		});
 		const text = await res.body.text();
 		return {kind: 'answered', result: readResult(res.statusCode, text)};
--- a/packages/lovage-entry/src/engine-exchange.ts
+++ b/packages/lovage-entry/src/engine-exchange.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {engineStatusSchema} from '@lovagevalve/wire';
+import {createDeadline, engineStatusSchema} from '@lovagevalve/wire';
 import {ResultAsync} from 'neverthrow';
 import {Client} from 'undici';
 
@@ -29,7 +29,7 @@
 		pipelining: 1,
 	});
 	try {
-		return await run(client, AbortSignal.timeout(timeoutMs));
+		return await run(client, createDeadline(timeoutMs));
 	} finally {
 		void client.destroy();
 	}
--- a/packages/lovage-wire/src/client.ts
+++ b/packages/lovage-wire/src/client.ts
@@ -81,6 +81,11 @@
 	return typeof data?.code === 'string' ? data.code : undefined;
 }
 
+/** Signal that aborts after a time in milliseconds, rounded up. */
+export function createDeadline(timeoutMs: number): AbortSignal {
+	return AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+}
+
 /**
  * Runs one exchange with a deadline in milliseconds. The connection of an
  * exchange that missed it is closed.
@@ -90,7 +95,7 @@
 	timeoutMs: number,
 ): ResultAsync<T, RpcError> {
 	return ResultAsync.fromPromise(
-		exchange(AbortSignal.timeout(timeoutMs)),
+		exchange(createDeadline(timeoutMs)),
 		(err): RpcError => ({
 			kind: 'rpc-failed',
 			message: err instanceof Error ? err.message : String(err),
--- a/packages/lovage-wire/src/index.ts
+++ b/packages/lovage-wire/src/index.ts
@@ -34,6 +34,7 @@
 export {
 	callRpc,
 	createControlClient,
+	createDeadline,
 	createEntryPeerClient,
 	createRpcPool,
 	RPC_PATH,
