Walk over the whole state once a second and not at each event

Cause: each tick (25 ms) rebuilt the table of homes, each chunk served every queue, and each candidate was looked up in the inventory's list of workers: cost grew with homes, queues and workers squared. Now expiry runs once a second, queues are served when work on a backend server changed, and workers are indexed once a configuration.

--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -26,6 +26,8 @@
 } from './transition.js';
 import {applyAnnouncement, expireBackends} from './view.js';
 
+const CLEAN_EVERY_MS = 1000;
+
 /** Decides everything that an entry instance decides. Pure. */
 export function stepEntry(
 	state: EntryState,
@@ -44,7 +46,7 @@
 			const {stream, event: inner, random} = event;
 			const moment = {now: inner.now, random};
 			return chain(stepStream(state, stream, inner, moment), (next) =>
-				serveQueues(next, moment),
+				next.view === state.view ? transition(next) : serveQueues(next, moment),
 			);
 		}
 
@@ -149,18 +151,27 @@
 	);
 }
 
-function tick(state: EntryState, moment: Moment): EntryTransition {
-	const {now} = moment;
+/** Drops what has expired, now and then: it walks over everything. */
+function clean(state: EntryState, now: number): EntryState {
+	if (now < state.cleanedAt + CLEAN_EVERY_MS) {
+		return state;
+	}
+
 	const {announcementLifetimeMs} = state.options;
-	const cleaned: EntryState = {
+	return {
 		...state,
 		view: expireBackends(state.view, now, announcementLifetimeMs),
 		homes: expireHomes(state.homes, now),
+		cleanedAt: now,
 	};
+}
+
+function tick(state: EntryState, moment: Moment): EntryTransition {
+	const {now} = moment;
 	return [
 		(next: EntryState) => tickStreams(next, moment),
 		(next: EntryState) => cancelAbandoned(next, now),
 		(next: EntryState) => serveQueues(next, moment),
 		(next: EntryState) => continueDrain(next, now),
-	].reduce(chain, transition(cleaned));
+	].reduce(chain, transition(clean(state, now)));
 }
--- a/packages/lovage-entry-role/src/index.ts
+++ b/packages/lovage-entry-role/src/index.ts
@@ -18,7 +18,7 @@
 export type {HomeAnswer, Place} from './homes.js';
 export {lookUpHome} from './homes.js';
 export type {EntryPeer, Lease, LeaseGrant} from './lease.js';
-export {configurationInForce} from './lease.js';
+export {configurationInForce, isExpected} from './lease.js';
 export type {EntryOptions} from './options.js';
 export {DEFAULT_TIMINGS} from './options.js';
 export type {Call, EntryPhase, EntryState, Stream} from './state.js';
@@ -26,4 +26,3 @@
 export {strikeDigest} from './suspects.js';
 export type {EntryTransition} from './transition.js';
 export type {Backend, BackendAnnouncement} from './view.js';
-export {isExpected} from './view.js';
--- a/packages/lovage-entry-role/src/lease.ts
+++ b/packages/lovage-entry-role/src/lease.ts
@@ -14,6 +14,8 @@
 	/** Version in force here; 0 for none yet. */
 	version: number;
 	configuration: Configuration | undefined;
+	/** Service of each worker that the inventory names. */
+	workers: ReadonlyMap<string, string>;
 	/** Monotonic time at which the right ends. */
 	expiresAt: number;
 	/** Entries that held a lease at the last renewal. */
@@ -32,10 +34,22 @@
 export const NO_LEASE: Lease = {
 	version: 0,
 	configuration: undefined,
+	workers: new Map(),
 	expiresAt: Number.NEGATIVE_INFINITY,
 	entries: [],
 };
 
+function indexWorkers(
+	configuration: Configuration | undefined,
+): ReadonlyMap<string, string> {
+	const services = configuration?.inventory.services ?? [];
+	return new Map(
+		services.flatMap((service) =>
+			service.workers.map(({id}) => [id, service.id] as const),
+		),
+	);
+}
+
 /**
  * Applies a grant. The lease is counted from when the renewal was asked for,
  * and a grant of an older version than the one in force is ignored.
@@ -59,6 +73,10 @@
 	return {
 		version: grant.version,
 		configuration,
+		workers:
+			configuration === lease.configuration
+				? lease.workers
+				: indexWorkers(configuration),
 		expiresAt: Math.max(lease.expiresAt, askedAt + grant.leaseMs),
 		entries: grant.entries,
 	};
@@ -71,3 +89,11 @@
 ): Configuration | undefined {
 	return now < lease.expiresAt ? lease.configuration : undefined;
 }
+
+/** Tells whether the inventory names a backend server under this service. */
+export function isExpected(
+	lease: Lease,
+	announcement: Readonly<{id: string; service: string}>,
+): boolean {
+	return lease.workers.get(announcement.id) === announcement.service;
+}
--- a/packages/lovage-entry-role/src/place.ts
+++ b/packages/lovage-entry-role/src/place.ts
@@ -1,4 +1,3 @@
-import type {Configuration} from '@lovagevalve/inventory';
 import {
 	chooseBackend,
 	estimateOccupancy,
@@ -48,12 +47,11 @@
 
 function listCandidates(
 	state: EntryState,
-	configuration: Configuration,
 	service: string,
 	now: number,
 ): readonly Candidate[] {
-	return listUsable(state.view, configuration.inventory, service, now).map(
-		(backend) => createCandidate(state, backend),
+	return listUsable(state.view, state.lease, service, now).map((backend) =>
+		createCandidate(state, backend),
 	);
 }
 
@@ -63,13 +61,8 @@
 	work: Work,
 	moment: Readonly<{now: number; random: number}>,
 ): Backend | undefined {
-	const {configuration} = state.lease;
-	if (!configuration) {
-		return undefined;
-	}
-
 	const chosen = chooseBackend(
-		listCandidates(state, configuration, work.service, moment.now),
+		listCandidates(state, work.service, moment.now),
 		{...work, dataCentre: state.options.dataCentre},
 		moment.random,
 	);
@@ -82,12 +75,9 @@
 	service: string,
 	now: number,
 ): number {
-	const {configuration} = state.lease;
-	return configuration
-		? listCandidates(state, configuration, service, now)
-				.map((candidate) =>
-					Math.max(0, candidate.capacity - estimateOccupancy(candidate)),
-				)
-				.reduce((sum, free) => sum + free, 0)
-		: 0;
+	return listCandidates(state, service, now)
+		.map((candidate) =>
+			Math.max(0, candidate.capacity - estimateOccupancy(candidate)),
+		)
+		.reduce((sum, free) => sum + free, 0);
 }
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -98,6 +98,8 @@
 	streams: ImmutableMap<string, Stream>;
 	abandoned: ImmutableMap<string, Abandoned>;
 	calls: ImmutableMap<string, Call>;
+	/** When expired places and announcements were dropped last. */
+	cleanedAt: number;
 }>;
 
 /** Creates the state of an entry that has just started. */
@@ -113,6 +115,7 @@
 		streams: ImmutableMap(),
 		abandoned: ImmutableMap(),
 		calls: ImmutableMap(),
+		cleanedAt: 0,
 	};
 }
 
--- a/packages/lovage-entry-role/src/view.ts
+++ b/packages/lovage-entry-role/src/view.ts
@@ -1,5 +1,5 @@
 import type {Map as ImmutableMap} from 'immutable';
-import type {Inventory} from '@lovagevalve/inventory';
+import {isExpected, type Lease} from './lease.js';
 
 /** What a backend server announces of itself. */
 export type BackendAnnouncement = Readonly<{
@@ -114,21 +114,10 @@
 	return backend ? view.set(id, {...backend, avoidUntil: until}) : view;
 }
 
-/** Tells whether the inventory names a backend server under this service. */
-export function isExpected(
-	inventory: Inventory,
-	announcement: Readonly<{id: string; service: string}>,
-): boolean {
-	const service = inventory.services.find(
-		({id}) => id === announcement.service,
-	);
-	return Boolean(service?.workers.some(({id}) => id === announcement.id));
-}
-
 /** Backend servers of a service that may get new work now. */
 export function listUsable(
 	view: View,
-	inventory: Inventory,
+	lease: Lease,
 	service: string,
 	now: number,
 ): readonly Backend[] {
@@ -138,7 +127,7 @@
 			announcement.state === 'serving' &&
 			expiresAt > now &&
 			avoidUntil <= now &&
-			isExpected(inventory, announcement),
+			isExpected(lease, announcement),
 	);
 }
 
--- a/packages/lovage-entry/src/backend-app.ts
+++ b/packages/lovage-entry/src/backend-app.ts
@@ -22,13 +22,10 @@
 		host.takeAnnouncement(announcement.value, true);
 		const state = host.readState();
 		const {options, lease} = state;
-		const {configuration} = lease;
 		const answer: AnnouncementAnswer = {
 			everyMs: options.announceEveryMs,
 			entries: listAddresses(options, lease, false, announcement.value.id),
-			known: configuration
-				? isExpected(configuration.inventory, announcement.value)
-				: false,
+			known: isExpected(lease, announcement.value),
 		};
 		return ctx.json(answer);
 	});
