Prove claims and dispatch in the specification

The model drives stepClaims and stepDispatch: two entries, a resend, one more attempt or another body, delayed and repeated messages, lapse and the end of the retention. The invariant on "unknown" speaks of attempts up to the one that was told: a holder may settle "not run" later, and the next attempt may run then.

--- /dev/null
+++ b/packages/lovage-spec/src/claims-model-events.ts
@@ -0,0 +1,118 @@
+import type {DispatchEvent} from '@lovagevalve/claims';
+import {
+	type Arrival,
+	WINDOW_MS,
+	type World,
+	type WorldEvent,
+} from './claims-model-world.js';
+
+/** An entry that dies takes no more steps: each path ends with that case. */
+function listDispatchEvents({dispatch, isLate}: Arrival): DispatchEvent[] {
+	switch (dispatch.phase.kind) {
+		case 'new': {
+			return [{kind: 'start', now: 0}, {kind: 'withdraw'}];
+		}
+
+		case 'asking':
+		case 'refusing': {
+			return [{kind: 'claim-failed'}];
+		}
+
+		case 'ready': {
+			const now = isLate ? WINDOW_MS : 0;
+			return [{kind: 'write-ready', now}, {kind: 'withdraw'}];
+		}
+
+		case 'dispatched': {
+			const body = dispatch.request.digest;
+			return [
+				{kind: 'call-answered', answer: {status: 200, body}},
+				{kind: 'call-lost'},
+			];
+		}
+
+		case 'finished': {
+			return [];
+		}
+	}
+}
+
+function isSent(state: World, {dispatch}: Arrival): boolean {
+	const {attempt} = dispatch.request;
+	return state.told.notRun >= attempt - 1;
+}
+
+function listArrivalEvents(
+	state: World,
+	arrival: Arrival,
+	i: number,
+): WorldEvent[] {
+	if (!isSent(state, arrival)) {
+		return [];
+	}
+
+	const inner = listDispatchEvents(arrival).map((event): WorldEvent => ({
+		type: 'arrival',
+		arrival: i,
+		what: event.kind,
+		event,
+	}));
+	return isInTime(arrival)
+		? [...inner, {type: 'dispatch time passes', arrival: i}]
+		: inner;
+}
+
+function listDeliveries(
+	state: World,
+	arrival: Arrival,
+	index: number,
+): WorldEvent[] {
+	return arrival.sent.flatMap(({command, isAwaited}, i) => {
+		const delivery = {
+			type: 'group applies',
+			arrival: index,
+			command: command.kind,
+			i,
+			answer: isAwaited ? 'arrives' : 'is not awaited',
+			isDuplicated: false,
+		} as const;
+		const isRepeated = command.kind === 'settle' && !state.isDuplicated;
+		return isRepeated
+			? [delivery, {...delivery, isDuplicated: true}]
+			: [delivery];
+	});
+}
+
+function isInTime({dispatch, isLate}: Arrival): boolean {
+	return dispatch.phase.kind === 'ready' && !isLate;
+}
+
+/** A claim lapses after its holder's time has passed on every clock. */
+function listLapses(state: World): WorldEvent[] {
+	return [...state.claims.open.entries()].flatMap(([claim, key]) => {
+		const holder = state.claims.records.get(key)?.holder.copy;
+		const arrival = state.arrivals.find(
+			({dispatch}) => dispatch.request.copy === holder,
+		);
+		return arrival !== undefined && isInTime(arrival)
+			? []
+			: [{type: 'claim lapses', claim} as const];
+	});
+}
+
+/** Everything that may happen next. */
+export function listEvents(state: World): WorldEvent[] {
+	return [
+		...state.arrivals.flatMap((arrival, i) => [
+			...listArrivalEvents(state, arrival, i),
+			...listDeliveries(state, arrival, i),
+		]),
+		...listLapses(state),
+		...(state.duplicate === undefined
+			? []
+			: [{type: 'duplicate settlement arrives'} as const]),
+		...(state.isRetentionOver || state.claims.records.size === 0
+			? []
+			: [{type: 'retention passes'} as const]),
+	];
+}
--- /dev/null
+++ b/packages/lovage-spec/src/claims-model-world.ts
@@ -0,0 +1,110 @@
+import {
+	type ClaimCommand,
+	type ClaimRequest,
+	type ClaimsState,
+	createClaims,
+	createDispatch,
+	type DispatchEvent,
+	type DispatchState,
+} from '@lovagevalve/claims';
+import type {ModelEvent} from './explore.js';
+
+/** How long the table keeps a state, in milliseconds. */
+export const RETENTION_MS = 1000;
+/** Time within which a granted claim is dispatched, in milliseconds. */
+export const WINDOW_MS = 2000;
+const LIMITS = {
+	records: 10,
+	spentIds: 20,
+	answerBytes: 10_000,
+	dispatchWithinMs: WINDOW_MS,
+};
+
+/** A command on its way to the control group. */
+type Sent = Readonly<{command: ClaimCommand; isAwaited: boolean}>;
+
+/** One arrival of the request at an entry. */
+export type Arrival = Readonly<{
+	dispatch: DispatchState;
+	sent: readonly Sent[];
+	/** The time within which it may dispatch has passed. */
+	isLate: boolean;
+}>;
+
+/** Highest attempts that some caller was told of; 0 for none. */
+type Told = Readonly<{notRun: number; unknown: number}>;
+
+/** Two entries, their messages and the table of claims. */
+export type World = Readonly<{
+	claims: ClaimsState;
+	arrivals: readonly Arrival[];
+	/** Arrivals that handed out bytes, in order. */
+	writes: readonly number[];
+	told: Told;
+	isRetentionOver: boolean;
+	/** A settlement that was sent twice, because its answer was lost. */
+	duplicate?: ClaimCommand;
+	isDuplicated: boolean;
+	violation?: string;
+}>;
+
+/** What may happen next. */
+export type WorldEvent = ModelEvent &
+	(
+		| Readonly<{
+				type: 'arrival';
+				arrival: number;
+				event: DispatchEvent;
+				what: string;
+		  }>
+		| Readonly<{
+				type: 'group applies';
+				arrival: number;
+				command: string;
+				i: number;
+				answer: 'arrives' | 'is not awaited';
+				isDuplicated: boolean;
+		  }>
+		| Readonly<{type: 'duplicate settlement arrives'}>
+		| Readonly<{type: 'dispatch time passes'; arrival: number}>
+		| Readonly<{type: 'claim lapses'; claim: string}>
+		| Readonly<{type: 'retention passes'}>
+	);
+
+function createRequest(
+	entry: string,
+	attempt: number,
+	digest: string,
+): ClaimRequest {
+	const name = {customer: 'c', requestId: 'r', incarnation: 'i'};
+	return {...name, entry, attempt, digest, copy: `${entry}${attempt}${digest}`};
+}
+
+/** The caller's request, its resend elsewhere, and the next attempt. */
+export const RESENDS = [
+	createRequest('entry-1', 1, 'body'),
+	createRequest('entry-2', 1, 'body'),
+	createRequest('entry-2', 2, 'body'),
+];
+
+/** The same id with two bodies. */
+export const TWO_BODIES = [
+	createRequest('entry-1', 1, 'body'),
+	createRequest('entry-2', 1, 'other body'),
+];
+
+/** Creates the state before the first arrival. */
+export function createInitial(requests: readonly ClaimRequest[]): World {
+	return {
+		claims: createClaims(LIMITS),
+		arrivals: requests.map((request) => ({
+			dispatch: createDispatch(request),
+			sent: [],
+			isLate: false,
+		})),
+		writes: [],
+		told: {notRun: 0, unknown: 0},
+		isRetentionOver: false,
+		isDuplicated: false,
+	};
+}
--- /dev/null
+++ b/packages/lovage-spec/src/claims-model.ts
@@ -0,0 +1,62 @@
+import {CLAIM_GUARDS, encodeClaims, type IsGuarded} from '@lovagevalve/claims';
+import {listEvents} from './claims-model-events.js';
+import {createStep} from './claims-model-step.js';
+import {
+	createInitial,
+	RESENDS,
+	TWO_BODIES,
+	type World,
+	type WorldEvent,
+} from './claims-model-world.js';
+import {explore} from './explore.js';
+import {type Model, type ModelResult, runInTurn} from './model.js';
+
+function findViolation(state: World): string | undefined {
+	if (state.writes.length > 1) {
+		return 'a request runs at most once';
+	}
+
+	const isBroken = state.writes.some((i) => {
+		const {attempt} = state.arrivals[i]!.dispatch.request;
+		return state.told.notRun >= attempt;
+	});
+	return isBroken ? 'what was told "not run" never runs' : state.violation;
+}
+
+function createKey(state: World): string {
+	const {records, open, checks, spent, horizon, nextClaim} = encodeClaims(
+		state.claims,
+	);
+	return JSON.stringify({
+		...state,
+		claims: {records, open, checks, spent, horizon, nextClaim},
+		arrivals: state.arrivals.map(({dispatch, ...rest}) => ({
+			...rest,
+			phase: dispatch.phase,
+		})),
+	});
+}
+
+function run(disabledGuards: readonly string[]): ModelResult {
+	const isGuarded: IsGuarded = (guard) => !disabledGuards.includes(guard);
+	const results = [TWO_BODIES, RESENDS].map(
+		(requests) => () =>
+			explore<World, WorldEvent>({
+				initial: createInitial(requests),
+				events: listEvents,
+				step: createStep(isGuarded),
+				findViolation,
+				createKey,
+			}),
+	);
+	return runInTurn(results);
+}
+
+/** Claims and dispatch of requests that run at most once. */
+export const claimsModel: Model = {
+	name: 'claims',
+	guards: CLAIM_GUARDS,
+	bounds:
+		'one request id at two entries: a resend and one more attempt, or two bodies; each arrival stops at any step or is late, answers are lost, one settlement is repeated, the retention ends once',
+	run,
+};
--- a/packages/lovage-spec/src/model.ts
+++ b/packages/lovage-spec/src/model.ts
@@ -22,3 +22,20 @@
 	/** Explores the model without the guards named. */
 	run: (disabledGuards: readonly string[]) => ModelResult;
 }>;
+
+/** Runs several explorations of one model, up to the first violation. */
+export function runInTurn(
+	explorations: ReadonlyArray<() => ModelResult>,
+): ModelResult {
+	return explorations.reduce<ModelResult>(
+		(total, run) => {
+			if (total.violation !== undefined) {
+				return total;
+			}
+
+			const {states, violation} = run();
+			return {states: total.states + states, violation};
+		},
+		{states: 0},
+	);
+}
--- /dev/null
+++ b/packages/lovage-spec/src/models.ts
@@ -0,0 +1,5 @@
+import {claimsModel} from './claims-model.js';
+import type {Model} from './model.js';
+
+/** Every model of the specification. */
+export const models: readonly Model[] = [claimsModel];
