--- a/packages/lovagectl/src/command-follow.ts
+++ b/packages/lovagectl/src/command-follow.ts
@@ -47,8 +47,10 @@
 ): void {
 	progress.entries.forEach((entry) => {
 		const standing = judgeEntry(entry, version);
-		if (seen.get(entry.entry.id) !== standing) {
-			seen.set(entry.entry.id, standing);
+		// An entry that started again has a lease for each of its processes.
+		const key = `${entry.entry.id}/${entry.entry.incarnation}`;
+		if (seen.get(key) !== standing) {
+			seen.set(key, standing);
 			report(entry);
 		}
 	});
--- a/packages/lovagectl/src/command-init.ts
+++ b/packages/lovagectl/src/command-init.ts
@@ -2,6 +2,11 @@
 import type {ControlSession} from './control-session.js';
 import {createOutput, fail, type CommandResult} from './outcome.js';
 
+/** The control group adds to the name that its founder gave. */
+function isNamed(found: string, group: string): boolean {
+	return found === group || found.startsWith(`${group}.`);
+}
+
 function describeObstacle(
 	instance: InstanceStatus,
 	group: string,
@@ -11,7 +16,7 @@
 	}
 
 	const {group: found} = instance.status;
-	return found === undefined || found === group
+	return found === undefined || isNamed(found, group)
 		? undefined
 		: `${instance.address} belongs to group "${found}"`;
 }
@@ -36,7 +41,8 @@
 	const found = instances.flatMap((instance) =>
 		instance.reachable ? [instance] : [],
 	);
-	if (found.some(({status}) => status.group === group)) {
+	const newcomer = found.find(({status}) => status.group === undefined);
+	if (newcomer === undefined) {
 		return createOutput([`group ${group} exists already`], {
 			group,
 			created: false,
@@ -49,7 +55,7 @@
 		address,
 	}));
 	const answer = await session.askOne(
-		session.addresses[0]!,
+		newcomer.address,
 		async (client, signal) =>
 			client.initialise.mutate({group, members}, {signal}),
 	);
--- a/packages/lovagectl/src/command-report.ts
+++ b/packages/lovagectl/src/command-report.ts
@@ -16,7 +16,7 @@
 import {readProgress} from './command-follow.js';
 import type {Credentials} from './connection.js';
 import type {ControlSession} from './control-session.js';
-import {callEntry, type EntryError} from './entry-client.js';
+import {callEntry, isKeyRefused, type EntryError} from './entry-client.js';
 import type {Host} from './host.js';
 import {
 	createError,
@@ -63,7 +63,6 @@
 					: err({
 							entry: entry.id,
 							message: `${entry.address}: the answer is not a report`,
-							isForbidden: false,
 						});
 			});
 		}),
@@ -117,7 +116,7 @@
 		return fail('unavailable', 'no entry is known to the control group');
 	}
 
-	const isForbidden = missing.every((error) => error.isForbidden);
+	const isForbidden = missing.every(isKeyRefused);
 	return fail(
 		isForbidden ? 'forbidden' : 'unavailable',
 		missing.map(({message}) => message),
--- a/packages/lovagectl/src/entry-client.ts
+++ b/packages/lovagectl/src/entry-client.ts
@@ -11,7 +11,8 @@
 export type EntryError = Readonly<{
 	entry: string;
 	message: string;
-	isForbidden: boolean;
+	/** HTTP status; absent when no answer came. */
+	status?: number;
 }>;
 
 /** Who asks an entry, and over which connections. */
@@ -71,7 +72,7 @@
 	return err({
 		entry: entry.id,
 		message: `${entry.address}: ${detail}`,
-		isForbidden: status === 401 || status === 403,
+		status,
 	});
 }
 
@@ -88,7 +89,11 @@
 		(cause): EntryError => ({
 			entry: entry.id,
 			message: `${entry.address}: ${cause instanceof Error ? cause.message : String(cause)}`,
-			isForbidden: false,
 		}),
 	).andThen((answer) => checkAnswer(entry, answer));
 }
+
+/** Tells whether an entry refused the operator's key. */
+export function isKeyRefused({status}: EntryError): boolean {
+	return status === 401 || status === 403;
+}
