Check the generation exhaustively and number attempts afresh

Found on the way: an entry that adopts a generation may give its next attempt a number that the entry before it used for an attempt without a delivered token, so that one number names two runs.

--- a/packages/lovage-generation/src/guards.ts
+++ b/packages/lovage-generation/src/guards.ts
@@ -20,6 +20,8 @@
 	prefixOnResume: boolean;
 	/** No new attempt while the delivered prefix is not at hand. */
 	prefixRequired: boolean;
+	/** After an adoption, attempts have numbers that no other entry used. */
+	freshAttempts: boolean;
 }>;
 
 /** Every rule in force. */
@@ -34,4 +36,5 @@
 	cancelOld: true,
 	prefixOnResume: true,
 	prefixRequired: true,
+	freshAttempts: true,
 };
--- a/packages/lovage-generation/src/state.ts
+++ b/packages/lovage-generation/src/state.ts
@@ -15,6 +15,11 @@
 			offset: number;
 			/** Whether the host holds the delivered tokens. */
 			prefixAvailable: boolean;
+			/**
+			 * Lowest number for a new attempt: above any that the other entry may
+			 * have used. The attempt after the adopted one by default.
+			 */
+			nextAttempt?: Attempt;
 	  };
 
 /** Settings of one generation. */
@@ -59,6 +64,8 @@
 	guards: GenerationGuards;
 	phase: Phase;
 	attempt: Attempt;
+	/** Lowest number for the next attempt. */
+	nextAttempt: Attempt;
 	/** Tokens delivered to the caller. */
 	offset: number;
 	/** Leading tokens that the host holds. */
@@ -99,6 +106,7 @@
 		guards: options.guards ?? ALL_GUARDS,
 		phase: {kind: 'placing'},
 		attempt: 0,
+		nextAttempt: 1,
 		offset: 0,
 		held: 0,
 		connections: 0,
@@ -130,6 +138,7 @@
 			...base,
 			phase: {kind: 'streaming', backend, connection, silentSince: now},
 			attempt,
+			nextAttempt: base.guards.freshAttempts ? (start.nextAttempt ?? 1) : 1,
 			offset,
 			held,
 			connections: connection,
--- a/packages/lovage-generation/src/step.ts
+++ b/packages/lovage-generation/src/step.ts
@@ -79,7 +79,7 @@
 	backend: string,
 	now: number,
 ): GenerationTransition {
-	const attempt = state.attempt + 1;
+	const attempt = Math.max(state.attempt + 1, state.nextAttempt);
 	const connection = state.connections + 1;
 	const prefixLength = state.guards.prefixOnResume ? state.offset : 0;
 	return createTransition<GenerationState, GenerationEffect>(
--- /dev/null
+++ b/packages/lovage-spec/src/generation-model-effects.ts
@@ -0,0 +1,265 @@
+import {
+	UNKNOWN_PACE,
+	stepGeneration,
+	type GenerationEffect,
+	type GenerationEvent,
+	type GenerationState,
+	type GenerationTransition,
+} from '@lovagevalve/generation';
+import {
+	findHolding,
+	GENERATION,
+	setBackend,
+	TOTAL,
+	type BackendName,
+	type Holding,
+	type ModelConnection,
+	type ModelMessage,
+	type Pending,
+	type World,
+} from './generation-model-world.js';
+
+/** Applies an event to the generation and its effects to the world. */
+export function applyEvent(
+	world: World,
+	event: GenerationEvent,
+	message?: ModelMessage,
+): World {
+	return applyTransition(
+		world,
+		stepGeneration(world.generation, event),
+		message,
+	);
+}
+
+/** Applies the effects of a transition to the world. */
+export function applyTransition(
+	world: World,
+	transition: GenerationTransition,
+	message?: ModelMessage,
+): World {
+	const judged = transition.effects
+		.filter((effect) => effect.kind === 'report-death')
+		.reduce((current, effect) => checkDeath(current, effect), world);
+	const next = {...judged, generation: forgetTimes(transition.state)};
+	return transition.effects.reduce(
+		(current, effect) => runEffect(current, effect, message),
+		next,
+	);
+}
+
+/** Times play no part in the model: any silence may last too long. */
+function forgetTimes(state: GenerationState): GenerationState {
+	const {phase, loss} = state;
+	return {
+		...state,
+		phase:
+			phase.kind === 'streaming'
+				? {...phase, silentSince: 0}
+				: phase.kind === 'probing'
+					? {...phase, sentAt: 0}
+					: phase,
+		pace: UNKNOWN_PACE,
+		lastTokenAt: 0,
+		loss: loss === undefined ? undefined : {...loss, lastTokenAt: 0},
+	};
+}
+
+function runEffect(
+	world: World,
+	effect: GenerationEffect,
+	message?: ModelMessage,
+): World {
+	switch (effect.kind) {
+		case 'start': {
+			return startAttempt(world, effect);
+		}
+
+		case 'resume': {
+			return resumeAttempt(world, effect);
+		}
+
+		case 'close': {
+			return closeConnection(world, effect.connection, message);
+		}
+
+		case 'probe': {
+			const {attempt, probe} = effect;
+			const backend = effect.backend as BackendName;
+			return {...world, probe: {backend, attempt, probe}};
+		}
+
+		case 'cancel': {
+			const {attempt} = effect;
+			return cancelAttempt(world, effect.backend as BackendName, attempt);
+		}
+
+		case 'deliver': {
+			return deliver(world, effect.count, message!);
+		}
+
+		case 'retain': {
+			const from = effect.offset - message!.offset;
+			const tokens = message!.tokens.slice(from, from + effect.count);
+			return {...world, held: [...world.held, ...tokens]};
+		}
+
+		case 'finish': {
+			return world.transcript.length === TOTAL && effect.total === TOTAL
+				? world
+				: violate(world, 'a finished answer is whole');
+		}
+
+		case 'place':
+		case 'report-death':
+		case 'report-resume':
+		case 'fail': {
+			return world;
+		}
+	}
+}
+
+function violate(world: World, violation: string): World {
+	return {...world, violation: world.violation ?? violation};
+}
+
+function connect(
+	world: World,
+	connection: Omit<ModelConnection, 'status'>,
+	offset: number,
+): World {
+	const {status} = world.backends[connection.backend];
+	const holding = findHolding(world, connection);
+	const opened = holding === undefined ? 'refused' : 'open';
+	const byStatus = {up: opened, paused: 'silent', dead: 'broken'} as const;
+	const added: ModelConnection = {...connection, status: byStatus[status]};
+	const connections = [...world.connections, added];
+	return added.status === 'open' && holding!.tokens.length > offset
+		? {
+				...world,
+				connections,
+				messages: [...world.messages, createMessage(added, holding!, offset)],
+			}
+		: {...world, connections};
+}
+
+/** Creates the message with the tokens of an attempt from an offset on. */
+export function createMessage(
+	connection: ModelConnection,
+	{attempt, tokens}: Holding,
+	offset: number,
+): ModelMessage {
+	return {
+		connection: connection.id,
+		generation: GENERATION,
+		attempt,
+		offset,
+		tokens: tokens.slice(offset),
+		isLast: tokens.length === TOTAL,
+	};
+}
+
+/** Cancels at once where that is possible, else when it comes back. */
+function cancelAttempt(
+	world: World,
+	backend: BackendName,
+	attempt: number,
+): World {
+	const {status, holdings} = world.backends[backend];
+	if (status === 'paused') {
+		return {...world, cancels: [...world.cancels, {backend, attempt}]};
+	}
+
+	return setBackend(world, backend, {
+		holdings: holdings.filter((holding) => holding.attempt !== attempt),
+	});
+}
+
+function startAttempt(
+	world: World,
+	effect: Extract<GenerationEffect, {kind: 'start'}>,
+): World {
+	const {attempt, connection: id, prefixLength} = effect;
+	const backend = effect.backend as BackendName;
+	if (prefixLength < world.transcript.length) {
+		return violate(world, 'nothing restarts after a delivered token');
+	}
+
+	if (world.held.length < prefixLength) {
+		return violate(world, 'an attempt gets the whole delivered prefix');
+	}
+
+	if (world.started.includes(attempt)) {
+		return violate(world, 'an attempt number names one run');
+	}
+
+	const tokens = world.held.slice(0, prefixLength);
+	const {status, holdings} = world.backends[backend];
+	const started =
+		status === 'up'
+			? setBackend(world, backend, {
+					holdings: [...holdings, {attempt, tokens, cancelled: false}],
+				})
+			: world;
+	const counted = {...started, started: [...world.started, attempt]};
+	return connect(counted, {id, backend, attempt}, prefixLength);
+}
+
+function resumeAttempt(
+	world: World,
+	effect: Extract<GenerationEffect, {kind: 'resume'}>,
+): World {
+	const {attempt, connection: id, offset} = effect;
+	const backend = effect.backend as BackendName;
+	return connect(world, {id, backend, attempt}, offset);
+}
+
+function closeConnection(
+	world: World,
+	id: number,
+	message?: ModelMessage,
+): World {
+	const connections = world.connections.filter((other) => other.id !== id);
+	const closed = {...world, connections};
+	const isOther = message !== undefined && message.connection !== id;
+	return isOther && connections.length < world.connections.length
+		? violate(closed, 'a late message closes no other connection')
+		: closed;
+}
+
+function deliver(world: World, count: number, message: ModelMessage): World {
+	const tokens = message.tokens.slice(-count);
+	const transcript = [...world.transcript, ...tokens];
+	const {attempt} = world.generation;
+	const backend = world.connections.find(
+		({id}) => id === message.connection,
+	)?.backend;
+	const next: World = {
+		...world,
+		transcript,
+		held: [...world.held, ...tokens],
+		cursor: backend === undefined ? world.cursor : {backend, attempt},
+	};
+	const end = message.offset + message.tokens.length;
+	if (message.attempt !== attempt || tokens.includes(0)) {
+		return violate(next, 'tokens are of the present attempt');
+	}
+
+	return transcript.length === end
+		? next
+		: violate(next, 'every token arrives once and in order');
+}
+
+function checkDeath(
+	world: World,
+	effect: Extract<GenerationEffect, {kind: 'report-death'}>,
+): World {
+	const {attempt, cause} = effect;
+	const asked: Pending = {backend: effect.backend as BackendName, attempt};
+	const isAlive =
+		world.backends[asked.backend].status === 'up' &&
+		findHolding(world, asked) !== undefined;
+	return isAlive && cause !== 'stalled'
+		? violate(world, 'a backend server that holds the attempt is not left')
+		: world;
+}
--- /dev/null
+++ b/packages/lovage-spec/src/generation-model-events.ts
@@ -0,0 +1,182 @@
+import {
+	BACKENDS,
+	FAULTS,
+	findHolding,
+	TOTAL,
+	type BackendName,
+	type World,
+} from './generation-model-world.js';
+
+/** What may happen around a generation. */
+export type WorldEvent =
+	| {type: 'placed'; backend: BackendName}
+	| {type: 'generated'; backend: BackendName; attempt: number}
+	| {type: 'arrived'; index: number}
+	| {type: 'refused'; connection: number}
+	| {type: 'broke'; connection: number}
+	| {type: 'silence-noticed'}
+	| {type: 'probe-answered'}
+	| {type: 'probe-failed'}
+	| {type: 'cancelled'; index: number}
+	/** Faults. */
+	| {type: 'engine-died'; backend: BackendName}
+	| {type: 'engine-paused'; backend: BackendName}
+	| {type: 'engine-returned'; backend: BackendName}
+	| {type: 'connection-silenced'; connection: number}
+	| {type: 'message-lost'; index: number}
+	| {type: 'message-repeated'; index: number}
+	| {type: 'message-crossed'; index: number}
+	| {type: 'foreign-message'}
+	| {type: 'false-alarm'}
+	| {type: 'entry-died'};
+
+const MAX_MESSAGES = 2;
+
+/** Lists the events that are possible in a world. */
+export function listEvents(world: World): readonly WorldEvent[] {
+	if (world.violation !== undefined) {
+		return [];
+	}
+
+	return world.generation.phase.kind === 'ended'
+		? []
+		: [
+				...listPlacements(world),
+				...listProgress(world),
+				...listAnswers(world),
+				...listCancels(world),
+				...listReturns(world),
+				...(world.faults < FAULTS ? listFaults(world) : []),
+			];
+}
+
+function listPlacements(world: World): readonly WorldEvent[] {
+	if (world.generation.phase.kind !== 'placing') {
+		return [];
+	}
+
+	const {attempt, excluded} = world.generation;
+	if (attempt === 0) {
+		return [{type: 'placed', backend: 'a'}];
+	}
+
+	const others = BACKENDS.filter((name) => !excluded.includes(name));
+	return (others.length > 0 ? others : BACKENDS).map((backend) => ({
+		type: 'placed',
+		backend,
+	}));
+}
+
+function listProgress(world: World): readonly WorldEvent[] {
+	const hasRoom = world.messages.length < MAX_MESSAGES;
+	const generated = BACKENDS.flatMap((backend) =>
+		hasRoom && world.backends[backend].status === 'up'
+			? world.backends[backend].holdings
+					.filter(({cancelled, tokens}) => !cancelled && tokens.length < TOTAL)
+					.map(({attempt}): WorldEvent => ({
+						type: 'generated',
+						backend,
+						attempt,
+					}))
+			: [],
+	);
+	const arrived = world.messages
+		.map((message, index) => ({message, index}))
+		.filter(
+			({message, index}) =>
+				world.messages.findIndex(
+					({connection}) => connection === message.connection,
+				) === index,
+		)
+		.map(({index}): WorldEvent => ({type: 'arrived', index}));
+	return [...generated, ...arrived];
+}
+
+function listAnswers(world: World): readonly WorldEvent[] {
+	const {phase} = world.generation;
+	const ended = world.connections.flatMap(
+		({id, status, backend}): WorldEvent[] => [
+			...(status === 'refused'
+				? [{type: 'refused' as const, connection: id}]
+				: []),
+			...(status === 'broken' || world.backends[backend].status === 'dead'
+				? [{type: 'broke' as const, connection: id}]
+				: []),
+		],
+	);
+	const noticed: readonly WorldEvent[] = isSilent(world)
+		? [{type: 'silence-noticed'}]
+		: [];
+	if (phase.kind !== 'probing' || world.probe === undefined) {
+		return [...ended, ...noticed];
+	}
+
+	const isUp = world.backends[world.probe.backend].status === 'up';
+	return [...ended, {type: isUp ? 'probe-answered' : 'probe-failed'}];
+}
+
+/** Tells whether nothing more will come on the present connection. */
+function isSilent(world: World): boolean {
+	const {phase, attempt} = world.generation;
+	if (phase.kind !== 'streaming') {
+		return false;
+	}
+
+	const {backend} = phase;
+	const current = world.connections.find(({id}) => id === phase.connection);
+	const holding = findHolding(world, {
+		backend: backend as BackendName,
+		attempt,
+	});
+	const isWaiting =
+		current?.status === 'open' &&
+		world.backends[current.backend].status === 'up' &&
+		holding !== undefined &&
+		holding.tokens.length < TOTAL;
+	const isComing = world.messages.some(
+		({connection}) => connection === phase.connection,
+	);
+	return !isWaiting && !isComing;
+}
+
+function listCancels(world: World): readonly WorldEvent[] {
+	return world.cancels
+		.map(({backend}, index) => ({backend, index}))
+		.filter(({backend}) => world.backends[backend].status !== 'paused')
+		.map(({index}) => ({type: 'cancelled', index}));
+}
+
+function listReturns(world: World): readonly WorldEvent[] {
+	return BACKENDS.filter((name) => world.backends[name].status !== 'up').map(
+		(backend) => ({type: 'engine-returned', backend}),
+	);
+}
+
+function listFaults(world: World): readonly WorldEvent[] {
+	const engines = BACKENDS.filter(
+		(name) => world.backends[name].status === 'up',
+	).flatMap((backend): WorldEvent[] => [
+		{type: 'engine-died', backend},
+		{type: 'engine-paused', backend},
+	]);
+	const silenced = world.connections
+		.filter(({status}) => status === 'open')
+		.map(({id}): WorldEvent => ({type: 'connection-silenced', connection: id}));
+	const isLast = world.faults === FAULTS - 1;
+	const messages = (isLast ? [] : world.messages).flatMap(
+		(_, index): WorldEvent[] => [
+			{type: 'message-lost', index},
+			{type: 'message-crossed', index},
+			...(world.messages.length < MAX_MESSAGES
+				? [{type: 'message-repeated' as const, index}]
+				: []),
+		],
+	);
+	const foreign: readonly WorldEvent[] =
+		!isLast && world.generation.phase.kind === 'streaming'
+			? [{type: 'foreign-message'}, {type: 'false-alarm'}]
+			: [];
+	const entry: readonly WorldEvent[] =
+		world.cursor === undefined ? [] : [{type: 'entry-died'}];
+	return [...engines, ...silenced, ...messages, ...foreign, ...entry];
+}
--- /dev/null
+++ b/packages/lovage-spec/src/generation-model-step.ts
@@ -0,0 +1,294 @@
+import {
+	applyEvent,
+	applyTransition,
+	createMessage,
+} from './generation-model-effects.js';
+import type {WorldEvent} from './generation-model-events.js';
+import {
+	adoptGeneration,
+	findHolding,
+	FOREIGN_GENERATION,
+	setBackend,
+	type ModelConnection,
+	type ModelMessage,
+	type Pending,
+	type World,
+} from './generation-model-world.js';
+
+const LATE = 1_000_000;
+
+/** Applies one event to the world. */
+export function stepWorld(world: World, event: WorldEvent): World {
+	switch (event.type) {
+		case 'placed': {
+			const {backend} = event;
+			return applyEvent(world, {kind: 'placed', backend, now: 0});
+		}
+
+		case 'generated': {
+			return generate(world, event);
+		}
+
+		case 'arrived': {
+			return arrive(world, event.index);
+		}
+
+		case 'refused': {
+			const refused = dropConnection(world, event.connection);
+			return applyEvent(refused, {
+				kind: 'backend-refused',
+				connection: event.connection,
+				transient: true,
+				now: 0,
+			});
+		}
+
+		case 'broke': {
+			const {connection} = event;
+			const broken = dropConnection(world, connection);
+			return applyEvent(broken, {kind: 'connection-lost', connection, now: 0});
+		}
+
+		case 'silence-noticed': {
+			return applyEvent(world, {kind: 'ticked', now: LATE});
+		}
+
+		case 'probe-answered':
+		case 'probe-failed': {
+			return answerProbe(world, event.type);
+		}
+
+		case 'cancelled': {
+			return cancel(world, event.index);
+		}
+
+		case 'engine-died':
+		case 'engine-paused':
+		case 'engine-returned':
+		case 'connection-silenced':
+		case 'message-lost':
+		case 'message-repeated':
+		case 'message-crossed':
+		case 'foreign-message':
+		case 'false-alarm':
+		case 'entry-died': {
+			return stepFault(world, event);
+		}
+	}
+}
+
+type Fault = Extract<
+	WorldEvent,
+	{
+		type:
+			| 'engine-died'
+			| 'engine-paused'
+			| 'engine-returned'
+			| 'connection-silenced'
+			| 'message-lost'
+			| 'message-repeated'
+			| 'message-crossed'
+			| 'foreign-message'
+			| 'false-alarm'
+			| 'entry-died';
+	}
+>;
+
+function stepFault(world: World, event: Fault): World {
+	const faulty = {...world, faults: world.faults + 1};
+	switch (event.type) {
+		case 'engine-died': {
+			return setBackend(faulty, event.backend, {status: 'dead', holdings: []});
+		}
+
+		case 'engine-paused': {
+			return setBackend(faulty, event.backend, {status: 'paused'});
+		}
+
+		case 'engine-returned': {
+			return setBackend(world, event.backend, {status: 'up'});
+		}
+
+		case 'connection-silenced': {
+			return {
+				...changeConnection(faulty, event.connection, {status: 'silent'}),
+				messages: faulty.messages.filter(
+					({connection}) => connection !== event.connection,
+				),
+			};
+		}
+
+		case 'message-lost': {
+			return loseTokens(faulty, event.index);
+		}
+
+		case 'message-repeated': {
+			const message = world.messages[event.index]!;
+			return {...faulty, messages: [...world.messages, message]};
+		}
+
+		case 'message-crossed': {
+			return crossMessage(faulty, event.index);
+		}
+
+		case 'foreign-message': {
+			return receiveForeign(faulty);
+		}
+
+		case 'false-alarm': {
+			return applyEvent(faulty, {kind: 'ticked', now: LATE});
+		}
+
+		case 'entry-died': {
+			return replaceEntry(faulty);
+		}
+	}
+}
+
+function generate(world: World, {backend, attempt}: Pending): World {
+	const holdings = world.backends[backend].holdings.map((holding) =>
+		holding.attempt === attempt
+			? {...holding, tokens: [...holding.tokens, attempt]}
+			: holding,
+	);
+	const generated = setBackend(world, backend, {holdings});
+	const holding = findHolding(generated, {backend, attempt})!;
+	const messages = world.connections
+		.filter(
+			(connection) =>
+				connection.status === 'open' &&
+				connection.backend === backend &&
+				connection.attempt === attempt,
+		)
+		.map((connection) =>
+			createMessage(connection, holding, holding.tokens.length - 1),
+		);
+	return {...generated, messages: [...world.messages, ...messages]};
+}
+
+function changeConnection(
+	world: World,
+	id: number,
+	change: Partial<ModelConnection>,
+): World {
+	const connections = world.connections.map((connection) =>
+		connection.id === id ? {...connection, ...change} : connection,
+	);
+	return {...world, connections};
+}
+
+function dropConnection(world: World, id: number): World {
+	const connections = world.connections.filter((other) => other.id !== id);
+	return {...world, connections};
+}
+
+function arrive(world: World, index: number): World {
+	const message = world.messages[index]!;
+	const rest = {...world, messages: world.messages.toSpliced(index, 1)};
+	return receive(rest, message);
+}
+
+function receive(world: World, message: ModelMessage): World {
+	const {connection, generation, attempt, offset, tokens} = message;
+	const common = {connection, generation, attempt, now: 0};
+	const count = tokens.length;
+	const total = offset + count;
+	const passed =
+		count === 0
+			? world
+			: applyEvent(
+					world,
+					{kind: 'chunk-received', ...common, offset, count},
+					message,
+				);
+	return message.isLast
+		? applyEvent(passed, {kind: 'end-received', ...common, total}, message)
+		: passed;
+}
+
+/** Loses the tokens of a message; an end that follows them still arrives. */
+function loseTokens(world: World, index: number): World {
+	const message = world.messages[index]!;
+	const offset = message.offset + message.tokens.length;
+	const end = {...message, offset, tokens: []};
+	const rest = message.isLast ? [end] : [];
+	return {...world, messages: world.messages.toSpliced(index, 1, ...rest)};
+}
+
+function answerProbe(
+	world: World,
+	kind: 'probe-answered' | 'probe-failed',
+): World {
+	const {probe, ...asked} = world.probe!;
+	const holding = findHolding(world, asked);
+	const answered = {...world, probe: undefined};
+	return applyEvent(
+		answered,
+		kind === 'probe-failed'
+			? {kind, probe, now: 0}
+			: {
+					kind,
+					probe,
+					held: holding !== undefined,
+					length: holding?.tokens.length ?? 0,
+					now: 0,
+				},
+	);
+}
+
+function cancel(world: World, index: number): World {
+	const {backend, attempt} = world.cancels[index]!;
+	const holdings = world.backends[backend].holdings.filter(
+		(holding) => holding.attempt !== attempt,
+	);
+	const cancels = world.cancels.toSpliced(index, 1);
+	return setBackend({...world, cancels}, backend, {holdings});
+}
+
+function crossMessage(world: World, index: number): World {
+	const {phase} = world.generation;
+	if (phase.kind !== 'streaming') {
+		return world;
+	}
+
+	const message = {...world.messages[index]!, connection: phase.connection};
+	return {...world, messages: world.messages.toSpliced(index, 1, message)};
+}
+
+function receiveForeign(world: World): World {
+	const {phase, attempt, held} = world.generation;
+	if (phase.kind !== 'streaming') {
+		return world;
+	}
+
+	const message: ModelMessage = {
+		connection: phase.connection,
+		generation: FOREIGN_GENERATION,
+		attempt,
+		offset: held,
+		tokens: [0],
+		isLast: false,
+	};
+	return receive(world, message);
+}
+
+function replaceEntry(world: World): World {
+	const cursor = world.cursor!;
+	const left: World = {
+		...world,
+		connections: [],
+		messages: [],
+		probe: undefined,
+		held: [],
+		cancels: [],
+		entryDeaths: world.entryDeaths + 1,
+		orphans: [
+			...world.orphans,
+			...world.cancels.map(({attempt}) => attempt),
+			...(world.generation.attempt === cursor.attempt
+				? []
+				: [world.generation.attempt]),
+		],
+	};
+	return applyTransition(left, adoptGeneration(left, cursor));
+}
--- /dev/null
+++ b/packages/lovage-spec/src/generation-model.ts
@@ -0,0 +1,81 @@
+import {ALL_GUARDS} from '@lovagevalve/generation';
+import {explore} from './explore.js';
+import {listEvents} from './generation-model-events.js';
+import {stepWorld} from './generation-model-step.js';
+import {
+	BACKENDS,
+	createGuards,
+	createWorld,
+	FAULTS,
+	TOTAL,
+	type World,
+} from './generation-model-world.js';
+import type {Model} from './model.js';
+
+/** Attempts left behind are cancelled, or their cancellation is on its way. */
+function isOldWorkCancelled(world: World): boolean {
+	return BACKENDS.every((backend) =>
+		world.backends[backend].holdings.every(
+			({attempt, cancelled}) =>
+				cancelled ||
+				attempt >= world.generation.attempt ||
+				world.orphans.includes(attempt) ||
+				world.cancels.some((other) => other.attempt === attempt),
+		),
+	);
+}
+
+function findViolation(world: World): string | undefined {
+	return (
+		world.violation ??
+		(isOldWorkCancelled(world)
+			? undefined
+			: 'an attempt left behind is cancelled')
+	);
+}
+
+/** Numbers of connections and probes matter only by being equal or not. */
+export function createKey(world: World): string {
+	const {id, policy, guards, pace, connections, probes, phase, ...dynamic} =
+		world.generation;
+	const current =
+		phase.kind === 'streaming' || phase.kind === 'probing'
+			? phase.connection
+			: undefined;
+	const ids = [
+		current,
+		...world.connections.map((connection) => connection.id),
+		...world.messages.map(({connection}) => connection),
+	];
+	const names = new Map([...new Set(ids)].map((name, index) => [name, index]));
+	return JSON.stringify({
+		...world,
+		generation: dynamic,
+		phase: {...phase, probe: 0, connection: names.get(current)},
+		probe: world.probe && {...world.probe, probe: 0},
+		connections: world.connections.map((connection) => ({
+			...connection,
+			id: names.get(connection.id),
+		})),
+		messages: world.messages.map((message) => ({
+			...message,
+			connection: names.get(message.connection),
+		})),
+	});
+}
+
+/** A generation under deaths, pauses, lost connections and crossed chunks. */
+export const generationModel: Model = {
+	name: 'generation',
+	guards: Object.keys(ALL_GUARDS),
+	bounds: `${BACKENDS.length} backend servers, ${TOTAL} tokens, ${FAULTS} faults of which the last hits no message, 3 attempts for each entry, 2 messages in flight`,
+	run(disabledGuards) {
+		return explore({
+			initial: createWorld(createGuards(disabledGuards)),
+			events: listEvents,
+			step: stepWorld,
+			findViolation,
+			createKey,
+		});
+	},
+};
