Prove the failures of engines and entries over separate processes

Seven tests over the real programs: SIGKILL, SIGSTOP with SIGCONT and silent connections, of engines and of entries. Each checks the callers' whole transcripts by the chain of tokens and the engines' own record of attempts.

Before, it stopped control instances and entries at the same time, and the entries did not end with 0: an entry tells the control group that it leaves, so entries stop first.

--- /dev/null
+++ b/packages/lovage-fakes/src/__tests__/integration/engine-failures.test.ts
@@ -0,0 +1,90 @@
+import {describe, expect, it} from 'vitest';
+import type {GenerationCall} from '../../caller.js';
+import type {Cluster} from '../../cluster.js';
+import {trackGenerations} from '../../tracked-generations.js';
+import {waitFor} from '../../wait.js';
+import {findBusiestBackend, type AttemptWork} from '../../work-summary.js';
+import {
+	createCalls,
+	createEngines,
+	expectWhole,
+	findAttempts,
+	withCluster,
+} from './helpers.js';
+
+const BACKENDS = createEngines(3);
+
+function findBusiestEngine(cluster: Cluster) {
+	return cluster.find(findBusiestBackend(cluster.readRecords())!);
+}
+
+function listAbandoned(
+	cluster: Cluster,
+	calls: readonly GenerationCall[],
+): readonly AttemptWork[] {
+	return calls.flatMap((call) => findAttempts(cluster, call).slice(0, -1));
+}
+
+function areAllCancelled(attempts: readonly AttemptWork[]): boolean {
+	return attempts.every(({state}) => state === 'cancelled');
+}
+
+describe('an engine fails in the middle of streams', () => {
+	it('goes on from the delivered tokens after SIGKILL', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const generations = trackGenerations(createCalls(cluster, 6));
+			await generations.waitForTokens(20);
+			const engine = findBusiestEngine(cluster);
+			await engine.read().end('SIGKILL');
+			expectWhole(await generations.answers);
+			const moved = generations.calls
+				.map((call) => findAttempts(cluster, call))
+				.filter(([first]) => first!.backend === engine.name);
+			expect(moved.length).toBeGreaterThan(0);
+			moved.forEach((attempts) => {
+				expect(attempts).toHaveLength(2);
+				expect(attempts[1]!.prefixLength).toBeGreaterThanOrEqual(20);
+			});
+		});
+	});
+
+	it('goes on elsewhere after SIGSTOP and cancels what comes back', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const calls = createCalls(cluster, 6, {maxTokens: 300});
+			const generations = trackGenerations(calls);
+			await generations.waitForTokens(20);
+			const engine = findBusiestEngine(cluster);
+			engine.read().signal('SIGSTOP');
+			await waitFor(
+				'an attempt elsewhere',
+				() => listAbandoned(cluster, calls).length > 0,
+			);
+			engine.read().signal('SIGCONT');
+			expectWhole(await generations.answers);
+			await waitFor('no abandoned attempt runs', () =>
+				areAllCancelled(listAbandoned(cluster, calls)),
+			);
+			const produced = listAbandoned(cluster, calls).map(
+				(attempt) => attempt.produced,
+			);
+			expect(Math.max(...produced)).toBeLessThan(300);
+		});
+	});
+
+	it('resumes in place when only the connections went silent', async () => {
+		const relayed = BACKENDS.map(({id}) => id);
+		await withCluster({backends: BACKENDS, relayed}, async (cluster) => {
+			const generations = trackGenerations(createCalls(cluster, 6));
+			await generations.waitForTokens(20);
+			cluster.backends.forEach(({relay}) => {
+				relay!.silenceOpen('both');
+			});
+			expectWhole(await generations.answers);
+			generations.calls.forEach((call) => {
+				expect(findAttempts(cluster, call)).toMatchObject([
+					{state: 'done', produced: 150},
+				]);
+			});
+		});
+	});
+});
--- /dev/null
+++ b/packages/lovage-fakes/src/__tests__/integration/entry-failures.test.ts
@@ -0,0 +1,89 @@
+import {describe, expect, it} from 'vitest';
+import type {Cluster} from '../../cluster.js';
+import type {GenerationCall} from '../../caller.js';
+import {
+	trackGenerations,
+	type TrackedGenerations,
+} from '../../tracked-generations.js';
+import {
+	createCalls,
+	createEngines,
+	expectWhole,
+	findAttempts,
+	withCluster,
+} from './helpers.js';
+
+const BACKENDS = createEngines(3);
+
+function findServingEntry(cluster: Cluster, generations: TrackedGenerations) {
+	const address = generations.findAddress(generations.calls[0]!);
+	return cluster.entries.find((entry) => entry.address === address)!;
+}
+
+function expectOneAttemptEach(
+	cluster: Cluster,
+	calls: readonly GenerationCall[],
+): void {
+	calls.forEach((call) => {
+		expect(findAttempts(cluster, call)).toMatchObject([
+			{state: 'done', produced: call.maxTokens},
+		]);
+	});
+}
+
+describe('an entry fails in the middle of streams', () => {
+	it('picks up the same generations at another entry after SIGKILL', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const generations = trackGenerations(createCalls(cluster, 6));
+			await generations.waitForTokens(20);
+			await findServingEntry(cluster, generations).read().end('SIGKILL');
+			expectWhole(await generations.answers);
+			expectOneAttemptEach(cluster, generations.calls);
+		});
+	});
+
+	it('loses nothing to an entry that pauses and comes back', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const calls = createCalls(cluster, 6, {silenceMs: 1500, maxTokens: 250});
+			const generations = trackGenerations(calls);
+			await generations.waitForTokens(20);
+			const entry = findServingEntry(cluster, generations).read();
+			entry.signal('SIGSTOP');
+			await generations.waitForTokens(60);
+			entry.signal('SIGCONT');
+			expectWhole(await generations.answers);
+			expectOneAttemptEach(cluster, calls);
+		});
+	});
+
+	it('joins the living generation when only the request id comes again', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const [call] = createCalls(cluster, 1);
+			const first = trackGenerations([
+				{...call!, heldAddresses: [cluster.addresses[0]!], giveUpMs: 1},
+			]);
+			await first.waitForTokens(20);
+			await cluster.entries[0]!.read().end('SIGKILL');
+			const second = trackGenerations([
+				{...call!, heldAddresses: cluster.addresses.slice(1)},
+			]);
+			expectWhole(await second.answers);
+			expectOneAttemptEach(cluster, second.calls);
+			await first.answers;
+		});
+	});
+
+	it('keeps the streams when the connections between entry and callers go silent', async () => {
+		const relayed = ['entry-1', 'entry-2', 'entry-3'];
+		await withCluster({backends: BACKENDS, relayed}, async (cluster) => {
+			const calls = createCalls(cluster, 4, {silenceMs: 1000});
+			const generations = trackGenerations(calls);
+			await generations.waitForTokens(20);
+			cluster.entries.forEach(({relay}) => {
+				relay!.silenceOpen('both');
+			});
+			expectWhole(await generations.answers);
+			expectOneAttemptEach(cluster, calls);
+		});
+	});
+});
--- a/packages/lovage-fakes/src/__tests__/unit/engine-app.test.ts
+++ b/packages/lovage-fakes/src/__tests__/unit/engine-app.test.ts
@@ -22,6 +22,7 @@
 		slowdownShare: 0,
 		prefillMsPerKb: 0,
 		holdMs: 60_000,
+		progressEvery: 8,
 		record,
 		cache: createPrefixCache(2),
 		onStart() {
--- a/packages/lovage-fakes/src/batch.ts
+++ b/packages/lovage-fakes/src/batch.ts
@@ -6,7 +6,6 @@
 import {createFirstToken, createNextToken} from './tokens.js';
 
 const QUEUE_LIMIT = 1024;
-const PROGRESS_EVERY_TOKENS = 8;
 const MIN_STEP_MS = 1;
 const BYTES_PER_KB = 1024;
 
@@ -31,6 +30,8 @@
 	/** How long a finished run can still be read. */
 	holdMs: number;
 	record: RecordWriter;
+	/** Tokens of a run between two records of its progress. */
+	progressEvery: number;
 	cache: PrefixCache;
 	/** Called when a run starts, before its first token. */
 	onStart: (request: EngineStart) => void;
@@ -151,7 +152,7 @@
 		}
 
 		const produced = countProduced(run);
-		if (produced % PROGRESS_EVERY_TOKENS === 0) {
+		if (produced % cfg.progressEvery === 0) {
 			const {generation, attempt} = run.request;
 			cfg.record({kind: 'progress', generation, attempt, produced});
 		}
--- a/packages/lovage-fakes/src/demo-main.ts
+++ b/packages/lovage-fakes/src/demo-main.ts
@@ -5,8 +5,10 @@
 import {createCluster, type Cluster} from './cluster.js';
 import type {BackendSpec} from './cluster-members.js';
 import {formatAnswers, formatCall, formatMeasures} from './demo-report.js';
+import type {Member} from './member.js';
 import {
 	isWhole,
+	rotate,
 	trackGenerations,
 	type Answer,
 	type TrackedGenerations,
@@ -35,7 +37,11 @@
 		id: `lyric-0${index + 1}`,
 		service: 'lyric-analysis',
 		dataCentre,
-		options: {'ms-per-token': MS_PER_TOKEN, models: 'lyric-large:2026.11'},
+		options: {
+			'ms-per-token': MS_PER_TOKEN,
+			'progress-every': 1,
+			models: 'lyric-large:2026.11',
+		},
 	}));
 	return [
 		...engines,
@@ -57,7 +63,7 @@
 function createCalls(cluster: Cluster): readonly GenerationCall[] {
 	const customers = Object.entries(cluster.example.customerKeys);
 	return customers.slice(0, GENERATIONS).map(([customer, key], index) => ({
-		entries: cluster.addresses,
+		entries: rotate(cluster.addresses, index),
 		key,
 		requestId: `${customer}-brief-${index}`,
 		service: 'lyric-analysis',
@@ -140,21 +146,28 @@
 	);
 }
 
-async function stopAll(cluster: Cluster): Promise<boolean> {
-	const groups = [cluster.backends, cluster.entries, cluster.controls];
-	const running = groups.flat().filter((member) => member.read().isRunning());
+async function stopGroup(members: readonly Member[]): Promise<boolean> {
+	const running = members.filter((member) => member.read().isRunning());
 	const exits = await Promise.all(
 		running.map(async (member) => member.read().end('SIGTERM')),
 	);
 	const failed = running.filter((_, index) => exits[index]!.code !== 0);
-	print(
-		failed.length === 0
-			? `Stopped ${running.length} programs with SIGTERM.`
-			: `Did not stop with 0: ${failed.map(({name}) => name).join(', ')}`,
-	);
+	failed.forEach(({name}) => {
+		print(`${name} did not stop with 0.`);
+	});
 	return failed.length === 0;
 }
 
+async function stopAll(cluster: Cluster): Promise<boolean> {
+	const areStopped = [
+		await stopGroup(cluster.entries),
+		await stopGroup(cluster.backends),
+		await stopGroup(cluster.controls),
+	].every(Boolean);
+	print(areStopped ? 'Stopped every program with SIGTERM.' : 'A stop failed.');
+	return areStopped;
+}
+
 async function runDemo(cluster: Cluster): Promise<boolean> {
 	await cluster.start();
 	print(
--- a/packages/lovage-fakes/src/engine-main.ts
+++ b/packages/lovage-fakes/src/engine-main.ts
@@ -43,6 +43,7 @@
 		slowdownShare: count('slowdown-share', 0.02),
 		prefillMsPerKb: count('prefill-ms-per-kb', 2),
 		cacheSize: count('cache-size', 64),
+		progressEvery: count('progress-every', 8),
 		holdMs: count('hold-ms', 30_000),
 		lingerMs: count('linger-ms', 3000),
 		fencing: option({
--- a/packages/lovage-fakes/src/program.ts
+++ b/packages/lovage-fakes/src/program.ts
@@ -1,5 +1,5 @@
 import {spawn} from 'node:child_process';
-import {createWriteStream, readFileSync} from 'node:fs';
+import {createWriteStream, existsSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 
@@ -64,7 +64,8 @@
 		pid: child.pid!,
 		startedAt,
 		isRunning: () => isRunning,
-		readOutput: () => readFileSync(spec.outputFile, 'utf8'),
+		readOutput: () =>
+			existsSync(spec.outputFile) ? readFileSync(spec.outputFile, 'utf8') : '',
 		signal,
 		async end(name) {
 			signal(name);
--- a/packages/lovage-fakes/src/tracked-generations.ts
+++ b/packages/lovage-fakes/src/tracked-generations.ts
@@ -15,6 +15,12 @@
 	answers: Promise<readonly Answer[]>;
 }>;
 
+/** Puts the first `by` elements last, so that callers ask different entries. */
+export function rotate<T>(list: readonly T[], by: number): readonly T[] {
+	const start = by % list.length;
+	return [...list.slice(start), ...list.slice(0, start)];
+}
+
 /** Starts the calls at the same time. */
 export function trackGenerations(
 	calls: readonly GenerationCall[],
