--- a/packages/lovagectl/src/control-session.ts
+++ b/packages/lovagectl/src/control-session.ts
@@ -78,7 +78,10 @@
 		const transition = stepSearch(state, event);
 		const effect = transition.effects[0]!;
 		if (effect.kind === 'give-up') {
-			return err(createError('unavailable', transition.state.lastFailure));
+			const reason = transition.state.lastFailure;
+			return err(
+				createError('unavailable', `no control leader answered: ${reason}`),
+			);
 		}
 
 		await host.sleep(effect.pauseMs);
