Measure the decisions in virtual time

Drives the steps of generation, admission, placement and quarantine against small fakes of the engines, with fixed seeds.

--- /dev/null
+++ b/packages/lovage-measure/src/engine.ts
@@ -0,0 +1,254 @@
+import type {Clock} from './clock.js';
+import type {Random} from './random.js';
+
+const STEP_BASE_MS = 18;
+const STEP_PER_STREAM_MS = 0.8;
+/** Tokens that one simulated step of the batch yields for each stream. */
+const STEP_TOKENS = 3;
+const PREFILL_TOKENS_PER_MS = 8;
+/** Share of a prompt that its family's prefix makes up. */
+const PREFIX_SHARE = 0.7;
+const CACHED_FAMILIES = 6;
+const HICCUP_SHARE = 0.0008;
+const HICCUP_MIN_MS = 300;
+const HICCUP_MAX_MS = 2500;
+
+/** One stream from an engine to an entry. */
+export type Connection = {
+	isOpen: boolean;
+	isSilent: boolean;
+	onChunk: (offset: number, count: number) => void;
+	onEnd: (total: number) => void;
+	onLost: () => void;
+};
+
+/** What an engine is asked to run. */
+export type Job = {
+	generation: string;
+	attempt: number;
+	promptTokens: number;
+	/** Prompts of one family share a prefix. */
+	family: string;
+	prefixLength: number;
+	total: number;
+	isKiller: boolean;
+	/** Work done for it; read by the accounts. */
+	account: {decoded: number; prefilled: number};
+};
+
+type Running = {
+	job: Job;
+	length: number;
+	readyAt: number;
+	connection: Connection | undefined;
+};
+
+/** A fake of an engine: batching, prefill cost and a small prefix cache. */
+export type Engine = ReturnType<typeof createEngine>;
+
+/** Where an engine stands and how much it takes. */
+export type EngineOptions = Readonly<{
+	id: string;
+	dataCentre: string;
+	rack: string;
+	capacity: number;
+}>;
+
+/** Creates a running engine. */
+export function createEngine(
+	options: EngineOptions,
+	clock: Clock,
+	random: Random,
+	onCache: (kind: 'stored' | 'evicted', family: string) => void,
+) {
+	let status: 'up' | 'paused' | 'dead' = 'up';
+	let incarnation = 1;
+	let isStepping = false;
+	let epoch = 0;
+	let prefillFreeAt = 0;
+	let resets = true;
+	let families: string[] = [];
+	const held = new Map<string, Running>();
+	let running: Running[] = [];
+	let waiting: Running[] = [];
+
+	const keyOf = (generation: string, attempt: number) =>
+		`${generation}#${attempt}`;
+
+	const touchFamily = (family: string): boolean => {
+		const isCached = families.includes(family);
+		families = [...families.filter((other) => other !== family), family];
+		if (!isCached) {
+			onCache('stored', family);
+		}
+
+		if (families.length > CACHED_FAMILIES) {
+			onCache('evicted', families.shift()!);
+		}
+
+		return isCached;
+	};
+
+	const prefill = (stream: Running) => {
+		const {job} = stream;
+		const isCached = touchFamily(job.family);
+		const prompt = job.promptTokens * (isCached ? 1 - PREFIX_SHARE : 1);
+		const tokens = prompt + job.prefixLength;
+		job.account.prefilled += tokens;
+		prefillFreeAt =
+			Math.max(clock.now(), prefillFreeAt) + tokens / PREFILL_TOKENS_PER_MS;
+		stream.readyAt = prefillFreeAt;
+	};
+
+	const emit = (stream: Running, offset: number) => {
+		const {connection, job, length} = stream;
+		if (!connection?.isOpen || connection.isSilent) {
+			return;
+		}
+
+		if (length > offset) {
+			connection.onChunk(offset, length - offset);
+		}
+
+		if (length === job.total) {
+			connection.onEnd(length);
+		}
+	};
+
+	const die = (isReset: boolean) => {
+		status = 'dead';
+		epoch++;
+		resets = isReset;
+		isStepping = false;
+		prefillFreeAt = 0;
+		families = [];
+		const streams = [...running, ...waiting];
+		running = [];
+		waiting = [];
+		held.clear();
+		streams.forEach(({connection}) => {
+			if (isReset && connection?.isOpen) {
+				clock.schedule(1, connection.onLost);
+			}
+		});
+	};
+
+	const promote = () => {
+		while (running.length < options.capacity && waiting.length > 0) {
+			const next = waiting.shift()!;
+			prefill(next);
+			running.push(next);
+		}
+	};
+
+	const advance = (stream: Running) => {
+		if (stream.readyAt > clock.now()) {
+			return;
+		}
+
+		const from = stream.length;
+		stream.length = Math.min(stream.job.total, from + STEP_TOKENS);
+		stream.job.account.decoded += stream.length - from;
+		emit(stream, from);
+	};
+
+	const step = () => {
+		running.forEach(advance);
+		const killer = running.find(
+			({job, length}) => job.isKiller && length > job.prefixLength,
+		);
+		running = running.filter(({job, length}) => length < job.total);
+		promote();
+		if (killer !== undefined) {
+			die(random.draw() < 0.5);
+			clock.schedule(10_000, restart);
+		}
+	};
+
+	const stepLater = () => {
+		if (isStepping || status !== 'up' || running.length === 0) {
+			return;
+		}
+
+		isStepping = true;
+		const started = epoch;
+		const hiccupMs =
+			random.draw() < HICCUP_SHARE
+				? random.between(HICCUP_MIN_MS, HICCUP_MAX_MS)
+				: 0;
+		const stepMs = STEP_BASE_MS + STEP_PER_STREAM_MS * running.length;
+		const delayMs = stepMs * STEP_TOKENS * random.between(0.9, 1.15) + hiccupMs;
+		clock.schedule(delayMs, () => {
+			if (started === epoch) {
+				isStepping = false;
+				step();
+				stepLater();
+			}
+		});
+	};
+
+	const restart = () => {
+		status = 'up';
+		incarnation++;
+	};
+
+	return {
+		...options,
+		getStatus: () => status,
+		getIncarnation: () => incarnation,
+		getLoad: () => ({running: running.length, waiting: waiting.length}),
+		isHolding: (generation: string, attempt: number) =>
+			held.has(keyOf(generation, attempt)),
+		/** Whether a dead engine's address answers with a reset. */
+		isResetting: () => resets,
+		start(job: Job, connection: Connection) {
+			const stream = {
+				job,
+				length: job.prefixLength,
+				readyAt: Infinity,
+				connection,
+			};
+			held.set(keyOf(job.generation, job.attempt), stream);
+			waiting.push(stream);
+			promote();
+			stepLater();
+		},
+		/** Opens a new stream of a held attempt; false if it is not held. */
+		resume(
+			generation: string,
+			attempt: number,
+			offset: number,
+			connection: Connection,
+		): boolean {
+			const stream = held.get(keyOf(generation, attempt));
+			if (stream === undefined) {
+				return false;
+			}
+
+			stream.connection = connection;
+			emit(stream, offset);
+			return true;
+		},
+		getLength: (generation: string, attempt: number) =>
+			held.get(keyOf(generation, attempt))?.length ?? 0,
+		cancel(generation: string, attempt: number) {
+			const stream = held.get(keyOf(generation, attempt));
+			held.delete(keyOf(generation, attempt));
+			running = running.filter((other) => other !== stream);
+			waiting = waiting.filter((other) => other !== stream);
+			promote();
+			stepLater();
+		},
+		pause() {
+			status = 'paused';
+			epoch++;
+			isStepping = false;
+		},
+		continueRunning() {
+			status = 'up';
+			stepLater();
+		},
+		die,
+		restart,
+	};
+}
--- /dev/null
+++ b/packages/lovage-measure/src/request.ts
@@ -0,0 +1,29 @@
+import type {GenerationState} from '@lovagevalve/generation';
+import type {AttemptAccount} from './account.js';
+import type {Connection} from './engine.js';
+
+/** What a caller asks for. */
+export type Request = Readonly<{
+	id: string;
+	customer: string;
+	digest: string;
+	arrivedAt: number;
+	deadlineAt?: number;
+	promptTokens: number;
+	family: string;
+	total: number;
+	isKiller: boolean;
+}>;
+
+/** A request as its entry runs it. */
+export type Live = {
+	request: Request;
+	state: GenerationState;
+	delivered: number;
+	isSpliced: boolean;
+	backend: string | undefined;
+	connections: Map<number, Connection>;
+	attempts: AttemptAccount[];
+	leftAlive: boolean;
+	hasTimer: boolean;
+};
--- /dev/null
+++ b/packages/lovage-measure/src/run.ts
@@ -0,0 +1,78 @@
+import {createResult, type RunResult} from './account.js';
+import {createClock} from './clock.js';
+import {createEntry, type Entry} from './entry.js';
+import {scheduleFault} from './faults.js';
+import {createPlatform} from './platform.js';
+import {createRandom} from './random.js';
+import {RUN_END_MS, type Deployment, type Fault} from './scenario.js';
+import type {Variant} from './variants.js';
+import {createWorkload} from './workload.js';
+
+/** What one run depends on; the same options give the same result. */
+export type RunOptions = Readonly<{
+	deployment: Deployment;
+	fault: Fault;
+	variant: Variant;
+	seed: number;
+}>;
+
+/** Runs one scenario to its end in virtual time. */
+export function runScenario(options: RunOptions): RunResult {
+	const {deployment, fault, variant, seed} = options;
+	const clock = createClock();
+	const result = createResult();
+	const random = createRandom(seed);
+	const platform = createPlatform(deployment, clock, createRandom(seed + 1e6));
+	const entries: Entry[] = [];
+	const callers = createRandom(seed + 2e6);
+	const workload = createWorkload(
+		{deployment, fault, clock},
+		callers,
+		(request) => {
+			callers.pick(entries).accept(request);
+		},
+	);
+	const parts = {
+		clock,
+		random,
+		platform,
+		deployment,
+		variant,
+		result,
+		onEnd: workload.noteEnd,
+	};
+	entries.push(
+		...Array.from({length: deployment.entries}, (_, i) =>
+			createEntry(
+				parts,
+				deployment.dataCentres[i % deployment.dataCentres.length]!,
+			),
+		),
+	);
+	scheduleFault(
+		{
+			clock,
+			random: createRandom(seed + 3e6),
+			platform,
+			deployment,
+			entries,
+		},
+		fault,
+	);
+	clock.runUntil(RUN_END_MS);
+	const {convicted} = platform.readQuarantine();
+	result.notWhole += entries.reduce((sum, {live}) => sum + live.size, 0);
+	result.isKillerConvicted = convicted.includes('killer');
+	result.innocentsConvicted = convicted.filter(
+		(digest) => digest !== 'killer',
+	).length;
+	result.enginesLostToKiller =
+		fault === 'killer'
+			? platform.engines.reduce(
+					(sum, {getIncarnation, getStatus}) =>
+						sum + getIncarnation() - (getStatus() === 'dead' ? 0 : 1),
+					0,
+				)
+			: 0;
+	return result;
+}
--- /dev/null
+++ b/packages/lovage-measure/src/scenario.ts
@@ -0,0 +1,78 @@
+/** What goes wrong in a run. */
+export type Fault =
+	| 'engine-death'
+	| 'twice'
+	| 'pause'
+	| 'dead-connection'
+	| 'rack'
+	| 'data-centre'
+	| 'killer'
+	| 'batch';
+
+/** Every kind of fault, in the order of the table. */
+export const FAULT_KINDS: readonly Fault[] = [
+	'engine-death',
+	'twice',
+	'pause',
+	'dead-connection',
+	'rack',
+	'data-centre',
+	'killer',
+	'batch',
+];
+
+/** The size and the load of one deployment. */
+export type Deployment = Readonly<{
+	name: string;
+	dataCentres: readonly string[];
+	engines: number;
+	capacity: number;
+	entries: number;
+	customers: ReadonlyArray<
+		Readonly<{id: string; weight: number; deadlineMs?: number}>
+	>;
+	/** Mean time between two requests. */
+	arrivalMs: number;
+}>;
+
+const LARGE = 5;
+const DEADLINE_MS = 60_000;
+
+function createCustomers(prefix: string): Deployment['customers'] {
+	return Array.from({length: 10}, (_, i) => ({
+		id: `${prefix}${i}`,
+		weight: i < 3 ? LARGE : 1,
+		deadlineMs: i % 2 === 0 ? undefined : DEADLINE_MS,
+	}));
+}
+
+/** Both deployments of today. */
+export const DEPLOYMENTS: readonly Deployment[] = [
+	{
+		name: 'verselight',
+		dataCentres: ['a', 'b', 'c', 'd'],
+		engines: 17,
+		capacity: 8,
+		entries: 8,
+		customers: createCustomers('label'),
+		arrivalMs: 210,
+	},
+	{
+		name: 'cooperativa',
+		dataCentres: ['a', 'b', 'c'],
+		engines: 25,
+		capacity: 8,
+		entries: 8,
+		customers: createCustomers('school'),
+		arrivalMs: 140,
+	},
+];
+
+/** When the fault comes. */
+export const FAULT_AT_MS = 15_000;
+/** When the last request arrives. */
+export const ARRIVALS_END_MS = 25_000;
+/** When a run is cut, finished or not. */
+export const RUN_END_MS = 240_000;
+/** Requests of the overnight batch, at once. */
+export const BATCH_SIZE = 400;
--- /dev/null
+++ b/packages/lovage-measure/src/summary.ts
@@ -0,0 +1,114 @@
+import type {RunResult} from './account.js';
+
+/** Figures of several runs of one variant under one fault. */
+export type Summary = Readonly<{
+	deployment: string;
+	fault: string;
+	variant: string;
+	runs: number;
+	resumes: number;
+	resumeMs: Percentiles;
+	firstTokenMs: Percentiles;
+	/** Shares of the useful work. */
+	extraShare: number;
+	prefillShare: number;
+	decodeShare: number;
+	falseShare: number;
+	falseDetections: number;
+	/** Attempts beyond those that replace a loss, as a share of the requests. */
+	unneededAttempts: number;
+	requests: number;
+	finished: number;
+	refused: Readonly<Record<string, number>>;
+	notWhole: number;
+	deadlineMisses: Readonly<Record<string, number>>;
+	enginesLostToKiller: number;
+	killersConvicted: number;
+	innocentsConvicted: number;
+}>;
+
+/** Percentiles of a list of times, in milliseconds. */
+export type Percentiles = Readonly<{
+	median: number;
+	p95: number;
+	p99: number;
+	max: number;
+}>;
+
+function getPercentiles(values: readonly number[]): Percentiles {
+	const sorted = values.toSorted((left, right) => left - right);
+	const at = (share: number) =>
+		Math.round(
+			sorted[
+				Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1)
+			] ?? 0,
+		);
+	return {median: at(0.5), p95: at(0.95), p99: at(0.99), max: at(1)};
+}
+
+function addCounts(
+	counts: ReadonlyArray<Readonly<Record<string, number>>>,
+): Readonly<Record<string, number>> {
+	const sums = new Map<string, number>();
+	counts
+		.flatMap((one) => Object.entries(one))
+		.forEach(([name, count]) => {
+			sums.set(name, (sums.get(name) ?? 0) + count);
+		});
+	const sorted = [...sums].toSorted(([left], [right]) =>
+		left < right ? -1 : 1,
+	);
+	return Object.fromEntries(sorted);
+}
+
+/** Sums up the runs of one variant under one fault. */
+export function summarise(
+	names: Readonly<{deployment: string; fault: string; variant: string}>,
+	results: readonly RunResult[],
+): Summary {
+	const sum = (read: (result: RunResult) => number) =>
+		results.reduce((total, result) => total + read(result), 0);
+	const useful = sum(({usefulTokens}) => usefulTokens);
+	const prefill = sum(({recomputedPrefill}) => recomputedPrefill);
+	const decode = sum(({wastedDecode}) => wastedDecode);
+	const requests = sum((result) => result.requests);
+	const unneeded = sum((result) => {
+		const first = result.requests - countUnstarted(result);
+		return Math.max(0, result.attempts - first - result.neededExtra);
+	});
+	return {
+		...names,
+		runs: results.length,
+		resumes: sum(({resumeMs}) => resumeMs.length),
+		resumeMs: getPercentiles(results.flatMap(({resumeMs}) => resumeMs)),
+		firstTokenMs: getPercentiles(
+			results.flatMap(({firstTokenMs}) => firstTokenMs),
+		),
+		extraShare: (prefill + decode) / useful,
+		prefillShare: prefill / useful,
+		decodeShare: decode / useful,
+		falseShare: sum(({falseDetections}) => falseDetections) / useful,
+		falseDetections: sum(({falseDetectionCount}) => falseDetectionCount),
+		unneededAttempts: unneeded / requests,
+		requests,
+		finished: sum(({finished}) => finished),
+		refused: addCounts(results.map(({refused}) => refused)),
+		notWhole: sum(({notWhole}) => notWhole),
+		deadlineMisses: addCounts(
+			results.map(({deadlineMisses}) => deadlineMisses),
+		),
+		enginesLostToKiller: Math.max(
+			...results.map(({enginesLostToKiller}) => enginesLostToKiller),
+		),
+		killersConvicted: results.filter(({isKillerConvicted}) => isKillerConvicted)
+			.length,
+		innocentsConvicted: sum(({innocentsConvicted}) => innocentsConvicted),
+	};
+}
+
+function countUnstarted(result: RunResult): number {
+	const {refused} = result;
+	return (
+		(refused['no-backend-server'] ?? 0) + (refused['deadline-passed'] ?? 0)
+	);
+}
--- /dev/null
+++ b/packages/lovage-measure/src/table.ts
@@ -0,0 +1,85 @@
+import type {Summary} from './summary.js';
+
+const COLUMNS = [
+	['deployment', 12],
+	['fault', 16],
+	['variant', 17],
+	['resumes', 8],
+	['median', 7],
+	['p95', 7],
+	['p99', 7],
+	['max', 7],
+	['extra %', 8],
+	['prefill %', 10],
+	['decode %', 9],
+	['false %', 8],
+	['unneeded %', 11],
+	['first p95', 10],
+	['misses', 7],
+	['refused', 8],
+	['not whole', 9],
+] as const;
+
+function percent(share: number): string {
+	return (share * 100).toFixed(2);
+}
+
+function sumUp(counts: Readonly<Record<string, number>>): number {
+	return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
+
+function listCells(summary: Summary): readonly string[] {
+	const {resumeMs} = summary;
+	return [
+		summary.deployment,
+		summary.fault,
+		summary.variant,
+		`${summary.resumes}`,
+		`${resumeMs.median}`,
+		`${resumeMs.p95}`,
+		`${resumeMs.p99}`,
+		`${resumeMs.max}`,
+		percent(summary.extraShare),
+		percent(summary.prefillShare),
+		percent(summary.decodeShare),
+		percent(summary.falseShare),
+		percent(summary.unneededAttempts),
+		`${summary.firstTokenMs.p95}`,
+		`${sumUp(summary.deadlineMisses)}`,
+		`${sumUp(summary.refused)}`,
+		`${summary.notWhole}`,
+	];
+}
+
+function formatRow(cells: readonly string[]): string {
+	return cells
+		.map((cell, i) => {
+			const width = COLUMNS[i]![1];
+			return i < 3 ? cell.padEnd(width) : cell.padStart(width);
+		})
+		.join(' ');
+}
+
+/** Formats the summaries as a text table; times in milliseconds. */
+export function formatTable(summaries: readonly Summary[]): string {
+	const header = formatRow(COLUMNS.map(([name]) => name));
+	const rows = summaries.map((summary) => formatRow(listCells(summary)));
+	return [header, ...rows].join('\n');
+}
+
+/** Formats what the runs with a killer request and a batch show. */
+export function formatDetails(summaries: readonly Summary[]): string {
+	const killers = summaries
+		.filter(({fault}) => fault === 'killer')
+		.map(
+			(one) =>
+				`killer ${one.deployment} ${one.variant}: convicted in ${one.killersConvicted} of ${one.runs} runs, at most ${one.enginesLostToKiller} engines lost, ${one.innocentsConvicted} innocents convicted`,
+		);
+	const batches = summaries
+		.filter(({fault}) => fault === 'batch')
+		.map(
+			(one) =>
+				`batch ${one.deployment} ${one.variant}: deadline misses by customer ${JSON.stringify(one.deadlineMisses)}, refused ${JSON.stringify(one.refused)}`,
+		);
+	return [...killers, ...batches].join('\n');
+}
