Tell rejected requests from refused ones in the report

In a trial over separate processes a customer that used a request id with another body was counted as refused and burned the budget of the service at 333x. Such requests can now be counted as rejected, which no objective counts. The entries still record them as refused.

--- a/packages/lovage-report/src/__tests__/unit/service-level.test.ts
+++ b/packages/lovage-report/src/__tests__/unit/service-level.test.ts
@@ -76,6 +76,15 @@
 	expect(level.budgetLeft).toBeCloseTo(0);
 });
 
+test('requests that are at fault themselves burn nothing', () => {
+	const level = burnOf([
+		create({kind: 'ended', outcome: 'finished'}),
+		...repeat(9, create({kind: 'ended', outcome: 'rejected'})),
+	]);
+	expect(level.windows[0]).toMatchObject({requests: 1, bad: 0, burn: 0});
+	expect(level.rejected).toBe(9);
+});
+
 test('waits are judged by the objective and listed by cause', () => {
 	const level = burnOf([
 		...repeat(8, create({kind: 'ended', outcome: 'finished'})),
--- a/packages/lovage-report/src/bucket.ts
+++ b/packages/lovage-report/src/bucket.ts
@@ -20,6 +20,7 @@
 	finished: number;
 	failed: number;
 	refused: number;
+	rejected: number;
 	lateFirstTokens: number;
 	lateResumes: number;
 	resumes: Readonly<Record<ResumeCause, number>>;
@@ -34,6 +35,7 @@
 	finished: 0,
 	failed: 0,
 	refused: 0,
+	rejected: 0,
 	lateFirstTokens: 0,
 	lateResumes: 0,
 	resumes: {'connection-lost': 0, 'backend-server-lost': 0, 'entry-lost': 0},
@@ -130,6 +132,7 @@
 		finished: a.finished + b.finished,
 		failed: a.failed + b.failed,
 		refused: a.refused + b.refused,
+		rejected: a.rejected + b.rejected,
 		lateFirstTokens: a.lateFirstTokens + b.lateFirstTokens,
 		lateResumes: a.lateResumes + b.lateResumes,
 		resumes: addRecords(RESUME_CAUSES, a.resumes, b.resumes),
--- a/packages/lovage-report/src/burn.ts
+++ b/packages/lovage-report/src/burn.ts
@@ -49,6 +49,7 @@
 	finished: number;
 	failed: number;
 	refused: number;
+	rejected: number;
 	lateFirstTokens: number;
 	lateResumes: number;
 	resumes: Readonly<Record<ResumeCause, number>>;
@@ -124,6 +125,7 @@
 		finished: sum.finished,
 		failed: sum.failed,
 		refused: sum.refused,
+		rejected: sum.rejected,
 		lateFirstTokens: sum.lateFirstTokens,
 		lateResumes: sum.lateResumes,
 		resumes: sum.resumes,
--- a/packages/lovage-report/src/events.ts
+++ b/packages/lovage-report/src/events.ts
@@ -26,8 +26,14 @@
 /** What extra resources were used for. */
 export type ExtraCause = (typeof EXTRA_CAUSES)[number];
 
-/** How a request ended; `refused` is for requests that did not run. */
-export type RequestOutcome = 'finished' | 'failed' | 'refused';
+/** How a request ended. */
+export type RequestOutcome =
+	| 'finished'
+	| 'failed'
+	/** The system could not serve it, and it did not run. */
+	| 'refused'
+	/** The request itself is at fault; no objective counts it. */
+	| 'rejected';
 
 /** Names whose request an event is about, and when, by the wall clock. */
 type Subject = Readonly<{customer: string; service: string; at: number}>;
--- a/packages/lovage-report/src/render-html.ts
+++ b/packages/lovage-report/src/render-html.ts
@@ -82,7 +82,9 @@
 		customer,
 		...level.windows.map(({burn}) => formatBurn(burn)),
 		formatShare(level.budgetLeft),
-		...[level.finished, level.failed, level.refused].map(String),
+		...[level.finished, level.failed, level.refused, level.rejected].map(
+			String,
+		),
 		level.resume === undefined ? '' : formatLatency(level.resume.p99),
 		formatShare(level.extraShare),
 	];
@@ -97,6 +99,7 @@
 			'finished',
 			'failed',
 			'refused',
+			'rejected',
 			'resume p99',
 			'extra use',
 		],
--- a/packages/lovage-report/src/render-text.ts
+++ b/packages/lovage-report/src/render-text.ts
@@ -44,7 +44,7 @@
 		service.service,
 		renderObjective(service),
 		`  burn: ${renderWindows(all)}; budget left ${formatShare(all.budgetLeft)}`,
-		`  requests: ${all.finished} finished, ${all.failed} failed, ${all.refused} refused`,
+		`  requests: ${all.finished} finished, ${all.failed} failed, ${all.refused} refused, ${all.rejected} rejected`,
 		renderLatency('resume', all.resume),
 		`  resumes by cause: ${causes}; ${all.lateResumes} late`,
 		renderLatency('first token', all.firstToken),
--- a/packages/lovage-report/src/snapshot.ts
+++ b/packages/lovage-report/src/snapshot.ts
@@ -18,6 +18,7 @@
 	finished: count,
 	failed: count,
 	refused: count,
+	rejected: count,
 	lateFirstTokens: count,
 	lateResumes: count,
 	resumes: z.strictObject({
