--- a/vitest.config.js
+++ b/vitest.config.js
@@ -20,6 +20,7 @@
 					include: ['packages/*/src/__tests__/integration/**/*.test.ts'],
 					// Each file starts a dozen processes.
 					maxWorkers: 3,
+					sequence: {groupOrder: 1},
 					...limits,
 				},
 			},
