--- /dev/null
+++ b/packages/lovage-runtime/src/__tests__/unit/logs.test.ts
@@ -0,0 +1,29 @@
+import process from 'node:process';
+import {afterEach, describe, expect, it, vi} from 'vitest';
+import {createLogger, installLogWriter} from '../../logs.js';
+
+function collectLines(): string[] {
+	const lines: string[] = [];
+	vi.spyOn(process.stderr, 'write').mockImplementation((line) => {
+		lines.push(String(line));
+		return true;
+	});
+	return lines;
+}
+
+describe('installLogWriter', () => {
+	afterEach(() => {
+		vi.restoreAllMocks();
+	});
+
+	it('writes from its level on, with the prefix of the part', () => {
+		const lines = collectLines();
+		installLogWriter('info');
+		const log = createLogger('entry.lease');
+		log.debug('Not this.');
+		log.info('Renewed.', {version: 3});
+		expect(lines.map((line) => JSON.parse(line) as unknown)).toMatchObject([
+			{message: 'entry.lease: Renewed.', context: {version: 3}},
+		]);
+	});
+});
