Make the step for a chunk six times cheaper

Cause: the state was built by object spreads with ten overridden keys, which takes about 4 us on this Node.js. Ruled out: one spread instead of two (4.6 us a chunk, slower). Naming every key in the one hot place: 2.5 us before, 0.41 us after, for 300,000 chunks of one token on one generation.

--- a/packages/lovage-generation/src/state.ts
+++ b/packages/lovage-generation/src/state.ts
@@ -83,7 +83,7 @@
 	lastTokenAt: number;
 	/** Whether the host reads nothing because the caller is slow. */
 	blocked: boolean;
-	loss?: PendingLoss;
+	loss: PendingLoss | undefined;
 	/** Backend servers that lost or refused it, newest last. */
 	excluded: readonly string[];
 }>;
@@ -118,6 +118,7 @@
 		flowing: false,
 		lastTokenAt: now,
 		blocked: false,
+		loss: undefined,
 		excluded: [],
 	};
 	return options.start.kind === 'new'
--- a/packages/lovage-generation/src/stitch.ts
+++ b/packages/lovage-generation/src/stitch.ts
@@ -1,7 +1,7 @@
 import {createTransition} from '@lovagevalve/core';
 import {loseConnection, type RunningPhase} from './loss.js';
 import {updatePace} from './pace.js';
-import type {GenerationState, GenerationTransition} from './state.js';
+import type {GenerationState, GenerationTransition, Phase} from './state.js';
 import type {GenerationEffect, GenerationEvent} from './types.js';
 
 type Chunk = Extract<GenerationEvent, {kind: 'chunk-received'}>;
@@ -44,42 +44,52 @@
 	const held = position;
 	const retained = Math.max(0, Math.min(held, state.offset) - state.held);
 	const delivered = Math.max(0, held - state.offset);
-	const effects: readonly GenerationEffect[] = [
+	const next = noteTokens(state, phase, chunk, held);
+	return createTransition(next, [
 		...createRetain(state, retained),
 		...createDelivery(state, delivered, chunk.now),
-	];
-	return createTransition(
-		{
-			...state,
-			phase: {
-				kind: 'streaming',
-				backend: phase.backend,
-				connection: chunk.connection,
-				silentSince: chunk.now,
-			},
-			held,
-			...(delivered > 0 ? noteDelivery(state, delivered, chunk.now) : {}),
-		},
-		effects,
-	);
+	]);
 }
 
-function noteDelivery(
+function noteTokens(
 	state: GenerationState,
-	delivered: number,
-	now: number,
-): Partial<GenerationState> {
+	{backend}: RunningPhase,
+	{connection, now}: Chunk,
+	held: number,
+): GenerationState {
+	const phase: Phase = {
+		kind: 'streaming',
+		backend,
+		connection,
+		silentSince: now,
+	};
+	if (held <= state.offset) {
+		return {...state, phase, held};
+	}
+
+	const isGap = state.flowing && state.loss === undefined;
+	// Every key is named: a spread costs several times as much for each chunk.
 	return {
-		offset: state.offset + delivered,
-		pace:
-			state.flowing && state.loss === undefined
-				? updatePace(state.pace, now - state.lastTokenAt)
-				: state.pace,
+		id: state.id,
+		policy: state.policy,
+		retryLimit: state.retryLimit,
+		guards: state.guards,
+		phase,
+		attempt: state.attempt,
+		nextAttempt: state.nextAttempt,
+		offset: held,
+		held,
+		connections: state.connections,
+		probes: state.probes,
+		retries: state.retries,
+		stalls: 0,
+		pace: isGap ? updatePace(state.pace, now - state.lastTokenAt) : state.pace,
 		accepted: true,
 		flowing: true,
 		lastTokenAt: now,
-		stalls: 0,
+		blocked: state.blocked,
 		loss: undefined,
+		excluded: state.excluded,
 	};
 }
 
