Keep the place of a generation at two homes

Cause: the one home of a request may be the entry that serves it, and then dies with it; a resend without a cursor began a second generation (end-to-end test 'joins the living generation when only the request id comes again': two runs of 150 tokens instead of one). Ruled out: the lookup itself and the lifetime of places. The two entries that rank first now both keep it, and the first decides between two sends that race. Weighed: asking every entry, which costs as many messages as there are entries and does not grow. Seven unit tests, of which the one with a dead home failed before.

--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -7,6 +7,7 @@
 	type EntryEffect,
 	type EntryEvent,
 	type EntryState,
+	type HomeAnswer,
 } from '../index.js';
 
 export const KEY_HASH = `sha256:${'a'.repeat(64)}`;
@@ -138,16 +139,24 @@
 			now: this.now,
 			random: 0.5,
 		});
-		const register = requested.find(({kind}) => kind === 'register-home');
-		return register ? this.answerHome(stream) : requested;
+		const asked = pick(requested, 'register-home');
+		return [
+			...requested,
+			...asked.flatMap(({home}) => this.answerHome(stream, home)),
+		];
 	}
 
 	/** Lets a home that knows nothing of the request answer. */
-	answerHome(stream: string): readonly EntryEffect[] {
+	answerHome(
+		stream: string,
+		home: string,
+		answer?: HomeAnswer,
+	): readonly EntryEffect[] {
 		return this.apply({
 			kind: 'home-answered',
 			stream,
-			answer: {kind: 'absent'},
+			home,
+			answer: answer ?? {kind: 'absent'},
 			now: this.now,
 			random: 0.5,
 		});
--- /dev/null
+++ b/packages/lovage-entry-role/src/__tests__/unit/registration.test.ts
@@ -0,0 +1,116 @@
+import {describe, expect, it} from 'vitest';
+import type {HomeAnswer, Place} from '../../index.js';
+import {
+	createServingEntry,
+	type EntryDriver,
+	KEY_HASH,
+	listRefusals,
+	pick,
+} from '../fixture.js';
+
+const place: Place = {
+	customer: 'label',
+	requestId: 'r',
+	digest: 'd',
+	generation: 'g-first',
+	attempt: 1,
+	backend: 'e2',
+	entry: 'entry-3',
+};
+
+/** Sends a request whose homes, both of them other entries, are to answer. */
+function askHomes(entry: EntryDriver) {
+	const ids = Array.from({length: 20}, (_, i) => `r${i}`);
+	const asked = ids.map((requestId) =>
+		pick(
+			entry.apply({
+				kind: 'generation-requested',
+				stream: requestId,
+				keyHash: KEY_HASH,
+				generation: 'g-new',
+				input: {
+					requestId,
+					service: 'drafts',
+					promptBytes: 1,
+					maxTokens: 10,
+					digest: 'd',
+					prefixes: [],
+					hasDelivered: false,
+				},
+				now: 0,
+				random: 0,
+			}),
+			'register-home',
+		),
+	);
+	const [first, second] = asked.find(({length}) => length === 2)!;
+	const answer = (home: string, given: HomeAnswer | undefined) =>
+		entry.apply({
+			kind: 'home-answered',
+			stream: first!.stream,
+			home,
+			answer: given,
+			now: 0,
+			random: 0,
+		});
+	return {
+		decide: (
+			deciding: HomeAnswer | undefined,
+			other: HomeAnswer | undefined,
+		) => [...answer(first!.home, deciding), ...answer(second!.home, other)],
+		own: first!.place,
+	};
+}
+
+const found = (change: Partial<Place> = {}): HomeAnswer => ({
+	kind: 'found',
+	place: {...place, ...change},
+});
+
+describe('a request sent again without a cursor', () => {
+	it('joins the living generation when one home died with its entry', () => {
+		const {decide} = askHomes(createServingEntry());
+		const effects = decide(undefined, found());
+		expect(pick(effects, 'start-attempt')).toEqual([]);
+		expect(pick(effects, 'resume-attempt')).toMatchObject([
+			{generation: 'g-first', offset: 0},
+		]);
+	});
+
+	it('joins also when the deciding home has forgotten', () => {
+		const {decide, own} = askHomes(createServingEntry());
+		const effects = decide({kind: 'found', place: own}, found());
+		expect(pick(effects, 'resume-attempt')).toHaveLength(1);
+	});
+
+	it('is refused while the first waits for a backend server', () => {
+		const {decide} = askHomes(createServingEntry());
+		const effects = decide(found({backend: ''}), undefined);
+		expect(listRefusals(effects)).toEqual(['in-progress']);
+		expect(pick(effects, 'forget-home')).toHaveLength(2);
+	});
+
+	it('begins when the first waited at an entry that is gone', () => {
+		const {decide} = askHomes(createServingEntry());
+		const effects = decide(found({backend: '', entry: 'gone'}), undefined);
+		expect(pick(effects, 'start-attempt')).toHaveLength(1);
+	});
+
+	it('begins when the deciding home chose it over one that waits', () => {
+		const {decide, own} = askHomes(createServingEntry());
+		const effects = decide({kind: 'found', place: own}, found({backend: ''}));
+		expect(pick(effects, 'start-attempt')).toHaveLength(1);
+	});
+
+	it('begins when no home answers', () => {
+		const {decide} = askHomes(createServingEntry());
+		expect(pick(decide(undefined, undefined), 'start-attempt')).toHaveLength(1);
+	});
+
+	it('is refused with another body', () => {
+		const {decide} = askHomes(createServingEntry());
+		expect(listRefusals(decide(found(), {kind: 'conflict'}))).toEqual([
+			'conflict',
+		]);
+	});
+});
--- a/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
@@ -119,48 +119,6 @@
 		expect(entry.state.streams.size).toBe(0);
 	});
 
-	it('join the generation of an earlier send of the same request', () => {
-		const entry = createServingEntry();
-		entry.apply({
-			kind: 'generation-requested',
-			stream: 's',
-			keyHash: `sha256:${'a'.repeat(64)}`,
-			generation: 'g-new',
-			input: {
-				requestId: 'r',
-				service: 'drafts',
-				promptBytes: 1,
-				maxTokens: 10,
-				digest: 'd',
-				prefixes: [],
-				hasDelivered: false,
-			},
-			now: 0,
-			random: 0,
-		});
-		const joined = entry.apply({
-			kind: 'home-answered',
-			stream: 's',
-			answer: {
-				kind: 'found',
-				place: {
-					customer: 'label',
-					requestId: 'r',
-					digest: 'd',
-					generation: 'g-first',
-					attempt: 1,
-					backend: 'e2',
-					entry: 'entry-3',
-				},
-			},
-			now: 0,
-			random: 0,
-		});
-		const isSelfHome = joined.length === 0;
-		const resumed = pick(joined, 'resume-attempt');
-		expect(isSelfHome || resumed[0]?.generation === 'g-first').toBe(true);
-	});
-
 	it('are cancelled when their caller stays away', () => {
 		const entry = createServingEntry();
 		entry.requestGeneration('s');
--- a/packages/lovage-entry-role/src/addresses.ts
+++ b/packages/lovage-entry-role/src/addresses.ts
@@ -45,17 +45,25 @@
 	].slice(0, MAX_ADDRESSES);
 }
 
-/** The entry that remembers where a request's generation lives. */
-export function findHome(
+/** Entries that remember where one request's generation lives. */
+const HOMES = 2;
+
+/**
+ * The entries that remember where a request's generation lives, first the one
+ * that decides between two generations of the same request.
+ */
+export function listHomes(
 	options: EntryOptions,
 	lease: Lease,
 	isLeaving: boolean,
 	key: string,
-): EntryPeer | undefined {
+): readonly EntryPeer[] {
 	const serving = listServing(options, lease, isLeaving);
-	const [home] = rankByRendezvous(
+	const ranked = rankByRendezvous(
 		serving.map((entry) => entry.id),
 		key,
 	);
-	return serving.find((entry) => entry.id === home);
+	return ranked
+		.slice(0, HOMES)
+		.flatMap((id) => serving.filter((entry) => entry.id === id));
 }
--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -17,7 +17,8 @@
 import {learnQuarantine} from './quarantine.js';
 import {serveQueues} from './queues.js';
 import type {EntryState} from './state.js';
-import {answerHome, leaveStream, requestGeneration} from './streams.js';
+import {answerHome} from './registration.js';
+import {leaveStream, requestGeneration} from './streams.js';
 import {
 	chain,
 	chainEach,
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -78,10 +78,12 @@
 			now: number;
 			random: number;
 	  }
-	/** The home of the stream's request answered, or did not (`undefined`). */
+	/** A home of the stream's request answered, or did not (`undefined`). */
 	| {
 			kind: 'home-answered';
 			stream: string;
+			/** Id of the home. */
+			home: string;
 			answer: HomeAnswer | undefined;
 			now: number;
 			random: number;
@@ -206,10 +208,11 @@
 export type EntryEffect =
 	/** Final answer of a stream; before any token as a status, else in the stream. */
 	| {kind: 'refuse-stream'; stream: string; refusal: RefusalDetail}
-	/** Ask the home entry where the request lives, offering this place. */
+	/** Ask a home entry where the request lives, offering this place. */
 	| {
 			kind: 'register-home';
 			stream: string;
+			home: string;
 			/** Home entry's address. */
 			address: string;
 			place: Place;
--- a/packages/lovage-entry-role/src/places.ts
+++ b/packages/lovage-entry-role/src/places.ts
@@ -1,7 +1,8 @@
-import {findHome} from './addresses.js';
+import {listHomes} from './addresses.js';
 import {homeKey, registerHome, type HomeAnswer, type Place} from './homes.js';
 import {isLeaving, type EntryState} from './state.js';
-import {transition, type EntryTransition} from './transition.js';
+import {chainEach, transition, type EntryTransition} from './transition.js';
+import type {EntryPeer} from './lease.js';
 
 /** Registers a place at this entry, its home. */
 export function registerPlace(
@@ -21,41 +22,35 @@
 	return isSame ? {...state, homes: state.homes.delete(key)} : state;
 }
 
-function findPlaceHome(state: EntryState, place: Place) {
-	const key = homeKey(place.customer, place.requestId);
-	return findHome(state.options, state.lease, isLeaving(state), key);
+/** Lists the entries that remember the place of a request. */
+export function listPlaceHomes(
+	state: EntryState,
+	request: Readonly<{customer: string; requestId: string}>,
+): readonly EntryPeer[] {
+	const key = homeKey(request.customer, request.requestId);
+	return listHomes(state.options, state.lease, isLeaving(state), key);
 }
 
-/** Tells the home of a request where its generation lives now. */
+/** Tells the homes of a request where its generation lives now. */
 export function publishPlace(
 	state: EntryState,
 	place: Place,
 	now: number,
 ): EntryTransition {
-	const home = findPlaceHome(state, place);
-	if (!home) {
-		return transition(state);
-	}
-
-	if (home.id === state.options.id) {
-		return transition(registerPlace(state, place, now).state);
-	}
-
-	const {address} = home;
-	return transition(state, [{kind: 'update-home', address, place}]);
+	const homes = listPlaceHomes(state, place);
+	return chainEach(state, homes, (next, {id, address}) =>
+		id === next.options.id
+			? transition(registerPlace(next, place, now).state)
+			: transition(next, [{kind: 'update-home', address, place}]),
+	);
 }
 
-/** Tells the home of a request that its generation has ended for good. */
+/** Tells the homes of a request that its generation has ended for good. */
 export function forgetPlace(state: EntryState, place: Place): EntryTransition {
-	const home = findPlaceHome(state, place);
-	if (!home) {
-		return transition(state);
-	}
-
-	if (home.id === state.options.id) {
-		return transition(removePlace(state, place));
-	}
-
-	const {address} = home;
-	return transition(state, [{kind: 'forget-home', address, place}]);
+	const homes = listPlaceHomes(state, place);
+	return chainEach(state, homes, (next, {id, address}) =>
+		id === next.options.id
+			? transition(removePlace(next, place))
+			: transition(next, [{kind: 'forget-home', address, place}]),
+	);
 }
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -8,15 +8,19 @@
 	Quarantine,
 	RefusalDetail,
 } from './events.js';
-import type {Homes, Place} from './homes.js';
+import type {HomeAnswer, Homes, Place} from './homes.js';
 import {NO_LEASE, type Lease} from './lease.js';
 import type {EntryOptions} from './options.js';
 import type {View} from './view.js';
 
 /** What a stream is waiting for. */
 export type StreamPhase =
-	/** The home's answer. */
-	| {kind: 'registering'}
+	/** The answers of its homes, the deciding one first. */
+	| {
+			kind: 'registering';
+			homes: readonly string[];
+			answers: Readonly<Record<string, HomeAnswer | undefined>>;
+	  }
 	/** Its turn in the queue. */
 	| {kind: 'queued'; isResumed: boolean; excluded: readonly string[]}
 	| {kind: 'running'};
--- a/packages/lovage-entry/src/host.ts
+++ b/packages/lovage-entry/src/host.ts
@@ -92,10 +92,17 @@
 	const registerHome = async (
 		effect: Extract<EntryEffect, {kind: 'register-home'}>,
 	): Promise<void> => {
-		const {stream, address, place} = effect;
+		const {stream, home, address, place} = effect;
 		const answer = await links.peers.register(address, place);
 		const now = clock.now();
-		update({kind: 'home-answered', stream, answer, now, random: random()});
+		update({
+			kind: 'home-answered',
+			stream,
+			home,
+			answer,
+			now,
+			random: random(),
+		});
 	};
 
 	const runClaim = async (effect: Parameters<ClaimsLink>[0]): Promise<void> => {
