--- /dev/null
+++ b/packages/lovage-spec/src/log-model-exchange.ts
@@ -0,0 +1,107 @@
+import type {RaftMessage} from '@lovagevalve/consensus';
+import {
+	feed,
+	findTarget,
+	LATE,
+	NOW,
+	syncNode,
+	type LogWorld,
+	type Outcome,
+} from './log-model-world.js';
+
+type Delivery = Readonly<{
+	world: LogWorld;
+	queue: readonly RaftMessage[];
+	/** Messages that still get through; the rest is lost. */
+	left: number;
+}>;
+
+function feedAndSync(
+	outcome: Outcome,
+	node: number,
+	isSynced: boolean,
+): Outcome {
+	if (!isSynced) {
+		return outcome;
+	}
+
+	const synced = syncNode(outcome.world, node);
+	return {
+		world: synced.world,
+		messages: [...outcome.messages, ...synced.messages],
+	};
+}
+
+function deliverNext(
+	delivery: Delivery,
+	pair: readonly number[],
+	isSynced: boolean,
+): Delivery {
+	const [message, ...queue] = delivery.queue;
+	if (message === undefined || delivery.left === 0) {
+		return delivery;
+	}
+
+	const target = findTarget(delivery.world, message);
+	if (!pair.includes(target)) {
+		return deliverNext({...delivery, queue}, pair, isSynced);
+	}
+
+	const received = feed(delivery.world, target, {
+		kind: 'received',
+		now: NOW,
+		message,
+	});
+	const {world, messages} = feedAndSync(received, target, isSynced);
+	return deliverNext(
+		{world, queue: [...queue, ...messages], left: delivery.left - 1},
+		pair,
+		isSynced,
+	);
+}
+
+/** Delivers messages between two replicas, at most `limit`; the others are lost. */
+export function deliver(
+	outcome: Outcome,
+	pair: readonly [number, number],
+	limit: number,
+	isSynced = true,
+): LogWorld {
+	const {world, messages} = outcome;
+	const start: Delivery = {world, queue: messages, left: limit};
+	return deliverNext(start, pair, isSynced).world;
+}
+
+/** Lets a replica's timers run out, and syncs what it writes. */
+export function expire(
+	world: LogWorld,
+	node: number,
+	isSynced = true,
+): Outcome {
+	const ticked = feed(world, node, {kind: 'ticked', now: LATE});
+	return feedAndSync(ticked, node, isSynced);
+}
+
+const VOTE_MESSAGES = 2;
+
+/** An election that reaches one other voter; what a winner sends is lost. */
+export function elect(
+	world: LogWorld,
+	candidate: number,
+	voter: number,
+): LogWorld {
+	const asked = expire(world, candidate);
+	const voted = deliver(asked, [candidate, voter], VOTE_MESSAGES);
+	return syncNode(voted, candidate).world;
+}
+
+/** A heartbeat round of a leader with one replica that breaks off after `limit` messages. */
+export function exchange(
+	world: LogWorld,
+	pair: readonly [number, number],
+	limit: number,
+	isSynced = true,
+): LogWorld {
+	const sent = expire(world, pair[0], isSynced);
+	return deliver(sent, pair, limit, isSynced);
+}
--- /dev/null
+++ b/packages/lovage-spec/src/log-model-membership.ts
@@ -0,0 +1,210 @@
+import type {LogEntry, Member} from '@lovagevalve/consensus';
+import {explore, type ModelEvent} from './explore.js';
+import {elect, exchange} from './log-model-exchange.js';
+import {createWorldKey} from './log-model-key.js';
+import {
+	createEmptyNode,
+	createGuards,
+	createMember,
+	createSettings,
+	createWorld,
+	feed,
+	NOW,
+	replaceNode,
+	type LogWorld,
+} from './log-model-world.js';
+import type {Model} from './model.js';
+
+const REPLICAS = ['a', 'b', 'c'];
+const NODES = REPLICAS.map((_, node) => node);
+const PAIRS = NODES.flatMap((first) =>
+	NODES.filter((second) => second !== first).map(
+		(second) => [first, second] as const,
+	),
+);
+/** Enough for a replica to catch up from an empty log. */
+const EXCHANGE_MESSAGES = 16;
+
+type Bounds = Readonly<{
+	elections: number;
+	losses: number;
+	removals: number;
+}>;
+
+type State = Readonly<{world: LogWorld; left: Bounds}>;
+
+type Event = ModelEvent &
+	(
+		| Readonly<{type: 'elect'; candidate: number; voter: number}>
+		| Readonly<{type: 'exchange'; leader: number; follower: number}>
+		| Readonly<{type: 'lose disk'; node: number}>
+		| Readonly<{type: 'join'; leader: number; node: number}>
+		| Readonly<{type: 'remove'; leader: number; replica: string}>
+	);
+
+type Membership = Extract<LogEntry, {kind: 'membership'}>;
+
+function isMembership(entry: LogEntry): entry is Membership {
+	return entry.kind === 'membership';
+}
+
+function listReplicas(world: LogWorld): readonly string[] {
+	return world.nodes.map(({disk}) => disk.replica);
+}
+
+/** A disk may be lost only while every committed voter has its own. */
+function isWhole(world: LogWorld): boolean {
+	const members = world.committed.findLast(isMembership)?.members ?? [];
+	const replicas = listReplicas(world);
+	return members.every(
+		({replica, voter}) => voter && replicas.includes(replica),
+	);
+}
+
+function isLeader(world: LogWorld, node: number): boolean {
+	return world.nodes[node]!.raft.role.kind === 'leader';
+}
+
+function listEvents({world, left}: State): readonly Event[] {
+	const led = PAIRS.filter(([leader]) => isLeader(world, leader));
+	const kinds = world.nodes.map(({raft}) => raft.role.kind);
+	return [
+		...PAIRS.filter(
+			([candidate]) => left.elections > 0 && !isLeader(world, candidate),
+		).map(([candidate, voter]): Event => ({type: 'elect', candidate, voter})),
+		...led.map(([leader, follower]): Event => ({
+			type: 'exchange',
+			leader,
+			follower,
+		})),
+		...led
+			.filter(([, node]) => kinds[node] === 'unassigned')
+			.map(([leader, node]): Event => ({type: 'join', leader, node})),
+		...led
+			.filter(() => left.removals > 0)
+			.map(([leader, node]): Event => ({
+				type: 'remove',
+				leader,
+				replica: world.nodes[node]!.disk.replica,
+			})),
+		...NODES.filter(() => left.losses > 0 && isWhole(world)).map(
+			(node): Event => ({type: 'lose disk', node}),
+		),
+	];
+}
+
+function loseDisk(world: LogWorld, node: number): LogWorld {
+	const {replica} = world.nodes[node]!.disk;
+	const name = replica.slice(0, 1);
+	const identity = world.settings.guards.newIdentityAfterLostDisk
+		? `${name}${Number(replica.slice(1)) + 1}`
+		: replica;
+	return replaceNode(world, node, createEmptyNode(identity, world.settings));
+}
+
+function holds(world: LogWorld, replica: string, index: number): boolean {
+	const node = world.nodes.find(({disk}) => disk.replica === replica);
+	return (
+		node === undefined ||
+		node.disk.entries.some((entry) => entry.index === index)
+	);
+}
+
+/** A replica gets its vote only after it holds the entry that took it in. */
+function checkVoters(world: LogWorld): LogWorld {
+	const isUnready = world.nodes.some(({raft}) => {
+		const [before, last] = raft.log.memberships.slice(-2);
+		const isFounding = before?.members.length === 0;
+		if (before === undefined || last === undefined || isFounding) {
+			return false;
+		}
+
+		const isOld = ({replica}: Member): boolean =>
+			before.members.some((old) => old.replica === replica && old.voter);
+		return last.members
+			.filter((member) => member.voter && !isOld(member))
+			.some(({replica}) => !holds(world, replica, before.index));
+	});
+	return isUnready && world.violation === undefined
+		? {...world, violation: 'a new voter has caught up'}
+		: world;
+}
+
+function change(world: LogWorld, event: Event): LogWorld {
+	switch (event.type) {
+		case 'elect': {
+			return elect(world, event.candidate, event.voter);
+		}
+
+		case 'exchange': {
+			const pair = [event.leader, event.follower] as const;
+			return exchange(world, pair, EXCHANGE_MESSAGES);
+		}
+
+		case 'lose disk': {
+			return loseDisk(world, event.node);
+		}
+
+		case 'join': {
+			const member = createMember(world.nodes[event.node]!.disk.replica);
+			const request = {kind: 'join-requested', now: NOW, member} as const;
+			return feed(world, event.leader, request).world;
+		}
+
+		case 'remove': {
+			const {replica} = event;
+			const request = {kind: 'removal-requested', now: NOW, replica} as const;
+			return feed(world, event.leader, request).world;
+		}
+	}
+}
+
+function step({world, left}: State, event: Event): State {
+	return {
+		world: checkVoters(change(world, event)),
+		left: {
+			elections: left.elections - (event.type === 'elect' ? 1 : 0),
+			losses: left.losses - (event.type === 'lose disk' ? 1 : 0),
+			removals: left.removals - (event.type === 'remove' ? 1 : 0),
+		},
+	};
+}
+
+function createModel(
+	name: string,
+	guards: readonly string[],
+	bounds: Bounds,
+): Model {
+	return {
+		name,
+		guards,
+		bounds: `${REPLICAS.length} replicas, ${bounds.elections + 1} elections, ${bounds.losses} lost disks, ${bounds.removals} removals`,
+		run(disabledGuards) {
+			const settings = createSettings(createGuards(disabledGuards));
+			const founded = createWorld(REPLICAS, settings);
+			return explore<State, Event>({
+				// By symmetry it doesn't matter who wins the first election.
+				initial: {world: elect(founded, 0, 1), left: bounds},
+				events: listEvents,
+				step,
+				findViolation: ({world}) => world.violation,
+				createKey: ({world, left}) =>
+					`${JSON.stringify(left)} ${createWorldKey(world)}`,
+			});
+		},
+	};
+}
+
+/** Operators that remove members of a group whose leader changes. */
+export const logRemovalModel: Model = createModel(
+	'log: removals',
+	['oneChangeAtATime'],
+	{elections: 1, losses: 0, removals: 2},
+);
+
+/** Lost disks, replaced one after the other. */
+export const logLostDiskModel: Model = createModel(
+	'log: lost disks',
+	['newIdentityAfterLostDisk', 'learnerBeforeVoter'],
+	{elections: 1, losses: 2, removals: 0},
+);
--- /dev/null
+++ b/packages/lovage-spec/src/log-model-reads.ts
@@ -0,0 +1,111 @@
+import {explore, type ModelEvent} from './explore.js';
+import {deliver, elect, exchange} from './log-model-exchange.js';
+import {createWorldKey} from './log-model-key.js';
+import {
+	createGuards,
+	createSettings,
+	createWorld,
+	feed,
+	NOW,
+	type LogWorld,
+} from './log-model-world.js';
+import type {Model} from './model.js';
+
+const REPLICAS = ['a', 'b', 'c'];
+const ELECTIONS = 1;
+const READS = 2;
+const ROUND_MESSAGES = 4;
+const NODES = REPLICAS.map((_, node) => node);
+const PAIRS = NODES.flatMap((first) =>
+	NODES.filter((second) => second !== first).map(
+		(second) => [first, second] as const,
+	),
+);
+
+type State = Readonly<{world: LogWorld; elections: number; reads: number}>;
+
+type Event = ModelEvent &
+	(
+		| Readonly<{type: 'elect'; candidate: number; voter: number}>
+		| Readonly<{type: 'exchange'; leader: number; follower: number}>
+		/** A read whose round reaches one other replica, or nobody. */
+		| Readonly<{type: 'read'; leader: number; reached: number}>
+	);
+
+function isLeader(world: LogWorld, node: number): boolean {
+	return world.nodes[node]!.raft.role.kind === 'leader';
+}
+
+function listEvents({world, elections, reads}: State): readonly Event[] {
+	const votes = PAIRS.filter(
+		([candidate]) => elections > 0 && !isLeader(world, candidate),
+	).map(([candidate, voter]): Event => ({type: 'elect', candidate, voter}));
+	const led = PAIRS.filter(([leader]) => isLeader(world, leader));
+	const exchanges = led.map(([leader, follower]): Event => ({
+		type: 'exchange',
+		leader,
+		follower,
+	}));
+	const asked = led
+		.filter(() => reads > 0)
+		.map(([leader, reached]): Event => ({type: 'read', leader, reached}));
+	return [...votes, ...exchanges, ...asked];
+}
+
+function read(world: LogWorld, pair: readonly [number, number]): LogWorld {
+	const name = `read ${Object.keys(world.reads).length + 1}`;
+	const begun = {
+		...world,
+		reads: {...world.reads, [name]: world.committed.length},
+	};
+	const asked = feed(begun, pair[0], {
+		kind: 'read-requested',
+		now: NOW,
+		read: name,
+	});
+	return deliver(asked, pair, ROUND_MESSAGES);
+}
+
+function step(state: State, event: Event): State {
+	const {world, elections, reads} = state;
+	switch (event.type) {
+		case 'elect': {
+			const voted = elect(world, event.candidate, event.voter);
+			return {...state, world: voted, elections: elections - 1};
+		}
+
+		case 'exchange': {
+			const pair = [event.leader, event.follower] as const;
+			return {...state, world: exchange(world, pair, ROUND_MESSAGES)};
+		}
+
+		case 'read': {
+			const pair = [event.leader, event.reached] as const;
+			return {...state, world: read(world, pair), reads: reads - 1};
+		}
+	}
+}
+
+/** Reads from leaders that may be old. */
+export const logReadsModel: Model = {
+	name: 'log: reads',
+	guards: ['readNeedsQuorum', 'readNeedsOwnTermCommit'],
+	bounds: `${REPLICAS.length} replicas, ${ELECTIONS + 1} elections, ${READS} reads`,
+	run(disabledGuards) {
+		const settings = createSettings(createGuards(disabledGuards));
+		const founded = createWorld(REPLICAS, settings);
+		return explore<State, Event>({
+			// By symmetry it doesn't matter who wins the first election.
+			initial: {
+				world: elect(founded, 0, 1),
+				elections: ELECTIONS,
+				reads: READS,
+			},
+			events: listEvents,
+			step,
+			findViolation: ({world}) => world.violation,
+			createKey: ({world, elections, reads}) =>
+				`${elections} ${reads} ${createWorldKey(world)}`,
+		});
+	},
+};
--- /dev/null
+++ b/packages/lovage-spec/src/log-model-world.ts
@@ -0,0 +1,275 @@
+import {
+	allGuards,
+	createRaft,
+	defaultSettings,
+	stepRaft,
+	type JoiningMember,
+	type LogEntry,
+	type RaftEffect,
+	type RaftEvent,
+	type RaftGuards,
+	type RaftMessage,
+	type RaftSettings,
+	type RaftState,
+	type RecoveredState,
+} from '@lovagevalve/consensus';
+
+type Write = Extract<RaftEffect, {kind: 'persist' | 'persist-snapshot'}>;
+
+/** One replica: its process, its disk and what has not reached the disk. */
+export type LogNode = Readonly<{
+	raft: RaftState;
+	disk: RecoveredState;
+	unsynced: readonly Write[];
+}>;
+
+/** Replicas and what was seen of them so far. */
+export type LogWorld = Readonly<{
+	nodes: readonly LogNode[];
+	settings: RaftSettings;
+	/** Entries that some replica counted as committed, by index. */
+	committed: readonly LogEntry[];
+	/** Replicas that won an election, with their terms. */
+	leaders: readonly string[];
+	/** Reads asked for, with the highest index that was committed by then. */
+	reads: Readonly<Record<string, number>>;
+	violation?: string;
+}>;
+
+/** A world after an event, and the messages that it led to. */
+export type Outcome = Readonly<{
+	world: LogWorld;
+	messages: readonly RaftMessage[];
+}>;
+
+/** Untimed models look at every replica at this time. */
+export const NOW = 1000;
+/** A time at which each timer is due. */
+export const LATE = 10_000;
+const FAR_PAST = -10_000;
+const TIMER_AT = 5000;
+
+/**
+ * Guards without those that a run switches off. Untimed models do without the
+ * two that keep a leader in peace: more can happen so, and nothing less.
+ */
+export function createGuards(disabled: readonly string[]): RaftGuards {
+	const names = Object.keys(allGuards) as Array<keyof RaftGuards>;
+	const off = names.filter((name) => disabled.includes(name));
+	return {
+		...allGuards,
+		preVote: false,
+		checkQuorum: false,
+		...Object.fromEntries(off.map((name) => [name, false])),
+	};
+}
+
+/** Settings with one entry in each append, so that logs can be cut anywhere. */
+export function createSettings(guards: RaftGuards): RaftSettings {
+	return {
+		...defaultSettings,
+		maxAppendEntries: 1,
+		maxInflightAppends: 1,
+		trailingEntries: 0,
+		guards,
+	};
+}
+
+/** Names a replica as a member. */
+export function createMember(replica: string): JoiningMember {
+	return {replica, name: replica.slice(0, 1), address: replica};
+}
+
+/** A replica with an empty disk. */
+export function createEmptyNode(
+	replica: string,
+	settings: RaftSettings,
+): LogNode {
+	const disk: RecoveredState = {replica, hardState: {term: 0}, entries: []};
+	const raft = createRaft({recovered: disk, settings, seed: 1, now: NOW});
+	return {raft, disk, unsynced: []};
+}
+
+/** Creates replicas that have founded a group. */
+export function createWorld(
+	replicas: readonly string[],
+	settings: RaftSettings,
+): LogWorld {
+	const empty: LogWorld = {
+		nodes: replicas.map((replica) => createEmptyNode(replica, settings)),
+		settings,
+		committed: [],
+		leaders: [],
+		reads: {},
+	};
+	const members = replicas.map(createMember);
+	return replicas.reduce((world, _replica, node) => {
+		const event = {kind: 'initialised', group: 'g', members} as const;
+		const {world: founded} = feed(world, node, {...event, now: NOW});
+		return syncNode(founded, node).world;
+	}, empty);
+}
+
+function writeToDisk(disk: RecoveredState, write: Write): RecoveredState {
+	if (write.kind === 'persist-snapshot') {
+		return {...disk, snapshot: write.snapshot, entries: []};
+	}
+
+	const {truncateAfter = Infinity, entries} = write;
+	const kept = disk.entries.filter(({index}) => index <= truncateAfter);
+	const hardState = write.hardState ?? disk.hardState;
+	return {...disk, hardState, entries: [...kept, ...entries]};
+}
+
+function fail(world: LogWorld, violation: string): LogWorld {
+	return {...world, violation: world.violation ?? violation};
+}
+
+function commitEntry(world: LogWorld, entry: LogEntry): LogWorld {
+	const known = world.committed[entry.index - 1];
+	if (known === undefined) {
+		return {...world, committed: [...world.committed, entry]};
+	}
+
+	return JSON.stringify(known) === JSON.stringify(entry)
+		? world
+		: fail(world, 'a committed entry is never replaced');
+}
+
+function recordLeader(
+	world: LogWorld,
+	replica: string,
+	term: number,
+): LogWorld {
+	const name = `${term}:${replica}`;
+	const isRival = world.leaders.some(
+		(leader) => leader.startsWith(`${term}:`) && leader !== name,
+	);
+	const leaders = [...new Set([...world.leaders, name])].toSorted();
+	const next = {...world, leaders};
+	return isRival ? fail(next, 'a term has one leader') : next;
+}
+
+function observe(
+	world: LogWorld,
+	replica: string,
+	effect: RaftEffect,
+): LogWorld {
+	if (effect.kind === 'apply') {
+		return effect.entries.reduce(commitEntry, world);
+	}
+
+	if (effect.kind === 'became-leader') {
+		return recordLeader(world, replica, effect.term);
+	}
+
+	if (effect.kind === 'read-confirmed') {
+		return effect.index < (world.reads[effect.read] ?? 0)
+			? fail(world, 'a confirmed read is never stale')
+			: world;
+	}
+
+	return world;
+}
+
+/** Removes what only times change, so that equal situations are equal states. */
+export function forgetTime(raft: RaftState): RaftState {
+	const {role, writes} = raft;
+	const progress =
+		role.kind === 'leader'
+			? Object.fromEntries(
+					Object.entries(role.progress).map(([replica, known]) => [
+						replica,
+						{...known, heardAt: FAR_PAST},
+					]),
+				)
+			: {};
+	return {
+		...raft,
+		role:
+			role.kind === 'leader'
+				? {...role, progress, heartbeatAt: TIMER_AT}
+				: role,
+		leaderHeardAt: FAR_PAST,
+		electionAt: TIMER_AT,
+		random: 1,
+		writes: writes.pending.length === 0 ? {...writes, issued: 0} : writes,
+	};
+}
+
+/** Replaces one replica. */
+export function replaceNode(
+	world: LogWorld,
+	node: number,
+	replacement: LogNode,
+): LogWorld {
+	return {...world, nodes: world.nodes.with(node, replacement)};
+}
+
+/** Lets a replica decide on an event. */
+export function feed(
+	world: LogWorld,
+	node: number,
+	event: RaftEvent,
+	normalize: (raft: RaftState) => RaftState = forgetTime,
+): Outcome {
+	const {raft, disk, unsynced} = world.nodes[node]!;
+	try {
+		const {state, effects} = stepRaft(raft, event);
+		const writes = effects.filter(
+			(effect) =>
+				effect.kind === 'persist' || effect.kind === 'persist-snapshot',
+		);
+		const messages = effects.flatMap((effect) =>
+			effect.kind === 'send' ? [effect.message] : [],
+		);
+		const next = replaceNode(world, node, {
+			raft: normalize(state),
+			disk,
+			unsynced: [...unsynced, ...writes],
+		});
+		const observed = effects.reduce(
+			(seen, effect) => observe(seen, disk.replica, effect),
+			next,
+		);
+		return {world: observed, messages};
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		return {world: fail(world, reason), messages: []};
+	}
+}
+
+/** Brings the writes of a replica to its disk. */
+export function syncNode(
+	world: LogWorld,
+	node: number,
+	now = NOW,
+	normalize: (raft: RaftState) => RaftState = forgetTime,
+): Outcome {
+	const {raft, disk, unsynced} = world.nodes[node]!;
+	const last = unsynced.at(-1);
+	if (last === undefined) {
+		return {world, messages: []};
+	}
+
+	const synced = replaceNode(world, node, {
+		raft,
+		disk: unsynced.reduce(writeToDisk, disk),
+		unsynced: [],
+	});
+	const {sequence} = last;
+	return feed(synced, node, {kind: 'synced', now, sequence}, normalize);
+}
+
+/** Ends a process and starts it again from what its disk holds. */
+export function restartNode(world: LogWorld, node: number): LogWorld {
+	const {disk} = world.nodes[node]!;
+	const {settings} = world;
+	const raft = createRaft({recovered: disk, settings, seed: 1, now: NOW});
+	return replaceNode(world, node, {raft: forgetTime(raft), disk, unsynced: []});
+}
+
+/** Position of the replica that a message is for; -1 if there is none. */
+export function findTarget(world: LogWorld, message: RaftMessage): number {
+	return world.nodes.findIndex(({disk}) => disk.replica === message.to);
+}
