--- a/packages/lovage-fakes/src/cluster-settings.ts
+++ b/packages/lovage-fakes/src/cluster-settings.ts
@@ -3,6 +3,9 @@
 
 const CURSOR_SECRET = 'development-cursor-secret';
 
+/** How long a claim of a dead entry is in progress. */
+const CLAIM_HOLD_MS = 6000;
+
 /** How long callers of a development cluster keep their addresses. */
 export const ADDRESS_LIFETIME_MS = 2000;
 
@@ -32,6 +35,7 @@
 		controls,
 		dataFolder,
 		bootstrapOperatorKeyHash: hashKey(operatorKey),
+		timings: {claimHoldMs: CLAIM_HOLD_MS},
 	});
 }
 
--- a/packages/lovage-fakes/src/program.ts
+++ b/packages/lovage-fakes/src/program.ts
@@ -1,4 +1,4 @@
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {createWriteStream, existsSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -35,6 +35,26 @@
 
 const PACKAGES = new URL('../../', import.meta.url);
 
+const children = new Set<ChildProcess>();
+
+function exitAfterSignal(): void {
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit(1);
+}
+
+/** Makes the programs end with the process that started them. */
+function trackChild(child: ChildProcess): void {
+	if (children.size === 0) {
+		process.on('exit', () => {
+			children.forEach((one) => one.kill('SIGKILL'));
+		});
+		process.on('SIGTERM', exitAfterSignal);
+		process.on('SIGINT', exitAfterSignal);
+	}
+
+	children.add(child);
+}
+
 /** Starts a program of this workspace with Node.js. */
 export function startProgram(spec: ProgramSpec): Program {
 	const file = fileURLToPath(new URL(spec.file, PACKAGES));
@@ -46,6 +66,7 @@
 	child.stdout.pipe(output, {end: false});
 	child.stderr.pipe(output, {end: false});
 
+	trackChild(child);
 	let isRunning = true;
 	const exited = new Promise<ProgramExit>((resolve) => {
 		child.on('exit', (code, signal) => {
