--- a/packages/lovage-measure/src/account.ts
+++ b/packages/lovage-measure/src/account.ts
@@ -2,8 +2,10 @@
 
 /** What one run yields. */
 export type RunResult = {
-	/** Waits of callers between two tokens after a loss. */
+	/** Waits between two tokens of answers that went on elsewhere. */
 	resumeMs: number[];
+	/** Waits of answers that went on at the same engine. */
+	inPlaceMs: number[];
 	firstTokenMs: number[];
 	/** Work of the answers themselves, in tokens. */
 	usefulTokens: number;
@@ -34,6 +36,7 @@
 export function createResult(): RunResult {
 	return {
 		resumeMs: [],
+		inPlaceMs: [],
 		firstTokenMs: [],
 		usefulTokens: 0,
 		wastedDecode: 0,
--- a/packages/lovage-measure/src/request.ts
+++ b/packages/lovage-measure/src/request.ts
@@ -13,6 +13,8 @@
 	family: string;
 	total: number;
 	isKiller: boolean;
+	/** Part of the overnight batch. */
+	isBatch: boolean;
 }>;
 
 /** A request as its entry runs it. */
--- a/packages/lovage-measure/src/run.ts
+++ b/packages/lovage-measure/src/run.ts
@@ -1,10 +1,16 @@
 import {createResult, type RunResult} from './account.js';
-import {createClock} from './clock.js';
+import {createClock, type Clock} from './clock.js';
 import {createEntry, type Entry} from './entry.js';
 import {scheduleFault} from './faults.js';
 import {createPlatform} from './platform.js';
 import {createRandom} from './random.js';
-import {RUN_END_MS, type Deployment, type Fault} from './scenario.js';
+import {
+	ARRIVALS_END_MS,
+	CLOSING_MS,
+	RUN_END_MS,
+	type Deployment,
+	type Fault,
+} from './scenario.js';
 import type {Variant} from './variants.js';
 import {createWorkload} from './workload.js';
 
@@ -59,7 +65,7 @@
 		},
 		fault,
 	);
-	clock.runUntil(RUN_END_MS);
+	runToEnd(clock, entries);
 	const {convicted} = platform.readQuarantine();
 	result.notWhole += entries.reduce((sum, {live}) => sum + live.size, 0);
 	result.isKillerConvicted = convicted.includes('killer');
@@ -76,3 +82,18 @@
 			: 0;
 	return result;
 }
+
+/** Runs until the last request has ended and the accounts are closed. */
+function runToEnd(clock: Clock, entries: readonly Entry[]): void {
+	clock.runUntil(ARRIVALS_END_MS);
+	const isBusy = () => entries.some(({live}) => live.size > 0);
+	let lastBusyAt = ARRIVALS_END_MS;
+	for (
+		let time = ARRIVALS_END_MS;
+		time < RUN_END_MS && time < lastBusyAt + CLOSING_MS;
+		time += 1000
+	) {
+		clock.runUntil(time);
+		lastBusyAt = isBusy() ? time : lastBusyAt;
+	}
+}
--- a/packages/lovage-measure/src/summary.ts
+++ b/packages/lovage-measure/src/summary.ts
@@ -8,6 +8,8 @@
 	runs: number;
 	resumes: number;
 	resumeMs: Percentiles;
+	inPlace: number;
+	inPlaceMs: Percentiles;
 	firstTokenMs: Percentiles;
 	/** Shares of the useful work. */
 	extraShare: number;
@@ -81,6 +83,8 @@
 		runs: results.length,
 		resumes: sum(({resumeMs}) => resumeMs.length),
 		resumeMs: getPercentiles(results.flatMap(({resumeMs}) => resumeMs)),
+		inPlace: sum(({inPlaceMs}) => inPlaceMs.length),
+		inPlaceMs: getPercentiles(results.flatMap(({inPlaceMs}) => inPlaceMs)),
 		firstTokenMs: getPercentiles(
 			results.flatMap(({firstTokenMs}) => firstTokenMs),
 		),
