--- /dev/null
+++ b/packages/lovage-consensus/src/__tests__/unit/raft.test.ts
@@ -0,0 +1,260 @@
+import {expect, test} from 'vitest';
+import {
+	createRaft,
+	defaultSettings,
+	readLastIndex,
+	readMembers,
+	stepRaft,
+	type RaftEffect,
+	type RaftMessage,
+} from '../../index.js';
+import {createCluster, type Cluster} from './cluster.js';
+
+const LIMIT_MS = 60_000;
+
+function createLedCluster(seed: number): Cluster {
+	const cluster = createCluster(['a', 'b', 'c'], seed);
+	cluster.initialise();
+	expect(cluster.advanceUntil(() => cluster.isWhole(), LIMIT_MS)).toBe(true);
+	return cluster;
+}
+
+function isolate(cluster: Cluster, name: string): void {
+	cluster.nodes.forEach((other) => {
+		cluster.cuts.add(`${name}>${other.name}`).add(`${other.name}>${name}`);
+	});
+}
+
+function listKinds(
+	effects: readonly RaftEffect[],
+): ReadonlyArray<RaftEffect['kind']> {
+	return effects.map(({kind}) => kind);
+}
+
+/** A replica of two that has just received an append and not synced it. */
+function createFollower() {
+	const members = ['a', 'b'].map((name) => ({
+		replica: name,
+		name,
+		address: name,
+	}));
+	const state = createRaft({
+		recovered: {replica: 'a', hardState: {term: 0}, entries: []},
+		settings: defaultSettings,
+		seed: 1,
+		now: 0,
+	});
+	const founding = {kind: 'initialised', group: 'g', members, now: 0} as const;
+	const founded = stepRaft(state, founding);
+	const sequence = founded.state.writes.issued;
+	const synced = stepRaft(founded.state, {kind: 'synced', now: 0, sequence});
+	const message: RaftMessage = {
+		kind: 'append',
+		group: founded.state.hardState.group!,
+		from: 'b',
+		to: 'a',
+		term: 2,
+		previousIndex: 1,
+		previousTerm: 1,
+		entries: [{kind: 'noop', index: 2, term: 2}],
+		commitIndex: 1,
+		round: 0,
+	};
+	return stepRaft(synced.state, {kind: 'received', now: 0, message});
+}
+
+test('an isolated leader neither commits nor serves reads, and steps down', () => {
+	const cluster = createLedCluster(1);
+	const leader = cluster.findLeader()!;
+	const {commitIndex} = leader.state!;
+	isolate(cluster, leader.name);
+	cluster.propose(leader, 'p', ['lost']);
+	cluster.requestRead(leader, 'r');
+	const isFollower = (): boolean => leader.state!.role.kind !== 'leader';
+	expect(cluster.advanceUntil(isFollower, LIMIT_MS)).toBe(true);
+	expect(leader.state!.commitIndex).toBe(commitIndex);
+	const answers = cluster.outcomes.filter(
+		(effect) => 'read' in effect && effect.read === 'r',
+	);
+	expect(listKinds(answers)).toEqual(['read-refused']);
+});
+
+test('a leader that was paused rechecks its quorum before it takes work', () => {
+	const cluster = createLedCluster(2);
+	const {state} = cluster.findLeader()!;
+	const now = cluster.now() + defaultSettings.electionTimeoutMs;
+	const proposed = {kind: 'proposed', proposal: 'p', commands: ['x']} as const;
+	const {effects} = stepRaft(state!, {...proposed, now});
+	expect(listKinds(effects)).toEqual(['stepped-down', 'proposal-refused']);
+});
+
+test('a follower acknowledges an append only once it is synced', () => {
+	const {state, effects} = createFollower();
+	expect(listKinds(effects)).toEqual(['persist', 'apply']);
+	const sequence = state.writes.issued;
+	const synced = stepRaft(state, {kind: 'synced', now: 0, sequence});
+	expect(synced.effects).toMatchObject([
+		{kind: 'send', message: {kind: 'append-answer', matchIndex: 2}},
+	]);
+});
+
+test('commands proposed together share one write and one append for each replica', () => {
+	const cluster = createLedCluster(3);
+	const {state} = cluster.findLeader()!;
+	const {effects} = stepRaft(state!, {
+		kind: 'proposed',
+		now: cluster.now(),
+		proposal: 'p',
+		commands: ['1', '2', '3'],
+	});
+	expect(listKinds(effects)).toEqual([
+		'persist',
+		'proposal-accepted',
+		'send',
+		'send',
+	]);
+});
+
+test('the window and the uncommitted entries are bounded', () => {
+	const cluster = createLedCluster(4);
+	const leader = cluster.findLeader()!;
+	isolate(cluster, leader.name);
+	const sent = cluster.outcomes.length;
+	const {maxUncommittedEntries} = defaultSettings;
+	const proposals = Math.ceil(maxUncommittedEntries / 500) + 1;
+	Array.from({length: proposals}).forEach((_, position) => {
+		const commands = Array.from({length: 500}, () => 'x');
+		cluster.propose(leader, `p${position}`, commands);
+	});
+	const effects = cluster.outcomes.slice(sent);
+	const kinds = listKinds(effects);
+	expect(kinds.filter((kind) => kind === 'send')).toHaveLength(6);
+	expect(effects.at(-1)).toMatchObject({
+		kind: 'proposal-refused',
+		reason: 'overloaded',
+	});
+});
+
+test('a replica that is far behind gets a snapshot, also after pieces were lost', () => {
+	const cluster = createLedCluster(5);
+	const leader = cluster.findLeader()!;
+	const behind = cluster.nodes.find((node) => node !== leader)!;
+	cluster.crash(behind);
+	const commands = Array.from({length: 60}, (_, position) => `c${position}`);
+	cluster.propose(leader, 'p', commands);
+	const isApplied = (): boolean => leader.commands.length === 60;
+	expect(cluster.advanceUntil(isApplied, LIMIT_MS)).toBe(true);
+	cluster.snapshot(leader);
+	cluster.start(behind);
+	const hasPiece = (): boolean =>
+		(behind.state!.incoming?.pieces.length ?? 0) > 0;
+	expect(cluster.advanceUntil(hasPiece, LIMIT_MS)).toBe(true);
+	const link = `${leader.name}>${behind.name}`;
+	cluster.cuts.add(link);
+	cluster.advance(500);
+	cluster.cuts.delete(link);
+	const isLevel = (): boolean => behind.commands.length === 60;
+	expect(cluster.advanceUntil(isLevel, LIMIT_MS)).toBe(true);
+	expect(behind.commands).toEqual(commands);
+	expect(behind.state!.log.baseIndex).toBeGreaterThan(40);
+});
+
+test('a planned stop hands the lead over without an election timeout', () => {
+	const cluster = createLedCluster(6);
+	const leader = cluster.findLeader()!;
+	const {term} = leader.state!.hardState;
+	const now = cluster.now();
+	cluster.handle(leader, {kind: 'transfer-requested', now});
+	const isMoved = (): boolean => {
+		const next = cluster.findLeader();
+		return next !== undefined && next !== leader;
+	};
+
+	expect(cluster.advanceUntil(isMoved, LIMIT_MS)).toBe(true);
+	expect(cluster.findLeader()!.state!.hardState.term).toBe(term + 1);
+	const duration = cluster.now() - now;
+	expect(duration).toBeLessThan(defaultSettings.electionTimeoutMs);
+});
+
+test('a name whose replica lives is not given to another', () => {
+	const cluster = createLedCluster(7);
+	const leader = cluster.findLeader()!;
+	const member = {replica: 'new', name: 'b', address: 'b'};
+	const now = cluster.now();
+	cluster.handle(leader, {kind: 'join-requested', now, member});
+	expect(cluster.outcomes.at(-1)).toMatchObject({outcome: 'name-in-use'});
+	expect(readMembers(leader.state!)).toHaveLength(3);
+});
+
+test('a lost disk is replaced by learner, removal and promotion, twice', () => {
+	const cluster = createLedCluster(8);
+	const counts: number[] = [];
+	['a', 'b'].forEach((name) => {
+		cluster.loseDisk(cluster.read(name));
+		cluster.start(cluster.read(name));
+		const isReplaced = (): boolean => {
+			const {state} = cluster.findLeader() ?? {};
+			const members = state === undefined ? [] : readMembers(state);
+			counts.push(members.filter(({voter}) => voter).length);
+			return cluster.isWhole();
+		};
+
+		expect(cluster.advanceUntil(isReplaced, LIMIT_MS)).toBe(true);
+	});
+	const voters = counts.filter((count) => count > 0);
+	expect(Math.max(...voters)).toBe(3);
+	expect(Math.min(...voters)).toBe(2);
+	expect(cluster.violations).toEqual([]);
+});
+
+test('a replica without a group keeps silent about votes', () => {
+	const state = createRaft({
+		recovered: {replica: 'a', hardState: {term: 0}, entries: []},
+		settings: defaultSettings,
+		seed: 1,
+		now: 0,
+	});
+	const message: RaftMessage = {
+		kind: 'vote',
+		group: 'g',
+		from: 'b',
+		to: 'a',
+		term: 9,
+		lastIndex: 9,
+		lastTerm: 9,
+		transfer: false,
+	};
+	const voted = stepRaft(state, {kind: 'received', now: 0, message});
+	const late = stepRaft(voted.state, {kind: 'ticked', now: 1e6});
+	expect(voted.effects).toEqual([]);
+	expect(late.effects).toEqual([]);
+});
+
+test('an idle group sends nothing but one heartbeat for each follower and interval', () => {
+	const cluster = createLedCluster(9);
+	cluster.advance(5000);
+	const sent = cluster.outcomes.length;
+	cluster.advance(10_000);
+	const effects = cluster.outcomes.slice(sent);
+	const intervals = 10_000 / defaultSettings.heartbeatIntervalMs;
+	const heartbeats = effects.filter(
+		(effect) => effect.kind === 'send' && effect.message.kind === 'append',
+	);
+	expect(new Set(listKinds(effects))).toEqual(new Set(['send']));
+	expect(heartbeats.length).toBeLessThanOrEqual(intervals * 2);
+});
+
+test('applied entries can be dropped, the log stays whole behind them', () => {
+	const cluster = createLedCluster(10);
+	const leader = cluster.findLeader()!;
+	cluster.propose(leader, 'p', ['1', '2', '3', '4', '5', '6']);
+	const isApplied = (): boolean => leader.commands.length === 6;
+	expect(cluster.advanceUntil(isApplied, LIMIT_MS)).toBe(true);
+	const lastIndex = readLastIndex(leader.state!.log);
+	cluster.snapshot(leader);
+	const {log, snapshot} = leader.state!;
+	expect(snapshot!.index).toBe(lastIndex);
+	expect(log.baseIndex).toBe(lastIndex - 2);
+	expect(readLastIndex(log)).toBe(lastIndex);
+	expect(readMembers(leader.state!)).toHaveLength(3);
+});
