Prove control failures and planned stops over separate processes

Control: leader killed under streams, a leader that hears nobody, an emptied and a damaged data folder each followed by a second loss, a restart of all after 500 changes, two racing operators with a resend. Planned stops: each control instance in turn, an entry with callers that hold its address, an engine that draws no new work.

--- /dev/null
+++ b/packages/lovage-fakes/src/__tests__/integration/control-failures.test.ts
@@ -0,0 +1,202 @@
+import {
+	mkdirSync,
+	readdirSync,
+	readFileSync,
+	rmSync,
+	statSync,
+	writeFileSync,
+} from 'node:fs';
+import path from 'node:path';
+import {describe, expect, it} from 'vitest';
+import type {Configuration} from '@lovagevalve/inventory';
+import {getDataFolder} from '../../cluster-members.js';
+import {waitForEntries, type Cluster} from '../../cluster.js';
+import type {Member} from '../../member.js';
+import {trackGenerations} from '../../tracked-generations.js';
+import {waitFor} from '../../wait.js';
+import {
+	createCalls,
+	createEngines,
+	expectWhole,
+	withCluster,
+} from './helpers.js';
+
+const BACKENDS = createEngines(2);
+
+function withQueueLength(cluster: Cluster, queueLength: number): Configuration {
+	const {configuration} = cluster.example;
+	const limits = {...configuration.rules.limits, queueLength};
+	return {...configuration, rules: {...configuration.rules, limits}};
+}
+
+async function change(cluster: Cluster, baseVersion: number): Promise<number> {
+	const configuration = withQueueLength(cluster, 100 + baseVersion);
+	const answer = await cluster.group.apply({baseVersion, configuration});
+	expect(answer).toMatchObject({kind: 'accepted', version: baseVersion + 1});
+	return baseVersion + 1;
+}
+
+async function changeTimes(
+	cluster: Cluster,
+	baseVersion: number,
+	times: number,
+): Promise<number> {
+	if (times === 0) {
+		return baseVersion;
+	}
+
+	return changeTimes(cluster, await change(cluster, baseVersion), times - 1);
+}
+
+async function findLeader(cluster: Cluster): Promise<Member> {
+	const address = await cluster.group.waitForLeader();
+	return cluster.controls.find((control) => control.address === address)!;
+}
+
+function listFiles(folder: string): readonly string[] {
+	return readdirSync(folder, {recursive: true})
+		.map((name) => path.join(folder, String(name)))
+		.filter((file) => statSync(file).isFile());
+}
+
+function damageFiles(folder: string): void {
+	listFiles(folder).forEach((file) => {
+		const bytes = readFileSync(file);
+		const middle = Math.floor(bytes.length / 2);
+		writeFileSync(file, bytes.fill(0x2a, middle, middle + 8));
+	});
+}
+
+async function waitForNewVoter(
+	cluster: Cluster,
+	member: Member,
+	oldReplica: string,
+): Promise<void> {
+	await waitFor(`${member.name} votes under a new identity`, async () => {
+		const leader = await cluster.group.waitForLeader();
+		const status = await cluster.group.status(leader);
+		const voters = status?.members.filter(({voter}) => voter) ?? [];
+		return (
+			voters.length === 3 &&
+			voters.some(
+				({address, replica}) =>
+					address === member.address && replica !== oldReplica,
+			)
+		);
+	});
+}
+
+async function loseDisk(
+	cluster: Cluster,
+	member: Member,
+	spoil: (folder: string) => void,
+): Promise<void> {
+	const before = await cluster.group.status(member.address);
+	await member.read().end('SIGKILL');
+	spoil(getDataFolder(cluster.folder, member.name));
+	member.start();
+	await waitForNewVoter(cluster, member, before!.replica);
+}
+
+describe('the control group fails', () => {
+	it('keeps streams and takes changes when the leader is killed', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const generations = trackGenerations(createCalls(cluster, 4));
+			await generations.waitForTokens(20);
+			const leader = await findLeader(cluster);
+			await leader.read().end('SIGKILL');
+			const version = await change(cluster, 1);
+			await cluster.group.waitForVersion(version);
+			expectWhole(await generations.answers);
+			leader.start();
+			await waitFor('the killed instance to catch up', async () => {
+				const status = await cluster.group.status(leader.address);
+				return status?.configurationVersion === version;
+			});
+		});
+	});
+
+	it('replaces a leader that hears nobody, and takes it back', async () => {
+		const relayed = ['control-1', 'control-2', 'control-3'];
+		await withCluster({backends: BACKENDS, relayed}, async (cluster) => {
+			const leader = await findLeader(cluster);
+			leader.relay!.silenceAll('both');
+			const version = await change(cluster, 1);
+			await cluster.group.waitForVersion(version);
+			leader.relay!.silenceAll('none');
+			leader.relay!.closeOpen();
+			await change(cluster, version);
+			await waitFor('the isolated instance to catch up', async () => {
+				const status = await cluster.group.status(leader.address);
+				return status?.configurationVersion === version + 1;
+			});
+		});
+	});
+
+	it.each([
+		[
+			'emptied',
+			(folder: string) => {
+				rmSync(folder, {recursive: true});
+				mkdirSync(folder);
+			},
+		],
+		['damaged', damageFiles],
+	] as const)(
+		'takes an instance whose data folder was %s as a new one, and bears a second loss',
+		async (_, spoil) => {
+			await withCluster({backends: BACKENDS}, async (cluster) => {
+				const version = await changeTimes(cluster, 1, 5);
+				const leader = await findLeader(cluster);
+				const [first, second] = cluster.controls.filter(
+					(control) => control !== leader,
+				);
+				await loseDisk(cluster, first!, spoil);
+				await second!.read().end('SIGKILL');
+				const next = await change(cluster, version);
+				await cluster.group.waitForVersion(next);
+				const status = await cluster.group.status(first!.address);
+				expect(status?.configurationVersion).toBe(next);
+			});
+		},
+	);
+
+	it('restarts whole after 500 changes and never reverts', async () => {
+		await withCluster({backends: BACKENDS, entries: 2}, async (cluster) => {
+			const version = await changeTimes(cluster, 1, 500);
+			await Promise.all(
+				[...cluster.controls, ...cluster.entries].map(async (member) =>
+					member.read().end('SIGKILL'),
+				),
+			);
+			cluster.controls.forEach(({start}) => start());
+			cluster.entries.forEach(({start}) => start());
+			await waitForEntries(cluster.entries);
+			await cluster.group.waitForVersion(version);
+			await change(cluster, version);
+		});
+	});
+
+	it('lets one of two racing operators win, and a resend learn its outcome', async () => {
+		await withCluster({backends: BACKENDS}, async (cluster) => {
+			const changes = [200, 300].map((queueLength) => ({
+				baseVersion: 1,
+				configuration: withQueueLength(cluster, queueLength),
+				operationId: `operation-${queueLength}`,
+			}));
+			const answers = await Promise.all(changes.map(cluster.group.apply));
+			const kinds = answers.map(({kind}) => kind).toSorted();
+			expect(kinds).toEqual(['accepted', 'conflict']);
+			const winner = changes[answers.findIndex((a) => a.kind === 'accepted')]!;
+			expect(answers.find((a) => a.kind === 'conflict')).toMatchObject({
+				version: 2,
+				operationId: winner.operationId,
+			});
+			expect(await cluster.group.apply(winner)).toMatchObject({
+				kind: 'accepted',
+				version: 2,
+				repeated: true,
+			});
+		});
+	});
+});
--- /dev/null
+++ b/packages/lovage-fakes/src/__tests__/integration/planned-stops.test.ts
@@ -0,0 +1,125 @@
+import {describe, expect, it} from 'vitest';
+import type {Cluster} from '../../cluster.js';
+import {isAlive} from '../../entry-status.js';
+import type {Member} from '../../member.js';
+import {trackGenerations, type Answer} from '../../tracked-generations.js';
+import {waitFor} from '../../wait.js';
+import {
+	createCalls,
+	createEngines,
+	expectWhole,
+	findAttempts,
+	withCluster,
+} from './helpers.js';
+
+const NO_NEW_WORK_AFTER_MS = 3000;
+
+async function waitForLife({name, address}: Member): Promise<void> {
+	await waitFor(`${name} to answer`, async () => isAlive(address));
+}
+
+async function stopInTurn(
+	members: readonly Member[],
+	afterRestart: (member: Member) => Promise<void>,
+): Promise<void> {
+	const [member, ...others] = members;
+	if (member === undefined) {
+		return;
+	}
+
+	const exit = await member.read().end('SIGTERM');
+	expect({name: member.name, ...exit}).toEqual({
+		name: member.name,
+		code: 0,
+		signal: undefined,
+	});
+	member.start();
+	await afterRestart(member);
+	await stopInTurn(others, afterRestart);
+}
+
+function expectNothingCut(answers: readonly Answer[]): void {
+	const ends = answers.flatMap(({transcript}) =>
+		transcript.connections.map(({end}) => end),
+	);
+	expect(ends.filter(({kind}) => kind === 'lost')).toEqual([]);
+}
+
+async function startLongStreams(cluster: Cluster, maxTokens: number) {
+	const calls = createCalls(cluster, 5, {maxTokens});
+	const generations = trackGenerations(calls);
+	await generations.waitForTokens(10);
+	return generations;
+}
+
+describe('a planned stop', () => {
+	it('of each control instance in turn cuts nothing off', async () => {
+		await withCluster({backends: createEngines(2)}, async (cluster) => {
+			const generations = await startLongStreams(cluster, 250);
+			await stopInTurn(cluster.controls, async (member) => {
+				await waitForLife(member);
+				await cluster.group.waitForLeader();
+			});
+			const answers = await generations.answers;
+			expectWhole(answers);
+			expectNothingCut(answers);
+		});
+	});
+
+	it('of an entry cuts nothing off, also for callers that hold its address', async () => {
+		await withCluster({backends: createEngines(2)}, async (cluster) => {
+			const running = await startLongStreams(cluster, 250);
+			const [entry] = cluster.entries;
+			const exited = entry!.read().end('SIGTERM');
+			const stale = trackGenerations(
+				createCalls(cluster, 5, {
+					heldAddresses: cluster.addresses,
+					maxTokens: 50,
+				}).map((call) => ({...call, requestId: `stale-${call.requestId}`})),
+			);
+			const answers = [...(await running.answers), ...(await stale.answers)];
+			expectWhole(answers);
+			expectNothingCut(answers);
+			expect(await exited).toEqual({code: 0, signal: undefined});
+		});
+	});
+
+	it('of an engine finishes its work and draws none after a few seconds', async () => {
+		const backends = createEngines(2, {'linger-ms': 6000});
+		await withCluster({backends}, async (cluster) => {
+			const running = await startLongStreams(cluster, 100);
+			const [engine] = cluster.backends;
+			const exited = engine!.read().end('SIGTERM');
+			const later = trackGenerations(
+				createCalls(cluster, 5, {maxTokens: 200}).map((call) => ({
+					...call,
+					requestId: `later-${call.requestId}`,
+				})),
+			);
+			const answers = [...(await running.answers), ...(await later.answers)];
+			const last = trackGenerations(
+				createCalls(cluster, 5, {maxTokens: 20}).map((call) => ({
+					...call,
+					requestId: `last-${call.requestId}`,
+				})),
+			);
+			expectWhole([...answers, ...(await last.answers)]);
+			expectNothingCut(answers);
+			expect(await exited).toEqual({code: 0, signal: undefined});
+			const records = cluster
+				.readRecords()
+				.filter(({backend}) => backend === engine!.name);
+			const leftAt = records.find(({kind}) => kind === 'leaving')!.at;
+			const late = records.filter(
+				({kind, at}) =>
+					kind === 'started' && at > leftAt + NO_NEW_WORK_AFTER_MS,
+			);
+			expect(late).toEqual([]);
+			running.calls
+				.flatMap((call) => findAttempts(cluster, call))
+				.forEach(({state}) => {
+					expect(state).toBe('done');
+				});
+		});
+	});
+});
