Wait for the verdict after a second death of one request

Cause: a request that kills engines was placed again before the control group had answered the report of the death, six engines in two seconds. Ruled out: the quarantine's own rules, which convict after three deaths when they hear of them in time. After its second death a request now waits until the report is acknowledged (given up after 4 s without a quorum), and as long as the quarantine holds it. The first death costs no wait. What waits 15 s for a service without any backend server is given up as well: its caller heard nothing before.

--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -1,4 +1,5 @@
 import {configurationSchema} from '@lovagevalve/inventory';
+import type {GenerationEvent} from '@lovagevalve/generation';
 import {
 	createEntry,
 	DEFAULT_TIMINGS,
@@ -231,3 +232,22 @@
 			: [],
 	);
 }
+
+/** The first start among the effects. */
+export function startOf(effects: readonly EntryEffect[]) {
+	return pick(effects, 'start-attempt')[0]!;
+}
+
+/** Lets the backend server of a stream's attempt die. */
+export function loseBackend(
+	entry: EntryDriver,
+	stream: string,
+): readonly EntryEffect[] {
+	const tell = (event: GenerationEvent) =>
+		entry.apply({kind: 'generation-event', stream, event, random: 0.5});
+	const {now} = entry;
+	const {connections, probes} = entry.state.streams.get(stream)!.machine!;
+	tell({kind: 'connection-lost', connection: connections, now});
+	tell({kind: 'probe-failed', probe: probes + 1, now});
+	return tell({kind: 'probe-failed', probe: probes + 2, now});
+}
--- a/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
@@ -1,36 +1,12 @@
 import {describe, expect, it} from 'vitest';
-import type {EntryEffect} from '../../index.js';
 import {
 	createServingEntry,
 	listRefusals,
+	loseBackend,
 	pick,
-	type EntryDriver,
+	startOf,
 } from '../fixture.js';
 
-function startOf(effects: readonly EntryEffect[]) {
-	return pick(effects, 'start-attempt')[0]!;
-}
-
-function probeFailed(entry: EntryDriver, stream: string, probe: number) {
-	return entry.apply({
-		kind: 'generation-event',
-		stream,
-		event: {kind: 'probe-failed', probe, now: entry.now},
-		random: 0.5,
-	});
-}
-
-function loseBackend(entry: EntryDriver, stream: string) {
-	entry.apply({
-		kind: 'generation-event',
-		stream,
-		event: {kind: 'connection-lost', connection: 1, now: entry.now},
-		random: 0.5,
-	});
-	probeFailed(entry, stream, 1);
-	return probeFailed(entry, stream, 2);
-}
-
 const cursor = {
 	customer: 'label',
 	requestId: 'r-s',
@@ -97,7 +73,12 @@
 		const entry = createServingEntry();
 		entry.apply({
 			kind: 'quarantine-learned',
-			quarantine: {version: 1, suspects: [], convicted: ['label/bad']},
+			quarantine: {
+				version: 1,
+				suspects: [],
+				held: [],
+				convicted: ['label/bad'],
+			},
 			now: 0,
 			random: 0,
 		});
@@ -110,7 +91,12 @@
 		entry.requestGeneration('s', {digest: 'bad'});
 		const effects = entry.apply({
 			kind: 'quarantine-learned',
-			quarantine: {version: 1, suspects: [], convicted: ['label/bad']},
+			quarantine: {
+				version: 1,
+				suspects: [],
+				held: [],
+				convicted: ['label/bad'],
+			},
 			now: 0,
 			random: 0,
 		});
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -1,36 +1,61 @@
 import type {EntryEffect} from './events.js';
-import type {EntryState} from './state.js';
+import type {EntryState, Stream} from './state.js';
 import {strikeDigest} from './suspects.js';
 import {transition, type EntryTransition} from './transition.js';
 import {avoidBackend} from './view.js';
 
 const AVOID_AFTER_DEATH_MS = 3000;
 
+/** Deaths of one request after which it waits for the verdict on the last. */
+const DEATHS_UNTIL_HELD = 2;
+
+function noteDeath(
+	state: EntryState,
+	stream: Stream,
+	incarnation: number,
+	now: number,
+): EntryState {
+	const deaths = stream.deaths + 1;
+	const backend = stream.backend?.id ?? '';
+	const next: Stream = {
+		...stream,
+		deaths,
+		awaits:
+			deaths >= DEATHS_UNTIL_HELD
+				? {backend, incarnation, since: now}
+				: undefined,
+	};
+	return {...state, streams: state.streams.set(stream.id, next)};
+}
+
 /**
- * Reports the death of a backend server once for each incarnation, with every
- * request that this entry had on it, and keeps new work from it for a while.
+ * Reports the death of a stream's backend server once for each incarnation,
+ * with every request that this entry had on it, and keeps new work from it for
+ * a while.
  */
 export function reportDeath(
 	state: EntryState,
-	backend: string,
+	stream: Stream,
 	now: number,
 ): EntryTransition {
+	const backend = stream.backend?.id ?? '';
 	const known = state.view.get(backend);
 	if (!known) {
 		return transition(state);
 	}
 
 	const {incarnation, dataCentre, rack} = known.announcement;
-	const next = {
-		...state,
+	const noted = noteDeath(state, stream, incarnation, now);
+	const avoided = {
+		...noted,
 		view: avoidBackend(state.view, backend, now + AVOID_AFTER_DEATH_MS),
 	};
 	if (known.reportedIncarnation === incarnation) {
-		return transition(next);
+		return transition(avoided);
 	}
 
 	const digests = [...state.streams.values()]
-		.filter((stream) => stream.backend?.id === backend)
+		.filter((other) => other.backend?.id === backend)
 		.map(({customer, input}) => strikeDigest(customer, input.digest));
 	const report: EntryEffect = {
 		kind: 'report-death',
@@ -41,10 +66,24 @@
 		digests,
 	};
 	const reported = {
-		...next.view.get(backend)!,
+		...avoided.view.get(backend)!,
 		reportedIncarnation: incarnation,
 	};
-	return transition({...next, view: next.view.set(backend, reported)}, [
+	return transition({...avoided, view: avoided.view.set(backend, reported)}, [
 		report,
 	]);
 }
+
+/** Notes which deaths the control group knows. */
+export function acknowledgeDeaths(
+	state: EntryState,
+	deaths: ReadonlyArray<Readonly<{backend: string; incarnation: number}>>,
+): EntryState {
+	const view = deaths.reduce((current, {backend, incarnation}) => {
+		const known = current.get(backend);
+		return known
+			? current.set(backend, {...known, acknowledgedIncarnation: incarnation})
+			: current;
+	}, state.view);
+	return {...state, view};
+}
--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -8,6 +8,7 @@
 	requestCall,
 	sendConnectedCall,
 } from './calls.js';
+import {acknowledgeDeaths} from './deaths.js';
 import {acknowledgeLeaving, continueDrain, startDrain} from './drain.js';
 import type {EntryEffect, EntryEvent} from './events.js';
 import {expireHomes} from './homes.js';
@@ -107,6 +108,14 @@
 			return learnQuarantine(state, event.quarantine, event);
 		}
 
+		case 'deaths-acknowledged': {
+			const acknowledged = acknowledgeDeaths(state, event.deaths);
+			return chain(
+				learnQuarantine(acknowledged, event.quarantine, event),
+				(next) => serveQueues(next, event),
+			);
+		}
+
 		case 'drain-requested': {
 			return startDrain(state, event.now);
 		}
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -59,7 +59,11 @@
 /** Suspected and convicted requests. */
 export type Quarantine = Readonly<{
 	version: number;
+	/** To be kept apart from each other. */
 	suspects: readonly string[];
+	/** Not to be placed until the last death is judged. */
+	held: readonly string[];
+	/** Refused at once. */
 	convicted: readonly string[];
 }>;
 
@@ -165,6 +169,14 @@
 			now: number;
 			random: number;
 	  }
+	/** The control group has the reports of these deaths. */
+	| {
+			kind: 'deaths-acknowledged';
+			deaths: ReadonlyArray<Readonly<{backend: string; incarnation: number}>>;
+			quarantine: Quarantine;
+			now: number;
+			random: number;
+	  }
 	| {kind: 'drain-requested'; now: number}
 	| {kind: 'ticked'; now: number; random: number};
 
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -11,7 +11,7 @@
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
 import {enqueueStream} from './queues.js';
-import {isConvicted, isSuspect, strikeDigest} from './suspects.js';
+import {isConvicted, isHeld, isSuspect, strikeDigest} from './suspects.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {
 	chain,
@@ -132,7 +132,7 @@
 			return effect.cause === 'stalled' ||
 				(effect.cause === 'not-held' && stream.isAdopted)
 				? transition(state)
-				: reportDeath(state, effect.backend, moment.now);
+				: reportDeath(state, stream, moment.now);
 		}
 
 		case 'report-resume': {
@@ -215,7 +215,7 @@
 	stream: Stream,
 	moment: Moment,
 ): EntryTransition {
-	if (stream.phase.kind !== 'queued') {
+	if (stream.phase.kind !== 'queued' || isHeld(state, stream)) {
 		return transition(state);
 	}
 
--- a/packages/lovage-entry-role/src/queues.ts
+++ b/packages/lovage-entry-role/src/queues.ts
@@ -10,6 +10,7 @@
 import type {FailureReason} from '@lovagevalve/generation';
 import {placeStream, stepStream, type Moment} from './machine.js';
 import {countFree} from './place.js';
+import {listUsable} from './view.js';
 import type {EntryState, Stream} from './state.js';
 import {
 	chain,
@@ -159,6 +160,69 @@
 	return stepQueue(state, input.service, {kind: 'left', id, now}, moment);
 }
 
+/** Time to wait for a backend server of a service that has none. */
+const WAIT_WITHOUT_BACKENDS_MS = 15_000;
+/** Time to wait for the control group to acknowledge a death. */
+const WAIT_FOR_VERDICT_MS = 4000;
+
+function refuseQueued(
+	state: EntryState,
+	{id, input}: Stream,
+	reason: FailureReason,
+	moment: Moment,
+): EntryTransition {
+	const {now} = moment;
+	const left = stepQueue(state, input.service, {kind: 'left', id, now}, moment);
+	return chain(left, (next) =>
+		stepStream(next, id, {kind: 'placement-refused', reason, now}, moment),
+	);
+}
+
+function listQueued(state: EntryState, service: string): readonly Stream[] {
+	return [...state.streams.values()].filter(
+		({phase, input}) => phase.kind === 'queued' && input.service === service,
+	);
+}
+
+/** Gives up what waits although its service has had no backend server. */
+function refuseWithoutBackends(
+	state: EntryState,
+	service: string,
+	moment: Moment,
+): EntryTransition {
+	const {now} = moment;
+	if (listUsable(state.view, state.lease, service, now).length > 0) {
+		const emptySince = state.emptySince.delete(service);
+		return transition({...state, emptySince});
+	}
+
+	const since = state.emptySince.get(service) ?? now;
+	const next = {...state, emptySince: state.emptySince.set(service, since)};
+	return now < since + WAIT_WITHOUT_BACKENDS_MS
+		? transition(next)
+		: chainEach(next, listQueued(next, service), (current, stream) =>
+				refuseQueued(current, stream, 'no-backend-server', moment),
+			);
+}
+
+/** Gives up what waits for a verdict that no quorum gives. */
+function refuseUnjudged(
+	state: EntryState,
+	service: string,
+	moment: Moment,
+): EntryTransition {
+	const unjudged = listQueued(state, service).filter(
+		({awaits}) =>
+			awaits !== undefined &&
+			moment.now >= awaits.since + WAIT_FOR_VERDICT_MS &&
+			state.view.get(awaits.backend)?.acknowledgedIncarnation !==
+				awaits.incarnation,
+	);
+	return chainEach(state, unjudged, (current, stream) =>
+		refuseQueued(current, stream, 'retry-budget-spent', moment),
+	);
+}
+
 /** Refuses what waits too long and starts what has room, in every queue. */
 export function serveQueues(
 	state: EntryState,
@@ -169,8 +233,12 @@
 		.map(([service]) => service);
 	const {now} = moment;
 	return chainEach(state, waiting, (next, service) =>
-		chain(stepQueue(next, service, {kind: 'ticked', now}, moment), (after) =>
-			serveQueue(after, service, moment),
-		),
+		[
+			(current: EntryState) => refuseWithoutBackends(current, service, moment),
+			(current: EntryState) => refuseUnjudged(current, service, moment),
+			(current: EntryState) =>
+				stepQueue(current, service, {kind: 'ticked', now}, moment),
+			(current: EntryState) => serveQueue(current, service, moment),
+		].reduce(chain, transition(next)),
 	);
 }
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -43,6 +43,11 @@
 	hasToken: boolean;
 	/** Whether its attempt was begun for an earlier stream. */
 	isAdopted: boolean;
+	/** Backend servers that died while they ran it. */
+	deaths: number;
+	/** Death whose report must be acknowledged before it is placed again. */
+	awaits:
+		Readonly<{backend: string; incarnation: number; since: number}> | undefined;
 	/** When a refused caller should come back. */
 	retryAfterMs: number | undefined;
 }>;
@@ -102,6 +107,8 @@
 	streams: ImmutableMap<string, Stream>;
 	abandoned: ImmutableMap<string, Abandoned>;
 	calls: ImmutableMap<string, Call>;
+	/** Since when services with waiting work have no backend server. */
+	emptySince: ImmutableMap<string, number>;
 	/** When expired places and announcements were dropped last. */
 	cleanedAt: number;
 }>;
@@ -112,13 +119,14 @@
 		options,
 		phase: {kind: 'serving'},
 		lease: NO_LEASE,
-		quarantine: {version: 0, suspects: [], convicted: []},
+		quarantine: {version: 0, suspects: [], held: [], convicted: []},
 		view: ImmutableMap(),
 		queues: ImmutableMap(),
 		homes: ImmutableMap(),
 		streams: ImmutableMap(),
 		abandoned: ImmutableMap(),
 		calls: ImmutableMap(),
+		emptySince: ImmutableMap(),
 		cleanedAt: 0,
 	};
 }
--- a/packages/lovage-entry-role/src/streams.ts
+++ b/packages/lovage-entry-role/src/streams.ts
@@ -95,6 +95,8 @@
 		backend: undefined,
 		hasToken: false,
 		isAdopted: false,
+		deaths: 0,
+		awaits: undefined,
 		retryAfterMs: undefined,
 	};
 }
--- a/packages/lovage-entry-role/src/suspects.ts
+++ b/packages/lovage-entry-role/src/suspects.ts
@@ -1,4 +1,4 @@
-import type {EntryState} from './state.js';
+import type {EntryState, Stream} from './state.js';
 
 /** Digest under which a request of a customer is suspected and convicted. */
 export function strikeDigest(customer: string, digest: string): string {
@@ -22,3 +22,17 @@
 ): boolean {
 	return state.quarantine.convicted.includes(strikeDigest(customer, digest));
 }
+
+/**
+ * Tells whether a stream waits for the verdict on a death: its request may be
+ * what kills the backend servers.
+ */
+export function isHeld(state: EntryState, stream: Stream): boolean {
+	const {customer, input, awaits} = stream;
+	const digest = strikeDigest(customer, input.digest);
+	const dead = awaits && state.view.get(awaits.backend);
+	return (
+		state.quarantine.held.includes(digest) ||
+		(dead !== undefined && dead.acknowledgedIncarnation !== awaits?.incarnation)
+	);
+}
--- a/packages/lovage-entry-role/src/view.ts
+++ b/packages/lovage-entry-role/src/view.ts
@@ -37,6 +37,8 @@
 	avoidUntil: number;
 	/** Incarnation whose death this entry reported. */
 	reportedIncarnation?: number;
+	/** Incarnation whose death the control group knows. */
+	acknowledgedIncarnation?: number;
 }>;
 
 /** The backend servers that an entry knows, by id. */
@@ -93,6 +95,7 @@
 		inFlightAtReport: known?.inFlight ?? 0,
 		avoidUntil: isSameRun ? known.avoidUntil : 0,
 		reportedIncarnation: known?.reportedIncarnation,
+		acknowledgedIncarnation: known?.acknowledgedIncarnation,
 	};
 	return view.set(announcement.id, next);
 }
--- a/packages/lovage-entry/src/deaths-link.ts
+++ b/packages/lovage-entry/src/deaths-link.ts
@@ -17,7 +17,10 @@
 export function createDeathsLink(
 	entry: string,
 	link: ControlLink,
-	onQuarantine: (quarantine: Quarantine) => void,
+	onAcknowledged: (
+		deaths: DeathsReport['deaths'],
+		quarantine: Quarantine,
+	) => void,
 ): DeathsLink {
 	let gathered: ReportEffect[] = [];
 
@@ -44,7 +47,7 @@
 			REPORT_WITHIN_MS,
 		);
 		if (answer) {
-			onQuarantine(answer.quarantine);
+			onAcknowledged(report.deaths, answer.quarantine);
 		}
 	};
 
--- a/packages/lovage-entry/src/host.ts
+++ b/packages/lovage-entry/src/host.ts
@@ -56,6 +56,10 @@
 	) => void;
 	registerPlace: (place: Place) => void;
 	learnQuarantine: (quarantine: Quarantine) => void;
+	acknowledgeDeaths: (
+		deaths: ReadonlyArray<Readonly<{backend: string; incarnation: number}>>,
+		quarantine: Quarantine,
+	) => void;
 	/** Hears of each finished state; the function returned stops that. */
 	registerListener: (listener: Listener<EntryState>) => () => void;
 	tick: () => void;
@@ -218,6 +222,14 @@
 		learnQuarantine(quarantine) {
 			update({kind: 'quarantine-learned', quarantine, ...moment()});
 		},
+		acknowledgeDeaths(deaths, quarantine) {
+			update({
+				kind: 'deaths-acknowledged',
+				deaths,
+				quarantine,
+				...moment(),
+			});
+		},
 		registerListener: store.registerListener,
 		tick() {
 			update({kind: 'ticked', ...moment()});
--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -81,8 +81,8 @@
 		readState,
 	}: Pick<EntryHost, 'readState'>): HostLinks => ({
 		claims: createClaimsLink(link, clock),
-		deaths: createDeathsLink(cfg.id, link, (quarantine) => {
-			host.learnQuarantine(quarantine);
+		deaths: createDeathsLink(cfg.id, link, (reported, quarantine) => {
+			host.acknowledgeDeaths(reported, quarantine);
 		}),
 		peers: createPeers(pool, () =>
 			readState()
--- a/packages/lovage-wire/src/control-api.ts
+++ b/packages/lovage-wire/src/control-api.ts
@@ -60,6 +60,8 @@
 	version: number;
 	/** To be kept apart from each other. */
 	suspects: readonly string[];
+	/** Suspects not to be placed until the last death is judged. */
+	held: readonly string[];
 	/** Refused at once. */
 	convicted: readonly string[];
 }>;
