Wait less for the acceptance of an attempt than for its first token

Cause: an attempt placed on a server that is dead too, or on the same dead server through another stale view, waited the whole time allowed for a first token (3 s).

--- a/packages/lovage-generation/src/__tests__/unit/generation.test.ts
+++ b/packages/lovage-generation/src/__tests__/unit/generation.test.ts
@@ -125,6 +125,13 @@
 		]);
 	});
 
+	it('waits less for the acceptance of an attempt than for its first token', () => {
+		const {state} = run(begin(), [placed]);
+		expect(getNextDeadline(state)).toBe(POLICY.acceptMs);
+		const accepted = run(state, [{kind: 'connected', connection: 1, now: 5}]);
+		expect(getNextDeadline(accepted.state)).toBe(5 + POLICY.firstTokenMs);
+	});
+
 	it('tells a request that never ran from one that did', () => {
 		const {effects} = run(begin(), [
 			placed,
--- a/packages/lovage-generation/src/policy.ts
+++ b/packages/lovage-generation/src/policy.ts
@@ -10,6 +10,8 @@
 	/** Bounds of the allowed silence, in milliseconds. */
 	minimumSilenceMs: number;
 	maximumSilenceMs: number;
+	/** Allowed silence until a backend server accepts an attempt. */
+	acceptMs: number;
 	/** Allowed silence before the first token of an attempt. */
 	firstTokenMs: number;
 	/** How long one probe may take. */
@@ -25,6 +27,7 @@
 	deviationFactor: 4,
 	minimumSilenceMs: 300,
 	maximumSilenceMs: 1500,
+	acceptMs: 400,
 	firstTokenMs: 3000,
 	probeTimeoutMs: 250,
 	probes: 2,
@@ -36,6 +39,7 @@
 	deviationFactor: 8,
 	minimumSilenceMs: 1000,
 	maximumSilenceMs: 5000,
+	acceptMs: 1000,
 	firstTokenMs: 8000,
 	probeTimeoutMs: 1000,
 	probes: 3,
--- a/packages/lovage-generation/src/running.ts
+++ b/packages/lovage-generation/src/running.ts
@@ -80,7 +80,7 @@
 ): GenerationTransition {
 	switch (event.kind) {
 		case 'connected': {
-			return createTransition({...state, accepted: true});
+			return acceptAttempt(state, event.now);
 		}
 
 		case 'chunk-received': {
@@ -150,6 +150,18 @@
 	}
 }
 
+function acceptAttempt(
+	state: GenerationState,
+	now: number,
+): GenerationTransition {
+	const {phase} = state;
+	return createTransition({
+		...state,
+		accepted: true,
+		phase: phase.kind === 'streaming' ? {...phase, silentSince: now} : phase,
+	});
+}
+
 function receiveRefusal(
 	state: GenerationState,
 	phase: RunningPhase,
@@ -218,8 +230,18 @@
 		return undefined;
 	}
 
-	const allowedMs = state.flowing
-		? getAllowedSilence(state.pace, policy)
-		: policy.firstTokenMs;
-	return phase.silentSince + allowedMs * 2 ** state.stalls;
+	return phase.silentSince + getAllowedMs(state) * 2 ** state.stalls;
+}
+
+function getAllowedMs({
+	accepted,
+	flowing,
+	pace,
+	policy,
+}: GenerationState): number {
+	if (flowing) {
+		return getAllowedSilence(pace, policy);
+	}
+
+	return accepted ? policy.firstTokenMs : policy.acceptMs;
 }
--- a/packages/lovage-measure/src/variants.ts
+++ b/packages/lovage-measure/src/variants.ts
@@ -49,6 +49,7 @@
 		deviationFactor: mix('deviationFactor'),
 		minimumSilenceMs: mix('minimumSilenceMs'),
 		maximumSilenceMs: mix('maximumSilenceMs'),
+		acceptMs: mix('acceptMs'),
 		firstTokenMs: mix('firstTokenMs'),
 		probeTimeoutMs: mix('probeTimeoutMs'),
 		probes: Math.round(mix('probes')),
