--- a/packages/lovage-spec/src/generation-model-world.ts
+++ b/packages/lovage-spec/src/generation-model-world.ts
@@ -87,6 +87,7 @@
 	deviationFactor: 1,
 	minimumSilenceMs: 1,
 	maximumSilenceMs: 1,
+	acceptMs: 1,
 	firstTokenMs: 1,
 	probeTimeoutMs: 1,
 	probes: 1,
