Read back long logs, and measure the log's steps and writes

Spreading the entries of a long log into one call overflowed the stack above about 120,000 entries; both packages add them one by one now, and a test reads 300,000 back.

--- a/packages/lovage-consensus/src/__tests__/unit/raft.test.ts
+++ b/packages/lovage-consensus/src/__tests__/unit/raft.test.ts
@@ -159,6 +159,21 @@
 	expect(behind.state!.log.baseIndex).toBeGreaterThan(40);
 });
 
+test('a replica starts from a long log', () => {
+	const entries = Array.from({length: 300_000}, (_, position) => ({
+		kind: 'noop' as const,
+		index: position + 1,
+		term: 1,
+	}));
+	const {log} = createRaft({
+		recovered: {replica: 'a', hardState: {term: 1, group: 'g'}, entries},
+		settings: defaultSettings,
+		seed: 1,
+		now: 0,
+	});
+	expect(readLastIndex(log)).toBe(entries.length);
+});
+
 test('a planned stop hands the lead over without an election timeout', () => {
 	const cluster = createLedCluster(6);
 	const leader = cluster.findLeader()!;
--- a/packages/lovage-consensus/src/log.ts
+++ b/packages/lovage-consensus/src/log.ts
@@ -89,7 +89,11 @@
 	);
 	return {
 		...log,
-		entries: log.entries.push(...entries),
+		entries: log.entries.withMutations((list) => {
+			entries.forEach((entry) => {
+				list.push(entry);
+			});
+		}),
 		memberships:
 			memberships.length === 0
 				? log.memberships
--- /dev/null
+++ b/packages/lovage-storage/src/__tests__/bench/write.bench.ts
@@ -0,0 +1,66 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {bench, describe} from 'vitest';
+import {openStore} from '../../index.js';
+
+const BATCH = 100;
+
+async function createWriter() {
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'lovage-bench-'));
+	let sequence = 0;
+	let index = 0;
+	let resolve: () => void = () => undefined;
+	const listener = {
+		onSynced(synced: number) {
+			if (synced === sequence) {
+				resolve();
+			}
+		},
+		onFailure(cause: Error) {
+			throw cause;
+		},
+	};
+	const opened = await openStore({folder, listener});
+	const {store} = opened._unsafeUnwrap();
+	const write = async (writes: number): Promise<void> =>
+		new Promise((_resolve) => {
+			resolve = _resolve;
+			const data = 'x'.repeat(300);
+			Array.from({length: writes}).forEach(() => {
+				sequence += 1;
+				index += 1;
+				const entry = {kind: 'command', index, term: 1, data} as const;
+				store.write({kind: 'persist', sequence, entries: [entry]});
+			});
+		});
+
+	const remove = async (): Promise<void> => {
+		await store.close();
+		await rm(folder, {recursive: true});
+	};
+
+	return {write, remove};
+}
+
+describe('a real folder, until synced', async () => {
+	const {write, remove} = await createWriter();
+
+	bench('one write', async () => {
+		await write(1);
+	});
+
+	bench(
+		`${BATCH} writes at once`,
+		async () => {
+			await write(BATCH);
+		},
+		{
+			async teardown(_task, mode) {
+				if (mode === 'run') {
+					await remove();
+				}
+			},
+		},
+	);
+});
--- a/packages/lovage-storage/src/__tests__/unit/store.test.ts
+++ b/packages/lovage-storage/src/__tests__/unit/store.test.ts
@@ -78,6 +78,21 @@
 	expect(harness.synced).toEqual([1, 5]);
 });
 
+test('a long log is read back', async () => {
+	const harness = createHarness(createMemoryFileSystem());
+	const {store} = await harness.open();
+	const entries = Array.from({length: 300_000}, (_, position) =>
+		createEntry(position + 1),
+	);
+	store.write(createPersist(1, ...entries.slice(0, 100_000)));
+	store.write(createPersist(2, ...entries.slice(100_000, 200_000)));
+	store.write(createPersist(3, ...entries.slice(200_000)));
+	store.write(createSnapshot(4, 10));
+	await store.close();
+	const {recovered} = await harness.open();
+	expect(recovered.entries).toHaveLength(entries.length - 10);
+});
+
 test('an unfinished write is cut off', async () => {
 	const files = createMemoryFileSystem();
 	const harness = createHarness(files);
--- a/packages/lovage-storage/src/image.ts
+++ b/packages/lovage-storage/src/image.ts
@@ -50,7 +50,9 @@
 	}
 
 	const next = base + image.entries.length + 1;
-	image.entries.push(...entries);
+	entries.forEach((entry) => {
+		image.entries.push(entry);
+	});
 	return entries.every(({index}, position) => index === next + position);
 }
 
