--- a/packages/lovage-storage/src/__tests__/bench/write.bench.ts
+++ b/packages/lovage-storage/src/__tests__/bench/write.bench.ts
@@ -1,4 +1,4 @@
-import {mkdtemp, rm} from 'node:fs/promises';
+import {rm} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
 import {bench, describe} from 'vitest';
@@ -7,7 +7,8 @@
 const BATCH = 100;
 
 async function createWriter() {
-	const folder = await mkdtemp(path.join(os.tmpdir(), 'lovage-bench-'));
+	const folder = path.join(os.tmpdir(), 'lovage-storage-bench');
+	await rm(folder, {recursive: true, force: true});
 	let sequence = 0;
 	let index = 0;
 	let resolve: () => void = () => undefined;
@@ -23,7 +24,7 @@
 	};
 	const opened = await openStore({folder, listener});
 	const {store} = opened._unsafeUnwrap();
-	const write = async (writes: number): Promise<void> =>
+	return async (writes: number): Promise<void> =>
 		new Promise((_resolve) => {
 			resolve = _resolve;
 			const data = 'x'.repeat(300);
@@ -34,33 +35,16 @@
 				store.write({kind: 'persist', sequence, entries: [entry]});
 			});
 		});
-
-	const remove = async (): Promise<void> => {
-		await store.close();
-		await rm(folder, {recursive: true});
-	};
-
-	return {write, remove};
 }
 
 describe('a real folder, until synced', async () => {
-	const {write, remove} = await createWriter();
+	const write = await createWriter();
 
 	bench('one write', async () => {
 		await write(1);
 	});
 
-	bench(
-		`${BATCH} writes at once`,
-		async () => {
-			await write(BATCH);
-		},
-		{
-			async teardown(_task, mode) {
-				if (mode === 'run') {
-					await remove();
-				}
-			},
-		},
-	);
+	bench(`${BATCH} writes at once`, async () => {
+		await write(BATCH);
+	});
 });
