Judge refusals, priorities and drains as the documents say

Found by trials on real processes: an entry drained by an operator ended with 13, because only signals were awaited; a customer's own conflict burned the licensing objective; priorities and the rule for non-idempotent calls stood a second time and disagreed with the inventory's functions.

--- a/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
@@ -51,9 +51,10 @@
 	it('waits as long as it is held, then gets the verdict', () => {
 		const {entry, backend} = createTwiceLost();
 		acknowledge(entry, backend, ['label/x']);
-		entry.now = 3000;
+		entry.now = 9000;
 		entry.renew();
-		expect(pick(entry.tick(), 'start-attempt')).toEqual([]);
+		entry.announce('e1');
+		expect(entry.tick()).toEqual([]);
 		const effects = entry.apply({
 			kind: 'quarantine-learned',
 			quarantine: {version: 3, suspects: [], held: [], convicted: ['label/x']},
--- a/packages/lovage-entry-role/src/arrivals.ts
+++ b/packages/lovage-entry-role/src/arrivals.ts
@@ -8,6 +8,7 @@
 import {connectCall} from './connect.js';
 import type {EntryEffect, EntryEvent, RefusalDetail} from './events.js';
 import type {Moment} from './machine.js';
+import {judgeRefusal} from './refusals.js';
 import {describeReply} from './replies.js';
 import type {Call, EntryState} from './state.js';
 import {chainEach, transition, type EntryTransition} from './transition.js';
@@ -108,13 +109,19 @@
 		};
 	}
 
-	const refusal =
-		reply.kind === 'not-run' && call.refusal
-			? call.refusal
-			: describeReply(reply);
+	const refusal = describeRefusal(call, reply);
 	return {kind: 'refuse-call', call: call.id, refusal};
 }
 
+function describeRefusal(
+	call: Call,
+	reply: Exclude<DispatchReply, {kind: 'done'}>,
+): RefusalDetail {
+	return reply.kind === 'not-run' && call.refusal
+		? call.refusal
+		: describeReply(reply);
+}
+
 function recordReply(call: Call, reply: DispatchReply): readonly EntryEffect[] {
 	const isRun = call.phase.kind === 'dispatched';
 	if (reply.kind === 'done') {
@@ -123,7 +130,8 @@
 			: [recordEnd(call, 'finished')];
 	}
 
-	return [recordEnd(call, isRun ? 'failed' : 'refused')];
+	const {reason} = describeRefusal(call, reply);
+	return [recordEnd(call, isRun ? 'failed' : judgeRefusal(reason))];
 }
 
 function replyCall(
--- a/packages/lovage-entry-role/src/calls.ts
+++ b/packages/lovage-entry-role/src/calls.ts
@@ -1,9 +1,10 @@
 import {createDispatch} from '@lovagevalve/claims';
-import type {Configuration} from '@lovagevalve/inventory';
+import {isNonIdempotent} from '@lovagevalve/inventory';
 import {stepArrival, withdrawArrival, writeCall} from './arrivals.js';
 import {checkRequest, findBusyRefusal} from './checks.js';
 import {connectCall, type GiveUp} from './connect.js';
-import type {CallInput, EntryEvent, RefusalDetail} from './events.js';
+import type {EntryEvent, RefusalDetail} from './events.js';
+import {judgeRefusal} from './refusals.js';
 import type {Moment} from './machine.js';
 import type {Call, EntryState} from './state.js';
 import {recordDuplicate, recordEnd, recordWork} from './call-facts.js';
@@ -16,17 +17,6 @@
 /** Statuses of a backend server that another one may answer better. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([429, 502, 503, 504]);
 
-function isNonIdempotent(
-	configuration: Configuration,
-	input: CallInput,
-): boolean {
-	return configuration.rules.nonIdempotent.some(
-		(rule) =>
-			rule.service === input.service &&
-			(rule.operation === '*' || rule.operation === input.operation),
-	);
-}
-
 function refuse(
 	state: EntryState,
 	call: string,
@@ -36,7 +26,7 @@
 	const next = {...state, calls: state.calls.delete(call)};
 	return transition(next, [
 		{kind: 'refuse-call', call, refusal},
-		...(known ? [recordEnd(known, 'refused')] : []),
+		...(known ? [recordEnd(known, judgeRefusal(refusal.reason))] : []),
 	]);
 }
 
@@ -82,7 +72,11 @@
 		customer,
 		input,
 		phase: {kind: 'claiming'},
-		arrival: isNonIdempotent(configuration, input)
+		arrival: isNonIdempotent(
+			configuration.rules,
+			input.service,
+			input.operation,
+		)
 			? createArrival(state, customer, event)
 			: undefined,
 		dispatch: 0,
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -336,7 +336,10 @@
 			waitMs: number;
 			cause: 'connection-lost' | 'backend-server-lost' | 'entry-lost';
 	  })
-	| (Subject & {kind: 'ended'; outcome: 'finished' | 'failed' | 'refused'})
+	| (Subject & {
+			kind: 'ended';
+			outcome: 'finished' | 'failed' | 'refused' | 'rejected';
+	  })
 	| (Subject & {kind: 'worked'; amount: number})
 	| (Subject & {
 			kind: 'extra-used';
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -11,6 +11,7 @@
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
 import {enqueueStream} from './queues.js';
+import {judgeRefusal} from './refusals.js';
 import {isConvicted, isHeld, isSuspect, strikeDigest} from './suspects.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {
@@ -417,6 +418,11 @@
 		: {...FAILURES[reason], retryAfterMs};
 }
 
+function judgeEnd(stream: Stream, reason: Refusal) {
+	const outcome = judgeRefusal(reason);
+	return outcome === 'refused' && stream.hasToken ? 'failed' : outcome;
+}
+
 function failStream(
 	state: EntryState,
 	stream: Stream,
@@ -433,7 +439,7 @@
 			fact: {
 				...describeWork(stream),
 				kind: 'ended',
-				outcome: stream.hasToken ? 'failed' : 'refused',
+				outcome: judgeEnd(stream, refusal.reason),
 			},
 		},
 	]);
--- a/packages/lovage-entry-role/src/queues.ts
+++ b/packages/lovage-entry-role/src/queues.ts
@@ -10,6 +10,7 @@
 import type {FailureReason} from '@lovagevalve/generation';
 import {placeStream, stepStream, type Moment} from './machine.js';
 import {countFree} from './place.js';
+import {isUnacknowledged} from './suspects.js';
 import {listUsable} from './view.js';
 import type {EntryState, Stream} from './state.js';
 import {
@@ -212,11 +213,9 @@
 	moment: Moment,
 ): EntryTransition {
 	const unjudged = listQueued(state, service).filter(
-		({awaits}) =>
-			awaits !== undefined &&
-			moment.now >= awaits.since + WAIT_FOR_VERDICT_MS &&
-			state.view.get(awaits.backend)?.acknowledgedIncarnation !==
-				awaits.incarnation,
+		(stream) =>
+			isUnacknowledged(state, stream) &&
+			moment.now >= (stream.awaits?.since ?? 0) + WAIT_FOR_VERDICT_MS,
 	);
 	return chainEach(state, unjudged, (current, stream) =>
 		refuseQueued(current, stream, 'retry-budget-spent', moment),
--- a/packages/lovage-entry-role/src/streams.ts
+++ b/packages/lovage-entry-role/src/streams.ts
@@ -1,5 +1,5 @@
 import {stepGeneration} from '@lovagevalve/generation';
-import type {Configuration} from '@lovagevalve/inventory';
+import {priorityOf} from '@lovagevalve/inventory';
 import {abandonStream} from './abandoned.js';
 import {adoptGeneration} from './begin.js';
 import {checkRequest, findBusyRefusal, type AllowedRequest} from './checks.js';
@@ -62,17 +62,14 @@
 	return undefined;
 }
 
-function findPriority(
-	configuration: Configuration,
-	customer: string,
-	service: string,
-): number {
-	const matching = configuration.rules.priorities.filter(
-		(rule) =>
-			(rule.customer ?? customer) === customer &&
-			(rule.service ?? service) === service,
-	);
-	return Math.max(0, ...matching.map(({priority}) => priority));
+/** A new generation that is refused before it began did not run. */
+function describeUnrun(
+	refusal: RefusalDetail,
+	input: GenerationInput,
+): RefusalDetail {
+	return refusal.reason === 'no-lease' && !input.cursor
+		? {...refusal, outcome: 'not-run'}
+		: refusal;
 }
 
 function createStream(
@@ -86,7 +83,7 @@
 		input,
 		generation: input.cursor?.generation ?? event.generation,
 		model: input.model ?? service.models[0]?.id,
-		priority: findPriority(configuration, customer, input.service),
+		priority: priorityOf(configuration.rules, customer, input.service),
 		arrivedAt: now,
 		deadlineAt:
 			input.deadlineMs === undefined ? undefined : now + input.deadlineMs,
@@ -119,7 +116,7 @@
 		now,
 	});
 	if (check.kind === 'refused') {
-		return refuse(state, id, check.refusal);
+		return refuse(state, id, describeUnrun(check.refusal, input));
 	}
 
 	const refusal = checkInput(check, input, state);
--- a/packages/lovage-entry-role/src/suspects.ts
+++ b/packages/lovage-entry-role/src/suspects.ts
@@ -23,16 +23,22 @@
 	return state.quarantine.convicted.includes(strikeDigest(customer, digest));
 }
 
+/** Tells whether the report of a stream's last death is not acknowledged yet. */
+export function isUnacknowledged(state: EntryState, {awaits}: Stream): boolean {
+	const dead = awaits && state.view.get(awaits.backend);
+	return (
+		dead !== undefined && dead.acknowledgedIncarnation !== awaits?.incarnation
+	);
+}
+
 /**
  * Tells whether a stream waits for the verdict on a death: its request may be
  * what kills the backend servers.
  */
 export function isHeld(state: EntryState, stream: Stream): boolean {
-	const {customer, input, awaits} = stream;
+	const {customer, input} = stream;
 	const digest = strikeDigest(customer, input.digest);
-	const dead = awaits && state.view.get(awaits.backend);
 	return (
-		state.quarantine.held.includes(digest) ||
-		(dead !== undefined && dead.acknowledgedIncarnation !== awaits?.incarnation)
+		state.quarantine.held.includes(digest) || isUnacknowledged(state, stream)
 	);
 }
--- a/packages/lovage-entry/src/main.ts
+++ b/packages/lovage-entry/src/main.ts
@@ -34,8 +34,11 @@
 			process.exit(EXIT_CODES.failure);
 		});
 		log.info('Started.', {id: cfg.value.id, port: cfg.value.listen.port});
-
-		process.exit(await waitForStop(log, program.drain));
+		const code = await Promise.race([
+			waitForStop(log, program.drain),
+			program.stopped.then(() => EXIT_CODES.ok),
+		]);
+		process.exit(code);
 	},
 });
 
