--- a/packages/lovage-measure/src/entry.ts
+++ b/packages/lovage-measure/src/entry.ts
@@ -106,6 +106,9 @@
 						dataCentre,
 						prefixes: [family],
 						excluded: one.state.excluded,
+						lostAt: one.state.excluded.map(
+							(lost) => platform.byId.get(lost)!.dataCentre,
+						),
 						suspect: suspects.includes(digest) ? digest : undefined,
 					},
 					random.draw(),
--- a/packages/lovage-placement/src/__tests__/unit/choose.test.ts
+++ b/packages/lovage-placement/src/__tests__/unit/choose.test.ts
@@ -92,6 +92,14 @@
 		expect(chooseBackend([idle, busy], asked, 0.5)?.id).toBe('idle');
 	});
 
+	it('goes to another data centre after a loss, if one has room', () => {
+		const same = createCandidate('same');
+		const other = createCandidate('other', {dataCentre: 'b', inFlight: 4});
+		const asked = {...request, lostAt: ['a']};
+		expect(chooseBackend([same, other], asked, 0.5)?.id).toBe('other');
+		expect(chooseBackend([same], asked, 0.5)?.id).toBe('same');
+	});
+
 	it('spreads the choices of entries with the same view', () => {
 		const view = Array.from({length: 12}, (_, i) => createCandidate(`${i}`));
 		const chosen = Array.from(
--- a/packages/lovage-placement/src/choose.ts
+++ b/packages/lovage-placement/src/choose.ts
@@ -41,7 +41,10 @@
 	random: number,
 	policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
 ): Candidate | undefined {
-	const eligible = view.filter((candidate) => isEligible(candidate, request));
+	const eligible = preferOtherPlaces(
+		view.filter((candidate) => isEligible(candidate, request)),
+		request.lostAt ?? [],
+	);
 	if (request.suspect !== undefined) {
 		return chooseForSuspect(eligible, request.suspect);
 	}
@@ -55,6 +58,17 @@
 	);
 }
 
+/** A loss may be that of a whole data centre: another one is safer. */
+function preferOtherPlaces(
+	eligible: readonly Candidate[],
+	lostAt: readonly string[],
+): readonly Candidate[] {
+	const others = eligible.filter(
+		({dataCentre}) => !lostAt.includes(dataCentre),
+	);
+	return others.length > 0 ? others : eligible;
+}
+
 /**
  * Entries agree on the backend server for a suspect without talking, so that
  * different suspects of different entries rarely meet.
--- a/packages/lovage-placement/src/types.ts
+++ b/packages/lovage-placement/src/types.ts
@@ -36,6 +36,8 @@
 	prefixes: readonly string[];
 	/** Backend servers that lost or refused this work. */
 	excluded: readonly string[];
+	/** Data centres where this work was lost: others go first. */
+	lostAt?: readonly string[];
 	/** Digest of the request if it is a suspect of the quarantine. */
 	suspect?: string;
 }>;
