Prove configuration and orders in the specification

Rules that live outside the step functions (counting from the request, the quorum's confirmation, the delivery deadline) are switched in the model.

--- /dev/null
+++ b/packages/lovage-spec/src/configuration-model-operators.ts
@@ -0,0 +1,112 @@
+import {
+	type ApplyOutcome,
+	applyLogged,
+	createMachine,
+	type IsGuarded,
+	type MachineState,
+} from '@lovagevalve/control-role';
+import {explore, type ModelEvent} from './explore.js';
+import {createApply} from './configuration-model-changes.js';
+import type {ModelResult} from './model.js';
+
+/** Sendings of each operator: the change and its resend. */
+const SENDINGS = 2;
+const OPERATORS = ['a', 'b'] as const;
+
+type Operator = Readonly<{
+	sent: number;
+	/** Outcomes that reached the operator. */
+	heard: readonly string[];
+	/** Versions that its change made. */
+	made: readonly number[];
+}>;
+
+type World = Readonly<{
+	machine: MachineState;
+	operators: readonly Operator[];
+}>;
+
+type WorldEvent = ModelEvent &
+	Readonly<{
+		type: 'change is applied';
+		operator: string;
+		answer: 'arrives' | 'is lost';
+	}>;
+
+function describeOutcome(outcome: ApplyOutcome): string {
+	return outcome.kind === 'accepted'
+		? `accepted as ${outcome.version}`
+		: outcome.kind;
+}
+
+function createStep(isGuarded: IsGuarded) {
+	return (world: World, event: WorldEvent): World => {
+		const index = world.machine.appliedIndex + 1;
+		const command = createApply(event.operator, 0);
+		const logged = {at: 0, command};
+		const {state, answer} = applyLogged(
+			world.machine,
+			index,
+			logged,
+			isGuarded,
+		);
+		const outcome = answer.kind === 'applied' ? answer.outcome : undefined;
+		const isMade = state.version > world.machine.version;
+		return {
+			machine: state,
+			operators: world.operators.map((operator, i) =>
+				OPERATORS[i] === event.operator
+					? {
+							sent: operator.sent + 1,
+							made: isMade ? [...operator.made, state.version] : operator.made,
+							heard:
+								outcome !== undefined && event.answer === 'arrives'
+									? [...operator.heard, describeOutcome(outcome)]
+									: operator.heard,
+						}
+					: operator,
+			),
+		};
+	};
+}
+
+function listEvents({operators}: World): WorldEvent[] {
+	return operators.flatMap(({sent}, i) =>
+		sent < SENDINGS
+			? (['arrives', 'is lost'] as const).map((answer) => ({
+					type: 'change is applied',
+					operator: OPERATORS[i]!,
+					answer,
+				}))
+			: [],
+	);
+}
+
+function findViolation({operators}: World): string | undefined {
+	if (operators.filter(({made}) => made.length > 0).length > 1) {
+		return 'of two changes with equal numbers one wins';
+	}
+
+	const isWrong = operators.some(({made, heard}) =>
+		heard.some(
+			(outcome) =>
+				outcome !== (made.length > 0 ? `accepted as ${made[0]}` : 'conflict'),
+		),
+	);
+	return isWrong ? 'each resend gets the first outcome' : undefined;
+}
+
+/** Two operators change the same version and resend after lost answers. */
+export function exploreOperators(isGuarded: IsGuarded): ModelResult {
+	return explore<World, WorldEvent>({
+		initial: {
+			machine: createMachine(),
+			operators: OPERATORS.map(() => ({sent: 0, heard: [], made: []})),
+		},
+		events: listEvents,
+		step: createStep(isGuarded),
+		findViolation,
+		createKey: ({machine, operators}) =>
+			JSON.stringify([machine.version, machine.operationId, operators]),
+	});
+}
--- a/packages/lovage-spec/src/explore.ts
+++ b/packages/lovage-spec/src/explore.ts
@@ -53,9 +53,17 @@
 		exploration.createKey ?? ((state: State) => JSON.stringify(state));
 	const origins = new Map<string, Origin>();
 	const keys = new WeakMap<WeakKey, string>();
+	// Short keys that look like numbers keep the library's map fast.
+	const numbers = new Map<string, string>();
+	const findNumber = (key: string): string => {
+		const known = numbers.get(key) ?? String(numbers.size);
+		numbers.set(key, known);
+		return known;
+	};
+
 	const findKey = (snapshot: {context: State}): string => {
 		const known = keys.get(snapshot);
-		const key = known ?? createKey(snapshot.context);
+		const key = known ?? findNumber(createKey(snapshot.context));
 		keys.set(snapshot, key);
 		return key;
 	};
--- a/packages/lovage-spec/src/models.ts
+++ b/packages/lovage-spec/src/models.ts
@@ -1,5 +1,11 @@
 import {claimsModel} from './claims-model.js';
+import {configurationModel} from './configuration-model.js';
+import {ordersModel} from './orders-model.js';
 import type {Model} from './model.js';
 
 /** Every model of the specification. */
-export const models: readonly Model[] = [claimsModel];
+export const models: readonly Model[] = [
+	claimsModel,
+	configurationModel,
+	ordersModel,
+];
--- /dev/null
+++ b/packages/lovage-spec/src/orders-model-holders.ts
@@ -0,0 +1,240 @@
+import {
+	applyLogged,
+	confirmHolder,
+	createMachine,
+	createOrderBook,
+	type IsGuarded,
+	type MachineState,
+	mayOrder,
+	type OrderBook,
+	type OrderTerms,
+} from '@lovagevalve/control-role';
+import {explore, type ModelEvent} from './explore.js';
+import type {ModelResult} from './model.js';
+
+const TICK_MS = 50;
+const MAX_TICKS = 5;
+const DRIFT_SHARE = 0.01;
+/** Orders that one holder gives. */
+const MAX_ORDERS = 1;
+
+type Order = Readonly<{
+	holder: number;
+	fencing: number;
+	/** On the holder's clock. */
+	sentAt: number;
+}>;
+
+type World = Readonly<{
+	checksFencing: boolean;
+	ticks: number;
+	/** The last one leads. */
+	books: readonly OrderBook[];
+	/** The log's state as each holder knows it. */
+	machines: readonly MachineState[];
+	orders: readonly Order[];
+	given: readonly number[];
+	/** Holder of the last order that the backend server obeyed. */
+	obeyed: number;
+	highestFencing: number;
+	isBroken: boolean;
+}>;
+
+type WorldEvent = ModelEvent &
+	(
+		| Readonly<{type: 'time passes'}>
+		| Readonly<{type: 'leader gets the right to order'}>
+		| Readonly<{type: 'leader reads with the quorum'}>
+		| Readonly<{type: 'leader changes'}>
+		| Readonly<{type: 'holder gives an order'; holder: number}>
+		| Readonly<{type: 'order arrives'; holder: number; order: number}>
+	);
+
+/** Tells whether a rule of the model is on. */
+type IsOn = IsGuarded & ((guard: string) => boolean);
+
+function createTerms(isOn: IsOn): OrderTerms {
+	return {
+		holderLeaseMs: 2 * TICK_MS,
+		deliverWithinMs: TICK_MS,
+		loadWithinMs: 1000,
+		retryAfterMs: 1000,
+		driftShare: isOn('driftBound') ? DRIFT_SHARE : 0,
+	};
+}
+
+/** The first holder's clock is slow. */
+function readClock({ticks}: World, holder: number): number {
+	const ms = ticks * TICK_MS;
+	return holder === 0 ? Math.floor(ms * (1 - DRIFT_SHARE)) : ms;
+}
+
+function createInitial(checksFencing: boolean): World {
+	return {
+		checksFencing,
+		ticks: 0,
+		books: [createOrderBook('first', -1000)],
+		machines: [createMachine()],
+		orders: [],
+		given: [0],
+		obeyed: 0,
+		highestFencing: 0,
+		isBroken: false,
+	};
+}
+
+function replaceAt<Item>(items: readonly Item[], at: number, item: Item) {
+	return items.map((known, i) => (i === at ? item : known));
+}
+
+function takeRight(world: World, isOn: IsOn): World {
+	const at = world.books.length - 1;
+	const machine = world.machines[at]!;
+	const {holder} = world.books[at]!;
+	const logged = {at: 0, command: {kind: 'take-orders', holder} as const};
+	const index = machine.appliedIndex + 1;
+	const {state} = applyLogged(machine, index, logged, isOn);
+	return {...world, machines: replaceAt(world.machines, at, state)};
+}
+
+function confirm(world: World): World {
+	const at = world.books.length - 1;
+	const book = confirmHolder(world.books[at]!, readClock(world, at));
+	return {...world, books: replaceAt(world.books, at, book)};
+}
+
+function changeLeader(world: World): World {
+	return {
+		...world,
+		books: [...world.books, createOrderBook('second', readClock(world, 1))],
+		machines: [...world.machines, world.machines.at(-1)!],
+		given: [...world.given, 0],
+	};
+}
+
+function giveOrder(world: World, holder: number): World {
+	const {fencing} = world.machines[holder]!.orders;
+	const order = {holder, fencing, sentAt: readClock(world, holder)};
+	return {
+		...world,
+		orders: [...world.orders, order],
+		given: replaceAt(world.given, holder, world.given[holder]! + 1),
+	};
+}
+
+function receiveOrder(world: World, index: number): World {
+	const {holder, fencing} = world.orders[index]!;
+	const orders = world.orders.filter((_, i) => i !== index);
+	if (world.checksFencing && fencing < world.highestFencing) {
+		return {...world, orders};
+	}
+
+	return {
+		...world,
+		orders,
+		highestFencing: Math.max(world.highestFencing, fencing),
+		obeyed: Math.max(world.obeyed, holder),
+		isBroken: world.isBroken || holder < world.obeyed,
+	};
+}
+
+function createStep(isOn: IsOn) {
+	return (world: World, event: WorldEvent): World => {
+		switch (event.type) {
+			case 'time passes': {
+				return {...world, ticks: world.ticks + 1};
+			}
+
+			case 'leader gets the right to order': {
+				return takeRight(world, isOn);
+			}
+
+			case 'leader reads with the quorum': {
+				return confirm(world);
+			}
+
+			case 'leader changes': {
+				return changeLeader(world);
+			}
+
+			case 'holder gives an order': {
+				return giveOrder(world, event.holder);
+			}
+
+			case 'order arrives': {
+				return receiveOrder(world, event.order);
+			}
+		}
+	};
+}
+
+function canOrder(world: World, holder: number, isOn: IsOn): boolean {
+	return (
+		world.given[holder]! < MAX_ORDERS &&
+		mayOrder(world.books[holder]!, {
+			grant: world.machines[holder]!.orders,
+			terms: createTerms(isOn),
+			checksFencing: world.checksFencing,
+			now: readClock(world, holder),
+			isGuarded: isOn,
+		})
+	);
+}
+
+function canArrive(world: World, order: Order, isOn: IsOn): boolean {
+	const {deliverWithinMs} = createTerms(isOn);
+	const age = readClock(world, order.holder) - order.sentAt;
+	return age < deliverWithinMs || !isOn('deliveryDeadline');
+}
+
+function createEvents(isOn: IsOn) {
+	return (world: World): WorldEvent[] => {
+		const at = world.books.length - 1;
+		const isHolder =
+			world.machines[at]!.orders.holder === world.books[at]!.holder;
+		const isFresh = world.books[at]!.confirmedAt === readClock(world, at);
+		const possible: ReadonlyArray<readonly [boolean, WorldEvent]> = [
+			[world.ticks < MAX_TICKS, {type: 'time passes'}],
+			[!isHolder, {type: 'leader gets the right to order'}],
+			[!isFresh, {type: 'leader reads with the quorum'}],
+			[at === 0, {type: 'leader changes'}],
+		];
+		return [
+			...possible
+				.filter(([isPossible]) => isPossible)
+				.map(([, event]) => event),
+			...world.books.flatMap((_, holder): WorldEvent[] =>
+				canOrder(world, holder, isOn)
+					? [{type: 'holder gives an order', holder}]
+					: [],
+			),
+			...world.orders.flatMap((order, i): WorldEvent[] =>
+				canArrive(world, order, isOn)
+					? [{type: 'order arrives', holder: order.holder, order: i}]
+					: [],
+			),
+		];
+	};
+}
+
+function createKey(world: World): string {
+	const {machines, ...rest} = world;
+	return JSON.stringify([rest, machines.map(({orders}) => orders)]);
+}
+
+/** A leader that is replaced while its orders are under way. */
+export function exploreHolders(
+	checksFencing: boolean,
+	isOn: IsOn,
+): ModelResult {
+	return explore<World, WorldEvent>({
+		initial: createInitial(checksFencing),
+		events: createEvents(isOn),
+		step: createStep(isOn),
+		findViolation: ({isBroken}) =>
+			isBroken
+				? 'no order of an earlier holder is obeyed after one of a later holder'
+				: undefined,
+		createKey,
+	});
+}
