--- a/packages/lovage-entry/src/main.ts
+++ b/packages/lovage-entry/src/main.ts
@@ -36,7 +36,7 @@
 		log.info('Started.', {id: cfg.value.id, port: cfg.value.listen.port});
 		const code = await Promise.race([
 			waitForStop(log, program.drain),
-			program.stopped.then(() => EXIT_CODES.ok),
+			program.stopped,
 		]);
 		process.exit(code);
 	},
--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -4,6 +4,7 @@
 	createClock,
 	createLogger,
 	createMetrics,
+	EXIT_CODES,
 	serveHttp,
 	startSupervisor,
 	type ChildSpec,
@@ -38,8 +39,8 @@
 export type EntryProgram = Readonly<{
 	/** Finishes what the entry holds, then stops. */
 	drain: () => Promise<void>;
-	/** Resolves when a drain, by signal or by an operator, has ended. */
-	stopped: Promise<void>;
+	/** Resolves with the exit code when a drain, by signal or by an operator, has ended. */
+	stopped: Promise<number>;
 }>;
 
 function createTimer(
@@ -171,6 +172,7 @@
 		await supervisor.stop();
 		await pool.close();
 		metrics.close();
+		return EXIT_CODES.ok;
 	})();
 	return {
 		async drain() {
