Take a learner in again whose entry was lost with its leader

A new replica stopped asking to join once a leader had sent it anything. When that leader died before its entry was committed, no later leader knew of the replica and it waited for ever. needsJoin tells when to ask: without a group, or not in the committed members and without a live leader. A member that asks is told that it is one. The program's instance asks by it too.

--- a/packages/lovage-consensus/src/__tests__/unit/cluster.ts
+++ b/packages/lovage-consensus/src/__tests__/unit/cluster.ts
@@ -1,6 +1,7 @@
 import {
 	createRaft,
 	defaultSettings,
+	needsJoin,
 	readLastIndex,
 	readMembers,
 	stepRaft,
@@ -20,6 +21,8 @@
 	state: RaftState | undefined;
 	disk: RecoveredState;
 	unsynced: Array<{write: Write; dueAt: number}>;
+	/** Writes wait until it works again. */
+	isDiskStalled: boolean;
 	commands: string[];
 	incarnation: number;
 };
@@ -59,6 +62,7 @@
 		state: undefined,
 		disk: createDisk(`${name}-0`),
 		unsynced: [],
+		isDiskStalled: false,
 		commands: [],
 		incarnation: 0,
 	}));
@@ -144,6 +148,10 @@
 	};
 
 	const sync = (node: Node): void => {
+		if (node.isDiskStalled) {
+			return;
+		}
+
 		const done = node.unsynced.filter(({dueAt}) => dueAt <= now);
 		node.unsynced = node.unsynced.filter(({dueAt}) => dueAt > now);
 		done.forEach(({write}) => {
@@ -263,7 +271,7 @@
 		requestJoins(): void {
 			const leader = cluster.findLeader();
 			nodes
-				.filter(({state}) => state?.role.kind === 'unassigned')
+				.filter(({state}) => state !== undefined && needsJoin(state, now))
 				.forEach((node) => {
 					const member = describeMember(node);
 					if (leader !== undefined) {
--- /dev/null
+++ b/packages/lovage-consensus/src/__tests__/unit/membership.test.ts
@@ -0,0 +1,82 @@
+import {expect, test} from 'vitest';
+import {
+	createRaft,
+	defaultSettings,
+	readMembers,
+	stepRaft,
+	type RaftMessage,
+} from '../../index.js';
+import {createLedCluster, LIMIT_MS} from './led-cluster.js';
+
+test('a name whose replica lives is not given to another', () => {
+	const cluster = createLedCluster(7);
+	const leader = cluster.findLeader()!;
+	const member = {replica: 'new', name: 'b', address: 'b'};
+	const now = cluster.now();
+	cluster.handle(leader, {kind: 'join-requested', now, member});
+	expect(cluster.outcomes.at(-1)).toMatchObject({outcome: 'name-in-use'});
+	expect(readMembers(leader.state!)).toHaveLength(3);
+});
+
+test('a lost disk is replaced by learner, removal and promotion, twice', () => {
+	const cluster = createLedCluster(8);
+	const counts: number[] = [];
+	['a', 'b'].forEach((name) => {
+		cluster.loseDisk(cluster.read(name));
+		cluster.start(cluster.read(name));
+		const isReplaced = (): boolean => {
+			const {state} = cluster.findLeader() ?? {};
+			const members = state === undefined ? [] : readMembers(state);
+			counts.push(members.filter(({voter}) => voter).length);
+			return cluster.isWhole();
+		};
+
+		expect(cluster.advanceUntil(isReplaced, LIMIT_MS)).toBe(true);
+	});
+	const voters = counts.filter((count) => count > 0);
+	expect(Math.max(...voters)).toBe(3);
+	expect(Math.min(...voters)).toBe(2);
+	expect(cluster.violations).toEqual([]);
+});
+
+test('a learner whose entry was lost with its leader is taken in again', () => {
+	const cluster = createLedCluster(11);
+	const leader = cluster.findLeader()!;
+	const lost = cluster.nodes.find((node) => node !== leader)!;
+	cluster.loseDisk(lost);
+	cluster.advance(2000);
+	leader.isDiskStalled = true;
+	cluster.start(lost);
+	const isAssigned = (): boolean => lost.state!.role.kind === 'follower';
+	expect(cluster.advanceUntil(isAssigned, LIMIT_MS)).toBe(true);
+	// The leader's own write of the entry is lost with its process.
+	leader.unsynced = [];
+	leader.isDiskStalled = false;
+	cluster.crash(leader);
+	cluster.start(leader);
+	expect(cluster.advanceUntil(() => cluster.isWhole(), LIMIT_MS)).toBe(true);
+	expect(cluster.violations).toEqual([]);
+});
+
+test('a replica without a group keeps silent about votes', () => {
+	const state = createRaft({
+		recovered: {replica: 'a', hardState: {term: 0}, entries: []},
+		settings: defaultSettings,
+		seed: 1,
+		now: 0,
+	});
+	const message: RaftMessage = {
+		kind: 'vote',
+		group: 'g',
+		from: 'b',
+		to: 'a',
+		term: 9,
+		lastIndex: 9,
+		lastTerm: 9,
+		transfer: false,
+	};
+	const voted = stepRaft(state, {kind: 'received', now: 0, message});
+	const late = stepRaft(voted.state, {kind: 'ticked', now: 1e6});
+	expect(voted.effects).toEqual([]);
+	expect(late.effects).toEqual([]);
+});
--- a/packages/lovage-consensus/src/index.ts
+++ b/packages/lovage-consensus/src/index.ts
@@ -13,7 +13,7 @@
 } from './messages.js';
 export {createRaft, stepRaft} from './raft.js';
 export type {RaftOptions} from './raft.js';
-export {readMembers} from './members.js';
+export {needsJoin, readMembers} from './members.js';
 export {findLeader} from './turn.js';
 export {readLastIndex} from './log.js';
 export {defaultSettings} from './settings.js';
--- a/packages/lovage-consensus/src/members.ts
+++ b/packages/lovage-consensus/src/members.ts
@@ -1,5 +1,6 @@
-import {readMembership} from './log.js';
+import {readMembersAt, readMembership} from './log.js';
 import type {RaftState} from './state.js';
+import {hasLiveLeader} from './term.js';
 import type {Member, ReplicaId} from './types.js';
 
 /** Members as of the end of the log, committed or not. */
@@ -34,3 +35,18 @@
 	const voters = readVoters(state);
 	return voters.filter(isIncluded).length * 2 > voters.length;
 }
+
+/**
+ * Whether a replica should ask the leader to take it in: it belongs to no
+ * group, or the entry that took it in may have been lost with its leader.
+ * A member that asks is told that it is one.
+ */
+export function needsJoin(state: RaftState, now: number): boolean {
+	const {role, log, commitIndex, replica} = state;
+	const isListed = readMembersAt(log, commitIndex).some(
+		(member) => member.replica === replica,
+	);
+	return (
+		role.kind === 'unassigned' || (!isListed && !hasLiveLeader(state, now))
+	);
+}
--- a/packages/lovage-control/src/joining.ts
+++ b/packages/lovage-control/src/joining.ts
@@ -1,4 +1,5 @@
-import type {Logger} from '@lovagevalve/runtime';
+import {needsJoin} from '@lovagevalve/consensus';
+import type {Clock, Logger} from '@lovagevalve/runtime';
 import {
 	callRpc,
 	createControlClient,
@@ -11,6 +12,7 @@
 
 /** What an instance without a group needs to find one. */
 export type JoiningParts = Readonly<{
+	clock: Clock;
 	host: ControlHost;
 	pool: RpcPool;
 	log: Logger;
@@ -21,10 +23,11 @@
 
 /**
  * Creates a function that asks one of the others to be taken in, each time
- * another one. An instance that belongs to a group asks nobody.
+ * another one. An instance that belongs to a group and hears its leader asks
+ * nobody.
  */
 export function createJoining(parts: JoiningParts): () => Promise<void> {
-	const {host, pool, log, peers, createRequest} = parts;
+	const {clock, host, pool, log, peers, createRequest} = parts;
 	let turn = 0;
 	let isAsking = false;
 
@@ -43,8 +46,8 @@
 
 	return async () => {
 		const peer = peers[turn % Math.max(1, peers.length)];
-		const isUnassigned = host.read().raft.role.kind === 'unassigned';
-		if (peer === undefined || !isUnassigned || isAsking) {
+		const isAlone = needsJoin(host.read().raft, clock.now());
+		if (peer === undefined || !isAlone || isAsking) {
 			return;
 		}
 
--- a/packages/lovage-control/src/program.ts
+++ b/packages/lovage-control/src/program.ts
@@ -131,6 +131,7 @@
 	const handlers = createHandlers({name: cfg.name, host, founding, log});
 	const app = createApp(cfg, host, createControlRouter(handlers));
 	const join = createJoining({
+		clock,
 		host,
 		pool,
 		log: createLogger('control.join'),
