Convict a killer after three or four engines and no innocent

Changes: suspects are listed most suspected first, and entries assign them to engines in that order by hash, each to one of its own; a digest is convicted after three deaths if it leads every other on its deaths by two; the host places victims after the answer to its report. The target of 3 is missed where an earlier victim meets the killer again.

--- a/packages/lovage-measure/src/entry.ts
+++ b/packages/lovage-measure/src/entry.ts
@@ -26,6 +26,7 @@
 const CAPACITY_PERIOD_MS = 250;
 const QUEUE_LENGTH = 256;
 const TOKEN_MS = 27;
+const ANSWER_MS = 6;
 
 /** Tells the scenario how a request ended. */
 export type EndListener = (request: Request, outcome: string) => void;
@@ -110,6 +111,7 @@
 							(lost) => platform.byId.get(lost)!.dataCentre,
 						),
 						suspect: suspects.includes(digest) ? digest : undefined,
+						suspects,
 					},
 					random.draw(),
 					variant.placement,
@@ -164,7 +166,10 @@
 		const {id} = one.request;
 		switch (effect.kind) {
 			case 'place': {
-				requestPlace(one);
+				// The report of a death is answered before its victims are placed.
+				clock.schedule(one.attempts.length === 0 ? 0 : ANSWER_MS, () => {
+					requestPlace(one);
+				});
 				return;
 			}
 
@@ -210,6 +215,10 @@
 	const requestPlace = (one: Live) => {
 		const {request, state} = one;
 		const now = clock.now();
+		if (state.phase.kind !== 'placing') {
+			return;
+		}
+
 		if (state.attempt === 0) {
 			admit({
 				kind: 'request-arrived',
@@ -319,6 +328,7 @@
 				delivered: 0,
 				isSpliced: false,
 				backend: undefined,
+				incarnation: 0,
 				connections: new Map(),
 				attempts: [],
 				leftAlive: false,
--- a/packages/lovage-measure/src/links.ts
+++ b/packages/lovage-measure/src/links.ts
@@ -73,6 +73,7 @@
 		one.isSpliced ||= prefixLength < one.delivered;
 		view.release(one);
 		view.hold(one, backend);
+		one.incarnation = platform.getReport(backend).incarnation;
 		const link = createConnection(one, connection, attempt);
 		dial(engine, link, () => {
 			update(request.id, {kind: 'connected', connection, now: clock.now()});
@@ -155,9 +156,14 @@
 		}
 
 		const {dataCentre, rack} = engine;
-		const {incarnation} = platform.getReport(backend);
+		const {incarnation} = one;
 		const digests = [...live.values()]
-			.filter((other) => other.backend === backend && other.state.accepted)
+			.filter(
+				(other) =>
+					other.backend === backend &&
+					other.incarnation === incarnation &&
+					other.state.accepted,
+			)
 			.map(({request}) => request.digest);
 		platform.applyQuarantine({
 			kind: 'deaths-reported',
--- a/packages/lovage-measure/src/request.ts
+++ b/packages/lovage-measure/src/request.ts
@@ -24,6 +24,8 @@
 	delivered: number;
 	isSpliced: boolean;
 	backend: string | undefined;
+	/** Incarnation of the backend server when the attempt started. */
+	incarnation: number;
 	connections: Map<number, Connection>;
 	attempts: AttemptAccount[];
 	leftAlive: boolean;
--- a/packages/lovage-measure/src/summary.ts
+++ b/packages/lovage-measure/src/summary.ts
@@ -25,6 +25,8 @@
 	notWhole: number;
 	deadlineMisses: Readonly<Record<string, number>>;
 	enginesLostToKiller: number;
+	/** Runs in which no more than the target were lost. */
+	killersWithinTarget: number;
 	killersConvicted: number;
 	innocentsConvicted: number;
 }>;
@@ -37,6 +39,8 @@
 	max: number;
 }>;
 
+const KILLER_TARGET_ENGINES = 3;
+
 function getPercentiles(values: readonly number[]): Percentiles {
 	const sorted = values.toSorted((left, right) => left - right);
 	const at = (share: number) =>
@@ -104,6 +108,9 @@
 		enginesLostToKiller: Math.max(
 			...results.map(({enginesLostToKiller}) => enginesLostToKiller),
 		),
+		killersWithinTarget: results.filter(
+			(result) => result.enginesLostToKiller <= KILLER_TARGET_ENGINES,
+		).length,
 		killersConvicted: results.filter(({isKillerConvicted}) => isKillerConvicted)
 			.length,
 		innocentsConvicted: sum(({innocentsConvicted}) => innocentsConvicted),
--- a/packages/lovage-measure/src/table.ts
+++ b/packages/lovage-measure/src/table.ts
@@ -79,7 +79,7 @@
 		.filter(({fault}) => fault === 'killer')
 		.map(
 			(one) =>
-				`killer ${one.deployment} ${one.variant}: convicted in ${one.killersConvicted} of ${one.runs} runs, at most ${one.enginesLostToKiller} engines lost, ${one.innocentsConvicted} innocents convicted`,
+				`killer ${one.deployment} ${one.variant}: convicted in ${one.killersConvicted} of ${one.runs} runs, at most 3 engines lost in ${one.killersWithinTarget}, at most ${one.enginesLostToKiller} in any, ${one.innocentsConvicted} innocents convicted`,
 		);
 	const batches = summaries
 		.filter(({fault}) => fault === 'batch')
--- a/packages/lovage-placement/src/__tests__/unit/choose.test.ts
+++ b/packages/lovage-placement/src/__tests__/unit/choose.test.ts
@@ -119,6 +119,21 @@
 		expect(second).toBe(first);
 	});
 
+	it('places suspects of the shared order on different backend servers', () => {
+		const view = Array.from({length: 6}, (_, i) => createCandidate(`${i}`));
+		const suspects = [...'stuvwxyzabcd'];
+		const chosen = suspects.map(
+			(suspect) =>
+				chooseBackend(view, {...request, suspect, suspects}, 0.5)?.id,
+		);
+		expect(new Set(chosen.slice(0, 6)).size).toBe(6);
+		expect(new Set(chosen.slice(6)).size).toBe(6);
+		const alone = suspects.map(
+			(suspect) => chooseBackend(view, {...request, suspect}, 0.5)?.id,
+		);
+		expect(new Set(alone.slice(0, 6)).size).toBeLessThan(6);
+	});
+
 	it('corrects a lagging report by its own work since', () => {
 		const report = {running: 4, waiting: 1, inFlightThen: 2};
 		expect(estimateOccupancy(createCandidate('1', {report, inFlight: 5}))).toBe(
--- a/packages/lovage-placement/src/choose.ts
+++ b/packages/lovage-placement/src/choose.ts
@@ -46,7 +46,7 @@
 		request.lostAt ?? [],
 	);
 	if (request.suspect !== undefined) {
-		return chooseForSuspect(eligible, request.suspect);
+		return chooseForSuspect(eligible, request.suspect, request.suspects ?? []);
 	}
 
 	const compared = [
@@ -70,14 +70,30 @@
 }
 
 /**
- * Entries agree on the backend server for a suspect without talking, so that
- * different suspects of different entries rarely meet.
+ * Entries agree on the backend server for a suspect without talking: each
+ * suspect of the shared order takes the best one that is left by its hash,
+ * and the next turn begins when none is left.
  */
 function chooseForSuspect(
 	eligible: readonly Candidate[],
 	suspect: string,
+	suspects: readonly string[],
 ): Candidate | undefined {
-	return pickLowest(eligible, ({id}) => hashText(`${suspect} ${id}`));
+	const index = Math.max(0, suspects.indexOf(suspect));
+	const turn = index - (index % Math.max(1, eligible.length));
+	const earlier = suspects.slice(turn, index);
+	const rest = earlier.reduce<readonly Candidate[]>((left, other) => {
+		const taken = pickByHash(left, other);
+		return left.filter((candidate) => candidate !== taken);
+	}, eligible);
+	return pickByHash(rest, suspect);
+}
+
+function pickByHash(
+	candidates: readonly Candidate[],
+	digest: string,
+): Candidate | undefined {
+	return pickLowest(candidates, ({id}) => hashText(`${digest} ${id}`));
 }
 
 function listPrefixHolders(
--- a/packages/lovage-placement/src/types.ts
+++ b/packages/lovage-placement/src/types.ts
@@ -40,6 +40,8 @@
 	lostAt?: readonly string[];
 	/** Digest of the request if it is a suspect of the quarantine. */
 	suspect?: string;
+	/** All suspects, most suspected first, in an order that entries share. */
+	suspects?: readonly string[];
 }>;
 
 /** How load, cache and distance weigh against each other. */
--- a/packages/lovage-quarantine/src/state.ts
+++ b/packages/lovage-quarantine/src/state.ts
@@ -4,13 +4,13 @@
 export const DEFAULT_QUARANTINE_OPTIONS: QuarantineOptions = {
 	windowMs: 8000,
 	strikes: 3,
-	alone: 2,
+	lead: 2,
 	suspectRetentionMs: 3_600_000,
 	convictionRetentionMs: 86_400_000,
 	maxRecords: 10_000,
 	guards: {
 		relatedDeaths: true,
-		aloneOnly: true,
+		standsOut: true,
 		mergeReports: true,
 		clearCompleted: true,
 	},
--- a/packages/lovage-quarantine/src/types.ts
+++ b/packages/lovage-quarantine/src/types.ts
@@ -35,8 +35,6 @@
 export type StrikeRecord = Readonly<{
 	/** Unrelated deaths of backend servers that ran it. */
 	strikes: number;
-	/** Those among them where it was the only suspect. */
-	alone: number;
 	lastAt: number;
 }>;
 
@@ -44,8 +42,8 @@
 export type QuarantineGuards = Readonly<{
 	/** Deaths of one rack or data centre at one time strike nobody. */
 	relatedDeaths: boolean;
-	/** Only deaths with a single suspect convict. */
-	aloneOnly: boolean;
+	/** Convicts only a digest that leads the others on its deaths. */
+	standsOut: boolean;
 	/** Reports of one death count once. */
 	mergeReports: boolean;
 	/** A suspect that ran to its end is cleared. */
@@ -56,9 +54,10 @@
 export type QuarantineOptions = Readonly<{
 	/** Deaths in one place within this time are one event. */
 	windowMs: number;
-	/** Deaths that convict, and those among them as the only suspect. */
+	/** Deaths that convict. */
 	strikes: number;
-	alone: number;
+	/** Deaths by which a convicted digest leads the others on its deaths. */
+	lead: number;
 	suspectRetentionMs: number;
 	convictionRetentionMs: number;
 	/** Records of each kind that are kept at most. */
@@ -81,7 +80,7 @@
 /** What entries need to know of the quarantine. */
 export type QuarantineSummary = Readonly<{
 	version: number;
-	/** To be kept apart from each other. */
+	/** To be kept apart from each other, most suspected first. */
 	suspects: readonly string[];
 	/** Suspects not to be placed until the last death is judged. */
 	held: readonly string[];
