--- a/packages/lovage-fakes/src/bench-main.ts
+++ b/packages/lovage-fakes/src/bench-main.ts
@@ -181,6 +181,16 @@
 	});
 }
 
+function roundValue(value: unknown): unknown {
+	return typeof value === 'number' ? Number(value.toFixed(2)) : value;
+}
+
+function roundRow(row: Record<string, unknown>): Record<string, unknown> {
+	return Object.fromEntries(
+		Object.entries(row).map(([name, value]) => [name, roundValue(value)]),
+	);
+}
+
 function printRows(rows: Rows, isJson: boolean): void {
 	if (isJson) {
 		process.stdout.write(`${JSON.stringify(rows, undefined, '\t')}\n`);
@@ -189,7 +199,7 @@
 
 	Object.entries(rows).forEach(([name, table]) => {
 		process.stdout.write(`\n${name}\n`);
-		console.table(table);
+		console.table(table.map(roundRow));
 	});
 }
 
