Check messages and settings of lovage-control, ask the leader to join

An instance without a group goes on to the leader that a refusal names. Tried and dropped: keeping the connections between instances open (pipelining 1 and one connection each).

--- /dev/null
+++ b/packages/lovage-control/src/__tests__/unit/settings.test.ts
@@ -0,0 +1,39 @@
+import {parseSettings} from '@lovagevalve/runtime';
+import {describe, expect, test} from 'vitest';
+import {controlSettingsSchema} from '../../settings.js';
+
+const VALID = `
+name: control-1
+listen: {port: 7101}
+address: http://127.0.0.1:7101
+dataFolder: data
+bootstrapOperatorKeyHash: sha256:${'0'.repeat(64)}
+`;
+
+const check = (text: string) =>
+	parseSettings(text, 'control.yaml', controlSettingsSchema).match(
+		() => [],
+		({lines}) => lines,
+	);
+
+describe('settings', () => {
+	test('are complete with defaults', () => {
+		expect(check(VALID)).toEqual([]);
+	});
+
+	test.each([
+		['an unknown key', 'leaseMs: 5', 'leaseMs'],
+		['a relative address', 'address: control-1', 'control.yaml: address: '],
+		['a bare key', 'bootstrapOperatorKeyHash: k', 'hash-key'],
+		['an election timeout that is too short', timings(300), 'electionTimeout'],
+		['a claim that lapses too early', 'timings: {claimHoldMs: 3000}', '4000'],
+	])('refuse %s and name it', (_, line, expected) => {
+		const name = line.split(':', 1)[0]!;
+		const rest = VALID.split('\n').filter((one) => !one.startsWith(name));
+		expect(check([...rest, line].join('\n')).join('\n')).toContain(expected);
+	});
+});
+
+function timings(electionTimeoutMs: number): string {
+	return `timings: {electionTimeoutMs: ${electionTimeoutMs}}`;
+}
--- a/packages/lovage-control/src/joining.ts
+++ b/packages/lovage-control/src/joining.ts
@@ -23,7 +23,7 @@
 
 /**
  * Creates a function that asks one of the others to be taken in, each time
- * another one. An instance that belongs to a group and hears its leader asks
+ * another one, and the leader that it names. An instance that belongs to a group and hears its leader asks
  * nobody.
  */
 export function createJoining(parts: JoiningParts): () => Promise<void> {
@@ -31,7 +31,7 @@
 	let turn = 0;
 	let isAsking = false;
 
-	const ask = async (peer: string): Promise<void> => {
+	const ask = async (peer: string): Promise<string | undefined> => {
 		const client = createControlClient(peer, pool);
 		const answer = await callRpc(
 			async (signal) => client.join.mutate(createRequest(), {signal}),
@@ -42,6 +42,11 @@
 			({message}) => message,
 		);
 		log.debug('Asked to join a group.', {peer, outcome});
+		return answer.match(
+			(redirect) =>
+				redirect.kind === 'not-leader' ? redirect.leader : undefined,
+			() => undefined,
+		);
 	};
 
 	return async () => {
@@ -53,7 +58,11 @@
 
 		turn += 1;
 		isAsking = true;
-		await ask(peer);
+		const leader = await ask(peer);
+		if (leader !== undefined && leader !== peer) {
+			await ask(leader);
+		}
+
 		isAsking = false;
 	};
 }
