--- a/packages/lovage-spec/src/models.ts
+++ b/packages/lovage-spec/src/models.ts
@@ -1,10 +1,12 @@
 import {claimsModel} from './claims-model.js';
 import {configurationModel} from './configuration-model.js';
+import {logModels} from './log-models.js';
 import {ordersModel} from './orders-model.js';
 import type {Model} from './model.js';
 
 /** Every model of the specification. */
 export const models: readonly Model[] = [
+	...logModels,
 	claimsModel,
 	configurationModel,
 	ordersModel,
