--- a/packages/lovage-control/src/__tests__/unit/order-sender.test.ts
+++ b/packages/lovage-control/src/__tests__/unit/order-sender.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {serve} from '@hono/node-server';
 import {Hono} from 'hono';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
@@ -5,6 +6,7 @@
 
 describe('orders to a backend server', () => {
 	const taken: unknown[] = [];
+	const silence = once(new EventTarget(), 'never') as Promise<never>;
 	let now = 0;
 	let server: ReturnType<typeof serve>;
 	let address: string;
@@ -20,10 +22,7 @@
 				? ctx.text('old fencing number', 409)
 				: ctx.json({kind: 'done'});
 		});
-		app.post(
-			'/silent/v1/orders',
-			async () => new Promise<Response>(() => undefined),
-		);
+		app.post('/silent/v1/orders', async () => silence);
 		address = await new Promise((resolve) => {
 			server = serve({fetch: app.fetch, port: 0}, ({port}) => {
 				resolve(`http://127.0.0.1:${port}`);
