Give each entry its part of the free slots once for each report

The column now leaves out every request of the customer that sends the batch; before it left out the batch only.

--- a/packages/lovage-measure/src/backend-view.ts
+++ b/packages/lovage-measure/src/backend-view.ts
@@ -1,4 +1,4 @@
-import {estimateOccupancy, type Candidate} from '@lovagevalve/placement';
+import {countFreeSlots, type Candidate} from '@lovagevalve/placement';
 import type {Clock} from './clock.js';
 import type {Platform} from './platform.js';
 import type {Live} from './request.js';
@@ -74,15 +74,8 @@
 
 	return {
 		listCandidates,
-		/** Slots that this entry may fill: its part of what looks free. */
-		countFree(): number {
-			const free = listCandidates()
-				.map((candidate) => candidate.capacity - estimateOccupancy(candidate))
-				.reduce((sum, count) => sum + Math.max(0, count), 0);
-			return free === 0
-				? 0
-				: Math.max(1, Math.floor(free / deployment.entries));
-		},
+		/** Slots that this entry may fill. */
+		countFree: () => countFreeSlots(listCandidates(), deployment.entries),
 		hold(one: Live, backend: string) {
 			one.backend = backend;
 			change(backend, 1);
--- a/packages/lovage-measure/src/entry.ts
+++ b/packages/lovage-measure/src/entry.ts
@@ -174,7 +174,7 @@
 			}
 
 			case 'deliver': {
-				if (one.delivered === 0 && !one.request.isBatch) {
+				if (one.delivered === 0 && !one.request.isOfBatchCustomer) {
 					result.firstTokenMs.push(clock.now() - one.request.arrivedAt);
 				}
 
--- a/packages/lovage-measure/src/request.ts
+++ b/packages/lovage-measure/src/request.ts
@@ -13,8 +13,8 @@
 	family: string;
 	total: number;
 	isKiller: boolean;
-	/** Part of the overnight batch. */
-	isBatch: boolean;
+	/** Whether its customer sends the overnight batch. */
+	isOfBatchCustomer: boolean;
 }>;
 
 /** A request as its entry runs it. */
--- a/packages/lovage-measure/src/workload.ts
+++ b/packages/lovage-measure/src/workload.ts
@@ -53,7 +53,8 @@
 			family: customer.id,
 			total,
 			isKiller: false,
-			isBatch: false,
+			isOfBatchCustomer:
+				fault === 'batch' && customer.id === deployment.customers[0]!.id,
 			...change,
 		};
 	};
@@ -100,7 +101,11 @@
 		const {id: customer} = deployment.customers[0]!;
 		clock.schedule(BATCH_AT_MS, () => {
 			Array.from({length: BATCH_SIZE}, () =>
-				create({customer, deadlineAt: undefined, isBatch: true}),
+				create({
+					customer,
+					deadlineAt: undefined,
+					isOfBatchCustomer: true,
+				}),
 			).forEach(send);
 		});
 	}
--- a/packages/lovage-placement/src/__tests__/unit/choose.test.ts
+++ b/packages/lovage-placement/src/__tests__/unit/choose.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {
 	chooseBackend,
+	countFreeSlots,
 	estimateOccupancy,
 	type Candidate,
 	type PlacementRequest,
@@ -141,3 +142,21 @@
 		);
 	});
 });
+
+describe('countFreeSlots', () => {
+	const report = {running: 0, waiting: 0, inFlightThen: 0};
+
+	it('gives each entry its part once for each report', () => {
+		const fresh = createCandidate('1', {report});
+		expect(countFreeSlots([fresh], 4)).toBe(2);
+		const started = createCandidate('1', {report, inFlight: 2});
+		expect(countFreeSlots([started], 4)).toBe(0);
+	});
+
+	it('lets an entry try the last slot', () => {
+		const almostFull = createCandidate('1', {report: {...report, running: 7}});
+		expect(countFreeSlots([almostFull], 4)).toBe(1);
+		const full = createCandidate('1', {report: {...report, running: 8}});
+		expect(countFreeSlots([full], 4)).toBe(0);
+	});
+});
--- a/packages/lovage-placement/src/index.ts
+++ b/packages/lovage-placement/src/index.ts
@@ -1,4 +1,5 @@
 export {chooseBackend, isEligible} from './choose.js';
+export {countFreeSlots} from './free.js';
 export {hashText} from './hash.js';
 export {estimateLoadShare, estimateOccupancy, getCachedShare} from './load.js';
 export {sample} from './sample.js';
