Tighten the tests of the right to give orders

Each guard was switched off in turn in a scratch copy and the unit tests of claims (9 guards) and control-role (9 guards) run: every run failed but those without singleOrderHolder and confirmBeforeOrder. The test of the isolated leader had no order to give; it now has two, and mayOrder is tested with another holder's grant. Both guards fail a test now. The name quorumReadBeforeLease, which no step used, is gone: the rule is the log's.

--- a/packages/lovage-control-role/src/__tests__/unit/control.test.ts
+++ b/packages/lovage-control-role/src/__tests__/unit/control.test.ts
@@ -1,8 +1,12 @@
 import {describe, expect, test} from 'vitest';
 import {
+	confirmHolder,
 	type ControlInput,
+	createOrderBook,
 	decodeMachine,
 	describeControl,
+	isAlwaysGuarded,
+	mayOrder,
 } from '../../index.js';
 import {createApply, createConfiguration, Group, settings} from './group.js';
 
@@ -253,15 +257,31 @@
 	test('an isolated leader gives no order', () => {
 		const group = new Group(3);
 		group.call(apply);
+		group.runUntil(() => {
+			const {machine, leadership} = group.states[group.leader!]!;
+			return machine.orders.holder === leadership?.orders.holder;
+		});
 		const old = group.leader!;
-		group.call(createRenew('entry-1', 1, [], 0));
+		group.call(createRenew('entry-1', 1, [], 2));
 		group.isolated.add(old);
-		group.pass(settings.orders.holderLeaseMs);
-		group.runUntil(() => group.leader !== undefined);
-		expect(group.states[old]!.leadership).toBeUndefined();
+		group.runUntil(() => group.states[old]!.leadership === undefined);
 		expect(group.orders).toEqual([]);
 	});
 
+	test('are given by the holder of the last grant only', () => {
+		const book = confirmHolder(createOrderBook('replica-1@2', 0), 10_000);
+		const mayOrderWith = (holder: string) =>
+			mayOrder(book, {
+				grant: {fencing: 7, holder},
+				terms: settings.orders,
+				checksFencing: true,
+				now: 10_000,
+				isGuarded: isAlwaysGuarded,
+			});
+		expect(mayOrderWith('replica-1@2')).toBe(true);
+		expect(mayOrderWith('replica-1@1')).toBe(false);
+	});
+
 	test('reports backend servers that the inventory does not know', () => {
 		const group = new Group(1);
 		group.call(createApply('first', 0, createConfiguration('first', 1)));
--- a/packages/lovage-control-role/src/guards.ts
+++ b/packages/lovage-control-role/src/guards.ts
@@ -2,7 +2,6 @@
 export const CONTROL_GUARDS = [
 	'baseVersionCheck',
 	'operationHistory',
-	'quorumReadBeforeLease',
 	'waitForLeases',
 	'predecessorLeases',
 	'fencingNumber',
