Measure short pauses, and baselines with the deployment's own objective

A baseline had the fast detection at both deployments, so its row differed from the Cooperativa's own in two matters.

--- a/packages/lovage-measure/src/faults.ts
+++ b/packages/lovage-measure/src/faults.ts
@@ -7,7 +7,7 @@
 
 const RESTART_MS = 20_000;
 const SECOND_AFTER_MS = 3000;
-const PAUSE_MS = [5000, 15_000] as const;
+const PAUSE_MS = [1000, 6000] as const;
 const RACK_SPREAD_MS = 150;
 
 type Scene = Readonly<{
--- a/packages/lovage-measure/src/plan.ts
+++ b/packages/lovage-measure/src/plan.ts
@@ -1,3 +1,4 @@
+import {getDetectionPolicy} from '@lovagevalve/generation';
 import {
 	DEPLOYMENTS,
 	FAULT_KINDS,
@@ -21,19 +22,27 @@
 	'no retry budget': ['data-centre'],
 	'no shares': ['batch'],
 };
-const CURVE_FAULT: Fault = 'engine-death';
+const CURVE_FAULTS: ReadonlySet<Fault> = new Set(['engine-death', 'pause']);
 
 function isMeasured({deployment, fault, variant}: Row): boolean {
 	return OBJECTIVES.includes(variant)
-		? fault === CURVE_FAULT || variant.name === deployment.objective
+		? CURVE_FAULTS.has(fault) || variant.name === deployment.objective
 		: (BASELINE_FAULTS[variant.name] ?? []).includes(fault);
 }
 
+/** Baselines differ from the deployment's own objective in one matter only. */
+function listBaselines({objective}: Deployment): readonly Variant[] {
+	const detection = getDetectionPolicy(objective);
+	return BASELINES.map((variant) =>
+		variant.ownDetection ? variant : {...variant, detection},
+	);
+}
+
 /** Lists the rows of the table: each fault with its variants. */
 export function listRows(): readonly Row[] {
 	return DEPLOYMENTS.flatMap((deployment) =>
 		FAULT_KINDS.flatMap((fault) =>
-			[...OBJECTIVES, ...BASELINES]
+			[...OBJECTIVES, ...listBaselines(deployment)]
 				.map((variant) => ({deployment, fault, variant}))
 				.filter(isMeasured),
 		),
--- a/packages/lovage-measure/src/variants.ts
+++ b/packages/lovage-measure/src/variants.ts
@@ -17,6 +17,8 @@
 export type Variant = Readonly<{
 	name: string;
 	detection: DetectionPolicy;
+	/** Whether the detection is what makes the variant. */
+	ownDetection: boolean;
 	generationGuards: GenerationGuards;
 	admissionGuards: AdmissionGuards;
 	placement: PlacementPolicy;
@@ -33,6 +35,7 @@
 	return {
 		name,
 		detection: FAST,
+		ownDetection: false,
 		generationGuards: GENERATION_GUARDS,
 		admissionGuards: ADMISSION_GUARDS,
 		placement: DEFAULT_PLACEMENT_POLICY,
@@ -71,6 +74,7 @@
 		generationGuards: {...GENERATION_GUARDS, prefixOnResume: false},
 	}),
 	create('fixed time-out', {
+		ownDetection: true,
 		detection: {
 			...FAST,
 			minimumSilenceMs: FIXED_TIMEOUT_MS,
