--- a/packages/lovage-control-role/src/__tests__/unit/group.ts
+++ b/packages/lovage-control-role/src/__tests__/unit/group.ts
@@ -69,6 +69,32 @@
 	configuration,
 });
 
+export const createRenew = (
+	id: string,
+	appliedVersion: number,
+	models: Array<{id: string; version: string; adapters: string[]}> = [],
+	engines = 0,
+): ControlInput => ({
+	kind: 'renew',
+	entry: {
+		id,
+		address: `http://${id}`,
+		dataCentre: 'dc-1',
+		state: 'serving',
+		incarnation: 'a',
+	},
+	appliedVersion,
+	quarantineVersion: 0,
+	backends: Array.from({length: engines}, (_, i) => ({
+		id: `engine-${i}`,
+		service: 'lyrics',
+		address: `http://engine-${i}`,
+		incarnation: 1,
+		state: 'serving' as const,
+		models,
+	})),
+});
+
 /** Control instances on a shared virtual clock, with links that can be cut. */
 export class Group {
 	now = 0;
--- /dev/null
+++ b/packages/lovage-spec/src/configuration-model-lease-world.ts
@@ -0,0 +1,127 @@
+import {
+	applyLogged,
+	createLeaseTable,
+	createMachine,
+	type LeaseTable,
+	type LeaseTerms,
+	type MachineState,
+} from '@lovagevalve/control-role';
+import {
+	createEntry,
+	DEFAULT_TIMINGS,
+	type EntryState,
+	type LeaseGrant,
+} from '@lovagevalve/entry-role';
+import {createApply} from './configuration-model-changes.js';
+import type {ModelEvent} from './explore.js';
+
+const TICK_MS = 50;
+/** Length of a lease, in milliseconds. */
+export const LEASE_MS = 2 * TICK_MS;
+/** Renewals that the entry asks for. */
+export const MAX_RENEWALS = 2;
+/** The entry's clock is slower than the leaders'. */
+const DRIFT_SHARE = 0.01;
+
+/** A renewal on its way. */
+export type Renewal = Readonly<{
+	incarnation: number;
+	/** On the entry's clock. */
+	askedAt: number;
+	appliedVersion: number;
+	/** Absent until a leader has answered. */
+	grant?: LeaseGrant;
+}>;
+
+/** A replica that leads or believes that it does. */
+type Leader = Readonly<{machine: MachineState; table: LeaseTable}>;
+
+/** Two leaders, one entry and the renewals between them. */
+export type World = Readonly<{
+	ticks: number;
+	/** The last one leads; an earlier one doesn't know that it leads no more. */
+	leaders: readonly Leader[];
+	entry: EntryState;
+	incarnation: number;
+	renewals: readonly Renewal[];
+	asked: number;
+	/** Highest version that a leader called in force everywhere. */
+	toldInForce: number;
+	/** Highest version that the entry served. */
+	served: number;
+	isChanged: boolean;
+}>;
+
+/** What may happen next. */
+export type WorldEvent = ModelEvent &
+	(
+		| Readonly<{type: 'time passes'}>
+		| Readonly<{type: 'entry asks for its lease'}>
+		| Readonly<{type: 'leader answers'; leader: number; renewal: number}>
+		| Readonly<{type: 'answer arrives'; renewal: number}>
+		| Readonly<{type: 'change is accepted'}>
+		| Readonly<{type: 'leader changes'}>
+		| Readonly<{type: 'entry restarts'}>
+		| Readonly<{type: 'leader tells that its version is in force'}>
+	);
+
+/** Tells whether a rule of the model is on. */
+export type IsOn = (guard: string) => boolean;
+
+/** Time on the leaders' clock, in milliseconds. */
+export function readClock({ticks}: World): number {
+	return ticks * TICK_MS;
+}
+
+/** Time on the entry's clock, in milliseconds. */
+export function readEntryClock({ticks}: World): number {
+	return Math.floor(ticks * TICK_MS * (1 - DRIFT_SHARE));
+}
+
+/** Terms of the leases. */
+export function createTerms(isOn: IsOn): LeaseTerms {
+	return {leaseMs: LEASE_MS, driftShare: isOn('driftBound') ? DRIFT_SHARE : 0};
+}
+
+/** An entry that has just started. */
+export function createFreshEntry(incarnation: number): EntryState {
+	return createEntry({
+		id: 'entry',
+		address: 'http://entry',
+		dataCentre: 'dc',
+		incarnation: String(incarnation),
+		...DEFAULT_TIMINGS,
+	});
+}
+
+/** Accepts a change. */
+export function applyChange(machine: MachineState, name: string): MachineState {
+	const command = createApply(name, machine.version);
+	const index = machine.appliedIndex + 1;
+	return applyLogged(machine, index, {at: 0, command}).state;
+}
+
+/** The state before the first renewal. */
+export function createInitial(): World {
+	const machine = applyChange(createMachine(), 'first');
+	return {
+		ticks: 0,
+		leaders: [{machine, table: createLeaseTable(-10 * LEASE_MS)}],
+		entry: createFreshEntry(1),
+		incarnation: 1,
+		renewals: [],
+		asked: 0,
+		toldInForce: 0,
+		served: 0,
+		isChanged: false,
+	};
+}
+
+/** Replaces one item of a list. */
+export function replaceAt<Item>(
+	items: readonly Item[],
+	at: number,
+	item: Item,
+) {
+	return items.map((known, i) => (i === at ? item : known));
+}
