--- a/packages/lovage-measure/src/entry.ts
+++ b/packages/lovage-measure/src/entry.ts
@@ -2,11 +2,12 @@
 	createAdmission,
 	stepAdmission,
 	type AdmissionEvent,
+	type RefusalReason,
 } from '@lovagevalve/admission';
 import {
 	createGeneration,
-	getNextDeadline,
 	stepGeneration,
+	type FailureReason,
 	type GenerationEffect,
 	type GenerationEvent,
 	type GenerationTransition,
@@ -14,20 +15,28 @@
 import {chooseBackend} from '@lovagevalve/placement';
 import {addWork, type RunResult} from './account.js';
 import {createBackendView} from './backend-view.js';
+import {recordEnd} from './ends.js';
 import {createLinks} from './links.js';
 import type {Clock} from './clock.js';
 import type {Platform} from './platform.js';
 import type {Random} from './random.js';
-import type {Live, Request} from './request.js';
+import {createLive, createWaiting, type Live, type Request} from './request.js';
 import type {Deployment} from './scenario.js';
+import {createTimers} from './timers.js';
 import type {Variant} from './variants.js';
 
 const RETRY_LIMIT = 4;
 const CAPACITY_PERIOD_MS = 250;
 const QUEUE_LENGTH = 256;
-const TOKEN_MS = 27;
+const ACCOUNTS_CLOSE_MS = 10_000;
 const ANSWER_MS = 6;
 
+const FAILURE_REASONS: Readonly<Record<RefusalReason, FailureReason>> = {
+	'queue-full': 'no-backend-server',
+	'deadline-unmeetable': 'deadline-passed',
+	'retry-budget-spent': 'retry-budget-spent',
+};
+
 /** Tells the scenario how a request ended. */
 export type EndListener = (request: Request, outcome: string) => void;
 
@@ -68,12 +77,7 @@
 				return;
 			}
 
-			const reason =
-				effect.reason === 'deadline-unmeetable'
-					? 'deadline-passed'
-					: effect.reason === 'retry-budget-spent'
-						? 'retry-budget-spent'
-						: 'no-backend-server';
+			const reason = FAILURE_REASONS[effect.reason];
 			update(effect.id, {
 				kind: 'placement-refused',
 				reason,
@@ -141,26 +145,9 @@
 
 	const links = createLinks(parts, view, live, update);
 
-	const arm = (one: Live) => {
-		const deadline = getNextDeadline(one.state);
-		if (one.hasTimer || deadline === undefined) {
-			return;
-		}
-
-		one.hasTimer = true;
-		clock.schedule(Math.max(0, deadline - clock.now()), () => {
-			one.hasTimer = false;
-			const due = getNextDeadline(one.state);
-			if (due !== undefined && due <= clock.now()) {
-				apply(
-					one,
-					stepGeneration(one.state, {kind: 'ticked', now: clock.now()}),
-				);
-			} else {
-				arm(one);
-			}
-		});
-	};
+	const arm = createTimers(clock, (one) => {
+		apply(one, stepGeneration(one.state, {kind: 'ticked', now: clock.now()}));
+	});
 
 	const runEffect = (one: Live, effect: GenerationEffect) => {
 		const {id} = one.request;
@@ -222,14 +209,7 @@
 		if (state.attempt === 0) {
 			admit({
 				kind: 'request-arrived',
-				request: {
-					id: request.id,
-					customer: request.customer,
-					priority: 0,
-					deadline: request.deadlineAt,
-					cost: request.total,
-					durationMs: request.total * TOKEN_MS,
-				},
+				request: createWaiting(request),
 				now,
 			});
 		} else {
@@ -252,24 +232,12 @@
 		const now = clock.now();
 		live.delete(request.id);
 		view.release(one);
-		const isWhole = one.delivered === request.total && !one.isSpliced;
-		if (outcome === 'finished') {
-			result.finished++;
-			result.notWhole += isWhole ? 0 : 1;
-			if (request.deadlineAt !== undefined && now > request.deadlineAt) {
-				countMiss(request.customer);
-			}
-		} else {
-			result.refused[outcome] = (result.refused[outcome] ?? 0) + 1;
-			if (request.deadlineAt !== undefined) {
-				countMiss(request.customer);
-			}
-		}
-
-		clock.schedule(10_000, () => {
+		recordEnd(result, one, outcome, now);
+		clock.schedule(ACCOUNTS_CLOSE_MS, () => {
 			addWork(result, one.attempts, one.delivered);
 		});
-		if (outcome === 'finished' && isSuspect(request.digest)) {
+		const {suspects} = platform.readQuarantine();
+		if (outcome === 'finished' && suspects.includes(request.digest)) {
 			platform.applyQuarantine({
 				kind: 'deaths-reported',
 				deaths: [],
@@ -288,14 +256,6 @@
 		});
 	};
 
-	const isSuspect = (digest: string) =>
-		platform.readQuarantine().suspects.includes(digest);
-
-	const countMiss = (customer: string) => {
-		result.deadlineMisses[customer] =
-			(result.deadlineMisses[customer] ?? 0) + 1;
-	};
-
 	const refreshCapacity = () => {
 		admit({kind: 'capacity', free: view.countFree(), now: clock.now()});
 	};
@@ -322,18 +282,7 @@
 				},
 				clock.now(),
 			);
-			const one: Live = {
-				request,
-				state: begun.state,
-				delivered: 0,
-				isSpliced: false,
-				backend: undefined,
-				incarnation: 0,
-				connections: new Map(),
-				attempts: [],
-				leftAlive: false,
-				hasTimer: false,
-			};
+			const one = createLive(request, begun.state);
 			live.set(request.id, one);
 			apply(one, begun);
 		},
--- a/packages/lovage-measure/src/request.ts
+++ b/packages/lovage-measure/src/request.ts
@@ -1,7 +1,10 @@
+import type {WaitingRequest} from '@lovagevalve/admission';
 import type {GenerationState} from '@lovagevalve/generation';
 import type {AttemptAccount} from './account.js';
 import type {Connection} from './engine.js';
 
+const TOKEN_MS = 27;
+
 /** What a caller asks for. */
 export type Request = Readonly<{
 	id: string;
@@ -31,3 +34,31 @@
 	leftAlive: boolean;
 	hasTimer: boolean;
 };
+
+/** Creates a request that waits for its first attempt. */
+export function createLive(request: Request, state: GenerationState): Live {
+	return {
+		request,
+		state,
+		delivered: 0,
+		isSpliced: false,
+		backend: undefined,
+		incarnation: 0,
+		connections: new Map(),
+		attempts: [],
+		leftAlive: false,
+		hasTimer: false,
+	};
+}
+
+/** Creates the request as the queue gets it. */
+export function createWaiting(request: Request): WaitingRequest {
+	return {
+		id: request.id,
+		customer: request.customer,
+		priority: 0,
+		deadline: request.deadlineAt,
+		cost: request.total,
+		durationMs: request.total * TOKEN_MS,
+	};
+}
