Place the victims of a death after its report, suspects in shared order

Now a victim waits for the acknowledgement, for at most 500 ms after its first death; suspects get their servers in the order that the quarantine gives; another data centre goes first after a loss; and each entry starts only its part of the free slots between reports.

--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -89,6 +89,13 @@
 		});
 	}
 
+	/** Renews the lease as the only entry. */
+	renewAlone(): void {
+		const {now} = this;
+		const grant = {leaseMs: 3000, version: 1, configuration, entries: []};
+		this.apply({kind: 'lease-granted', askedAt: now, now, grant});
+	}
+
 	announce(
 		id: string,
 		change: Partial<BackendAnnouncement> = {},
@@ -233,6 +240,26 @@
 	);
 }
 
+/** Lets the control group know of the death of a backend server. */
+export function acknowledge(
+	entry: EntryDriver,
+	backend: string,
+	held: readonly string[] = [],
+): readonly EntryEffect[] {
+	return entry.apply({
+		kind: 'deaths-acknowledged',
+		deaths: [{backend, incarnation: 1}],
+		quarantine: {
+			version: entry.state.quarantine.version + 1,
+			suspects: ['label/x'],
+			held,
+			convicted: [],
+		},
+		now: entry.now,
+		random: 0.5,
+	});
+}
+
 /** The first start among the effects. */
 export function startOf(effects: readonly EntryEffect[]) {
 	return pick(effects, 'start-attempt')[0]!;
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -6,8 +6,8 @@
 
 const AVOID_AFTER_DEATH_MS = 3000;
 
-/** Deaths of one request after which it waits for the verdict on the last. */
-const DEATHS_UNTIL_HELD = 2;
+/** Longest wait for the report of a request's first death. */
+const FIRST_DEATH_WAIT_MS = 500;
 
 function noteDeath(
 	state: EntryState,
@@ -17,14 +17,9 @@
 ): EntryState {
 	const deaths = stream.deaths + 1;
 	const backend = stream.backend?.id ?? '';
-	const next: Stream = {
-		...stream,
-		deaths,
-		awaits:
-			deaths >= DEATHS_UNTIL_HELD
-				? {backend, incarnation, since: now}
-				: undefined,
-	};
+	const waitMs = deaths === 1 ? FIRST_DEATH_WAIT_MS : Number.POSITIVE_INFINITY;
+	const awaits = {backend, incarnation, since: now, until: now + waitMs};
+	const next: Stream = {...stream, deaths, awaits};
 	return {...state, streams: state.streams.set(stream.id, next)};
 }
 
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -216,7 +216,7 @@
 	stream: Stream,
 	moment: Moment,
 ): EntryTransition {
-	if (stream.phase.kind !== 'queued' || isHeld(state, stream)) {
+	if (stream.phase.kind !== 'queued' || isHeld(state, stream, moment.now)) {
 		return transition(state);
 	}
 
--- a/packages/lovage-entry-role/src/place.ts
+++ b/packages/lovage-entry-role/src/place.ts
@@ -1,6 +1,6 @@
 import {
 	chooseBackend,
-	estimateOccupancy,
+	countFreeSlots,
 	type Candidate,
 	type PlacementRequest,
 } from '@lovagevalve/placement';
@@ -9,7 +9,10 @@
 import {listUsable, type Backend} from './view.js';
 
 /** Work to be placed on a backend server of a service. */
-export type Work = Omit<PlacementRequest, 'dataCentre'> &
+export type Work = Omit<
+	PlacementRequest,
+	'dataCentre' | 'lostAt' | 'suspects'
+> &
 	Readonly<{service: string}>;
 
 function listSuspects(state: EntryState, backend: string): readonly string[] {
@@ -55,6 +58,15 @@
 	);
 }
 
+function listDataCentres(
+	state: EntryState,
+	backends: readonly string[],
+): readonly string[] {
+	return backends.flatMap(
+		(id) => state.view.get(id)?.announcement.dataCentre ?? [],
+	);
+}
+
 /** Chooses a backend server with room, or none. */
 export function choosePlace(
 	state: EntryState,
@@ -63,21 +75,25 @@
 ): Backend | undefined {
 	const chosen = chooseBackend(
 		listCandidates(state, work.service, moment.now),
-		{...work, dataCentre: state.options.dataCentre},
+		{
+			...work,
+			dataCentre: state.options.dataCentre,
+			lostAt: listDataCentres(state, work.excluded),
+			suspects: state.quarantine.suspects,
+		},
 		moment.random,
 	);
 	return chosen && state.view.get(chosen.id);
 }
 
-/** Counts the work that the backend servers of a service have room for. */
+/** Counts the work that this entry may start on the servers of a service. */
 export function countFree(
 	state: EntryState,
 	service: string,
 	now: number,
 ): number {
-	return listCandidates(state, service, now)
-		.map((candidate) =>
-			Math.max(0, candidate.capacity - estimateOccupancy(candidate)),
-		)
-		.reduce((sum, free) => sum + free, 0);
+	const others = state.lease.entries.filter(
+		({id}) => id !== state.options.id,
+	).length;
+	return countFreeSlots(listCandidates(state, service, now), others + 1);
 }
--- a/packages/lovage-entry-role/src/queues.ts
+++ b/packages/lovage-entry-role/src/queues.ts
@@ -214,7 +214,7 @@
 ): EntryTransition {
 	const unjudged = listQueued(state, service).filter(
 		(stream) =>
-			isUnacknowledged(state, stream) &&
+			isUnacknowledged(state, stream, moment.now) &&
 			moment.now >= (stream.awaits?.since ?? 0) + WAIT_FOR_VERDICT_MS,
 	);
 	return chainEach(state, unjudged, (current, stream) =>
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -47,7 +47,14 @@
 	deaths: number;
 	/** Death whose report must be acknowledged before it is placed again. */
 	awaits:
-		Readonly<{backend: string; incarnation: number; since: number}> | undefined;
+		| Readonly<{
+				backend: string;
+				incarnation: number;
+				since: number;
+				/** Time after which it goes on without. */
+				until: number;
+		  }>
+		| undefined;
 	/** When a refused caller should come back. */
 	retryAfterMs: number | undefined;
 }>;
--- a/packages/lovage-entry-role/src/suspects.ts
+++ b/packages/lovage-entry-role/src/suspects.ts
@@ -24,10 +24,18 @@
 }
 
 /** Tells whether the report of a stream's last death is not acknowledged yet. */
-export function isUnacknowledged(state: EntryState, {awaits}: Stream): boolean {
-	const dead = awaits && state.view.get(awaits.backend);
+export function isUnacknowledged(
+	state: EntryState,
+	{awaits}: Stream,
+	now: number,
+): boolean {
+	if (!awaits || now >= awaits.until) {
+		return false;
+	}
+
+	const dead = state.view.get(awaits.backend);
 	return (
-		dead !== undefined && dead.acknowledgedIncarnation !== awaits?.incarnation
+		dead !== undefined && dead.acknowledgedIncarnation !== awaits.incarnation
 	);
 }
 
@@ -35,10 +43,15 @@
  * Tells whether a stream waits for the verdict on a death: its request may be
  * what kills the backend servers.
  */
-export function isHeld(state: EntryState, stream: Stream): boolean {
+export function isHeld(
+	state: EntryState,
+	stream: Stream,
+	now: number,
+): boolean {
 	const {customer, input} = stream;
 	const digest = strikeDigest(customer, input.digest);
 	return (
-		state.quarantine.held.includes(digest) || isUnacknowledged(state, stream)
+		state.quarantine.held.includes(digest) ||
+		isUnacknowledged(state, stream, now)
 	);
 }
--- a/packages/lovage-entry/src/deaths-link.ts
+++ b/packages/lovage-entry/src/deaths-link.ts
@@ -3,7 +3,7 @@
 import type {ControlLink} from './control-link.js';
 
 const REPORT_WITHIN_MS = 30_000;
-const GATHER_MS = 20;
+const GATHER_MS = 5;
 
 type ReportEffect = Extract<
 	EntryEffect,
