Check the generation model in the proof, and mend what it names

The model found that after an adoption one attempt number could name two runs; an adopting entry now draws its numbers above those of the entry before. A death is booked on the incarnation that the attempt started on, and names only requests that ran.

--- a/packages/lovage-control/src/settings.ts
+++ b/packages/lovage-control/src/settings.ts
@@ -23,7 +23,7 @@
 			defaultSettings.heartbeatIntervalMs,
 		),
 		/** An unsettled claim becomes unknown after this. */
-		claimHoldMs: milliseconds.default(60_000),
+		claimHoldMs: milliseconds.default(15_000),
 		/** Orders are given within this time of a read that the group confirmed. */
 		orderLeaseMs: milliseconds.default(2000),
 	})
--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -274,6 +274,7 @@
 		entry.apply({kind: 'generation-event', stream, event, random: 0.5});
 	const {now} = entry;
 	const {connections, probes} = entry.state.streams.get(stream)!.machine!;
+	tell({kind: 'connected', connection: connections, now});
 	tell({kind: 'connection-lost', connection: connections, now});
 	tell({kind: 'probe-failed', probe: probes + 1, now});
 	return tell({kind: 'probe-failed', probe: probes + 2, now});
--- a/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/streams.test.ts
@@ -58,6 +58,16 @@
 		]);
 	});
 
+	it('number attempts above those that the entry before may use', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s', {cursor, hasDelivered: true});
+		const first = loseBackend(entry, 's');
+		acknowledge(entry, 'e1');
+		entry.now = 500;
+		const started = startOf([...first, ...entry.tick()]);
+		expect(started.attempt).toBeGreaterThan(cursor.attempt + 8);
+	});
+
 	it('refuse the cursor of another request', () => {
 		const entry = createServingEntry();
 		const other = {...cursor, requestId: 'other'};
--- a/packages/lovage-entry-role/src/begin.ts
+++ b/packages/lovage-entry-role/src/begin.ts
@@ -8,6 +8,8 @@
 import {countInFlight} from './view.js';
 
 const RETRY_LIMIT = 8;
+/** Ranges of attempt numbers that adopters draw from. */
+const ADOPTION_TURNS = 1_000_000;
 
 /** A generation that an earlier stream began. */
 export type Adopted = Readonly<{
@@ -32,6 +34,16 @@
 	return [{kind: 'release-generation', address, generation}];
 }
 
+/**
+ * Draws a number for the next attempt of an adopted generation, above those
+ * that the entry before may still use and unlike those of another adopter.
+ */
+function drawNextAttempt(attempt: number, random: number): number {
+	const attemptsOfOneEntry = RETRY_LIMIT + 1;
+	const turn = 1 + Math.floor(random * ADOPTION_TURNS);
+	return attempt + turn * attemptsOfOneEntry;
+}
+
 /** Goes on with a generation that an earlier stream began. */
 export function adoptGeneration(
 	state: EntryState,
@@ -51,15 +63,20 @@
 				attempt,
 				offset,
 				prefixAvailable: offset === 0 || stream.input.hasDelivered,
+				nextAttempt: drawNextAttempt(attempt, moment.random),
 			},
 		},
 		moment.now,
 	);
-	const address = state.view.get(backend)?.announcement.address ?? '';
+	const announcement = state.view.get(backend)?.announcement;
 	const running: Stream = {
 		...stream,
 		phase: {kind: 'running'},
-		backend: {id: backend, address},
+		backend: {
+			id: backend,
+			address: announcement?.address ?? '',
+			incarnation: announcement?.incarnation ?? 0,
+		},
 		hasToken: offset > 0,
 		isAdopted: true,
 	};
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -6,6 +6,8 @@
 
 const AVOID_AFTER_DEATH_MS = 3000;
 
+const NO_BACKEND = {id: '', incarnation: 0};
+
 /** Longest wait for the report of a request's first death. */
 const FIRST_DEATH_WAIT_MS = 500;
 
@@ -23,6 +25,18 @@
 	return {...state, streams: state.streams.set(stream.id, next)};
 }
 
+/** Keeps new work from a stream's dead server unless it has started again. */
+export function avoidDead(
+	state: EntryState,
+	stream: Stream,
+	now: number,
+): EntryState {
+	const {id, incarnation} = stream.backend ?? NO_BACKEND;
+	return state.view.get(id)?.announcement.incarnation === incarnation
+		? {...state, view: avoidBackend(state.view, id, now + AVOID_AFTER_DEATH_MS)}
+		: state;
+}
+
 /**
  * Reports the death of a stream's backend server once for each incarnation,
  * with every request that this entry had on it, and keeps new work from it for
@@ -33,24 +47,26 @@
 	stream: Stream,
 	now: number,
 ): EntryTransition {
-	const backend = stream.backend?.id ?? '';
+	const {id: backend, incarnation} = stream.backend ?? NO_BACKEND;
 	const known = state.view.get(backend);
 	if (!known) {
 		return transition(state);
 	}
 
-	const {incarnation, dataCentre, rack} = known.announcement;
+	const {dataCentre, rack} = known.announcement;
 	const noted = noteDeath(state, stream, incarnation, now);
-	const avoided = {
-		...noted,
-		view: avoidBackend(state.view, backend, now + AVOID_AFTER_DEATH_MS),
-	};
+	const avoided = avoidDead(noted, stream, now);
 	if (known.reportedIncarnation === incarnation) {
 		return transition(avoided);
 	}
 
 	const digests = [...state.streams.values()]
-		.filter((other) => other.backend?.id === backend)
+		.filter(
+			(other) =>
+				other.backend?.id === backend &&
+				other.backend.incarnation === incarnation &&
+				(other.id === stream.id || other.machine?.accepted),
+		)
 		.map(({customer, input}) => strikeDigest(customer, input.digest));
 	const report: EntryEffect = {
 		kind: 'report-death',
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -6,7 +6,7 @@
 	type GenerationTransition,
 } from '@lovagevalve/generation';
 import {CANCEL_FOR_MS} from './abandoned.js';
-import {reportDeath} from './deaths.js';
+import {avoidDead, reportDeath} from './deaths.js';
 import type {EntryEffect, Refusal, RefusalDetail} from './events.js';
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
@@ -130,10 +130,7 @@
 		}
 
 		case 'report-death': {
-			return effect.cause === 'stalled' ||
-				(effect.cause === 'not-held' && stream.isAdopted)
-				? transition(state)
-				: reportDeath(state, stream, moment.now);
+			return takeDeath(state, stream, effect, moment.now);
 		}
 
 		case 'report-resume': {
@@ -153,6 +150,22 @@
 	}
 }
 
+/** A server that answers is alive, and one that never ran it was not killed by it. */
+function takeDeath(
+	state: EntryState,
+	stream: Stream,
+	{cause, ran}: Extract<GenerationEffect, {kind: 'report-death'}>,
+	now: number,
+): EntryTransition {
+	if (cause === 'stalled' || (cause === 'not-held' && stream.isAdopted)) {
+		return transition(state);
+	}
+
+	return ran
+		? reportDeath(state, stream, now)
+		: transition(avoidDead(state, stream, now));
+}
+
 function describeWork(stream: Stream) {
 	return {customer: stream.customer, service: stream.input.service};
 }
@@ -235,11 +248,11 @@
 		return transition(state);
 	}
 
-	const {id: backend, address} = place.announcement;
+	const {id: backend, address, incarnation} = place.announcement;
 	const running: Stream = {
 		...stream,
 		phase: {kind: 'running'},
-		backend: {id: backend, address},
+		backend: {id: backend, address, incarnation},
 	};
 	const next: EntryState = {
 		...state,
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -39,7 +39,8 @@
 	phase: StreamPhase;
 	machine: GenerationState | undefined;
 	/** Backend server of the present attempt, counted in its in-flight. */
-	backend: Readonly<{id: string; address: string}> | undefined;
+	backend:
+		Readonly<{id: string; address: string; incarnation: number}> | undefined;
 	hasToken: boolean;
 	/** Whether its attempt was begun for an earlier stream. */
 	isAdopted: boolean;
--- a/packages/lovage-spec/src/models.ts
+++ b/packages/lovage-spec/src/models.ts
@@ -1,5 +1,6 @@
 import {claimsModel} from './claims-model.js';
 import {configurationModel} from './configuration-model.js';
+import {generationModel} from './generation-model.js';
 import {logModels} from './log-models.js';
 import {ordersModel} from './orders-model.js';
 import type {Model} from './model.js';
@@ -9,5 +10,6 @@
 	...logModels,
 	claimsModel,
 	configurationModel,
+	generationModel,
 	ordersModel,
 ];
