Report a death also when the attempt was not accepted yet

Ruled out: the quarantine's rules. Failed try, taken back: an attempt sent to a server that was dead already can't be told from one that killed it by the opening of its stream. A test with a death before acceptance failed before.

--- a/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
@@ -1,3 +1,4 @@
+import type {GenerationEvent} from '@lovagevalve/generation';
 import {describe, expect, it} from 'vitest';
 import {
 	acknowledge,
@@ -39,6 +40,17 @@
 		expect(pick(entry.tick(), 'start-attempt')).toHaveLength(1);
 	});
 
+	it('is reported also when it died before it accepted the attempt', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s', {digest: 'x'});
+		const tell = (event: GenerationEvent) =>
+			entry.apply({kind: 'generation-event', stream: 's', event, random: 0.5});
+		tell({kind: 'connection-lost', connection: 1, now: 0});
+		tell({kind: 'probe-failed', probe: 1, now: 0});
+		const lost = tell({kind: 'probe-failed', probe: 2, now: 0});
+		expect(pick(lost, 'report-death')).toMatchObject([{digests: ['label/x']}]);
+	});
+
 	it('goes on after a moment also without a quorum', () => {
 		const {entry} = createOnceLost();
 		entry.now = 450;
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -26,11 +26,7 @@
 }
 
 /** Keeps new work from a stream's dead server unless it has started again. */
-export function avoidDead(
-	state: EntryState,
-	stream: Stream,
-	now: number,
-): EntryState {
+function avoidDead(state: EntryState, stream: Stream, now: number): EntryState {
 	const {id, incarnation} = stream.backend ?? NO_BACKEND;
 	return state.view.get(id)?.announcement.incarnation === incarnation
 		? {...state, view: avoidBackend(state.view, id, now + AVOID_AFTER_DEATH_MS)}
@@ -64,8 +60,7 @@
 		.filter(
 			(other) =>
 				other.backend?.id === backend &&
-				other.backend.incarnation === incarnation &&
-				(other.id === stream.id || other.machine?.accepted),
+				other.backend.incarnation === incarnation,
 		)
 		.map(({customer, input}) => strikeDigest(customer, input.digest));
 	const report: EntryEffect = {
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -6,7 +6,7 @@
 	type GenerationTransition,
 } from '@lovagevalve/generation';
 import {CANCEL_FOR_MS} from './abandoned.js';
-import {avoidDead, reportDeath} from './deaths.js';
+import {reportDeath} from './deaths.js';
 import type {EntryEffect, Refusal, RefusalDetail} from './events.js';
 import {choosePlace} from './place.js';
 import {forgetPlace, publishPlace} from './places.js';
@@ -150,20 +150,16 @@
 	}
 }
 
-/** A server that answers is alive, and one that never ran it was not killed by it. */
+/** A server that answers is alive, and one that forgot may have let go. */
 function takeDeath(
 	state: EntryState,
 	stream: Stream,
-	{cause, ran}: Extract<GenerationEffect, {kind: 'report-death'}>,
+	{cause}: Extract<GenerationEffect, {kind: 'report-death'}>,
 	now: number,
 ): EntryTransition {
-	if (cause === 'stalled' || (cause === 'not-held' && stream.isAdopted)) {
-		return transition(state);
-	}
-
-	return ran
-		? reportDeath(state, stream, now)
-		: transition(avoidDead(state, stream, now));
+	return cause === 'stalled' || (cause === 'not-held' && stream.isAdopted)
+		? transition(state)
+		: reportDeath(state, stream, now);
 }
 
 function describeWork(stream: Stream) {
