--- a/packages/lovage-entry-role/src/arrivals.ts
+++ b/packages/lovage-entry-role/src/arrivals.ts
@@ -6,9 +6,10 @@
 } from '@lovagevalve/claims';
 import {recordEnd, recordWork} from './call-facts.js';
 import {connectCall} from './connect.js';
-import type {EntryEffect, EntryEvent, RefusalDetail} from './events.js';
-import type {Moment} from './machine.js';
-import {judgeRefusal} from './refusals.js';
+import type {EntryEffect} from './effects.js';
+import type {EntryEvent} from './events.js';
+import {type RefusalDetail, judgeRefusal} from './refusals.js';
+import type {Moment} from './moment.js';
 import {describeReply} from './replies.js';
 import type {Call, EntryState} from './state.js';
 import {chainEach, transition, type EntryTransition} from './transition.js';
--- a/packages/lovage-entry-role/src/begin.ts
+++ b/packages/lovage-entry-role/src/begin.ts
@@ -1,7 +1,8 @@
 import {createGeneration, getDetectionPolicy} from '@lovagevalve/generation';
 import {releaseAbandoned} from './abandoned.js';
-import type {EntryEffect} from './events.js';
-import {runMachine, type Moment} from './machine.js';
+import type {EntryEffect} from './effects.js';
+import {runMachine} from './machine.js';
+import type {Moment} from './moment.js';
 import {publishPlace} from './places.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {chain, transition, type EntryTransition} from './transition.js';
--- a/packages/lovage-entry-role/src/call-facts.ts
+++ b/packages/lovage-entry-role/src/call-facts.ts
@@ -1,4 +1,5 @@
-import type {EntryEffect, Fact} from './events.js';
+import type {EntryEffect} from './effects.js';
+import type {Fact} from './facts.js';
 import type {Call} from './state.js';
 
 function createRecord(fact: Fact): EntryEffect {
--- a/packages/lovage-entry-role/src/checks.ts
+++ b/packages/lovage-entry-role/src/checks.ts
@@ -1,6 +1,6 @@
 import type {Configuration, Service} from '@lovagevalve/inventory';
 import {listAddresses} from './addresses.js';
-import type {Refusal, RefusalDetail, RefusalOutcome} from './events.js';
+import type {Refusal, RefusalDetail, RefusalOutcome} from './refusals.js';
 import {configurationInForce} from './lease.js';
 import {isLeaving, type EntryState} from './state.js';
 
--- a/packages/lovage-entry-role/src/connect.ts
+++ b/packages/lovage-entry-role/src/connect.ts
@@ -1,5 +1,5 @@
-import type {Refusal, RefusalDetail} from './events.js';
-import type {Moment} from './machine.js';
+import type {Refusal, RefusalDetail} from './refusals.js';
+import type {Moment} from './moment.js';
 import {choosePlace} from './place.js';
 import type {Call, EntryState} from './state.js';
 import {transition, type EntryTransition} from './transition.js';
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -1,4 +1,4 @@
-import type {EntryEffect} from './events.js';
+import type {EntryEffect} from './effects.js';
 import type {EntryState, Stream} from './state.js';
 import {strikeDigest} from './suspects.js';
 import {transition, type EntryTransition} from './transition.js';
--- a/packages/lovage-entry-role/src/entry.ts
+++ b/packages/lovage-entry-role/src/entry.ts
@@ -10,10 +10,12 @@
 } from './calls.js';
 import {acknowledgeDeaths} from './deaths.js';
 import {acknowledgeLeaving, continueDrain, startDrain} from './drain.js';
-import type {EntryEffect, EntryEvent} from './events.js';
+import type {EntryEffect} from './effects.js';
+import type {EntryEvent} from './events.js';
 import {expireHomes} from './homes.js';
 import {applyGrant} from './lease.js';
-import {stepStream, type Moment} from './machine.js';
+import {stepStream} from './machine.js';
+import type {Moment} from './moment.js';
 import {registerPlace, removePlace} from './places.js';
 import {learnQuarantine} from './quarantine.js';
 import {serveQueues} from './queues.js';
--- a/packages/lovage-entry-role/src/index.ts
+++ b/packages/lovage-entry-role/src/index.ts
@@ -1,20 +1,11 @@
 export {listAddresses} from './addresses.js';
 export {findCustomer} from './checks.js';
 export {stepEntry} from './entry.js';
-export type {
-	CallInput,
-	CallResult,
-	ClaimOutcome,
-	Cursor,
-	EntryEffect,
-	EntryEvent,
-	Fact,
-	GenerationInput,
-	Quarantine,
-	Refusal,
-	RefusalDetail,
-	RefusalOutcome,
-} from './events.js';
+export type {EntryEffect} from './effects.js';
+export type {ClaimOutcome, EntryEvent, Quarantine} from './events.js';
+export type {Fact} from './facts.js';
+export type {CallInput, CallResult, Cursor, GenerationInput} from './inputs.js';
+export type {Refusal, RefusalDetail, RefusalOutcome} from './refusals.js';
 export type {HomeAnswer, Place} from './homes.js';
 export {lookUpHome} from './homes.js';
 export type {EntryPeer, Lease, LeaseGrant} from './lease.js';
--- a/packages/lovage-entry-role/src/machine.ts
+++ b/packages/lovage-entry-role/src/machine.ts
@@ -1,32 +1,26 @@
 import {
 	stepGeneration,
-	type FailureReason,
 	type GenerationEffect,
 	type GenerationEvent,
 	type GenerationTransition,
 } from '@lovagevalve/generation';
-import {CANCEL_FOR_MS} from './abandoned.js';
+import {cancelAttempt, startAttempt} from './attempts.js';
 import {reportDeath} from './deaths.js';
-import type {EntryEffect, Refusal, RefusalDetail} from './events.js';
+import {
+	deliverTokens,
+	failStream,
+	finishStream,
+	releaseBackend,
+} from './endings.js';
+import type {Moment} from './moment.js';
 import {choosePlace} from './place.js';
-import {forgetPlace, publishPlace} from './places.js';
 import {enqueueStream} from './queues.js';
-import {judgeRefusal} from './refusals.js';
+import type {EntryState, Stream} from './state.js';
+import {recordStream} from './stream-facts.js';
 import {isConvicted, isHeld, isSuspect, strikeDigest} from './suspects.js';
-import {describePlace, type EntryState, type Stream} from './state.js';
-import {
-	chain,
-	chainEach,
-	transition,
-	type EntryTransition,
-} from './transition.js';
+import {chainEach, transition, type EntryTransition} from './transition.js';
 import {countInFlight} from './view.js';
 
-const COME_BACK_MS = 1000;
-
-/** Time and randomness of one event. */
-export type Moment = Readonly<{now: number; random: number}>;
-
 /** Takes over a generation's new state and carries its effects out. */
 export function runMachine(
 	state: EntryState,
@@ -136,8 +130,9 @@
 		case 'report-resume': {
 			const {waitMs, inPlace} = effect;
 			const cause = describeResume(stream, inPlace);
-			const work = describeWork(stream);
-			return record(state, {...work, kind: 'resumed', waitMs, cause});
+			return transition(state, [
+				recordStream(stream, {kind: 'resumed', waitMs, cause}),
+			]);
 		}
 
 		case 'finish': {
@@ -162,10 +157,6 @@
 		: reportDeath(state, stream, now);
 }
 
-function describeWork(stream: Stream) {
-	return {customer: stream.customer, service: stream.input.service};
-}
-
 function describeResume(stream: Stream, isInPlace: boolean) {
 	if (stream.isAdopted) {
 		return 'entry-lost';
@@ -174,20 +165,6 @@
 	return isInPlace ? 'connection-lost' : 'backend-server-lost';
 }
 
-function record(
-	state: EntryState,
-	fact: Extract<EntryEffect, {kind: 'record'}>['fact'],
-): EntryTransition {
-	return transition(state, [{kind: 'record', fact}]);
-}
-
-/** Lets go of the backend server of the attempt left behind. */
-function releaseBackend(state: EntryState, stream: Stream): EntryState {
-	return stream.backend
-		? {...state, view: countInFlight(state.view, stream.backend.id, -1)}
-		: state;
-}
-
 function queueStream(
 	state: EntryState,
 	stream: Stream,
@@ -258,201 +235,3 @@
 	const {now} = moment;
 	return stepStream(next, stream.id, {kind: 'placed', backend, now}, moment);
 }
-
-function startAttempt(
-	state: EntryState,
-	stream: Stream,
-	effect: Extract<GenerationEffect, {kind: 'start'}>,
-	now: number,
-): EntryTransition {
-	const {attempt, connection, prefixLength, backend} = effect;
-	const effects: readonly EntryEffect[] = [
-		{
-			kind: 'start-attempt',
-			stream: stream.id,
-			address: stream.backend?.address ?? '',
-			backend,
-			generation: stream.generation,
-			attempt,
-			connection,
-			prefixLength,
-			model: stream.model,
-			priority: stream.priority,
-		},
-		...(prefixLength > 0
-			? [
-					{
-						kind: 'record',
-						fact: {
-							...describeWork(stream),
-							kind: 'extra-used',
-							amount: prefixLength,
-							cause: 'recomputed-prefill',
-						},
-					} as const,
-				]
-			: []),
-	];
-	const started = {...stream, isAdopted: false};
-	const next = {...state, streams: state.streams.set(stream.id, started)};
-	return chain(transition(next, effects), (after) =>
-		publishPlace(after, describePlace(after, started), now),
-	);
-}
-
-function cancelAttempt(
-	state: EntryState,
-	stream: Stream,
-	attempt: number,
-): EntryTransition {
-	const {generation, backend} = stream;
-	if (!backend) {
-		return transition(state);
-	}
-
-	const {address} = backend;
-	return transition(state, [
-		{
-			kind: 'cancel-attempt',
-			address,
-			generation,
-			attempt,
-			giveUpAfterMs: CANCEL_FOR_MS,
-		},
-	]);
-}
-
-function deliverTokens(
-	state: EntryState,
-	stream: Stream,
-	effect: Extract<GenerationEffect, {kind: 'deliver'}>,
-	now: number,
-): EntryTransition {
-	const {offset, count} = effect;
-	const deliver: EntryEffect = {
-		kind: 'deliver-tokens',
-		stream: stream.id,
-		offset,
-		count,
-	};
-	if (stream.hasToken) {
-		return transition(state, [deliver]);
-	}
-
-	const waitMs = now - stream.arrivedAt;
-	const next = {...stream, hasToken: true};
-	return transition({...state, streams: state.streams.set(stream.id, next)}, [
-		deliver,
-		{
-			kind: 'record',
-			fact: {...describeWork(stream), kind: 'first-token', waitMs},
-		},
-	]);
-}
-
-function removeStream(state: EntryState, stream: Stream): EntryState {
-	const released = releaseBackend(state, stream);
-	return {...released, streams: released.streams.delete(stream.id)};
-}
-
-function finishStream(
-	state: EntryState,
-	stream: Stream,
-	total: number,
-): EntryTransition {
-	const {customer, input} = stream;
-	const completed: readonly EntryEffect[] = isSuspect(
-		state,
-		customer,
-		input.digest,
-	)
-		? [{kind: 'report-completed', digest: strikeDigest(customer, input.digest)}]
-		: [];
-	return transition(removeStream(state, stream), [
-		{kind: 'finish-stream', stream: stream.id, total},
-		{
-			kind: 'record',
-			fact: {...describeWork(stream), kind: 'worked', amount: total},
-		},
-		{
-			kind: 'record',
-			fact: {...describeWork(stream), kind: 'ended', outcome: 'finished'},
-		},
-		...completed,
-	]);
-}
-
-const FAILURES: Readonly<
-	Record<FailureReason, Readonly<{reason: Refusal; detail: string}>>
-> = {
-	'no-backend-server': {
-		reason: 'no-backend-server',
-		detail: 'No backend server has room for this request.',
-	},
-	'retry-budget-spent': {
-		reason: 'retry-budget-spent',
-		detail: 'Too many attempts of this generation were lost.',
-	},
-	quarantined: {
-		reason: 'quarantined',
-		detail: 'This request crashed the backend servers that ran it.',
-	},
-	'deadline-passed': {
-		reason: 'deadline-passed',
-		detail: 'The answer cannot be whole before its deadline.',
-	},
-	'backend-refused': {
-		reason: 'backend-refused',
-		detail: 'The backend server refused this request.',
-	},
-	'prefix-missing': {
-		reason: 'prefix-missing',
-		detail:
-			'The backend server lost the generation; send the delivered tokens with the cursor to go on.',
-	},
-	'caller-left': {reason: 'in-progress', detail: 'The caller left.'},
-};
-
-const FINAL: ReadonlySet<FailureReason> = new Set([
-	'backend-refused',
-	'quarantined',
-]);
-
-function describeFailure(
-	reason: FailureReason,
-	retryAfterMs = COME_BACK_MS,
-): RefusalDetail {
-	return FINAL.has(reason)
-		? FAILURES[reason]
-		: {...FAILURES[reason], retryAfterMs};
-}
-
-function judgeEnd(stream: Stream, reason: Refusal) {
-	const outcome = judgeRefusal(reason);
-	return outcome === 'refused' && stream.hasToken ? 'failed' : outcome;
-}
-
-function failStream(
-	state: EntryState,
-	stream: Stream,
-	reason: FailureReason,
-): EntryTransition {
-	const cause = isConvicted(state, stream.customer, stream.input.digest)
-		? 'quarantined'
-		: reason;
-	const refusal = describeFailure(cause, stream.retryAfterMs);
-	const refused = transition(removeStream(state, stream), [
-		{kind: 'refuse-stream', stream: stream.id, refusal},
-		{
-			kind: 'record',
-			fact: {
-				...describeWork(stream),
-				kind: 'ended',
-				outcome: judgeEnd(stream, refusal.reason),
-			},
-		},
-	]);
-	return chain(refused, (next) =>
-		forgetPlace(next, describePlace(state, stream)),
-	);
-}
--- a/packages/lovage-entry-role/src/quarantine.ts
+++ b/packages/lovage-entry-role/src/quarantine.ts
@@ -1,5 +1,6 @@
 import type {Quarantine} from './events.js';
-import {stepStream, type Moment} from './machine.js';
+import {stepStream} from './machine.js';
+import type {Moment} from './moment.js';
 import type {EntryState, Stream} from './state.js';
 import {isConvicted} from './suspects.js';
 import {chainEach, transition, type EntryTransition} from './transition.js';
--- a/packages/lovage-entry-role/src/queues.ts
+++ b/packages/lovage-entry-role/src/queues.ts
@@ -8,7 +8,8 @@
 	type RefusalReason,
 } from '@lovagevalve/admission';
 import type {FailureReason} from '@lovagevalve/generation';
-import {placeStream, stepStream, type Moment} from './machine.js';
+import {placeStream, stepStream} from './machine.js';
+import type {Moment} from './moment.js';
 import {countFree} from './place.js';
 import {isUnacknowledged} from './suspects.js';
 import {listUsable} from './view.js';
--- a/packages/lovage-entry-role/src/refusals.ts
+++ b/packages/lovage-entry-role/src/refusals.ts
@@ -1,4 +1,40 @@
-import type {Fact, Refusal} from './events.js';
+import type {Fact} from './facts.js';
+
+/** Why a caller gets no answer. The host turns it into a problem document. */
+export type Refusal =
+	| 'unauthenticated'
+	| 'no-lease'
+	| 'draining'
+	| 'unknown-service'
+	| 'invalid-request'
+	| 'too-large'
+	| 'overloaded'
+	| 'no-backend-server'
+	| 'deadline-passed'
+	| 'retry-budget-spent'
+	| 'quarantined'
+	| 'conflict'
+	| 'in-progress'
+	| 'outcome-unknown'
+	| 'not-run'
+	| 'id-too-old'
+	| 'unsettled'
+	| 'invalid-cursor'
+	| 'prefix-missing'
+	| 'generation-lost'
+	| 'backend-refused';
+
+/** What is known of the work behind a refused request. */
+export type RefusalOutcome = 'not-run' | 'unknown' | 'in-progress';
+
+/** A refusal with what the caller may do next. */
+export type RefusalDetail = Readonly<{
+	reason: Refusal;
+	detail: string;
+	outcome?: RefusalOutcome;
+	retryAfterMs?: number;
+	addresses?: readonly string[];
+}>;
 
 type Outcome = Extract<Fact, {kind: 'ended'}>['outcome'];
 
--- a/packages/lovage-entry-role/src/registration.ts
+++ b/packages/lovage-entry-role/src/registration.ts
@@ -1,8 +1,9 @@
 import {adoptGeneration, beginGeneration} from './begin.js';
-import type {EntryEvent, RefusalDetail} from './events.js';
+import type {EntryEvent} from './events.js';
+import type {RefusalDetail} from './refusals.js';
 import type {HomeAnswer, Place} from './homes.js';
 import type {EntryPeer} from './lease.js';
-import type {Moment} from './machine.js';
+import type {Moment} from './moment.js';
 import {forgetPlace, listPlaceHomes, registerPlace} from './places.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {
--- a/packages/lovage-entry-role/src/replies.ts
+++ b/packages/lovage-entry-role/src/replies.ts
@@ -1,5 +1,5 @@
 import type {DispatchReply} from '@lovagevalve/claims';
-import type {RefusalDetail} from './events.js';
+import type {RefusalDetail} from './refusals.js';
 
 const COME_BACK_MS = 1000;
 
--- a/packages/lovage-entry-role/src/state.ts
+++ b/packages/lovage-entry-role/src/state.ts
@@ -2,12 +2,9 @@
 import type {AdmissionState} from '@lovagevalve/admission';
 import type {DispatchState} from '@lovagevalve/claims';
 import type {GenerationState} from '@lovagevalve/generation';
-import type {
-	CallInput,
-	GenerationInput,
-	Quarantine,
-	RefusalDetail,
-} from './events.js';
+import type {Quarantine} from './events.js';
+import type {CallInput, GenerationInput} from './inputs.js';
+import type {RefusalDetail} from './refusals.js';
 import type {HomeAnswer, Homes, Place} from './homes.js';
 import {NO_LEASE, type Lease} from './lease.js';
 import type {EntryOptions} from './options.js';
--- a/packages/lovage-entry-role/src/transition.ts
+++ b/packages/lovage-entry-role/src/transition.ts
@@ -1,5 +1,5 @@
 import {createTransition, type Transition} from '@lovagevalve/core';
-import type {EntryEffect} from './events.js';
+import type {EntryEffect} from './effects.js';
 import type {EntryState} from './state.js';
 
 /** Transition of an entry instance. */
