--- /dev/null
+++ b/packages/lovage-entry/src/engine-host.ts
@@ -0,0 +1,139 @@
+import type {EntryEffect, EntryEvent} from '@lovagevalve/entry-role';
+import type {Clock} from '@lovagevalve/runtime';
+import type {EngineStart} from '@lovagevalve/wire';
+import {cancelAttempt, probeAttempt} from './engine-exchange.js';
+import {
+	openEngineStream,
+	type EngineChunk,
+	type EngineListener,
+	type EngineRequest,
+} from './engine-stream.js';
+
+const PROBE_TIMEOUT_MS = 1000;
+
+type InnerEvent = Extract<EntryEvent, {kind: 'generation-event'}>['event'];
+type StartEffect = Extract<EntryEffect, {kind: 'start-attempt'}>;
+type ResumeEffect = Extract<EntryEffect, {kind: 'resume-attempt'}>;
+type ProbeEffect = Extract<EntryEffect, {kind: 'probe-attempt'}>;
+type CancelEffect = Extract<EntryEffect, {kind: 'cancel-attempt'}>;
+
+/** Who hears of what comes from the engines. */
+export type EngineHostParts = Readonly<{
+	clock: Clock;
+	tell: (stream: string, event: InnerEvent) => void;
+	/** Hears of a chunk in place of `tell`, to hold its tokens meanwhile. */
+	takeChunk: (stream: string, connection: number, chunk: EngineChunk) => void;
+}>;
+
+/** What a new attempt is asked for, beside what its effect says. */
+export type AttemptBody = Pick<EngineStart, 'prompt' | 'prefix' | 'maxTokens'>;
+
+/** Connections of the streams to the engines, and exchanges beside them. */
+export type EngineHost = Readonly<{
+	start: (effect: StartEffect, body: AttemptBody) => void;
+	resume: (effect: ResumeEffect) => void;
+	close: (stream: string, connection: number) => void;
+	closeAll: (stream: string) => void;
+	probe: (effect: ProbeEffect) => void;
+	cancel: (effect: CancelEffect) => void;
+}>;
+
+/** Creates the host of the connections to the engines. */
+export function createEngineHost({
+	clock,
+	tell,
+	takeChunk,
+}: EngineHostParts): EngineHost {
+	const connections = new Map<string, Map<number, () => void>>();
+
+	const createListener = (id: string, connection: number): EngineListener => ({
+		onOpen() {
+			tell(id, {kind: 'connected', connection, now: clock.now()});
+		},
+		onChunk(chunk) {
+			takeChunk(id, connection, chunk);
+		},
+		onEnd(end) {
+			tell(id, {kind: 'end-received', connection, ...end, now: clock.now()});
+		},
+		onLost() {
+			tell(id, {kind: 'connection-lost', connection, now: clock.now()});
+		},
+		onRefused(transient) {
+			const now = clock.now();
+			tell(id, {kind: 'backend-refused', connection, transient, now});
+		},
+	});
+
+	const connect = (
+		id: string,
+		connection: number,
+		req: EngineRequest,
+	): void => {
+		const listener = createListener(id, connection);
+		if (req.address === '') {
+			setImmediate(listener.onLost);
+			return;
+		}
+
+		const close = openEngineStream(req, listener);
+		const open = connections.get(id) ?? new Map<number, () => void>();
+		connections.set(id, open.set(connection, close));
+	};
+
+	return {
+		start(effect, body) {
+			const {generation, attempt, priority, address, model} = effect;
+			connect(effect.stream, effect.connection, {
+				kind: 'start',
+				address,
+				body: {generation, attempt, model, priority, ...body},
+			});
+		},
+		resume({stream, connection, address, generation, attempt, offset}) {
+			connect(stream, connection, {
+				kind: 'resume',
+				address,
+				generation,
+				attempt,
+				offset,
+			});
+		},
+		close(stream, connection) {
+			const open = connections.get(stream);
+			open?.get(connection)?.();
+			open?.delete(connection);
+		},
+		closeAll(stream) {
+			connections.get(stream)?.forEach((close) => {
+				close();
+			});
+			connections.delete(stream);
+		},
+		probe(effect) {
+			const {stream, probe, address} = effect;
+			if (address === '') {
+				setImmediate(() => {
+					tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
+				});
+				return;
+			}
+
+			void probeAttempt(effect, PROBE_TIMEOUT_MS).match(
+				({held, length}) => {
+					const now = clock.now();
+					tell(stream, {kind: 'probe-answered', probe, held, length, now});
+				},
+				() => {
+					tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
+				},
+			);
+		},
+		cancel(effect) {
+			if (effect.address !== '') {
+				const giveUpAt = clock.now() + effect.giveUpAfterMs;
+				void cancelAttempt(effect, giveUpAt);
+			}
+		},
+	};
+}
--- a/packages/lovage-entry/src/stream-host.ts
+++ b/packages/lovage-entry/src/stream-host.ts
@@ -9,17 +9,10 @@
 import {createCallerStream, type CallerStream} from './caller-stream.js';
 import {writeCursor} from './cursor.js';
 import {appendTokens, createDelivered, readDigest} from './delivered.js';
-import {cancelAttempt, probeAttempt} from './engine-exchange.js';
-import {
-	openEngineStream,
-	type EngineChunk,
-	type EngineListener,
-	type EngineRequest,
-} from './engine-stream.js';
+import {createEngineHost} from './engine-host.js';
+import type {EngineChunk} from './engine-stream.js';
 import {createRefusalProblem} from './problems.js';
 
-const PROBE_TIMEOUT_MS = 1000;
-
 const STREAM_EFFECTS = [
 	'start-attempt',
 	'resume-attempt',
@@ -45,7 +38,6 @@
 }
 
 type StartEffect = Extract<StreamEffect, {kind: 'start-attempt'}>;
-type ResumeEffect = Extract<StreamEffect, {kind: 'resume-attempt'}>;
 type InnerEvent = Extract<EntryEvent, {kind: 'generation-event'}>['event'];
 
 /** What the host of the streams works on. */
@@ -72,7 +64,6 @@
 	delivered: ReturnType<typeof createDelivered>;
 	/** Chunk that the entry decides on now. */
 	chunk: readonly string[];
-	connections: Map<number, () => void>;
 };
 
 /** Creates the host of the streams of one entry. */
@@ -85,9 +76,7 @@
 	};
 
 	const remove = (id: string): void => {
-		hosted.get(id)?.connections.forEach((close) => {
-			close();
-		});
+		engines.closeAll(id);
 		hosted.delete(id);
 	};
 
@@ -111,99 +100,15 @@
 		stream.chunk = [];
 	};
 
-	const createListener = (id: string, connection: number): EngineListener => ({
-		onOpen() {
-			tell(id, {kind: 'connected', connection, now: clock.now()});
-		},
-		onChunk(chunk) {
-			takeChunk(id, connection, chunk);
-		},
-		onEnd(end) {
-			tell(id, {kind: 'end-received', connection, ...end, now: clock.now()});
-		},
-		onLost() {
-			tell(id, {kind: 'connection-lost', connection, now: clock.now()});
-		},
-		onRefused(transient) {
-			const now = clock.now();
-			tell(id, {kind: 'backend-refused', connection, transient, now});
-		},
-	});
-
-	const connect = (
-		id: string,
-		connection: number,
-		req: EngineRequest,
-	): void => {
-		const listener = createListener(id, connection);
-		if (req.address === '') {
-			setImmediate(listener.onLost);
-			return;
-		}
-
-		const close = openEngineStream(req, listener);
-		hosted.get(id)?.connections.set(connection, close);
-	};
+	const engines = createEngineHost({clock, tell, takeChunk});
 
 	const start = (effect: StartEffect): void => {
 		const stream = hosted.get(effect.stream);
-		if (!stream) {
-			return;
+		if (stream) {
+			const {prompt, maxTokens} = stream.req;
+			const prefix = stream.delivered.tokens.slice(0, effect.prefixLength);
+			engines.start(effect, {prompt, prefix, maxTokens});
 		}
-
-		const {generation, attempt, priority, prefixLength, address, model} =
-			effect;
-		const {prompt, maxTokens} = stream.req;
-		const prefix = stream.delivered.tokens.slice(0, prefixLength);
-		const body = {
-			generation,
-			attempt,
-			model,
-			prompt,
-			prefix,
-			maxTokens,
-			priority,
-		};
-		connect(effect.stream, effect.connection, {kind: 'start', address, body});
-	};
-
-	const resume = (effect: ResumeEffect): void => {
-		const {stream, connection, address, generation, attempt, offset} = effect;
-		connect(stream, connection, {
-			kind: 'resume',
-			address,
-			generation,
-			attempt,
-			offset,
-		});
-	};
-
-	const close = (id: string, connection: number): void => {
-		const stream = hosted.get(id);
-		stream?.connections.get(connection)?.();
-		stream?.connections.delete(connection);
-	};
-
-	const probe = (
-		effect: Extract<StreamEffect, {kind: 'probe-attempt'}>,
-	): void => {
-		const {stream, probe, address} = effect;
-		if (address === '') {
-			setImmediate(() => {
-				tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
-			});
-			return;
-		}
-
-		void probeAttempt(effect, PROBE_TIMEOUT_MS).match(
-			({held, length}) => {
-				const now = clock.now();
-				tell(stream, {kind: 'probe-answered', probe, held, length, now});
-			},
-			() => {
-				tell(stream, {kind: 'probe-failed', probe, now: clock.now()});
-			},
-		);
 	};
 
 	const createCursor = (id: string, offset: number): Cursor | undefined => {
@@ -269,7 +174,6 @@
 				caller,
 				delivered,
 				chunk: [],
-				connections: new Map(),
 			});
 			return caller;
 		},
@@ -281,26 +185,22 @@
 				}
 
 				case 'resume-attempt': {
-					resume(effect);
+					engines.resume(effect);
 					return;
 				}
 
 				case 'close-connection': {
-					close(effect.stream, effect.connection);
+					engines.close(effect.stream, effect.connection);
 					return;
 				}
 
 				case 'probe-attempt': {
-					probe(effect);
+					engines.probe(effect);
 					return;
 				}
 
 				case 'cancel-attempt': {
-					if (effect.address !== '') {
-						const giveUpAt = clock.now() + effect.giveUpAfterMs;
-						void cancelAttempt(effect, giveUpAt);
-					}
-
+					engines.cancel(effect);
 					return;
 				}
 
