--- /dev/null
+++ b/packages/lovage-entry/src/__tests__/unit/call-exchange.test.ts
@@ -0,0 +1,91 @@
+import {once} from 'node:events';
+import {
+	createServer,
+	type AddressInfo,
+	type Server,
+	type Socket,
+} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {exchangeCall} from '../../call-exchange.js';
+
+const ANSWER =
+	'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 8\r\n\r\n{"a": 1}';
+const body = {requestId: 'r', customer: 'c', operation: 'grant', body: {}};
+
+describe('exchangeCall', () => {
+	let server: Server;
+	let received: string[];
+	let onData: (socket: Socket) => void;
+
+	beforeEach(async () => {
+		received = [];
+		server = createServer((socket) => {
+			socket.on('error', () => undefined);
+			socket.on('data', (bytes) => {
+				received.push(String(bytes));
+				onData(socket);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+	});
+
+	afterEach(() => {
+		server.close();
+	});
+
+	const call = async (mayWrite: () => boolean, timeoutMs = 2000) => {
+		const {port} = server.address() as AddressInfo;
+		const address = `http://127.0.0.1:${port}`;
+		return exchangeCall({address, body, timeoutMs, mayWrite});
+	};
+
+	it('passes the answer on', async () => {
+		onData = (socket) => {
+			socket.end(ANSWER);
+		};
+
+		expect(await call(() => true)).toEqual({
+			kind: 'answered',
+			result: {status: 200, body: {a: 1}},
+		});
+	});
+
+	it('writes no byte without permission', async () => {
+		await call(() => false);
+		expect(received).toEqual([]);
+	});
+
+	it('is lost, and not sent again, when the connection ends', async () => {
+		let asked = 0;
+		onData = (socket) => {
+			socket.destroy();
+		};
+
+		const outcome = await call(() => {
+			asked += 1;
+			return true;
+		});
+		expect(outcome).toEqual({kind: 'lost'});
+		expect(asked).toBe(1);
+		expect(received).toHaveLength(1);
+	});
+
+	it('is not sent when nothing listens', async () => {
+		const {port} = server.address() as AddressInfo;
+		server.close();
+		await once(server, 'close');
+		const outcome = await exchangeCall({
+			address: `http://127.0.0.1:${port}`,
+			body,
+			timeoutMs: 2000,
+			mayWrite: () => true,
+		});
+		expect(outcome).toEqual({kind: 'not-sent'});
+	});
+
+	it('is lost at its deadline when the backend server stays silent', async () => {
+		onData = () => undefined;
+		expect(await call(() => true, 50)).toEqual({kind: 'lost'});
+	});
+});
--- a/packages/lovage-entry/src/delivered.ts
+++ b/packages/lovage-entry/src/delivered.ts
@@ -1,7 +1,5 @@
 import {createHash, type Hash} from 'node:crypto';
 
-const SEPARATOR = '\0';
-
 /** The tokens of an answer that the entry holds, with their digest. */
 export type Delivered = {
 	/** Tokens from the first one on. */
@@ -23,7 +21,7 @@
 ): void {
 	tokens.forEach((token) => {
 		delivered.tokens.push(token);
-		delivered.hash.update(token + SEPARATOR);
+		delivered.hash.update(`${token.length}:${token}`);
 	});
 	delivered.hashed += tokens.length;
 }
