--- a/packages/lovage-control/src/program.ts
+++ b/packages/lovage-control/src/program.ts
@@ -11,6 +11,7 @@
 	type Metrics,
 	type PartError,
 	serveHttp,
+	createTimerPart,
 	startSupervisor,
 } from '@lovagevalve/runtime';
 import {createControlRouter, createRpcPool, RPC_PATH} from '@lovagevalve/wire';
@@ -42,27 +43,9 @@
 /** The program while it runs. */
 export type ControlProgram = Readonly<{
 	/** Hands over the lead, answers what is under way and stops. */
-	stop: () => Promise<void>;
+	drain: () => Promise<void>;
 }>;
 
-function createTimer(
-	name: string,
-	run: () => void,
-	everyMs: number,
-): ChildSpec {
-	return {
-		name,
-		async start() {
-			const timer = setInterval(run, everyMs);
-			return ok({
-				async stop() {
-					clearInterval(timer);
-				},
-			});
-		},
-	};
-}
-
 function reportMetrics(host: ControlHost, metrics: Metrics): void {
 	const {raft, machine, leadership, waiting, reads} = host.read();
 	metrics.gauge('control.term', raft.hardState.term);
@@ -160,21 +143,21 @@
 					},
 				}),
 		},
-		createTimer(
+		createTimerPart(
 			'ticker',
 			() => {
 				host.feed({kind: 'ticked'});
 			},
 			TICK_MS,
 		),
-		createTimer(
+		createTimerPart(
 			'join',
 			() => {
 				void join();
 			},
 			JOIN_INTERVAL_MS,
 		),
-		createTimer(
+		createTimerPart(
 			'metrics',
 			() => {
 				reportMetrics(host, metrics);
@@ -202,7 +185,7 @@
 		giveUp,
 	});
 	return ok({
-		async stop() {
+		async drain() {
 			await transferLead(host, clock);
 			await supervisor.stop();
 		},
--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -6,6 +6,7 @@
 	createMetrics,
 	EXIT_CODES,
 	serveHttp,
+	createTimerPart,
 	startSupervisor,
 	type ChildSpec,
 	type PartError,
@@ -43,24 +44,6 @@
 	stopped: Promise<number>;
 }>;
 
-function createTimer(
-	name: string,
-	run: () => void,
-	everyMs: number,
-): ChildSpec {
-	return {
-		name,
-		async start() {
-			const timer = setInterval(run, everyMs);
-			return ok({
-				async stop() {
-					clearInterval(timer);
-				},
-			});
-		},
-	};
-}
-
 /** Wires the parts of an entry and starts them. */
 export async function startEntryProgram(
 	cfg: EntrySettings,
@@ -130,8 +113,8 @@
 	app.route('/', createCallerApp(host, cfg));
 
 	const specs: readonly ChildSpec[] = [
-		createTimer('ticker', host.tick, TICK_MS),
-		createTimer('heartbeat', host.heartbeat, HEARTBEAT_MS),
+		createTimerPart('ticker', host.tick, TICK_MS),
+		createTimerPart('heartbeat', host.heartbeat, HEARTBEAT_MS),
 		{
 			name: 'http',
 			async start() {
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -1,5 +1,7 @@
 export type {Clock} from './clock.js';
 export {createClock} from './clock.js';
+export type {DaemonSpec, RunningDaemon} from './daemon.js';
+export {runDaemon} from './daemon.js';
 export type {HttpServer, ListenError} from './http-server.js';
 export {serveHttp} from './http-server.js';
 export type {LogContext, Logger, LogLevel} from './logs.js';
@@ -18,3 +20,4 @@
 	SupervisorOptions,
 } from './supervisor.js';
 export {startSupervisor} from './supervisor.js';
+export {createTimerPart} from './timer-part.js';
--- /dev/null
+++ b/packages/lovage-runtime/src/timer-part.ts
@@ -0,0 +1,21 @@
+import {ok} from 'neverthrow';
+import type {ChildSpec} from './supervisor.js';
+
+/** Creates a part of the tree that does something again and again. */
+export function createTimerPart(
+	name: string,
+	run: () => void,
+	everyMs: number,
+): ChildSpec {
+	return {
+		name,
+		async start() {
+			const timer = setInterval(run, everyMs);
+			return ok({
+				async stop() {
+					clearInterval(timer);
+				},
+			});
+		},
+	};
+}
