--- a/packages/lovage-wire/src/index.ts
+++ b/packages/lovage-wire/src/index.ts
@@ -16,6 +16,13 @@
 	loadSchema,
 	orderSchema,
 } from './backend-api.js';
+export type {
+	ClaimAnswer,
+	ClaimKey,
+	SettleRequest,
+	StoredAnswer,
+} from './claim-api.js';
+export {storedAnswerSchema} from './claim-api.js';
 export type {
 	AddressesAnswer,
 	CallAnswer,
@@ -42,8 +49,6 @@
 export type {
 	ApplyAnswer,
 	ApplyRequest,
-	ClaimAnswer,
-	ClaimKey,
 	ConfigurationAnswer,
 	ControlHandlers,
 	ControlRouter,
@@ -55,17 +60,10 @@
 	JoinRequest,
 	ProgressAnswer,
 	QuarantineView,
-	Redirect,
 	RenewAnswer,
 	RenewRequest,
-	SettleRequest,
-	StoredAnswer,
-} from './control-api.js';
-export {
-	createControlRouter,
-	entryInfoSchema,
-	storedAnswerSchema,
 } from './control-api.js';
+export {createControlRouter, entryInfoSchema} from './control-api.js';
 export type {
 	EntryPeerHandlers,
 	EntryPeerRouter,
@@ -76,3 +74,4 @@
 export {digestPromptPrefix} from './prefix.js';
 export type {Outcome, Problem, ProblemType} from './problem.js';
 export {createProblem, isProblem, PROBLEM_CONTENT_TYPE} from './problem.js';
+export type {Redirect} from './redirect.js';
