--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -89,6 +89,20 @@
 		});
 	}
 
+	/** Renews the lease beside so many other entries. */
+	renewAmong(count: number): void {
+		const {now} = this;
+		const entries = Array.from({length: count}, (_, i) => ({
+			id: `entry-${i + 2}`,
+			address: `http://entry-${i + 2}`,
+			dataCentre: 'dc-1',
+			state: 'serving' as const,
+			incarnation: 'x',
+		}));
+		const grant = {leaseMs: 3000, version: 1, configuration, entries};
+		this.apply({kind: 'lease-granted', askedAt: now, now, grant});
+	}
+
 	/** Renews the lease as the only entry. */
 	renewAlone(): void {
 		const {now} = this;
--- a/packages/lovage-entry-role/src/__tests__/unit/registration.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/registration.test.ts
@@ -18,8 +18,9 @@
 	entry: 'entry-3',
 };
 
-/** Sends a request whose homes, both of them other entries, are to answer. */
+/** Sends a request whose homes, all of them other entries, are to answer. */
 function askHomes(entry: EntryDriver) {
+	entry.renewAmong(5);
 	const ids = Array.from({length: 20}, (_, i) => `r${i}`);
 	const asked = ids.map((requestId) =>
 		pick(
@@ -43,7 +44,7 @@
 			'register-home',
 		),
 	);
-	const [first, second] = asked.find(({length}) => length === 2)!;
+	const [first, second, third] = asked.find(({length}) => length === 3)!;
 	const answer = (home: string, given: HomeAnswer | undefined) =>
 		entry.apply({
 			kind: 'home-answered',
@@ -57,7 +58,11 @@
 		decide: (
 			deciding: HomeAnswer | undefined,
 			other: HomeAnswer | undefined,
-		) => [...answer(first!.home, deciding), ...answer(second!.home, other)],
+		) => [
+			...answer(first!.home, deciding),
+			...answer(second!.home, other),
+			...answer(third!.home, undefined),
+		],
 		own: first!.place,
 	};
 }
@@ -87,7 +92,7 @@
 		const {decide} = askHomes(createServingEntry());
 		const effects = decide(found({backend: ''}), undefined);
 		expect(listRefusals(effects)).toEqual(['in-progress']);
-		expect(pick(effects, 'forget-home')).toHaveLength(2);
+		expect(pick(effects, 'forget-home')).toHaveLength(3);
 	});
 
 	it('begins when the first waited at an entry that is gone', () => {
--- a/packages/lovage-entry-role/src/addresses.ts
+++ b/packages/lovage-entry-role/src/addresses.ts
@@ -45,8 +45,11 @@
 	].slice(0, MAX_ADDRESSES);
 }
 
-/** Entries that remember where one request's generation lives. */
-const HOMES = 2;
+/**
+ * Entries that remember where one request's generation lives: one is left
+ * when an entry joins and another dies at the same time.
+ */
+const HOMES = 3;
 
 /**
  * The entries that remember where a request's generation lives, first the one
--- a/packages/lovage-fakes/src/cluster.ts
+++ b/packages/lovage-fakes/src/cluster.ts
@@ -12,12 +12,14 @@
 	type MemberContext,
 } from './cluster-members.js';
 import {createControlGroup, type ControlGroup} from './control-group.js';
-import {isServing, listBackends} from './entry-status.js';
+import {isServing, listBackends, listNamed} from './entry-status.js';
 import {loadExample, type Example, type ExampleName} from './example.js';
 import type {Member} from './member.js';
 import {readRecords, type TimedRunRecord} from './run-record.js';
 import {waitFor} from './wait.js';
 
+const MAX_NAMED = 5;
+
 /** Which programs a cluster has. */
 export type ClusterSpec = Readonly<{
 	example: ExampleName;
@@ -43,7 +45,7 @@
 	readRecords: () => readonly TimedRunRecord[];
 	/** Starts every program and waits until the entries serve. */
 	start: () => Promise<void>;
-	/** Waits until each running entry knows each running backend server. */
+	/** Waits until each running entry knows the others and the backend servers. */
 	waitForBackends: () => Promise<void>;
 	/** Kills what still runs and removes the files. */
 	remove: () => Promise<void>;
@@ -58,6 +60,20 @@
 	return isServing(address);
 }
 
+/** Waits until an entry names the entries, of which it names five at most. */
+async function waitForNames(
+	entry: Member,
+	entries: readonly Member[],
+): Promise<void> {
+	const expected = Math.min(entries.length, MAX_NAMED);
+	await waitFor(`${entry.name} to name ${expected} entries`, async () => {
+		const named = await listNamed(entry.address);
+		return (
+			entries.filter(({address}) => named.includes(address)).length >= expected
+		);
+	});
+}
+
 /** Waits until each of the entries serves; fails when one has ended. */
 export async function waitForEntries(
 	entries: readonly Member[],
@@ -147,12 +163,12 @@
 		async waitForBackends() {
 			const isRunning = ({read}: Member): boolean => read().isRunning();
 			const running = backends.filter(isRunning);
+			const runningEntries = entries.filter(isRunning);
 			await Promise.all(
-				entries
-					.filter(isRunning)
-					.map(async (entry) =>
-						waitForView(entry, running, example.operator.key),
-					),
+				runningEntries.map(async (entry) => {
+					await waitForView(entry, running, example.operator.key);
+					await waitForNames(entry, runningEntries);
+				}),
 			);
 		},
 		async remove() {
--- a/packages/lovage-fakes/src/entry-status.ts
+++ b/packages/lovage-fakes/src/entry-status.ts
@@ -32,6 +32,14 @@
 	return health?.phase === 'serving' && health.version > 0;
 }
 
+/** Lists the addresses that an entry names to callers, five at most. */
+export async function listNamed(address: string): Promise<readonly string[]> {
+	const answer = await readJson<{addresses: readonly string[]}>(
+		`${address}/v1/addresses`,
+	);
+	return answer?.addresses ?? [];
+}
+
 /** Lists the backend servers in an entry's view. */
 export async function listBackends(
 	address: string,
