--- a/packages/lovage-entry-role/src/checks.ts
+++ b/packages/lovage-entry-role/src/checks.ts
@@ -1,11 +1,14 @@
 import type {Configuration, Service} from '@lovagevalve/inventory';
 import {listAddresses} from './addresses.js';
-import type {Refusal, RefusalDetail, RefusalOutcome} from './refusals.js';
+import {
+	COME_BACK_MS,
+	type Refusal,
+	type RefusalDetail,
+	type RefusalOutcome,
+} from './refusals.js';
 import {configurationInForce} from './lease.js';
 import {isLeaving, type EntryState} from './state.js';
 
-const COME_BACK_MS = 1000;
-
 /** A request that may go on. */
 export type AllowedRequest = Readonly<{
 	customer: string;
--- a/packages/lovage-entry-role/src/connect.ts
+++ b/packages/lovage-entry-role/src/connect.ts
@@ -1,12 +1,10 @@
-import type {Refusal, RefusalDetail} from './refusals.js';
+import {COME_BACK_MS, type Refusal, type RefusalDetail} from './refusals.js';
 import type {Moment} from './moment.js';
 import {choosePlace} from './place.js';
 import type {Call, EntryState} from './state.js';
 import {transition, type EntryTransition} from './transition.js';
 import {countInFlight} from './view.js';
 
-const COME_BACK_MS = 1000;
-
 /** Gives a call up that was handed to no backend server. */
 export type GiveUp = (
 	state: EntryState,
--- a/packages/lovage-entry-role/src/endings.ts
+++ b/packages/lovage-entry-role/src/endings.ts
@@ -1,6 +1,11 @@
 import type {FailureReason, GenerationEffect} from '@lovagevalve/generation';
 import type {EntryEffect} from './effects.js';
-import {type Refusal, type RefusalDetail, judgeRefusal} from './refusals.js';
+import {
+	COME_BACK_MS,
+	judgeRefusal,
+	type Refusal,
+	type RefusalDetail,
+} from './refusals.js';
 import {forgetPlace} from './places.js';
 import {describePlace, type EntryState, type Stream} from './state.js';
 import {recordStream} from './stream-facts.js';
@@ -8,8 +13,6 @@
 import {chain, transition, type EntryTransition} from './transition.js';
 import {countInFlight} from './view.js';
 
-const COME_BACK_MS = 1000;
-
 /** Lets go of the backend server of the attempt left behind. */
 export function releaseBackend(state: EntryState, stream: Stream): EntryState {
 	return stream.backend
--- a/packages/lovage-entry-role/src/refusals.ts
+++ b/packages/lovage-entry-role/src/refusals.ts
@@ -1,5 +1,8 @@
 import type {Fact} from './facts.js';
 
+/** When a refused caller should come back unless a queue knows better. */
+export const COME_BACK_MS = 1000;
+
 /** Why a caller gets no answer. The host turns it into a problem document. */
 export type Refusal =
 	| 'unauthenticated'
--- a/packages/lovage-entry-role/src/replies.ts
+++ b/packages/lovage-entry-role/src/replies.ts
@@ -1,7 +1,5 @@
 import type {DispatchReply} from '@lovagevalve/claims';
-import type {RefusalDetail} from './refusals.js';
-
-const COME_BACK_MS = 1000;
+import {COME_BACK_MS, type RefusalDetail} from './refusals.js';
 
 /** Describes to the caller why it gets no answer of a backend server. */
 export function describeReply(
--- a/packages/lovage-entry/src/stream-host.ts
+++ b/packages/lovage-entry/src/stream-host.ts
@@ -55,7 +55,6 @@
 	add: (id: string, req: GenerationRequest) => CallerStream;
 	run: (effect: StreamEffect) => void;
 	heartbeat: () => void;
-	size: () => number;
 }>;
 
 type Hosted = {
@@ -232,6 +231,5 @@
 				caller.heartbeat();
 			});
 		},
-		size: () => hosted.size,
 	};
 }
