--- /dev/null
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -0,0 +1,292 @@
+import type {Server} from 'node:http';
+import type {JoiningMember, RaftMessage} from '@lovagevalve/consensus';
+import type {
+	AgedRecord,
+	BackendRecord,
+	ControlReport,
+	EntryReport,
+	MergeOutcome,
+} from '@lovagevalve/dispatch';
+import {
+	type Clock,
+	createJsonServer,
+	createPeerClient,
+	type JsonAnswer,
+	type JsonCall,
+	type Logger,
+	type PulledMetrics,
+} from '@lovagevalve/runtime';
+import {createGroupEntrance, type ReplicaStatus} from './group-entrance.js';
+import {createPeers} from './peers.js';
+import {createRegistry, type KnownEntry} from './registry.js';
+import {createReplica, type ProposeOutcome} from './replica.js';
+import type {StoredConfiguration} from './state-machine.js';
+
+/** Settings of a control instance. */
+export type CoordinatorSettings = Readonly<{
+	name: string;
+	/** Address for traffic between instances. */
+	address: string;
+	dataFolder: string;
+	/** First start of the whole system: the seeds found the group. */
+	isFirstStart: boolean;
+	/** Addresses of control instances, for traffic between instances; may change. */
+	readSeeds: () => readonly string[];
+}>;
+
+/** What a control instance works with. */
+export type CoordinatorParts = Readonly<{
+	clock: Clock;
+	log: Logger;
+	metrics: PulledMetrics;
+	draw: () => number;
+}>;
+
+/** Newest configuration, as far as the group can tell. */
+export type ReadOutcome =
+	| Readonly<{kind: 'found'; configuration: StoredConfiguration}>
+	| Readonly<{kind: 'none'}>
+	/** This instance can't be sure which configuration is the newest. */
+	| Readonly<{kind: 'unavailable'}>;
+
+/** A control instance that runs. */
+export type Coordinator = Readonly<{
+	/** Server for traffic between instances; it doesn't listen yet. */
+	server: Server;
+	/** Resolves with true once the configuration, or a higher version, is committed. */
+	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
+	readConfiguration: () => Promise<ReadOutcome>;
+	register: (record: BackendRecord) => MergeOutcome;
+	find: (id: string) => BackendRecord | undefined;
+	/** Entries that callers may connect to. */
+	listServing: () => readonly KnownEntry[];
+	stop: () => Promise<void>;
+}>;
+
+/** A tenth of the shortest election timeout and less. */
+const TICK_INTERVAL_MS = 40;
+const ENTRANCE_INTERVAL_MS = 200;
+const GOSSIP_INTERVAL_MS = 500;
+const GOSSIP_TIMEOUT_MS = 400;
+/** Less than the second after which a caller goes on to another instance. */
+const FORWARD_TIMEOUT_MS = 950;
+const TRANSFER_WAIT_MS = 300;
+
+type RaftDelivery = Readonly<{from: string; messages: readonly RaftMessage[]}>;
+
+/** Creates a control instance and begins to open its data folder. */
+export function createCoordinator(
+	settings: CoordinatorSettings,
+	parts: CoordinatorParts,
+): Coordinator {
+	const {clock, log, metrics} = parts;
+	const {name, address, readSeeds} = settings;
+	const client = createPeerClient();
+	const registry = createRegistry(clock, log);
+	let loggedVersion = 0;
+
+	const replica = createReplica({
+		clock,
+		log,
+		peers: createPeers(client, address),
+		folder: settings.dataFolder,
+		draw: parts.draw,
+		onApplied({configuration, appliedIndex}) {
+			const version = configuration?.version ?? 0;
+			if (version !== loggedVersion) {
+				loggedVersion = version;
+				log.info('A configuration is committed.', {version, appliedIndex});
+			}
+		},
+	});
+
+	const listControls = (): readonly string[] => {
+		const members = replica.listMembers().map((member) => member.address);
+		return members.length > 0 ? members : readSeeds();
+	};
+
+	const listPeers = (): readonly string[] =>
+		[...new Set([...listControls(), ...readSeeds()])].filter(
+			(peer) => peer !== address,
+		);
+
+	const entrance = createGroupEntrance({
+		log,
+		client,
+		replica,
+		name,
+		address,
+		founders: settings.isFirstStart ? readSeeds() : undefined,
+		listPeers,
+	});
+
+	const readVersion = (): number =>
+		replica.readState().configuration?.version ?? 0;
+
+	/** Sends a request to the leader; undefined if there is none or it gives no answer. */
+	const askLeader = async <T>(
+		path: string,
+		body: unknown,
+	): Promise<T | undefined> => {
+		const leader = replica.findLeaderAddress();
+		if (leader === undefined || leader === address) {
+			return undefined;
+		}
+
+		const answer = await client.call<T>(leader, path, body, FORWARD_TIMEOUT_MS);
+		return answer.match(
+			(found) => found,
+			(reason) => {
+				log.warn('The leader gave no answer.', {leader, path, reason});
+				return undefined;
+			},
+		);
+	};
+
+	const readHere = async (): Promise<ReadOutcome> => {
+		if (!(await replica.confirmRead())) {
+			return {kind: 'unavailable'};
+		}
+
+		const {configuration} = replica.readState();
+		return configuration === undefined
+			? {kind: 'none'}
+			: {kind: 'found', configuration};
+	};
+
+	const answerReport = (report: EntryReport): ControlReport => {
+		registry.takeReport(report);
+		return {
+			...registry.createAnswer(report.entry),
+			version: readVersion(),
+			controls: listControls(),
+		};
+	};
+
+	const answerCall = async (
+		path: string,
+		body: unknown,
+	): Promise<JsonAnswer> => {
+		switch (path) {
+			case '/raft': {
+				const {from, messages} = body as RaftDelivery;
+				replica.receive(from, messages);
+				return {status: 200};
+			}
+
+			case '/status': {
+				const status: ReplicaStatus = entrance.readStatus();
+				return {status: 200, body: status};
+			}
+
+			case '/join': {
+				replica.join(body as JoiningMember);
+				return {status: 200};
+			}
+
+			case '/propose': {
+				const outcome = await replica.propose(body as StoredConfiguration);
+				return {status: 200, body: {outcome}};
+			}
+
+			case '/read': {
+				return {status: 200, body: await readHere()};
+			}
+
+			case '/report': {
+				return {status: 200, body: answerReport(body as EntryReport)};
+			}
+
+			case '/configuration': {
+				const {configuration} = replica.readState();
+				return configuration === undefined
+					? {status: 404}
+					: {status: 200, body: configuration};
+			}
+
+			case '/gossip': {
+				registry.merge((body as {backends: AgedRecord[]}).backends);
+				return {status: 200};
+			}
+
+			default: {
+				return {status: 404};
+			}
+		}
+	};
+
+	const server = createJsonServer(
+		async ({path, text}: JsonCall) =>
+			answerCall(path, JSON.parse(text === '' ? '{}' : text)),
+		(error) => {
+			log.error('A call from another instance failed.', {
+				reason: String(error),
+			});
+		},
+	);
+
+	const gossip = (): void => {
+		registry.dropOld();
+		const backends = registry.listBackends();
+		listPeers().forEach((peer) => {
+			// A lost round needs no report: the next one carries the same.
+			void client.call(peer, '/gossip', {backends}, GOSSIP_TIMEOUT_MS);
+		});
+	};
+
+	const timers = [
+		setInterval(() => {
+			replica.tick();
+		}, TICK_INTERVAL_MS),
+		setInterval(() => {
+			void entrance.advance();
+		}, ENTRANCE_INTERVAL_MS),
+		setInterval(gossip, GOSSIP_INTERVAL_MS),
+	];
+	metrics.watch('configuration_version', readVersion);
+	metrics.watch('is_leader', () => (replica.isLeader() ? 1 : 0));
+	metrics.watch('backends', () => registry.listBackends().length);
+	metrics.watch('entries_serving', () => registry.listServing().length);
+
+	return {
+		server,
+		async putConfiguration(configuration) {
+			const {version} = configuration;
+			if (version <= readVersion()) {
+				return true;
+			}
+
+			const outcome: ProposeOutcome = replica.isLeader()
+				? await replica.propose(configuration)
+				: ((
+						await askLeader<{outcome: ProposeOutcome}>(
+							'/propose',
+							configuration,
+						)
+					)?.outcome ?? 'unknown');
+			metrics.count('configurations', {outcome});
+			log.info('A configuration was proposed.', {version, outcome});
+			return outcome === 'committed';
+		},
+		async readConfiguration() {
+			const outcome = replica.isLeader()
+				? await readHere()
+				: await askLeader<ReadOutcome>('/read', {});
+			return outcome ?? {kind: 'unavailable'};
+		},
+		register: registry.register,
+		find: registry.find,
+		listServing: registry.listServing,
+		async stop() {
+			replica.transferLead();
+			await new Promise((resolve) => {
+				setTimeout(resolve, TRANSFER_WAIT_MS);
+			});
+			timers.forEach((timer) => {
+				clearInterval(timer);
+			});
+			await replica.stop();
+			client.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-coordinator/src/index.ts
@@ -0,0 +1,13 @@
+export {createCoordinator} from './coordinator.js';
+export type {
+	Coordinator,
+	CoordinatorParts,
+	CoordinatorSettings,
+	ReadOutcome,
+} from './coordinator.js';
+export {findLostVoter} from './membership.js';
+export type {KnownEntry} from './registry.js';
+export {createRegistry} from './registry.js';
+export type {Registry} from './registry.js';
+export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
+export type {GroupState, StoredConfiguration} from './state-machine.js';
--- /dev/null
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -0,0 +1,424 @@
+import {
+	createRaft,
+	defaultSettings,
+	findLeader,
+	type JoiningMember,
+	type Member,
+	needsJoin,
+	type RaftEffect,
+	type RaftEvent,
+	type RaftMessage,
+	type RaftState,
+	readMembers,
+	stepRaft,
+} from '@lovagevalve/consensus';
+import {createStore, type Store} from '@lovagevalve/core';
+import type {Clock, Logger} from '@lovagevalve/runtime';
+import {
+	describeProblem,
+	openStore,
+	setStoreAside,
+	type DiskStore,
+	type OpenedStore,
+} from '@lovagevalve/storage';
+import {findLostVoter} from './membership.js';
+import type {Peers} from './peers.js';
+import {
+	applyEntry,
+	decodeState,
+	EMPTY_GROUP_STATE,
+	encodeState,
+	type GroupState,
+	type StoredConfiguration,
+} from './state-machine.js';
+
+/** What a replica works with. */
+export type ReplicaParts = Readonly<{
+	clock: Clock;
+	log: Logger;
+	peers: Peers;
+	folder: string;
+	draw: () => number;
+	/** Called after entries were applied. */
+	onApplied: (state: GroupState) => void;
+}>;
+
+/** Outcome of a change. */
+export type ProposeOutcome = 'committed' | 'not-leader' | 'unknown';
+
+/** A replica of the log on this instance's disk; survives failures of the disk. */
+export type Replica = Readonly<{
+	readState: () => GroupState;
+	/** Undefined while the disk can't be used. */
+	readRaft: () => RaftState | undefined;
+	listMembers: () => readonly Member[];
+	/** Address of the leader, if known. */
+	findLeaderAddress: () => string | undefined;
+	isLeader: () => boolean;
+	propose: (configuration: StoredConfiguration) => Promise<ProposeOutcome>;
+	/** Resolves with true once the state is known to be the newest. */
+	confirmRead: () => Promise<boolean>;
+	receive: (address: string, messages: readonly RaftMessage[]) => void;
+	initialise: (group: string, members: readonly JoiningMember[]) => void;
+	join: (member: JoiningMember) => void;
+	needsJoin: () => boolean;
+	tick: () => void;
+	transferLead: () => void;
+	stop: () => Promise<void>;
+}>;
+
+type Input = RaftEvent extends infer Event
+	? Event extends RaftEvent
+		? Omit<Event, 'now'>
+		: never
+	: never;
+
+type Waiting = Readonly<{
+	resolve: (outcome: ProposeOutcome) => void;
+	index: number | undefined;
+	term: number;
+}>;
+
+/** A caller of the control interface goes on to another instance after a second. */
+const REQUEST_TIMEOUT_MS = 900;
+/** Entries between two snapshots: a configuration of hundreds of routes is 100 KB. */
+const SNAPSHOT_EVERY = 24;
+/** Entries kept behind a snapshot for replicas that are a little behind. */
+const TRAILING_ENTRIES = 8;
+/** A full disk is tried again this often. */
+const REOPEN_INTERVAL_MS = 500;
+const MAX_LEARNED = 32;
+const MAX_SEED = 2 ** 31;
+
+// One process a folder: the platform ends the former one first.
+const SINGLE_PROCESS = {
+	nameSelf: async () => String(process.pid),
+	isRunning: async () => false,
+};
+
+/** Creates a replica and begins to open its folder. */
+export function createReplica(parts: ReplicaParts): Replica {
+	const {clock, log, peers, folder} = parts;
+	const proposals = new Map<string, Waiting>();
+	const reads = new Map<string, (isConfirmed: boolean) => void>();
+	const learned = new Map<string, string>();
+	let state: GroupState = EMPTY_GROUP_STATE;
+	let snapshotIndex = 0;
+	let nextRequest = 1;
+	let disk: DiskStore | undefined;
+	let store: Store<RaftState, RaftEvent> | undefined;
+	let isStopped = false;
+
+	const feed = (input: Input): void => {
+		store?.update({...input, now: clock.now()});
+	};
+
+	const settleProposal = (proposal: string, outcome: ProposeOutcome): void => {
+		proposals.get(proposal)?.resolve(outcome);
+		proposals.delete(proposal);
+	};
+
+	const abandonAll = (): void => {
+		[...proposals.keys()].forEach((proposal) => {
+			settleProposal(proposal, 'unknown');
+		});
+		reads.forEach((resolve) => {
+			resolve(false);
+		});
+		reads.clear();
+	};
+
+	const settleApplied = (index: number, term: number): void => {
+		[...proposals]
+			.filter(([, waiting]) => waiting.index === index)
+			.forEach(([proposal, waiting]) => {
+				settleProposal(
+					proposal,
+					waiting.term === term ? 'committed' : 'unknown',
+				);
+			});
+	};
+
+	const send = (message: RaftMessage): void => {
+		const member = listMembers().find(({replica}) => replica === message.to);
+		const address = member?.address ?? learned.get(message.to);
+		if (address !== undefined) {
+			peers.send(address, message);
+		}
+	};
+
+	const takeSnapshot = (): void => {
+		if (state.appliedIndex - snapshotIndex >= SNAPSHOT_EVERY) {
+			snapshotIndex = state.appliedIndex;
+			const data = encodeState(state);
+			// After this step: an effect must not change the state it came from.
+			queueMicrotask(() => {
+				feed({kind: 'snapshot-taken', index: snapshotIndex, data});
+			});
+		}
+	};
+
+	const runEffect = (effect: RaftEffect): void => {
+		switch (effect.kind) {
+			case 'send': {
+				send(effect.message);
+				break;
+			}
+
+			case 'persist':
+			case 'persist-snapshot': {
+				disk?.write(effect);
+				break;
+			}
+
+			case 'apply': {
+				effect.entries.forEach((entry) => {
+					state = applyEntry(state, entry);
+					settleApplied(entry.index, entry.term);
+				});
+				parts.onApplied(state);
+				takeSnapshot();
+				break;
+			}
+
+			case 'install-snapshot': {
+				state = decodeState(effect.snapshot);
+				snapshotIndex = state.appliedIndex;
+				parts.onApplied(state);
+				break;
+			}
+
+			case 'proposal-accepted': {
+				const waiting = proposals.get(effect.proposal);
+				if (waiting !== undefined) {
+					proposals.set(effect.proposal, {
+						...waiting,
+						index: effect.firstIndex,
+						term: effect.term,
+					});
+				}
+
+				break;
+			}
+
+			case 'proposal-refused': {
+				settleProposal(effect.proposal, 'not-leader');
+				break;
+			}
+
+			case 'read-confirmed':
+			case 'read-refused': {
+				reads.get(effect.read)?.(effect.kind === 'read-confirmed');
+				reads.delete(effect.read);
+				break;
+			}
+
+			case 'became-leader': {
+				log.info('This instance leads the group.', {term: effect.term});
+				break;
+			}
+
+			case 'stepped-down': {
+				log.info('This instance leads no longer.', {term: effect.term});
+				abandonAll();
+				break;
+			}
+
+			case 'initialise-answered': {
+				log.info('The group was founded.', {outcome: effect.outcome});
+				break;
+			}
+
+			case 'membership-answered': {
+				log.info('A change of the membership was asked for.', {
+					replica: effect.replica,
+					outcome: effect.outcome,
+				});
+				break;
+			}
+		}
+	};
+
+	const listMembers = (): readonly Member[] =>
+		store === undefined ? [] : readMembers(store.read());
+
+	const reopenLater = (): void => {
+		setTimeout(() => {
+			void open();
+		}, REOPEN_INTERVAL_MS);
+	};
+
+	const onFailure = (cause: Error): void => {
+		log.error('The disk failed; the folder is opened again.', {
+			reason: cause.message,
+		});
+		store = undefined;
+		disk = undefined;
+		abandonAll();
+		reopenLater();
+	};
+
+	const openFolder = async (): Promise<OpenedStore | undefined> => {
+		const options = {
+			folder,
+			processes: SINGLE_PROCESS,
+			listener: {
+				onSynced(sequence: number) {
+					feed({kind: 'synced', sequence});
+				},
+				onFailure,
+			},
+		};
+		const opened = await openStore(options);
+		if (opened.isOk()) {
+			return opened.value;
+		}
+
+		const {error} = opened;
+		log.error('The data folder can not be opened.', {
+			folder,
+			reason: describeProblem(error),
+		});
+		if (error.kind === 'damaged') {
+			// A damaged folder is a lost disk: it comes back under a new identity.
+			await setStoreAside(options);
+		}
+
+		return undefined;
+	};
+
+	const open = async (): Promise<void> => {
+		if (isStopped) {
+			return;
+		}
+
+		const opened = await openFolder();
+		if (opened === undefined) {
+			reopenLater();
+			return;
+		}
+
+		const {recovered, isNew, cutBytes} = opened;
+		disk = opened.store;
+		const {snapshot} = recovered;
+		// Entries are applied again from the snapshot; the highest version wins.
+		state =
+			snapshot === undefined
+				? {...state, appliedIndex: 0}
+				: keepNewer(state, decodeState(snapshot));
+		snapshotIndex = snapshot?.index ?? 0;
+		const initial = createRaft({
+			recovered,
+			settings: {...defaultSettings, trailingEntries: TRAILING_ENTRIES},
+			seed: Math.floor(parts.draw() * MAX_SEED),
+			now: clock.now(),
+		});
+		store = createStore<RaftState, RaftEvent, RaftEffect>(
+			stepRaft,
+			initial,
+			runEffect,
+		);
+		parts.onApplied(state);
+		log.info('The data folder is open.', {
+			folder,
+			isNew,
+			cutBytes,
+			replica: recovered.replica,
+			version: state.configuration?.version ?? 0,
+		});
+	};
+
+	const wait = async <T>(
+		begin: (settle: (value: T) => void, request: string) => void,
+		fallback: T,
+	): Promise<T> =>
+		new Promise((resolve) => {
+			const request = String(nextRequest++);
+			const timer = setTimeout(() => {
+				proposals.delete(request);
+				reads.delete(request);
+				resolve(fallback);
+			}, REQUEST_TIMEOUT_MS);
+			begin((value) => {
+				clearTimeout(timer);
+				resolve(value);
+			}, request);
+		});
+
+	void open();
+	return {
+		readState: () => state,
+		readRaft: () => store?.read(),
+		listMembers,
+		findLeaderAddress() {
+			const leader = store === undefined ? undefined : findLeader(store.read());
+			return listMembers().find(({replica}) => replica === leader)?.address;
+		},
+		isLeader: () => store?.read().role.kind === 'leader',
+		async propose(configuration) {
+			if (store === undefined) {
+				return 'not-leader';
+			}
+
+			return wait<ProposeOutcome>((resolve, proposal) => {
+				proposals.set(proposal, {resolve, index: undefined, term: 0});
+				const commands = [JSON.stringify(configuration)];
+				feed({kind: 'proposed', proposal, commands});
+			}, 'unknown');
+		},
+		async confirmRead() {
+			if (store === undefined) {
+				return false;
+			}
+
+			return wait<boolean>((resolve, read) => {
+				reads.set(read, resolve);
+				feed({kind: 'read-requested', read});
+			}, false);
+		},
+		receive(address, messages) {
+			messages.forEach((message) => {
+				learned.delete(message.from);
+				learned.set(message.from, address);
+				feed({kind: 'received', message});
+			});
+			[...learned.keys()]
+				.slice(0, Math.max(0, learned.size - MAX_LEARNED))
+				.forEach((replica) => {
+					learned.delete(replica);
+				});
+		},
+		initialise(group, members) {
+			feed({kind: 'initialised', group, members});
+		},
+		join(member) {
+			feed({kind: 'join-requested', member});
+		},
+		needsJoin: () =>
+			store !== undefined && needsJoin(store.read(), clock.now()),
+		tick() {
+			feed({kind: 'ticked'});
+			const lost =
+				store === undefined
+					? undefined
+					: findLostVoter(store.read(), listMembers(), clock.now());
+			if (lost !== undefined) {
+				feed({kind: 'removal-requested', replica: lost});
+			}
+		},
+		transferLead() {
+			feed({kind: 'transfer-requested'});
+		},
+		async stop() {
+			isStopped = true;
+			store = undefined;
+			await disk?.close();
+		},
+	};
+}
+
+function keepNewer(known: GroupState, found: GroupState): GroupState {
+	const isOlder =
+		(found.configuration?.version ?? 0) < (known.configuration?.version ?? 0);
+	return isOlder ? {...found, configuration: known.configuration} : found;
+}
--- /dev/null
+++ b/packages/lovage-dispatch/src/placement.ts
@@ -0,0 +1,110 @@
+import type {EngineLimits} from '@lovagevalve/routing';
+import {addLoad, type BackendLoad} from './load.js';
+
+/** A backend server that could get a request. */
+export type Candidate = Readonly<{
+	id: string;
+	address: string;
+	dataCentre: string;
+	slots: number;
+	/** Requests of this instance. */
+	own: BackendLoad;
+	/** Requests of the other instances, as of their last reports. */
+	others: BackendLoad;
+	/** Registrations or answers came within the time that is usual. */
+	isHeard: boolean;
+	/** A failure was seen so recently that the backend server is left alone. */
+	isAvoided: boolean;
+}>;
+
+/** What is to be placed. */
+export type Work = Readonly<{
+	/** Data centre of this instance. */
+	dataCentre: string;
+	/** Prompt tokens to read; 0 for plain requests. */
+	promptTokens: number;
+	/** Tokens in memory when the answer is complete. */
+	memoryTokens: number;
+	/** Backend servers that this request must not go to again. */
+	excluded: readonly string[];
+	/** Data centres that the request had better not go to. */
+	lostAt: readonly string[];
+	engine?: EngineLimits;
+}>;
+
+/** Prompt tokens that cost as much time as one more running request does. */
+const RUNNING_COST_TOKENS = 250;
+/** Prompt tokens that a preempted request costs: it is read again as a whole. */
+const PREEMPTION_COST_TOKENS = 20_000;
+/** Prompt tokens that a choice of another data centre must save: bytes between data centres are billed. */
+const DISTANCE_COST_TOKENS = 200;
+/** Part of a request in the queue of a plain service that another data centre must save. */
+const DISTANCE_COST_SHARE = 0.1;
+/** Prompt tokens by which two scores count as equal, so that instances do not all choose the same. */
+const TIE_TOKENS = 300;
+const TIE_SHARE = 0.1;
+
+function scoreEngine(
+	candidate: Candidate,
+	work: Work,
+	engine: EngineLimits,
+): number {
+	const load = addLoad(candidate.own, candidate.others);
+	const isFull =
+		load.memoryTokens + work.memoryTokens > engine.memoryTokens ||
+		load.running >= engine.slots;
+	const distance = candidate.dataCentre === work.dataCentre ? 0 : 1;
+	return (
+		load.prefillTokens +
+		load.running * RUNNING_COST_TOKENS +
+		(isFull ? PREEMPTION_COST_TOKENS : 0) +
+		distance * DISTANCE_COST_TOKENS
+	);
+}
+
+function scorePlain(candidate: Candidate, work: Work): number {
+	const running = candidate.own.running + candidate.others.running;
+	const distance = candidate.dataCentre === work.dataCentre ? 0 : 1;
+	return (
+		running / Math.max(1, candidate.slots) + distance * DISTANCE_COST_SHARE
+	);
+}
+
+function narrow(
+	candidates: readonly Candidate[],
+	isPreferred: (candidate: Candidate) => boolean,
+): readonly Candidate[] {
+	const preferred = candidates.filter(isPreferred);
+	return preferred.length > 0 ? preferred : candidates;
+}
+
+/**
+ * Chooses the backend server that starts the work first. Load pattern: many
+ * instances place long prompts by reports of the same age, so equal scores are
+ * decided by `random`, in [0, 1), and the own work since the reports counts.
+ */
+export function chooseBackend(
+	candidates: readonly Candidate[],
+	work: Work,
+	random: number,
+): Candidate | undefined {
+	const allowed = candidates.filter(({id}) => !work.excluded.includes(id));
+	const calm = narrow(allowed, ({isAvoided}) => !isAvoided);
+	const heard = narrow(calm, ({isHeard}) => isHeard);
+	const usable = narrow(
+		heard,
+		({dataCentre}) => !work.lostAt.includes(dataCentre),
+	);
+	const {engine} = work;
+	const scored = usable.map((candidate) => ({
+		candidate,
+		score:
+			engine === undefined
+				? scorePlain(candidate, work)
+				: scoreEngine(candidate, work, engine),
+	}));
+	const lowest = Math.min(...scored.map(({score}) => score));
+	const tie = engine === undefined ? TIE_SHARE : TIE_TOKENS;
+	const best = scored.filter(({score}) => score <= lowest + tie);
+	return best[Math.floor(random * best.length)]?.candidate;
+}
--- /dev/null
+++ b/packages/lovage-dispatch/src/silence.ts
@@ -0,0 +1,52 @@
+/** What a new connection to a silent backend server showed. */
+export type ProbeState = 'none' | 'pending' | 'alive' | 'dead';
+
+/** What is known of a stream on which nothing arrives. */
+export type SilenceInputs = Readonly<{
+	/** Since the last event, or since the request was sent. */
+	silentMs: number;
+	/** Whether an event has arrived from this backend server. */
+	hasStarted: boolean;
+	probe: ProbeState;
+	/** Another backend server holds a copy of the run's memory. */
+	hasCopy: boolean;
+	/** Longest pause for which the stream is on time. */
+	gapTargetMs: number;
+	/** Time to the first event for which the stream is on time. */
+	latencyTargetMs: number;
+}>;
+
+/** What to do about a silent stream. */
+export type SilenceDecision = 'wait' | 'probe' | 'move';
+
+/** Share of the allowed pause after which a silent stream is looked into. */
+const PROBE_SHARE = 0.5;
+/** Share after which a run with a copy elsewhere is moved, though its engine answers. */
+const MOVE_WITH_COPY_SHARE = 0.85;
+/** The same without a copy: the prompt is read again, so the pause is long already. */
+const MOVE_WITHOUT_COPY_SHARE = 3;
+/** Share of the latency target after which a stream without a first event is moved. */
+const FIRST_EVENT_SHARE = 0.7;
+
+/**
+ * Judges a silent stream. Load pattern: the engines of a data centre end at
+ * once, some without a reset; and long prompts of others hold up engines that
+ * are well, for about as long. A probe tells the two apart.
+ */
+export function judgeSilence(inputs: SilenceInputs): SilenceDecision {
+	const {silentMs, probe, hasStarted, hasCopy, gapTargetMs} = inputs;
+	if (probe === 'dead') {
+		return 'move';
+	}
+
+	const limit = hasStarted
+		? gapTargetMs * (hasCopy ? MOVE_WITH_COPY_SHARE : MOVE_WITHOUT_COPY_SHARE)
+		: inputs.latencyTargetMs * FIRST_EVENT_SHARE;
+	if (silentMs >= limit) {
+		return 'move';
+	}
+
+	return probe === 'none' && silentMs >= gapTargetMs * PROBE_SHARE
+		? 'probe'
+		: 'wait';
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/answers.ts
@@ -0,0 +1,77 @@
+import type {ServerResponse} from 'node:http';
+import type {AcceptedRequest, GatewayContext} from './context.js';
+
+/** Answer of the entry's own, with the reason for the log. */
+export type OwnAnswer = Readonly<{
+	status: number;
+	reason: string;
+	/** When to come back, in milliseconds; only where the request hasn't run. */
+	retryAfterMs?: number;
+}>;
+
+/** Time to come back when backend servers are missing: a restart takes about a second. */
+export const RETRY_AFTER_MS = 700;
+
+/** Sends an answer of the entry's own. */
+export function sendOwnAnswer(
+	res: ServerResponse,
+	{status, reason, retryAfterMs}: OwnAnswer,
+): void {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	const body = JSON.stringify({title: reason, status});
+	res.writeHead(status, {
+		'Content-Type': 'application/problem+json',
+		'Content-Length': Buffer.byteLength(body),
+		...(retryAfterMs === undefined
+			? {}
+			: {'Retry-After': (retryAfterMs / 1000).toFixed(2)}),
+	});
+	res.end(body);
+}
+
+/** Logs how a request ended, and counts it. */
+export function recordEnd(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	outcome: Readonly<{
+		status: number;
+		reason: string;
+		sent: number;
+		backend?: string;
+	}>,
+): void {
+	const tookMs = Math.round(ctx.clock.now() - req.startedAt);
+	const {status, reason, sent, backend} = outcome;
+	const labels = {kind: req.route.kind, status: String(status)};
+	ctx.metrics.count('requests', labels);
+	ctx.metrics.time('request', tookMs, {kind: req.route.kind});
+	const context = {
+		request: req.facts.id,
+		route: req.route.name,
+		status,
+		reason,
+		sent,
+		backend: backend ?? '',
+		tookMs,
+		version: ctx.readTable()?.configuration.version ?? 0,
+	};
+	if (status >= 400) {
+		ctx.log.warn('A request failed.', context);
+	} else {
+		ctx.log.info('A request was answered.', context);
+	}
+}
+
+/** Ends a request with an answer of the entry's own. */
+export function endWithOwnAnswer(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	answer: OwnAnswer,
+	sent: number,
+): void {
+	recordEnd(ctx, req, {status: answer.status, reason: answer.reason, sent});
+	sendOwnAnswer(req.res, answer);
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -0,0 +1,134 @@
+import {request as sendHttp, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
+import type {AttemptFailure} from '@lovagevalve/dispatch';
+
+/** One request to one backend server. */
+export type ExchangeRequest = Readonly<{
+	/** IP address and port. */
+	address: string;
+	method: string;
+	path: string;
+	/** Names and values in turn. */
+	headers: string[];
+	body: Buffer | undefined;
+}>;
+
+/** What an exchange reports; only one of the two, once. */
+export type ExchangeListener = Readonly<{
+	/** The head of the answer is in. */
+	onAnswer: (answer: IncomingMessage) => void;
+	/** No answer will come. */
+	onFailure: (failure: AttemptFailure) => void;
+}>;
+
+/** An exchange under way. */
+export type Exchange = Readonly<{
+	/** Closes the connection, which ends the work at the backend server. */
+	cancel: () => void;
+}>;
+
+/** Data centres are milliseconds apart; a lost packet comes again after 200 ms. */
+const CONNECT_TIMEOUT_MS = 300;
+/** A process that lives accepts connections at once. */
+const PROBE_TIMEOUT_MS = 150;
+const MAX_ANSWER_HEADER_BYTES = 65_536;
+
+/** Splits an address into its host and port. */
+export function splitAddress(address: string): {host: string; port: number} {
+	const colon = address.lastIndexOf(':');
+	return {
+		host: address.slice(0, colon),
+		port: Number(address.slice(colon + 1)),
+	};
+}
+
+/**
+ * Sends a request on a connection of its own, which closes after the answer:
+ * no byte of a former answer can come before this one, and a connection that
+ * fails before it is made has carried nothing.
+ */
+export function openExchange(
+	{address, method, path, headers, body}: ExchangeRequest,
+	{onAnswer, onFailure}: ExchangeListener,
+): Exchange {
+	let isSent = false;
+	let isOver = false;
+
+	const finish = (failure: AttemptFailure): void => {
+		if (!isOver) {
+			isOver = true;
+			onFailure(failure);
+		}
+	};
+
+	const {host, port} = splitAddress(address);
+	const req = sendHttp({
+		host,
+		port,
+		method,
+		path,
+		headers,
+		agent: false,
+		setHost: false,
+		maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
+	});
+	const connectTimer = setTimeout(() => {
+		finish({kind: 'not-sent', reason: 'connect timeout'});
+		req.destroy();
+	}, CONNECT_TIMEOUT_MS);
+	req.on('socket', (socket) => {
+		socket.once('connect', () => {
+			isSent = true;
+			clearTimeout(connectTimer);
+		});
+	});
+	req.on('response', (answer) => {
+		if (isOver) {
+			answer.destroy();
+			return;
+		}
+
+		isOver = true;
+		onAnswer(answer);
+	});
+	req.on('error', (error: NodeJS.ErrnoException) => {
+		clearTimeout(connectTimer);
+		const reason = error.code ?? error.message;
+		finish({kind: isSent ? 'lost' : 'not-sent', reason});
+	});
+	req.on('close', () => {
+		clearTimeout(connectTimer);
+		finish({kind: isSent ? 'lost' : 'not-sent', reason: 'closed'});
+	});
+	req.end(body);
+
+	return {
+		cancel() {
+			isOver = true;
+			clearTimeout(connectTimer);
+			req.destroy();
+		},
+	};
+}
+
+/** Tells whether a backend server accepts a new connection. */
+export async function probeAddress(address: string): Promise<boolean> {
+	return new Promise((resolve) => {
+		const socket = connect(splitAddress(address));
+		const end = (isAlive: boolean): void => {
+			clearTimeout(timer);
+			socket.destroy();
+			resolve(isAlive);
+		};
+
+		const timer = setTimeout(() => {
+			end(false);
+		}, PROBE_TIMEOUT_MS);
+		socket.once('connect', () => {
+			end(true);
+		});
+		socket.once('error', () => {
+			end(false);
+		});
+	});
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/context.ts
@@ -0,0 +1,69 @@
+import type {ServerResponse} from 'node:http';
+import type {Crash, EntryStanding, Work} from '@lovagevalve/dispatch';
+import type {Route, RouteTable, Service} from '@lovagevalve/routing';
+import type {Clock, Logger, PulledMetrics} from '@lovagevalve/runtime';
+import type {BackendView} from './backend-view.js';
+import type {HeaderCodec, RequestFacts} from './protocol.js';
+import type {RetryBudgets} from './retry-budgets.js';
+
+/** What every request at an entry works with. */
+export type GatewayContext = Readonly<{
+	clock: Clock;
+	log: Logger;
+	metrics: PulledMetrics;
+	codec: HeaderCodec;
+	view: BackendView;
+	budgets: RetryBudgets;
+	/** Draws a number in [0, 1). */
+	draw: () => number;
+	dataCentre: string;
+	/** Newest configuration; absent until one is known. */
+	readTable: () => RouteTable | undefined;
+	readStanding: () => EntryStanding;
+	isConvicted: (digest: string) => boolean;
+	reportCrash: (crash: Crash) => void;
+}>;
+
+/** A request that was read and may be forwarded. */
+export type AcceptedRequest = Readonly<{
+	facts: RequestFacts;
+	route: Route;
+	service: Service;
+	customer: string | undefined;
+	/** Digest of path, customer and body. */
+	digest: string;
+	method: string;
+	path: string;
+	rawHeaders: readonly string[];
+	body: Buffer | undefined;
+	res: ServerResponse;
+	startedAt: number;
+	/** When the caller or the route gives up, in monotonic milliseconds. */
+	deadlineAt: number;
+}>;
+
+/** What is left of a request's time, in whole milliseconds. */
+export function readRemaining(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+): number {
+	return Math.floor(req.deadlineAt - ctx.clock.now());
+}
+
+/** Describes a request to the placement. */
+export function describeWork(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	excluded: readonly string[],
+	lostAt: readonly string[],
+): Work {
+	const {promptTokens, outputTokens} = req.facts;
+	return {
+		dataCentre: ctx.dataCentre,
+		promptTokens,
+		memoryTokens: promptTokens + outputTokens,
+		excluded,
+		lostAt,
+		engine: req.service.engine,
+	};
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/control-link.ts
@@ -0,0 +1,174 @@
+import type {ControlReport, EntryReport} from '@lovagevalve/dispatch';
+import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
+
+/** What the link works with. */
+export type ControlLinkParts = Readonly<{
+	clock: Clock;
+	log: Logger;
+	client: PeerClient;
+	/** Addresses from the settings, for traffic between instances. */
+	readSeeds: () => readonly string[];
+	createReport: () => EntryReport;
+	onReport: (report: ControlReport) => void;
+	/** Gets the text of a configuration that is newer than the one in force. */
+	onConfiguration: (text: string) => void;
+}>;
+
+/** Keeps an entry in touch with the control instances. */
+export type ControlLink = Readonly<{
+	/** Reports to every known control instance. */
+	report: () => void;
+	/** Reports until one has answered or the time is over. */
+	announce: () => Promise<void>;
+	countReachable: () => number;
+}>;
+
+type Peer = {isBusy: boolean; answeredAt: number | undefined; isLost: boolean};
+
+/** A control instance answers within milliseconds; longer means that it stalls. */
+const REPORT_TIMEOUT_MS = 800;
+/** A configuration of hundreds of routes crosses a slow link in this time. */
+const CONFIGURATION_TIMEOUT_MS = 1500;
+/** A control instance that no other one names is forgotten after this. */
+const FORGET_AFTER_MS = 30_000;
+const MAX_PEERS = 16;
+const REACHABLE_MS = 1500;
+
+/** Creates the link. Every control instance is asked, so that the loss of one delays nothing. */
+export function createControlLink(parts: ControlLinkParts): ControlLink {
+	const {clock, log, client, readSeeds, createReport} = parts;
+	const peers = new Map<string, Peer>();
+	const namedAt = new Map<string, number>();
+	let isFetching = false;
+
+	const readPeer = (address: string): Peer => {
+		const peer = peers.get(address) ?? {
+			isBusy: false,
+			answeredAt: undefined,
+			isLost: false,
+		};
+		peers.set(address, peer);
+		return peer;
+	};
+
+	const forgetUnnamed = (): void => {
+		const seeds = readSeeds();
+		[...namedAt]
+			.filter(([, at]) => clock.now() - at > FORGET_AFTER_MS)
+			.forEach(([address]) => {
+				namedAt.delete(address);
+			});
+		[...peers.keys()]
+			.filter((address) => !namedAt.has(address) && !seeds.includes(address))
+			.forEach((address) => {
+				peers.delete(address);
+			});
+	};
+
+	const listAddresses = (): readonly string[] =>
+		[...new Set([...namedAt.keys(), ...readSeeds()])].slice(0, MAX_PEERS);
+
+	const fetchConfiguration = async (
+		address: string,
+		version: number,
+	): Promise<void> => {
+		if (isFetching) {
+			return;
+		}
+
+		isFetching = true;
+		const answer = await client.call<{text: string}>(
+			address,
+			'/configuration',
+			{version},
+			CONFIGURATION_TIMEOUT_MS,
+		);
+		isFetching = false;
+		answer.match(
+			({text}) => {
+				parts.onConfiguration(text);
+			},
+			(reason) => {
+				log.warn('A configuration could not be fetched.', {
+					control: address,
+					version,
+					reason,
+				});
+			},
+		);
+	};
+
+	const noteLoss = (address: string, peer: Peer, reason: string): void => {
+		if (!peer.isLost) {
+			peer.isLost = true;
+			log.warn('A control instance is lost.', {control: address, reason});
+		}
+	};
+
+	const takeIn = (
+		address: string,
+		peer: Peer,
+		answer: ControlReport,
+		ownVersion: number,
+	): void => {
+		const now = clock.now();
+		if (peer.isLost || peer.answeredAt === undefined) {
+			log.info('A control instance answers.', {
+				control: address,
+				version: answer.version,
+			});
+		}
+
+		peer.isLost = false;
+		peer.answeredAt = now;
+		answer.controls.forEach((control) => namedAt.set(control, now));
+		parts.onReport(answer);
+		if (answer.version > ownVersion) {
+			void fetchConfiguration(address, answer.version);
+		}
+	};
+
+	const exchange = async (address: string): Promise<void> => {
+		const peer = readPeer(address);
+		if (peer.isBusy) {
+			return;
+		}
+
+		peer.isBusy = true;
+		const report = createReport();
+		const answer = await client.call<ControlReport>(
+			address,
+			'/report',
+			report,
+			REPORT_TIMEOUT_MS,
+		);
+		peer.isBusy = false;
+		answer.match(
+			(found) => {
+				takeIn(address, peer, found, report.version);
+			},
+			(reason) => {
+				noteLoss(address, peer, reason);
+			},
+		);
+	};
+
+	return {
+		report() {
+			forgetUnnamed();
+			listAddresses().forEach((address) => {
+				void exchange(address);
+			});
+		},
+		async announce() {
+			await Promise.all(
+				listAddresses().map(async (address) => exchange(address)),
+			);
+		},
+		countReachable: () =>
+			[...peers.values()].filter(
+				({answeredAt}) =>
+					answeredAt !== undefined && clock.now() - answeredAt < REACHABLE_MS,
+			).length,
+	};
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/entry.ts
@@ -0,0 +1,200 @@
+import type {
+	Crash,
+	EntryReport,
+	EntryStanding,
+	RetryBudgetPolicy,
+} from '@lovagevalve/dispatch';
+import {
+	type Configuration,
+	createRouteTable,
+	type RouteTable,
+} from '@lovagevalve/routing';
+import {
+	type Clock,
+	createPeerClient,
+	type Logger,
+	type PulledMetrics,
+} from '@lovagevalve/runtime';
+import type {Result} from 'neverthrow';
+import {createBackendView} from './backend-view.js';
+import type {GatewayContext} from './context.js';
+import {createControlLink} from './control-link.js';
+import {createGateway, type Gateway} from './gateway.js';
+import type {HeaderCodec} from './protocol.js';
+import {createRetryBudgets} from './retry-budgets.js';
+
+/** Settings of an entry. */
+export type EntrySettings = Readonly<{
+	name: string;
+	/** Address that callers connect to. */
+	address: string;
+	dataCentre: string;
+	/** Addresses of control instances, for traffic between instances; may change. */
+	readSeeds: () => readonly string[];
+	registrationIntervalMs: number;
+	retryBudget: RetryBudgetPolicy;
+	/** Time from the order to stop until the process is ended, in milliseconds. */
+	gracePeriodMs: number;
+	/** Longest time that callers use an address which is no longer named, in milliseconds. */
+	addressLifetimeMs: number;
+}>;
+
+/** What an entry works with. */
+export type EntryParts = Readonly<{
+	clock: Clock;
+	log: Logger;
+	metrics: PulledMetrics;
+	codec: HeaderCodec;
+	draw: () => number;
+	/** Reads the text of a committed configuration. */
+	decodeConfiguration: (text: string) => Result<Configuration, string>;
+}>;
+
+/** An entry that runs. */
+export type Entry = Readonly<{
+	/** Server for callers; it doesn't listen yet. */
+	gateway: Gateway;
+	isReady: () => boolean;
+	/** Stops being named, serves what comes, and resolves when the process may end. */
+	drain: () => Promise<void>;
+}>;
+
+/** Several reports fit into the time in which a change must be in force. */
+const REPORT_INTERVAL_MS = 200;
+/** Time before the end of the grace period in which the process ends by itself. */
+const STOP_MARGIN_MS = 300;
+/** Crashes that wait for the next report. */
+const MAX_CRASHES = 200;
+
+async function sleep(ms: number): Promise<void> {
+	return new Promise((resolve) => {
+		setTimeout(resolve, ms);
+	});
+}
+
+/** Creates an entry. */
+export function createEntry(settings: EntrySettings, parts: EntryParts): Entry {
+	const {clock, log, metrics} = parts;
+	let table: RouteTable | undefined;
+	let isLeaving = false;
+	let entries = 1;
+	let convicted: ReadonlySet<string> = new Set();
+	let crashes: readonly Crash[] = [];
+
+	const view = createBackendView({
+		clock,
+		log,
+		registrationIntervalMs: settings.registrationIntervalMs,
+	});
+
+	const readStanding = (): EntryStanding => {
+		if (isLeaving) {
+			return 'leaving';
+		}
+
+		return table === undefined ? 'starting' : 'ready';
+	};
+
+	const ctx: GatewayContext = {
+		clock,
+		log,
+		metrics,
+		codec: parts.codec,
+		view,
+		budgets: createRetryBudgets(settings.retryBudget, clock, () => entries),
+		draw: parts.draw,
+		dataCentre: settings.dataCentre,
+		readTable: () => table,
+		readStanding,
+		isConvicted: (digest) => convicted.has(digest),
+		reportCrash(crash) {
+			log.warn('A backend server died while it held a request.', crash);
+			crashes = [...crashes, crash].slice(-MAX_CRASHES);
+		},
+	};
+	const gateway = createGateway(ctx);
+
+	const applyConfiguration = (text: string): void => {
+		parts.decodeConfiguration(text).match(
+			(configuration) => {
+				const {version, routes} = configuration;
+				const before = table?.configuration.version ?? 0;
+				if (version <= before) {
+					return;
+				}
+
+				table = createRouteTable(configuration);
+				gateway.applyLimits();
+				log.info('A configuration is in force.', {
+					version,
+					before,
+					routes: routes.length,
+				});
+			},
+			(reason) => {
+				log.error('A configuration can not be read.', {reason});
+			},
+		);
+	};
+
+	const createReport = (): EntryReport => {
+		const report: EntryReport = {
+			entry: settings.name,
+			address: settings.address,
+			dataCentre: settings.dataCentre,
+			standing: readStanding(),
+			version: table?.configuration.version ?? 0,
+			loads: view.readOwnLoads(),
+			crashes,
+		};
+		return report;
+	};
+
+	const link = createControlLink({
+		clock,
+		log,
+		client: createPeerClient(),
+		readSeeds: settings.readSeeds,
+		createReport,
+		onReport(report) {
+			entries = Math.max(1, report.entries);
+			convicted = new Set(report.convicted);
+			view.applyReport(report);
+		},
+		onConfiguration: applyConfiguration,
+	});
+	const timer = setInterval(() => {
+		link.report();
+	}, REPORT_INTERVAL_MS);
+	link.report();
+	metrics.watch(
+		'configuration_version',
+		() => table?.configuration.version ?? 0,
+	);
+	metrics.watch('requests_under_way', () => gateway.countRequests());
+	metrics.watch('backends_ready', () => view.count());
+	metrics.watch('controls_reachable', () => link.countReachable());
+
+	return {
+		gateway,
+		isReady: () => readStanding() === 'ready',
+		async drain() {
+			const end = clock.now() + settings.gracePeriodMs - STOP_MARGIN_MS;
+			isLeaving = true;
+			log.info('Leaves: is named to callers no longer.', {
+				requests: gateway.countRequests(),
+			});
+			void link.announce();
+			const drained = gateway.drain(settings.gracePeriodMs - STOP_MARGIN_MS);
+			// Callers keep an address for a while; they are served until then.
+			await sleep(settings.addressLifetimeMs);
+			gateway.server.close();
+			await drained;
+			clearInterval(timer);
+			log.info('Drained.', {
+				requests: gateway.countRequests(),
+				leftMs: Math.round(end - clock.now()),
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -0,0 +1,251 @@
+import {createHash} from 'node:crypto';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
+import {
+	endWithOwnAnswer,
+	RETRY_AFTER_MS,
+	sendOwnAnswer,
+	type OwnAnswer,
+} from './answers.js';
+import type {AcceptedRequest, GatewayContext} from './context.js';
+import {forwardPlain} from './plain-forwarder.js';
+import {readBody} from './read-body.js';
+import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
+
+/** Takes callers' requests. */
+export type Gateway = Readonly<{
+	server: Server;
+	/** Applies the limits of the configuration in force. */
+	applyLimits: () => void;
+	/** Closes each connection after its next answer, and resolves when none is left or the time is over. */
+	drain: (limitMs: number) => Promise<void>;
+	countRequests: () => number;
+}>;
+
+/** Limits until a configuration is known. */
+const DEFAULT_LIMITS = {
+	maxHeaderBytes: 16_384,
+	maxBodyBytes: 1_048_576,
+	headerTimeoutMs: 5000,
+	idleTimeoutMs: 15_000,
+};
+/** Requests in memory at once; more are refused. */
+const MAX_REQUESTS = 2000;
+/** Headers are bounded by the configuration; this bounds the parser. */
+const MAX_PARSED_HEADER_BYTES = 131_072;
+/** Silent streams are looked for this often: a twentieth of a usual pause target. */
+const TICK_INTERVAL_MS = 30;
+const DRAIN_POLL_MS = 50;
+
+function countHeaderBytes(req: IncomingMessage): number {
+	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+/** Identifies what a caller asks for, over all its attempts. */
+function digestRequest(
+	method: string,
+	path: string,
+	caller: string,
+	body: Buffer | undefined,
+): string {
+	return createHash('sha256')
+		.update(`${method} ${path} ${caller}\n`)
+		.update(body ?? '')
+		.digest('base64url');
+}
+
+/** Creates the server for callers; it doesn't listen yet. */
+export function createGateway(ctx: GatewayContext): Gateway {
+	const relays = new Set<StreamRelay>();
+	let requests = 0;
+	let isDraining = false;
+
+	const refuse = (
+		req: IncomingMessage,
+		res: ServerResponse,
+		answer: OwnAnswer,
+	): void => {
+		const {id} = ctx.codec.readRequest(req.headers);
+		ctx.metrics.count('refusals', {status: String(answer.status)});
+		ctx.log.warn('A request was refused.', {
+			request: id,
+			status: answer.status,
+			reason: answer.reason,
+			version: ctx.readTable()?.configuration.version ?? 0,
+		});
+		sendOwnAnswer(res, answer);
+	};
+
+	const accept = (
+		req: IncomingMessage,
+		res: ServerResponse,
+		table: RouteTable,
+		startedAt: number,
+	): AcceptedRequest | OwnAnswer => {
+		const path = req.url ?? '/';
+		const facts = ctx.codec.readRequest(req.headers);
+		const route = table.findRoute(req.headers.host ?? '', path);
+		if (route === undefined) {
+			return {status: 404, reason: 'no route matches'};
+		}
+
+		const customer =
+			facts.key === undefined ? undefined : table.findCustomer(facts.key);
+		if (table.needsKeys && !route.isAnonymous && customer === undefined) {
+			return {status: 401, reason: 'the key is unknown'};
+		}
+
+		const target = chooseTarget(route.targets, ctx.draw());
+		const service =
+			target === undefined ? undefined : table.findService(target);
+		if (service === undefined) {
+			return {
+				status: 503,
+				reason: 'the route has no service',
+				retryAfterMs: RETRY_AFTER_MS,
+			};
+		}
+
+		const waitMs = Math.min(facts.waitMs ?? route.timeoutMs, route.timeoutMs);
+		return {
+			facts,
+			route,
+			service,
+			customer: customer?.name,
+			digest: '',
+			method: req.method ?? 'GET',
+			path,
+			rawHeaders: req.rawHeaders,
+			body: undefined,
+			res,
+			startedAt,
+			deadlineAt: startedAt + waitMs,
+		};
+	};
+
+	const forward = async (accepted: AcceptedRequest): Promise<void> => {
+		ctx.budgets.countRequest(accepted.service.name);
+		if (accepted.route.kind !== 'stream') {
+			await forwardPlain(ctx, accepted);
+			return;
+		}
+
+		await new Promise<void>((resolve) => {
+			const relay: StreamRelay = createStreamRelay(ctx, accepted, () => {
+				relays.delete(relay);
+				resolve();
+			});
+			if (!accepted.res.writableEnded) {
+				relays.add(relay);
+			}
+		});
+	};
+
+	const handle = async (
+		req: IncomingMessage,
+		res: ServerResponse,
+	): Promise<void> => {
+		const startedAt = ctx.clock.now();
+		if (isDraining) {
+			res.shouldKeepAlive = false;
+		}
+
+		const table = ctx.readTable();
+		if (table === undefined) {
+			const reason = 'no configuration is known yet';
+			refuse(req, res, {status: 503, reason, retryAfterMs: RETRY_AFTER_MS});
+			return;
+		}
+
+		const {maxHeaderBytes, maxBodyBytes} = table.configuration.limits;
+		if (countHeaderBytes(req) > maxHeaderBytes) {
+			refuse(req, res, {status: 431, reason: 'the headers are too large'});
+			return;
+		}
+
+		const read = await readBody(req, maxBodyBytes);
+		if (read.kind === 'left') {
+			return;
+		}
+
+		if (read.kind === 'too-large') {
+			res.shouldKeepAlive = false;
+			refuse(req, res, {status: 413, reason: 'the body is too large'});
+			return;
+		}
+
+		if (requests > MAX_REQUESTS) {
+			const reason = 'too many requests are under way';
+			refuse(req, res, {status: 503, reason, retryAfterMs: RETRY_AFTER_MS});
+			return;
+		}
+
+		// The newest configuration counts, also if it came during the body.
+		const outcome = accept(req, res, ctx.readTable() ?? table, startedAt);
+		if ('status' in outcome) {
+			refuse(req, res, outcome);
+			return;
+		}
+
+		const {body} = read;
+		const caller = outcome.customer ?? '';
+		const digest = digestRequest(outcome.method, outcome.path, caller, body);
+		const accepted = {...outcome, body, digest};
+		if (ctx.isConvicted(digest)) {
+			const reason = 'this request crashes the backend servers that run it';
+			endWithOwnAnswer(ctx, accepted, {status: 500, reason}, 0);
+			return;
+		}
+
+		await forward(accepted);
+	};
+
+	const server = createServer(
+		{maxHeaderSize: MAX_PARSED_HEADER_BYTES},
+		(req, res) => {
+			requests += 1;
+			req.on('error', () => undefined);
+			res.on('error', () => undefined);
+			void handle(req, res).finally(() => {
+				requests -= 1;
+			});
+		},
+	);
+	server.requestTimeout = 0;
+	const timer = setInterval(() => {
+		relays.forEach((relay) => {
+			relay.tick();
+		});
+	}, TICK_INTERVAL_MS);
+
+	const applyLimits = (): void => {
+		const limits = ctx.readTable()?.configuration.limits ?? DEFAULT_LIMITS;
+		server.keepAliveTimeout = limits.idleTimeoutMs;
+		server.headersTimeout = limits.headerTimeoutMs;
+	};
+
+	applyLimits();
+	return {
+		server,
+		applyLimits,
+		countRequests: () => requests,
+		async drain(limitMs) {
+			isDraining = true;
+			const end = ctx.clock.now() + limitMs;
+			const isBusy = (): boolean => requests > 0 && ctx.clock.now() < end;
+			while (isBusy()) {
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise((resolve) => {
+					setTimeout(resolve, DRAIN_POLL_MS);
+				});
+			}
+
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -0,0 +1,55 @@
+import type {IncomingHttpHeaders} from 'node:http';
+
+/** What a caller says of its request. */
+export type RequestFacts = Readonly<{
+	/** Identity of this attempt of the caller. */
+	id: string;
+	/** How long the caller waits, in milliseconds; absent if it doesn't say. */
+	waitMs?: number;
+	/** Key of the caller's customer. */
+	key?: string;
+	/** Prompt tokens to read; 0 for plain requests. */
+	promptTokens: number;
+	/** Most tokens that are generated. */
+	outputTokens: number;
+	/** Last event that the caller has from an earlier attempt. */
+	lastEventId?: string;
+}>;
+
+/** A copy of a run's memory at a backend server. */
+export type MemoryCopy = Readonly<{address: string; run: string}>;
+
+/** What the system adds to a request on its way to a backend server. */
+export type BackendCall = Readonly<{
+	/** The only backend server that may run it. */
+	backend: string;
+	customer?: string;
+	remainingMs: number;
+	/** Backend server that gets a copy of the run's memory. */
+	backupAddress?: string;
+	/** The run goes on after this event. */
+	lastEventId?: string;
+	/** Memory to go on with. */
+	copy?: MemoryCopy;
+	/** Bytes of the body; absent where there is none. */
+	bodyLength?: number;
+}>;
+
+/** What a backend server says of its answer. */
+export type AnswerFacts = Readonly<{
+	/** Request that it answers. */
+	requestId?: string;
+	/** It did not run the request. */
+	isNotRun: boolean;
+}>;
+
+/** Translates headers of callers and backend servers; the deployment's adapter supplies it. */
+export type HeaderCodec = Readonly<{
+	readRequest: (headers: IncomingHttpHeaders) => RequestFacts;
+	/** Names and values in turn, for the request to a backend server. */
+	createBackendHeaders: (
+		rawHeaders: readonly string[],
+		call: BackendCall,
+	) => string[];
+	readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
+}>;
--- /dev/null
+++ b/packages/lovage-gateway/src/read-body.ts
@@ -0,0 +1,47 @@
+import type {IncomingMessage} from 'node:http';
+
+/** How the reading of a body ended. */
+export type BodyOutcome =
+	| Readonly<{kind: 'read'; body: Buffer | undefined}>
+	| Readonly<{kind: 'too-large'}>
+	/** The caller left. */
+	| Readonly<{kind: 'left'}>;
+
+/** Reads the body of a request; undefined where it has none. */
+export async function readBody(
+	req: IncomingMessage,
+	maxBytes: number,
+): Promise<BodyOutcome> {
+	const hasBody =
+		req.headers['content-length'] !== undefined ||
+		req.headers['transfer-encoding'] !== undefined;
+	if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+		return {kind: 'too-large'};
+	}
+
+	return new Promise((resolve) => {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		req.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size > maxBytes) {
+				resolve({kind: 'too-large'});
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		req.on('end', () => {
+			resolve({
+				kind: 'read',
+				body: hasBody ? Buffer.concat(chunks) : undefined,
+			});
+		});
+		req.on('error', () => {
+			resolve({kind: 'left'});
+		});
+		req.on('close', () => {
+			resolve({kind: 'left'});
+		});
+	});
+}
--- /dev/null
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -0,0 +1,503 @@
+import type {IncomingMessage} from 'node:http';
+import {
+	type AttemptFailure,
+	type BackendRecord,
+	decideRetry,
+	isRepeatable,
+	judgeSilence,
+	type ProbeState,
+} from '@lovagevalve/dispatch';
+import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
+import {openExchange, probeAddress, type Exchange} from './backend-exchange.js';
+import type {Placement} from './backend-view.js';
+import {
+	type AcceptedRequest,
+	describeWork,
+	type GatewayContext,
+	readRemaining,
+} from './context.js';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {dropHeaders} from './hop-headers.js';
+import type {MemoryCopy} from './protocol.js';
+
+/** A stream that goes on at other backend servers until it is whole. */
+export type StreamRelay = Readonly<{
+	/** Looks for silence; called several times a second. */
+	tick: () => void;
+}>;
+
+/** One run of the request at one backend server. */
+type Run = {
+	readonly backend: BackendRecord;
+	readonly placement: Placement;
+	/** Backend server that gets a copy of the run's memory. */
+	readonly backup: BackendRecord | undefined;
+	exchange: Exchange | undefined;
+	hasStarted: boolean;
+	/** Monotonic milliseconds of the last event, or of the send. */
+	heardAt: number;
+	probe: ProbeState;
+	isOver: boolean;
+};
+
+/** A backend server that no longer works on the request. */
+type FormerRun = Readonly<{backend: BackendRecord; backup?: BackendRecord}>;
+
+const BODY_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+const SUCCESS = 200;
+/** Pause before a stream that has begun is offered again when no backend server took it. */
+const REOFFER_INTERVAL_MS = 200;
+
+/** Forwards a request whose answer is a stream of events; `onEnd` is called once. */
+export function createStreamRelay(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	onEnd: () => void,
+): StreamRelay {
+	const {route, service, res, facts} = req;
+	const canRepeat = isRepeatable(route.kind, route.isResumable);
+	const excluded: string[] = [];
+	const lostAt: string[] = [];
+	let run: Run | undefined;
+	let lastEventId = facts.lastEventId;
+	let isHeadSent = false;
+	let isEnded = false;
+	let isPaused = false;
+	let sent = 0;
+	let tries = 0;
+	let deaths = 0;
+	let moves = 0;
+	let hasRun = false;
+	let reofferTimer: NodeJS.Timeout | undefined;
+
+	const closeRun = (): void => {
+		if (run !== undefined && !run.isOver) {
+			run.isOver = true;
+			run.exchange?.cancel();
+			run.placement.release();
+		}
+	};
+
+	const finish = (): void => {
+		if (!isEnded) {
+			isEnded = true;
+			clearTimeout(deadlineTimer);
+			clearTimeout(reofferTimer);
+			closeRun();
+			onEnd();
+		}
+	};
+
+	const record = (status: number, reason: string): void => {
+		recordEnd(ctx, req, {status, reason, sent, backend: run?.backend.id});
+	};
+
+	/** Ends a stream that can't be completed. */
+	const breakOff = (status: 502 | 503 | 504, reason: string): void => {
+		if (isEnded) {
+			return;
+		}
+
+		if (isHeadSent) {
+			record(status, reason);
+			// Without its end the stream doesn't look whole.
+			res.destroy();
+		} else {
+			const retryAfterMs = status === 503 ? RETRY_AFTER_MS : undefined;
+			endWithOwnAnswer(ctx, req, {status, reason, retryAfterMs}, sent);
+		}
+
+		finish();
+	};
+
+	const deliver = (
+		current: Run,
+		answer: IncomingMessage,
+		event: StreamEvent,
+	): void => {
+		const isRepeated =
+			event.id !== undefined &&
+			lastEventId !== undefined &&
+			Number(event.id) <= Number(lastEventId);
+		current.heardAt = ctx.clock.now();
+		if (!current.hasStarted) {
+			current.hasStarted = true;
+			current.placement.markStarted();
+			ctx.view.signal(current.backend, 'answered');
+		}
+
+		if (isRepeated) {
+			return;
+		}
+
+		if (!isHeadSent) {
+			isHeadSent = true;
+			const tookMs = ctx.clock.now() - req.startedAt;
+			ctx.metrics.time('first_event', tookMs);
+			res.writeHead(
+				answer.statusCode ?? SUCCESS,
+				dropHeaders(answer.rawHeaders, BODY_HEADERS),
+			);
+		}
+
+		lastEventId = event.id ?? lastEventId;
+		if (!res.write(event.bytes)) {
+			isPaused = true;
+			answer.pause();
+			res.once('drain', () => {
+				isPaused = false;
+				current.heardAt = ctx.clock.now();
+				answer.resume();
+			});
+		}
+	};
+
+	const relay = (current: Run, answer: IncomingMessage): void => {
+		const splitter = createEventSplitter();
+		answer.on('data', (chunk: Buffer) => {
+			if (current.isOver) {
+				return;
+			}
+
+			splitter.push(chunk).forEach((event) => {
+				deliver(current, answer, event);
+			});
+		});
+		answer.on('end', () => {
+			if (current.isOver) {
+				return;
+			}
+
+			if (splitter.hasRest() || !answer.complete) {
+				fail(current, {kind: 'lost', reason: 'the stream broke off'});
+				return;
+			}
+
+			if (!isHeadSent) {
+				res.writeHead(SUCCESS, dropHeaders(answer.rawHeaders, BODY_HEADERS));
+			}
+
+			record(SUCCESS, moves > 0 ? 'moved' : 'backend server');
+			res.end();
+			finish();
+		});
+		answer.on('error', () => {
+			fail(current, {kind: 'lost', reason: 'the stream broke off'});
+		});
+	};
+
+	/** Passes a failure of the backend server's own on. */
+	const passOn = (current: Run, answer: IncomingMessage): void => {
+		const chunks: Buffer[] = [];
+		answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+		answer.on('error', () => {
+			fail(current, {kind: 'lost', reason: 'the answer broke off'});
+		});
+		answer.on('end', () => {
+			if (current.isOver || isEnded) {
+				return;
+			}
+
+			const body = Buffer.concat(chunks);
+			const status = answer.statusCode ?? 0;
+			record(status, 'backend server');
+			res.writeHead(status, [
+				...dropHeaders(answer.rawHeaders, BODY_HEADERS),
+				'Content-Length',
+				String(body.length),
+			]);
+			res.end(body);
+			finish();
+		});
+	};
+
+	const onAnswer = (current: Run, answer: IncomingMessage): void => {
+		if (current.isOver) {
+			answer.destroy();
+			return;
+		}
+
+		const status = answer.statusCode ?? 0;
+		const {requestId, isNotRun} = ctx.codec.readAnswer(status, answer.headers);
+		if (isNotRun) {
+			fail(current, {kind: 'rejected', reason: `not run: ${status}`});
+		} else if (requestId !== facts.id) {
+			const reason = 'the answer belongs to another request';
+			fail(current, {kind: 'lost', reason});
+		} else if (status === SUCCESS) {
+			relay(current, answer);
+		} else if (
+			isHeadSent ||
+			(status >= 500 && canRepeat && sent < route.maxAttempts)
+		) {
+			fail(current, {kind: 'failed', reason: String(status)});
+		} else {
+			passOn(current, answer);
+		}
+	};
+
+	const findCopy = (
+		former: FormerRun | undefined,
+	): {backend: BackendRecord; copy: MemoryCopy} | undefined => {
+		const backup = former?.backup;
+		return backup !== undefined &&
+			ctx.view.isUsable(backup.id) &&
+			lastEventId !== undefined
+			? {backend: backup, copy: {address: backup.address, run: facts.id}}
+			: undefined;
+	};
+
+	const chooseBackup = (backend: BackendRecord): BackendRecord | undefined => {
+		if (service.engine?.canBackUp !== true || !canRepeat) {
+			return undefined;
+		}
+
+		const avoided = [...excluded, backend.id];
+		const away = [...lostAt, backend.dataCentre];
+		const work = describeWork(ctx, req, avoided, away);
+		return ctx.view.choose(service.name, work, ctx.draw());
+	};
+
+	const start = (former?: FormerRun): void => {
+		const held = findCopy(former);
+		const work = describeWork(ctx, req, excluded, lostAt);
+		const backend =
+			held?.backend ?? ctx.view.choose(service.name, work, ctx.draw());
+		if (backend === undefined) {
+			offerLater('no backend server is known');
+			return;
+		}
+
+		const backup = chooseBackup(backend);
+		const placedWork = held === undefined ? work : {...work, promptTokens: 0};
+		const current: Run = {
+			backend,
+			backup,
+			placement: ctx.view.place(backend, placedWork),
+			exchange: undefined,
+			hasStarted: false,
+			heardAt: ctx.clock.now(),
+			probe: 'none',
+			isOver: false,
+		};
+		run = current;
+		tries += 1;
+		sent += 1;
+		current.exchange = openExchange(
+			{
+				address: backend.address,
+				method: req.method,
+				path: req.path,
+				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
+					backend: backend.id,
+					customer: req.customer,
+					remainingMs: readRemaining(ctx, req),
+					backupAddress: backup?.address,
+					lastEventId,
+					copy: held?.copy,
+					bodyLength: req.body?.length,
+				}),
+				body: req.body,
+			},
+			{
+				onAnswer(answer) {
+					onAnswer(current, answer);
+				},
+				onFailure(failure) {
+					fail(current, failure);
+				},
+			},
+		);
+		if (former !== undefined) {
+			ctx.log.info('A stream goes on elsewhere.', {
+				request: facts.id,
+				from: former.backend.id,
+				to: backend.id,
+				hasCopy: held !== undefined,
+				lastEventId: lastEventId ?? '',
+			});
+		}
+	};
+
+	/** A stream that has begun waits for a backend server; a new one is refused. */
+	const offerLater = (reason: string): void => {
+		if (!isHeadSent) {
+			breakOff(hasRun ? 502 : 503, reason);
+			return;
+		}
+
+		excluded.length = 0;
+		reofferTimer = setTimeout(() => {
+			if (!isEnded) {
+				start();
+			}
+		}, REOFFER_INTERVAL_MS);
+	};
+
+	const noteFailure = (current: Run, failure: AttemptFailure): void => {
+		switch (failure.kind) {
+			case 'not-sent': {
+				sent -= 1;
+				ctx.view.signal(current.backend, 'unreachable');
+				break;
+			}
+
+			case 'rejected': {
+				break;
+			}
+
+			case 'failed': {
+				hasRun = true;
+				ctx.view.signal(current.backend, 'failed');
+				break;
+			}
+
+			case 'lost': {
+				hasRun = true;
+				void noteLoss(current);
+				break;
+			}
+		}
+	};
+
+	const noteLoss = async (current: Run): Promise<void> => {
+		const {backend} = current;
+		const isAlive =
+			current.probe !== 'dead' && (await probeAddress(backend.address));
+		ctx.view.signal(backend, isAlive ? 'failed' : 'unreachable');
+		if (!isAlive) {
+			ctx.reportCrash({
+				digest: req.digest,
+				backend: `${backend.id}/${backend.bornAt}`,
+			});
+		}
+	};
+
+	const fail = (current: Run, failure: AttemptFailure): void => {
+		if (current.isOver || isEnded) {
+			return;
+		}
+
+		const {backend, backup} = current;
+		closeRun();
+		noteFailure(current, failure);
+		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
+		const decision = decideRetry(
+			{
+				isRepeatable: canRepeat,
+				failure,
+				sent,
+				tries,
+				maxAttempts: route.maxAttempts,
+				deaths,
+				remainingMs: readRemaining(ctx, req),
+				hasBudget:
+					failure.kind === 'not-sent' || ctx.budgets.spend(service.name),
+			},
+			hasRun,
+		);
+		ctx.log.warn('A run of a stream failed.', {
+			request: facts.id,
+			backend: backend.id,
+			failure: failure.kind,
+			reason: failure.reason,
+			sent,
+			decision: decision.kind,
+			lastEventId: lastEventId ?? '',
+		});
+		switch (decision.kind) {
+			case 'retry': {
+				moves += 1;
+				excluded.push(backend.id);
+				if (failure.kind !== 'rejected') {
+					lostAt.push(backend.dataCentre);
+				}
+
+				// A backup that has no copy after all is asked as any other.
+				start({
+					backend,
+					backup: failure.kind === 'rejected' ? undefined : backup,
+				});
+				break;
+			}
+
+			case 'refuse': {
+				breakOff(isHeadSent ? 502 : 503, failure.reason);
+				break;
+			}
+
+			case 'fail': {
+				breakOff(502, failure.reason);
+				break;
+			}
+		}
+	};
+
+	const probe = async (current: Run): Promise<void> => {
+		current.probe = 'pending';
+		const isAlive = await probeAddress(current.backend.address);
+		current.probe = isAlive ? 'alive' : 'dead';
+		if (!isAlive) {
+			ctx.view.signal(current.backend, 'unreachable');
+			tick();
+		}
+	};
+
+	const tick = (): void => {
+		const current = run;
+		if (
+			isEnded ||
+			isPaused ||
+			!canRepeat ||
+			current === undefined ||
+			current.isOver
+		) {
+			return;
+		}
+
+		const silentMs = ctx.clock.now() - current.heardAt;
+		const decision = judgeSilence({
+			silentMs,
+			hasStarted: current.hasStarted,
+			probe: current.probe,
+			hasCopy: findCopy(current) !== undefined,
+			gapTargetMs: route.gapTargetMs,
+			latencyTargetMs: route.latencyTargetMs,
+		});
+		switch (decision) {
+			case 'wait': {
+				if (current.probe === 'alive' && silentMs < route.gapTargetMs / 2) {
+					current.probe = 'none';
+				}
+
+				break;
+			}
+
+			case 'probe': {
+				void probe(current);
+				break;
+			}
+
+			case 'move': {
+				const reason = `silent for ${Math.round(silentMs)} ms, probe ${current.probe}`;
+				fail(current, {kind: 'lost', reason});
+				break;
+			}
+		}
+	};
+
+	const deadlineTimer = setTimeout(
+		() => {
+			breakOff(504, 'timeout');
+		},
+		Math.max(1, readRemaining(ctx, req)),
+	);
+	res.once('close', () => {
+		if (!isEnded) {
+			record(499, 'the caller left');
+			finish();
+		}
+	});
+	start();
+	return {tick};
+}
--- /dev/null
+++ b/packages/lovage-routing/src/route-table.ts
@@ -0,0 +1,73 @@
+import type {
+	Configuration,
+	Customer,
+	Route,
+	RouteTarget,
+	Service,
+} from './types.js';
+
+/** Lookups of one configuration. */
+export type RouteTable = Readonly<{
+	configuration: Configuration;
+	/** Longest prefix of the host that begins the path. */
+	findRoute: (host: string, path: string) => Route | undefined;
+	findCustomer: (key: string) => Customer | undefined;
+	findService: (name: string) => Service | undefined;
+	/** Whether requests must carry a customer's key. */
+	needsKeys: boolean;
+}>;
+
+/** Brings the value of a Host header into the form of a route's host. */
+export function normalizeHost(host: string): string {
+	return host.replace(/:\d+$/, '').toLowerCase();
+}
+
+function groupByHost(
+	routes: readonly Route[],
+): ReadonlyMap<string, readonly Route[]> {
+	const groups = new Map<string, Route[]>();
+	routes.forEach((route) => {
+		const group = groups.get(route.host) ?? [];
+		group.push(route);
+		groups.set(route.host, group);
+	});
+	groups.forEach((group) => {
+		group.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+	});
+	return groups;
+}
+
+/** Creates the lookups of a configuration. */
+export function createRouteTable(configuration: Configuration): RouteTable {
+	const {routes, services, customers} = configuration;
+	const hosts = groupByHost(routes);
+	const serviceMap = new Map(services.map((entry) => [entry.name, entry]));
+	const keyMap = new Map(
+		(customers ?? []).flatMap((customer) =>
+			customer.keys.map((key) => [key, customer] as const),
+		),
+	);
+	return {
+		configuration,
+		needsKeys: customers !== undefined,
+		findRoute: (host, path) =>
+			hosts
+				.get(normalizeHost(host))
+				?.find(({pathPrefix}) => path.startsWith(pathPrefix)),
+		findCustomer: (key) => keyMap.get(key),
+		findService: (name) => serviceMap.get(name),
+	};
+}
+
+/** Chooses the service of a request; `random` lies in [0, 1). */
+export function chooseTarget(
+	targets: readonly RouteTarget[],
+	random: number,
+): string | undefined {
+	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
+	let rest = random * total;
+	return targets.find(({weight}) => {
+		rest -= weight;
+		return rest < 0;
+	})?.service;
+}
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -21,3 +21,10 @@
 } from './supervisor.js';
 export {startSupervisor} from './supervisor.js';
 export {createTimerPart} from './timer-part.js';
+export type {PulledMetrics} from './pulled-metrics.js';
+export {createPulledMetrics} from './pulled-metrics.js';
+export {createBoundedLogger, installStdoutLogWriter} from './stdout-log.js';
+export type {JsonAnswer, JsonCall, JsonHandler} from './json-server.js';
+export {createJsonServer} from './json-server.js';
+export type {PeerClient} from './peer-client.js';
+export {createPeerClient} from './peer-client.js';
--- /dev/null
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -0,0 +1,93 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+
+/** What a handler answers. */
+export type JsonAnswer = Readonly<{
+	status: number;
+	/** Sent as JSON; a string is sent as it is. */
+	body?: unknown;
+	headers?: Readonly<Record<string, string>>;
+}>;
+
+/** A call: the path without the query, and the body's text. */
+export type JsonCall = Readonly<{
+	method: string;
+	path: string;
+	query: URLSearchParams;
+	text: string;
+}>;
+
+/** Answers one call. */
+export type JsonHandler = (call: JsonCall) => Promise<JsonAnswer>;
+
+const MAX_BODY_BYTES = 16_777_216;
+const IDLE_TIMEOUT_MS = 15_000;
+const BASE = 'http://instance';
+
+async function readText(req: IncomingMessage): Promise<string | undefined> {
+	return new Promise((resolve) => {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		req.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size <= MAX_BODY_BYTES) {
+				chunks.push(chunk);
+			}
+		});
+		req.on('end', () => {
+			resolve(
+				size <= MAX_BODY_BYTES
+					? Buffer.concat(chunks).toString('utf8')
+					: undefined,
+			);
+		});
+		req.on('close', () => {
+			resolve(undefined);
+		});
+	});
+}
+
+/** Serves JSON calls; a handler that throws is answered with 500 and told to `onError`. */
+export function createJsonServer(
+	handler: JsonHandler,
+	onError: (error: unknown) => void,
+): Server {
+	const server = createServer(async (req, res) => {
+		req.on('error', () => undefined);
+		res.on('error', () => undefined);
+		const text = await readText(req);
+		if (text === undefined) {
+			if (!res.destroyed) {
+				res.writeHead(413).end();
+			}
+
+			return;
+		}
+
+		const url = new URL(req.url ?? '/', BASE);
+		const call = {
+			method: req.method ?? 'GET',
+			path: url.pathname,
+			query: url.searchParams,
+			text,
+		};
+		let answer: JsonAnswer;
+		try {
+			answer = await handler(call);
+		} catch (error) {
+			onError(error);
+			answer = {status: 500, body: {error: 'internal error'}};
+		}
+
+		const {status, body, headers = {}} = answer;
+		const payload =
+			typeof body === 'string' ? body : JSON.stringify(body ?? {});
+		res.writeHead(status, {
+			'Content-Type': 'application/json',
+			'Content-Length': Buffer.byteLength(payload),
+			...headers,
+		});
+		res.end(payload);
+	});
+	server.keepAliveTimeout = IDLE_TIMEOUT_MS;
+	return server;
+}
--- /dev/null
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -0,0 +1,87 @@
+import {Agent, request} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Calls other instances of the system. */
+export type PeerClient = Readonly<{
+	/** Sends JSON and resolves with the answer's JSON, or why there is none. */
+	call: <T>(
+		address: string,
+		path: string,
+		body: unknown,
+		timeoutMs: number,
+	) => Promise<Result<T, string>>;
+	close: () => void;
+}>;
+
+const IDLE_TIMEOUT_MS = 10_000;
+const SUCCESS = 200;
+
+/**
+ * Creates a client that keeps its connections. One that misses a deadline is
+ * closed, as it may have gone silent for good.
+ */
+export function createPeerClient(): PeerClient {
+	const agent = new Agent({keepAlive: true, timeout: IDLE_TIMEOUT_MS});
+	return {
+		async call<T>(
+			address: string,
+			path: string,
+			body: unknown,
+			timeoutMs: number,
+		) {
+			const colon = address.lastIndexOf(':');
+			const payload = Buffer.from(JSON.stringify(body));
+			return new Promise<Result<T, string>>((resolve) => {
+				const req = request({
+					agent,
+					host: address.slice(0, colon),
+					port: Number(address.slice(colon + 1)),
+					method: 'POST',
+					path,
+					headers: {
+						'Content-Type': 'application/json',
+						'Content-Length': payload.length,
+					},
+				});
+				const fail = (reason: string): void => {
+					clearTimeout(timer);
+					req.destroy();
+					resolve(err(reason));
+				};
+
+				const timer = setTimeout(() => {
+					fail('timeout');
+				}, timeoutMs);
+				req.on('error', (error: NodeJS.ErrnoException) => {
+					fail(error.code ?? error.message);
+				});
+				req.on('response', (res) => {
+					const chunks: Buffer[] = [];
+					res.on('data', (chunk: Buffer) => chunks.push(chunk));
+					res.on('error', (error) => {
+						fail(error.message);
+					});
+					res.on('end', () => {
+						clearTimeout(timer);
+						if (res.statusCode !== SUCCESS) {
+							resolve(err(`status ${res.statusCode ?? 0}`));
+							return;
+						}
+
+						try {
+							resolve(
+								ok(JSON.parse(Buffer.concat(chunks).toString('utf8')) as T),
+							);
+						} catch (error) {
+							resolve(err(String(error)));
+						}
+					});
+				});
+				req.end(payload);
+			});
+		},
+		close() {
+			agent.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-runtime/src/pulled-metrics.ts
@@ -0,0 +1,78 @@
+import {createServer, type Server} from 'node:http';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4.5, 10, 25];
+
+/** Counters, gauges and histograms that are read from an address. */
+export type PulledMetrics = Readonly<{
+	/** Adds one to a counter; `labels` must have few values. */
+	count: (name: string, labels?: Readonly<Record<string, string>>) => void;
+	/** Takes milliseconds. */
+	time: (
+		name: string,
+		ms: number,
+		labels?: Readonly<Record<string, string>>,
+	) => void;
+	/** Reads a gauge each time the metrics are fetched. */
+	watch: (name: string, read: () => number) => void;
+	/** Serves the metrics as text. */
+	serve: (ip: string, port: number) => Server;
+}>;
+
+/** Creates the metrics of a process. */
+export function createPulledMetrics(): PulledMetrics {
+	const registry = new Registry();
+	const counters = new Map<string, Counter>();
+	const histograms = new Map<string, Histogram>();
+
+	return {
+		count(name, labels = {}) {
+			const counter =
+				counters.get(name) ??
+				new Counter({
+					name: `lovage_${name}_total`,
+					help: name,
+					labelNames: Object.keys(labels),
+					registers: [registry],
+				});
+			counters.set(name, counter);
+			counter.inc(labels);
+		},
+		time(name, ms, labels = {}) {
+			const histogram =
+				histograms.get(name) ??
+				new Histogram({
+					name: `lovage_${name}_seconds`,
+					help: name,
+					labelNames: Object.keys(labels),
+					buckets: LATENCY_BUCKETS_S,
+					registers: [registry],
+				});
+			histograms.set(name, histogram);
+			histogram.observe(labels, ms / 1000);
+		},
+		watch(name, read) {
+			// eslint-disable-next-line no-new -- it registers itself
+			new Gauge({
+				name: `lovage_${name}`,
+				help: name,
+				registers: [registry],
+				collect() {
+					this.set(read());
+				},
+			});
+		},
+		serve(ip, port) {
+			const server = createServer(async (req, res) => {
+				const text = await registry.metrics();
+				res.setHeader('Content-Type', registry.contentType);
+				res.end(text);
+			});
+			// Metrics are not worth the process: a taken port is shown by the missing page.
+			server.on('error', () => undefined);
+			server.listen(port, ip);
+			return server;
+		},
+	};
+}
