Treat a reset of an unframed answer as its loss

Ruled out: the length check, as these answers have none. A fault of one request no longer ends the process.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -1,6 +1,5 @@
 // Bundles the programs of the deployment into `target/`.
 import path from 'node:path';
-import process from 'node:process';
 import {build} from 'esbuild';
 
 const root = path.resolve(import.meta.dirname, '..');
@@ -32,8 +31,8 @@
 	platform: 'node',
 	format: 'esm',
 	target: 'node20',
-	minify: process.env.CI !== 'true',
-	sourcemap: false,
+	// Whole lines keep the traces of faults readable.
+	minifySyntax: true,
 	// CommonJS libraries in the bundle call `require` for Node.js modules.
 	banner: {
 		js: "import {createRequire as nodeCreateRequire} from 'node:module';const require = nodeCreateRequire(import.meta.url);",
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -143,6 +143,16 @@
 		);
 	};
 
+	const proposeElsewhere = async (
+		configuration: StoredConfiguration,
+	): Promise<ProposeOutcome> => {
+		const answer = await askLeader<{outcome: ProposeOutcome}>(
+			'/propose',
+			configuration,
+		);
+		return answer?.outcome ?? 'unknown';
+	};
+
 	const readHere = async (): Promise<ReadOutcome> => {
 		if (!(await replica.confirmRead())) {
 			return {kind: 'unavailable'};
@@ -256,14 +266,9 @@
 				return true;
 			}
 
-			const outcome: ProposeOutcome = replica.isLeader()
+			const outcome = replica.isLeader()
 				? await replica.propose(configuration)
-				: ((
-						await askLeader<{outcome: ProposeOutcome}>(
-							'/propose',
-							configuration,
-						)
-					)?.outcome ?? 'unknown');
+				: await proposeElsewhere(configuration);
 			metrics.count('configurations', {outcome});
 			log.info('A configuration was proposed.', {version, outcome});
 			return outcome === 'committed';
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -75,8 +75,7 @@
 		const {entry, address, dataCentre, standing} = report;
 		const known = entries.get(entry);
 		if (
-			known === undefined ||
-			known.standing !== standing ||
+			known?.standing !== standing ||
 			known.address !== address ||
 			!isFresh(known)
 		) {
--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {
 	createRaft,
 	defaultSettings,
--- a/packages/lovage-gateway/src/answers.ts
+++ b/packages/lovage-gateway/src/answers.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {request as sendHttp, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
@@ -10,7 +11,7 @@
 	path: string;
 	/** Names and values in turn. */
 	headers: string[];
-	body: Buffer | undefined;
+	body: Uint8Array | undefined;
 }>;
 
 /** What an exchange reports; only one of the two, once. */
@@ -53,6 +54,7 @@
 ): Exchange {
 	let isSent = false;
 	let isOver = false;
+	let received: IncomingMessage | undefined;
 
 	const finish = (failure: AttemptFailure): void => {
 		if (!isOver) {
@@ -89,10 +91,13 @@
 		}
 
 		isOver = true;
+		received = answer;
 		onAnswer(answer);
 	});
 	req.on('error', (error: NodeJS.ErrnoException) => {
 		clearTimeout(connectTimer);
+		// Node.js takes a reset for the end of an answer that has no length.
+		received?.destroy(error);
 		const reason = error.code ?? error.message;
 		finish({kind: isSent ? 'lost' : 'not-sent', reason});
 	});
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Crash, EntryStanding, Work} from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
@@ -35,7 +36,7 @@
 	method: string;
 	path: string;
 	rawHeaders: readonly string[];
-	body: Buffer | undefined;
+	body: Uint8Array | undefined;
 	res: ServerResponse;
 	startedAt: number;
 	/** When the caller or the route gives up, in monotonic milliseconds. */
--- a/packages/lovage-gateway/src/event-splitter.ts
+++ b/packages/lovage-gateway/src/event-splitter.ts
@@ -1,9 +1,10 @@
+import {Buffer} from 'node:buffer';
 /** One whole event of a stream, opaque but for its id. */
-export type StreamEvent = Readonly<{id: string | undefined; bytes: Buffer}>;
+export type StreamEvent = Readonly<{id: string | undefined; bytes: Uint8Array}>;
 
 /** Cuts a stream into whole events. */
 export type EventSplitter = Readonly<{
-	push: (chunk: Buffer) => readonly StreamEvent[];
+	push: (chunk: Uint8Array) => readonly StreamEvent[];
 	/** Bytes of an event whose end hasn't come. */
 	hasRest: () => boolean;
 }>;
@@ -12,25 +13,23 @@
 const CARRIAGE_RETURN = 0x0d;
 
 /** Position behind the blank line that ends the first event, or -1. */
-function findEnd(bytes: Buffer): number {
-	let isLineEmpty = true;
-	for (let i = 0; i < bytes.length; i += 1) {
-		if (bytes[i] === LINE_FEED) {
-			if (isLineEmpty && i > 0) {
-				return i + 1;
-			}
-
-			isLineEmpty = true;
-		} else if (bytes[i] !== CARRIAGE_RETURN) {
-			isLineEmpty = false;
+function findEnd(bytes: Uint8Array): number {
+	let isLineEmpty = false;
+	const end = bytes.findIndex((byte) => {
+		if (byte !== LINE_FEED) {
+			isLineEmpty &&= byte === CARRIAGE_RETURN;
+			return false;
 		}
-	}
 
-	return -1;
+		const isBlank = isLineEmpty;
+		isLineEmpty = true;
+		return isBlank;
+	});
+	return end === -1 ? -1 : end + 1;
 }
 
-function readId(bytes: Buffer): string | undefined {
-	const line = bytes
+function readId(bytes: Uint8Array): string | undefined {
+	const line = Buffer.from(bytes)
 		.toString('latin1')
 		.split('\n')
 		.find((text) => text.startsWith('id:'));
@@ -39,7 +38,7 @@
 
 /** Creates a splitter for one stream. */
 export function createEventSplitter(): EventSplitter {
-	let rest: Buffer = Buffer.alloc(0);
+	let rest: Uint8Array = Buffer.alloc(0);
 	return {
 		push(chunk) {
 			rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {
 	createServer,
@@ -51,7 +52,7 @@
 	method: string,
 	path: string,
 	caller: string,
-	body: Buffer | undefined,
+	body: Uint8Array | undefined,
 ): string {
 	return createHash('sha256')
 		.update(`${method} ${path} ${caller}\n`)
@@ -136,13 +137,12 @@
 		}
 
 		await new Promise<void>((resolve) => {
-			const relay: StreamRelay = createStreamRelay(ctx, accepted, () => {
+			const relay = createStreamRelay(ctx, accepted, () => {
 				relays.delete(relay);
 				resolve();
 			});
-			if (!accepted.res.writableEnded) {
-				relays.add(relay);
-			}
+			relays.add(relay);
+			relay.start();
 		});
 	};
 
@@ -205,15 +205,35 @@
 		await forward(accepted);
 	};
 
+	const serve = async (
+		req: IncomingMessage,
+		res: ServerResponse,
+	): Promise<void> => {
+		requests += 1;
+		try {
+			await handle(req, res);
+		} catch (error) {
+			// A fault of one request must not end the others.
+			ctx.metrics.count('faults');
+			ctx.log.error('A request met a fault.', {
+				request: ctx.codec.readRequest(req.headers).id,
+				reason:
+					error instanceof Error
+						? (error.stack ?? error.message)
+						: String(error),
+			});
+			res.destroy();
+		} finally {
+			requests -= 1;
+		}
+	};
+
 	const server = createServer(
 		{maxHeaderSize: MAX_PARSED_HEADER_BYTES},
 		(req, res) => {
-			requests += 1;
 			req.on('error', () => undefined);
 			res.on('error', () => undefined);
-			void handle(req, res).finally(() => {
-				requests -= 1;
-			});
+			void serve(req, res);
 		},
 	);
 	server.requestTimeout = 0;
--- a/packages/lovage-gateway/src/plain-forwarder.ts
+++ b/packages/lovage-gateway/src/plain-forwarder.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
 	type AttemptFailure,
@@ -20,13 +21,13 @@
 	kind: 'answer';
 	status: number;
 	rawHeaders: readonly string[];
-	body: Buffer;
+	body: Uint8Array;
 }>;
 /** An answer too large to be buffered; the rest is piped. */
 type LargeAnswer = Readonly<{
 	kind: 'large';
 	answer: IncomingMessage;
-	head: readonly Buffer[];
+	head: readonly Uint8Array[];
 }>;
 type Outcome =
 	| BufferedAnswer
@@ -76,9 +77,9 @@
 		return;
 	}
 
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let size = 0;
-	const onData = (chunk: Buffer): void => {
+	const onData = (chunk: Uint8Array): void => {
 		chunks.push(chunk);
 		size += chunk.length;
 		if (size > MAX_BUFFERED_BYTES) {
@@ -116,7 +117,6 @@
 ): Promise<Outcome> {
 	return new Promise((resolve) => {
 		let isSettled = false;
-		let exchange: Exchange | undefined;
 		const settle = (outcome: Outcome): void => {
 			if (isSettled) {
 				return;
@@ -130,15 +130,22 @@
 
 		const onLeft = (): void => {
 			settle({kind: 'ended', reason: 'left'});
-			exchange?.cancel();
+			exchange.cancel();
 		};
 
 		const timer = setTimeout(() => {
 			settle(onLimit);
-			exchange?.cancel();
+			exchange.cancel();
 		}, limitMs);
 		req.res.once('close', onLeft);
-		exchange = openExchange(
+		if (req.res.destroyed) {
+			isSettled = true;
+			clearTimeout(timer);
+			resolve({kind: 'ended', reason: 'left'});
+			return;
+		}
+
+		const exchange: Exchange = openExchange(
 			{
 				address: backend.address,
 				method: req.method,
@@ -229,151 +236,187 @@
 	}
 }
 
-/** Forwards a request that gets one answer. */
-export async function forwardPlain(
+/** What has happened to a request so far. */
+type Progress = Readonly<{
+	excluded: readonly string[];
+	/** Backend servers that were sent the request. */
+	sent: number;
+	tries: number;
+	/** Backend servers that died while they held it. */
+	deaths: number;
+	hasRun: boolean;
+}>;
+
+const NO_PROGRESS: Progress = {
+	excluded: [],
+	sent: 0,
+	tries: 0,
+	deaths: 0,
+	hasRun: false,
+};
+
+function planTry(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-): Promise<void> {
+	backend: BackendRecord,
+	sent: number,
+): Try {
+	const {route} = req;
+	const limitMs = Math.max(1, readRemaining(ctx, req));
+	const slowMs = route.latencyTargetMs * SLOW_TRY_SHARE;
+	const isShort =
+		isRepeatable(route.kind, route.isResumable) &&
+		sent + 1 < route.maxAttempts &&
+		slowMs < limitMs / 2;
+	const failure: AttemptFailure = {kind: 'failed', reason: 'too slow'};
+	return isShort
+		? {backend, limitMs: slowMs, onLimit: {kind: 'failure', failure}}
+		: {backend, limitMs, onLimit: {kind: 'ended', reason: 'timeout'}};
+}
+
+function endWithAnswer(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	answer: BufferedAnswer,
+	{backend, sent}: Readonly<{backend: string; sent: number}>,
+): void {
+	const {status} = answer;
+	recordEnd(ctx, req, {status, reason: 'backend server', sent, backend});
+	sendBuffered(req, answer);
+}
+
+function endWithoutBackend(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	{hasRun, sent}: Progress,
+): void {
+	const reason = 'no backend server is left';
+	endWithOwnAnswer(
+		ctx,
+		req,
+		hasRun
+			? {status: 502, reason}
+			: {status: 503, reason, retryAfterMs: RETRY_AFTER_MS},
+		sent,
+	);
+}
+
+type FailedTry = Extract<Outcome, {kind: 'failure'}> &
+	Readonly<{backend: BackendRecord}>;
+
+/** Decides on a failed try: returns the progress to go on with, or ends the request. */
+async function settleFailure(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	progress: Progress,
+	{backend, failure, answer}: FailedTry,
+): Promise<Progress | undefined> {
 	const {route, service, res} = req;
-	const canRepeat = isRepeatable(route.kind, route.isResumable);
-	const excluded: string[] = [];
-	let sent = 0;
-	let tries = 0;
-	let deaths = 0;
-	let hasRun = false;
-
-	const planTry = (backend: BackendRecord): Try => {
-		const limitMs = Math.max(1, readRemaining(ctx, req));
-		const slowMs = route.latencyTargetMs * SLOW_TRY_SHARE;
-		const isShort =
-			canRepeat && sent + 1 < route.maxAttempts && slowMs < limitMs / 2;
-		const failure: AttemptFailure = {kind: 'failed', reason: 'too slow'};
-		return isShort
-			? {backend, limitMs: slowMs, onLimit: {kind: 'failure', failure}}
-			: {backend, limitMs, onLimit: {kind: 'ended', reason: 'timeout'}};
+	const hasDied = await examineFailure(ctx, req, backend, failure);
+	const isNotSent = failure.kind === 'not-sent';
+	const next: Progress = {
+		excluded: [...progress.excluded, backend.id],
+		sent: progress.sent + (isNotSent ? 0 : 1),
+		tries: progress.tries + 1,
+		deaths: progress.deaths + (hasDied ? 1 : 0),
+		hasRun:
+			progress.hasRun || failure.kind === 'lost' || failure.kind === 'failed',
 	};
+	const decision = decideRetry(
+		{
+			...next,
+			isRepeatable: isRepeatable(route.kind, route.isResumable),
+			failure,
+			maxAttempts: route.maxAttempts,
+			remainingMs: readRemaining(ctx, req),
+			hasBudget: isNotSent || ctx.budgets.spend(service.name),
+		},
+		progress.hasRun,
+	);
+	ctx.log.warn('A try failed.', {
+		request: req.facts.id,
+		backend: backend.id,
+		failure: failure.kind,
+		reason: failure.reason,
+		sent: next.sent,
+		decision: decision.kind,
+	});
+	if (res.destroyed || decision.kind === 'retry') {
+		return res.destroyed ? undefined : next;
+	}
 
-	for (;;) {
-		const work = describeWork(ctx, req, excluded, []);
-		const backend = ctx.view.choose(service.name, work, ctx.draw());
-		if (backend === undefined) {
-			const isUnknown = hasRun && !canRepeat;
-			endWithOwnAnswer(
-				ctx,
-				req,
-				isUnknown
-					? {status: 502, reason: 'no backend server is left'}
-					: {
-							status: hasRun ? 502 : 503,
-							reason: 'no backend server is known',
-							...(hasRun ? {} : {retryAfterMs: RETRY_AFTER_MS}),
-						},
-				sent,
-			);
-			return;
+	if (answer === undefined) {
+		const {reason} = failure;
+		endWithOwnAnswer(
+			ctx,
+			req,
+			decision.kind === 'refuse'
+				? {status: 503, reason, retryAfterMs: RETRY_AFTER_MS}
+				: {status: 502, reason},
+			next.sent,
+		);
+	} else {
+		endWithAnswer(ctx, req, answer, {backend: backend.id, sent: next.sent});
+	}
+
+	return undefined;
+}
+
+/** Sends a request to one backend server; returns the progress if it goes on elsewhere. */
+async function tryOnce(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	progress: Progress,
+): Promise<Progress | undefined> {
+	const work = describeWork(ctx, req, progress.excluded, []);
+	const backend = ctx.view.choose(req.service.name, work, ctx.draw());
+	if (backend === undefined) {
+		endWithoutBackend(ctx, req, progress);
+		return undefined;
+	}
+
+	const placement = ctx.view.place(backend, work);
+	const sent = progress.sent + 1;
+	const plan = planTry(ctx, req, backend, progress.sent);
+	const outcome = await runTry(ctx, req, plan);
+	placement.release();
+	switch (outcome.kind) {
+		case 'answer': {
+			ctx.view.signal(backend, 'answered');
+			endWithAnswer(ctx, req, outcome, {backend: backend.id, sent});
+			return undefined;
 		}
 
-		tries += 1;
-		const placement = ctx.view.place(backend, work);
-		// eslint-disable-next-line no-await-in-loop -- one try after the other
-		const outcome = await runTry(ctx, req, planTry(backend));
-		placement.release();
-		switch (outcome.kind) {
-			case 'answer': {
-				ctx.view.signal(backend, 'answered');
-				recordEnd(ctx, req, {
-					status: outcome.status,
-					reason: 'backend server',
-					sent: sent + 1,
-					backend: backend.id,
-				});
-				sendBuffered(req, outcome);
-				return;
-			}
+		case 'large': {
+			ctx.view.signal(backend, 'answered');
+			pipeLarge(req, outcome);
+			return undefined;
+		}
 
-			case 'large': {
-				ctx.view.signal(backend, 'answered');
-				pipeLarge(req, outcome);
-				return;
+		case 'ended': {
+			const {reason} = outcome;
+			if (reason === 'timeout') {
+				ctx.view.signal(backend, 'failed');
 			}
 
-			case 'ended': {
-				if (outcome.reason === 'timeout') {
-					ctx.view.signal(backend, 'failed');
-				}
-
-				endWithOwnAnswer(
-					ctx,
-					req,
-					{status: 504, reason: outcome.reason},
-					sent + 1,
-				);
-				return;
-			}
+			endWithOwnAnswer(ctx, req, {status: 504, reason}, sent);
+			return undefined;
+		}
 
-			case 'failure': {
-				const {failure} = outcome;
-				// eslint-disable-next-line no-await-in-loop
-				const hasDied = await examineFailure(ctx, req, backend, failure);
-				deaths += hasDied ? 1 : 0;
-				sent += failure.kind === 'not-sent' ? 0 : 1;
-				excluded.push(backend.id);
-				const decision = decideRetry(
-					{
-						isRepeatable: canRepeat,
-						failure,
-						sent,
-						tries,
-						maxAttempts: route.maxAttempts,
-						deaths,
-						remainingMs: readRemaining(ctx, req),
-						hasBudget:
-							failure.kind === 'not-sent' || ctx.budgets.spend(service.name),
-					},
-					hasRun,
-				);
-				hasRun ||= failure.kind === 'lost' || failure.kind === 'failed';
-				ctx.log.warn('A try failed.', {
-					request: req.facts.id,
-					backend: backend.id,
-					failure: failure.kind,
-					reason: failure.reason,
-					sent,
-					decision: decision.kind,
-				});
-				if (res.destroyed) {
-					return;
-				}
-
-				if (decision.kind === 'retry') {
-					continue;
-				}
-
-				if (outcome.answer !== undefined) {
-					recordEnd(ctx, req, {
-						status: outcome.answer.status,
-						reason: 'backend server',
-						sent,
-						backend: backend.id,
-					});
-					sendBuffered(req, outcome.answer);
-					return;
-				}
-
-				endWithOwnAnswer(
-					ctx,
-					req,
-					decision.kind === 'refuse'
-						? {
-								status: 503,
-								reason: failure.reason,
-								retryAfterMs: RETRY_AFTER_MS,
-							}
-						: {status: 502, reason: failure.reason},
-					sent,
-				);
-				return;
-			}
+		case 'failure': {
+			return settleFailure(ctx, req, progress, {...outcome, backend});
 		}
 	}
 }
+
+/** Forwards a request that gets one answer. */
+export async function forwardPlain(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+): Promise<void> {
+	let progress: Progress | undefined = NO_PROGRESS;
+	while (progress !== undefined) {
+		// eslint-disable-next-line no-await-in-loop -- one try after the other
+		progress = await tryOnce(ctx, req, progress);
+	}
+}
--- a/packages/lovage-gateway/src/read-body.ts
+++ b/packages/lovage-gateway/src/read-body.ts
@@ -1,8 +1,9 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 
 /** How the reading of a body ended. */
 export type BodyOutcome =
-	| Readonly<{kind: 'read'; body: Buffer | undefined}>
+	| Readonly<{kind: 'read'; body: Uint8Array | undefined}>
 	| Readonly<{kind: 'too-large'}>
 	/** The caller left. */
 	| Readonly<{kind: 'left'}>;
@@ -20,9 +21,9 @@
 	}
 
 	return new Promise((resolve) => {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let size = 0;
-		req.on('data', (chunk: Buffer) => {
+		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > maxBytes) {
 				resolve({kind: 'too-large'});
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
 	type AttemptFailure,
@@ -22,6 +23,8 @@
 
 /** A stream that goes on at other backend servers until it is whole. */
 export type StreamRelay = Readonly<{
+	/** Sends the request; the end may come before this returns. */
+	start: () => void;
 	/** Looks for silence; called several times a second. */
 	tick: () => void;
 }>;
@@ -59,7 +62,7 @@
 	const excluded: string[] = [];
 	const lostAt: string[] = [];
 	let run: Run | undefined;
-	let lastEventId = facts.lastEventId;
+	let {lastEventId} = facts;
 	let isHeadSent = false;
 	let isEnded = false;
 	let isPaused = false;
@@ -154,7 +157,7 @@
 
 	const relay = (current: Run, answer: IncomingMessage): void => {
 		const splitter = createEventSplitter();
-		answer.on('data', (chunk: Buffer) => {
+		answer.on('data', (chunk: Uint8Array) => {
 			if (current.isOver) {
 				return;
 			}
@@ -188,8 +191,8 @@
 
 	/** Passes a failure of the backend server's own on. */
 	const passOn = (current: Run, answer: IncomingMessage): void => {
-		const chunks: Buffer[] = [];
-		answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+		const chunks: Uint8Array[] = [];
+		answer.on('data', (chunk: Uint8Array) => chunks.push(chunk));
 		answer.on('error', () => {
 			fail(current, {kind: 'lost', reason: 'the answer broke off'});
 		});
@@ -498,6 +501,10 @@
 			finish();
 		}
 	});
-	start();
-	return {tick};
+	return {
+		start() {
+			start();
+		},
+		tick,
+	};
 }
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 
 /** What a handler answers. */
@@ -25,9 +26,9 @@
 
 async function readText(req: IncomingMessage): Promise<string | undefined> {
 	return new Promise((resolve) => {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let size = 0;
-		req.on('data', (chunk: Buffer) => {
+		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size <= MAX_BODY_BYTES) {
 				chunks.push(chunk);
--- a/packages/lovage-runtime/src/metrics.ts
+++ b/packages/lovage-runtime/src/metrics.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {StatsD} from 'hot-shots';
 import {z} from 'zod';
 
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 
@@ -56,8 +57,8 @@
 					fail(error.code ?? error.message);
 				});
 				req.on('response', (res) => {
-					const chunks: Buffer[] = [];
-					res.on('data', (chunk: Buffer) => chunks.push(chunk));
+					const chunks: Uint8Array[] = [];
+					res.on('data', (chunk: Uint8Array) => chunks.push(chunk));
 					res.on('error', (error) => {
 						fail(error.message);
 					});
--- a/packages/lovage-runtime/src/stdout-log.ts
+++ b/packages/lovage-runtime/src/stdout-log.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 // eslint-disable-next-line import-x/no-unassigned-import
 import './enable-roarr.js';
@@ -34,7 +35,7 @@
 		waitingBytes = 0;
 	};
 
-	const writeAll = (data: Buffer): void => {
+	const writeAll = (data: Uint8Array): void => {
 		write(STDOUT, data, (error, written) => {
 			// A reader that is gone must not stop the process.
 			if (error === null && written < data.length) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -45,6 +45,11 @@
 			],
 		},
 	},
+	{
+		// The programs end by themselves after a drain.
+		files: ['platform/src/*.ts'],
+		rules: {'unicorn/no-process-exit': 'off'},
+	},
 	{
 		// The root holds the development dependencies that tests import.
 		files: ['**/__tests__/**/*.ts'],
