--- /dev/null
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -0,0 +1,195 @@
+import {describe, expect, it} from 'vitest';
+import {
+	type CrashLedger,
+	countRequest,
+	decideRetry,
+	EMPTY_BUDGET,
+	isAvoided,
+	judgeSilence,
+	listConvicted,
+	recordCrashes,
+	recordSignal,
+	type RetryInputs,
+	type SilenceInputs,
+	spendRetry,
+	UNKNOWN_HEALTH,
+} from '../../index.js';
+
+describe('decideRetry', () => {
+	const inputs: RetryInputs = {
+		isRepeatable: false,
+		failure: {kind: 'lost', reason: 'reset'},
+		sent: 1,
+		tries: 1,
+		maxAttempts: 3,
+		deaths: 0,
+		remainingMs: 900,
+		hasBudget: true,
+	};
+
+	it('never repeats a non-idempotent request whose bytes were written', () => {
+		expect(decideRetry(inputs, false).kind).toBe('fail');
+	});
+
+	it('sends it elsewhere when the backend server says that it did not run', () => {
+		const failure = {kind: 'rejected', reason: '503'} as const;
+		expect(decideRetry({...inputs, failure}, false).kind).toBe('retry');
+	});
+
+	it('does not promise "not run" after an earlier try may have run', () => {
+		const failure = {kind: 'not-sent', reason: 'refused'} as const;
+		expect(decideRetry({...inputs, failure}, true).kind).toBe('fail');
+	});
+
+	it('refuses what nobody ran when the attempts are used up', () => {
+		const failure = {kind: 'rejected', reason: '503'} as const;
+		const decision = decideRetry({...inputs, failure, sent: 3}, false);
+		expect(decision.kind).toBe('refuse');
+	});
+
+	it('repeats an idempotent request within budget, attempts and time', () => {
+		const repeatable = {...inputs, isRepeatable: true};
+		expect(decideRetry(repeatable, false).kind).toBe('retry');
+		expect(decideRetry({...repeatable, hasBudget: false}, false).kind).toBe(
+			'fail',
+		);
+		expect(decideRetry({...repeatable, remainingMs: 5}, false).kind).toBe(
+			'fail',
+		);
+		expect(decideRetry({...repeatable, deaths: 2}, false).kind).toBe('fail');
+	});
+
+	it('needs no budget when nothing was sent', () => {
+		const failure = {kind: 'not-sent', reason: 'refused'} as const;
+		const decision = decideRetry({...inputs, failure, hasBudget: false}, false);
+		expect(decision.kind).toBe('retry');
+	});
+});
+
+describe('retry budget', () => {
+	const policy = {windowMs: 10_000, ratio: 0.1, extra: 20};
+
+	function spendAll(requests: number, instances: number): number {
+		let budget = EMPTY_BUDGET;
+		for (let i = 0; i < requests; i += 1) {
+			budget = countRequest(budget, policy, i);
+		}
+
+		let spent = 0;
+		for (;;) {
+			const next = spendRetry(budget, policy, requests, instances);
+			if (next === undefined) {
+				return spent;
+			}
+
+			budget = next;
+			spent += 1;
+		}
+	}
+
+	it('keeps all instances together within the common bound in a storm', () => {
+		const instances = 4;
+		const total = instances * spendAll(250, instances);
+		expect(total).toBeLessThanOrEqual(
+			policy.ratio * 250 * instances + policy.extra,
+		);
+		expect(total).toBeGreaterThan(0);
+	});
+
+	it('frees what was spent when the window has passed', () => {
+		let budget = spendRetry(EMPTY_BUDGET, policy, 0, 20);
+		expect(budget).toBeUndefined();
+		budget = spendRetry(EMPTY_BUDGET, policy, 0, 1);
+		expect(spendRetry(budget!, policy, 20_000, 1)).toBeDefined();
+	});
+});
+
+describe('judgeSilence', () => {
+	const inputs: SilenceInputs = {
+		silentMs: 0,
+		hasStarted: true,
+		probe: 'none',
+		hasCopy: true,
+		gapTargetMs: 700,
+		latencyTargetMs: 4500,
+	};
+
+	it('waits for a while, then looks whether the engine lives', () => {
+		expect(judgeSilence({...inputs, silentMs: 200})).toBe('wait');
+		expect(judgeSilence({...inputs, silentMs: 360})).toBe('probe');
+		const pending = {...inputs, silentMs: 400, probe: 'pending'} as const;
+		expect(judgeSilence(pending)).toBe('wait');
+	});
+
+	it('moves a stream at once when its engine is dead', () => {
+		const dead = {...inputs, silentMs: 400, probe: 'dead'} as const;
+		expect(judgeSilence(dead)).toBe('move');
+	});
+
+	it('moves before the allowed pause is over when a copy is at hand', () => {
+		const alive = {...inputs, probe: 'alive'} as const;
+		expect(judgeSilence({...alive, silentMs: 500})).toBe('wait');
+		expect(judgeSilence({...alive, silentMs: 650})).toBe('move');
+	});
+
+	it('gives an engine that lives more time when the prompt would be read again', () => {
+		const alone = {...inputs, probe: 'alive', hasCopy: false} as const;
+		expect(judgeSilence({...alone, silentMs: 1500})).toBe('wait');
+		expect(judgeSilence({...alone, silentMs: 2200})).toBe('move');
+	});
+
+	it('lets a prompt be read', () => {
+		const reading = {...inputs, hasStarted: false, probe: 'alive'} as const;
+		expect(judgeSilence({...reading, silentMs: 2500})).toBe('wait');
+		expect(judgeSilence({...reading, silentMs: 3200})).toBe('move');
+	});
+});
+
+describe('crash ledger', () => {
+	it('convicts a request that killed three backend servers', () => {
+		const crashes = ['e-1', 'e-2', 'e-3'].map((backend) => ({
+			digest: 'killer',
+			backend,
+		}));
+		const two = recordCrashes(new Map(), crashes.slice(0, 2), 0);
+		expect(listConvicted(two, 0)).toEqual([]);
+		const three = recordCrashes(two, crashes.slice(2), 1000);
+		expect(listConvicted(three, 1000)).toEqual(['killer']);
+		expect(listConvicted(three, 500_000)).toEqual([]);
+	});
+
+	it('counts one death once, whichever entries report it', () => {
+		const death = {digest: 'd', backend: 'e-1'};
+		const ledger = [0, 1, 2].reduce<CrashLedger>(
+			(known, now) => recordCrashes(known, [death], now),
+			new Map(),
+		);
+		expect(listConvicted(ledger, 3)).toEqual([]);
+	});
+});
+
+describe('backend health', () => {
+	it('leaves an unreachable backend server alone for a while', () => {
+		const health = recordSignal(UNKNOWN_HEALTH, 'unreachable', 0);
+		expect(isAvoided(health, 1000)).toBe(true);
+		expect(isAvoided(health, 2000)).toBe(false);
+	});
+
+	it('leaves one alone that fails most of its requests', () => {
+		const health = Array.from({length: 5}).reduce<typeof UNKNOWN_HEALTH>(
+			(known) => recordSignal(known, 'failed', 0),
+			UNKNOWN_HEALTH,
+		);
+		expect(isAvoided(health, 10)).toBe(true);
+	});
+
+	it('bears a failure now and then', () => {
+		const health = Array.from({length: 40}, (_, i) => i).reduce<
+			typeof UNKNOWN_HEALTH
+		>(
+			(known, i) => recordSignal(known, i % 6 === 0 ? 'failed' : 'answered', i),
+			UNKNOWN_HEALTH,
+		);
+		expect(isAvoided(health, 40)).toBe(false);
+	});
+});
--- /dev/null
+++ b/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
@@ -0,0 +1,120 @@
+import {describe, expect, it} from 'vitest';
+import {
+	type Candidate,
+	chooseBackend,
+	NO_LOAD,
+	type Work,
+} from '../../index.js';
+
+const engine = {slots: 96, memoryTokens: 55_000, canBackUp: true};
+
+const work: Work = {
+	dataCentre: 'a',
+	promptTokens: 5000,
+	memoryTokens: 6200,
+	excluded: [],
+	lostAt: [],
+	engine,
+};
+
+function createCandidate(
+	id: string,
+	change: Partial<Candidate> = {},
+): Candidate {
+	return {
+		id,
+		address: `${id}:80`,
+		dataCentre: 'a',
+		slots: 96,
+		own: NO_LOAD,
+		others: NO_LOAD,
+		isHeard: true,
+		isAvoided: false,
+		...change,
+	};
+}
+
+function loaded(count: number, prefillTokens: number) {
+	return {running: count, prefillTokens, memoryTokens: count * 6200};
+}
+
+describe('chooseBackend', () => {
+	it('chooses the engine with the fewest prompt tokens to read', () => {
+		const candidates = [
+			createCandidate('busy', {own: loaded(1, 5000)}),
+			createCandidate('reading-for-others', {others: loaded(2, 10_000)}),
+			createCandidate('free', {others: loaded(1, 0)}),
+		];
+		expect(chooseBackend(candidates, work, 0)?.id).toBe('free');
+	});
+
+	it('avoids an engine whose memory is full, though it reads nothing', () => {
+		const candidates = [
+			createCandidate('full', {own: loaded(8, 0)}),
+			createCandidate('reading', {own: loaded(2, 10_000)}),
+		];
+		expect(chooseBackend(candidates, work, 0)?.id).toBe('reading');
+	});
+
+	it('spreads a wave of prompts over equal engines instead of one', () => {
+		const candidates = ['x', 'y', 'z'].map((id) => createCandidate(id));
+		const chosen = [0, 0.4, 0.8].map(
+			(random) => chooseBackend(candidates, work, random)?.id,
+		);
+		expect(new Set(chosen).size).toBe(3);
+	});
+
+	it('counts the own work since the last reports, so that a burst does not pile up', () => {
+		const held = new Map<string, number>();
+		const place = (random: number): void => {
+			const candidates = ['w', 'x', 'y', 'z'].map((id) =>
+				createCandidate(id, {
+					own: loaded(held.get(id) ?? 0, (held.get(id) ?? 0) * 5000),
+				}),
+			);
+			const {id} = chooseBackend(candidates, work, random)!;
+			held.set(id, (held.get(id) ?? 0) + 1);
+		};
+
+		Array.from({length: 12}, (_, i) => ((i * 7) % 10) / 10).forEach(place);
+		expect([...held.values()]).toEqual([3, 3, 3, 3]);
+	});
+
+	it('leaves a data centre that has just lost an engine', () => {
+		const candidates = [
+			createCandidate('near'),
+			createCandidate('far', {dataCentre: 'b', own: loaded(1, 5000)}),
+		];
+		const chosen = chooseBackend(candidates, {...work, lostAt: ['a']}, 0);
+		expect(chosen?.id).toBe('far');
+	});
+
+	it('uses an avoided or silent backend server only when no other is left', () => {
+		const avoided = createCandidate('avoided', {isAvoided: true});
+		const silent = createCandidate('silent', {isHeard: false});
+		const calm = createCandidate('calm', {own: loaded(5, 25_000)});
+		expect(chooseBackend([avoided, silent, calm], work, 0)?.id).toBe('calm');
+		expect(chooseBackend([avoided, silent], work, 0)?.id).toBe('silent');
+		expect(chooseBackend([avoided], work, 0)?.id).toBe('avoided');
+	});
+
+	it('never returns an excluded backend server', () => {
+		const only = createCandidate('only');
+		const chosen = chooseBackend([only], {...work, excluded: ['only']}, 0);
+		expect(chosen).toBeUndefined();
+	});
+
+	it('balances plain requests by their share of the slots', () => {
+		const plain = {
+			...work,
+			promptTokens: 0,
+			memoryTokens: 0,
+			engine: undefined,
+		};
+		const candidates = [
+			createCandidate('small', {slots: 2, own: loaded(1, 0)}),
+			createCandidate('large', {slots: 12, own: loaded(3, 0)}),
+		];
+		expect(chooseBackend(candidates, plain, 0)?.id).toBe('large');
+	});
+});
--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
@@ -0,0 +1,250 @@
+import {connect} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+	call,
+	configuration,
+	formatEvent,
+	startBackend,
+	startHarness,
+	startRawBackend,
+	type Harness,
+} from './harness.js';
+
+const cleanups: Array<() => unknown> = [];
+
+afterEach(async () => {
+	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+async function start(
+	...backends: ReadonlyArray<{server: {close: () => unknown}; port: number}>
+): Promise<Harness> {
+	const harness = await startHarness(configuration);
+	harness.setBackends(backends.map(({port}) => port));
+	cleanups.push(
+		harness.close,
+		...backends.map(
+			({server}) =>
+				() =>
+					server.close(),
+		),
+	);
+	return harness;
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n';
+
+async function startStreaming(
+	ids: readonly number[],
+	end: 'whole' | 'reset' | 'silent',
+) {
+	const seen: Array<Record<string, unknown>> = [];
+	const backend = await startBackend((req, res) => {
+		seen.push(req.headers);
+		res.writeHead(200, {'Request-Id': req.headers['request-id']});
+		ids.forEach((id) => res.write(formatEvent(id)));
+		if (end === 'whole') {
+			res.end();
+		} else if (end === 'reset') {
+			// Half an event: the caller must not get it.
+			res.write('id: 99\ndata: ha');
+			setTimeout(() => req.socket.resetAndDestroy(), 30);
+		}
+	});
+	return {...backend, seen};
+}
+
+describe('plain requests', () => {
+	it('passes a whole answer on', async () => {
+		const backend = await startBackend((req, res) => {
+			res.writeHead(200, {'Request-Id': 'r-1', Seal: 's'}).end('body');
+		});
+		const {port} = await start(backend);
+		const answer = await call(port, '/plain/1');
+		expect(answer).toMatchObject({status: 200, body: 'body', isWhole: true});
+		expect(answer.headers.seal).toBe('s');
+	});
+
+	it('does not take a reset for the end of an answer without a length', async () => {
+		const backend = await startRawBackend((socket) => {
+			socket.write(`${HEAD}\r\npart of the answer`);
+			setTimeout(() => socket.resetAndDestroy(), 30);
+		});
+		const {port} = await start(backend);
+		const answer = await call(port, '/once/1');
+		expect(answer.status).toBe(502);
+	});
+
+	it('takes a proper end of an answer without a length', async () => {
+		const backend = await startRawBackend((socket) => {
+			socket.end(`${HEAD}\r\nthe answer`);
+		});
+		const {port} = await start(backend);
+		const answer = await call(port, '/once/1');
+		expect(answer).toMatchObject({status: 200, body: 'the answer'});
+	});
+
+	it('never sends a non-idempotent request again once its bytes were written', async () => {
+		let arrivals = 0;
+		const reset = await startRawBackend((socket) => {
+			arrivals += 1;
+			socket.resetAndDestroy();
+		});
+		const other = await startBackend((req, res) => {
+			arrivals += 1;
+			res.end();
+		});
+		const {port} = await start(reset, other);
+		const answer = await call(port, '/once/1', {}, 'grant');
+		expect(answer.status).toBe(502);
+		expect(arrivals).toBe(1);
+	});
+
+	it('sends a non-idempotent request on when no connection could be made', async () => {
+		const gone = await startBackend(() => undefined);
+		gone.server.close();
+		const backend = await startBackend((req, res) => {
+			res.writeHead(200, {'Request-Id': 'r-1'}).end('done');
+		});
+		const {port} = await start(gone, backend);
+		expect(await call(port, '/once/1')).toMatchObject({body: 'done'});
+	});
+
+	it('sends an idempotent request to another backend server after a loss', async () => {
+		const reset = await startRawBackend((socket) => socket.resetAndDestroy());
+		const backend = await startBackend((req, res) => {
+			res.writeHead(200, {'Request-Id': 'r-1'}).end('done');
+		});
+		const {port} = await start(reset, backend);
+		expect(await call(port, '/plain/1')).toMatchObject({body: 'done'});
+	});
+
+	it('does not pass on an answer that belongs to another request', async () => {
+		const backend = await startBackend((req, res) => {
+			res.writeHead(200, {'Request-Id': 'r-0'}).end('not yours');
+		});
+		const {port} = await start(backend);
+		expect(await call(port, '/once/1')).toMatchObject({status: 502});
+	});
+
+	it('refuses with a time to come back when a backend server did not run it', async () => {
+		const backend = await startBackend((req, res) => {
+			res.writeHead(503, {'Not-Run': '1', 'Request-Id': 'r-1'}).end();
+		});
+		const {port} = await start(backend);
+		const answer = await call(port, '/once/1');
+		expect(answer.status).toBe(503);
+		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+	});
+
+	it('answers at the deadline of the caller when nothing comes', async () => {
+		const backend = await startBackend(() => undefined);
+		const {port} = await start(backend);
+		const answer = await call(port, '/once/1', {'Wait-Ms': '200'});
+		expect(answer.status).toBe(504);
+	});
+
+	it('cancels the work of a caller that left', async () => {
+		let markCancelled: () => void;
+		const cancelled = new Promise<void>((resolve) => {
+			markCancelled = resolve;
+		});
+		const backend = await startBackend((req) => {
+			req.socket.once('close', () => {
+				markCancelled();
+			});
+		});
+		const {port} = await start(backend);
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(
+				'GET /once/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: r-1\r\n\r\n',
+			);
+			setTimeout(() => socket.destroy(), 100);
+		});
+		await cancelled;
+	});
+
+	it('refuses what no configuration allows, and everything before there is one', async () => {
+		const {port} = await start();
+		expect(await call(port, '/nowhere/')).toMatchObject({status: 404});
+		const long = 'x'.repeat(20_000);
+		expect(await call(port, '/plain/1', {}, long)).toMatchObject({status: 413});
+		const big = 'x'.repeat(9000);
+		expect(await call(port, '/plain/1', {big})).toMatchObject({status: 431});
+		const empty = await startHarness(undefined);
+		cleanups.push(empty.close);
+		expect(await call(port, '/plain/1')).toMatchObject({status: 503});
+	});
+});
+
+describe('streams', () => {
+	it('refuses at once when no backend server is known', async () => {
+		const {port} = await start();
+		const answer = await call(port, '/stream/1');
+		expect(answer.status).toBe(503);
+		expect(answer.headers['retry-after']).toBeDefined();
+	});
+
+	it('goes on elsewhere after a loss, each event once and none in part', async () => {
+		const first = await startStreaming([1, 2], 'reset');
+		const second = await startStreaming([2, 3, 4], 'whole');
+		const {port} = await start(first, second);
+		const answer = await call(port, '/stream/1');
+		expect(answer.body).toBe([1, 2, 3, 4].map(formatEvent).join(''));
+		expect(answer.isWhole).toBe(true);
+		expect(second.seen[0]).toMatchObject({
+			'last-event-id': '2',
+			copy: 'r-1',
+		});
+	});
+
+	it('moves a stream that went silent, and closes the old connection first', async () => {
+		const first = await startStreaming([1], 'silent');
+		const second = await startStreaming([2], 'whole');
+		let closed = 0;
+		first.server.on('connection', (socket) => {
+			socket.once('close', () => {
+				closed += 1;
+			});
+		});
+		const {port} = await start(first, second);
+		const answer = await call(port, '/stream/1');
+		expect(answer.body).toBe(formatEvent(1) + formatEvent(2));
+		expect(closed).toBeGreaterThan(0);
+	});
+
+	it('never runs a stream twice that may not be resumed', async () => {
+		const first = await startStreaming([1, 2], 'reset');
+		const second = await startStreaming([3], 'whole');
+		const {port} = await start(first, second);
+		const answer = await call(port, '/stream-once/1');
+		expect(answer.isWhole).toBe(false);
+		expect(second.seen).toHaveLength(0);
+	});
+
+	it('ends a stream without its end as broken when it can not go on', async () => {
+		const only = await startStreaming([1], 'reset');
+		const {port} = await start(only);
+		const answer = await call(port, '/stream/1', {'Wait-Ms': '600'});
+		expect(answer.isWhole).toBe(false);
+		expect(answer.body).toBe(formatEvent(1));
+	});
+
+	it('asks the engine again without the copy when it was lost', async () => {
+		const first = await startStreaming([1], 'reset');
+		let asked = 0;
+		const second = await startBackend((req, res) => {
+			asked += 1;
+			if (req.headers.copy !== undefined) {
+				res.writeHead(503, {'Not-Run': '1'}).end();
+				return;
+			}
+
+			res.writeHead(200, {'Request-Id': 'r-1'}).end(formatEvent(2));
+		});
+		const {port} = await start(first, second);
+		const answer = await call(port, '/stream/1');
+		expect(answer.body).toBe(formatEvent(1) + formatEvent(2));
+		expect(asked).toBe(2);
+	});
+});
--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -0,0 +1,283 @@
+import {
+	createServer as createHttpServer,
+	request,
+	type IncomingMessage,
+	type RequestListener,
+	type Server,
+} from 'node:http';
+import {
+	createServer as createTcpServer,
+	type AddressInfo,
+	type Server as TcpServer,
+	type Socket,
+} from 'node:net';
+import {Buffer} from 'node:buffer';
+import type {AgedRecord, Crash} from '@lovagevalve/dispatch';
+import {
+	createRouteTable,
+	type Configuration,
+	type Route,
+	type RouteKind,
+} from '@lovagevalve/routing';
+import type {Logger, PulledMetrics} from '@lovagevalve/runtime';
+import {createBackendView} from '../../backend-view.js';
+import {createGateway, type Gateway} from '../../gateway.js';
+import type {HeaderCodec} from '../../protocol.js';
+import {createRetryBudgets} from '../../retry-budgets.js';
+
+const silent = (): undefined => undefined;
+
+export const quietLog: Logger = {
+	debug: silent,
+	info: silent,
+	warn: silent,
+	error: silent,
+};
+
+export const noMetrics: PulledMetrics = {
+	count: silent,
+	time: silent,
+	watch: silent,
+	serve: () => createHttpServer(),
+};
+
+/** Header names of the stand-ins. */
+export const testCodec: HeaderCodec = {
+	readRequest: (headers) => ({
+		id: String(headers['request-id'] ?? ''),
+		waitMs: Number(headers['wait-ms'] ?? 2000),
+		key: headers.key?.toString(),
+		promptTokens: Number(headers.prompt ?? 0),
+		outputTokens: 0,
+		lastEventId: headers['last-event-id']?.toString(),
+	}),
+	createBackendHeaders: (rawHeaders, call) => [
+		'Host',
+		'test',
+		'Request-Id',
+		rawHeaders[rawHeaders.indexOf('Request-Id') + 1] ?? '',
+		'Target',
+		call.backend,
+		...(call.lastEventId === undefined
+			? []
+			: ['Last-Event-Id', call.lastEventId]),
+		...(call.backupAddress === undefined ? [] : ['Backup', call.backupAddress]),
+		...(call.copy === undefined ? [] : ['Copy', call.copy.run]),
+		'Content-Length',
+		String(call.bodyLength ?? 0),
+	],
+	readAnswer: (_, headers) => ({
+		requestId: headers['request-id']?.toString(),
+		isNotRun: headers['not-run'] !== undefined,
+	}),
+};
+
+const plainRoute: Route = {
+	name: 'plain',
+	host: 'test',
+	pathPrefix: '/plain/',
+	kind: 'idempotent',
+	timeoutMs: 2000,
+	latencyTargetMs: 2000,
+	priority: 1,
+	targets: [{service: 's', weight: 1}],
+	maxAttempts: 2,
+	isAnonymous: true,
+	isResumable: false,
+	gapTargetMs: 400,
+};
+
+const kinds: ReadonlyArray<readonly [string, RouteKind, boolean]> = [
+	['/plain/', 'idempotent', false],
+	['/once/', 'non-idempotent', false],
+	['/stream/', 'stream', true],
+	['/stream-once/', 'stream', false],
+];
+
+export const configuration: Configuration = {
+	version: 1,
+	routes: kinds.map(([pathPrefix, kind, isResumable]) => ({
+		...plainRoute,
+		name: pathPrefix,
+		pathPrefix,
+		kind,
+		isResumable,
+	})),
+	services: [
+		{
+			name: 's',
+			maxConnections: 100,
+			engine: {slots: 8, memoryTokens: 100_000, canBackUp: true},
+		},
+	],
+	limits: {
+		maxHeaderBytes: 8192,
+		maxBodyBytes: 10_000,
+		headerTimeoutMs: 3000,
+		idleTimeoutMs: 5000,
+	},
+};
+
+/** A gateway before stand-ins of backend servers. */
+export type Harness = Readonly<{
+	gateway: Gateway;
+	port: number;
+	crashes: readonly Crash[];
+	setBackends: (ports: readonly number[]) => void;
+	/** Backend server that the first request goes to: the draw decides. */
+	close: () => Promise<void>;
+}>;
+
+export async function listen(server: Server | TcpServer): Promise<number> {
+	return new Promise((resolve) => {
+		server.listen(0, '127.0.0.1', () => {
+			resolve((server.address() as AddressInfo).port);
+		});
+	});
+}
+
+/** Starts a gateway; without a table it knows no configuration. */
+export async function startHarness(
+	table: Configuration | undefined,
+): Promise<Harness> {
+	const clock = {now: () => performance.now(), wall: () => Date.now()};
+	const view = createBackendView({
+		clock,
+		log: quietLog,
+		registrationIntervalMs: 60_000,
+	});
+	const crashes: Crash[] = [];
+	const routes = table === undefined ? undefined : createRouteTable(table);
+	const gateway = createGateway({
+		clock,
+		log: quietLog,
+		metrics: noMetrics,
+		codec: testCodec,
+		view,
+		budgets: createRetryBudgets(
+			{windowMs: 10_000, ratio: 1, extra: 100},
+			clock,
+			() => 1,
+		),
+		draw: () => 0,
+		dataCentre: 'a',
+		readTable: () => routes,
+		readStanding: () => 'ready',
+		isConvicted: (digest) => digest === '',
+		reportCrash(crash) {
+			crashes.push(crash);
+		},
+	});
+	const port = await listen(gateway.server);
+	return {
+		gateway,
+		port,
+		crashes,
+		setBackends(ports) {
+			const backends = ports.map((backendPort, i): AgedRecord => ({
+				id: `e-${i}`,
+				service: 's',
+				address: `127.0.0.1:${backendPort}`,
+				dataCentre: 'a',
+				state: 'ready',
+				slots: 8,
+				bornAt: 1,
+				sequence: 1,
+				ageMs: 0,
+			}));
+			view.applyReport({
+				version: 1,
+				controls: [],
+				entries: 1,
+				backends,
+				loads: {},
+				convicted: [],
+			});
+		},
+		async close() {
+			gateway.server.closeAllConnections();
+			gateway.server.close();
+			await gateway.drain(0);
+		},
+	};
+}
+
+/** An answer as the caller got it. */
+export type CallerAnswer = Readonly<{
+	status: number;
+	headers: IncomingMessage['headers'];
+	body: string;
+	/** Whether the answer ended as the protocol says. */
+	isWhole: boolean;
+}>;
+
+/** Sends a request and reads what comes. */
+export async function call(
+	port: number,
+	path: string,
+	headers: Record<string, string> = {},
+	body = '',
+): Promise<CallerAnswer> {
+	return new Promise((resolve) => {
+		const req = request({
+			host: '127.0.0.1',
+			port,
+			path,
+			method: 'POST',
+			agent: false,
+			headers: {Host: 'test', 'Request-Id': 'r-1', ...headers},
+		});
+		req.on('error', () => {
+			resolve({status: 0, headers: {}, body: '', isWhole: false});
+		});
+		req.on('response', (res) => {
+			let text = '';
+			const end = (isWhole: boolean): void => {
+				resolve({
+					status: res.statusCode ?? 0,
+					headers: res.headers,
+					body: text,
+					isWhole,
+				});
+			};
+
+			res.setEncoding('utf8');
+			res.on('data', (chunk: string) => {
+				text += chunk;
+			});
+			res.on('end', () => {
+				end(res.complete);
+			});
+			res.on('error', () => {
+				end(false);
+			});
+		});
+		req.end(body);
+	});
+}
+
+/** Starts a stand-in that answers HTTP. */
+export async function startBackend(
+	handler: RequestListener,
+): Promise<{server: Server; port: number}> {
+	const server = createHttpServer(handler);
+	return {server, port: await listen(server)};
+}
+
+/** Starts a stand-in that writes raw bytes once a request has arrived. */
+export async function startRawBackend(
+	onRequest: (socket: Socket, text: string) => void,
+): Promise<{server: TcpServer; port: number}> {
+	const server = createTcpServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.once('data', (data) => {
+			onRequest(socket, Buffer.from(data).toString('latin1'));
+		});
+	});
+	return {server, port: await listen(server)};
+}
+
+/** One event of a stream. */
+export function formatEvent(id: number): string {
+	return `id: ${id}\ndata: piece ${id}\n\n`;
+}
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -35,6 +35,8 @@
 	readonly placement: Placement;
 	/** Backend server that gets a copy of the run's memory. */
 	readonly backup: BackendRecord | undefined;
+	/** It goes on with the memory of a former run. */
+	readonly hasCopy: boolean;
 	exchange: Exchange | undefined;
 	hasStarted: boolean;
 	/** Monotonic milliseconds of the last event, or of the send. */
@@ -44,7 +46,12 @@
 };
 
 /** A backend server that no longer works on the request. */
-type FormerRun = Readonly<{backend: BackendRecord; backup?: BackendRecord}>;
+type FormerRun = Readonly<{
+	backend: BackendRecord;
+	backup?: BackendRecord;
+	/** The backend server lacked only the copy, and is asked again without. */
+	isAskedAgain: boolean;
+}>;
 
 const BODY_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 const SUCCESS = 200;
@@ -66,7 +73,8 @@
 	let isHeadSent = false;
 	let isEnded = false;
 	let isPaused = false;
-	let sent = 0;
+	/** Backend servers that were sent the request. */
+	const sentTo = new Set<string>();
 	let tries = 0;
 	let deaths = 0;
 	let moves = 0;
@@ -92,7 +100,12 @@
 	};
 
 	const record = (status: number, reason: string): void => {
-		recordEnd(ctx, req, {status, reason, sent, backend: run?.backend.id});
+		recordEnd(ctx, req, {
+			status,
+			reason,
+			sent: sentTo.size,
+			backend: run?.backend.id,
+		});
 	};
 
 	/** Ends a stream that can't be completed. */
@@ -107,7 +120,7 @@
 			res.destroy();
 		} else {
 			const retryAfterMs = status === 503 ? RETRY_AFTER_MS : undefined;
-			endWithOwnAnswer(ctx, req, {status, reason, retryAfterMs}, sent);
+			endWithOwnAnswer(ctx, req, {status, reason, retryAfterMs}, sentTo.size);
 		}
 
 		finish();
@@ -231,7 +244,7 @@
 			relay(current, answer);
 		} else if (
 			isHeadSent ||
-			(status >= 500 && canRepeat && sent < route.maxAttempts)
+			(status >= 500 && canRepeat && sentTo.size < route.maxAttempts)
 		) {
 			fail(current, {kind: 'failed', reason: String(status)});
 		} else {
@@ -240,9 +253,8 @@
 	};
 
 	const findCopy = (
-		former: FormerRun | undefined,
+		backup: BackendRecord | undefined,
 	): {backend: BackendRecord; copy: MemoryCopy} | undefined => {
-		const backup = former?.backup;
 		return backup !== undefined &&
 			ctx.view.isUsable(backup.id) &&
 			lastEventId !== undefined
@@ -262,10 +274,13 @@
 	};
 
 	const start = (former?: FormerRun): void => {
-		const held = findCopy(former);
+		const held = findCopy(former?.backup);
 		const work = describeWork(ctx, req, excluded, lostAt);
 		const backend =
-			held?.backend ?? ctx.view.choose(service.name, work, ctx.draw());
+			held?.backend ??
+			(former?.isAskedAgain
+				? former.backend
+				: ctx.view.choose(service.name, work, ctx.draw()));
 		if (backend === undefined) {
 			offerLater('no backend server is known');
 			return;
@@ -276,6 +291,7 @@
 		const current: Run = {
 			backend,
 			backup,
+			hasCopy: held !== undefined,
 			placement: ctx.view.place(backend, placedWork),
 			exchange: undefined,
 			hasStarted: false,
@@ -285,7 +301,7 @@
 		};
 		run = current;
 		tries += 1;
-		sent += 1;
+		sentTo.add(backend.id);
 		current.exchange = openExchange(
 			{
 				address: backend.address,
@@ -340,7 +356,7 @@
 	const noteFailure = (current: Run, failure: AttemptFailure): void => {
 		switch (failure.kind) {
 			case 'not-sent': {
-				sent -= 1;
+				sentTo.delete(current.backend.id);
 				ctx.view.signal(current.backend, 'unreachable');
 				break;
 			}
@@ -382,6 +398,7 @@
 		}
 
 		const {backend, backup} = current;
+		const isAskedAgain = current.hasCopy && failure.kind === 'rejected';
 		closeRun();
 		noteFailure(current, failure);
 		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
@@ -389,7 +406,7 @@
 			{
 				isRepeatable: canRepeat,
 				failure,
-				sent,
+				sent: sentTo.size - (isAskedAgain ? 1 : 0),
 				tries,
 				maxAttempts: route.maxAttempts,
 				deaths,
@@ -404,23 +421,24 @@
 			backend: backend.id,
 			failure: failure.kind,
 			reason: failure.reason,
-			sent,
+			sent: sentTo.size,
 			decision: decision.kind,
 			lastEventId: lastEventId ?? '',
 		});
 		switch (decision.kind) {
 			case 'retry': {
 				moves += 1;
-				excluded.push(backend.id);
-				if (failure.kind !== 'rejected') {
+				if (!isAskedAgain) {
+					excluded.push(backend.id);
+				}
+
+				if (failure.kind === 'rejected') {
+					start({backend, isAskedAgain});
+				} else {
 					lostAt.push(backend.dataCentre);
+					start({backend, backup, isAskedAgain});
 				}
 
-				// A backup that has no copy after all is asked as any other.
-				start({
-					backend,
-					backup: failure.kind === 'rejected' ? undefined : backup,
-				});
 				break;
 			}
 
@@ -463,7 +481,7 @@
 			silentMs,
 			hasStarted: current.hasStarted,
 			probe: current.probe,
-			hasCopy: findCopy(current) !== undefined,
+			hasCopy: findCopy(current.backup) !== undefined,
 			gapTargetMs: route.gapTargetMs,
 			latencyTargetMs: route.latencyTargetMs,
 		});
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -10,7 +10,10 @@
 			{
 				test: {
 					name: 'unit',
-					include: ['packages/*/src/__tests__/unit/**/*.test.ts'],
+					include: [
+						'packages/*/src/__tests__/unit/**/*.test.ts',
+						'platform/src/__tests__/unit/**/*.test.ts',
+					],
 					...limits,
 				},
 			},
