Answer the directory on the entry instances too

Ruled out: a longer lifetime of the answers, as a stopped entry must be served for three lifetimes within the grace period.

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -39,7 +39,10 @@
 	/** Completes the answer to an entry's report. */
 	createAnswer: (
 		entry: string,
-	) => Pick<ControlReport, 'entries' | 'backends' | 'loads' | 'convicted'>;
+	) => Pick<
+		ControlReport,
+		'entries' | 'serving' | 'backends' | 'loads' | 'convicted'
+	>;
 	/** Entries that may be named to callers. */
 	listServing: () => readonly KnownEntry[];
 	dropOld: () => void;
@@ -91,6 +94,11 @@
 		});
 	};
 
+	const listServing = (): readonly KnownEntry[] =>
+		[...entries.values()].filter(
+			(entry) => entry.standing === 'ready' && isFresh(entry),
+		);
+
 	return {
 		register(record) {
 			const merged = mergeRecords(table, [record]);
@@ -130,16 +138,14 @@
 		},
 		createAnswer: (entry) => ({
 			entries: [...entries.values()].filter(isFresh).length,
+			serving: listServing().map(({address}) => address),
 			backends: [...table.values()].map((record) =>
 				toAged(record, clock.now()),
 			),
 			loads: sumOthers(entry),
 			convicted: listConvicted(ledger, clock.now()),
 		}),
-		listServing: () =>
-			[...entries.values()].filter(
-				(entry) => entry.standing === 'ready' && isFresh(entry),
-			),
+		listServing,
 		dropOld() {
 			table = dropOldRecords(table, clock.now());
 			[...entries.values()]
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -30,6 +30,8 @@
 	controls: readonly string[];
 	/** Entries heard of lately. */
 	entries: number;
+	/** Addresses of the entries that callers may connect to. */
+	serving: readonly string[];
 	backends: readonly AgedRecord[];
 	/** Work of the other entries. */
 	loads: Readonly<Record<string, BackendLoad>>;
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -189,6 +189,7 @@
 				version: 1,
 				controls: [],
 				entries: 1,
+				serving: [],
 				backends,
 				loads: {},
 				convicted: [],
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -55,6 +55,8 @@
 	/** Server for callers; it doesn't listen yet. */
 	gateway: Gateway;
 	isReady: () => boolean;
+	/** Addresses that callers may connect to; none until they are known. */
+	listServing: () => readonly string[];
 	/** Stops being named, serves what comes, and resolves when the process may end. */
 	drain: () => Promise<void>;
 }>;
@@ -78,6 +80,7 @@
 	let table: RouteTable | undefined;
 	let isLeaving = false;
 	let entries = 1;
+	let serving: readonly string[] = [];
 	let convicted: ReadonlySet<string> = new Set();
 	let crashes: readonly Crash[] = [];
 
@@ -158,6 +161,7 @@
 		createReport,
 		onReport(report) {
 			entries = Math.max(1, report.entries);
+			serving = report.serving;
 			convicted = new Set(report.convicted);
 			view.applyReport(report);
 		},
@@ -178,6 +182,12 @@
 	return {
 		gateway,
 		isReady: () => readStanding() === 'ready',
+		listServing() {
+			const others = serving.filter((other) => other !== settings.address);
+			return readStanding() === 'ready'
+				? [settings.address, ...others]
+				: others;
+		},
 		async drain() {
 			const end = clock.now() + settings.gracePeriodMs - STOP_MARGIN_MS;
 			isLeaving = true;
