See a reset that arrives together with the last bytes of an answer

Ruled out: the earlier remedy, which only sees errors that are reported. Now a line break is written after the end, and the outcome of that write tells.

--- a/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
@@ -75,6 +75,16 @@
 		expect(answer.status).toBe(502);
 	});
 
+	it('sees a reset that arrives together with the last bytes', async () => {
+		const backend = await startRawBackend((socket) => {
+			socket.write(`${HEAD}\r\npart of the answer`);
+			socket.resetAndDestroy();
+		});
+		const {port} = await start(backend);
+		const answer = await call(port, '/once/1');
+		expect(answer.status).toBe(502);
+	});
+
 	it('takes a proper end of an answer without a length', async () => {
 		const backend = await startRawBackend((socket) => {
 			socket.end(`${HEAD}\r\nthe answer`);
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -32,8 +32,62 @@
 const CONNECT_TIMEOUT_MS = 300;
 /** A process that lives accepts connections at once. */
 const PROBE_TIMEOUT_MS = 150;
+/** Options of `net.connect` that the types of `http.request` lack: the socket can be written to after the peer's end. */
+const CONNECTION_OPTIONS = {allowHalfOpen: true};
 const MAX_ANSWER_HEADER_BYTES = 65_536;
 
+/** Answers whose connection failed, also after they seemed to end. */
+const failedAnswers = new WeakSet<IncomingMessage>();
+
+function isUnframed({headers}: IncomingMessage): boolean {
+	return (
+		headers['content-length'] === undefined &&
+		headers['transfer-encoding'] === undefined
+	);
+}
+
+/**
+ * Makes the end of an unframed answer tell a reset: where the last bytes and
+ * the reset arrive together, Node.js reports a plain end of the stream, and
+ * only a write shows the error. A peer that ended properly ignores the line
+ * break, as HTTP asks for.
+ */
+function watchUnframedEnd(answer: IncomingMessage): void {
+	if (isUnframed(answer)) {
+		answer.socket.prependOnceListener('end', () => {
+			answer.socket.write('\r\n', (error) => {
+				if (error) {
+					failedAnswers.add(answer);
+				}
+			});
+		});
+	}
+}
+
+/** Calls one of the two when an answer has ended: `onWhole` only if all of it has arrived. */
+export function awaitEnd(
+	answer: IncomingMessage,
+	onWhole: () => void,
+	onBroken: () => void,
+): void {
+	const settle = (): void => {
+		if (answer.complete && !failedAnswers.has(answer)) {
+			onWhole();
+		} else {
+			onBroken();
+		}
+	};
+
+	answer.on('error', onBroken);
+	answer.on('end', () => {
+		if (isUnframed(answer)) {
+			setImmediate(settle);
+		} else {
+			settle();
+		}
+	});
+}
+
 /** Splits an address into its host and port. */
 export function splitAddress(address: string): {host: string; port: number} {
 	const colon = address.lastIndexOf(':');
@@ -72,6 +126,7 @@
 		headers,
 		agent: false,
 		setHost: false,
+		...CONNECTION_OPTIONS,
 		maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
 	});
 	const connectTimer = setTimeout(() => {
@@ -92,12 +147,17 @@
 
 		isOver = true;
 		received = answer;
+		watchUnframedEnd(answer);
 		onAnswer(answer);
 	});
 	req.on('error', (error: NodeJS.ErrnoException) => {
 		clearTimeout(connectTimer);
 		// Node.js takes a reset for the end of an answer that has no length.
-		received?.destroy(error);
+		if (received !== undefined) {
+			failedAnswers.add(received);
+			received.destroy(error);
+		}
+
 		const reason = error.code ?? error.message;
 		finish({kind: isSent ? 'lost' : 'not-sent', reason});
 	});
--- a/packages/lovage-gateway/src/plain-forwarder.ts
+++ b/packages/lovage-gateway/src/plain-forwarder.ts
@@ -7,7 +7,12 @@
 	isRepeatable,
 } from '@lovagevalve/dispatch';
 import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
-import {openExchange, probeAddress, type Exchange} from './backend-exchange.js';
+import {
+	awaitEnd,
+	openExchange,
+	probeAddress,
+	type Exchange,
+} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	describeWork,
@@ -90,24 +95,27 @@
 	};
 
 	answer.on('data', onData);
-	answer.on('end', () => {
-		const buffered: BufferedAnswer = {
-			kind: 'answer',
-			status,
-			rawHeaders: answer.rawHeaders,
-			body: Buffer.concat(chunks),
-		};
-		const failure: AttemptFailure = {kind: 'failed', reason: String(status)};
-		settle(
-			status >= SERVER_ERROR
-				? {kind: 'failure', failure, answer: buffered}
-				: buffered,
-		);
-	});
-	answer.on('error', () => {
-		const reason = 'the answer broke off';
-		settle({kind: 'failure', failure: {kind: 'lost', reason}});
-	});
+	awaitEnd(
+		answer,
+		() => {
+			const buffered: BufferedAnswer = {
+				kind: 'answer',
+				status,
+				rawHeaders: answer.rawHeaders,
+				body: Buffer.concat(chunks),
+			};
+			const failure: AttemptFailure = {kind: 'failed', reason: String(status)};
+			settle(
+				status >= SERVER_ERROR
+					? {kind: 'failure', failure, answer: buffered}
+					: buffered,
+			);
+		},
+		() => {
+			const reason = 'the answer broke off';
+			settle({kind: 'failure', failure: {kind: 'lost', reason}});
+		},
+	);
 }
 
 async function runTry(
@@ -189,14 +197,20 @@
 		dropHeaders(answer.rawHeaders, new Set()),
 	);
 	head.forEach((chunk) => res.write(chunk));
-	answer.on('error', () => {
-		// The caller must not take the part for the whole.
-		res.destroy();
-	});
 	res.once('close', () => {
 		answer.destroy();
 	});
-	answer.pipe(res);
+	awaitEnd(
+		answer,
+		() => {
+			res.end();
+		},
+		() => {
+			// The caller must not take the part for the whole.
+			res.destroy();
+		},
+	);
+	answer.pipe(res, {end: false});
 }
 
 /** Notes what a failed try says of the backend server, and whether it died. */
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -9,7 +9,12 @@
 	type ProbeState,
 } from '@lovagevalve/dispatch';
 import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
-import {openExchange, probeAddress, type Exchange} from './backend-exchange.js';
+import {
+	awaitEnd,
+	openExchange,
+	probeAddress,
+	type Exchange,
+} from './backend-exchange.js';
 import type {Placement} from './backend-view.js';
 import {
 	type AcceptedRequest,
@@ -179,13 +184,17 @@
 				deliver(current, answer, event);
 			});
 		});
-		answer.on('end', () => {
+		const onBroken = (): void => {
+			fail(current, {kind: 'lost', reason: 'the stream broke off'});
+		};
+
+		const onWhole = (): void => {
 			if (current.isOver) {
 				return;
 			}
 
-			if (splitter.hasRest() || !answer.complete) {
-				fail(current, {kind: 'lost', reason: 'the stream broke off'});
+			if (splitter.hasRest()) {
+				onBroken();
 				return;
 			}
 
@@ -196,20 +205,16 @@
 			record(SUCCESS, moves > 0 ? 'moved' : 'backend server');
 			res.end();
 			finish();
-		});
-		answer.on('error', () => {
-			fail(current, {kind: 'lost', reason: 'the stream broke off'});
-		});
+		};
+
+		awaitEnd(answer, onWhole, onBroken);
 	};
 
 	/** Passes a failure of the backend server's own on. */
 	const passOn = (current: Run, answer: IncomingMessage): void => {
 		const chunks: Uint8Array[] = [];
 		answer.on('data', (chunk: Uint8Array) => chunks.push(chunk));
-		answer.on('error', () => {
-			fail(current, {kind: 'lost', reason: 'the answer broke off'});
-		});
-		answer.on('end', () => {
+		const onWhole = (): void => {
 			if (current.isOver || isEnded) {
 				return;
 			}
@@ -224,6 +229,10 @@
 			]);
 			res.end(body);
 			finish();
+		};
+
+		awaitEnd(answer, onWhole, () => {
+			fail(current, {kind: 'lost', reason: 'the answer broke off'});
 		});
 	};
 
