--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -82,10 +82,11 @@
 
 /** A caller of the control interface goes on to another instance after a second. */
 const REQUEST_TIMEOUT_MS = 900;
-/** Entries between two snapshots: a configuration of hundreds of routes is 100 KB. */
-const SNAPSHOT_EVERY = 24;
-/** Entries kept behind a snapshot for replicas that are a little behind. */
-const TRAILING_ENTRIES = 8;
+/** Entries kept behind a snapshot for replicas that are a little behind; a configuration of hundreds of routes is 100 KB. */
+const TRAILING_ENTRIES = 4;
+/** Several round trips and syncs; entries that start with the group wait for its leader. */
+const ELECTION_TIMEOUT_MS = 500;
+const HEARTBEAT_INTERVAL_MS = 120;
 /** A full disk is tried again this often. */
 const REOPEN_INTERVAL_MS = 500;
 const MAX_LEARNED = 32;
@@ -104,7 +105,7 @@
 	const reads = new Map<string, (isConfirmed: boolean) => void>();
 	const learned = new Map<string, string>();
 	let state: GroupState = EMPTY_GROUP_STATE;
-	let snapshotIndex = 0;
+	let snapshotVersion = 0;
 	let nextRequest = 1;
 	let disk: DiskStore | undefined;
 	let store: Store<RaftState, RaftEvent> | undefined;
@@ -149,12 +150,16 @@
 	};
 
 	const takeSnapshot = (): void => {
-		if (state.appliedIndex - snapshotIndex >= SNAPSHOT_EVERY) {
-			snapshotIndex = state.appliedIndex;
+		// A replica that starts knows by its snapshot what is committed, and can
+		// serve the entries before there is a leader.
+		const version = state.configuration?.version ?? 0;
+		if (version > snapshotVersion) {
+			snapshotVersion = version;
+			const index = state.appliedIndex;
 			const data = encodeState(state);
 			// After this step: an effect must not change the state it came from.
 			queueMicrotask(() => {
-				feed({kind: 'snapshot-taken', index: snapshotIndex, data});
+				feed({kind: 'snapshot-taken', index, data});
 			});
 		}
 	};
@@ -184,7 +189,7 @@
 
 			case 'install-snapshot': {
 				state = decodeState(effect.snapshot);
-				snapshotIndex = state.appliedIndex;
+				snapshotVersion = state.configuration?.version ?? 0;
 				parts.onApplied(state);
 				break;
 			}
@@ -307,10 +312,15 @@
 			snapshot === undefined
 				? {...state, appliedIndex: 0}
 				: keepNewer(state, decodeState(snapshot));
-		snapshotIndex = snapshot?.index ?? 0;
+		snapshotVersion = state.configuration?.version ?? 0;
 		const initial = createRaft({
 			recovered,
-			settings: {...defaultSettings, trailingEntries: TRAILING_ENTRIES},
+			settings: {
+				...defaultSettings,
+				electionTimeoutMs: ELECTION_TIMEOUT_MS,
+				heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+				trailingEntries: TRAILING_ENTRIES,
+			},
 			seed: Math.floor(parts.draw() * MAX_SEED),
 			now: clock.now(),
 		});
