Probe silent engines again, and spread prompts over nearly equal ones

Ruled out: slow reading; the limit of 0.7 of the latency target moved streams that would have been in time, so it is 1.2 now. What remains: runs whose backup engine died before.

--- a/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
@@ -64,6 +64,16 @@
 		expect(new Set(chosen).size).toBe(3);
 	});
 
+	it('keeps instances with the same reports from choosing the same engine', () => {
+		const candidates = [0, 1, 2, 3, 4, 5].map((running) =>
+			createCandidate(`e-${running}`, {others: loaded(running, 0)}),
+		);
+		const chosen = [0.05, 0.25, 0.45, 0.65, 0.85].map(
+			(random) => chooseBackend(candidates, work, random)?.id,
+		);
+		expect(new Set(chosen).size).toBeGreaterThanOrEqual(4);
+	});
+
 	it('counts the own work since the last reports, so that a burst does not pile up', () => {
 		const held = new Map<string, number>();
 		const place = (random: number): void => {
--- a/packages/lovage-dispatch/src/placement.ts
+++ b/packages/lovage-dispatch/src/placement.ts
@@ -40,8 +40,8 @@
 const DISTANCE_COST_TOKENS = 200;
 /** Part of a request in the queue of a plain service that another data centre must save. */
 const DISTANCE_COST_SHARE = 0.1;
-/** Prompt tokens by which two scores count as equal, so that instances do not all choose the same. */
-const TIE_TOKENS = 300;
+/** Prompt tokens by which two scores count as equal, so that instances with the same reports do not all choose the same; less than half a usual prompt. */
+const TIE_TOKENS = 2000;
 const TIE_SHARE = 0.1;
 
 function scoreEngine(
--- a/packages/lovage-dispatch/src/silence.ts
+++ b/packages/lovage-dispatch/src/silence.ts
@@ -8,6 +8,8 @@
 	/** Whether an event has arrived from this backend server. */
 	hasStarted: boolean;
 	probe: ProbeState;
+	/** Since the last probe ended; 0 while there was none. */
+	probedAgoMs: number;
 	/** Another backend server holds a copy of the run's memory. */
 	hasCopy: boolean;
 	/** Longest pause for which the stream is on time. */
@@ -21,17 +23,19 @@
 
 /** Share of the allowed pause after which a silent stream is looked into. */
 const PROBE_SHARE = 0.5;
+/** An engine that accepted a connection may have died since: its silence goes on. */
+const PROBE_INTERVAL_MS = 400;
 /** Share after which a run with a copy elsewhere is moved, though its engine answers. */
 const MOVE_WITH_COPY_SHARE = 0.85;
 /** The same without a copy: the prompt is read again, so the pause is long already. */
 const MOVE_WITHOUT_COPY_SHARE = 3;
-/** Share of the latency target after which a stream without a first event is moved. */
-const FIRST_EVENT_SHARE = 0.7;
+/** Share of the latency target after which a stream without a first event is moved: an engine that lives is reading prompts, and another one would begin anew. */
+const FIRST_EVENT_SHARE = 1.2;
 
 /**
  * Judges a silent stream. Load pattern: the engines of a data centre end at
  * once, some without a reset; and long prompts of others hold up engines that
- * are well, for about as long. A probe tells the two apart.
+ * are well, for about as long. Probes tell the two apart.
  */
 export function judgeSilence(inputs: SilenceInputs): SilenceDecision {
 	const {silentMs, probe, hasStarted, hasCopy, gapTargetMs} = inputs;
@@ -46,7 +50,8 @@
 		return 'move';
 	}
 
-	return probe === 'none' && silentMs >= gapTargetMs * PROBE_SHARE
-		? 'probe'
-		: 'wait';
+	const isProbeDue =
+		probe === 'none' ||
+		(probe === 'alive' && inputs.probedAgoMs >= PROBE_INTERVAL_MS);
+	return isProbeDue && silentMs >= gapTargetMs * PROBE_SHARE ? 'probe' : 'wait';
 }
--- a/packages/lovage-gateway/src/answers.ts
+++ b/packages/lovage-gateway/src/answers.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {LogContext} from '@lovagevalve/runtime';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 
 /** Answer of the entry's own, with the reason for the log. */
@@ -42,10 +43,12 @@
 		reason: string;
 		sent: number;
 		backend?: string;
+		/** Further facts for the log. */
+		details?: LogContext;
 	}>,
 ): void {
 	const tookMs = Math.round(ctx.clock.now() - req.startedAt);
-	const {status, reason, sent, backend} = outcome;
+	const {status, reason, sent, backend, details = {}} = outcome;
 	const labels = {kind: req.route.kind, status: String(status)};
 	ctx.metrics.count('requests', labels);
 	ctx.metrics.time('request', tookMs, {kind: req.route.kind});
@@ -58,6 +61,7 @@
 		backend: backend ?? '',
 		tookMs,
 		version: ctx.readTable()?.configuration.version ?? 0,
+		...details,
 	};
 	if (status >= 400) {
 		ctx.log.warn('A request failed.', context);
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -35,6 +35,16 @@
 	release: () => void;
 }>;
 
+/** Whether a backend server may get work. */
+export type Usability =
+	| 'usable'
+	/** It is leaving, has ended or was never heard of. */
+	| 'ended'
+	/** Registrations and answers are missing. */
+	| 'silent'
+	/** It failed a moment ago. */
+	| 'avoided';
+
 /** What this entry knows of the backend servers. */
 export type BackendView = Readonly<{
 	/** Takes in what a control instance reports. */
@@ -45,8 +55,8 @@
 		random: number,
 	) => BackendRecord | undefined;
 	find: (id: string) => BackendRecord | undefined;
-	/** Whether a backend server may get work and is not left alone. */
-	isUsable: (id: string) => boolean;
+	/** Whether a backend server may get work, and if not, why. */
+	readUsability: (id: string) => Usability;
 	place: (backend: BackendRecord, work: Work) => Placement;
 	signal: (backend: BackendRecord, signal: HealthSignal) => void;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
@@ -138,13 +148,17 @@
 			return chosen === undefined ? undefined : table.get(chosen.id);
 		},
 		find: (id) => table.get(id),
-		isUsable(id) {
+		readUsability(id) {
 			const record = table.get(id);
-			return (
-				record?.state === 'ready' &&
-				isHeard(record) &&
-				!isAvoided(readHealth(id), clock.now())
-			);
+			if (record?.state !== 'ready') {
+				return 'ended';
+			}
+
+			if (isAvoided(readHealth(id), clock.now())) {
+				return 'avoided';
+			}
+
+			return isHeard(record) ? 'usable' : 'silent';
 		},
 		place(backend, work) {
 			const {id} = backend;
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -47,6 +47,7 @@
 	/** Monotonic milliseconds of the last event, or of the send. */
 	heardAt: number;
 	probe: ProbeState;
+	probedAt: number;
 	isOver: boolean;
 };
 
@@ -84,6 +85,9 @@
 	let deaths = 0;
 	let moves = 0;
 	let hasRun = false;
+	let firstEventMs = 0;
+	let longestPauseMs = 0;
+	let deliveredAt = 0;
 	let reofferTimer: NodeJS.Timeout | undefined;
 
 	const closeRun = (): void => {
@@ -110,6 +114,11 @@
 			reason,
 			sent: sentTo.size,
 			backend: run?.backend.id,
+			details: {
+				moves,
+				firstEventMs: Math.round(firstEventMs),
+				longestPauseMs: Math.round(longestPauseMs),
+			},
 		});
 	};
 
@@ -153,14 +162,20 @@
 
 		if (!isHeadSent) {
 			isHeadSent = true;
-			const tookMs = ctx.clock.now() - req.startedAt;
-			ctx.metrics.time('first_event', tookMs);
+			firstEventMs = current.heardAt - req.startedAt;
+			ctx.metrics.time('first_event', firstEventMs);
 			res.writeHead(
 				answer.statusCode ?? SUCCESS,
 				dropHeaders(answer.rawHeaders, BODY_HEADERS),
 			);
 		}
 
+		if (deliveredAt > 0) {
+			const pauseMs = current.heardAt - deliveredAt;
+			longestPauseMs = Math.max(longestPauseMs, pauseMs);
+		}
+
+		deliveredAt = current.heardAt;
 		lastEventId = event.id ?? lastEventId;
 		if (!res.write(event.bytes)) {
 			isPaused = true;
@@ -265,7 +280,7 @@
 		backup: BackendRecord | undefined,
 	): {backend: BackendRecord; copy: MemoryCopy} | undefined => {
 		return backup !== undefined &&
-			ctx.view.isUsable(backup.id) &&
+			ctx.view.readUsability(backup.id) === 'usable' &&
 			lastEventId !== undefined
 			? {backend: backup, copy: {address: backup.address, run: facts.id}}
 			: undefined;
@@ -306,6 +321,7 @@
 			hasStarted: false,
 			heardAt: ctx.clock.now(),
 			probe: 'none',
+			probedAt: 0,
 			isOver: false,
 		};
 		run = current;
@@ -342,6 +358,13 @@
 				from: former.backend.id,
 				to: backend.id,
 				hasCopy: held !== undefined,
+				backup: former.backup?.id ?? '',
+				backupDataCentre: former.backup?.dataCentre ?? '',
+				backupState:
+					former.backup === undefined
+						? ''
+						: ctx.view.readUsability(former.backup.id),
+				fromDataCentre: former.backend.dataCentre,
 				lastEventId: lastEventId ?? '',
 			});
 		}
@@ -467,6 +490,7 @@
 		current.probe = 'pending';
 		const isAlive = await probeAddress(current.backend.address);
 		current.probe = isAlive ? 'alive' : 'dead';
+		current.probedAt = ctx.clock.now();
 		if (!isAlive) {
 			ctx.view.signal(current.backend, 'unreachable');
 			tick();
@@ -490,6 +514,7 @@
 			silentMs,
 			hasStarted: current.hasStarted,
 			probe: current.probe,
+			probedAgoMs: ctx.clock.now() - current.probedAt,
 			hasCopy: findCopy(current.backup) !== undefined,
 			gapTargetMs: route.gapTargetMs,
 			latencyTargetMs: route.latencyTargetMs,
