Order another copy of a run when its backup engine has ended

Ruled out: a wrong choice of the backup; all were in another data centre. The run's memory is copied to another engine once the entry learns of the end, and refreshed until the run is over. A test with stand-ins failed before. What remains is the time until a silent engine is found dead, 0.5 s of the 0.7 s allowed.

--- a/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
@@ -6,7 +6,12 @@
 	type Work,
 } from '../../index.js';
 
-const engine = {slots: 96, memoryTokens: 55_000, canBackUp: true};
+const engine = {
+	slots: 96,
+	memoryTokens: 55_000,
+	canBackUp: true,
+	canCopy: true,
+};
 
 const work: Work = {
 	dataCentre: 'a',
--- a/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
@@ -240,6 +240,35 @@
 		expect(answer.body).toBe(formatEvent(1));
 	});
 
+	it('orders another copy when the engine that held it has ended', async () => {
+		const orders: string[] = [];
+		const first = await startBackend((req, res) => {
+			if (req.url?.startsWith('/copy/')) {
+				orders.push(`${req.method} ${req.url}`);
+				res.end('copy-7');
+				return;
+			}
+
+			res.writeHead(200, {'Request-Id': 'r-1'});
+			const timer = setInterval(() => res.write(formatEvent(1)), 50);
+			setTimeout(() => {
+				clearInterval(timer);
+				req.socket.resetAndDestroy();
+			}, 400);
+		});
+		const backup = await startBackend(() => undefined);
+		const third = await startStreaming([2], 'whole');
+		const {port, setBackends} = await start(first, backup, third);
+		const ports = [first.port, backup.port, third.port];
+		setTimeout(() => {
+			setBackends(ports, ['ready', 'gone', 'ready']);
+		}, 100);
+		const answer = await call(port, '/stream/1');
+		expect(answer.body).toBe(formatEvent(1) + formatEvent(2));
+		expect(orders).toEqual(['POST /copy/r-1']);
+		expect(third.seen[0]).toMatchObject({copy: 'copy-7'});
+	});
+
 	it('asks the engine again without the copy when it was lost', async () => {
 		const first = await startStreaming([1], 'reset');
 		let asked = 0;
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -70,6 +70,13 @@
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
 	}),
+	createCopyOrder: (requestId, to) => ({
+		method: 'POST',
+		path: `/copy/${requestId}`,
+		body: to,
+	}),
+	readCopyName: (text) => text,
+	createReleaseOrder: (copy) => ({method: 'DELETE', path: `/copy/${copy}`}),
 };
 
 const plainRoute: Route = {
@@ -107,7 +114,7 @@
 		{
 			name: 's',
 			maxConnections: 100,
-			engine: {slots: 8, memoryTokens: 100_000, canBackUp: true},
+			engine: {slots: 8, memoryTokens: 100_000, canBackUp: true, canCopy: true},
 		},
 	],
 	limits: {
@@ -123,8 +130,11 @@
 	gateway: Gateway;
 	port: number;
 	crashes: readonly Crash[];
-	setBackends: (ports: readonly number[]) => void;
-	/** Backend server that the first request goes to: the draw decides. */
+	/** Registers one backend server a port; a later call changes their states. */
+	setBackends: (
+		ports: readonly number[],
+		states?: ReadonlyArray<AgedRecord['state']>,
+	) => void;
 	close: () => Promise<void>;
 }>;
 
@@ -173,13 +183,13 @@
 		gateway,
 		port,
 		crashes,
-		setBackends(ports) {
+		setBackends(ports, states = []) {
 			const backends = ports.map((backendPort, i): AgedRecord => ({
 				id: `e-${i}`,
 				service: 's',
 				address: `127.0.0.1:${backendPort}`,
 				dataCentre: 'a',
-				state: 'ready',
+				state: states[i] ?? 'ready',
 				slots: 8,
 				bornAt: 1,
 				sequence: 1,
--- a/packages/lovage-gateway/src/index.ts
+++ b/packages/lovage-gateway/src/index.ts
@@ -14,6 +14,7 @@
 export type {
 	AnswerFacts,
 	BackendCall,
+	BackendOrder,
 	HeaderCodec,
 	MemoryCopy,
 	RequestFacts,
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -16,9 +16,16 @@
 	lastEventId?: string;
 }>;
 
-/** A copy of a run's memory at a backend server. */
+/** A copy of a run's memory, as the request that goes on with it names it. */
 export type MemoryCopy = Readonly<{address: string; run: string}>;
 
+/** A call to a backend server beside its requests. */
+export type BackendOrder = Readonly<{
+	method: 'POST' | 'DELETE';
+	path: string;
+	body?: string;
+}>;
+
 /** What the system adds to a request on its way to a backend server. */
 export type BackendCall = Readonly<{
 	/** The only backend server that may run it. */
@@ -52,4 +59,10 @@
 		call: BackendCall,
 	) => string[];
 	readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerFacts;
+	/** Orders a copy of a run's memory to the backend server at `to`; the run goes on. */
+	createCopyOrder: (requestId: string, to: string) => BackendOrder;
+	/** Reads the name of the copy out of the answer to such an order. */
+	readCopyName: (text: string) => string | undefined;
+	/** Frees a copy that is not needed any more. */
+	createReleaseOrder: (copy: string) => BackendOrder;
 }>;
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -24,7 +24,11 @@
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import {dropHeaders} from './hop-headers.js';
-import type {MemoryCopy} from './protocol.js';
+import {
+	createRunProtection,
+	type HeldCopy,
+	type RunProtection,
+} from './run-protection.js';
 
 /** A stream that goes on at other backend servers until it is whole. */
 export type StreamRelay = Readonly<{
@@ -38,8 +42,7 @@
 type Run = {
 	readonly backend: BackendRecord;
 	readonly placement: Placement;
-	/** Backend server that gets a copy of the run's memory. */
-	readonly backup: BackendRecord | undefined;
+	readonly protection: RunProtection;
 	/** It goes on with the memory of a former run. */
 	readonly hasCopy: boolean;
 	exchange: Exchange | undefined;
@@ -54,7 +57,8 @@
 /** A backend server that no longer works on the request. */
 type FormerRun = Readonly<{
 	backend: BackendRecord;
-	backup?: BackendRecord;
+	/** Copy of its memory to go on with. */
+	held: HeldCopy | undefined;
 	/** The backend server lacked only the copy, and is asked again without. */
 	isAskedAgain: boolean;
 }>;
@@ -218,6 +222,7 @@
 			}
 
 			record(SUCCESS, moves > 0 ? 'moved' : 'backend server');
+			current.protection.release();
 			res.end();
 			finish();
 		};
@@ -276,16 +281,6 @@
 		}
 	};
 
-	const findCopy = (
-		backup: BackendRecord | undefined,
-	): {backend: BackendRecord; copy: MemoryCopy} | undefined => {
-		return backup !== undefined &&
-			ctx.view.readUsability(backup.id) === 'usable' &&
-			lastEventId !== undefined
-			? {backend: backup, copy: {address: backup.address, run: facts.id}}
-			: undefined;
-	};
-
 	const chooseBackup = (backend: BackendRecord): BackendRecord | undefined => {
 		if (service.engine?.canBackUp !== true || !canRepeat) {
 			return undefined;
@@ -298,7 +293,7 @@
 	};
 
 	const start = (former?: FormerRun): void => {
-		const held = findCopy(former?.backup);
+		const held = lastEventId === undefined ? undefined : former?.held;
 		const work = describeWork(ctx, req, excluded, lostAt);
 		const backend =
 			held?.backend ??
@@ -314,7 +309,14 @@
 		const placedWork = held === undefined ? work : {...work, promptTokens: 0};
 		const current: Run = {
 			backend,
-			backup,
+			protection: createRunProtection({
+				ctx,
+				requestId: facts.id,
+				backend,
+				backup,
+				canCopy: canRepeat && service.engine?.canCopy === true,
+				chooseBackup: () => chooseBackup(backend),
+			}),
 			hasCopy: held !== undefined,
 			placement: ctx.view.place(backend, placedWork),
 			exchange: undefined,
@@ -358,13 +360,6 @@
 				from: former.backend.id,
 				to: backend.id,
 				hasCopy: held !== undefined,
-				backup: former.backup?.id ?? '',
-				backupDataCentre: former.backup?.dataCentre ?? '',
-				backupState:
-					former.backup === undefined
-						? ''
-						: ctx.view.readUsability(former.backup.id),
-				fromDataCentre: former.backend.dataCentre,
 				lastEventId: lastEventId ?? '',
 			});
 		}
@@ -429,7 +424,8 @@
 			return;
 		}
 
-		const {backend, backup} = current;
+		const {backend, protection} = current;
+		const held = protection.findCopy();
 		const isAskedAgain = current.hasCopy && failure.kind === 'rejected';
 		closeRun();
 		noteFailure(current, failure);
@@ -465,10 +461,10 @@
 				}
 
 				if (failure.kind === 'rejected') {
-					start({backend, isAskedAgain});
+					start({backend, held: undefined, isAskedAgain});
 				} else {
 					lostAt.push(backend.dataCentre);
-					start({backend, backup, isAskedAgain});
+					start({backend, held, isAskedAgain});
 				}
 
 				break;
@@ -515,12 +511,18 @@
 			hasStarted: current.hasStarted,
 			probe: current.probe,
 			probedAgoMs: ctx.clock.now() - current.probedAt,
-			hasCopy: findCopy(current.backup) !== undefined,
+			hasCopy:
+				lastEventId !== undefined &&
+				current.protection.findCopy() !== undefined,
 			gapTargetMs: route.gapTargetMs,
 			latencyTargetMs: route.latencyTargetMs,
 		});
 		switch (decision) {
 			case 'wait': {
+				if (current.hasStarted) {
+					current.protection.advance();
+				}
+
 				if (current.probe === 'alive' && silentMs < route.gapTargetMs / 2) {
 					current.probe = 'none';
 				}
--- a/packages/lovage-routing/src/types.ts
+++ b/packages/lovage-routing/src/types.ts
@@ -37,6 +37,8 @@
 	memoryTokens: number;
 	/** Engines copy the memory of a run to another engine as it grows. */
 	canBackUp: boolean;
+	/** Engines copy the memory of a run to another engine on order. */
+	canCopy: boolean;
 }>;
 
 /** Backend servers that run the same program. */
