Find dead engines sooner, and tell all streams of an entry

Cause: a silent engine was probed after 350 ms and given 150 ms to accept, and each stream found the death by itself; 500 ms of the 700 ms allowed. Ruled out: probes at every pause; engines that read prompts pause for up to 230 ms, so probes begin at 245 ms. What one request found unreachable moves the other streams there after a quarter of the allowed pause.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -110,6 +110,7 @@
 		hasStarted: true,
 		probe: 'none',
 		probedAgoMs: 0,
+		isKnownDead: false,
 		hasCopy: true,
 		gapTargetMs: 700,
 		latencyTargetMs: 4500,
@@ -117,7 +118,7 @@
 
 	it('waits for a while, then looks whether the engine lives', () => {
 		expect(judgeSilence({...inputs, silentMs: 200})).toBe('wait');
-		expect(judgeSilence({...inputs, silentMs: 360})).toBe('probe');
+		expect(judgeSilence({...inputs, silentMs: 260})).toBe('probe');
 		const pending = {...inputs, silentMs: 400, probe: 'pending'} as const;
 		expect(judgeSilence(pending)).toBe('wait');
 	});
@@ -127,6 +128,12 @@
 		expect(judgeSilence(dead)).toBe('move');
 	});
 
+	it('moves the other streams of an engine that one request found dead', () => {
+		const known = {...inputs, isKnownDead: true};
+		expect(judgeSilence({...known, silentMs: 100})).toBe('wait');
+		expect(judgeSilence({...known, silentMs: 180})).toBe('move');
+	});
+
 	it('moves before the allowed pause is over when a copy is at hand', () => {
 		const alive = {...inputs, probe: 'alive'} as const;
 		expect(judgeSilence({...alive, silentMs: 500})).toBe('wait');
--- a/packages/lovage-dispatch/src/backend-health.ts
+++ b/packages/lovage-dispatch/src/backend-health.ts
@@ -6,6 +6,9 @@
 	/** No connection could be made. */
 	| 'unreachable';
 
+/** Why a backend server is left alone. */
+export type AvoidReason = 'unreachable' | 'failing';
+
 /** What an instance has seen of one backend server. */
 export type BackendHealth = Readonly<{
 	/** Weighted share of failed exchanges, 0 to 1. */
@@ -14,6 +17,8 @@
 	weight: number;
 	/** Left alone until then, in monotonic milliseconds. */
 	avoidedUntil: number;
+	/** Why it was left alone last. */
+	avoidedFor?: AvoidReason;
 	/** Last answer, in monotonic milliseconds. */
 	answeredAt?: number;
 }>;
@@ -43,7 +48,11 @@
 	now: number,
 ): BackendHealth {
 	if (signal === 'unreachable') {
-		return {...health, avoidedUntil: now + UNREACHABLE_AVOIDED_MS};
+		return {
+			...health,
+			avoidedUntil: now + UNREACHABLE_AVOIDED_MS,
+			avoidedFor: 'unreachable',
+		};
 	}
 
 	const weight = Math.min(MAX_WEIGHT, health.weight + 1);
@@ -58,6 +67,7 @@
 			failureShare: 0,
 			weight: 0,
 			avoidedUntil: now + FAILING_AVOIDED_MS,
+			avoidedFor: 'failing',
 		};
 	}
 
@@ -73,3 +83,11 @@
 export function isAvoided(health: BackendHealth, now: number): boolean {
 	return now < health.avoidedUntil;
 }
+
+/** Why a backend server is left alone now; undefined if it isn't. */
+export function readAvoidReason(
+	health: BackendHealth,
+	now: number,
+): AvoidReason | undefined {
+	return isAvoided(health, now) ? health.avoidedFor : undefined;
+}
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -25,5 +25,14 @@
 export type {RetryBudget, RetryBudgetPolicy} from './retry-budget.js';
 export {judgeSilence} from './silence.js';
 export type {ProbeState, SilenceDecision, SilenceInputs} from './silence.js';
-export {isAvoided, recordSignal, UNKNOWN_HEALTH} from './backend-health.js';
-export type {BackendHealth, HealthSignal} from './backend-health.js';
+export {
+	isAvoided,
+	readAvoidReason,
+	recordSignal,
+	UNKNOWN_HEALTH,
+} from './backend-health.js';
+export type {
+	AvoidReason,
+	BackendHealth,
+	HealthSignal,
+} from './backend-health.js';
--- a/packages/lovage-dispatch/src/silence.ts
+++ b/packages/lovage-dispatch/src/silence.ts
@@ -8,6 +8,8 @@
 	/** Whether an event has arrived from this backend server. */
 	hasStarted: boolean;
 	probe: ProbeState;
+	/** Another request found the backend server unreachable a moment ago. */
+	isKnownDead: boolean;
 	/** Since the last probe ended; 0 while there was none. */
 	probedAgoMs: number;
 	/** Another backend server holds a copy of the run's memory. */
@@ -22,7 +24,9 @@
 export type SilenceDecision = 'wait' | 'probe' | 'move';
 
 /** Share of the allowed pause after which a silent stream is looked into. */
-const PROBE_SHARE = 0.5;
+const PROBE_SHARE = 0.35;
+/** A pause that engines that live make too, as a share of the allowed pause; a dead one has made it for sure. */
+const KNOWN_DEAD_SHARE = 0.25;
 /** An engine that accepted a connection may have died since: its silence goes on. */
 const PROBE_INTERVAL_MS = 400;
 /** Share after which a run with a copy elsewhere is moved, though its engine answers. */
@@ -39,7 +43,8 @@
  */
 export function judgeSilence(inputs: SilenceInputs): SilenceDecision {
 	const {silentMs, probe, hasStarted, hasCopy, gapTargetMs} = inputs;
-	if (probe === 'dead') {
+	const isOverdue = silentMs >= gapTargetMs * KNOWN_DEAD_SHARE;
+	if (probe === 'dead' || (inputs.isKnownDead && isOverdue)) {
 		return 'move';
 	}
 
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -30,8 +30,8 @@
 
 /** Data centres are milliseconds apart; a lost packet comes again after 200 ms. */
 const CONNECT_TIMEOUT_MS = 300;
-/** A process that lives accepts connections at once. */
-const PROBE_TIMEOUT_MS = 150;
+/** A process that lives accepts connections within a few round trips. */
+const PROBE_TIMEOUT_MS = 120;
 /** Options of `net.connect` that the types of `http.request` lack: the socket can be written to after the peer's end. */
 const CONNECTION_OPTIONS = {allowHalfOpen: true};
 const MAX_ANSWER_HEADER_BYTES = 65_536;
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -1,5 +1,6 @@
 import {
 	addLoad,
+	type AvoidReason,
 	type BackendLoad,
 	type BackendRecord,
 	type BackendTable,
@@ -12,6 +13,7 @@
 	isAvoided,
 	mergeRecords,
 	NO_LOAD,
+	readAvoidReason,
 	recordSignal,
 	type BackendHealth,
 	UNKNOWN_HEALTH,
@@ -42,8 +44,8 @@
 	| 'ended'
 	/** Registrations and answers are missing. */
 	| 'silent'
-	/** It failed a moment ago. */
-	| 'avoided';
+	/** It took no connection, or failed most requests, a moment ago. */
+	| AvoidReason;
 
 /** What this entry knows of the backend servers. */
 export type BackendView = Readonly<{
@@ -154,11 +156,8 @@
 				return 'ended';
 			}
 
-			if (isAvoided(readHealth(id), clock.now())) {
-				return 'avoided';
-			}
-
-			return isHeard(record) ? 'usable' : 'silent';
+			const reason = readAvoidReason(readHealth(id), clock.now());
+			return reason ?? (isHeard(record) ? 'usable' : 'silent');
 		},
 		place(backend, work) {
 			const {id} = backend;
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -510,6 +510,7 @@
 			silentMs,
 			hasStarted: current.hasStarted,
 			probe: current.probe,
+			isKnownDead: ctx.view.readUsability(current.backend.id) === 'unreachable',
 			probedAgoMs: ctx.clock.now() - current.probedAt,
 			hasCopy:
 				lastEventId !== undefined &&
