--- a/packages/lovagectl/src/exit-codes.ts
+++ b/packages/lovagectl/src/exit-codes.ts
@@ -11,7 +11,7 @@
 /** Exit code of a command that did what it was asked. */
 export const EXIT_OK = 0;
 
-/** Exit codes of the failures, see docs/operations.md. */
+/** Exit codes of the failures, see docs/OPERATIONS.md. */
 export const EXIT_CODES: Readonly<Record<ErrorKind, number>> = {
 	failed: 1,
 	usage: 2,
