--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -14,6 +14,8 @@
 	close: () => void;
 }>;
 
+/** Instances are milliseconds apart; the first packet to one that isn't up yet is sent again only after a second. */
+const CONNECT_TIMEOUT_MS = 150;
 const IDLE_TIMEOUT_MS = 10_000;
 const SUCCESS = 200;
 
@@ -21,8 +23,9 @@
  * Creates a client that keeps its connections. One that misses a deadline is
  * closed, as it may have gone silent for good.
  */
-export function createPeerClient(): PeerClient {
-	const agent = new Agent({keepAlive: true, timeout: IDLE_TIMEOUT_MS});
+export function createPeerClient(
+	agent = new Agent({keepAlive: true, timeout: IDLE_TIMEOUT_MS}),
+): PeerClient {
 	return {
 		async call<T>(
 			address: string,
@@ -46,6 +49,7 @@
 				});
 				const fail = (reason: string): void => {
 					clearTimeout(timer);
+					clearTimeout(connectTimer);
 					req.destroy();
 					resolve(err(reason));
 				};
@@ -53,6 +57,18 @@
 				const timer = setTimeout(() => {
 					fail('timeout');
 				}, timeoutMs);
+				const connectTimer = setTimeout(() => {
+					fail('connect timeout');
+				}, CONNECT_TIMEOUT_MS);
+				req.on('socket', (socket) => {
+					if (socket.connecting) {
+						socket.once('connect', () => {
+							clearTimeout(connectTimer);
+						});
+					} else {
+						clearTimeout(connectTimer);
+					}
+				});
 				req.on('error', (error: NodeJS.ErrnoException) => {
 					fail(error.code ?? error.message);
 				});
