--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -19,7 +19,8 @@
 import {createGroupEntrance, type ReplicaStatus} from './group-entrance.js';
 import {createPeers} from './peers.js';
 import {createRegistry, type KnownEntry} from './registry.js';
-import {createReplica, type ProposeOutcome} from './replica.js';
+import type {ProposeOutcome} from './pending-requests.js';
+import {createReplica} from './replica.js';
 import type {StoredConfiguration} from './state-machine.js';
 
 /** Settings of a control instance. */
--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -24,6 +24,10 @@
 } from '@lovagevalve/storage';
 import {findLostVoter} from './membership.js';
 import type {Peers} from './peers.js';
+import {
+	createPendingRequests,
+	type ProposeOutcome,
+} from './pending-requests.js';
 import {
 	applyEntry,
 	decodeState,
@@ -44,9 +48,6 @@
 	onApplied: (state: GroupState) => void;
 }>;
 
-/** Outcome of a change. */
-export type ProposeOutcome = 'committed' | 'not-leader' | 'unknown';
-
 /** A replica of the log on this instance's disk; survives failures of the disk. */
 export type Replica = Readonly<{
 	readState: () => GroupState;
@@ -74,14 +75,6 @@
 		: never
 	: never;
 
-type Waiting = Readonly<{
-	resolve: (outcome: ProposeOutcome) => void;
-	index: number | undefined;
-	term: number;
-}>;
-
-/** A caller of the control interface goes on to another instance after a second. */
-const REQUEST_TIMEOUT_MS = 900;
 /** Entries kept behind a snapshot for replicas that are a little behind; a configuration of hundreds of routes is 100 KB. */
 const TRAILING_ENTRIES = 4;
 /** Several round trips and syncs; entries that start with the group wait for its leader. */
@@ -101,12 +94,10 @@
 /** Creates a replica and begins to open its folder. */
 export function createReplica(parts: ReplicaParts): Replica {
 	const {clock, log, peers, folder} = parts;
-	const proposals = new Map<string, Waiting>();
-	const reads = new Map<string, (isConfirmed: boolean) => void>();
+	const pending = createPendingRequests();
 	const learned = new Map<string, string>();
 	let state: GroupState = EMPTY_GROUP_STATE;
 	let snapshotVersion = 0;
-	let nextRequest = 1;
 	let disk: DiskStore | undefined;
 	let store: Store<RaftState, RaftEvent> | undefined;
 	let isStopped = false;
@@ -115,32 +106,6 @@
 		store?.update({...input, now: clock.now()});
 	};
 
-	const settleProposal = (proposal: string, outcome: ProposeOutcome): void => {
-		proposals.get(proposal)?.resolve(outcome);
-		proposals.delete(proposal);
-	};
-
-	const abandonAll = (): void => {
-		[...proposals.keys()].forEach((proposal) => {
-			settleProposal(proposal, 'unknown');
-		});
-		reads.forEach((resolve) => {
-			resolve(false);
-		});
-		reads.clear();
-	};
-
-	const settleApplied = (index: number, term: number): void => {
-		[...proposals]
-			.filter(([, waiting]) => waiting.index === index)
-			.forEach(([proposal, waiting]) => {
-				settleProposal(
-					proposal,
-					waiting.term === term ? 'committed' : 'unknown',
-				);
-			});
-	};
-
 	const send = (message: RaftMessage): void => {
 		const member = listMembers().find(({replica}) => replica === message.to);
 		const address = member?.address ?? learned.get(message.to);
@@ -180,7 +145,7 @@
 			case 'apply': {
 				effect.entries.forEach((entry) => {
 					state = applyEntry(state, entry);
-					settleApplied(entry.index, entry.term);
+					pending.settleApplied(entry.index, entry.term);
 				});
 				parts.onApplied(state);
 				takeSnapshot();
@@ -195,27 +160,18 @@
 			}
 
 			case 'proposal-accepted': {
-				const waiting = proposals.get(effect.proposal);
-				if (waiting !== undefined) {
-					proposals.set(effect.proposal, {
-						...waiting,
-						index: effect.firstIndex,
-						term: effect.term,
-					});
-				}
-
+				pending.accept(effect.proposal, effect.firstIndex, effect.term);
 				break;
 			}
 
 			case 'proposal-refused': {
-				settleProposal(effect.proposal, 'not-leader');
+				pending.refuse(effect.proposal);
 				break;
 			}
 
 			case 'read-confirmed':
 			case 'read-refused': {
-				reads.get(effect.read)?.(effect.kind === 'read-confirmed');
-				reads.delete(effect.read);
+				pending.settleRead(effect.read, effect.kind === 'read-confirmed');
 				break;
 			}
 
@@ -226,7 +182,7 @@
 
 			case 'stepped-down': {
 				log.info('This instance leads no longer.', {term: effect.term});
-				abandonAll();
+				pending.abandonAll();
 				break;
 			}
 
@@ -260,7 +216,7 @@
 		});
 		store = undefined;
 		disk = undefined;
-		abandonAll();
+		pending.abandonAll();
 		reopenLater();
 	};
 
@@ -339,23 +295,6 @@
 		});
 	};
 
-	const wait = async <T>(
-		begin: (settle: (value: T) => void, request: string) => void,
-		fallback: T,
-	): Promise<T> =>
-		new Promise((resolve) => {
-			const request = String(nextRequest++);
-			const timer = setTimeout(() => {
-				proposals.delete(request);
-				reads.delete(request);
-				resolve(fallback);
-			}, REQUEST_TIMEOUT_MS);
-			begin((value) => {
-				clearTimeout(timer);
-				resolve(value);
-			}, request);
-		});
-
 	void open();
 	return {
 		readState: () => state,
@@ -371,21 +310,19 @@
 				return 'not-leader';
 			}
 
-			return wait<ProposeOutcome>((resolve, proposal) => {
-				proposals.set(proposal, {resolve, index: undefined, term: 0});
+			return pending.awaitProposal((proposal) => {
 				const commands = [JSON.stringify(configuration)];
 				feed({kind: 'proposed', proposal, commands});
-			}, 'unknown');
+			});
 		},
 		async confirmRead() {
 			if (store === undefined) {
 				return false;
 			}
 
-			return wait<boolean>((resolve, read) => {
-				reads.set(read, resolve);
+			return pending.awaitRead((read) => {
 				feed({kind: 'read-requested', read});
-			}, false);
+			});
 		},
 		receive(address, messages) {
 			messages.forEach((message) => {
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -5,17 +5,9 @@
 	type BackendRecord,
 	decideRetry,
 	isRepeatable,
-	judgeSilence,
-	type ProbeState,
 } from '@lovagevalve/dispatch';
 import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
-import {
-	awaitEnd,
-	openExchange,
-	probeAddress,
-	type Exchange,
-} from './backend-exchange.js';
-import type {Placement} from './backend-view.js';
+import {awaitEnd, openExchange} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	describeWork,
@@ -23,12 +15,15 @@
 	readRemaining,
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import {dropHeaders} from './hop-headers.js';
+import {createRunProtection} from './run-protection.js';
+import {createStreamDelivery} from './stream-delivery.js';
 import {
-	createRunProtection,
-	type HeldCopy,
-	type RunProtection,
-} from './run-protection.js';
+	judgeRun,
+	noteLoss,
+	probeRun,
+	type FormerRun,
+	type Run,
+} from './stream-run.js';
 
 /** A stream that goes on at other backend servers until it is whole. */
 export type StreamRelay = Readonly<{
@@ -38,32 +33,6 @@
 	tick: () => void;
 }>;
 
-/** One run of the request at one backend server. */
-type Run = {
-	readonly backend: BackendRecord;
-	readonly placement: Placement;
-	readonly protection: RunProtection;
-	/** It goes on with the memory of a former run. */
-	readonly hasCopy: boolean;
-	exchange: Exchange | undefined;
-	hasStarted: boolean;
-	/** Monotonic milliseconds of the last event, or of the send. */
-	heardAt: number;
-	probe: ProbeState;
-	probedAt: number;
-	isOver: boolean;
-};
-
-/** A backend server that no longer works on the request. */
-type FormerRun = Readonly<{
-	backend: BackendRecord;
-	/** Copy of its memory to go on with. */
-	held: HeldCopy | undefined;
-	/** The backend server lacked only the copy, and is asked again without. */
-	isAskedAgain: boolean;
-}>;
-
-const BODY_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 const SUCCESS = 200;
 /** Pause before a stream that has begun is offered again when no backend server took it. */
 const REOFFER_INTERVAL_MS = 200;
@@ -79,19 +48,14 @@
 	const excluded: string[] = [];
 	const lostAt: string[] = [];
 	let run: Run | undefined;
-	let {lastEventId} = facts;
-	let isHeadSent = false;
+	const delivery = createStreamDelivery(ctx, req);
 	let isEnded = false;
-	let isPaused = false;
 	/** Backend servers that were sent the request. */
 	const sentTo = new Set<string>();
 	let tries = 0;
 	let deaths = 0;
 	let moves = 0;
 	let hasRun = false;
-	let firstEventMs = 0;
-	let longestPauseMs = 0;
-	let deliveredAt = 0;
 	let reofferTimer: NodeJS.Timeout | undefined;
 
 	const closeRun = (): void => {
@@ -118,11 +82,7 @@
 			reason,
 			sent: sentTo.size,
 			backend: run?.backend.id,
-			details: {
-				moves,
-				firstEventMs: Math.round(firstEventMs),
-				longestPauseMs: Math.round(longestPauseMs),
-			},
+			details: {moves, ...delivery.readTimes()},
 		});
 	};
 
@@ -132,10 +92,9 @@
 			return;
 		}
 
-		if (isHeadSent) {
+		if (delivery.hasBegun()) {
 			record(status, reason);
-			// Without its end the stream doesn't look whole.
-			res.destroy();
+			delivery.breakOff();
 		} else {
 			const retryAfterMs = status === 503 ? RETRY_AFTER_MS : undefined;
 			endWithOwnAnswer(ctx, req, {status, reason, retryAfterMs}, sentTo.size);
@@ -149,10 +108,6 @@
 		answer: IncomingMessage,
 		event: StreamEvent,
 	): void => {
-		const isRepeated =
-			event.id !== undefined &&
-			lastEventId !== undefined &&
-			Number(event.id) <= Number(lastEventId);
 		current.heardAt = ctx.clock.now();
 		if (!current.hasStarted) {
 			current.hasStarted = true;
@@ -160,36 +115,9 @@
 			ctx.view.signal(current.backend, 'answered');
 		}
 
-		if (isRepeated) {
-			return;
-		}
-
-		if (!isHeadSent) {
-			isHeadSent = true;
-			firstEventMs = current.heardAt - req.startedAt;
-			ctx.metrics.time('first_event', firstEventMs);
-			res.writeHead(
-				answer.statusCode ?? SUCCESS,
-				dropHeaders(answer.rawHeaders, BODY_HEADERS),
-			);
-		}
-
-		if (deliveredAt > 0) {
-			const pauseMs = current.heardAt - deliveredAt;
-			longestPauseMs = Math.max(longestPauseMs, pauseMs);
-		}
-
-		deliveredAt = current.heardAt;
-		lastEventId = event.id ?? lastEventId;
-		if (!res.write(event.bytes)) {
-			isPaused = true;
-			answer.pause();
-			res.once('drain', () => {
-				isPaused = false;
-				current.heardAt = ctx.clock.now();
-				answer.resume();
-			});
-		}
+		delivery.deliver(answer, event, () => {
+			current.heardAt = ctx.clock.now();
+		});
 	};
 
 	const relay = (current: Run, answer: IncomingMessage): void => {
@@ -217,13 +145,9 @@
 				return;
 			}
 
-			if (!isHeadSent) {
-				res.writeHead(SUCCESS, dropHeaders(answer.rawHeaders, BODY_HEADERS));
-			}
-
 			record(SUCCESS, moves > 0 ? 'moved' : 'backend server');
 			current.protection.release();
-			res.end();
+			delivery.complete(answer);
 			finish();
 		};
 
@@ -239,15 +163,8 @@
 				return;
 			}
 
-			const body = Buffer.concat(chunks);
-			const status = answer.statusCode ?? 0;
-			record(status, 'backend server');
-			res.writeHead(status, [
-				...dropHeaders(answer.rawHeaders, BODY_HEADERS),
-				'Content-Length',
-				String(body.length),
-			]);
-			res.end(body);
+			record(answer.statusCode ?? 0, 'backend server');
+			delivery.passOn(answer, Buffer.concat(chunks));
 			finish();
 		};
 
@@ -272,7 +189,7 @@
 		} else if (status === SUCCESS) {
 			relay(current, answer);
 		} else if (
-			isHeadSent ||
+			delivery.hasBegun() ||
 			(status >= 500 && canRepeat && sentTo.size < route.maxAttempts)
 		) {
 			fail(current, {kind: 'failed', reason: String(status)});
@@ -293,6 +210,7 @@
 	};
 
 	const start = (former?: FormerRun): void => {
+		const lastEventId = delivery.readLastEventId();
 		const held = lastEventId === undefined ? undefined : former?.held;
 		const work = describeWork(ctx, req, excluded, lostAt);
 		const backend =
@@ -360,14 +278,14 @@
 				from: former.backend.id,
 				to: backend.id,
 				hasCopy: held !== undefined,
-				lastEventId: lastEventId ?? '',
+				lastEventId: delivery.readLastEventId() ?? '',
 			});
 		}
 	};
 
 	/** A stream that has begun waits for a backend server; a new one is refused. */
 	const offerLater = (reason: string): void => {
-		if (!isHeadSent) {
+		if (!delivery.hasBegun()) {
 			breakOff(hasRun ? 502 : 503, reason);
 			return;
 		}
@@ -400,25 +318,12 @@
 
 			case 'lost': {
 				hasRun = true;
-				void noteLoss(current);
+				void noteLoss(ctx, req.digest, current);
 				break;
 			}
 		}
 	};
 
-	const noteLoss = async (current: Run): Promise<void> => {
-		const {backend} = current;
-		const isAlive =
-			current.probe !== 'dead' && (await probeAddress(backend.address));
-		ctx.view.signal(backend, isAlive ? 'failed' : 'unreachable');
-		if (!isAlive) {
-			ctx.reportCrash({
-				digest: req.digest,
-				backend: `${backend.id}/${backend.bornAt}`,
-			});
-		}
-	};
-
 	const fail = (current: Run, failure: AttemptFailure): void => {
 		if (current.isOver || isEnded) {
 			return;
@@ -451,7 +356,7 @@
 			reason: failure.reason,
 			sent: sentTo.size,
 			decision: decision.kind,
-			lastEventId: lastEventId ?? '',
+			lastEventId: delivery.readLastEventId() ?? '',
 		});
 		switch (decision.kind) {
 			case 'retry': {
@@ -471,7 +376,7 @@
 			}
 
 			case 'refuse': {
-				breakOff(isHeadSent ? 502 : 503, failure.reason);
+				breakOff(delivery.hasBegun() ? 502 : 503, failure.reason);
 				break;
 			}
 
@@ -483,21 +388,15 @@
 	};
 
 	const probe = async (current: Run): Promise<void> => {
-		current.probe = 'pending';
-		const isAlive = await probeAddress(current.backend.address);
-		current.probe = isAlive ? 'alive' : 'dead';
-		current.probedAt = ctx.clock.now();
-		if (!isAlive) {
-			ctx.view.signal(current.backend, 'unreachable');
-			tick();
-		}
+		await probeRun(ctx, current);
+		tick();
 	};
 
 	const tick = (): void => {
 		const current = run;
 		if (
 			isEnded ||
-			isPaused ||
+			delivery.isPaused() ||
 			!canRepeat ||
 			current === undefined ||
 			current.isOver
@@ -505,19 +404,9 @@
 			return;
 		}
 
+		const hasEvents = delivery.readLastEventId() !== undefined;
 		const silentMs = ctx.clock.now() - current.heardAt;
-		const decision = judgeSilence({
-			silentMs,
-			hasStarted: current.hasStarted,
-			probe: current.probe,
-			isKnownDead: ctx.view.readUsability(current.backend.id) === 'unreachable',
-			probedAgoMs: ctx.clock.now() - current.probedAt,
-			hasCopy:
-				lastEventId !== undefined &&
-				current.protection.findCopy() !== undefined,
-			gapTargetMs: route.gapTargetMs,
-			latencyTargetMs: route.latencyTargetMs,
-		});
+		const decision = judgeRun(ctx, req, current, hasEvents);
 		switch (decision) {
 			case 'wait': {
 				if (current.hasStarted) {
