--- /dev/null
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -0,0 +1,162 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import type {PulledMetrics} from '@lovagevalve/runtime';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createCoordinator, type Coordinator} from '../../index.js';
+
+const silent = (): undefined => undefined;
+const log = {debug: silent, info: silent, warn: silent, error: silent};
+const metrics = {
+	count: silent,
+	time: silent,
+	watch: silent,
+	serve: silent,
+} as unknown as PulledMetrics;
+const clock = {now: () => performance.now(), wall: () => Date.now()};
+const folders: string[] = [];
+const running = new Set<Coordinator>();
+
+afterEach(async () => {
+	await Promise.all([...running].map(stop));
+	await Promise.all(
+		folders.splice(0).map(async (folder) => rm(folder, {recursive: true})),
+	);
+});
+
+async function findFreePort(): Promise<number> {
+	const server = createServer();
+	return new Promise((resolve) => {
+		server.listen(0, '127.0.0.1', () => {
+			const {port} = server.address() as AddressInfo;
+			server.close(() => {
+				resolve(port);
+			});
+		});
+	});
+}
+
+async function createFolder(): Promise<string> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'lovage-group-'));
+	folders.push(folder);
+	return folder;
+}
+
+type Start = Readonly<{
+	name: string;
+	port: number;
+	folder: string;
+	seeds: readonly string[];
+	isFirstStart: boolean;
+}>;
+
+async function start(options: Start): Promise<Coordinator> {
+	const {name, port, folder, seeds, isFirstStart} = options;
+	const coordinator = createCoordinator(
+		{
+			name,
+			address: `127.0.0.1:${port}`,
+			dataFolder: folder,
+			isFirstStart,
+			readSeeds: () => seeds,
+		},
+		{clock, log, metrics, draw: Math.random},
+	);
+	await new Promise<void>((resolve) => {
+		coordinator.server.listen(port, '127.0.0.1', resolve);
+	});
+	running.add(coordinator);
+	return coordinator;
+}
+
+async function stop(coordinator: Coordinator): Promise<void> {
+	running.delete(coordinator);
+	coordinator.server.closeAllConnections();
+	coordinator.server.close();
+	await coordinator.stop();
+}
+
+async function until(condition: () => Promise<boolean>): Promise<void> {
+	while (!(await condition())) {
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise((resolve) => {
+			setTimeout(resolve, 50);
+		});
+	}
+}
+
+async function put(coordinator: Coordinator, version: number): Promise<void> {
+	await until(async () =>
+		coordinator.putConfiguration({version, text: `v${version}`}),
+	);
+}
+
+async function readVersion(coordinator: Coordinator): Promise<number> {
+	const outcome = await coordinator.readConfiguration();
+	return outcome.kind === 'found' ? outcome.configuration.version : 0;
+}
+
+async function startGroup(): Promise<readonly Start[]> {
+	const ports = await Promise.all([0, 1, 2].map(findFreePort));
+	const seeds = ports.map((port) => `127.0.0.1:${port}`);
+	return Promise.all(
+		ports.map(async (port, i) => ({
+			name: `control-${i}`,
+			port,
+			folder: await createFolder(),
+			seeds,
+			isFirstStart: true,
+		})),
+	);
+}
+
+describe('a group of control instances', () => {
+	it('founds itself once, and commits and reads at any of them', async () => {
+		const starts = await startGroup();
+		const group = await Promise.all(starts.map(start));
+		await put(group[0]!, 7);
+		await until(async () => (await readVersion(group[1]!)) === 7);
+		await until(async () => (await readVersion(group[2]!)) === 7);
+		// A version that was overtaken is acknowledged, and changes nothing.
+		await put(group[2]!, 5);
+		expect(await readVersion(group[2]!)).toBe(7);
+	});
+
+	it('keeps what it acknowledged when one loses its disk and all are restarted', async () => {
+		const starts = await startGroup();
+		const group = await Promise.all(starts.map(start));
+		await put(group[0]!, 7);
+		await Promise.all(group.map(stop));
+		const folder = await createFolder();
+		const again = await Promise.all(
+			starts.map(async (options, i) =>
+				start({
+					...options,
+					isFirstStart: false,
+					folder: i === 0 ? folder : options.folder,
+				}),
+			),
+		);
+		await until(async () => (await readVersion(again[0]!)) === 7);
+		// The instance with the new disk votes again: another one may be lost.
+		await put(again[1]!, 8);
+		await until(async () => (await readVersion(again[0]!)) === 8);
+	});
+
+	it('answers no read without a quorum', async () => {
+		const starts = await startGroup();
+		const group = await Promise.all(starts.map(start));
+		await put(group[0]!, 7);
+		await until(async () => (await readVersion(group[0]!)) === 7);
+		await Promise.all(group.slice(1).map(stop));
+		await until(
+			async () => (await group[0]!.readConfiguration()).kind === 'unavailable',
+		);
+		const isCommitted = await group[0]!.putConfiguration({
+			version: 9,
+			text: 'v9',
+		});
+		expect(isCommitted).toBe(false);
+	});
+});
