--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -77,13 +77,17 @@
 	await coordinator.stop();
 }
 
+const POLL_INTERVAL_MS = 50;
+
 async function until(condition: () => Promise<boolean>): Promise<void> {
-	while (!(await condition())) {
-		// eslint-disable-next-line no-await-in-loop
-		await new Promise((resolve) => {
-			setTimeout(resolve, 50);
-		});
+	if (await condition()) {
+		return;
 	}
+
+	await new Promise((resolve) => {
+		setTimeout(resolve, POLL_INTERVAL_MS);
+	});
+	await until(condition);
 }
 
 async function put(coordinator: Coordinator, version: number): Promise<void> {
@@ -150,9 +154,10 @@
 		await put(group[0]!, 7);
 		await until(async () => (await readVersion(group[0]!)) === 7);
 		await Promise.all(group.slice(1).map(stop));
-		await until(
-			async () => (await group[0]!.readConfiguration()).kind === 'unavailable',
-		);
+		await until(async () => {
+			const {kind} = await group[0]!.readConfiguration();
+			return kind === 'unavailable';
+		});
 		const isCommitted = await group[0]!.putConfiguration({
 			version: 9,
 			text: 'v9',
