--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -172,10 +172,9 @@
 		draw: () => 0,
 		dataCentre: 'a',
 		readTable: () => routes,
-		readStanding: () => 'ready',
 		isConvicted: (digest) => digest === '',
-		reportCrash(crash) {
-			crashes.push(crash);
+		reportCrash(digest, backend) {
+			crashes.push({digest, backend: backend.id});
 		},
 	});
 	const port = await listen(gateway.server);
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {Crash, EntryStanding, Work} from '@lovagevalve/dispatch';
+import type {BackendRecord, Work} from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PulledMetrics} from '@lovagevalve/runtime';
 import type {BackendView} from './backend-view.js';
@@ -20,9 +20,9 @@
 	dataCentre: string;
 	/** Newest configuration; absent until one is known. */
 	readTable: () => RouteTable | undefined;
-	readStanding: () => EntryStanding;
 	isConvicted: (digest: string) => boolean;
-	reportCrash: (crash: Crash) => void;
+	/** Tells that a backend server died while it held a request. */
+	reportCrash: (digest: string, backend: BackendRecord) => void;
 }>;
 
 /** A request that was read and may be forwarded. */
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -110,9 +110,9 @@
 		draw: parts.draw,
 		dataCentre: settings.dataCentre,
 		readTable: () => table,
-		readStanding,
 		isConvicted: (digest) => convicted.has(digest),
-		reportCrash(crash) {
+		reportCrash(digest, {id, bornAt}) {
+			const crash: Crash = {digest, backend: `${id}/${bornAt}`};
 			log.warn('A backend server died while it held a request.', crash);
 			crashes = [...crashes, {crash, at: clock.now()}].slice(-MAX_CRASHES);
 		},
--- a/packages/lovage-gateway/src/plain-forwarder.ts
+++ b/packages/lovage-gateway/src/plain-forwarder.ts
@@ -46,10 +46,7 @@
 			const isAlive = await probeAddress(backend.address);
 			ctx.view.signal(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
-				ctx.reportCrash({
-					digest: req.digest,
-					backend: `${backend.id}/${backend.bornAt}`,
-				});
+				ctx.reportCrash(req.digest, backend);
 			}
 
 			return !isAlive;
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -54,7 +54,7 @@
 	const isAlive = probe !== 'dead' && (await probeAddress(backend.address));
 	ctx.view.signal(backend, isAlive ? 'failed' : 'unreachable');
 	if (!isAlive) {
-		ctx.reportCrash({digest, backend: `${backend.id}/${backend.bornAt}`});
+		ctx.reportCrash(digest, backend);
 	}
 }
 
