--- a/deploy/build.js
+++ b/deploy/build.ts
@@ -1,12 +1,12 @@
 // Bundles the programs of the deployment into `target/`.
 import path from 'node:path';
-import {build} from 'esbuild';
+import {build, type Plugin} from 'esbuild';
 
 const root = path.resolve(import.meta.dirname, '..');
 const programs = ['entry', 'control'];
 
 /** Bundles the sources of the project's packages, so that no other build step is needed. */
-const workspaceSources = {
+const workspaceSources: Plugin = {
 	name: 'workspace-sources',
 	setup({onResolve}) {
 		onResolve({filter: /^@lovagevalve\//}, ({path: name}) => ({
