--- a/packages/lovage-gateway/src/run-protection.ts
+++ b/packages/lovage-gateway/src/run-protection.ts
@@ -54,6 +54,10 @@
 	const isLost = (): boolean =>
 		held === undefined || view.readUsability(held.backend.id) !== 'usable';
 
+	/** A backup that the request itself named is kept up to date by its engine. */
+	const findRefreshTarget = (): BackendRecord | undefined =>
+		orderedName === undefined ? undefined : held?.backend;
+
 	const order = async (target: BackendRecord): Promise<void> => {
 		const before = held;
 		const answer = await sendOrder(
@@ -96,13 +100,9 @@
 				return;
 			}
 
-			const isRefresh = orderedName !== undefined && !isLost();
-			const target = isRefresh ? held?.backend : undefined;
-			if (isLost() || isRefresh) {
-				const chosen = target ?? chooseBackup();
-				if (chosen !== undefined) {
-					void runOrder(chosen);
-				}
+			const target = isLost() ? chooseBackup() : findRefreshTarget();
+			if (target !== undefined) {
+				void runOrder(target);
 			}
 		},
 		findCopy: () => (isLost() ? undefined : held),
