Keep the request that was struck most apart from all victims

Cause: suspects were placed by an order that changed with each death, over servers that differ from entry to entry (lost data centres, full servers). So a victim of the first death met the killer at its next engine, was struck twice, and the killer no longer led by two. The order is that of the first deaths now; one server is kept for the leading suspect, which also waits 300 ms for other entries' reports of its last death. Ruled out: the verdict itself; in each traced run with four engines the reports named the same victim on two of the killer's deaths.

--- a/packages/lovage-entry-role/src/__tests__/fixture.ts
+++ b/packages/lovage-entry-role/src/__tests__/fixture.ts
@@ -259,6 +259,7 @@
 	entry: EntryDriver,
 	backend: string,
 	held: readonly string[] = [],
+	leading?: string,
 ): readonly EntryEffect[] {
 	return entry.apply({
 		kind: 'deaths-acknowledged',
@@ -266,6 +267,7 @@
 		quarantine: {
 			version: entry.state.quarantine.version + 1,
 			suspects: ['label/x'],
+			leading,
 			held,
 			convicted: [],
 		},
--- a/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
@@ -69,6 +69,16 @@
 		expect(pick(entry.tick(), 'start-attempt')).toHaveLength(1);
 	});
 
+	// Load pattern: entries report their victims of one death tens of milliseconds apart.
+	it('waits for reports of other victims while it is the leading suspect', () => {
+		const {entry, backend} = createTwiceLost();
+		acknowledge(entry, backend, [], 'label/x');
+		entry.now = 300;
+		expect(pick(entry.tick(), 'start-attempt')).toEqual([]);
+		entry.now = 350;
+		expect(pick(entry.tick(), 'start-attempt')).toHaveLength(1);
+	});
+
 	it('waits as long as it is held, then gets the verdict', () => {
 		const {entry, backend} = createTwiceLost();
 		acknowledge(entry, backend, ['label/x']);
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -11,8 +11,10 @@
 /** Suspected and convicted requests. */
 export type Quarantine = Readonly<{
 	version: number;
-	/** To be kept apart from each other. */
+	/** To be kept apart from each other, in an order that entries share. */
 	suspects: readonly string[];
+	/** Suspect to be kept apart from all others first. */
+	leading?: string;
 	/** Not to be placed until the last death is judged. */
 	held: readonly string[];
 	/** Refused at once. */
--- a/packages/lovage-entry-role/src/place.ts
+++ b/packages/lovage-entry-role/src/place.ts
@@ -11,7 +11,7 @@
 /** Work to be placed on a backend server of a service. */
 export type Work = Omit<
 	PlacementRequest,
-	'dataCentre' | 'lostAt' | 'suspects'
+	'dataCentre' | 'lostAt' | 'suspects' | 'leading'
 > &
 	Readonly<{service: string}>;
 
@@ -80,6 +80,7 @@
 			dataCentre: state.options.dataCentre,
 			lostAt: listDataCentres(state, work.excluded),
 			suspects: state.quarantine.suspects,
+			leading: state.quarantine.leading,
 		},
 		moment.random,
 	);
--- a/packages/lovage-entry-role/src/suspects.ts
+++ b/packages/lovage-entry-role/src/suspects.ts
@@ -39,6 +39,26 @@
 	);
 }
 
+/**
+ * Time from a death of the leading suspect to its next placement; entries
+ * report their victims of one death within tens of milliseconds.
+ */
+const LEADING_WAIT_MS = 300;
+
+/** Tells whether other entries may still report victims of the suspect's last death. */
+function isAwaitingVictims(
+	state: EntryState,
+	{awaits}: Stream,
+	digest: string,
+	now: number,
+): boolean {
+	return (
+		awaits !== undefined &&
+		state.quarantine.leading === digest &&
+		now < awaits.since + LEADING_WAIT_MS
+	);
+}
+
 /**
  * Tells whether a stream waits for the verdict on a death: its request may be
  * what kills the backend servers.
@@ -52,6 +72,7 @@
 	const digest = strikeDigest(customer, input.digest);
 	return (
 		state.quarantine.held.includes(digest) ||
+		isAwaitingVictims(state, stream, digest, now) ||
 		isUnacknowledged(state, stream, now)
 	);
 }
--- a/packages/lovage-measure/src/entry.ts
+++ b/packages/lovage-measure/src/entry.ts
@@ -93,7 +93,7 @@
 		}
 
 		const {digest, family} = one.request;
-		const {suspects, held, convicted} = platform.readQuarantine();
+		const {suspects, leading, held, convicted} = platform.readQuarantine();
 		if (convicted.includes(digest)) {
 			update(id, {
 				kind: 'placement-refused',
@@ -116,6 +116,7 @@
 						),
 						suspect: suspects.includes(digest) ? digest : undefined,
 						suspects,
+						leading,
 					},
 					random.draw(),
 					variant.placement,
--- a/packages/lovage-placement/src/__tests__/unit/choose.test.ts
+++ b/packages/lovage-placement/src/__tests__/unit/choose.test.ts
@@ -135,6 +135,35 @@
 		expect(new Set(alone.slice(0, 6)).size).toBeLessThan(6);
 	});
 
+	// Replays a killer's first two deaths, with victims of both at other entries.
+	it('places the leading suspect where no victim of its deaths runs', () => {
+		const view = Array.from({length: 8}, (_, i) => createCandidate(`${i}`));
+		const choose = (
+			servers: typeof view,
+			asked: Partial<PlacementRequest>,
+		): string | undefined =>
+			chooseBackend(servers, {...request, ...asked}, 0.5)?.id;
+		Array.from({length: 50}, (_, i) => `killer-${i}`).forEach((killer) => {
+			const first = ['a', 'b', killer].toSorted();
+			const places = new Map(
+				first.map((suspect) => [
+					suspect,
+					choose(view, {suspect, suspects: first}),
+				]),
+			);
+			const dead = places.get(killer);
+			const left = view.filter(({id}) => id !== dead);
+			const told = {suspects: [...first, 'x', 'y'], leading: killer};
+			const next = choose(left, {...told, suspect: killer, excluded: [dead!]});
+			const victims = ['x', 'y'].map((suspect) =>
+				choose(left, {...told, suspect, excluded: [dead!]}),
+			);
+			expect([places.get('a'), places.get('b'), ...victims]).not.toContain(
+				next,
+			);
+		});
+	});
+
 	it('corrects a lagging report by its own work since', () => {
 		const report = {running: 4, waiting: 1, inFlightThen: 2};
 		expect(estimateOccupancy(createCandidate('1', {report, inFlight: 5}))).toBe(
--- a/packages/lovage-placement/src/choose.ts
+++ b/packages/lovage-placement/src/choose.ts
@@ -41,17 +41,15 @@
 	random: number,
 	policy: PlacementPolicy = DEFAULT_PLACEMENT_POLICY,
 ): Candidate | undefined {
-	const eligible = preferOtherPlaces(
-		view.filter((candidate) => isEligible(candidate, request)),
-		request.lostAt ?? [],
-	);
+	const eligible = view.filter((candidate) => isEligible(candidate, request));
+	const preferred = preferOtherPlaces(eligible, request.lostAt ?? []);
 	if (request.suspect !== undefined) {
-		return chooseForSuspect(eligible, request.suspect, request.suspects ?? []);
+		return chooseForSuspect(view, eligible, request, request.suspect);
 	}
 
 	const compared = [
-		...sample(eligible, policy.choices, random),
-		...listPrefixHolders(eligible, request, policy),
+		...sample(preferred, policy.choices, random),
+		...listPrefixHolders(preferred, request, policy),
 	];
 	return pickLowest(compared, (candidate) =>
 		scoreCandidate(candidate, request, policy),
@@ -70,23 +68,77 @@
 }
 
 /**
- * Entries agree on the backend server for a suspect without talking: each
- * suspect of the shared order takes the best one that is left by its hash,
- * and the next turn begins when none is left.
+ * Places suspects so that entries agree without talking: in the shared order,
+ * each takes the best server that is left by its hash, and the next turn begins
+ * when none is left. One server is kept for the leading suspect.
  */
+function assignSuspects(
+	servers: readonly Candidate[],
+	suspects: readonly string[],
+	hasLeading: boolean,
+): ReadonlyMap<string, Candidate> {
+	const room = Math.max(1, servers.length - (hasLeading ? 1 : 0));
+	const places = new Map<string, Candidate>();
+	let left = servers;
+	let pool = servers;
+	suspects.forEach((suspect, index) => {
+		if (index > 0 && index % room === 0) {
+			// The server that the first turn left is not used by the others either.
+			pool =
+				index === room ? servers.filter((one) => !left.includes(one)) : pool;
+			left = room === servers.length ? servers : pool;
+		}
+
+		const place = pickByHash(left, suspect);
+		if (place !== undefined) {
+			places.set(suspect, place);
+			left = left.filter((candidate) => candidate !== place);
+		}
+	});
+	return places;
+}
+
 function chooseForSuspect(
+	view: readonly Candidate[],
 	eligible: readonly Candidate[],
+	{suspects = [], leading, lostAt = [], model, role}: PlacementRequest,
 	suspect: string,
-	suspects: readonly string[],
 ): Candidate | undefined {
-	const index = Math.max(0, suspects.indexOf(suspect));
-	const turn = index - (index % Math.max(1, eligible.length));
-	const earlier = suspects.slice(turn, index);
-	const rest = earlier.reduce<readonly Candidate[]>((left, other) => {
-		const taken = pickByHash(left, other);
-		return left.filter((candidate) => candidate !== taken);
-	}, eligible);
-	return pickByHash(rest, suspect);
+	const serving = view.filter(
+		(candidate) =>
+			candidate.state === 'serving' &&
+			(model === undefined || candidate.models.includes(model)) &&
+			(role === undefined || candidate.role === role),
+	);
+	const others = suspects.filter((other) => other !== leading);
+	const assign = (servers: readonly Candidate[]) =>
+		assignSuspects(servers, others, leading !== undefined);
+	// Victims of one death have lost the same place; with a leading suspect, those
+	// of several deaths must agree.
+	const near = preferOtherPlaces(serving, lostAt.slice(0, 1));
+	const places = assign(leading === undefined ? near : serving);
+	const taken = new Set(places.values());
+	if (suspect === leading) {
+		const earlier = new Set(assign(near).values());
+		// Entries that don't know all deaths yet place by other servers.
+		const firstChoices = new Set(
+			others.flatMap((other) =>
+				[serving, near].map((servers) => pickByHash(servers, other)),
+			),
+		);
+		const free = eligible.filter((one) => !taken.has(one));
+		const unused = free.filter((one) => !earlier.has(one));
+		const unwanted = unused.filter((one) => !firstChoices.has(one));
+		return [unwanted, unused, free, eligible]
+			.map((servers) => pickByHash(servers, suspect))
+			.find((place) => place !== undefined);
+	}
+
+	const own = places.get(suspect);
+	const shared = eligible.filter((one) => taken.has(one));
+	return own !== undefined && eligible.includes(own)
+		? own
+		: pickByHash(shared.length > 0 ? shared : eligible, suspect);
 }
 
 function pickByHash(
--- a/packages/lovage-placement/src/types.ts
+++ b/packages/lovage-placement/src/types.ts
@@ -40,8 +40,10 @@
 	lostAt?: readonly string[];
 	/** Digest of the request if it is a suspect of the quarantine. */
 	suspect?: string;
-	/** All suspects, most suspected first, in an order that entries share. */
+	/** All suspects, in an order that entries share and that new ones don't change. */
 	suspects?: readonly string[];
+	/** The suspect that is kept apart from all others first. */
+	leading?: string;
 }>;
 
 /** How load, cache and distance weigh against each other. */
--- a/packages/lovage-quarantine/src/__tests__/unit/quarantine.test.ts
+++ b/packages/lovage-quarantine/src/__tests__/unit/quarantine.test.ts
@@ -53,6 +53,7 @@
 		const twice = killedTwice(begin());
 		expect(viewQuarantine(twice)).toMatchObject({
 			suspects: ['k', 'a', 'b', 'c'],
+			leading: 'k',
 			held: [],
 			convicted: [],
 		});
@@ -63,6 +64,16 @@
 		expect(viewQuarantine(judged).suspects).toEqual(['a', 'b', 'c', 'd']);
 	});
 
+	it('tells no leading suspect while several were struck as often', () => {
+		const once = report(begin(), 0, [death('e1', ['k', 'a'])]);
+		expect(viewQuarantine(once).leading).toBeUndefined();
+		const both = report(once, 20_000, [death('e2', ['k', 'a', 'c'])]);
+		expect(viewQuarantine(both)).toMatchObject({
+			suspects: ['k', 'a', 'c'],
+			leading: undefined,
+		});
+	});
+
 	it('finds a request that goes through one data centre quickly', () => {
 		const states = ['e1', 'e2', 'e3'].reduce(
 			(state, backend, i) =>
--- a/packages/lovage-quarantine/src/types.ts
+++ b/packages/lovage-quarantine/src/types.ts
@@ -80,8 +80,10 @@
 /** What entries need to know of the quarantine. */
 export type QuarantineSummary = Readonly<{
 	version: number;
-	/** To be kept apart from each other, most suspected first. */
+	/** To be kept apart from each other, in the order of their first deaths. */
 	suspects: readonly string[];
+	/** The one suspect with more strikes than any other, and with two or more. */
+	leading?: string;
 	/** Suspects not to be placed until the last death is judged. */
 	held: readonly string[];
 	/** Refused at once. */
--- a/packages/lovage-wire/src/control-api.ts
+++ b/packages/lovage-wire/src/control-api.ts
@@ -59,8 +59,10 @@
 /** Request digests that crash backend servers, or may. */
 export type QuarantineView = Readonly<{
 	version: number;
-	/** To be kept apart from each other. */
+	/** To be kept apart from each other, in an order that entries share. */
 	suspects: readonly string[];
+	/** Suspect to be kept apart from all others first. */
+	leading?: string;
 	/** Suspects not to be placed until the last death is judged. */
 	held: readonly string[];
 	/** Refused at once. */
