Tell entries only what has changed of the backend servers

Cause: on the grown Cooperativa each of five control instances answered five reports a second of 59 entries with all backend servers whenever one had changed, and with the work at each: over 1 MB/s on links of 7 Mbit/s. Answers carry changes since the revision that the entry knows; work, ages and serving entries come from one control instance at a time; control instances tell each other what they heard themselves, all of it every three seconds, and at once what leaves. Also: what one control instance told of convicted requests and of the number of entries isn't undone by another that has just started.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -67,7 +67,11 @@
 /** A tenth of the shortest election timeout and less. */
 const TICK_INTERVAL_MS = 40;
 const ENTRANCE_INTERVAL_MS = 200;
-const GOSSIP_INTERVAL_MS = 1000;
+/** Most of the time that control instances may lag behind each other. */
+const GOSSIP_INTERVAL_MS = 500;
+/** Rounds until everything is told again, for instances that were out of touch. */
+const FULL_GOSSIP_ROUNDS = 6;
+const MAX_EPOCH = 2 ** 32;
 const GOSSIP_TIMEOUT_MS = 400;
 /** Less than the second after which a caller goes on to another instance. */
 const FORWARD_TIMEOUT_MS = 950;
@@ -83,7 +87,11 @@
 	const {clock, log, metrics} = parts;
 	const {name, address, readSeeds} = settings;
 	const client = createPeerClient();
-	const registry = createRegistry(clock, log);
+	const registry = createRegistry(
+		clock,
+		log,
+		Math.floor(parts.draw() * MAX_EPOCH),
+	);
 	let loggedVersion = 0;
 
 	const replica = createReplica({
@@ -236,11 +244,22 @@
 		},
 	);
 
+	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.dropOld();
-		const backends = registry.listBackends();
+		gossipRound += 1;
+		const told = registry.takeTold();
+		const isFull = gossipRound % FULL_GOSSIP_ROUNDS === 0;
+		tellPeers(isFull ? registry.listBackends() : told);
+	};
+
+	const tellPeers = (backends: readonly AgedRecord[]): void => {
+		if (backends.length === 0) {
+			return;
+		}
+
 		listPeers().forEach((peer) => {
-			// A lost round needs no report: the next one carries the same.
+			// A lost round needs no report: the next full one carries the same.
 			void client.call(peer, '/gossip', {backends}, GOSSIP_TIMEOUT_MS);
 		});
 	};
@@ -280,7 +299,15 @@
 				: await askLeader<ReadOutcome>('/read', {});
 			return outcome ?? {kind: 'unavailable'};
 		},
-		register: registry.register,
+		register(record) {
+			const outcome = registry.register(record);
+			if (outcome === 'changed' && record.state !== 'ready') {
+				// What leaves must reach every entry within the time that it serves on.
+				tellPeers(registry.takeTold());
+			}
+
+			return outcome;
+		},
 		find: registry.find,
 		listServing: registry.listServing,
 		async stop() {
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -10,12 +10,14 @@
 	type EntryReport,
 	type EntryStanding,
 	fromAged,
+	fromCompactLoads,
 	listConvicted,
 	mergeRecords,
 	type MergeOutcome,
 	type MergeResult,
 	recordCrashes,
 	toAged,
+	toCompactLoads,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger} from '@lovagevalve/runtime';
 
@@ -35,15 +37,17 @@
 	/** Takes in what another control instance knows. */
 	merge: (records: readonly AgedRecord[]) => void;
 	listBackends: () => readonly AgedRecord[];
+	/** Lists what this instance itself was told since the last call, oldest first. */
+	takeTold: () => readonly AgedRecord[];
 	find: (id: string) => BackendRecord | undefined;
 	takeReport: (report: EntryReport) => void;
 	/** Completes the answer to an entry's report. */
 	createAnswer: (
-		report: Pick<EntryReport, 'entry' | 'revision'>,
-	) => Pick<
-		ControlReport,
-		'entries' | 'serving' | 'revision' | 'backends' | 'loads' | 'convicted'
-	>;
+		report: Pick<
+			EntryReport,
+			'entry' | 'known' | 'wantsOverview' | 'wantsAges'
+		>,
+	) => Omit<ControlReport, 'version' | 'controls'>;
 	/** Entries that may be named to callers. */
 	listServing: () => readonly KnownEntry[];
 	dropOld: () => void;
@@ -52,13 +56,37 @@
 /** Entries report several times a second. */
 const ENTRY_SILENT_MS = 1500;
 const ENTRY_FORGOTTEN_MS = 30_000;
+/** Ended backend servers are told to newcomers for so long: late registrations come within seconds. */
+const ENDED_TOLD_MS = 15_000;
 
-/** Creates an empty registry. */
-export function createRegistry(clock: Clock, log: Logger): Registry {
+function isChange(outcome: MergeOutcome): boolean {
+	return outcome === 'added' || outcome === 'changed';
+}
+
+function isSameIncarnation(
+	before: BackendRecord | undefined,
+	{bornAt, state, address}: BackendRecord,
+): boolean {
+	return (
+		before?.bornAt === bornAt &&
+		before.state === state &&
+		before.address === address
+	);
+}
+
+/** Creates an empty registry; `epoch` tells this start from others. */
+export function createRegistry(
+	clock: Clock,
+	log: Logger,
+	epoch: number,
+): Registry {
 	const entries = new Map<string, KnownEntry>();
 	const loads = new Map<string, Readonly<Record<string, BackendLoad>>>();
 	let table: BackendTable = new Map();
 	let revision = 1;
+	/** Revision with which each backend server has changed last. */
+	const changedWith = new Map<string, number>();
+	const told = new Set<string>();
 	let ledger: CrashLedger = new Map();
 
 	const isFresh = ({heardAt}: KnownEntry): boolean =>
@@ -100,13 +128,41 @@
 		[...table.values()].map((record) => toAged(record, clock.now()));
 
 	const takeIn = (merged: MergeResult): void => {
-		const isChanged = merged.outcomes.some(
-			(outcome) => outcome === 'added' || outcome === 'changed',
-		);
+		const before = table;
 		table = merged.table;
-		revision += isChanged ? 1 : 0;
+		if (merged.outcomes.every((outcome) => !isChange(outcome))) {
+			return;
+		}
+
+		revision += 1;
+		[...table.values()]
+			.filter((record) => !isSameIncarnation(before.get(record.id), record))
+			.forEach(({id}) => {
+				changedWith.set(id, revision);
+			});
 	};
 
+	const listChanged = (
+		known: EntryReport['known'],
+	): readonly BackendRecord[] => {
+		const now = clock.now();
+		return known?.epoch === epoch
+			? [...changedWith]
+					.filter(([, changed]) => changed > known.revision)
+					.flatMap(([id]) => table.get(id) ?? [])
+			: [...table.values()].filter(
+					({state, heardAt}) =>
+						state !== 'gone' || now - heardAt < ENDED_TOLD_MS,
+				);
+	};
+
+	const readAges = (): Record<string, number> =>
+		Object.fromEntries(
+			[...table.values()]
+				.filter(({state}) => state === 'ready')
+				.map(({id, heardAt}) => [id, Math.round(clock.now() - heardAt)]),
+		);
+
 	const listServing = (): readonly KnownEntry[] =>
 		[...entries.values()].filter(
 			(entry) => entry.standing === 'ready' && isFresh(entry),
@@ -116,6 +172,7 @@
 		register(record) {
 			const merged = mergeRecords(table, [record]);
 			takeIn(merged);
+			told.add(record.id);
 			const [outcome = 'ignored'] = merged.outcomes;
 			if (outcome !== 'refreshed') {
 				const {id, service, address, state, bornAt, sequence} = record;
@@ -138,25 +195,43 @@
 			takeIn(mergeRecords(table, received));
 		},
 		listBackends,
+		takeTold() {
+			const now = clock.now();
+			const records = [...told].flatMap((id) => table.get(id) ?? []);
+			told.clear();
+			return records.map((record) => toAged(record, now));
+		},
 		find: (id) => table.get(id),
 		takeReport(report) {
 			noteEntry(report);
-			loads.set(report.entry, report.loads);
+			loads.set(report.entry, fromCompactLoads(report.loads));
 			if (report.crashes.length > 0) {
 				ledger = recordCrashes(ledger, report.crashes, clock.now());
 			}
 		},
-		createAnswer: ({entry, revision: known}) => ({
+		createAnswer: ({entry, known, wantsOverview, wantsAges}) => ({
 			entries: [...entries.values()].filter(isFresh).length,
-			serving: listServing().map(({address}) => address),
-			revision,
-			...(known === revision ? {} : {backends: listBackends()}),
-			loads: sumOthers(entry),
+			known: {epoch, revision},
+			backends: listChanged(known).map((record) => toAged(record, clock.now())),
+			...(wantsAges ? {agesMs: readAges()} : {}),
+			...(wantsOverview
+				? {
+						overview: {
+							serving: listServing().map(({address}) => address),
+							loads: toCompactLoads(sumOthers(entry)),
+						},
+					}
+				: {}),
 			convicted: listConvicted(ledger, clock.now()),
 		}),
 		listServing,
 		dropOld() {
 			table = dropOldRecords(table, clock.now());
+			[...changedWith.keys()]
+				.filter((id) => !table.has(id))
+				.forEach((id) => {
+					changedWith.delete(id);
+				});
 			[...entries.values()]
 				.filter(({heardAt}) => clock.now() - heardAt > ENTRY_FORGOTTEN_MS)
 				.forEach(({entry}) => {
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -138,3 +138,21 @@
 		? table
 		: new Map([...table].filter(([, record]) => isKept(record)));
 }
+
+/** Takes in when backend servers were heard elsewhere; later hearings stay. */
+export function refreshAges(
+	table: BackendTable,
+	agesMs: Readonly<Record<string, number>>,
+	now: number,
+): BackendTable {
+	return new Map(
+		[...table].map(([id, record]) => {
+			const ageMs = agesMs[id];
+			const heardAt = Math.max(
+				record.heardAt,
+				ageMs === undefined ? 0 : now - ageMs,
+			);
+			return [id, heardAt === record.heardAt ? record : {...record, heardAt}];
+		}),
+	);
+}
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -1,6 +1,6 @@
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
-export {dropOldRecords, mergeRecords} from './backend-table.js';
+export {dropOldRecords, mergeRecords, refreshAges} from './backend-table.js';
 export type {
 	BackendRecord,
 	BackendState,
@@ -14,12 +14,15 @@
 export type {BackendLoad} from './load.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, Work} from './placement.js';
-export {fromAged, toAged} from './report.js';
+export {fromAged, fromCompactLoads, toAged, toCompactLoads} from './report.js';
 export type {
 	AgedRecord,
+	CompactLoads,
 	ControlReport,
 	EntryReport,
 	EntryStanding,
+	KnownRevision,
+	Overview,
 } from './report.js';
 export {countRequest, EMPTY_BUDGET, spendRetry} from './retry-budget.js';
 export type {RetryBudget, RetryBudgetPolicy} from './retry-budget.js';
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -9,6 +9,18 @@
 export type AgedRecord = Omit<BackendRecord, 'heardAt'> &
 	Readonly<{ageMs: number}>;
 
+/** Revision of the backend servers that a control instance has told. */
+export type KnownRevision = Readonly<{
+	/** Start of the control instance; its revisions begin anew with each. */
+	epoch: number;
+	revision: number;
+}>;
+
+/** Work by backend server: running requests, prompt tokens awaited, tokens in memory. */
+export type CompactLoads = Readonly<
+	Record<string, readonly [number, number, number]>
+>;
+
 /** What an entry tells each control instance, several times a second. */
 export type EntryReport = Readonly<{
 	entry: string;
@@ -18,10 +30,22 @@
 	standing: EntryStanding;
 	/** Version of the configuration in force; 0 for none. */
 	version: number;
-	loads: Readonly<Record<string, BackendLoad>>;
+	loads: CompactLoads;
 	crashes: readonly Crash[];
-	/** Revision of the backend servers that this control instance told last; absent if all of them are wanted. */
-	revision?: number;
+	/** Absent if all backend servers are wanted. */
+	known?: KnownRevision;
+	/** One control instance at a time tells what doesn't depend on which is asked. */
+	wantsOverview: boolean;
+	/** Wants to know when each backend server was heard. */
+	wantsAges: boolean;
+}>;
+
+/** What every control instance knows alike. */
+export type Overview = Readonly<{
+	/** Addresses of the entries that callers may connect to. */
+	serving: readonly string[];
+	/** Work of the other entries. */
+	loads: CompactLoads;
 }>;
 
 /** What a control instance answers. */
@@ -32,17 +56,41 @@
 	controls: readonly string[];
 	/** Entries heard of lately. */
 	entries: number;
-	/** Addresses of the entries that callers may connect to. */
-	serving: readonly string[];
-	/** Changes whenever a backend server does. */
-	revision: number;
-	/** Absent where the entry knows this revision. */
-	backends?: readonly AgedRecord[];
-	/** Work of the other entries. */
-	loads: Readonly<Record<string, BackendLoad>>;
+	known: KnownRevision;
+	/** Backend servers that have changed since the known revision. */
+	backends: readonly AgedRecord[];
+	/** Time since each backend server that serves was heard, in milliseconds. */
+	agesMs?: Readonly<Record<string, number>>;
+	overview?: Overview;
 	convicted: readonly string[];
 }>;
 
+/** Turns work by backend server into its form between instances. */
+export function toCompactLoads(
+	loads: Readonly<Record<string, BackendLoad>>,
+): CompactLoads {
+	return Object.fromEntries(
+		Object.entries(loads).map(([id, load]) => [
+			id,
+			[load.running, load.prefillTokens, load.memoryTokens],
+		]),
+	);
+}
+
+/** Turns work from another instance into one of this instance's form. */
+export function fromCompactLoads(
+	loads: CompactLoads,
+): Readonly<Record<string, BackendLoad>> {
+	return Object.fromEntries(
+		Object.entries(loads).map(
+			([id, [running, prefillTokens, memoryTokens]]) => [
+				id,
+				{running, prefillTokens, memoryTokens},
+			],
+		),
+	);
+}
+
 /** Turns a record into its form between instances. */
 export function toAged(record: BackendRecord, now: number): AgedRecord {
 	const {heardAt, ...rest} = record;
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -198,10 +198,10 @@
 				version: 1,
 				controls: [],
 				entries: 1,
-				serving: [],
-				revision: 1,
+				known: {epoch: 1, revision: 1},
 				backends,
-				loads: {},
+				agesMs: {},
+				overview: {serving: [], loads: {}},
 				convicted: [],
 			});
 		},
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -9,11 +9,13 @@
 	type ControlReport,
 	dropOldRecords,
 	fromAged,
+	fromCompactLoads,
 	type HealthSignal,
 	isAvoided,
 	mergeRecords,
 	NO_LOAD,
 	readAvoidReason,
+	refreshAges,
 	recordSignal,
 	type BackendHealth,
 	UNKNOWN_HEALTH,
@@ -134,14 +136,21 @@
 		applyReport(report) {
 			const now = clock.now();
 			const before = table;
-			const records = (report.backends ?? []).map((record) =>
-				fromAged(record, now),
-			);
-			// Ages are only as new as the registrations that came last.
-			reportedAt = report.backends === undefined ? reportedAt : now;
-			table = dropOldRecords(mergeRecords(table, records).table, now);
-			others = report.loads;
-			logChanges(before);
+			const {backends, agesMs, overview} = report;
+			const records = backends.map((record) => fromAged(record, now));
+			const merged =
+				records.length === 0 ? table : mergeRecords(table, records).table;
+			table =
+				agesMs === undefined
+					? merged
+					: dropOldRecords(refreshAges(merged, agesMs, now), now);
+			// Registrations are only judged as missing when newer ones could have come.
+			reportedAt = agesMs === undefined ? reportedAt : now;
+			others =
+				overview === undefined ? others : fromCompactLoads(overview.loads);
+			if (records.length > 0) {
+				logChanges(before);
+			}
 		},
 		choose(service, work, random) {
 			const candidates = [...table.values()]
--- a/packages/lovage-gateway/src/control-link.ts
+++ b/packages/lovage-gateway/src/control-link.ts
@@ -1,4 +1,8 @@
-import type {ControlReport, EntryReport} from '@lovagevalve/dispatch';
+import type {
+	ControlReport,
+	EntryReport,
+	KnownRevision,
+} from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
 
 /** What the link works with. */
@@ -8,8 +12,13 @@
 	client: PeerClient;
 	/** Addresses from the settings, for traffic between instances. */
 	readSeeds: () => readonly string[];
-	createReport: () => Omit<EntryReport, 'revision'>;
-	onReport: (report: ControlReport) => void;
+	/** Draws a number in [0, 1). */
+	draw: () => number;
+	createReport: () => Omit<
+		EntryReport,
+		'known' | 'wantsOverview' | 'wantsAges'
+	>;
+	onReport: (control: string, report: ControlReport) => void;
 	/** Gets the text of a configuration that is newer than the one in force. */
 	onConfiguration: (text: string) => void;
 }>;
@@ -28,9 +37,7 @@
 	answeredAt: number | undefined;
 	isLost: boolean;
 	/** Revision of the backend servers that it told last. */
-	revision: number | undefined;
-	/** When it told all of them last. */
-	toldAllAt: number;
+	known: KnownRevision | undefined;
 };
 
 /** A control instance answers within milliseconds; longer means that it stalls. */
@@ -40,24 +47,30 @@
 /** A control instance that no other one names is forgotten after this. */
 const FORGET_AFTER_MS = 30_000;
 /** Ages of the registrations are refreshed this often; changes come with the next report. */
-const ALL_BACKENDS_INTERVAL_MS = 1000;
+const AGES_INTERVAL_MS = 1000;
 const MAX_PEERS = 16;
 const REACHABLE_MS = 1500;
 
-/** Creates the link. Every control instance is asked, so that the loss of one delays nothing. */
+/**
+ * Creates the link. Every control instance is asked, so that the loss of one
+ * delays nothing. What all of them know alike comes from one that answers at
+ * the time: over a hundred backend servers, told by each, would fill the links
+ * of small instances.
+ */
 export function createControlLink(parts: ControlLinkParts): ControlLink {
 	const {clock, log, client, readSeeds, createReport} = parts;
 	const peers = new Map<string, Peer>();
 	const namedAt = new Map<string, number>();
 	let isFetching = false;
+	let leadingPeer: string | undefined;
+	let agesAt = Number.NEGATIVE_INFINITY;
 
 	const readPeer = (address: string): Peer => {
 		const peer = peers.get(address) ?? {
 			isBusy: false,
 			answeredAt: undefined,
 			isLost: false,
-			revision: undefined,
-			toldAllAt: 0,
+			known: undefined,
 		};
 		peers.set(address, peer);
 		return peer;
@@ -133,15 +146,28 @@
 
 		peer.isLost = false;
 		peer.answeredAt = now;
-		peer.revision = answer.revision;
-		peer.toldAllAt = answer.backends === undefined ? peer.toldAllAt : now;
+		peer.known = answer.known;
+		agesAt = answer.agesMs === undefined ? agesAt : now;
 		answer.controls.forEach((control) => namedAt.set(control, now));
-		parts.onReport(answer);
+		parts.onReport(address, answer);
 		if (answer.version > ownVersion) {
 			void fetchConfiguration(address, answer.version);
 		}
 	};
 
+	/** The one that tells the overview stays the same while it answers. */
+	const chooseLeadingPeer = (addresses: readonly string[]): void => {
+		const isFree = (address: string): boolean => {
+			const {isBusy, isLost} = readPeer(address);
+			return !isBusy && !isLost;
+		};
+
+		if (leadingPeer === undefined || !isFree(leadingPeer)) {
+			const free = addresses.filter((address) => isFree(address));
+			leadingPeer = free[Math.floor(parts.draw() * free.length)];
+		}
+	};
+
 	const exchange = async (address: string): Promise<void> => {
 		const peer = readPeer(address);
 		if (peer.isBusy) {
@@ -149,10 +175,12 @@
 		}
 
 		peer.isBusy = true;
-		const isDue = clock.now() - peer.toldAllAt > ALL_BACKENDS_INTERVAL_MS;
+		const isLeading = address === leadingPeer;
 		const report: EntryReport = {
 			...createReport(),
-			revision: isDue ? undefined : peer.revision,
+			known: peer.known,
+			wantsOverview: isLeading,
+			wantsAges: isLeading && clock.now() - agesAt > AGES_INTERVAL_MS,
 		};
 		const answer = await client.call<ControlReport>(
 			address,
@@ -174,7 +202,9 @@
 	return {
 		report() {
 			forgetUnnamed();
-			listAddresses().forEach((address) => {
+			const addresses = listAddresses();
+			chooseLeadingPeer(addresses);
+			addresses.forEach((address) => {
 				void exchange(address);
 			});
 		},
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -1,8 +1,9 @@
-import type {
-	Crash,
-	EntryReport,
-	EntryStanding,
-	RetryBudgetPolicy,
+import {
+	type Crash,
+	type EntryReport,
+	type EntryStanding,
+	type RetryBudgetPolicy,
+	toCompactLoads,
 } from '@lovagevalve/dispatch';
 import {
 	type Configuration,
@@ -69,6 +70,8 @@
 const MAX_CRASHES = 200;
 /** A crash is told for so long, that every control instance in touch hears of it. */
 const CRASH_TOLD_MS = 3000;
+/** What a control instance told counts for so long: several intervals, or one loss of it. */
+const TOLD_RETENTION_MS = 3000;
 
 async function sleep(ms: number): Promise<void> {
 	return new Promise((resolve) => {
@@ -81,9 +84,11 @@
 	const {clock, log, metrics} = parts;
 	let table: RouteTable | undefined;
 	let isLeaving = false;
-	let entries = 1;
 	let serving: readonly string[] = [];
-	let convicted: ReadonlySet<string> = new Set();
+	/** Numbers of entries by the control instance that told them. */
+	const entries = new Map<string, Readonly<{count: number; at: number}>>();
+	/** When each convicted request was told last. */
+	const convictedAt = new Map<string, number>();
 	let crashes: ReadonlyArray<Readonly<{crash: Crash; at: number}>> = [];
 
 	const view = createBackendView({
@@ -100,17 +105,44 @@
 		return table === undefined ? 'starting' : 'ready';
 	};
 
+	/** A control instance that has just started knows few entries. */
+	const countEntries = (): number =>
+		Math.max(
+			1,
+			...[...entries.values()]
+				.filter(({at}) => clock.now() - at < TOLD_RETENTION_MS)
+				.map(({count}) => count),
+		);
+
+	const noteConvicted = (digests: readonly string[]): void => {
+		const now = clock.now();
+		[...convictedAt]
+			.filter(([, at]) => now - at > TOLD_RETENTION_MS)
+			.forEach(([digest]) => {
+				convictedAt.delete(digest);
+			});
+		digests.forEach((digest) => {
+			if (!convictedAt.has(digest)) {
+				log.warn('A request is convicted: it crashes backend servers.', {
+					digest,
+				});
+			}
+
+			convictedAt.set(digest, now);
+		});
+	};
+
 	const ctx: GatewayContext = {
 		clock,
 		log,
 		metrics,
 		codec: parts.codec,
 		view,
-		budgets: createRetryBudgets(settings.retryBudget, clock, () => entries),
+		budgets: createRetryBudgets(settings.retryBudget, clock, countEntries),
 		draw: parts.draw,
 		dataCentre: settings.dataCentre,
 		readTable: () => table,
-		isConvicted: (digest) => convicted.has(digest),
+		isConvicted: (digest) => convictedAt.has(digest),
 		reportCrash(digest, {id, bornAt}) {
 			const crash: Crash = {digest, backend: `${id}/${bornAt}`};
 			log.warn('A backend server died while it held a request.', crash);
@@ -147,13 +179,16 @@
 		return crashes.map(({crash}) => crash);
 	};
 
-	const createReport = (): Omit<EntryReport, 'revision'> => ({
+	const createReport = (): Omit<
+		EntryReport,
+		'known' | 'wantsOverview' | 'wantsAges'
+	> => ({
 		entry: settings.name,
 		address: settings.address,
 		dataCentre: settings.dataCentre,
 		standing: readStanding(),
 		version: table?.configuration.version ?? 0,
-		loads: view.readOwnLoads(),
+		loads: toCompactLoads(view.readOwnLoads()),
 		crashes: listCrashes(),
 	});
 
@@ -163,10 +198,11 @@
 		client: createPeerClient(),
 		readSeeds: settings.readSeeds,
 		createReport,
-		onReport(report) {
-			entries = Math.max(1, report.entries);
-			serving = report.serving;
-			convicted = new Set(report.convicted);
+		draw: parts.draw,
+		onReport(control, report) {
+			entries.set(control, {count: report.entries, at: clock.now()});
+			serving = report.overview?.serving ?? serving;
+			noteConvicted(report.convicted);
 			view.applyReport(report);
 		},
 		onConfiguration: applyConfiguration,
