--- a/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
@@ -51,6 +51,17 @@
 		expect(pick(lost, 'report-death')).toMatchObject([{digests: ['label/x']}]);
 	});
 
+	it('is not named for a death when no connection was made', () => {
+		const entry = createServingEntry();
+		entry.requestGeneration('s', {digest: 'x'});
+		const tell = (event: GenerationEvent) =>
+			entry.apply({kind: 'generation-event', stream: 's', event, random: 0.5});
+		tell({kind: 'connection-lost', connection: 1, isUnreached: true, now: 0});
+		tell({kind: 'probe-failed', probe: 1, now: 0});
+		const lost = tell({kind: 'probe-failed', probe: 2, now: 0});
+		expect(pick(lost, 'report-death')).toMatchObject([{digests: []}]);
+	});
+
 	it('goes on after a moment also without a quorum', () => {
 		const {entry} = createOnceLost();
 		entry.now = 450;
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -60,7 +60,8 @@
 		.filter(
 			(other) =>
 				other.backend?.id === backend &&
-				other.backend.incarnation === incarnation,
+				other.backend.incarnation === incarnation &&
+				other.machine?.isUnreached !== true,
 		)
 		.map(({customer, input}) => strikeDigest(customer, input.digest));
 	const report: EntryEffect = {
--- a/packages/lovage-entry/src/engine-host.ts
+++ b/packages/lovage-entry/src/engine-host.ts
@@ -56,8 +56,9 @@
 		onEnd(end) {
 			tell(id, {kind: 'end-received', connection, ...end, now: clock.now()});
 		},
-		onLost() {
-			tell(id, {kind: 'connection-lost', connection, now: clock.now()});
+		onLost(isUnreached) {
+			const now = clock.now();
+			tell(id, {kind: 'connection-lost', connection, isUnreached, now});
 		},
 		onRefused(transient) {
 			const now = clock.now();
@@ -72,7 +73,7 @@
 	): void => {
 		const listener = createListener(id, connection);
 		if (req.address === '') {
-			setImmediate(listener.onLost);
+			setImmediate(listener.onLost, true);
 			return;
 		}
 
--- a/packages/lovage-entry/src/engine-stream.ts
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -26,7 +26,8 @@
 	onEnd: (
 		end: Readonly<{generation: string; attempt: number; total: number}>,
 	) => void;
-	onLost: () => void;
+	/** `isUnreached`: the connection was never made. */
+	onLost: (isUnreached: boolean) => void;
 	onRefused: (isTransient: boolean) => void;
 }>;
 
@@ -132,6 +133,10 @@
 		headersTimeout: 0,
 		bodyTimeout: 0,
 	});
+	let isUnreached = true;
+	client.once('connect', () => {
+		isUnreached = false;
+	});
 	try {
 		const res = await dispatch(client, req, signal);
 		if (signal.aborted) {
@@ -152,7 +157,7 @@
 	}
 
 	if (!signal.aborted) {
-		listener.onLost();
+		listener.onLost(isUnreached);
 	}
 }
 
--- a/packages/lovage-fakes/src/program.ts
+++ b/packages/lovage-fakes/src/program.ts
@@ -27,9 +27,11 @@
 /** Which program to start, and where its output goes. */
 export type ProgramSpec = Readonly<{
 	name: string;
-	/** File of the program, relative to the folder of the packages. */
+	/** File of the program, absolute or relative to the folder of the packages. */
 	file: string;
 	args: readonly string[];
+	/** Variables beside those of this process. */
+	env?: Readonly<Record<string, string>>;
 	outputFile: string;
 }>;
 
@@ -62,6 +64,7 @@
 	const startedAt = Date.now();
 	const child = spawn(process.execPath, [file, ...spec.args], {
 		stdio: ['ignore', 'pipe', 'pipe'],
+		env: {...process.env, ...spec.env},
 	});
 	child.stdout.pipe(output, {end: false});
 	child.stderr.pipe(output, {end: false});
--- a/packages/lovage-fakes/src/relay.ts
+++ b/packages/lovage-fakes/src/relay.ts
@@ -15,6 +15,8 @@
 	/** Closes every open connection, silent or not. */
 	closeOpen: () => void;
 	countOpen: () => number;
+	/** Holds bytes and new connections back for this long, in milliseconds. */
+	delay: (ms: number) => void;
 	/** Bytes passed on to the target and to the client. */
 	countBytes: () => Readonly<{toTarget: number; toClient: number}>;
 	close: () => Promise<void>;
@@ -24,6 +26,15 @@
 
 type Counter = {toTarget: number; toClient: number};
 
+/** Where a relay listens and leads to; loopback and a free port where absent. */
+export type RelayPlaces = Readonly<{
+	host?: string;
+	port?: number;
+	targetHost?: string;
+}>;
+
+const LOOPBACK = '127.0.0.1';
+
 function isSilent(link: Link, direction: 'to-target' | 'to-client'): boolean {
 	return link.silent === 'both' || link.silent === direction;
 }
@@ -32,10 +43,26 @@
 	link: Link,
 	direction: 'to-target' | 'to-client',
 	counter: Counter,
+	readDelay: () => number,
 ): void {
 	const toTarget = direction === 'to-target';
 	const from = toTarget ? link.client : link.target;
 	const to = toTarget ? link.target : link.client;
+	const held: Array<() => void> = [];
+
+	/** Runs at once, or later in the order of the calls. */
+	const pass = (run: () => void): void => {
+		const delayMs = readDelay();
+		if (delayMs === 0 && held.length === 0) {
+			run();
+			return;
+		}
+
+		held.push(run);
+		setTimeout(() => {
+			held.shift()?.();
+		}, delayMs);
+	};
 
 	from.on('data', (chunk: Uint8Array) => {
 		if (isSilent(link, direction)) {
@@ -43,16 +70,20 @@
 		}
 
 		counter[toTarget ? 'toTarget' : 'toClient'] += chunk.length;
-		if (!to.write(chunk)) {
-			from.pause();
-			to.once('drain', () => {
-				from.resume();
-			});
-		}
+		pass(() => {
+			if (!to.destroyed && !to.write(chunk)) {
+				from.pause();
+				to.once('drain', () => {
+					from.resume();
+				});
+			}
+		});
 	});
 	from.on('end', () => {
 		if (!isSilent(link, direction)) {
-			to.end();
+			pass(() => {
+				to.end();
+			});
 		}
 	});
 	from.on('error', () => {
@@ -60,30 +91,37 @@
 	});
 	from.on('close', () => {
 		if (!isSilent(link, direction)) {
-			to.destroy();
+			pass(() => {
+				to.destroy();
+			});
 		}
 	});
 }
 
 /** Starts a relay to a port on loopback. */
-export async function startRelay(targetPort: number): Promise<Relay> {
+export async function startRelay(
+	targetPort: number,
+	places: RelayPlaces = {},
+): Promise<Relay> {
 	const links = new Set<Link>();
 	const counter: Counter = {toTarget: 0, toClient: 0};
 	let silentNew: SilentDirections = 'none';
+	let delayMs = 0;
+	const readDelay = (): number => delayMs;
 
 	const server = createServer(
 		{noDelay: true, allowHalfOpen: true},
 		(client) => {
 			const target = connect({
 				port: targetPort,
-				host: '127.0.0.1',
+				host: places.targetHost ?? LOOPBACK,
 				noDelay: true,
 				allowHalfOpen: true,
 			});
 			const link: Link = {client, target, silent: silentNew};
 			links.add(link);
-			forward(link, 'to-target', counter);
-			forward(link, 'to-client', counter);
+			forward(link, 'to-target', counter, readDelay);
+			forward(link, 'to-client', counter, readDelay);
 			client.on('close', () => {
 				if (target.destroyed) {
 					links.delete(link);
@@ -108,7 +146,7 @@
 	};
 
 	await new Promise<void>((resolve) => {
-		server.listen(0, '127.0.0.1', resolve);
+		server.listen(places.port ?? 0, places.host ?? LOOPBACK, resolve);
 	});
 
 	const closeOpen = (): void => {
@@ -127,6 +165,9 @@
 			silenceNew(directions);
 		},
 		closeOpen,
+		delay(ms) {
+			delayMs = ms;
+		},
 		countOpen: () => links.size,
 		countBytes: () => ({...counter}),
 		async close() {
--- a/packages/lovage-generation/src/running.ts
+++ b/packages/lovage-generation/src/running.ts
@@ -92,7 +92,8 @@
 		}
 
 		case 'connection-lost': {
-			return loseConnection(state, phase, event.now, false);
+			const isUnreached = event.isUnreached === true && !state.accepted;
+			return loseConnection({...state, isUnreached}, phase, event.now, false);
 		}
 
 		case 'backend-refused': {
--- a/packages/lovage-generation/src/state.ts
+++ b/packages/lovage-generation/src/state.ts
@@ -78,6 +78,8 @@
 	pace: Pace;
 	/** Whether the backend server accepted this attempt. */
 	accepted: boolean;
+	/** No connection of this attempt was made, so the backend server can't run it. */
+	isUnreached: boolean;
 	/** Whether a token of this attempt came. */
 	flowing: boolean;
 	lastTokenAt: number;
@@ -115,6 +117,7 @@
 		stalls: 0,
 		pace: UNKNOWN_PACE,
 		accepted: options.start.kind === 'adopt',
+		isUnreached: false,
 		flowing: false,
 		lastTokenAt: now,
 		blocked: false,
--- a/packages/lovage-generation/src/step.ts
+++ b/packages/lovage-generation/src/step.ts
@@ -85,6 +85,7 @@
 	return createTransition<GenerationState, GenerationEffect>(
 		{
 			...state,
+			isUnreached: false,
 			phase: {kind: 'streaming', backend, connection, silentSince: now},
 			attempt,
 			connections: connection,
--- a/packages/lovage-generation/src/stitch.ts
+++ b/packages/lovage-generation/src/stitch.ts
@@ -85,6 +85,7 @@
 		stalls: 0,
 		pace: isGap ? updatePace(state.pace, now - state.lastTokenAt) : state.pace,
 		accepted: true,
+		isUnreached: false,
 		flowing: true,
 		lastTokenAt: now,
 		blocked: state.blocked,
--- a/packages/lovage-generation/src/types.ts
+++ b/packages/lovage-generation/src/types.ts
@@ -47,7 +47,13 @@
 			total: number;
 			now: number;
 	  }
-	| {kind: 'connection-lost'; connection: number; now: number}
+	| {
+			kind: 'connection-lost';
+			connection: number;
+			/** The connection was never made; absent if that isn't known. */
+			isUnreached?: boolean;
+			now: number;
+	  }
 	/** The backend server answered an error before any token. */
 	| {
 			kind: 'backend-refused';
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -20,7 +20,10 @@
 			{
 				test: {
 					name: 'integration',
-					include: ['packages/*/src/__tests__/integration/**/*.test.ts'],
+					include: [
+						'packages/*/src/__tests__/integration/**/*.test.ts',
+						'platform/src/__tests__/integration/**/*.test.ts',
+					],
 					// Each file starts a dozen processes.
 					maxWorkers: 3,
 					sequence: {groupOrder: 1},
