Ask one control instance often and the others seldom

All entries choose the same instance for the overview, so that it knows the work of all within one interval; the others are asked every third round, and tell each other at once what leaves. Silent streams are looked for every 50 ms instead of 30. Ruled out: the data path; entries ran at 0.025 cores with 1.3 streams each.

--- a/packages/lovage-gateway/src/control-link.ts
+++ b/packages/lovage-gateway/src/control-link.ts
@@ -12,8 +12,6 @@
 	client: PeerClient;
 	/** Addresses from the settings, for traffic between instances. */
 	readSeeds: () => readonly string[];
-	/** Draws a number in [0, 1). */
-	draw: () => number;
 	createReport: () => Omit<
 		EntryReport,
 		'known' | 'wantsOverview' | 'wantsAges'
@@ -48,6 +46,8 @@
 const FORGET_AFTER_MS = 30_000;
 /** Ages of the registrations are refreshed this often; changes come with the next report. */
 const AGES_INTERVAL_MS = 1000;
+/** Rounds after which those are asked too that don't tell the overview; they tell each other at once what leaves. */
+const FULL_ROUND_INTERVAL = 3;
 const MAX_PEERS = 16;
 const REACHABLE_MS = 1500;
 
@@ -63,6 +63,7 @@
 	const namedAt = new Map<string, number>();
 	let isFetching = false;
 	let leadingPeer: string | undefined;
+	let round = 0;
 	let agesAt = Number.NEGATIVE_INFINITY;
 
 	const readPeer = (address: string): Peer => {
@@ -155,18 +156,16 @@
 		}
 	};
 
-	/** The one that tells the overview stays the same while it answers. */
-	const chooseLeadingPeer = (addresses: readonly string[]): void => {
-		const isFree = (address: string): boolean => {
-			const {isBusy, isLost} = readPeer(address);
-			return !isBusy && !isLost;
-		};
-
-		if (leadingPeer === undefined || !isFree(leadingPeer)) {
-			const free = addresses.filter((address) => isFree(address));
-			leadingPeer = free[Math.floor(parts.draw() * free.length)];
-		}
-	};
+	/** Entries choose the same one, which then knows the work of all best. */
+	const chooseLeadingPeer = (
+		addresses: readonly string[],
+	): string | undefined =>
+		addresses
+			.filter((address) => {
+				const {isBusy, isLost} = readPeer(address);
+				return !isBusy && !isLost;
+			})
+			.toSorted()[0];
 
 	const exchange = async (address: string): Promise<void> => {
 		const peer = readPeer(address);
@@ -203,8 +202,16 @@
 		report() {
 			forgetUnnamed();
 			const addresses = listAddresses();
-			chooseLeadingPeer(addresses);
-			addresses.forEach((address) => {
+			leadingPeer = chooseLeadingPeer(addresses);
+			round += 1;
+			const isFullRound = round % FULL_ROUND_INTERVAL === 0;
+			const asked = addresses.filter(
+				(address) =>
+					isFullRound ||
+					address === leadingPeer ||
+					readPeer(address).known === undefined,
+			);
+			asked.forEach((address) => {
 				void exchange(address);
 			});
 		},
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -198,7 +198,6 @@
 		client: createPeerClient(),
 		readSeeds: settings.readSeeds,
 		createReport,
-		draw: parts.draw,
 		onReport(control, report) {
 			entries.set(control, {count: report.entries, at: clock.now()});
 			serving = report.overview?.serving ?? serving;
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -39,8 +39,8 @@
 const MAX_REQUESTS = 2000;
 /** Headers are bounded by the configuration; this bounds the parser. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
-/** Silent streams are looked for this often: a twentieth of a usual pause target. */
-const TICK_INTERVAL_MS = 30;
+/** Silent streams are looked for this often: a fifth of the silence that is looked into. */
+const TICK_INTERVAL_MS = 50;
 const DRAIN_POLL_MS = 50;
 
 function countHeaderBytes(req: IncomingMessage): number {
