Share what other entries leave of the retry budget

Cause: the budget was cut into one part an entry. Ruled out: attempts (5), deaths (2) and the time left. Entries report their counts; beyond its part an entry spends while all together stay below 0.6 of the bounds.

Also for the quarantine: deaths that are not judged yet are told to all entries, which leave those engines alone.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -34,6 +34,7 @@
 		standing: 'ready',
 		version: 1,
 		loads: {},
+		retries: {},
 		crashes: [],
 		wantsOverview: true,
 		wantsAges: false,
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -16,6 +16,7 @@
 	type MergeOutcome,
 	type MergeResult,
 	recordCrashes,
+	type RetryCounts,
 	toAged,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
@@ -59,6 +60,13 @@
 /** Ended backend servers are told to newcomers for so long: late registrations come within seconds. */
 const ENDED_TOLD_MS = 15_000;
 
+function addCounts(a: RetryCounts, b: RetryCounts): RetryCounts {
+	return {
+		requests: a.requests + b.requests,
+		retries: a.retries + b.retries,
+	};
+}
+
 function isChange(outcome: MergeOutcome): boolean {
 	return outcome === 'added' || outcome === 'changed';
 }
@@ -82,6 +90,7 @@
 ): Registry {
 	const entries = new Map<string, KnownEntry>();
 	const loads = new Map<string, Readonly<Record<string, BackendLoad>>>();
+	const retries = new Map<string, EntryReport['retries']>();
 	let table: BackendTable = new Map();
 	let revision = 1;
 	/** Revision with which each backend server has changed last. */
@@ -92,14 +101,19 @@
 	const isFresh = ({heardAt}: KnownEntry): boolean =>
 		clock.now() - heardAt < ENTRY_SILENT_MS;
 
-	const sumOthers = (entry: string): Record<string, BackendLoad> => {
-		const sums: Record<string, BackendLoad> = {};
-		[...loads]
+	/** Adds up what the other entries tell, key by key. */
+	const sumOthers = <Value>(
+		told: ReadonlyMap<string, Readonly<Record<string, Value>>>,
+		entry: string,
+		add: (a: Value, b: Value) => Value,
+	): Record<string, Value> => {
+		const sums: Record<string, Value> = {};
+		[...told]
 			.filter(([other]) => other !== entry && isFresh(entries.get(other)!))
 			.flatMap(([, held]) => Object.entries(held))
-			.forEach(([backend, load]) => {
-				const sum = sums[backend];
-				sums[backend] = sum === undefined ? load : addLoad(sum, load);
+			.forEach(([key, value]) => {
+				const sum = sums[key];
+				sums[key] = sum === undefined ? value : add(sum, value);
 			});
 		return sums;
 	};
@@ -205,6 +219,7 @@
 		takeReport(report) {
 			noteEntry(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
+			retries.set(report.entry, report.retries);
 			if (report.crashes.length > 0) {
 				ledger = recordCrashes(ledger, report.crashes, clock.now());
 			}
@@ -218,7 +233,8 @@
 				? {
 						overview: {
 							serving: listServing().map(({address}) => address),
-							loads: toCompactLoads(sumOthers(entry)),
+							loads: toCompactLoads(sumOthers(loads, entry, addLoad)),
+							retries: sumOthers(retries, entry, addCounts),
 						},
 					}
 				: {}),
@@ -237,6 +253,7 @@
 				.forEach(({entry}) => {
 					entries.delete(entry);
 					loads.delete(entry);
+					retries.delete(entry);
 				});
 		},
 	};
--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -9,6 +9,7 @@
 	listConvicted,
 	recordCrashes,
 	recordSignal,
+	type RetryCounts,
 	type RetryInputs,
 	type SilenceInputs,
 	spendRetry,
@@ -77,7 +78,10 @@
 
 		let spent = 0;
 		for (;;) {
-			const next = spendRetry(budget, policy, requests, instances);
+			const next = spendRetry(budget, policy, {
+				now: requests,
+				instances: instances,
+			});
 			if (next === undefined) {
 				return spent;
 			}
@@ -97,10 +101,12 @@
 	});
 
 	it('frees what was spent when the window has passed', () => {
-		let budget = spendRetry(EMPTY_BUDGET, policy, 0, 20);
+		let budget = spendRetry(EMPTY_BUDGET, policy, {now: 0, instances: 20});
 		expect(budget).toBeUndefined();
-		budget = spendRetry(EMPTY_BUDGET, policy, 0, 1);
-		expect(spendRetry(budget!, policy, 20_000, 1)).toBeDefined();
+		budget = spendRetry(EMPTY_BUDGET, policy, {now: 0, instances: 1});
+		expect(
+			spendRetry(budget!, policy, {now: 20_000, instances: 1}),
+		).toBeDefined();
 	});
 });
 
@@ -211,4 +217,32 @@
 		);
 		expect(isAvoided(health, 40)).toBe(false);
 	});
+
+	// Replays a crash that hits a few of 60 instances with several streams each.
+	it('lets an instance spend what the others leave', () => {
+		const common = {windowMs: 10_000, ratio: 0.8, extra: 150};
+		const spendAll = (others?: RetryCounts): number => {
+			let budget = countRequest(EMPTY_BUDGET, common, 0);
+			for (let spent = 0; ; spent += 1) {
+				const next = spendRetry(budget, common, {
+					now: 0,
+					instances: 60,
+					others,
+				});
+				if (next === undefined) {
+					return spent;
+				}
+
+				budget = next;
+			}
+		};
+
+		expect(spendAll()).toBeLessThan(3);
+		const calm = {requests: 380, retries: 20};
+		expect(spendAll(calm)).toBeGreaterThan(100);
+		const others = {requests: 380, retries: 300};
+		expect(spendAll(others)).toBe(spendAll());
+		const limit = common.ratio * (1 + calm.requests) + common.extra;
+		expect(calm.retries + spendAll(calm)).toBeLessThan(limit * 0.7);
+	});
 });
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -24,8 +24,17 @@
 	KnownRevision,
 	Overview,
 } from './report.js';
-export {countRequest, EMPTY_BUDGET, spendRetry} from './retry-budget.js';
-export type {RetryBudget, RetryBudgetPolicy} from './retry-budget.js';
+export {
+	countRequest,
+	countWindow,
+	EMPTY_BUDGET,
+	spendRetry,
+} from './retry-budget.js';
+export type {
+	RetryBudget,
+	RetryBudgetPolicy,
+	RetryCounts,
+} from './retry-budget.js';
 export {judgeSilence} from './silence.js';
 export type {ProbeState, SilenceDecision, SilenceInputs} from './silence.js';
 export {
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -1,6 +1,7 @@
 import type {BackendRecord} from './backend-table.js';
 import type {Crash} from './crash-ledger.js';
 import type {BackendLoad} from './load.js';
+import type {RetryCounts} from './retry-budget.js';
 
 /** Whether an entry may be named to callers. */
 export type EntryStanding = 'starting' | 'ready' | 'leaving';
@@ -31,6 +32,8 @@
 	/** Version of the configuration in force; 0 for none. */
 	version: number;
 	loads: CompactLoads;
+	/** Requests and retries by service within the window of the budget. */
+	retries: Readonly<Record<string, RetryCounts>>;
 	crashes: readonly Crash[];
 	/** Absent if all backend servers are wanted. */
 	known?: KnownRevision;
@@ -46,6 +49,8 @@
 	serving: readonly string[];
 	/** Work of the other entries. */
 	loads: CompactLoads;
+	/** Requests and retries of the other entries by service. */
+	retries: Readonly<Record<string, RetryCounts>>;
 }>;
 
 /** What a control instance answers. */
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -12,6 +12,17 @@
 /** Requests and retries of one service at this instance. */
 export type RetryBudget = Readonly<{buckets: readonly Bucket[]}>;
 
+/** Requests and retries within one window. */
+export type RetryCounts = Readonly<{requests: number; retries: number}>;
+
+/** Among whom a budget is shared. */
+export type RetrySharing = Readonly<{
+	now: number;
+	instances: number;
+	/** Counts of the other instances; absent if they aren't known. */
+	others?: RetryCounts;
+}>;
+
 /** Nothing counted yet. */
 export const EMPTY_BUDGET: RetryBudget = {buckets: []};
 
@@ -19,12 +30,14 @@
 const BUCKETS_PER_WINDOW = 10;
 /** Share of the common bounds that instances spend; the rest covers late counts of their number. */
 const SPENDABLE_SHARE = 0.7;
+/** Share of the common bounds up to which all instances together spend; the rest covers what they spend within one report. */
+const COMMON_SHARE = 0.6;
 
 function addTo(
 	budget: RetryBudget,
 	policy: RetryBudgetPolicy,
 	now: number,
-	added: Readonly<{requests: number; retries: number}>,
+	added: RetryCounts,
 ): RetryBudget {
 	const width = policy.windowMs / BUCKETS_PER_WINDOW;
 	const at = Math.floor(now / width) * width;
@@ -51,19 +64,40 @@
 	return addTo(budget, policy, now, {requests: 1, retries: 0});
 }
 
-/** Takes one retry out of the budget; undefined if none is left. */
+/** Counts what lies within the window. */
+export function countWindow(
+	{buckets}: RetryBudget,
+	{windowMs}: RetryBudgetPolicy,
+	now: number,
+): RetryCounts {
+	const counted = buckets.filter(({at}) => at > now - windowMs);
+	return {
+		requests: counted.reduce((sum, {requests}) => sum + requests, 0),
+		retries: counted.reduce((sum, {retries}) => sum + retries, 0),
+	};
+}
+
+/**
+ * Takes one retry out of the budget; undefined if none is left. Each instance
+ * has its part of the common bounds, and more while `others`, the counts of the
+ * other instances, leave room. Load pattern: a crash of many backend servers
+ * hits a few of 60 instances with several streams each, whose parts are two.
+ */
 export function spendRetry(
 	budget: RetryBudget,
 	policy: RetryBudgetPolicy,
-	now: number,
-	instances: number,
+	{now, instances, others}: RetrySharing,
 ): RetryBudget | undefined {
-	const counted = budget.buckets.filter(({at}) => at > now - policy.windowMs);
-	const requests = counted.reduce((sum, bucket) => sum + bucket.requests, 0);
-	const retries = counted.reduce((sum, bucket) => sum + bucket.retries, 0);
+	const own = countWindow(budget, policy, now);
 	const free = policy.extra / Math.max(1, instances);
-	const limit = SPENDABLE_SHARE * (policy.ratio * requests + free);
-	return retries + 1 <= limit
+	const part = SPENDABLE_SHARE * (policy.ratio * own.requests + free);
+	const common =
+		others === undefined
+			? 0
+			: COMMON_SHARE *
+					(policy.ratio * (own.requests + others.requests) + policy.extra) -
+				others.retries;
+	return own.retries + 1 <= Math.max(part, common)
 		? addTo(budget, policy, now, {requests: 0, retries: 1})
 		: undefined;
 }
--- a/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
+++ b/packages/lovage-entry-role/src/__tests__/unit/held.test.ts
@@ -90,6 +90,28 @@
 		expect(pick(entry.tick(), 'start-attempt')).toHaveLength(1);
 	});
 
+	it('does not go to a backend server whose death another entry reported', () => {
+		const {entry, backend} = createOnceLost();
+		const dead = ['e1', 'e2', 'e3'].find((id) => id !== backend)!;
+		entry.apply({
+			kind: 'quarantine-learned',
+			quarantine: {
+				version: 8,
+				suspects: ['label/x'],
+				dead: [{backend: dead, incarnation: 1}],
+				held: [],
+				convicted: [],
+			},
+			now: entry.now,
+			random: 0.5,
+		});
+		acknowledge(entry, backend);
+		entry.now = 150;
+		const [started] = pick(entry.tick(), 'start-attempt');
+		expect(started?.backend).not.toBe(dead);
+		expect(started).toBeDefined();
+	});
+
 	it('waits as long as it is held, then gets the verdict', () => {
 		const {entry, backend} = createTwiceLost();
 		acknowledge(entry, backend, ['label/x']);
--- a/packages/lovage-entry-role/src/deaths.ts
+++ b/packages/lovage-entry-role/src/deaths.ts
@@ -4,7 +4,8 @@
 import {transition, type EntryTransition} from './transition.js';
 import {avoidBackend} from './view.js';
 
-const AVOID_AFTER_DEATH_MS = 3000;
+/** Restarts of engines take longer than this; announcements of a new incarnation come within it. */
+export const AVOID_AFTER_DEATH_MS = 3000;
 
 const NO_BACKEND = {id: '', incarnation: 0};
 
--- a/packages/lovage-entry-role/src/events.ts
+++ b/packages/lovage-entry-role/src/events.ts
@@ -15,6 +15,8 @@
 	suspects: readonly string[];
 	/** Suspect to be kept apart from all others first. */
 	leading?: string;
+	/** Backend servers that died lately. */
+	dead?: ReadonlyArray<Readonly<{backend: string; incarnation: number}>>;
 	/** Not to be placed until the last death is judged. */
 	held: readonly string[];
 	/** Refused at once. */
--- a/packages/lovage-entry-role/src/quarantine.ts
+++ b/packages/lovage-entry-role/src/quarantine.ts
@@ -2,8 +2,10 @@
 import {stepStream} from './machine.js';
 import type {Moment} from './moment.js';
 import type {EntryState, Stream} from './state.js';
+import {AVOID_AFTER_DEATH_MS} from './deaths.js';
 import {isConvicted} from './suspects.js';
 import {chainEach, transition, type EntryTransition} from './transition.js';
+import {avoidBackend} from './view.js';
 
 /** Gives a convicted stream its final answer and cancels its attempt. */
 function refuseConvicted(
@@ -22,6 +24,18 @@
 		: stepStream(state, id, {kind: 'caller-left', now}, moment);
 }
 
+/** Keeps new work from backend servers whose death another entry reported. */
+function avoidReported(state: EntryState, now: number): EntryState {
+	const view = (state.quarantine.dead ?? []).reduce(
+		(current, {backend, incarnation}) =>
+			current.get(backend)?.announcement.incarnation === incarnation
+				? avoidBackend(current, backend, now + AVOID_AFTER_DEATH_MS)
+				: current,
+		state.view,
+	);
+	return {...state, view};
+}
+
 /** Learns of suspects and convicts; an older version changes nothing. */
 export function learnQuarantine(
 	state: EntryState,
@@ -32,7 +46,7 @@
 		return transition(state);
 	}
 
-	const next = {...state, quarantine};
+	const next = avoidReported({...state, quarantine}, moment.now);
 	const convicted = [...state.streams.values()].filter(({customer, input}) =>
 		isConvicted(next, customer, input.digest),
 	);
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -201,7 +201,7 @@
 				known: {epoch: 1, revision: 1},
 				backends,
 				agesMs: {},
-				overview: {serving: [], loads: {}},
+				overview: {serving: [], loads: {}, retries: {}},
 				convicted: [],
 			});
 		},
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -132,13 +132,14 @@
 		});
 	};
 
+	const budgets = createRetryBudgets(settings.retryBudget, clock, countEntries);
 	const ctx: GatewayContext = {
 		clock,
 		log,
 		metrics,
 		codec: parts.codec,
 		view,
-		budgets: createRetryBudgets(settings.retryBudget, clock, countEntries),
+		budgets,
 		draw: parts.draw,
 		dataCentre: settings.dataCentre,
 		readTable: () => table,
@@ -189,6 +190,7 @@
 		standing: readStanding(),
 		version: table?.configuration.version ?? 0,
 		loads: toCompactLoads(view.readOwnLoads()),
+		retries: budgets.readCounts(),
 		crashes: listCrashes(),
 	});
 
@@ -201,6 +203,10 @@
 		onReport(control, report) {
 			entries.set(control, {count: report.entries, at: clock.now()});
 			serving = report.overview?.serving ?? serving;
+			if (report.overview !== undefined) {
+				budgets.noteOthers(report.overview.retries);
+			}
+
 			noteConvicted(report.convicted);
 			view.applyReport(report);
 		},
--- a/packages/lovage-gateway/src/plain-forwarder.ts
+++ b/packages/lovage-gateway/src/plain-forwarder.ts
@@ -1,7 +1,6 @@
 import {
 	type AttemptFailure,
 	type BackendRecord,
-	decideRetry,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
 import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
@@ -13,6 +12,7 @@
 	readRemaining,
 } from './context.js';
 import {pipeLarge, sendBuffered} from './plain-answer.js';
+import {decideWithinBudget} from './retry-budgets.js';
 import {
 	planTry,
 	runTry,
@@ -121,14 +121,15 @@
 		hasRun:
 			progress.hasRun || failure.kind === 'lost' || failure.kind === 'failed',
 	};
-	const decision = decideRetry(
+	const decision = decideWithinBudget(
+		ctx.budgets,
+		service.name,
 		{
 			...next,
 			isRepeatable: isRepeatable(route.kind, route.isResumable),
 			failure,
 			maxAttempts: route.maxAttempts,
 			remainingMs: readRemaining(ctx, req),
-			hasBudget: isNotSent || ctx.budgets.spend(service.name),
 		},
 		progress.hasRun,
 	);
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -3,7 +3,6 @@
 import {
 	type AttemptFailure,
 	type BackendRecord,
-	decideRetry,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
 import {endWithOwnAnswer, recordEnd, RETRY_AFTER_MS} from './answers.js';
@@ -15,6 +14,7 @@
 	readRemaining,
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {decideWithinBudget} from './retry-budgets.js';
 import {createRunProtection} from './run-protection.js';
 import {createStreamDelivery} from './stream-delivery.js';
 import {
@@ -335,7 +335,9 @@
 		closeRun();
 		noteFailure(current, failure);
 		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
-		const decision = decideRetry(
+		const decision = decideWithinBudget(
+			ctx.budgets,
+			service.name,
 			{
 				isRepeatable: canRepeat,
 				failure,
@@ -344,8 +346,6 @@
 				maxAttempts: route.maxAttempts,
 				deaths,
 				remainingMs: readRemaining(ctx, req),
-				hasBudget:
-					failure.kind === 'not-sent' || ctx.budgets.spend(service.name),
 			},
 			hasRun,
 		);
--- a/packages/lovage-quarantine/src/types.ts
+++ b/packages/lovage-quarantine/src/types.ts
@@ -84,6 +84,8 @@
 	suspects: readonly string[];
 	/** The one suspect with more strikes than any other, and with two or more. */
 	leading?: string;
+	/** Backend servers whose deaths are not judged yet. */
+	dead: ReadonlyArray<Readonly<{backend: string; incarnation: number}>>;
 	/** Suspects not to be placed until the last death is judged. */
 	held: readonly string[];
 	/** Refused at once. */
--- a/packages/lovage-quarantine/src/view.ts
+++ b/packages/lovage-quarantine/src/view.ts
@@ -18,9 +18,8 @@
 export function viewQuarantine(state: QuarantineState): QuarantineSummary {
 	const judged = judgeAll(state);
 	const inOrder = state.deaths.flatMap(({digests}) => digests);
-	const pending = state.deaths
-		.filter(({verdict}) => verdict === 'pending')
-		.flatMap(({digests}) => digests);
+	const unjudged = state.deaths.filter(({verdict}) => verdict === 'pending');
+	const pending = unjudged.flatMap(({digests}) => digests);
 	const known = new Set([...Object.keys(state.records), ...pending]);
 	const isOpen = (digest: string) => state.convicted[digest] === undefined;
 	const feared = Object.keys(judged.convicted);
@@ -37,6 +36,7 @@
 		version: state.version,
 		suspects,
 		leading: findLeading(suspects, weigh),
+		dead: unjudged.map(({backend, incarnation}) => ({backend, incarnation})),
 		held: feared.filter(isOpen).toSorted(),
 		convicted: Object.keys(state.convicted).toSorted(),
 	};
