Prefer engines of the entry's own data centre

Links of one data centre lose packets for five seconds, and the choice among nearly equal engines ignored the place, so three of four streams crossed a link; an event that is sent again comes 200 ms late. Ruled out: pauses after crashes, the first event (99% within 3.5 s), the processor (0.022 cores). Another data centre must save a whole prompt now, or a quarter of the slots of a plain backend server.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -80,7 +80,7 @@
 		for (;;) {
 			const next = spendRetry(budget, policy, {
 				now: requests,
-				instances: instances,
+				instances,
 			});
 			if (next === undefined) {
 				return spent;
--- a/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/placement.test.ts
@@ -69,6 +69,24 @@
 		expect(new Set(chosen).size).toBe(3);
 	});
 
+	// Replays links between data centres that lose packets: events come late.
+	it('stays in its own data centre unless that costs a whole prompt', () => {
+		const choose = (prefillTokens: number): ReadonlySet<string | undefined> => {
+			const candidates = [
+				createCandidate('near', {others: loaded(1, prefillTokens)}),
+				createCandidate('far', {dataCentre: 'b', others: loaded(1, 0)}),
+			];
+			const draws = [0, 0.3, 0.6, 0.9];
+			return new Set(
+				draws.map((random) => chooseBackend(candidates, work, random)?.id),
+			);
+		};
+
+		expect(choose(0)).toEqual(new Set(['near']));
+		expect(choose(2500)).toEqual(new Set(['near']));
+		expect(choose(10_000)).toEqual(new Set(['far']));
+	});
+
 	it('keeps instances with the same reports from choosing the same engine', () => {
 		const candidates = [0, 1, 2, 3, 4, 5].map((running) =>
 			createCandidate(`e-${running}`, {others: loaded(running, 0)}),
--- a/packages/lovage-dispatch/src/placement.ts
+++ b/packages/lovage-dispatch/src/placement.ts
@@ -36,10 +36,10 @@
 const RUNNING_COST_TOKENS = 250;
 /** Prompt tokens that a preempted request costs: it is read again as a whole. */
 const PREEMPTION_COST_TOKENS = 20_000;
-/** Prompt tokens that a choice of another data centre must save: bytes between data centres are billed. */
-const DISTANCE_COST_TOKENS = 200;
-/** Part of a request in the queue of a plain service that another data centre must save. */
-const DISTANCE_COST_SHARE = 0.1;
+/** Prompt tokens that a choice of another data centre must save: a usual prompt, a second of a target of four. Links between data centres lose packets and their bytes are billed. */
+const DISTANCE_COST_TOKENS = 5000;
+/** Part of the slots of a plain backend server that another data centre must save; more than a tie. */
+const DISTANCE_COST_SHARE = 0.25;
 /** Prompt tokens by which two scores count as equal, so that instances with the same reports do not all choose the same; less than half a usual prompt. */
 const TIE_TOKENS = 2000;
 const TIE_SHARE = 0.1;
