Wait for requests that come to a stopping entry after an idle moment

Ruled out: the grace period, which was not used up. The wait begins after the lifetime of an address. A test with a stand-in of a control instance failed before.

--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -240,11 +240,12 @@
 				requests: gateway.countRequests(),
 			});
 			void link.announce();
-			const drained = gateway.drain(settings.gracePeriodMs - STOP_MARGIN_MS);
+			gateway.leave();
 			// Callers keep an address for a while; they are served until then.
 			await sleep(settings.addressLifetimeMs);
 			gateway.server.close();
-			await drained;
+			// An idle moment before doesn't count: requests may have come since.
+			await gateway.drain(end - clock.now());
 			clearInterval(timer);
 			log.info('Drained.', {
 				requests: gateway.countRequests(),
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -23,7 +23,9 @@
 	server: Server;
 	/** Applies the limits of the configuration in force. */
 	applyLimits: () => void;
-	/** Closes each connection after its next answer, and resolves when none is left or the time is over. */
+	/** Closes each connection after its next answer from now on. */
+	leave: () => void;
+	/** Resolves when no request is under way or the time is over. */
 	drain: (limitMs: number) => Promise<void>;
 	countRequests: () => number;
 }>;
@@ -254,8 +256,10 @@
 		server,
 		applyLimits,
 		countRequests: () => requests,
-		async drain(limitMs) {
+		leave() {
 			isDraining = true;
+		},
+		async drain(limitMs) {
 			const end = ctx.clock.now() + limitMs;
 			const isBusy = (): boolean => requests > 0 && ctx.clock.now() < end;
 			while (isBusy()) {
