--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -67,10 +67,11 @@
 /** A tenth of the shortest election timeout and less. */
 const TICK_INTERVAL_MS = 40;
 const ENTRANCE_INTERVAL_MS = 200;
-/** Most of the time that control instances may lag behind each other. */
+/** Less than half the usual interval of registrations; what leaves is told at once. */
 const GOSSIP_INTERVAL_MS = 500;
 /** Rounds until everything is told again, for instances that were out of touch. */
 const FULL_GOSSIP_ROUNDS = 6;
+/** Starts are told apart by a random number below this. */
 const MAX_EPOCH = 2 ** 32;
 const GOSSIP_TIMEOUT_MS = 400;
 /** Less than the second after which a caller goes on to another instance. */
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -11,6 +11,7 @@
 	type EntryStanding,
 	fromAged,
 	fromCompactLoads,
+	isSameRegistration,
 	listConvicted,
 	mergeRecords,
 	type MergeOutcome,
@@ -38,7 +39,7 @@
 	/** Takes in what another control instance knows. */
 	merge: (records: readonly AgedRecord[]) => void;
 	listBackends: () => readonly AgedRecord[];
-	/** Lists what this instance itself was told since the last call, oldest first. */
+	/** Takes the backend servers that registered at this instance since the last call. */
 	takeTold: () => readonly AgedRecord[];
 	find: (id: string) => BackendRecord | undefined;
 	takeReport: (report: EntryReport) => void;
@@ -71,17 +72,6 @@
 	return outcome === 'added' || outcome === 'changed';
 }
 
-function isSameIncarnation(
-	before: BackendRecord | undefined,
-	{bornAt, state, address}: BackendRecord,
-): boolean {
-	return (
-		before?.bornAt === bornAt &&
-		before.state === state &&
-		before.address === address
-	);
-}
-
 /** Creates an empty registry; `epoch` tells this start from others. */
 export function createRegistry(
 	clock: Clock,
@@ -95,6 +85,7 @@
 	let revision = 1;
 	/** Revision with which each backend server has changed last. */
 	const changedWith = new Map<string, number>();
+	/** Backend servers that registered here since `takeTold` was called. */
 	const told = new Set<string>();
 	let ledger: CrashLedger = new Map();
 
@@ -103,12 +94,12 @@
 
 	/** Adds up what the other entries tell, key by key. */
 	const sumOthers = <Value>(
-		told: ReadonlyMap<string, Readonly<Record<string, Value>>>,
+		byEntry: ReadonlyMap<string, Readonly<Record<string, Value>>>,
 		entry: string,
 		add: (a: Value, b: Value) => Value,
 	): Record<string, Value> => {
 		const sums: Record<string, Value> = {};
-		[...told]
+		[...byEntry]
 			.filter(([other]) => other !== entry && isFresh(entries.get(other)!))
 			.flatMap(([, held]) => Object.entries(held))
 			.forEach(([key, value]) => {
@@ -150,7 +141,10 @@
 
 		revision += 1;
 		[...table.values()]
-			.filter((record) => !isSameIncarnation(before.get(record.id), record))
+			.filter((record) => {
+				const known = before.get(record.id);
+				return known === undefined || !isSameRegistration(known, record);
+			})
 			.forEach(({id}) => {
 				changedWith.set(id, revision);
 			});
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -40,6 +40,16 @@
 	);
 }
 
+/** Whether two records of a backend server tell the same but for when it was heard. */
+export function isSameRegistration(
+	a: BackendRecord,
+	b: BackendRecord,
+): boolean {
+	return (
+		a.bornAt === b.bornAt && a.state === b.state && a.address === b.address
+	);
+}
+
 function judge(
 	known: BackendRecord | undefined,
 	record: BackendRecord,
@@ -58,11 +68,7 @@
 		return 'ignored';
 	}
 
-	const isSame =
-		known.bornAt === record.bornAt &&
-		known.state === record.state &&
-		known.address === record.address;
-	return isSame ? 'refreshed' : 'changed';
+	return isSameRegistration(known, record) ? 'refreshed' : 'changed';
 }
 
 function endFormerHolders(
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -1,6 +1,11 @@
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
-export {dropOldRecords, mergeRecords, refreshAges} from './backend-table.js';
+export {
+	dropOldRecords,
+	isSameRegistration,
+	mergeRecords,
+	refreshAges,
+} from './backend-table.js';
 export type {
 	BackendRecord,
 	BackendState,
@@ -23,6 +28,7 @@
 	EntryStanding,
 	KnownRevision,
 	Overview,
+	OwnReport,
 } from './report.js';
 export {
 	countRequest,
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -43,6 +43,12 @@
 	wantsAges: boolean;
 }>;
 
+/** The part of a report that is the same for every control instance. */
+export type OwnReport = Omit<
+	EntryReport,
+	'known' | 'wantsOverview' | 'wantsAges'
+>;
+
 /** What every control instance knows alike. */
 export type Overview = Readonly<{
 	/** Addresses of the entries that callers may connect to. */
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -1,7 +1,7 @@
 import {
 	type Crash,
-	type EntryReport,
 	type EntryStanding,
+	type OwnReport,
 	type RetryBudgetPolicy,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
@@ -180,10 +180,7 @@
 		return crashes.map(({crash}) => crash);
 	};
 
-	const createReport = (): Omit<
-		EntryReport,
-		'known' | 'wantsOverview' | 'wantsAges'
-	> => ({
+	const createReport = (): OwnReport => ({
 		entry: settings.name,
 		address: settings.address,
 		dataCentre: settings.dataCentre,
