Show that a voter removed while it was dark is never taken in again

Its own committed log still lists it, so needsJoin does not ask, and the leader sends it nothing.

The stand-in for join requests in the tests respects cut links now, which is stricter.

--- a/packages/lovage-consensus/src/__tests__/unit/cluster.ts
+++ b/packages/lovage-consensus/src/__tests__/unit/cluster.ts
@@ -274,7 +274,8 @@
 				.filter(({state}) => state !== undefined && needsJoin(state, now))
 				.forEach((node) => {
 					const member = describeMember(node);
-					if (leader !== undefined) {
+					const isCut = cuts.has(`${node.name}>${leader?.name}`);
+					if (leader !== undefined && !isCut) {
 						handle(leader, {kind: 'join-requested', now, member});
 					}
 				});
--- a/packages/lovage-consensus/src/__tests__/unit/membership.test.ts
+++ b/packages/lovage-consensus/src/__tests__/unit/membership.test.ts
@@ -6,7 +6,8 @@
 	stepRaft,
 	type RaftMessage,
 } from '../../index.js';
-import {createLedCluster, LIMIT_MS} from './led-cluster.js';
+import {createCluster} from './cluster.js';
+import {createLedCluster, isolate, LIMIT_MS} from './led-cluster.js';
 
 test('a name whose replica lives is not given to another', () => {
 	const cluster = createLedCluster(7);
@@ -58,6 +59,45 @@
 	expect(cluster.violations).toEqual([]);
 });
 
+test.each(['down', 'restarted from a snapshot', 'cut off'] as const)(
+	'a voter that was removed while it was %s is taken in again',
+	(way) => {
+		const cluster = createCluster(['a', 'b', 'c', 'd', 'e'], 13);
+		cluster.initialise();
+		expect(cluster.advanceUntil(() => cluster.isWhole(), LIMIT_MS)).toBe(true);
+		const leader = cluster.findLeader()!;
+		const lost = cluster.nodes.find((node) => node !== leader)!;
+		const {replica} = lost.disk;
+		cluster.propose(leader, 'p', ['x']);
+		cluster.advance(2000);
+		if (way === 'cut off') {
+			isolate(cluster, lost.name);
+		} else {
+			if (way === 'restarted from a snapshot') {
+				cluster.snapshot(lost);
+				cluster.advance(1000);
+				expect(lost.disk.snapshot).toBeDefined();
+			}
+
+			cluster.crash(lost);
+		}
+
+		cluster.advance(2000);
+		const now = cluster.now();
+		cluster.handle(leader, {kind: 'removal-requested', now, replica});
+		cluster.advance(2000);
+		expect(readMembers(leader.state!)).toHaveLength(4);
+		if (way === 'cut off') {
+			cluster.cuts.clear();
+		} else {
+			cluster.start(lost);
+		}
+
+		expect(cluster.advanceUntil(() => cluster.isWhole(), LIMIT_MS)).toBe(true);
+		expect(cluster.violations).toEqual([]);
+	},
+);
+
 test('a replica without a group keeps silent about votes', () => {
 	const state = createRaft({
 		recovered: {replica: 'a', hardState: {term: 0}, entries: []},
