Let a replica that hears from no leader ask to join

Cause: needsJoin asked only when the committed log of the replica does not list it. A voter that was removed while it was cut off never receives that entry: its own log goes on listing it, and the leader sends it nothing. Where more than three vote, the group kept losing voters.

Change: a replica asks whenever it hears from no leader; the leader answers a member's request without a change. The model of removals now lets a removed replica ask, as the program does.

--- a/packages/lovage-consensus/src/members.ts
+++ b/packages/lovage-consensus/src/members.ts
@@ -1,4 +1,4 @@
-import {readMembersAt, readMembership} from './log.js';
+import {readMembership} from './log.js';
 import type {RaftState} from './state.js';
 import {hasLiveLeader} from './term.js';
 import type {Member, ReplicaId} from './types.js';
@@ -38,15 +38,11 @@
 
 /**
  * Returns whether a replica should ask the leader to add it: it belongs to no
- * group, or the uncommitted entry that added it may have been lost with its
- * leader. The request is idempotent for a replica that is already a member.
+ * group, or it hears from no leader. Its own log can't tell whether it is still a
+ * member: a replica that was removed while it was cut off has not received that
+ * entry, and the leader no longer sends it anything. The request is idempotent
+ * for a replica that is already a member.
  */
 export function needsJoin(state: RaftState, now: number): boolean {
-	const {role, log, commitIndex, replica} = state;
-	const isListed = readMembersAt(log, commitIndex).some(
-		(member) => member.replica === replica,
-	);
-	return (
-		role.kind === 'unassigned' || (!isListed && !hasLiveLeader(state, now))
-	);
+	return state.role.kind === 'unassigned' || !hasLiveLeader(state, now);
 }
--- a/packages/lovage-spec/src/log-model-membership.ts
+++ b/packages/lovage-spec/src/log-model-membership.ts
@@ -1,4 +1,4 @@
-import type {LogEntry, Member} from '@lovagevalve/consensus';
+import {readMembers, type LogEntry, type Member} from '@lovagevalve/consensus';
 import {explore, type ModelEvent} from './explore.js';
 import {holdElection, exchange} from './log-model-exchange.js';
 import {createWorldKey} from './log-model-key.js';
@@ -68,9 +68,16 @@
 	return world.nodes[node]!.raft.role.kind === 'leader';
 }
 
+/** A replica asks to join if it has no group or the leader has removed it. */
+function shouldJoin(world: LogWorld, leader: number, node: number): boolean {
+	const {raft} = world.nodes[node]!;
+	const members = readMembers(world.nodes[leader]!.raft);
+	const isMember = members.some(({replica}) => replica === raft.replica);
+	return raft.role.kind === 'unassigned' || !isMember;
+}
+
 function listEvents({world, remaining}: State): readonly Event[] {
 	const leaderPairs = PAIRS.filter(([leader]) => isLeader(world, leader));
-	const roleKinds = world.nodes.map(({raft}) => raft.role.kind);
 	return [
 		...PAIRS.filter(
 			([candidate]) => remaining.elections > 0 && !isLeader(world, candidate),
@@ -81,7 +88,7 @@
 			follower,
 		})),
 		...leaderPairs
-			.filter(([, node]) => roleKinds[node] === 'unassigned')
+			.filter(([leader, node]) => shouldJoin(world, leader, node))
 			.map(([leader, node]): Event => ({type: 'join', leader, node})),
 		...leaderPairs
 			.filter(() => remaining.removals > 0)
