Send nothing to a backend server that leaves or asked for a pause

Cause: an entry learned of a departure only from the registration, through a control instance, and ignored Retry-After of a backend server's 503.

Change: the header codec decodes both into a notice (leaving, pushback). The view applies it for that incarnation by the answer's age (recordNotice, findClosedReason, both pure) and drops the server from placement, copies, copy commands and resends. Entries report departures, control instances mark them as draining, and draining is final for an incarnation. Where every server of a service asked for a pause, Retry-After says when the first one ends.

On the wire: EntryReport.leaving is new and optional; older builds ignore it.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -72,6 +72,22 @@
 		expect(readLoads('entry-3')).toEqual({'e-1': [4, 20, 40]});
 	});
 
+	it('counts a backend server as draining once an entry reports that it leaves', () => {
+		const {registry} = createTestRegistry();
+		registry.register(record);
+		registry.takePendingGossip();
+		const {known} = registry.createReportResponse(reportRequest);
+		registry.applyReport(createReport('entry-1', {leaving: ['e-1/1']}));
+		const {backends} = registry.createReportResponse({...reportRequest, known});
+		expect(backends).toMatchObject([{id: 'e-1', state: 'draining'}]);
+		expect(registry.takePendingGossip()).toHaveLength(1);
+		registry.register({...record, sequence: 2});
+		expect(registry.find('e-1')?.state).toBe('draining');
+		registry.register({...record, bornAt: 2, sequence: 1});
+		registry.applyReport(createReport('entry-1', {leaving: ['e-1/1']}));
+		expect(registry.find('e-1')?.state).toBe('ready');
+	});
+
 	it('merges a backend server from another instance with its age', () => {
 		const {time, registry} = createTestRegistry();
 		time.now = 1000;
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -165,6 +165,28 @@
 			});
 	};
 
+	/** Marks backend servers as draining that told an entry that they leave. */
+	const applyDepartures = (leaving: readonly string[]): void => {
+		const departing = [...table.values()].filter(
+			({id, bornAt, state}) =>
+				state === 'ready' && leaving.includes(`${id}/${bornAt}`),
+		);
+		applyMerge(
+			mergeRecords(
+				table,
+				departing.map((record) => ({...record, state: 'draining'})),
+			),
+		);
+		departing.forEach(({id, service, bornAt}) => {
+			pendingGossip.add(id);
+			log.info('An entry reported that a backend server leaves.', {
+				backend: id,
+				service,
+				bornAt,
+			});
+		});
+	};
+
 	const listChanged = (
 		known: EntryReport['known'],
 	): readonly BackendRecord[] => {
@@ -229,6 +251,10 @@
 			recordEntry(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
 			retries.set(report.entry, report.retries);
+			if (report.leaving !== undefined && report.leaving.length > 0) {
+				applyDepartures(report.leaving);
+			}
+
 			if (report.crashes.length > 0) {
 				crashHistory = recordCrashes(crashHistory, report.crashes, clock.now());
 			}
--- a/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
@@ -59,6 +59,14 @@
 		expect(table.get('e-1')?.state).toBe('gone');
 	});
 
+	it('keeps a draining incarnation draining when it registers as ready again', () => {
+		const table = mergeAll(
+			{...record, state: 'draining', sequence: 5},
+			{...record, sequence: 6, heardAt: 900},
+		);
+		expect(table.get('e-1')).toMatchObject({state: 'draining', heardAt: 900});
+	});
+
 	it('does not end a newer incarnation when the end of an older one arrives late', () => {
 		const table = mergeAll(
 			{...record, bornAt: 2000},
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -95,11 +95,24 @@
 	);
 }
 
+/** Draining is final for an incarnation, whatever it registers as later. */
+function keepDraining(
+	known: BackendRecord | undefined,
+	record: BackendRecord,
+): BackendRecord {
+	return known?.state === 'draining' &&
+		known.bornAt === record.bornAt &&
+		record.state === 'ready'
+		? {...record, state: 'draining'}
+		: record;
+}
+
 function mergeOne(
 	table: Map<string, BackendRecord>,
-	record: BackendRecord,
+	received: BackendRecord,
 ): MergeOutcome {
-	const known = table.get(record.id);
+	const known = table.get(received.id);
+	const record = keepDraining(known, received);
 	const outcome = classifyRegistration(known, record);
 	switch (outcome) {
 		case 'ignored': {
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -13,6 +13,12 @@
 	MergeOutcome,
 	MergeResult,
 } from './backend-table.js';
+export {findClosedReason, recordNotice} from './backend-notices.js';
+export type {
+	BackendNotice,
+	BackendNotices,
+	ClosedReason,
+} from './backend-notices.js';
 export {listQuarantined, recordCrashes} from './crash-history.js';
 export type {Crash, CrashHistory} from './crash-history.js';
 export {addLoad, NO_LOAD} from './load.js';
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -35,6 +35,8 @@
 	/** Requests and retries within the retry budget's window, by service. */
 	retries: Readonly<Record<string, RetryCounts>>;
 	crashes: readonly Crash[];
+	/** Incarnations of backend servers that said they are leaving, as `id/bornAt`. */
+	leaving?: readonly string[];
 	/** Absent to request all backend servers. */
 	known?: KnownRevision;
 	/** Requests the overview. It is the same on every control instance, so an entry asks only one at a time. */
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -69,6 +69,12 @@
 	readResponse: (_, headers) => ({
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
+		notice: {
+			isLeaving: headers.leaving !== undefined,
+			...(headers.pushback === undefined
+				? {}
+				: {pushbackMs: Number(headers.pushback)}),
+		},
 	}),
 	createCopyCommand: (requestId, to) => ({
 		method: 'POST',
@@ -154,6 +160,7 @@
 	const view = createBackendView({
 		clock,
 		log: silentLogger,
+		metrics: silentMetrics,
 		registrationIntervalMs: 60_000,
 	});
 	const crashes: Crash[] = [];
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {request} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import type {BackendRecord} from '@lovagevalve/dispatch';
 import {parseAddress} from './backend-exchange.js';
+import {type GatewayContext, readResponseMetadata} from './context.js';
 import type {BackendCommand} from './protocol.js';
 
 /** Copies of typical size complete within milliseconds. */
@@ -13,12 +15,17 @@
  * response.
  */
 export async function sendBackendCommand(
-	address: string,
+	ctx: Pick<GatewayContext, 'codec' | 'view'>,
+	backend: BackendRecord,
 	{method, path, body = ''}: BackendCommand,
 ): Promise<Result<string, string>> {
+	if (ctx.view.readAvailability(backend.id) === 'pushback') {
+		return err('the backend server asked for a pause');
+	}
+
 	return new Promise((resolve) => {
 		const req = request({
-			...parseAddress(address),
+			...parseAddress(backend.address),
 			method,
 			path,
 			agent: false,
@@ -40,6 +47,7 @@
 			fail(error.code ?? error.message);
 		});
 		req.on('response', (response) => {
+			readResponseMetadata(ctx, backend, response);
 			let text = '';
 			response.setEncoding('utf8');
 			response.on('data', (chunk: string) => {
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -2,12 +2,16 @@
 	addLoad,
 	type AvoidReason,
 	type BackendLoad,
+	type BackendNotice,
+	type BackendNotices,
 	type BackendRecord,
 	type BackendTable,
 	type Candidate,
 	chooseBackend,
+	type ClosedReason,
 	type ControlReport,
 	dropOldRecords,
+	findClosedReason,
 	fromAgedRecord,
 	fromCompactLoads,
 	type ExchangeOutcome,
@@ -17,16 +21,18 @@
 	getAvoidReason,
 	applyReportedAges,
 	recordExchange,
+	recordNotice,
 	type BackendHealth,
 	UNKNOWN_HEALTH,
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
-import type {Clock, Logger} from '@lovagevalve/runtime';
+import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 
 /** Dependencies and settings of a backend view. */
 export type BackendViewOptions = Readonly<{
 	clock: Clock;
 	log: Logger;
+	metrics: PrometheusMetrics;
 	/**
 	 * Interval at which a backend server renews its registration, in
 	 * milliseconds.
@@ -52,7 +58,9 @@
 	/** It has neither registered nor responded recently. */
 	| 'silent'
 	/** It recently refused a connection or failed most requests. */
-	| AvoidReason;
+	| AvoidReason
+	/** It said so itself in an answer; it must not receive requests. */
+	| ClosedReason;
 
 /** State of the backend servers as this entry knows it. */
 export type BackendView = Readonly<{
@@ -71,6 +79,18 @@
 		request: PlacementRequest,
 	) => LoadReservation;
 	reportHealth: (backend: BackendRecord, outcome: ExchangeOutcome) => void;
+	/** Applies what a backend server said about itself in an answer. */
+	recordNotice: (backend: BackendRecord, notice: BackendNotice) => void;
+	/**
+	 * Incarnations that said they are leaving but are registered as ready, as
+	 * `id/bornAt`.
+	 */
+	listLeaving: () => readonly string[];
+	/**
+	 * Time until the first backend server of a service accepts requests again, in
+	 * milliseconds; undefined unless all of them asked for a pause.
+	 */
+	readPushbackMs: (service: string) => number | undefined;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
 	countReady: () => number;
 }>;
@@ -82,10 +102,11 @@
 
 /** Creates a view without any backend servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-	const {clock, log} = options;
+	const {clock, log, metrics} = options;
 	const silentAfterMs =
 		options.registrationIntervalMs * MAX_MISSED_REGISTRATIONS;
 	const health = new Map<string, BackendHealth>();
+	const noticesById = new Map<string, BackendNotices>();
 	const ownLoads = new Map<string, BackendLoad>();
 	let table: BackendTable = new Map();
 	let remoteLoads: Readonly<Record<string, BackendLoad>> = {};
@@ -98,6 +119,14 @@
 	const readHealth = (id: string): BackendHealth =>
 		health.get(id) ?? UNKNOWN_HEALTH;
 
+	const findClosed = ({id, bornAt}: BackendRecord): ClosedReason | undefined =>
+		findClosedReason(noticesById.get(id), bornAt, clock.now());
+
+	const listReady = (service: string): readonly BackendRecord[] =>
+		[...table.values()].filter(
+			(record) => record.service === service && record.state === 'ready',
+		);
+
 	const hasRecentContact = (record: BackendRecord): boolean => {
 		const {answeredAt} = readHealth(record.id);
 		return (
@@ -157,6 +186,11 @@
 				agesMs === undefined
 					? merged
 					: dropOldRecords(applyReportedAges(merged, agesMs, now), now);
+			[...noticesById.keys()]
+				.filter((id) => !table.has(id))
+				.forEach((id) => {
+					noticesById.delete(id);
+				});
 			// A registration can only count as missed once newer ones could have been
 			// reported.
 			agesReceivedAt = agesMs === undefined ? agesReceivedAt : now;
@@ -167,10 +201,8 @@
 			}
 		},
 		choose(service, request, random) {
-			const candidates = [...table.values()]
-				.filter(
-					(record) => record.service === service && record.state === 'ready',
-				)
+			const candidates = listReady(service)
+				.filter((record) => findClosed(record) === undefined)
 				.map(toCandidate);
 			const chosen = chooseBackend(candidates, request, random);
 			return chosen === undefined ? undefined : table.get(chosen.id);
@@ -183,7 +215,11 @@
 			}
 
 			const reason = getAvoidReason(readHealth(id), clock.now());
-			return reason ?? (hasRecentContact(record) ? 'usable' : 'silent');
+			return (
+				reason ??
+				findClosed(record) ??
+				(hasRecentContact(record) ? 'usable' : 'silent')
+			);
 		},
 		reserve(backend, request) {
 			const {id} = backend;
@@ -229,6 +265,51 @@
 				});
 			}
 		},
+		recordNotice({id, bornAt, service}, notice) {
+			const now = clock.now();
+			const before = noticesById.get(id);
+			const after = recordNotice(before, bornAt, notice, now);
+			const reason = findClosedReason(after, bornAt, now);
+			if (reason === undefined) {
+				return;
+			}
+
+			noticesById.set(id, after);
+			if (findClosedReason(before, bornAt, now) === reason) {
+				return;
+			}
+
+			metrics.count('backend_notices', {notice: reason});
+			log.warn('A backend server wants no more requests.', {
+				backend: id,
+				service,
+				bornAt,
+				notice: reason,
+				forMs:
+					reason === 'leaving' ? '' : Math.round(after.pushbackUntil - now),
+			});
+		},
+		listLeaving: () =>
+			[...noticesById]
+				.filter(
+					([id, {bornAt, isLeaving}]) =>
+						isLeaving &&
+						table.get(id)?.bornAt === bornAt &&
+						table.get(id)?.state === 'ready',
+				)
+				.map(([id, {bornAt}]) => `${id}/${bornAt}`),
+		readPushbackMs(service) {
+			const ready = listReady(service);
+			const isAnyOpen = ready.some(
+				(record) => findClosed(record) === undefined,
+			);
+			const waitsMs = ready
+				.filter((record) => findClosed(record) === 'pushback')
+				.map(({id}) => noticesById.get(id)!.pushbackUntil - clock.now());
+			return isAnyOpen || waitsMs.length === 0
+				? undefined
+				: Math.min(...waitsMs);
+		},
 		readOwnLoads: () => Object.fromEntries(ownLoads),
 		countReady: () =>
 			[...table.values()].filter(({state}) => state === 'ready').length,
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -1,10 +1,14 @@
 import {Buffer} from 'node:buffer';
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BackendRecord, PlacementRequest} from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {BackendView} from './backend-view.js';
-import type {HeaderCodec, RequestMetadata} from './protocol.js';
+import type {
+	HeaderCodec,
+	RequestMetadata,
+	ResponseMetadata,
+} from './protocol.js';
 import type {RetryBudgets} from './retry-budgets.js';
 
 /** Dependencies shared by all requests at an entry. */
@@ -56,6 +60,20 @@
 	return Math.floor(req.deadlineAt - ctx.clock.now());
 }
 
+/**
+ * Reads the metadata of a response and applies what the backend server says
+ * about itself in it, whether or not the response is of use to the caller.
+ */
+export function readResponseMetadata(
+	ctx: Pick<GatewayContext, 'codec' | 'view'>,
+	backend: BackendRecord,
+	{statusCode = 0, headers}: IncomingMessage,
+): ResponseMetadata {
+	const metadata = ctx.codec.readResponse(statusCode, headers);
+	ctx.view.recordNotice(backend, metadata.notice);
+	return metadata;
+}
+
 /** Describes a request for backend selection. */
 export function createPlacementRequest(
 	ctx: GatewayContext,
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -118,6 +118,7 @@
 	const view = createBackendView({
 		clock,
 		log,
+		metrics,
 		registrationIntervalMs: settings.registrationIntervalMs,
 	});
 
@@ -222,6 +223,7 @@
 		loads: toCompactLoads(view.readOwnLoads()),
 		retries: retryBudgets.readCounts(),
 		crashes: listCrashes(),
+		leaving: view.listLeaving(),
 	});
 
 	const controlClient = createControlClient({
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -87,17 +87,15 @@
 	const requestCopy = async (target: BackendRecord): Promise<void> => {
 		const previous = kvCopy;
 		const response = await sendBackendCommand(
-			backend.address,
+			ctx,
+			backend,
 			codec.createCopyCommand(requestId, target.address),
 		);
 		const handle = response.isOk()
 			? codec.readCopyHandle(response.value)
 			: undefined;
 		if (isReleased && handle !== undefined) {
-			void sendBackendCommand(
-				backend.address,
-				codec.createReleaseCommand(handle),
-			);
+			void sendBackendCommand(ctx, backend, codec.createReleaseCommand(handle));
 			return;
 		}
 
@@ -144,7 +142,8 @@
 			isReleased = true;
 			if (copyHandle !== undefined) {
 				void sendBackendCommand(
-					backend.address,
+					ctx,
+					backend,
 					codec.createReleaseCommand(copyHandle),
 				);
 			}
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {BackendNotice} from '@lovagevalve/dispatch';
 
 /** Request metadata that a caller sends in headers. */
 export type RequestMetadata = Readonly<{
@@ -54,6 +55,7 @@
 	requestId?: string;
 	/** The backend server did not execute the request. */
 	isNotRun: boolean;
+	notice: BackendNotice;
 }>;
 
 /**
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -23,6 +23,17 @@
  */
 export const RETRY_AFTER_MS = 700;
 
+/**
+ * Chooses `Retry-After` for a request that no backend server could take: the
+ * pause that they asked for, if all of them did.
+ */
+export function chooseRetryAfterMs(
+	ctx: GatewayContext,
+	{service}: AcceptedRequest,
+): number {
+	return ctx.view.readPushbackMs(service.name) ?? RETRY_AFTER_MS;
+}
+
 /**
  * Sends a problem response unless a response has started or the connection is
  * closed.
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -5,13 +5,18 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
-import {endWithProblem, recordCompletion, RETRY_AFTER_MS} from './responses.js';
+import {
+	chooseRetryAfterMs,
+	endWithProblem,
+	recordCompletion,
+} from './responses.js';
 import {watchResponseEnd, openExchange} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
 	type GatewayContext,
 	readRemainingMs,
+	readResponseMetadata,
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import {decideWithinBudget} from './retry-budgets.js';
@@ -104,7 +109,8 @@
 			record(status, reason);
 			delivery.abort();
 		} else {
-			const retryAfterMs = status === 503 ? RETRY_AFTER_MS : undefined;
+			const retryAfterMs =
+				status === 503 ? chooseRetryAfterMs(ctx, req) : undefined;
 			endWithProblem(ctx, req, {status, reason, retryAfterMs}, sentTo.size);
 		}
 
@@ -188,9 +194,10 @@
 		}
 
 		const status = response.statusCode ?? 0;
-		const {requestId, isNotRun} = ctx.codec.readResponse(
-			status,
-			response.headers,
+		const {requestId, isNotRun} = readResponseMetadata(
+			ctx,
+			current.backend,
+			response,
 		);
 		if (isNotRun) {
 			handleRunFailure(current, {
@@ -360,8 +367,12 @@
 
 		const {backend, kvBackup} = current;
 		const kvCopy = kvBackup.findCopy();
+		// The copy is gone, but this backend server is still the best choice unless
+		// it wants no requests.
 		const shouldRetryWithoutCopy =
-			current.hasCopy && failure.kind === 'rejected';
+			current.hasCopy &&
+			failure.kind === 'rejected' &&
+			ctx.view.readAvailability(backend.id) === 'usable';
 		closeRun();
 		recordFailure(current, failure);
 		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -14,6 +14,7 @@
 	type AcceptedRequest,
 	type GatewayContext,
 	readRemainingMs,
+	readResponseMetadata,
 } from './context.js';
 
 /** A response that is fully buffered before any of it is sent to the caller. */
@@ -70,11 +71,17 @@
 function collectResponse(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	response: IncomingMessage,
+	{
+		backend,
+		response,
+	}: Readonly<{
+		backend: BackendRecord;
+		response: IncomingMessage;
+	}>,
 	settle: (outcome: AttemptOutcome) => void,
 ): void {
 	const status = response.statusCode ?? 0;
-	const metadata = ctx.codec.readResponse(status, response.headers);
+	const metadata = readResponseMetadata(ctx, backend, response);
 	if (metadata.isNotRun) {
 		const reason = `not run: ${status}`;
 		settle({kind: 'failure', failure: {kind: 'rejected', reason}});
@@ -177,7 +184,7 @@
 			},
 			{
 				onResponse(response) {
-					collectResponse(ctx, req, response, settle);
+					collectResponse(ctx, req, {backend, response}, settle);
 				},
 				onFailure(failure) {
 					settle({kind: 'failure', failure});
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -3,7 +3,11 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
-import {endWithProblem, recordCompletion, RETRY_AFTER_MS} from './responses.js';
+import {
+	chooseRetryAfterMs,
+	endWithProblem,
+	recordCompletion,
+} from './responses.js';
 import {probeAddress} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
@@ -98,7 +102,7 @@
 		req,
 		hasRun
 			? {status: 502, reason}
-			: {status: 503, reason, retryAfterMs: RETRY_AFTER_MS},
+			: {status: 503, reason, retryAfterMs: chooseRetryAfterMs(ctx, req)},
 		sent,
 	);
 }
@@ -157,7 +161,7 @@
 			ctx,
 			req,
 			decision.kind === 'refuse'
-				? {status: 503, reason, retryAfterMs: RETRY_AFTER_MS}
+				? {status: 503, reason, retryAfterMs: chooseRetryAfterMs(ctx, req)}
 				: {status: 502, reason},
 			next.sent,
 		);
