Let a started stream wait for the retry budget

Change: a stream that has delivered events is decided again every 200 ms instead of being aborted when only the budget is missing (RetryDecision 'wait', counter lovage_retries_postponed_total). A run that was never sent leaves no copy: a stream that a caller resumed was sent to a copy that can't exist.

--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -25,11 +25,15 @@
 	deaths: number;
 	remainingMs: number;
 	hasBudget: boolean;
+	/** Whether the caller can wait until the budget allows another attempt. */
+	canWait?: boolean;
 }>;
 
 /** What to do with a request after a failed attempt. */
 export type RetryDecision =
 	| Readonly<{kind: 'retry'}>
+	/** Only the budget is missing; to be decided again later. */
+	| Readonly<{kind: 'wait'}>
 	/** The request has not run and will not run. */
 	| Readonly<{kind: 'refuse'}>
 	/** The request may have run. */
@@ -80,11 +84,14 @@
 		inputs.sent < inputs.maxAttempts &&
 		inputs.attempts < MAX_TOTAL_ATTEMPTS &&
 		inputs.deaths < MAX_BACKEND_DEATHS &&
-		inputs.remainingMs > MIN_REMAINING_MS &&
-		(inputs.hasBudget || failure.kind === 'not-sent');
-	if (isAllowed) {
+		inputs.remainingMs > MIN_REMAINING_MS;
+	if (isAllowed && (inputs.hasBudget || failure.kind === 'not-sent')) {
 		return {kind: 'retry'};
 	}
 
+	if (isAllowed && inputs.canWait) {
+		return {kind: 'wait'};
+	}
+
 	return isUnknown ? {kind: 'fail'} : {kind: 'refuse'};
 }
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -12,7 +12,7 @@
 	type Socket,
 } from 'node:net';
 import {Buffer} from 'node:buffer';
-import type {AgedRecord, Crash} from '@lovagevalve/dispatch';
+import type {AgedRecord, Crash, RetryBudgetPolicy} from '@lovagevalve/dispatch';
 import {
 	createRouteTable,
 	type Configuration,
@@ -155,6 +155,7 @@
 /** Starts a gateway; without `initialConfiguration`, none is known. */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
+	retryPolicy: RetryBudgetPolicy = {windowMs: 10_000, ratio: 1, extra: 100},
 ): Promise<Harness> {
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
@@ -175,7 +176,7 @@
 		codec: testCodec,
 		view,
 		retryBudgets: createRetryBudgets(
-			{windowMs: 10_000, ratio: 1, extra: 100},
+			retryPolicy,
 			clock,
 			() => 1,
 			() => 0,
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -365,17 +365,21 @@
 			return;
 		}
 
-		const {backend, kvBackup} = current;
-		const kvCopy = kvBackup.findCopy();
+		closeRun();
+		recordFailure(current, failure);
+		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
+		decideNextRun(current, failure);
+	};
+
+	/** Starts the next run after a failed one, waits for the budget, or gives up. */
+	const decideNextRun = (failed: Run, failure: AttemptFailure): void => {
+		const {backend, kvBackup} = failed;
 		// The copy is gone, but this backend server is still the best choice unless
 		// it wants no requests.
 		const shouldRetryWithoutCopy =
-			current.hasCopy &&
+			failed.hasCopy &&
 			failure.kind === 'rejected' &&
 			ctx.view.readAvailability(backend.id) === 'usable';
-		closeRun();
-		recordFailure(current, failure);
-		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
 		const decision = decideWithinBudget(
 			ctx.retryBudgets,
 			service.name,
@@ -387,6 +391,7 @@
 				maxAttempts: route.maxAttempts,
 				deaths,
 				remainingMs: readRemainingMs(ctx, req),
+				canWait: delivery.hasBegun(),
 			},
 			hasRun,
 		);
@@ -399,6 +404,8 @@
 			decision: decision.kind,
 			lastEventId: delivery.readLastEventId() ?? '',
 		});
+		// A run that did not start has left no copy.
+		const hasLeftCopy = failure.kind === 'lost' || failure.kind === 'failed';
 		switch (decision.kind) {
 			case 'retry': {
 				moves += 1;
@@ -406,21 +413,25 @@
 					excluded.push(backend.id);
 				}
 
-				if (failure.kind === 'rejected') {
-					start({
-						backend,
-						kvCopy: undefined,
-						shouldRetryWithoutCopy,
-					});
-				} else {
+				if (failure.kind !== 'rejected') {
 					failedDataCentres.push(backend.dataCentre);
-					start({
-						backend,
-						kvCopy,
-						shouldRetryWithoutCopy,
-					});
 				}
 
+				start({
+					backend,
+					kvCopy: hasLeftCopy ? kvBackup.findCopy() : undefined,
+					shouldRetryWithoutCopy,
+				});
+				break;
+			}
+
+			case 'wait': {
+				ctx.metrics.count('retries_postponed');
+				resendTimer = setTimeout(() => {
+					if (!isEnded) {
+						decideNextRun(failed, failure);
+					}
+				}, RESEND_DELAY_MS);
 				break;
 			}
 
