Count a crash against a request only soon after its run started

Cause: each loss of a data centre counted as evidence against every stream that ran there.

Change: a crash more than a second after the first output of the run does not count; a request that crashes its backend servers does so when it starts to run. A death found by the probe after a reset counts too, which it did not: five engines could be lost to one attempt of a caller. A quarantined request is not retried.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -6,6 +6,7 @@
 	EMPTY_BUDGET,
 	isAvoided,
 	decideStallAction,
+	isSuspectedCause,
 	listQuarantined,
 	recordCrashes,
 	recordExchange,
@@ -23,6 +24,7 @@
 		sent: 1,
 		attempts: 1,
 		maxAttempts: 3,
+		isQuarantined: false,
 		deaths: 0,
 		remainingMs: 900,
 		hasBudget: true,
@@ -196,6 +198,14 @@
 		expect(listQuarantined(three, 500_000)).toEqual([]);
 	});
 
+	// Streams run for seconds, so the loss of one data centre after another hits the
+	// same stream several times. It is not the cause.
+	it('suspects a request only if the backend server crashed soon after it started to run', () => {
+		expect(isSuspectedCause(undefined)).toBe(true);
+		expect(isSuspectedCause(200)).toBe(true);
+		expect(isSuspectedCause(1500)).toBe(false);
+	});
+
 	it('counts a crash once when several entries report it', () => {
 		const death = {digest: 'd', backend: 'e-1'};
 		const history = [0, 1, 2].reduce<CrashHistory>(
--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -21,7 +21,9 @@
 	/** Number of attempts, including those that sent nothing. */
 	attempts: number;
 	maxAttempts: number;
-	/** Number of backend servers that crashed while they processed the request. */
+	/** The request is known to crash the backend servers that run it. */
+	isQuarantined: boolean;
+	/** Number of backend servers whose crash the request may have caused. */
 	deaths: number;
 	remainingMs: number;
 	hasBudget: boolean;
@@ -83,6 +85,7 @@
 		(isRepeatable || !isUnknown) &&
 		inputs.sent < inputs.maxAttempts &&
 		inputs.attempts < MAX_TOTAL_ATTEMPTS &&
+		!inputs.isQuarantined &&
 		inputs.deaths < MAX_BACKEND_DEATHS &&
 		inputs.remainingMs > MIN_REMAINING_MS;
 	if (isAllowed && (inputs.hasBudget || failure.kind === 'not-sent')) {
--- a/packages/lovage-dispatch/src/crash-history.ts
+++ b/packages/lovage-dispatch/src/crash-history.ts
@@ -18,6 +18,17 @@
 /** Largest number of digests kept; the least recently updated are dropped first. */
 const MAX_DIGESTS = 2000;
 
+/** Time within which a request that crashes its backend server does so, from the start of its run. */
+const SUSPECT_RUN_MS = 1000;
+
+/**
+ * Whether a request may have caused the crash of the backend server that ran it;
+ * `runningMs` is the time since its first output, if there was any.
+ */
+export function isSuspectedCause(runningMs: number | undefined): boolean {
+	return runningMs === undefined || runningMs < SUSPECT_RUN_MS;
+}
+
 /** Adds crashes. Several reports of the same crash for the same request count once. */
 export function recordCrashes(
 	history: CrashHistory,
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -19,7 +19,11 @@
 	BackendNotices,
 	ClosedReason,
 } from './backend-notices.js';
-export {listQuarantined, recordCrashes} from './crash-history.js';
+export {
+	isSuspectedCause,
+	listQuarantined,
+	recordCrashes,
+} from './crash-history.js';
 export type {Crash, CrashHistory} from './crash-history.js';
 export {addLoad, NO_LOAD} from './load.js';
 export type {BackendLoad} from './load.js';
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -152,10 +152,16 @@
 	});
 }
 
+const AMPLE_RETRIES: RetryBudgetPolicy = {
+	windowMs: 10_000,
+	ratio: 1,
+	extra: 100,
+};
+
 /** Starts a gateway; without `initialConfiguration`, none is known. */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
-	retryPolicy: RetryBudgetPolicy = {windowMs: 10_000, ratio: 1, extra: 100},
+	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
 ): Promise<Harness> {
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
--- a/packages/lovage-gateway/src/__tests__/integration/stream-resume.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/stream-resume.test.ts
@@ -17,7 +17,11 @@
 
 const config = {
 	...configuration,
-	routes: configuration.routes.map((route) => ({...route, maxAttempts: 5})),
+	routes: configuration.routes.map((route) => ({
+		...route,
+		maxAttempts: 5,
+		timeoutMs: 9000,
+	})),
 };
 
 /** Starts a backend server that sends the events after `Last-Event-Id` up to `last`. */
@@ -105,3 +109,51 @@
 	expect(seen).toMatchObject({'last-event-id': '2'});
 	expect(seen).not.toHaveProperty('copy');
 });
+
+/** Starts an engine that sends an event each 100 ms and crashes after some time. */
+async function startCrashing(afterMs: number) {
+	const backend = await startBackend((req, res) => {
+		let id = Number(req.headers['last-event-id'] ?? 0);
+		res.writeHead(200, {'Request-Id': req.headers['request-id']});
+		const timer = setInterval(() => {
+			id += 1;
+			res.write(formatEvent(id));
+		}, 100);
+		setTimeout(() => {
+			clearInterval(timer);
+			backend.server.close();
+			backend.server.closeAllConnections();
+		}, afterMs);
+	});
+	return backend;
+}
+
+it.each([
+	['right after it started', 50, 1],
+	['while it delivered events', 1400, 0],
+])(
+	'reports a crash of the backend server %s to the quarantine: %i ms, %i reports',
+	async (_, afterMs, reports) => {
+		const engines = [
+			await startCrashing(afterMs),
+			await startEngine(99, 'whole'),
+		];
+		const {port, crashes} = await start(engines.map((engine) => engine.port));
+		expect(await call(port, '/stream/1', {'Wait-Ms': '5000'})).toMatchObject({
+			isWhole: true,
+		});
+		expect(crashes).toHaveLength(reports);
+	},
+);
+
+it('three data centres that crash in turn do not end a stream', async () => {
+	const crashing = await Promise.all(
+		[1200, 1200, 1200].map(async (afterMs) => startCrashing(afterMs)),
+	);
+	const last = await startEngine(99, 'whole');
+	const engines = [...crashing, last];
+	const {port} = await start(engines.map((engine) => engine.port));
+	expect(await call(port, '/stream/1', {'Wait-Ms': '9000'})).toMatchObject({
+		isWhole: true,
+	});
+});
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -123,8 +123,8 @@
 		event: StreamEvent,
 	): void => {
 		current.lastEventAt = ctx.clock.now();
-		if (!current.hasStarted) {
-			current.hasStarted = true;
+		if (current.startedAt === undefined) {
+			current.startedAt = current.lastEventAt;
 			current.reservation.markPrefilled();
 			ctx.view.reportHealth(current.backend, 'answered');
 		}
@@ -274,7 +274,7 @@
 			hasCopy: kvCopy !== undefined,
 			reservation: ctx.view.reserve(backend, reservedWork),
 			exchange: undefined,
-			hasStarted: false,
+			startedAt: undefined,
 			lastEventAt: ctx.clock.now(),
 			probe: 'none',
 			probedAt: 0,
@@ -334,6 +334,12 @@
 		}, RESEND_DELAY_MS);
 	};
 
+	/** The result of its probe counts from the next failure on. */
+	const countDeath = async (current: Run): Promise<void> => {
+		const isSuspected = await recordLoss(ctx, req.digest, current);
+		deaths += isSuspected ? 1 : 0;
+	};
+
 	const recordFailure = (current: Run, failure: AttemptFailure): void => {
 		switch (failure.kind) {
 			case 'not-sent': {
@@ -354,7 +360,7 @@
 
 			case 'lost': {
 				hasRun = true;
-				void recordLoss(ctx, req.digest, current);
+				void countDeath(current);
 				break;
 			}
 		}
@@ -367,7 +373,6 @@
 
 		closeRun();
 		recordFailure(current, failure);
-		deaths += failure.kind === 'lost' && current.probe === 'dead' ? 1 : 0;
 		decideNextRun(current, failure);
 	};
 
@@ -389,6 +394,7 @@
 				sent: sentTo.size - (shouldRetryWithoutCopy ? 1 : 0),
 				attempts,
 				maxAttempts: route.maxAttempts,
+				isQuarantined: ctx.isQuarantined(req.digest),
 				deaths,
 				remainingMs: readRemainingMs(ctx, req),
 				canWait: delivery.hasBegun(),
@@ -469,7 +475,7 @@
 		const decision = evaluateSilence(ctx, req, current, hasEvents);
 		switch (decision) {
 			case 'wait': {
-				if (current.hasStarted) {
+				if (current.startedAt !== undefined) {
 					current.kvBackup.refresh();
 				}
 
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -1,6 +1,7 @@
 import {
 	type BackendRecord,
 	decideStallAction,
+	isSuspectedCause,
 	type ProbeState,
 	type StallAction,
 } from '@lovagevalve/dispatch';
@@ -17,7 +18,8 @@
 	/** It resumes from a copy of an earlier run's KV cache. */
 	readonly hasCopy: boolean;
 	exchange: Exchange | undefined;
-	hasStarted: boolean;
+	/** Time of its first event, in monotonic milliseconds. */
+	startedAt: number | undefined;
 	/**
 	 * Time of the last event, or of sending the request, in monotonic
 	 * milliseconds.
@@ -52,18 +54,24 @@
 }
 
 /**
- * Updates the health of a backend server that lost a run, and reports a crash.
+ * Updates the health of a backend server that lost a run, and reports a crash
+ * that the run may have caused; resolves with whether there was one.
  */
 export async function recordLoss(
 	ctx: GatewayContext,
 	digest: string,
-	{backend, probe}: Run,
-): Promise<void> {
+	{backend, probe, startedAt}: Run,
+): Promise<boolean> {
+	const runningMs =
+		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
 	const isAlive = probe !== 'dead' && (await probeAddress(backend.address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
-	if (!isAlive) {
+	const isSuspected = !isAlive && isSuspectedCause(runningMs);
+	if (isSuspected) {
 		ctx.reportCrash(digest, backend);
 	}
+
+	return isSuspected;
 }
 
 /**
@@ -79,7 +87,7 @@
 	const now = ctx.clock.now();
 	return decideStallAction({
 		idleMs: now - run.lastEventAt,
-		hasFirstEvent: run.hasStarted,
+		hasFirstEvent: run.startedAt !== undefined,
 		probe: run.probe,
 		isKnownUnreachable:
 			ctx.view.readAvailability(run.backend.id) === 'unreachable',
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -138,6 +138,7 @@
 			...next,
 			isRepeatable: isRepeatable(route.kind, route.isResumable),
 			failure,
+			isQuarantined: ctx.isQuarantined(req.digest),
 			maxAttempts: route.maxAttempts,
 			remainingMs: readRemainingMs(ctx, req),
 		},
