Share the retry budget by requests in progress

Cause: an equal part of what is left for each entry is less than one retry where there are many entries, and most entries hold no broken stream.

Change: entries report how many requests they have in progress, and the part is in that proportion (RetryCounts.active, optional on the wire; without it the part is equal).

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -74,6 +74,10 @@
 	return {
 		requests: a.requests + b.requests,
 		retries: a.retries + b.retries,
+		// Unknown as soon as one entry does not report it.
+		...(a.active === undefined || b.active === undefined
+			? {}
+			: {active: a.active + b.active}),
 	};
 }
 
--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -83,6 +83,7 @@
 			const next = spendRetry(budget, policy, {
 				now: requests,
 				instances,
+				active: 1,
 				rounding: 0,
 			});
 			if (next === undefined) {
@@ -107,18 +108,21 @@
 		let budget = spendRetry(EMPTY_BUDGET, policy, {
 			now: 0,
 			instances: 20,
+			active: 1,
 			rounding: 0,
 		});
 		expect(budget).toBeUndefined();
 		budget = spendRetry(EMPTY_BUDGET, policy, {
 			now: 0,
 			instances: 1,
+			active: 1,
 			rounding: 0,
 		});
 		expect(
 			spendRetry(budget!, policy, {
 				now: 20_000,
 				instances: 1,
+				active: 1,
 				rounding: 0,
 			}),
 		).toBeDefined();
@@ -257,6 +261,7 @@
 				const next = spendRetry(budget, common, {
 					now,
 					instances,
+					active: 1,
 					otherCounts: others,
 					rounding: 0,
 				});
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -17,12 +17,20 @@
 }>;
 
 /** Number of requests and retries within one window. */
-export type RetryCounts = Readonly<{requests: number; retries: number}>;
+export type RetryCounts = Readonly<{
+	requests: number;
+	retries: number;
+	/** Requests in progress, each of which may need a retry; older instances don't report it. */
+	active?: number;
+}>;
 
 /** Current time and the instances that share the budget. */
 export type RetryBudgetContext = Readonly<{
 	now: number;
+	/** Number of instances; at least 1. */
 	instances: number;
+	/** Requests in progress at this instance. */
+	active: number;
 	/** Sum over the other instances; absent if unknown. */
 	otherCounts?: RetryCounts;
 	/**
@@ -38,9 +46,9 @@
 /** Resolution of the sliding window. */
 const BUCKETS_PER_WINDOW = 20;
 /** Part of its share of the policy that one instance may always use. */
-const LOCAL_LIMIT_SHARE = 0.5;
+const LOCAL_LIMIT_SHARE = 0.3;
 /** Part of the policy that all instances together may use. The rest allows for an outdated number of instances. */
-const SHARED_LIMIT_SHARE = 0.9;
+const SHARED_LIMIT_SHARE = 0.93;
 /** Time until all instances know of a retry: an interval until it is reported, and one until the others receive the sum. */
 export const REPORT_LAG_MS = 600;
 
@@ -109,23 +117,36 @@
 	};
 }
 
+/** Part of what all instances have left that falls to this instance. */
+function computeOwnShare({
+	instances,
+	active,
+	otherCounts,
+}: RetryBudgetContext): number {
+	return otherCounts?.active === undefined || active === 0
+		? 1 / instances
+		: active / (active + otherCounts.active);
+}
+
 /**
  * Takes one retry from the budget; undefined if none is left. It answers crashes
  * of a whole data centre, in which all streams break off at once. An instance may
  * always use part of its own share. Beyond it, the retries that the others do not
- * know of yet are limited to an equal part of what all instances have left, so
- * that instances that spend at the same moment stay within the policy together.
+ * know of yet are limited to a part of what all instances have left, in
+ * proportion to the requests in progress, so that instances that spend at the
+ * same moment stay within the policy together.
  */
 export function spendRetry(
 	budget: RetryBudget,
 	policy: RetryBudgetPolicy,
-	{now, instances, otherCounts, rounding}: RetryBudgetContext,
+	context: RetryBudgetContext,
 ): RetryBudget | undefined {
+	const {now, instances, otherCounts, rounding} = context;
 	const own = countWindow(budget, policy, now);
 	const unreported = listUnreported(budget, now).length;
-	const count = Math.max(1, instances);
 	const localLimit =
-		LOCAL_LIMIT_SHARE * (policy.ratio * own.requests + policy.extra / count);
+		LOCAL_LIMIT_SHARE *
+		(policy.ratio * own.requests + policy.extra / instances);
 	const left =
 		otherCounts === undefined
 			? 0
@@ -136,7 +157,7 @@
 				(own.retries - unreported);
 	const isAllowed =
 		own.retries + 1 <= localLimit ||
-		(left > 0 && unreported + 1 <= left / count + rounding);
+		(left > 0 && unreported + 1 <= left * computeOwnShare(context) + rounding);
 	return isAllowed
 		? addCounts(budget, policy, now, {requests: 0, retries: 1})
 		: undefined;
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -147,12 +147,17 @@
 	};
 
 	const forward = async (accepted: AcceptedRequest): Promise<void> => {
-		ctx.retryBudgets.countRequest(accepted.service.name);
-		if (accepted.route.kind !== 'stream') {
-			await forwardUnary(ctx, accepted);
-			return;
+		const end = ctx.retryBudgets.countRequest(accepted.service.name);
+		try {
+			await (accepted.route.kind === 'stream'
+				? forwardStream(accepted)
+				: forwardUnary(ctx, accepted));
+		} finally {
+			end();
 		}
+	};
 
+	const forwardStream = async (accepted: AcceptedRequest): Promise<void> => {
 		await new Promise<void>((resolve) => {
 			const relay = createStreamRelay(ctx, accepted, () => {
 				relays.delete(relay);
--- a/packages/lovage-gateway/src/retry-budgets.ts
+++ b/packages/lovage-gateway/src/retry-budgets.ts
@@ -15,7 +15,8 @@
 
 /** Retry budgets of this entry, by service. */
 export type RetryBudgets = Readonly<{
-	countRequest: (service: string) => void;
+	/** Counts a request; the returned function is called when it has ended. */
+	countRequest: (service: string) => () => void;
 	/** Deducts a retry from the budget; returns false if it is exhausted. */
 	spend: (service: string) => boolean;
 	/** Requests and retries of this entry within the window, by service. */
@@ -38,6 +39,8 @@
 	random: () => number,
 ): RetryBudgets {
 	const budgets = new Map<string, RetryBudget>();
+	const active = new Map<string, number>();
+	const readActive = (service: string): number => active.get(service) ?? 0;
 	let remoteCounts: Readonly<Record<string, RetryCounts>> = {};
 	let remoteCountsAt = Number.NEGATIVE_INFINITY;
 	const readRemoteCounts = (service: string): RetryCounts | undefined =>
@@ -59,15 +62,20 @@
 		budgets.get(service) ?? EMPTY_BUDGET;
 	return {
 		countRequest(service) {
+			active.set(service, readActive(service) + 1);
 			budgets.set(
 				service,
 				countRequest(readBudget(service), policy, clock.now()),
 			);
+			return () => {
+				active.set(service, readActive(service) - 1);
+			};
 		},
 		spend(service) {
 			const updatedBudget = spendRetry(readBudget(service), policy, {
 				now: clock.now(),
 				instances: countEntries(),
+				active: readActive(service),
 				otherCounts: readRemoteCounts(service),
 				rounding: readRounding(),
 			});
@@ -81,7 +89,10 @@
 			Object.fromEntries(
 				[...budgets].map(([service, budget]) => [
 					service,
-					countWindow(budget, policy, clock.now()),
+					{
+						...countWindow(budget, policy, clock.now()),
+						active: readActive(service),
+					},
 				]),
 			),
 		updateRemoteCounts(counts) {
