Judge streams by whole new events, and keep a slow one that can't be moved

Cause, by tests over sockets that failed first: comments and events that were sent before counted as progress, so a stalled engine that sent either now and then held its stream until the deadline (8 s in the test). A run silent for longer than the gap target was closed before it was known whether another could start: when all engines were slow, the stream was cut after the last attempt although its engine went on.

Change: only an event with data that the caller does not have yet counts. A run whose engine may live is closed only if attempts and retry budget allow the next.

--- a/packages/lovage-gateway/src/event-splitter.ts
+++ b/packages/lovage-gateway/src/event-splitter.ts
@@ -1,7 +1,12 @@
 import {Buffer} from 'node:buffer';
 
-/** A complete server-sent event; only its id is parsed. */
-export type StreamEvent = Readonly<{id: string | undefined; bytes: Uint8Array}>;
+/** A complete server-sent event, or a comment. */
+export type StreamEvent = Readonly<{
+	id: string | undefined;
+	/** False for comments, which don't show that a stream makes progress. */
+	hasData: boolean;
+	bytes: Uint8Array;
+}>;
 
 /** Splits a byte stream into complete server-sent events. */
 export type EventSplitter = Readonly<{
@@ -29,12 +34,14 @@
 	return end === -1 ? -1 : end + 1;
 }
 
-function parseEventId(bytes: Uint8Array): string | undefined {
-	const line = Buffer.from(bytes)
-		.toString('latin1')
-		.split('\n')
-		.find((text) => text.startsWith('id:'));
-	return line?.slice('id:'.length).trim();
+function parseEvent(bytes: Uint8Array): StreamEvent {
+	const lines = Buffer.from(bytes).toString('latin1').split('\n');
+	const idLine = lines.find((text) => text.startsWith('id:'));
+	return {
+		id: idLine?.slice('id:'.length).trim(),
+		hasData: lines.some((text) => text.startsWith('data')),
+		bytes,
+	};
 }
 
 /** Creates an event splitter; each stream needs its own. */
@@ -51,7 +58,7 @@
 			) {
 				const bytes = buffer.subarray(0, end);
 				buffer = buffer.subarray(end);
-				events.push({id: parseEventId(bytes), bytes});
+				events.push(parseEvent(bytes));
 			}
 
 			return events;
--- a/packages/lovage-gateway/src/retry-budgets.ts
+++ b/packages/lovage-gateway/src/retry-budgets.ts
@@ -17,6 +17,8 @@
 export type RetryBudgets = Readonly<{
 	/** Counts a request; the returned function is called when it has ended. */
 	countRequest: (service: string) => () => void;
+	/** Whether a retry is left. */
+	hasLeft: (service: string) => boolean;
 	/** Deducts a retry from the budget; returns false if it is exhausted. */
 	spend: (service: string) => boolean;
 	/** Requests and retries of this entry within the window, by service. */
@@ -60,6 +62,14 @@
 
 	const readBudget = (service: string): RetryBudget =>
 		budgets.get(service) ?? EMPTY_BUDGET;
+	const trySpend = (service: string): RetryBudget | undefined =>
+		spendRetry(readBudget(service), policy, {
+			now: clock.now(),
+			instances: countEntries(),
+			active: readActive(service),
+			otherCounts: readRemoteCounts(service),
+			rounding: readRounding(),
+		});
 	return {
 		countRequest(service) {
 			active.set(service, readActive(service) + 1);
@@ -71,14 +81,9 @@
 				active.set(service, readActive(service) - 1);
 			};
 		},
+		hasLeft: (service) => trySpend(service) !== undefined,
 		spend(service) {
-			const updatedBudget = spendRetry(readBudget(service), policy, {
-				now: clock.now(),
-				instances: countEntries(),
-				active: readActive(service),
-				otherCounts: readRemoteCounts(service),
-				rounding: readRounding(),
-			});
+			const updatedBudget = trySpend(service);
 			if (updatedBudget !== undefined) {
 				budgets.set(service, updatedBudget);
 			}
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -7,14 +7,14 @@
 /** Delivery of an event stream to its caller. */
 export type StreamDelivery = Readonly<{
 	/**
-	 * Writes an event unless the caller already has it; calls `onDrained` when a
-	 * slow caller can receive more.
+	 * Writes an event unless the caller already has it, and returns whether it did;
+	 * calls `onDrained` when a slow caller can receive more.
 	 */
 	deliver: (
 		response: IncomingMessage,
 		event: StreamEvent,
 		onDrained: () => void,
-	) => void;
+	) => boolean;
 	/** Ends the stream properly. */
 	complete: (response: IncomingMessage) => void;
 	/** Forwards an error response of the backend server. */
@@ -84,7 +84,7 @@
 	return {
 		deliver(response, {id, bytes}, onDrained) {
 			if (isDuplicate(id)) {
-				return;
+				return false;
 			}
 
 			recordTimings();
@@ -99,6 +99,8 @@
 					response.resume();
 				});
 			}
+
+			return true;
 		},
 		complete(response) {
 			sendHead(response);
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -3,7 +3,9 @@
 import {
 	type AttemptFailure,
 	type BackendRecord,
+	decideRetry,
 	isRepeatable,
+	type RetryInputs,
 } from '@lovagevalve/dispatch';
 import {
 	chooseRetryAfterMs,
@@ -122,16 +124,20 @@
 		response: IncomingMessage,
 		event: StreamEvent,
 	): void => {
+		const isDelivered = delivery.deliver(response, event, () => {
+			current.lastEventAt = ctx.clock.now();
+		});
+		// A stalled engine may go on sending comments or repeat what it has sent.
+		if (!isDelivered || !event.hasData) {
+			return;
+		}
+
 		current.lastEventAt = ctx.clock.now();
 		if (current.startedAt === undefined) {
 			current.startedAt = current.lastEventAt;
 			current.reservation.markPrefilled();
 			ctx.view.reportHealth(current.backend, 'answered');
 		}
-
-		delivery.deliver(response, event, () => {
-			current.lastEventAt = ctx.clock.now();
-		});
 	};
 
 	const relayEvents = (current: Run, response: IncomingMessage): void => {
@@ -376,6 +382,30 @@
 		decideNextRun(current, failure);
 	};
 
+	const createRetryInputs = (
+		failure: AttemptFailure,
+		sent = sentTo.size,
+	): Omit<RetryInputs, 'hasBudget'> => ({
+		isRepeatable: canRepeat,
+		failure,
+		sent,
+		attempts,
+		maxAttempts: route.maxAttempts,
+		isQuarantined: ctx.isQuarantined(req.digest),
+		deaths,
+		remainingMs: readRemainingMs(ctx, req),
+		canWait: delivery.hasBegun(),
+	});
+
+	const canStartNextRun = (): boolean => {
+		const inputs = createRetryInputs({kind: 'lost', reason: 'silent'});
+		const hasBudget = ctx.retryBudgets.hasLeft(service.name);
+		return decideRetry({...inputs, hasBudget}, true).kind === 'retry';
+	};
+
+	const isPossiblyAlive = ({probe, backend}: Run): boolean =>
+		probe !== 'dead' && ctx.view.readAvailability(backend.id) !== 'unreachable';
+
 	/** Starts the next run after a failed one, waits for the budget, or gives up. */
 	const decideNextRun = (failed: Run, failure: AttemptFailure): void => {
 		const {backend, kvBackup} = failed;
@@ -388,17 +418,10 @@
 		const decision = decideWithinBudget(
 			ctx.retryBudgets,
 			service.name,
-			{
-				isRepeatable: canRepeat,
+			createRetryInputs(
 				failure,
-				sent: sentTo.size - (shouldRetryWithoutCopy ? 1 : 0),
-				attempts,
-				maxAttempts: route.maxAttempts,
-				isQuarantined: ctx.isQuarantined(req.digest),
-				deaths,
-				remainingMs: readRemainingMs(ctx, req),
-				canWait: delivery.hasBegun(),
-			},
+				sentTo.size - (shouldRetryWithoutCopy ? 1 : 0),
+			),
 			hasRun,
 		);
 		ctx.log.warn('Stream attempt failed.', {
@@ -492,6 +515,11 @@
 			}
 
 			case 'move': {
+				// A slow run is better than none.
+				if (isPossiblyAlive(current) && !canStartNextRun()) {
+					break;
+				}
+
 				const reason = `silent for ${Math.round(silentMs)} ms, probe ${current.probe}`;
 				handleRunFailure(current, {kind: 'lost', reason});
 				break;
