Reset an HTTP/1.0 caller's connection when its response breaks off

Cause: such a response has no length and ends with its connection, so an orderly end made a stream or a large response that broke off look complete.

Change: breakOff resets the connection where HTTP/1.0 leaves no other sign.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import {
+	breakOff,
 	endWithProblem,
 	RETRY_AFTER_MS,
 	sendProblem,
@@ -249,7 +250,7 @@
 						? (error.stack ?? error.message)
 						: String(error),
 			});
-			res.destroy();
+			breakOff(res);
 		} finally {
 			activeRequests -= 1;
 		}
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -57,6 +57,19 @@
 	res.end(body);
 }
 
+/**
+ * Ends a response that can't be completed. Over HTTP/1.1 its length or missing
+ * last chunk shows that; an HTTP/1.0 response ends with its connection, which is
+ * reset for that reason.
+ */
+export function breakOff(res: ServerResponse): void {
+	if (res.req.httpVersion === '1.0') {
+		res.socket?.resetAndDestroy();
+	} else {
+		res.destroy();
+	}
+}
+
 /** Logs the outcome of a request and updates the metrics. */
 export function recordCompletion(
 	ctx: GatewayContext,
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {AcceptedRequest, GatewayContext} from './context.js';
+import {breakOff} from './responses.js';
 import type {StreamEvent} from './event-splitter.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
 
@@ -115,7 +116,7 @@
 			res.end(body);
 		},
 		abort() {
-			res.destroy();
+			breakOff(res);
 		},
 		readLastEventId: () => lastEventId,
 		hasBegun: () => hasBegun,
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -1,6 +1,7 @@
 import type {AcceptedRequest} from './context.js';
 import {watchResponseEnd} from './backend-exchange.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
+import {breakOff} from './responses.js';
 import type {BufferedResponse, LargeResponse} from './unary-attempt.js';
 
 const BODY_HEADERS: ReadonlySet<string> = new Set(['content-length']);
@@ -44,7 +45,7 @@
 		},
 		() => {
 			// The caller must not take a truncated response for a complete one.
-			res.destroy();
+			breakOff(res);
 		},
 	);
 	response.pipe(res, {end: false});
