Let a stop wait for accepted connections and for undelivered responses

Cause, by tests that failed first: the drain ended when no request was being handled. A connection that was accepted just before the server closed was cut before its request had come, and a response that a slow caller had not received yet, or that was being piped, was cut by the end of the process.

Change: the drain waits until each response is closed and, for at most a second, for connections without a request.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import {
 	breakOff,
@@ -26,7 +27,10 @@
 	applyLimits: () => void;
 	/** From now on, closes each connection after its next response. */
 	disableKeepAlive: () => void;
-	/** Resolves when no request is in progress or the time limit has passed. */
+	/**
+	 * Resolves when all responses are delivered and no request can arrive on a connection
+	 * that was accepted before the server closed, or the time limit has passed.
+	 */
 	awaitIdle: (limitMs: number) => Promise<void>;
 	countRequests: () => number;
 }>;
@@ -51,6 +55,11 @@
  */
 const TICK_INTERVAL_MS = 50;
 const DRAIN_POLL_MS = 50;
+/**
+ * Time for the request of a connection that was accepted just before the server
+ * closed: its packets may have to be sent again.
+ */
+const SILENT_CONNECTION_MS = 1000;
 
 function countHeaderBytes(req: IncomingMessage): number {
 	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -72,6 +81,9 @@
 /** Creates the server for callers; the owner calls `listen`. */
 export function createGateway(ctx: GatewayContext): Gateway {
 	const relays = new Set<StreamRelay>();
+	const connections = new Set<Socket>();
+	/** Responses of which the caller may not have received everything. */
+	const openResponses = new Set<ServerResponse>();
 	let activeRequests = 0;
 	let isKeepAliveDisabled = false;
 
@@ -261,10 +273,20 @@
 		(req, res) => {
 			req.on('error', () => undefined);
 			res.on('error', () => undefined);
+			openResponses.add(res);
+			res.once('close', () => {
+				openResponses.delete(res);
+			});
 			void serve(req, res);
 		},
 	);
 	server.requestTimeout = 0;
+	server.on('connection', (socket) => {
+		connections.add(socket);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
 	const timer = setInterval(() => {
 		relays.forEach((relay) => {
 			relay.tick();
@@ -286,9 +308,17 @@
 			isKeepAliveDisabled = true;
 		},
 		async awaitIdle(limitMs) {
-			const deadlineAt = ctx.clock.now() + limitMs;
-			const isBusy = (): boolean =>
-				activeRequests > 0 && ctx.clock.now() < deadlineAt;
+			const startedAt = ctx.clock.now();
+			const deadlineAt = startedAt + limitMs;
+			const isBusy = (): boolean => {
+				const now = ctx.clock.now();
+				const mayReceiveRequest =
+					connections.size > 0 && now - startedAt < SILENT_CONNECTION_MS;
+				return (
+					(openResponses.size > 0 || mayReceiveRequest) && now < deadlineAt
+				);
+			};
+
 			while (isBusy()) {
 				// eslint-disable-next-line no-await-in-loop
 				await new Promise((resolve) => {
