Give retries to requests that can still be on time first

Load pattern: more streams break off at once than the retry budget allows. A stream that waited past its gap target took the retry of one that had just broken off, so that both were late.

--- a/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
@@ -83,6 +83,7 @@
 				active,
 				otherCounts: entry.others,
 				rounding: entry.rounding,
+				isLate: now - since >= GAP_TARGET_MS,
 			});
 			if (next === undefined) {
 				return true;
@@ -209,3 +210,17 @@
 		});
 	},
 );
+
+// A stream that is late already could otherwise take the retry of one that just
+// broke off, so that both are late.
+it.each([9, 65, 195])(
+	'%i entries resume streams that can still be on time first when retries are short',
+	(instances) => {
+		SEEDS.forEach((seed) => {
+			const load = {instances, streams: STREAMS, broken: STREAMS};
+			const {inTimeShare} = playDay(seed, load);
+			const brokenPerWindow = (STREAMS * POLICY.windowMs) / CRASH_INTERVAL_MS;
+			expect(inTimeShare).toBeGreaterThan((0.8 * LIMIT) / brokenPerWindow);
+		});
+	},
+);
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -38,17 +38,21 @@
 	 * It decides whether a fraction of a retry is rounded up.
 	 */
 	rounding: number;
+	/** The request misses its service level even if it is retried now. */
+	isLate?: boolean;
 }>;
 
 /** Budget without any requests or retries. */
 export const EMPTY_BUDGET: RetryBudget = {buckets: [], unreported: []};
 
 /** Resolution of the sliding window. */
-const BUCKETS_PER_WINDOW = 20;
+const BUCKETS_PER_WINDOW = 40;
 /** Part of its share of the policy that one instance may always use. */
 const LOCAL_LIMIT_SHARE = 0.3;
 /** Part of the policy that all instances together may use. The rest allows for an outdated number of instances. */
 const SHARED_LIMIT_SHARE = 0.93;
+/** Part of the policy that is kept for requests that can still be on time. */
+const ON_TIME_RESERVE_SHARE = 0.25;
 /** Time until all instances know of a retry: an interval until it is reported, and one until the others receive the sum. */
 export const REPORT_LAG_MS = 600;
 
@@ -141,7 +145,8 @@
 	policy: RetryBudgetPolicy,
 	context: RetryBudgetContext,
 ): RetryBudget | undefined {
-	const {now, instances, otherCounts, rounding} = context;
+	const {now, instances, otherCounts, rounding, isLate = false} = context;
+	const usableShare = SHARED_LIMIT_SHARE - (isLate ? ON_TIME_RESERVE_SHARE : 0);
 	const own = countWindow(budget, policy, now);
 	const unreported = listUnreported(budget, now).length;
 	const localLimit =
@@ -150,7 +155,7 @@
 	const left =
 		otherCounts === undefined
 			? 0
-			: SHARED_LIMIT_SHARE *
+			: usableShare *
 					(policy.ratio * (own.requests + otherCounts.requests) +
 						policy.extra) -
 				otherCounts.retries -
--- a/packages/lovage-gateway/src/retry-budgets.ts
+++ b/packages/lovage-gateway/src/retry-budgets.ts
@@ -18,9 +18,12 @@
 	/** Counts a request; the returned function is called when it has ended. */
 	countRequest: (service: string) => () => void;
 	/** Whether a retry is left. */
-	hasLeft: (service: string) => boolean;
-	/** Deducts a retry from the budget; returns false if it is exhausted. */
-	spend: (service: string) => boolean;
+	hasLeft: (service: string, isLate: boolean) => boolean;
+	/**
+	 * Deducts a retry from the budget; returns false if it is exhausted. Requests
+	 * that miss their service level anyway leave a part of it to the others.
+	 */
+	spend: (service: string, isLate: boolean) => boolean;
 	/** Requests and retries of this entry within the window, by service. */
 	readCounts: () => Readonly<Record<string, RetryCounts>>;
 	/** Replaces the counts of the other entries. */
@@ -62,13 +65,17 @@
 
 	const readBudget = (service: string): RetryBudget =>
 		budgets.get(service) ?? EMPTY_BUDGET;
-	const trySpend = (service: string): RetryBudget | undefined =>
+	const trySpend = (
+		service: string,
+		isLate: boolean,
+	): RetryBudget | undefined =>
 		spendRetry(readBudget(service), policy, {
 			now: clock.now(),
 			instances: countEntries(),
 			active: readActive(service),
 			otherCounts: readRemoteCounts(service),
 			rounding: readRounding(),
+			isLate,
 		});
 	return {
 		countRequest(service) {
@@ -81,9 +88,9 @@
 				active.set(service, readActive(service) - 1);
 			};
 		},
-		hasLeft: (service) => trySpend(service) !== undefined,
-		spend(service) {
-			const updatedBudget = trySpend(service);
+		hasLeft: (service, isLate) => trySpend(service, isLate) !== undefined,
+		spend(service, isLate) {
+			const updatedBudget = trySpend(service, isLate);
 			if (updatedBudget !== undefined) {
 				budgets.set(service, updatedBudget);
 			}
@@ -114,12 +121,14 @@
 export function decideWithinBudget(
 	budgets: RetryBudgets,
 	service: string,
-	inputs: Omit<RetryInputs, 'hasBudget'>,
+	inputs: Omit<RetryInputs, 'hasBudget'> & Readonly<{isLate: boolean}>,
 	hasRun: boolean,
 ): RetryDecision {
 	const decision = decideRetry({...inputs, hasBudget: true}, hasRun);
 	const isUncharged = inputs.failure.kind === 'not-sent';
-	return decision.kind === 'retry' && !isUncharged && !budgets.spend(service)
+	return decision.kind === 'retry' &&
+		!isUncharged &&
+		!budgets.spend(service, inputs.isLate)
 		? decideRetry({...inputs, hasBudget: false}, hasRun)
 		: decision;
 }
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -30,6 +30,8 @@
 	hasBegun: () => boolean;
 	/** Delivery is paused by backpressure from the caller. */
 	isPaused: () => boolean;
+	/** Whether the caller has waited for the next event for too long. */
+	isLate: () => boolean;
 	/**
 	 * Latency of the first event and longest gap between events, in whole
 	 * milliseconds.
@@ -46,7 +48,7 @@
  */
 export function createStreamDelivery(
 	ctx: GatewayContext,
-	{res, metadata, startedAt}: AcceptedRequest,
+	{res, metadata, route, startedAt}: AcceptedRequest,
 ): StreamDelivery {
 	let {lastEventId} = metadata;
 	let hasBegun = false;
@@ -121,6 +123,12 @@
 		readLastEventId: () => lastEventId,
 		hasBegun: () => hasBegun,
 		isPaused: () => isPaused,
+		isLate() {
+			const now = ctx.clock.now();
+			return deliveredAt === 0
+				? now - startedAt > route.latencyTargetMs
+				: now - deliveredAt > route.gapTargetMs;
+		},
 		readTimings: () => ({
 			firstEventMs: Math.round(firstEventMs),
 			longestPauseMs: Math.round(longestPauseMs),
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -385,7 +385,7 @@
 	const createRetryInputs = (
 		failure: AttemptFailure,
 		sent = sentTo.size,
-	): Omit<RetryInputs, 'hasBudget'> => ({
+	): Omit<RetryInputs, 'hasBudget'> & Readonly<{isLate: boolean}> => ({
 		isRepeatable: canRepeat,
 		failure,
 		sent,
@@ -395,11 +395,12 @@
 		deaths,
 		remainingMs: readRemainingMs(ctx, req),
 		canWait: delivery.hasBegun(),
+		isLate: delivery.isLate(),
 	});
 
 	const canStartNextRun = (): boolean => {
 		const inputs = createRetryInputs({kind: 'lost', reason: 'silent'});
-		const hasBudget = ctx.retryBudgets.hasLeft(service.name);
+		const hasBudget = ctx.retryBudgets.hasLeft(service.name, inputs.isLate);
 		return decideRetry({...inputs, hasBudget}, true).kind === 'retry';
 	};
 
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -140,6 +140,7 @@
 			failure,
 			isQuarantined: ctx.isQuarantined(req.digest),
 			maxAttempts: route.maxAttempts,
+			isLate: ctx.clock.now() - req.startedAt > route.latencyTargetMs,
 			remainingMs: readRemainingMs(ctx, req),
 		},
 		progress.hasRun,
