Take the newest configuration after a restart, not the first one

Cause, by a test that failed first: a restarted entry fetched the configuration of the control instance that answered first. One that lags, or that has restarted itself, brought back an older version, and with it a key that had been withdrawn.

Change: without a configuration, an entry waits until all known control instances have answered or failed, at most 400 ms, and takes the highest version.

A backend server that has left does not come back by the late registration at a restarted control instance: shown by the new test, which passed before.

--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -40,6 +40,8 @@
 	isBusy: boolean;
 	answeredAt: number | undefined;
 	isUnreachable: boolean;
+	/** Version of the newest configuration that this peer knows. */
+	version: number;
 	/** Last revision of the backend servers received from this peer. */
 	knownRevision: KnownRevision | undefined;
 };
@@ -63,6 +65,12 @@
  * They gossip departures of backend servers to each other immediately.
  */
 const FULL_ROUND_PERIOD = 3;
+/**
+ * Time for which an entry without a configuration waits for all control
+ * instances, since the first that answers may not have the newest one. More than
+ * the time until a connection to an instance that is down fails.
+ */
+const FIRST_CONFIGURATION_WAIT_MS = 400;
 const MAX_PEERS = 16;
 const REACHABLE_WINDOW_MS = 1500;
 
@@ -82,12 +90,14 @@
 	let primaryPeer: string | undefined;
 	let round = 0;
 	let agesReceivedAt = Number.NEGATIVE_INFINITY;
+	let firstVersionAt: number | undefined;
 
 	const readPeer = (address: string): Peer => {
 		const peer = peers.get(address) ?? {
 			isBusy: false,
 			answeredAt: undefined,
 			isUnreachable: false,
+			version: 0,
 			knownRevision: undefined,
 		};
 		peers.set(address, peer);
@@ -143,6 +153,39 @@
 		);
 	};
 
+	/** Chooses the control instance to fetch a configuration from, if one is due. */
+	const chooseConfigurationSource = (
+		ownVersion: number,
+	): Readonly<{address: string; version: number}> | undefined => {
+		const now = clock.now();
+		const known = listAddresses().map((address) => {
+			const {version, isUnreachable, answeredAt} = readPeer(address);
+			const hasSettled = isUnreachable || answeredAt !== undefined;
+			return {address, version, isUnreachable, hasSettled};
+		});
+		const newest = known
+			.filter(({isUnreachable}) => !isUnreachable)
+			.toSorted((a, b) => b.version - a.version)
+			.at(0);
+		if (newest === undefined || newest.version <= ownVersion) {
+			return undefined;
+		}
+
+		firstVersionAt ??= now;
+		const isDue =
+			ownVersion > 0 ||
+			known.every(({hasSettled}) => hasSettled) ||
+			now - firstVersionAt >= FIRST_CONFIGURATION_WAIT_MS;
+		return isDue ? newest : undefined;
+	};
+
+	const fetchNewest = (ownVersion: number): void => {
+		const source = chooseConfigurationSource(ownVersion);
+		if (source !== undefined) {
+			void fetchConfiguration(source.address, source.version);
+		}
+	};
+
 	const markUnreachable = (
 		address: string,
 		peer: Peer,
@@ -170,13 +213,12 @@
 
 		peer.isUnreachable = false;
 		peer.answeredAt = now;
+		peer.version = report.version;
 		peer.knownRevision = report.known;
 		agesReceivedAt = report.agesMs === undefined ? agesReceivedAt : now;
 		report.controls.forEach((control) => advertisedAt.set(control, now));
 		options.onReport(address, report);
-		if (report.version > ownVersion) {
-			void fetchConfiguration(address, report.version);
-		}
+		fetchNewest(ownVersion);
 	};
 
 	/**
@@ -220,6 +262,7 @@
 			},
 			(reason) => {
 				markUnreachable(address, peer, reason);
+				fetchNewest(report.version);
 			},
 		);
 	};
