Send the advertised entries only after they have changed

Change: the list has a revision, which an entry sends with its report (knownServing, servingRevision: optional on the wire; older builds get and send the list as before).

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -1,4 +1,8 @@
-import type {BackendRecord, EntryReport} from '@lovagevalve/dispatch';
+import type {
+	BackendRecord,
+	EntryReport,
+	KnownRevision,
+} from '@lovagevalve/dispatch';
 import {describe, expect, it} from 'vitest';
 import {applyEntry, createRegistry, EMPTY_GROUP_STATE} from '../../index.js';
 
@@ -88,6 +92,44 @@
 		expect(registry.find('e-1')?.state).toBe('ready');
 	});
 
+	it('sends the advertised entries again only after they have changed', () => {
+		const {registry} = createTestRegistry();
+		registry.applyReport(createReport('entry-1'));
+		registry.applyReport(createReport('entry-2'));
+		const readOverview = (knownServing?: KnownRevision) =>
+			registry.createReportResponse({...reportRequest, knownServing}).overview!;
+		const first = readOverview();
+		expect(first.serving).toHaveLength(2);
+		expect(readOverview(first.servingRevision).serving).toBeUndefined();
+		const foreign = {epoch: 99, revision: first.servingRevision!.revision};
+		expect(readOverview(foreign).serving).toHaveLength(2);
+		registry.applyReport(createReport('entry-2', {standing: 'leaving'}));
+		const changed = readOverview(first.servingRevision);
+		expect(changed.serving).toEqual(['entry-1:80']);
+		expect(readOverview(changed.servingRevision).serving).toBeUndefined();
+	});
+
+	// Each entry receives five answers a second from the same control instance.
+	it('answers entries in steady state with the same number of bytes, however many there are', () => {
+		const measureAnswer = (entries: number): number => {
+			const {registry} = createTestRegistry();
+			for (let i = 0; i < entries; i += 1) {
+				const loads = {'e-1': [1, 10, 20]} as const;
+				registry.applyReport(createReport(`entry-${i}`, {loads}));
+			}
+
+			const {known, overview} = registry.createReportResponse(reportRequest);
+			const answer = registry.createReportResponse({
+				...reportRequest,
+				known,
+				knownServing: overview!.servingRevision,
+			});
+			return JSON.stringify(answer).length;
+		};
+
+		expect(measureAnswer(400) / measureAnswer(100)).toBeLessThan(1.1);
+	});
+
 	it('merges a backend server from another instance with its age', () => {
 		const {time, registry} = createTestRegistry();
 		time.now = 1000;
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -4,6 +4,7 @@
 	type BackendLoad,
 	type BackendRecord,
 	type BackendTable,
+	type ClusterOverview,
 	type ControlReport,
 	type CrashHistory,
 	dropOldRecords,
@@ -12,6 +13,7 @@
 	fromAgedRecord,
 	fromCompactLoads,
 	isSameRegistration,
+	type KnownRevision,
 	listQuarantined,
 	mergeRecords,
 	type MergeOutcome,
@@ -50,7 +52,7 @@
 	createReportResponse: (
 		report: Pick<
 			EntryReport,
-			'entry' | 'known' | 'wantsOverview' | 'wantsAges'
+			'entry' | 'known' | 'knownServing' | 'wantsOverview' | 'wantsAges'
 		>,
 	) => Omit<ControlReport, 'version' | 'controls'>;
 	/** Entries that may be advertised to callers. */
@@ -99,6 +101,9 @@
 	const retries = new Map<string, EntryReport['retries']>();
 	let table: BackendTable = new Map();
 	let revision = 1;
+	/** Advertised entries as last described, and the number of changes of them. */
+	let lastServing: readonly string[] = [];
+	let servingCount = 0;
 	/** Revision of the last change of each backend server. */
 	const changedRevisions = new Map<string, number>();
 	/**
@@ -217,6 +222,28 @@
 			(entry) => entry.standing === 'ready' && isAlive(entry),
 		);
 
+	/**
+	 * The list grows with the number of entries, and so does the number of answers;
+	 * so it is sent only after a change.
+	 */
+	const describeServing = (
+		knownServing: KnownRevision | undefined,
+	): Pick<ClusterOverview, 'serving' | 'servingRevision'> => {
+		const serving = listServing().map(({address}) => address);
+		const isChanged =
+			serving.length !== lastServing.length ||
+			serving.some((address, i) => address !== lastServing[i]);
+		if (isChanged) {
+			lastServing = serving;
+			servingCount += 1;
+		}
+
+		const servingRevision = {epoch, revision: servingCount};
+		const isKnown =
+			knownServing?.epoch === epoch && knownServing.revision === servingCount;
+		return isKnown ? {servingRevision} : {servingRevision, serving};
+	};
+
 	return {
 		register(record) {
 			const merged = mergeRecords(table, [record]);
@@ -263,7 +290,13 @@
 				crashHistory = recordCrashes(crashHistory, report.crashes, clock.now());
 			}
 		},
-		createReportResponse: ({entry, known, wantsOverview, wantsAges}) => ({
+		createReportResponse: ({
+			entry,
+			known,
+			knownServing,
+			wantsOverview,
+			wantsAges,
+		}) => ({
 			entries: [...entries.values()].filter(isAlive).length,
 			known: {epoch, revision},
 			backends: listChanged(known).map((record) =>
@@ -273,7 +306,7 @@
 			...(wantsOverview
 				? {
 						overview: {
-							serving: listServing().map(({address}) => address),
+							...describeServing(knownServing),
 							loads: toCompactLoads(sumOtherEntries(loads, entry, addLoad)),
 							retries: sumOtherEntries(retries, entry, addCounts),
 						},
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -43,18 +43,22 @@
 	wantsOverview: boolean;
 	/** Requests the time since the last contact with each backend server. */
 	wantsAges: boolean;
+	/** Revision of the advertised entries that this entry has received. */
+	knownServing?: KnownRevision;
 }>;
 
 /** Part of an entry's report that is the same for every control instance. */
 export type SharedEntryReport = Omit<
 	EntryReport,
-	'known' | 'wantsOverview' | 'wantsAges'
+	'known' | 'knownServing' | 'wantsOverview' | 'wantsAges'
 >;
 
 /** Cluster state that is the same on every control instance. */
 export type ClusterOverview = Readonly<{
-	/** Caller addresses of the entries that accept requests. */
-	serving: readonly string[];
+	/** Caller addresses of the entries that accept requests; absent if they are as the entry knows them. */
+	serving?: readonly string[];
+	/** Older control instances don't send it. */
+	servingRevision?: KnownRevision;
 	/** Load from the other entries. */
 	loads: CompactLoads;
 	/** Requests and retries of the other entries, by service. */
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -44,6 +44,8 @@
 	version: number;
 	/** Last revision of the backend servers received from this peer. */
 	knownRevision: KnownRevision | undefined;
+	/** Revision of the advertised entries received from this peer. */
+	knownServing: KnownRevision | undefined;
 };
 
 /**
@@ -99,6 +101,7 @@
 			isUnreachable: false,
 			version: 0,
 			knownRevision: undefined,
+			knownServing: undefined,
 		};
 		peers.set(address, peer);
 		return peer;
@@ -215,6 +218,14 @@
 		peer.answeredAt = now;
 		peer.version = report.version;
 		peer.knownRevision = report.known;
+		if (report.overview !== undefined) {
+			// The list in use is that of the last primary control instance.
+			peers.forEach((other) => {
+				other.knownServing = undefined;
+			});
+			peer.knownServing = report.overview.servingRevision;
+		}
+
 		agesReceivedAt = report.agesMs === undefined ? agesReceivedAt : now;
 		report.controls.forEach((control) => advertisedAt.set(control, now));
 		options.onReport(address, report);
@@ -246,6 +257,7 @@
 		const report: EntryReport = {
 			...createReport(),
 			known: peer.knownRevision,
+			knownServing: peer.knownServing,
 			wantsOverview: isPrimary,
 			wantsAges: isPrimary && clock.now() - agesReceivedAt > AGES_INTERVAL_MS,
 		};
