--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -408,7 +408,11 @@
 		probe !== 'dead' && ctx.view.readAvailability(backend.id) !== 'unreachable';
 
 	/** Starts the next run after a failed one, waits for the budget, or gives up. */
-	const decideNextRun = (failed: Run, failure: AttemptFailure): void => {
+	const decideNextRun = (
+		failed: Run,
+		failure: AttemptFailure,
+		hasWaited = false,
+	): void => {
 		const {backend, kvBackup} = failed;
 		// The copy is gone, but this backend server is still the best choice unless
 		// it wants no requests.
@@ -425,15 +429,18 @@
 			),
 			hasRun,
 		);
-		ctx.log.warn('Stream attempt failed.', {
-			request: metadata.id,
-			backend: backend.id,
-			failure: failure.kind,
-			reason: failure.reason,
-			sent: sentTo.size,
-			decision: decision.kind,
-			lastEventId: delivery.readLastEventId() ?? '',
-		});
+		if (!hasWaited || decision.kind !== 'wait') {
+			ctx.log.warn('Stream attempt failed.', {
+				request: metadata.id,
+				backend: backend.id,
+				failure: failure.kind,
+				reason: failure.reason,
+				sent: sentTo.size,
+				decision: decision.kind,
+				lastEventId: delivery.readLastEventId() ?? '',
+			});
+		}
+
 		// A run that did not start has left no copy.
 		const hasLeftCopy = failure.kind === 'lost' || failure.kind === 'failed';
 		switch (decision.kind) {
@@ -456,10 +463,13 @@
 			}
 
 			case 'wait': {
-				ctx.metrics.count('retries_postponed');
+				if (!hasWaited) {
+					ctx.metrics.count('retries_postponed');
+				}
+
 				resendTimer = setTimeout(() => {
 					if (!isEnded) {
-						decideNextRun(failed, failure);
+						decideNextRun(failed, failure, true);
 					}
 				}, RESEND_DELAY_MS);
 				break;
