--- a/packages/lovage-fakes/src/relay.ts
+++ b/packages/lovage-fakes/src/relay.ts
@@ -12,6 +12,8 @@
 	blackholeNew: (directions: BlackholedDirections) => void;
 	/** Drops the bytes of open and future connections. */
 	blackholeAll: (directions: BlackholedDirections) => void;
+	/** Whether bytes of a connection from this client port were dropped. */
+	hasDroppedBytes: (clientPort: number) => boolean;
 	/** Closes all open connections, including blackholed ones. */
 	closeConnections: () => void;
 	countConnections: () => number;
@@ -26,6 +28,7 @@
 	client: Socket;
 	target: Socket;
 	dropped: BlackholedDirections;
+	onDropped: () => void;
 };
 
 type ByteCounter = {toTarget: number; toClient: number};
@@ -73,6 +76,7 @@
 
 	source.on('data', (chunk: Uint8Array) => {
 		if (isBlackholed(connection, direction)) {
+			connection.onDropped();
 			return;
 		}
 
@@ -111,6 +115,7 @@
 	options: RelayOptions = {},
 ): Promise<Relay> {
 	const connections = new Set<RelayedConnection>();
+	const portsWithDrops = new Set<number>();
 	const counter: ByteCounter = {toTarget: 0, toClient: 0};
 	let droppedOnNew: BlackholedDirections = 'none';
 	let delayMs = 0;
@@ -125,10 +130,15 @@
 				noDelay: true,
 				allowHalfOpen: true,
 			});
+			const {remotePort = 0} = client;
+			portsWithDrops.delete(remotePort);
 			const connection: RelayedConnection = {
 				client,
 				target,
 				dropped: droppedOnNew,
+				onDropped() {
+					portsWithDrops.add(remotePort);
+				},
 			};
 			connections.add(connection);
 			forwardBytes(connection, 'to-target', counter, getDelayMs);
@@ -175,6 +185,7 @@
 			blackholeOpen(directions);
 			blackholeNew(directions);
 		},
+		hasDroppedBytes: (clientPort) => portsWithDrops.has(clientPort),
 		closeConnections,
 		setDelay(ms) {
 			delayMs = ms;
