--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -3,9 +3,7 @@
 import {
 	type AttemptFailure,
 	type BackendRecord,
-	decideRetry,
 	isRepeatable,
-	type RetryInputs,
 } from '@lovagevalve/dispatch';
 import {
 	chooseRetryAfterMs,
@@ -21,12 +19,11 @@
 	readResponseMetadata,
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import {decideWithinBudget} from './retry-budgets.js';
 import {createKvBackup} from './kv-backup.js';
+import {createStreamAttempts} from './stream-attempts.js';
 import {createStreamDelivery} from './stream-delivery.js';
 import {
 	evaluateSilence,
-	recordLoss,
 	probeRun,
 	type PreviousRun,
 	type Run,
@@ -60,17 +57,10 @@
 ): StreamRelay {
 	const {route, service, res, metadata} = req;
 	const canRepeat = isRepeatable(route.kind, route.isResumable);
-	const excluded: string[] = [];
-	const failedDataCentres: string[] = [];
 	let run: Run | undefined;
 	const delivery = createStreamDelivery(ctx, req);
 	let isEnded = false;
-	/** Backend servers that the request was sent to. */
-	const sentTo = new Set<string>();
-	let attempts = 0;
-	let deaths = 0;
-	let moves = 0;
-	let hasRun = false;
+	const attempts = createStreamAttempts(ctx, req, delivery);
 	let resendTimer: NodeJS.Timeout | undefined;
 
 	const closeRun = (): void => {
@@ -95,9 +85,9 @@
 		recordCompletion(ctx, req, {
 			status,
 			reason,
-			sent: sentTo.size,
+			sent: attempts.countSent(),
 			backend: run?.backend.id,
-			details: {moves, ...delivery.readTimings()},
+			details: {moves: attempts.countMoves(), ...delivery.readTimings()},
 		});
 	};
 
@@ -113,7 +103,12 @@
 		} else {
 			const retryAfterMs =
 				status === 503 ? chooseRetryAfterMs(ctx, req) : undefined;
-			endWithProblem(ctx, req, {status, reason, retryAfterMs}, sentTo.size);
+			endWithProblem(
+				ctx,
+				req,
+				{status, reason, retryAfterMs},
+				attempts.countSent(),
+			);
 		}
 
 		finish();
@@ -165,7 +160,7 @@
 				return;
 			}
 
-			record(HTTP_OK, moves > 0 ? 'moved' : 'backend server');
+			record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
 			current.kvBackup.release();
 			delivery.complete(response);
 			finish();
@@ -217,7 +212,7 @@
 			relayEvents(current, response);
 		} else if (
 			delivery.hasBegun() ||
-			(status >= 500 && canRepeat && sentTo.size < route.maxAttempts)
+			(status >= 500 && canRepeat && attempts.countSent() < route.maxAttempts)
 		) {
 			handleRunFailure(current, {kind: 'failed', reason: String(status)});
 		} else {
@@ -232,8 +227,11 @@
 			return undefined;
 		}
 
-		const avoided = [...excluded, backend.id];
-		const avoidedDataCentres = [...failedDataCentres, backend.dataCentre];
+		const avoided = [...attempts.listExcluded(), backend.id];
+		const avoidedDataCentres = [
+			...attempts.listFailedDataCentres(),
+			backend.dataCentre,
+		];
 		const placementRequest = createPlacementRequest(
 			ctx,
 			req,
@@ -249,8 +247,8 @@
 		const placementRequest = createPlacementRequest(
 			ctx,
 			req,
-			excluded,
-			failedDataCentres,
+			attempts.listExcluded(),
+			attempts.listFailedDataCentres(),
 		);
 		const backend =
 			kvCopy?.backend ??
@@ -287,8 +285,7 @@
 			isClosed: false,
 		};
 		run = current;
-		attempts += 1;
-		sentTo.add(backend.id);
+		attempts.recordStart(backend);
 		current.exchange = openExchange(
 			{
 				address: backend.address,
@@ -328,11 +325,11 @@
 	/** A started stream waits for a backend server; a new one is rejected. */
 	const scheduleResend = (reason: string): void => {
 		if (!delivery.hasBegun()) {
-			abort(hasRun ? 502 : 503, reason);
+			abort(attempts.hasRun() ? 502 : 503, reason);
 			return;
 		}
 
-		excluded.length = 0;
+		attempts.clearExcluded();
 		resendTimer = setTimeout(() => {
 			if (!isEnded) {
 				start();
@@ -340,70 +337,16 @@
 		}, RESEND_DELAY_MS);
 	};
 
-	/** The result of its probe counts from the next failure on. */
-	const countDeath = async (current: Run): Promise<void> => {
-		const isSuspected = await recordLoss(ctx, req.digest, current);
-		deaths += isSuspected ? 1 : 0;
-	};
-
-	const recordFailure = (current: Run, failure: AttemptFailure): void => {
-		switch (failure.kind) {
-			case 'not-sent': {
-				sentTo.delete(current.backend.id);
-				ctx.view.reportHealth(current.backend, 'unreachable');
-				break;
-			}
-
-			case 'rejected': {
-				break;
-			}
-
-			case 'failed': {
-				hasRun = true;
-				ctx.view.reportHealth(current.backend, 'failed');
-				break;
-			}
-
-			case 'lost': {
-				hasRun = true;
-				void countDeath(current);
-				break;
-			}
-		}
-	};
-
 	const handleRunFailure = (current: Run, failure: AttemptFailure): void => {
 		if (current.isClosed || isEnded) {
 			return;
 		}
 
 		closeRun();
-		recordFailure(current, failure);
+		attempts.recordFailure(current, failure);
 		decideNextRun(current, failure);
 	};
 
-	const createRetryInputs = (
-		failure: AttemptFailure,
-		sent = sentTo.size,
-	): Omit<RetryInputs, 'hasBudget'> & Readonly<{isLate: boolean}> => ({
-		isRepeatable: canRepeat,
-		failure,
-		sent,
-		attempts,
-		maxAttempts: route.maxAttempts,
-		isQuarantined: ctx.isQuarantined(req.digest),
-		deaths,
-		remainingMs: readRemainingMs(ctx, req),
-		canWait: delivery.hasBegun(),
-		isLate: delivery.isLate(),
-	});
-
-	const canStartNextRun = (): boolean => {
-		const inputs = createRetryInputs({kind: 'lost', reason: 'silent'});
-		const hasBudget = ctx.retryBudgets.hasLeft(service.name, inputs.isLate);
-		return decideRetry({...inputs, hasBudget}, true).kind === 'retry';
-	};
-
 	const isPossiblyAlive = ({probe, backend}: Run): boolean =>
 		probe !== 'dead' && ctx.view.readAvailability(backend.id) !== 'unreachable';
 
@@ -420,14 +363,10 @@
 			failed.hasCopy &&
 			failure.kind === 'rejected' &&
 			ctx.view.readAvailability(backend.id) === 'usable';
-		const decision = decideWithinBudget(
-			ctx.retryBudgets,
-			service.name,
-			createRetryInputs(
-				failure,
-				sentTo.size - (shouldRetryWithoutCopy ? 1 : 0),
-			),
-			hasRun,
+		const decision = attempts.decideNext(
+			failed,
+			failure,
+			shouldRetryWithoutCopy,
 		);
 		if (!hasWaited || decision.kind !== 'wait') {
 			ctx.log.warn('Stream attempt failed.', {
@@ -435,7 +374,7 @@
 				backend: backend.id,
 				failure: failure.kind,
 				reason: failure.reason,
-				sent: sentTo.size,
+				sent: attempts.countSent(),
 				decision: decision.kind,
 				lastEventId: delivery.readLastEventId() ?? '',
 			});
@@ -445,15 +384,6 @@
 		const hasLeftCopy = failure.kind === 'lost' || failure.kind === 'failed';
 		switch (decision.kind) {
 			case 'retry': {
-				moves += 1;
-				if (!shouldRetryWithoutCopy) {
-					excluded.push(backend.id);
-				}
-
-				if (failure.kind !== 'rejected') {
-					failedDataCentres.push(backend.dataCentre);
-				}
-
 				start({
 					backend,
 					kvCopy: hasLeftCopy ? kvBackup.findCopy() : undefined,
@@ -527,7 +457,7 @@
 
 			case 'move': {
 				// A slow run is better than none.
-				if (isPossiblyAlive(current) && !canStartNextRun()) {
+				if (isPossiblyAlive(current) && !attempts.canReplaceRun()) {
 					break;
 				}
 
