Keep the notices of an incarnation when its predecessor answers late

Cause, by a unit test that failed first: an answer of the previous incarnation under the same id replaced what the later one had said, so that a leaving server was used again.

Change: a notice of an earlier incarnation is dropped. The log line of a leaving server has no empty field any more.

--- a/packages/lovage-dispatch/src/__tests__/unit/backend-notices.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/backend-notices.test.ts
@@ -17,6 +17,12 @@
 		const reborn = recordNotice(notices, 2, {isLeaving: false}, 20);
 		expect(findClosedReason(reborn, 2, 30)).toBeUndefined();
 	});
+
+	it('is not forgotten when an answer of the previous incarnation comes late', () => {
+		const notices = recordNotice(undefined, 2, leaving, 0);
+		const late = recordNotice(notices, 1, {isLeaving: false}, 10);
+		expect(findClosedReason(late, 2, 20)).toBe('leaving');
+	});
 });
 
 describe('pushback', () => {
--- a/packages/lovage-dispatch/src/backend-notices.ts
+++ b/packages/lovage-dispatch/src/backend-notices.ts
@@ -18,13 +18,17 @@
 /** Why a backend server must not receive requests from this instance. */
 export type ClosedReason = 'leaving' | 'pushback';
 
-/** Adds a notice. Notices of an earlier incarnation don't apply to a later one. */
+/** Adds a notice; one of an earlier incarnation neither applies to a later one nor replaces its notices. */
 export function recordNotice(
 	notices: BackendNotices | undefined,
 	bornAt: number,
 	notice: BackendNotice,
 	now: number,
 ): BackendNotices {
+	if (notices !== undefined && notices.bornAt > bornAt) {
+		return notices;
+	}
+
 	const known =
 		notices?.bornAt === bornAt
 			? notices
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -285,8 +285,9 @@
 				service,
 				bornAt,
 				notice: reason,
-				forMs:
-					reason === 'leaving' ? '' : Math.round(after.pushbackUntil - now),
+				...(reason === 'pushback'
+					? {forMs: Math.round(after.pushbackUntil - now)}
+					: {}),
 			});
 		},
 		listLeaving: () =>
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -28,8 +28,9 @@
 	/** From now on, closes each connection after its next response. */
 	disableKeepAlive: () => void;
 	/**
-	 * Resolves when all responses are delivered and no request can arrive on a connection
-	 * that was accepted before the server closed, or the time limit has passed.
+	 * Resolves when all responses are delivered and no request can arrive on a
+	 * connection that was accepted before the server closed, or the time limit has
+	 * passed.
 	 */
 	awaitIdle: (limitMs: number) => Promise<void>;
 	countRequests: () => number;
