--- a/packages/lovage-consensus/src/members.ts
+++ b/packages/lovage-consensus/src/members.ts
@@ -38,9 +38,9 @@
 
 /**
  * Returns whether a replica should ask the leader to add it: it belongs to no
- * group, or it hears from no leader. Its own log can't tell whether it is still a
+ * group, or it has no live leader. Its own log does not show whether it is still a
  * member: a replica that was removed while it was cut off has not received that
- * entry, and the leader no longer sends it anything. The request is idempotent
+ * entry, and the leader no longer replicates to it. The request is idempotent
  * for a replica that is already a member.
  */
 export function needsJoin(state: RaftState, now: number): boolean {
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -174,7 +174,7 @@
 			});
 	};
 
-	/** Marks backend servers as draining that told an entry that they leave. */
+	/** Marks backend servers as draining whose answers to an entry announced their shutdown. */
 	const applyDepartures = (leaving: readonly string[]): void => {
 		const departing = [...table.values()].filter(
 			({id, bornAt, state}) =>
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -34,7 +34,7 @@
 	/** Sum over the other instances; absent if unknown. */
 	otherCounts?: RetryCounts;
 	/**
-	 * Number in [0, 1) that this instance draws anew for each `REPORT_LAG_MS`.
+	 * Number in [0, 1) that this instance redraws every `REPORT_LAG_MS`.
 	 * It decides whether a fraction of a retry is rounded up.
 	 */
 	rounding: number;
--- a/packages/lovage-gateway/src/__tests__/integration/backend-notices.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/backend-notices.test.ts
@@ -1,18 +1,15 @@
-import {afterEach, describe, expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	startBackend,
 	startHarness,
 	type Harness,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 type Answer = Readonly<{
 	status: number;
--- a/packages/lovage-gateway/src/__tests__/integration/broken-answers.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/broken-answers.test.ts
@@ -1,19 +1,16 @@
 import {connect} from 'node:net';
-import {afterEach, describe, expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	startHarness,
 	startRawBackend,
 	type Harness,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 async function start(...ports: readonly number[]): Promise<Harness> {
 	const harness = await startHarness(configuration);
--- a/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
@@ -4,11 +4,12 @@
 import {createJsonServer} from '@lovagevalve/runtime';
 import type {ControlReport} from '@lovagevalve/dispatch';
 import {ok} from 'neverthrow';
-import {afterEach, describe, expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import {createEntry} from '../../entry.js';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	listen,
 	silentMetrics,
@@ -21,11 +22,7 @@
 const STREAM_DURATION_MS = 800;
 /** More than the socket buffers of both sides hold. */
 const LARGE_BODY_BYTES = 12_000_000;
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 /** Starts a fake control instance that reports one backend server. */
 async function startControl(backendPort: number): Promise<string> {
--- a/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
@@ -2,11 +2,12 @@
 import {createJsonServer} from '@lovagevalve/runtime';
 import type {AgedRecord, ControlReport} from '@lovagevalve/dispatch';
 import {ok} from 'neverthrow';
-import {afterEach, expect, it} from 'vitest';
+import {expect, it} from 'vitest';
 import {createEntry, type Entry} from '../../entry.js';
 import {
 	call,
 	configuration,
+	createCleanups,
 	listen,
 	silentLogger,
 	silentMetrics,
@@ -14,11 +15,7 @@
 	testCodec,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 type Control = Readonly<{
 	version: number;
--- a/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
@@ -1,8 +1,9 @@
 import {connect} from 'node:net';
-import {afterEach, describe, expect, it} from 'vitest';
+import {describe, expect, it} from 'vitest';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	startBackend,
 	startHarness,
@@ -10,11 +11,7 @@
 	type Harness,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 async function start(
 	...backends: ReadonlyArray<{server: {close: () => unknown}; port: number}>
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -12,6 +12,7 @@
 	type Socket,
 } from 'node:net';
 import {Buffer} from 'node:buffer';
+import {afterEach} from 'vitest';
 import type {AgedRecord, Crash, RetryBudgetPolicy} from '@lovagevalve/dispatch';
 import {
 	createRouteTable,
@@ -158,6 +159,15 @@
 	extra: 100,
 };
 
+/** Creates a list of cleanups that run after each test of the file. */
+export function createCleanups(): Array<() => unknown> {
+	const cleanups: Array<() => unknown> = [];
+	afterEach(async () => {
+		await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+	});
+	return cleanups;
+}
+
 /** Starts a gateway; without `initialConfiguration`, none is known. */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
--- a/packages/lovage-gateway/src/__tests__/integration/stream-progress.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/stream-progress.test.ts
@@ -1,19 +1,16 @@
 import type {ServerResponse} from 'node:http';
-import {afterEach, expect, it} from 'vitest';
+import {expect, it} from 'vitest';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	startBackend,
 	startHarness,
 	type Harness,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 const config = {
 	...configuration,
--- a/packages/lovage-gateway/src/__tests__/integration/stream-resume.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/stream-resume.test.ts
@@ -1,19 +1,16 @@
 import type {RetryBudgetPolicy} from '@lovagevalve/dispatch';
-import {afterEach, expect, it} from 'vitest';
+import {expect, it} from 'vitest';
 import {
 	call,
 	configuration,
+	createCleanups,
 	formatEvent,
 	startBackend,
 	startHarness,
 	type Harness,
 } from './harness.js';
 
-const cleanups: Array<() => unknown> = [];
-
-afterEach(async () => {
-	await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
-});
+const cleanups = createCleanups();
 
 const config = {
 	...configuration,
@@ -56,7 +53,7 @@
 
 // When a data centre loses all its engines, there are more broken streams than
 // retries left. One that waits keeps its copy; one that is given up is sent again
-// by its caller and reads its whole prompt anew.
+// by its caller, and its whole prompt is processed again.
 it('a started stream waits for the retry budget instead of breaking off', async () => {
 	const engines = [
 		await startEngine(2, 'reset'),
