Send no copy command in a pause to a server that is avoided too

Cause, by a test that failed first: the command asked for the one reason why a server is not usable, and a failed exchange hid the pause.

Change: the view tells about the pause by itself.

--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -19,7 +19,7 @@
 	backend: BackendRecord,
 	{method, path, body = ''}: BackendCommand,
 ): Promise<Result<string, string>> {
-	if (ctx.view.readAvailability(backend.id) === 'pushback') {
+	if (ctx.view.isPaused(backend)) {
 		return err('the backend server asked for a pause');
 	}
 
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -81,6 +81,8 @@
 	reportHealth: (backend: BackendRecord, outcome: ExchangeOutcome) => void;
 	/** Applies what a backend server said about itself in an answer. */
 	recordNotice: (backend: BackendRecord, notice: BackendNotice) => void;
+	/** Whether a backend server has asked for a pause that is not over yet. */
+	isPaused: (backend: BackendRecord) => boolean;
 	/**
 	 * Incarnations that said they are leaving but are registered as ready, as
 	 * `id/bornAt`.
@@ -290,6 +292,7 @@
 					: {}),
 			});
 		},
+		isPaused: (backend) => findClosed(backend) === 'pushback',
 		listLeaving: () =>
 			[...noticesById]
 				.filter(
