Bring back the check of retries when broken streams pile up

The load test of the retry budget lost it when its pool of streams was closed, without a trace that the case is allowed. No code changed.

--- a/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
@@ -42,6 +42,8 @@
 	streams: number;
 	/** Running streams that each crash breaks off. */
 	broken: number;
+	/** Broken streams come on top of those in progress, without a limit. */
+	isOpen?: boolean;
 }>;
 
 /** Deterministic pseudo-random numbers in [0, 1). */
@@ -57,7 +59,10 @@
 	return values.reduce((total, value) => total + value, 0);
 }
 
-function playDay(seed: number, {instances, streams, broken}: Load) {
+function playDay(
+	seed: number,
+	{instances, streams, broken, isOpen = false}: Load,
+) {
 	const random = createRandom(seed);
 	const entries = Array.from({length: instances}, (): Entry => ({
 		budget: EMPTY_BUDGET,
@@ -90,7 +95,7 @@
 			}
 
 			entry.budget = next;
-			entry.running += 1;
+			entry.running += isOpen ? 0 : 1;
 			grantedAt.push(now);
 			waitedMs.push(now - since);
 			return false;
@@ -111,6 +116,11 @@
 
 	const breakOff = (now: number): void => {
 		for (let i = 0; i < broken; i += 1) {
+			if (isOpen) {
+				drawEntry().waiting.push(now);
+				continue;
+			}
+
 			const running = entries.flatMap((entry) =>
 				Array.from({length: entry.running}, () => entry),
 			);
@@ -224,3 +234,19 @@
 		});
 	},
 );
+
+// More streams break off than were in progress, so that those that wait pile up.
+it.each([9, 65, 195])(
+	'%i entries stay within the policy when broken streams pile up',
+	(instances) => {
+		SEEDS.forEach((seed) => {
+			[1.8, 4].forEach((share) => {
+				const broken = Math.floor(
+					(LIMIT * share * CRASH_INTERVAL_MS) / POLICY.windowMs,
+				);
+				const load = {instances, streams: STREAMS, broken, isOpen: true};
+				expect(playDay(seed, load).mostInWindow).toBeLessThanOrEqual(LIMIT);
+			});
+		});
+	},
+);
