--- a/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
@@ -190,6 +190,7 @@
 	(POLICY.ratio * REQUESTS_PER_S * POLICY.windowMs) / 1000 + POLICY.extra;
 const SEEDS = [1, 2, 3, 4, 5];
 const STREAMS = 180;
+const CRASHES_PER_WINDOW = 4;
 
 it.each([9, 65, 195])(
 	'%i entries resume the streams of one data centre of three, crash after crash',
@@ -241,9 +242,7 @@
 	(instances) => {
 		SEEDS.forEach((seed) => {
 			[1.8, 4].forEach((share) => {
-				const broken = Math.floor(
-					(LIMIT * share * CRASH_INTERVAL_MS) / POLICY.windowMs,
-				);
+				const broken = Math.floor((LIMIT * share) / CRASHES_PER_WINDOW);
 				const load = {instances, streams: STREAMS, broken, isOpen: true};
 				expect(playDay(seed, load).mostInWindow).toBeLessThanOrEqual(LIMIT);
 			});
