Check a drain against the response, not against the caller's event

Caller and entry share one process in this test. The poll of the drain can run in the turn of the event loop after the response closed and before the caller's end event.

Change: the test records, when each response closes, whether the entry had drained. It is as strict: with a drain that does not wait for responses it fails ([true] instead of [false]).

--- a/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
@@ -66,6 +66,8 @@
 	port: number;
 	isDrained: () => boolean;
 	drained: Promise<void>;
+	/** For each response that closed: whether the entry had drained before. */
+	closedResponses: readonly boolean[];
 }> {
 	const backend = await startBackend((req, res) => {
 		res.writeHead(200, {'Request-Id': req.headers['request-id']});
@@ -108,26 +110,37 @@
 	}
 
 	let isDrained = false;
+	const closedResponses: boolean[] = [];
+	entry.gateway.server.on('request', (_req, res) => {
+		res.on('close', () => {
+			closedResponses.push(isDrained);
+		});
+	});
 	const drain = async (): Promise<void> => {
 		await entry.drain();
 		isDrained = true;
 	};
 
-	return {port, isDrained: () => isDrained, drained: drain()};
+	return {
+		port,
+		isDrained: () => isDrained,
+		drained: drain(),
+		closedResponses,
+	};
 }
 
 describe('a draining entry', () => {
 	// Callers that still use the address of an idle, draining entry send requests to it.
 	it('finishes a request that arrives after an idle period', async () => {
-		const {port, isDrained, drained} = await startDraining();
+		const {port, drained, closedResponses} = await startDraining();
 		await sleep(ADDRESS_LIFETIME_MS / 3);
 		const response = await call(port, '/stream/1', {'wait-ms': '3000'});
 		expect(response).toMatchObject({
 			body: formatEvent(1) + formatEvent(2),
 			isWhole: true,
 		});
-		expect(isDrained()).toBe(false);
 		await drained;
+		expect(closedResponses).toEqual([false]);
 	});
 
 	// The process ends once it has drained, which cuts what it has accepted.
