Keep the parts of the retry budget within one

Cause, by a trace of the red check "when broken streams pile up": (1) an entry counted its own requests in progress at once, and the others' as of 200 to 400 ms ago; when they grow everywhere, the parts add up to more than one. (2) Each entry redrew every 600 ms whether it rounds a fraction of a retry up; a redraw between a crash and the next report gave entries that had rounded down a second chance (59 retries at 16.0 s, 28 more at 16.2 s, of a part of about 59).

Ruled out: the part that an entry may always use. Without it the most in a window changed by 2 of 376 at most.

Change: an entry counts what it had in progress at the last two sums of the others, the lower of both, and one more, so that an entry without any keeps a part. The rounding passes through all fractions once in ten seconds from an offset drawn at start, instead of redraws.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -84,7 +84,7 @@
 				now: requests,
 				instances,
 				active: 1,
-				rounding: 0,
+				roundingOffset: 0,
 			});
 			if (next === undefined) {
 				return spent;
@@ -109,21 +109,21 @@
 			now: 0,
 			instances: 20,
 			active: 1,
-			rounding: 0,
+			roundingOffset: 0,
 		});
 		expect(budget).toBeUndefined();
 		budget = spendRetry(EMPTY_BUDGET, policy, {
 			now: 0,
 			instances: 1,
 			active: 1,
-			rounding: 0,
+			roundingOffset: 0,
 		});
 		expect(
 			spendRetry(budget!, policy, {
 				now: 20_000,
 				instances: 1,
 				active: 1,
-				rounding: 0,
+				roundingOffset: 0,
 			}),
 		).toBeDefined();
 	});
@@ -263,7 +263,7 @@
 					instances,
 					active: 1,
 					otherCounts: others,
-					rounding: 0,
+					roundingOffset: 0,
 				});
 				if (next === undefined) {
 					return {spent, budget};
--- a/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
@@ -3,7 +3,6 @@
 	countRequest,
 	countWindow,
 	EMPTY_BUDGET,
-	REPORT_LAG_MS,
 	type RetryBudget,
 	type RetryCounts,
 	spendRetry,
@@ -30,8 +29,10 @@
 type Entry = {
 	budget: RetryBudget;
 	others: RetryCounts;
-	rounding: number;
+	roundingOffset: number;
 	running: number;
+	/** Requests in progress when the last two sums of the others arrived. */
+	active: readonly [number, number];
 	/** Times at which streams broke off that wait for a retry. */
 	waiting: number[];
 };
@@ -67,8 +68,9 @@
 	const entries = Array.from({length: instances}, (): Entry => ({
 		budget: EMPTY_BUDGET,
 		others: {requests: 0, retries: 0, active: 0},
-		rounding: 0,
+		roundingOffset: random(),
 		running: 0,
+		active: [0, 0],
 		waiting: [],
 	}));
 	const drawEntry = (): Entry => entries[Math.floor(random() * instances)]!;
@@ -80,14 +82,13 @@
 		running + waiting.length;
 
 	const spendWaiting = (entry: Entry, now: number): void => {
-		const active = readActive(entry);
 		entry.waiting = entry.waiting.filter((since) => {
 			const next = spendRetry(entry.budget, POLICY, {
 				now,
 				instances,
-				active,
+				active: Math.min(...entry.active),
 				otherCounts: entry.others,
-				rounding: entry.rounding,
+				roundingOffset: entry.roundingOffset,
 				isLate: now - since >= GAP_TARGET_MS,
 			});
 			if (next === undefined) {
@@ -112,6 +113,7 @@
 			retries: sumOthers('retries'),
 			active: sumOthers('active'),
 		};
+		entry.active = [entry.active[1], readActive(entry)];
 	};
 
 	const breakOff = (now: number): void => {
@@ -148,10 +150,6 @@
 
 		entries.forEach((entry, i) => {
 			receiveCounts(entry, i);
-			if (now % REPORT_LAG_MS === 0) {
-				entry.rounding = random();
-			}
-
 			spendWaiting(entry, now);
 		});
 		reported = entries.map((entry) => ({
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -49,7 +49,6 @@
 	countRequest,
 	countWindow,
 	EMPTY_BUDGET,
-	REPORT_LAG_MS,
 	spendRetry,
 } from './retry-budget.js';
 export type {
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -29,15 +29,18 @@
 	now: number;
 	/** Number of instances; at least 1. */
 	instances: number;
-	/** Requests in progress at this instance. */
+	/**
+	 * Requests in progress at this instance, without those that the other
+	 * instances may not know of yet.
+	 */
 	active: number;
 	/** Sum over the other instances; absent if unknown. */
 	otherCounts?: RetryCounts;
 	/**
-	 * Number in [0, 1) that this instance redraws every `REPORT_LAG_MS`.
-	 * It decides whether a fraction of a retry is rounded up.
+	 * Number in [0, 1) that this instance has drawn once. It decides when a
+	 * fraction of a retry is rounded up.
 	 */
-	rounding: number;
+	roundingOffset: number;
 	/** The request misses its service level even if it is retried now. */
 	isLate?: boolean;
 }>;
@@ -54,7 +57,12 @@
 /** Part of the policy that is kept for requests that can still be on time. */
 const ON_TIME_RESERVE_SHARE = 0.25;
 /** Time until all instances know of a retry: an interval until it is reported, and one until the others receive the sum. */
-export const REPORT_LAG_MS = 600;
+const REPORT_LAG_MS = 600;
+/**
+ * Time in which each instance rounds up every fraction once. Within the report
+ * lag, hardly any instance that rounded down may round up.
+ */
+const ROUNDING_PERIOD_MS = 10_000;
 
 function listUnreported(
 	{unreported}: RetryBudget,
@@ -121,15 +129,19 @@
 	};
 }
 
-/** Part of what all instances have left that falls to this instance. */
+/**
+ * Part of what all instances have left that falls to this instance. Each counts
+ * one request more than it has, so that one without any keeps a share and the
+ * shares still add up to one.
+ */
 function computeOwnShare({
 	instances,
 	active,
 	otherCounts,
 }: RetryBudgetContext): number {
-	return otherCounts?.active === undefined || active === 0
+	return otherCounts?.active === undefined
 		? 1 / instances
-		: active / (active + otherCounts.active);
+		: (active + 1) / (active + otherCounts.active + instances);
 }
 
 /**
@@ -145,7 +157,8 @@
 	policy: RetryBudgetPolicy,
 	context: RetryBudgetContext,
 ): RetryBudget | undefined {
-	const {now, instances, otherCounts, rounding, isLate = false} = context;
+	const {now, instances, otherCounts, roundingOffset, isLate = false} = context;
+	const rounding = (roundingOffset + now / ROUNDING_PERIOD_MS) % 1;
 	const usableShare = SHARED_LIMIT_SHARE - (isLate ? ON_TIME_RESERVE_SHARE : 0);
 	const own = countWindow(budget, policy, now);
 	const unreported = listUnreported(budget, now).length;
--- a/packages/lovage-gateway/src/retry-budgets.ts
+++ b/packages/lovage-gateway/src/retry-budgets.ts
@@ -3,7 +3,6 @@
 	countWindow,
 	decideRetry,
 	EMPTY_BUDGET,
-	REPORT_LAG_MS,
 	type RetryBudget,
 	type RetryBudgetPolicy,
 	type RetryCounts,
@@ -46,22 +45,17 @@
 	const budgets = new Map<string, RetryBudget>();
 	const active = new Map<string, number>();
 	const readActive = (service: string): number => active.get(service) ?? 0;
+	/** Requests in progress when the last two sums of the others arrived. */
+	let reportedActive: ReadonlyArray<ReadonlyMap<string, number>> = [];
+	const readReportedActive = (service: string): number =>
+		Math.min(...reportedActive.map((counts) => counts.get(service) ?? 0));
 	let remoteCounts: Readonly<Record<string, RetryCounts>> = {};
 	let remoteCountsAt = Number.NEGATIVE_INFINITY;
 	const readRemoteCounts = (service: string): RetryCounts | undefined =>
 		clock.now() - remoteCountsAt < REMOTE_COUNTS_FRESHNESS_MS
 			? (remoteCounts[service] ?? {requests: 0, retries: 0})
 			: undefined;
-	let rounding = random();
-	let roundingDrawnAt = clock.now();
-	const readRounding = (): number => {
-		if (clock.now() - roundingDrawnAt >= REPORT_LAG_MS) {
-			rounding = random();
-			roundingDrawnAt = clock.now();
-		}
-
-		return rounding;
-	};
+	const roundingOffset = random();
 
 	const readBudget = (service: string): RetryBudget =>
 		budgets.get(service) ?? EMPTY_BUDGET;
@@ -72,9 +66,9 @@
 		spendRetry(readBudget(service), policy, {
 			now: clock.now(),
 			instances: countEntries(),
-			active: readActive(service),
+			active: readReportedActive(service),
 			otherCounts: readRemoteCounts(service),
-			rounding: readRounding(),
+			roundingOffset,
 			isLate,
 		});
 	return {
@@ -109,6 +103,7 @@
 			),
 		updateRemoteCounts(counts) {
 			remoteCounts = counts;
+			reportedActive = [...reportedActive.slice(-1), new Map(active)];
 			remoteCountsAt = clock.now();
 		},
 	};
