Request ready backend servers from the primary control instance only

Each change of a backend server reaches each entry five times, from each control instance.

Change: once an entry has received all backend servers, it asks the control instances other than the primary one only for those that have ended. When another one becomes the primary, the entry asks it for the changes from 3 s before the last complete answer, the time in which control instances tell each other; without such a revision, for all. The field is optional: builds without it send and receive what they did.

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -57,6 +57,7 @@
 			| 'entry'
 			| 'known'
 			| 'knownServing'
+			| 'endedOnly'
 			| 'wantsOverview'
 			| 'wantsAges'
 			| 'agesAboveMs'
@@ -213,6 +214,7 @@
 	/** Lists changed backend servers, the oldest changes first. */
 	const listChanged = (
 		known: KnownRevision | undefined,
+		endedOnly: boolean,
 		limit: number,
 	): ReadonlyArray<Readonly<{record: BackendRecord; changedAt: number}>> => {
 		const changed: Array<{record: BackendRecord; changedAt: number}> = [];
@@ -223,7 +225,8 @@
 				known === undefined
 					? record?.state !== 'gone' || record.heardAt > goneSince
 					: changedAt > known.revision;
-			if (isMissing && record !== undefined) {
+			const isLeftOut = endedOnly && record?.state === 'ready';
+			if (isMissing && !isLeftOut && record !== undefined) {
 				changed.push({record, changedAt});
 			}
 
@@ -237,13 +240,14 @@
 
 	const describeChanges = (
 		reported: KnownRevision | undefined,
+		endedOnly = false,
 	): Pick<ControlReport, 'known' | 'backends' | 'hasMore'> => {
 		const now = clock.now();
 		const known = reported?.epoch === epoch ? reported : undefined;
 		const changed =
 			known?.revision === revision
 				? []
-				: listChanged(known, MAX_CHANGES_PER_ANSWER + 1);
+				: listChanged(known, endedOnly, MAX_CHANGES_PER_ANSWER + 1);
 		const sent = changed.slice(0, MAX_CHANGES_PER_ANSWER);
 		const backends = sent.map(({record}) => toAgedRecord(record, now));
 		return sent.length === changed.length
@@ -348,12 +352,13 @@
 			entry,
 			known,
 			knownServing,
+			endedOnly,
 			wantsOverview,
 			wantsAges,
 			agesAboveMs,
 		}) => ({
 			entries: [...entries.values()].filter(isAlive).length,
-			...describeChanges(known),
+			...describeChanges(known, endedOnly),
 			...(wantsAges ? describeAges(agesAboveMs) : {}),
 			...(wantsOverview
 				? {
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -39,6 +39,8 @@
 	leaving?: readonly string[];
 	/** Absent to request all backend servers. */
 	known?: KnownRevision;
+	/** Leaves out backend servers that are ready; older control instances send them all the same. */
+	endedOnly?: boolean;
 	/** Requests the overview. It is the same on every control instance, so an entry asks only one at a time. */
 	wantsOverview: boolean;
 	/** Requests the time since the last contact with each backend server. */
@@ -52,7 +54,12 @@
 /** Part of an entry's report that is the same for every control instance. */
 export type SharedEntryReport = Omit<
 	EntryReport,
-	'known' | 'knownServing' | 'wantsOverview' | 'wantsAges' | 'agesAboveMs'
+	| 'known'
+	| 'knownServing'
+	| 'endedOnly'
+	| 'wantsOverview'
+	| 'wantsAges'
+	| 'agesAboveMs'
 >;
 
 /** Cluster state that is the same on every control instance. */
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -5,6 +5,12 @@
 	SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
+import {
+	chooseFullRevision,
+	NO_REVISIONS,
+	type PeerRevisions,
+	recordRevision,
+} from './peer-revisions.js';
 
 /** Dependencies and callbacks of a control client. */
 export type ControlClientOptions = Readonly<{
@@ -44,8 +50,7 @@
 	isUnreachable: boolean;
 	/** Version of the newest configuration that this peer knows. */
 	version: number;
-	/** Last revision of the backend servers received from this peer. */
-	knownRevision: KnownRevision | undefined;
+	revisions: PeerRevisions;
 	/** Revision of the advertised entries received from this peer. */
 	knownServing: KnownRevision | undefined;
 };
@@ -94,6 +99,8 @@
 	let isFetching = false;
 	let primaryPeer: string | undefined;
 	let round = 0;
+	/** When the last report was sent whose answer completed the backend servers. */
+	let syncedAt: number | undefined;
 	let agesReceivedAt = Number.NEGATIVE_INFINITY;
 	let firstVersionAt: number | undefined;
 
@@ -103,7 +110,7 @@
 			answeredAt: undefined,
 			isUnreachable: false,
 			version: 0,
-			knownRevision: undefined,
+			revisions: NO_REVISIONS,
 			knownServing: undefined,
 		};
 		peers.set(address, peer);
@@ -220,7 +227,6 @@
 		peer.isUnreachable = false;
 		peer.answeredAt = now;
 		peer.version = report.version;
-		peer.knownRevision = report.known;
 		if (report.overview !== undefined) {
 			// The list in use is that of the last primary control instance.
 			peers.forEach((other) => {
@@ -257,10 +263,16 @@
 
 		peer.isBusy = true;
 		const isPrimary = address === primaryPeer;
+		// Until the first answer is complete, any control instance may be the first.
+		const isEndedOnly = !isPrimary && syncedAt !== undefined;
+		const sentAt = clock.now();
 		const report: EntryReport = {
 			...createReport(),
-			known: peer.knownRevision,
+			known: isEndedOnly
+				? peer.revisions.known
+				: chooseFullRevision(peer.revisions, syncedAt ?? sentAt),
 			knownServing: peer.knownServing,
+			endedOnly: isEndedOnly,
 			wantsOverview: isPrimary,
 			wantsAges: isPrimary && clock.now() - agesReceivedAt > AGES_INTERVAL_MS,
 			agesAboveMs: readAgesAboveMs(),
@@ -274,8 +286,15 @@
 		peer.isBusy = false;
 		response.match(
 			(found) => {
+				const {known, hasMore = false} = found;
+				peer.revisions = recordRevision(peer.revisions, {
+					known,
+					isEndedOnly,
+					sentAt,
+				});
+				syncedAt = isEndedOnly || hasMore ? syncedAt : sentAt;
 				applyReport(address, peer, found, report.version);
-				if (found.hasMore === true && address === primaryPeer) {
+				if (hasMore && address === primaryPeer) {
 					void sendReport(address);
 				}
 			},
@@ -297,7 +316,7 @@
 				(address) =>
 					isFullRound ||
 					address === primaryPeer ||
-					readPeer(address).knownRevision === undefined,
+					readPeer(address).revisions.known === undefined,
 			);
 			targets.forEach((address) => {
 				void sendReport(address);
