Leave entries with few short requests the parts that others do not use

Cause, by a unit test that failed first: since each of many entries counts one request more than it has, so that an entry's part is about one in the number of entries.

Change: entries with known requests share by them, less a reserve of 0.15 at most; those without a known one share the reserve among as many as can be expected to have one.

Ruled out: weight one for an entry without a known request (399 of 398 with 195 entries), and the expected number of such entries in everyone's denominator (0.95 of the streams of one data centre in time; more than that is asked).

--- a/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/retry-budget-load.test.ts
@@ -247,3 +247,56 @@
 		});
 	},
 );
+
+/**
+ * Load pattern: short requests, of which some fail at any time. Hardly any is in
+ * progress when an entry reports.
+ */
+function playShortRequests(seed: number, instances: number): number {
+	const policy = {windowMs: 10_000, ratio: 0.2, extra: 20};
+	const failureShare = 0.14;
+	const random = createRandom(seed);
+	const budgets = Array.from({length: instances}, () => EMPTY_BUDGET);
+	const offsets = budgets.map(() => random());
+	const granted: boolean[] = [];
+	let reported: readonly RetryCounts[] = [];
+	for (let now = 0; now < DAY_MS; now += REPORT_INTERVAL_MS) {
+		const arrivals = (REQUESTS_PER_S * REPORT_INTERVAL_MS) / 1000;
+		for (let i = random(); i < arrivals; i += 1) {
+			const entry = Math.floor(random() * instances);
+			budgets[entry] = countRequest(budgets[entry]!, policy, now);
+			const others = reported.filter((_, other) => other !== entry);
+			const isFailed = random() < failureShare;
+			const next = isFailed
+				? spendRetry(budgets[entry], policy, {
+						now,
+						instances,
+						active: 0,
+						otherCounts: {
+							requests: sum(others.map(({requests}) => requests)),
+							retries: sum(others.map(({retries}) => retries)),
+							active: 1,
+						},
+						roundingOffset: offsets[entry]!,
+					})
+				: undefined;
+			budgets[entry] = next ?? budgets[entry];
+			granted.push(
+				...(isFailed && now > policy.windowMs ? [next !== undefined] : []),
+			);
+		}
+
+		reported = budgets.map((budget) => countWindow(budget, policy, now));
+	}
+
+	return granted.filter(Boolean).length / granted.length;
+}
+
+it.each([9, 65, 195])(
+	'%i entries retry the short requests that fail while half of the policy is left',
+	(instances) => {
+		SEEDS.forEach((seed) => {
+			expect(playShortRequests(seed, instances)).toBeGreaterThan(0.95);
+		});
+	},
+);
--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -56,6 +56,8 @@
 const SHARED_LIMIT_SHARE = 0.93;
 /** Part of the policy that is kept for requests that can still be on time. */
 const ON_TIME_RESERVE_SHARE = 0.25;
+/** Part of what is left that is kept for instances with requests that the others do not know of. */
+const IDLE_RESERVE_SHARE = 0.15;
 /** Time until all instances know of a retry: an interval until it is reported, and one until the others receive the sum. */
 const REPORT_LAG_MS = 600;
 /**
@@ -130,18 +132,26 @@
 }
 
 /**
- * Part of what all instances have left that falls to this instance. Each counts
- * one request more than it has, so that one without any keeps a share and the
- * shares still add up to one.
+ * Part of what all instances have left that falls to this instance: in proportion
+ * to its requests in progress, or an equal part of a reserve if the others know of
+ * none.
  */
 function computeOwnShare({
 	instances,
 	active,
 	otherCounts,
 }: RetryBudgetContext): number {
-	return otherCounts?.active === undefined
-		? 1 / instances
-		: (active + 1) / (active + otherCounts.active + instances);
+	if (otherCounts?.active === undefined) {
+		return 1 / instances;
+	}
+
+	const known = active + otherCounts.active;
+	// Instances without a request in progress, if requests are spread evenly. Where
+	// requests are few and short, not many more have one than is known.
+	const idle = instances * Math.exp(-known / instances);
+	const unknown = Math.max(1, Math.min(known, idle));
+	const reserve = Math.min(IDLE_RESERVE_SHARE, unknown / (known + unknown));
+	return active === 0 ? reserve / unknown : (1 - reserve) * (active / known);
 }
 
 /**
