Request ages again at once when numbers of backend servers differ

Cause, by reading, with a unit test that failed first: ages that come with a differing number don't refresh the servers that they leave out, and the next ones were requested a second later, so that a silent server was found up to two seconds later while others came and went.

Change: the view says when ages are due; after a differing number with the next report, in full after two.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -37,6 +37,7 @@
 } from './report.js';
 export type {
 	AgedRecord,
+	AgesRequest,
 	CompactLoads,
 	ControlReport,
 	EntryReport,
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -51,6 +51,9 @@
 	knownServing?: KnownRevision;
 }>;
 
+/** Part of an entry's report that requests the ages of registrations. */
+export type AgesRequest = Pick<EntryReport, 'wantsAges' | 'agesAboveMs'>;
+
 /** Part of an entry's report that is the same for every control instance. */
 export type SharedEntryReport = Omit<
 	EntryReport,
--- a/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
@@ -59,7 +59,7 @@
 		view.applyReport(createReport(createAges({'e-1': 10_000}, 2)));
 		expect(view.readAvailability('e-0')).toBe('usable');
 		expect(view.readAvailability('e-1')).toBe('silent');
-		expect(view.readAgesAboveMs()).toBe(AGES_ABOVE_MS);
+		expect(view.createAgesRequest().agesAboveMs).toBe(AGES_ABOVE_MS);
 	});
 
 	// A control instance that restarted does not know a backend server that ended before.
@@ -68,13 +68,26 @@
 		view.applyReport(createReport({backends: [0, 1].map(createRecord)}));
 		time.now += 10_000;
 		view.applyReport(createReport(createAges({}, 1)));
-		expect(view.readAgesAboveMs()).toBe(AGES_ABOVE_MS);
+		expect(view.createAgesRequest().agesAboveMs).toBe(AGES_ABOVE_MS);
 		view.applyReport(createReport(createAges({}, 1)));
-		expect(view.readAgesAboveMs()).toBeUndefined();
+		expect(view.createAgesRequest().agesAboveMs).toBeUndefined();
 		view.applyReport(createReport({agesMs: {'e-0': 100}, readyCount: 1}));
 		expect(view.readAvailability('e-0')).toBe('usable');
 		expect(view.readAvailability('e-1')).toBe('silent');
-		expect(view.readAgesAboveMs()).toBeUndefined();
+		expect(view.createAgesRequest().agesAboveMs).toBeUndefined();
+	});
+
+	// Until then, no registration counts as missed.
+	it('are requested again at once after numbers that differ', () => {
+		const {time, view} = createTestView();
+		view.applyReport(createReport({backends: [0, 1].map(createRecord)}));
+		view.applyReport(createReport(createAges({}, 2)));
+		time.now += 1200;
+		expect(view.createAgesRequest().wantsAges).toBe(true);
+		view.applyReport(createReport(createAges({}, 1)));
+		expect(view.createAgesRequest().wantsAges).toBe(true);
+		view.applyReport(createReport(createAges({}, 2)));
+		expect(view.createAgesRequest().wantsAges).toBe(false);
 	});
 
 	it('are left out again once the numbers agree', () => {
@@ -84,7 +97,7 @@
 		view.applyReport(createReport(createAges({}, 1)));
 		const agesMs = {'e-0': 0, 'e-1': 0};
 		view.applyReport(createReport({agesMs, readyCount: 2}));
-		expect(view.readAgesAboveMs()).toBe(AGES_ABOVE_MS);
+		expect(view.createAgesRequest().agesAboveMs).toBe(AGES_ABOVE_MS);
 	});
 
 	// Otherwise hundreds of entries that start at once would all request all ages.
@@ -99,7 +112,7 @@
 				}),
 			);
 		});
-		expect(view.readAgesAboveMs()).toBe(AGES_ABOVE_MS);
+		expect(view.createAgesRequest().agesAboveMs).toBe(AGES_ABOVE_MS);
 	});
 
 	it('are all expected from a control instance that does not leave any out', () => {
--- a/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
@@ -70,7 +70,7 @@
 			retries: {},
 			crashes: [],
 		}),
-		readAgesAboveMs: () => undefined,
+		createAgesRequest: () => ({wantsAges: false}),
 		onReport: () => undefined,
 		onConfiguration: () => undefined,
 	});
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -1,5 +1,6 @@
 import {
 	addLoad,
+	type AgesRequest,
 	type AvoidReason,
 	type BackendLoad,
 	type BackendNotice,
@@ -93,17 +94,19 @@
 	 * milliseconds; undefined unless all of them asked for a pause.
 	 */
 	readPushbackMs: (service: string) => number | undefined;
-	/**
-	 * Ages of registrations up to this one, in milliseconds, may be left out of the
-	 * next report; undefined to request all.
-	 */
-	readAgesAboveMs: () => number | undefined;
+	/** Requests the ages of registrations, if they are due. */
+	createAgesRequest: () => AgesRequest;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
 	countReady: () => number;
 }>;
 
 /** Missed registrations after which a backend server counts as silent. */
 const MAX_MISSED_REGISTRATIONS = 2.5;
+/**
+ * Interval at which registration ages are requested. Changes of backend servers
+ * are part of every report.
+ */
+const AGES_INTERVAL_MS = 1000;
 /** Missed registrations up to which a control instance leaves an age out. */
 const MAX_UNREPORTED_REGISTRATIONS = 1.5;
 /**
@@ -357,8 +360,11 @@
 				: Math.min(...waitsMs);
 		},
 		readOwnLoads: () => Object.fromEntries(ownLoads),
-		readAgesAboveMs: () =>
-			countMismatches < MAX_COUNT_MISMATCHES ? agesAboveMs : undefined,
+		createAgesRequest: () => ({
+			wantsAges: clock.now() - agesReceivedAt > AGES_INTERVAL_MS,
+			agesAboveMs:
+				countMismatches < MAX_COUNT_MISMATCHES ? agesAboveMs : undefined,
+		}),
 		countReady,
 	};
 }
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -1,4 +1,5 @@
 import type {
+	AgesRequest,
 	ControlReport,
 	EntryReport,
 	KnownRevision,
@@ -22,8 +23,8 @@
 	 */
 	readSeeds: () => readonly string[];
 	createReport: () => SharedEntryReport;
-	/** Ages of registrations up to this one are not needed; undefined to request all. */
-	readAgesAboveMs: () => number | undefined;
+	/** Ages of registrations to request from the primary control instance. */
+	createAgesRequest: () => AgesRequest;
 	onReport: (control: string, report: ControlReport) => void;
 	/** Receives the text of a configuration that is newer than the active one. */
 	onConfiguration: (text: string) => void;
@@ -64,11 +65,6 @@
 const CONFIGURATION_TIMEOUT_MS = 1500;
 /** A control instance that no other one lists is removed after this time. */
 const PEER_RETENTION_MS = 30_000;
-/**
- * Interval at which registration ages are requested. Changes of backend servers
- * are part of every report.
- */
-const AGES_INTERVAL_MS = 1000;
 /**
  * Every n-th round goes to all control instances, not only to the primary one.
  * They gossip departures of backend servers to each other immediately.
@@ -92,7 +88,7 @@
 export function createControlClient(
 	options: ControlClientOptions,
 ): ControlClient {
-	const {clock, log, client, readSeeds, createReport, readAgesAboveMs} =
+	const {clock, log, client, readSeeds, createReport, createAgesRequest} =
 		options;
 	const peers = new Map<string, Peer>();
 	const advertisedAt = new Map<string, number>();
@@ -101,7 +97,6 @@
 	let round = 0;
 	/** When the last report was sent whose answer completed the backend servers. */
 	let syncedAt: number | undefined;
-	let agesReceivedAt = Number.NEGATIVE_INFINITY;
 	let firstVersionAt: number | undefined;
 
 	const readPeer = (address: string): Peer => {
@@ -235,7 +230,6 @@
 			peer.knownServing = report.overview.servingRevision;
 		}
 
-		agesReceivedAt = report.agesMs === undefined ? agesReceivedAt : now;
 		report.controls.forEach((control) => advertisedAt.set(control, now));
 		options.onReport(address, report);
 		fetchNewest(ownVersion);
@@ -274,8 +268,7 @@
 			knownServing: peer.knownServing,
 			endedOnly: isEndedOnly,
 			wantsOverview: isPrimary,
-			wantsAges: isPrimary && clock.now() - agesReceivedAt > AGES_INTERVAL_MS,
-			agesAboveMs: readAgesAboveMs(),
+			...(isPrimary ? createAgesRequest() : {wantsAges: false}),
 		};
 		const response = await client.call<ControlReport>(
 			address,
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -233,7 +233,7 @@
 		client: createPeerClient(),
 		readSeeds: settings.readSeeds,
 		createReport,
-		readAgesAboveMs: view.readAgesAboveMs,
+		createAgesRequest: view.createAgesRequest,
 		onReport(control, report) {
 			entryCounts.set(control, {count: report.entries, at: clock.now()});
 			serving = report.overview?.serving ?? serving;
