Compress large answers between instances

By sizes, the loads of 132 backend servers, 2.9 kB in each of a thousand answers a second, are the largest part of what control instances send.

Change: the client between instances accepts deflate; the JSON server compresses bodies from 1 kB on for it, and for nobody else. Builds without it send and receive plain bodies.

--- /dev/null
+++ b/packages/lovage-runtime/src/body-encoding.ts
@@ -0,0 +1,48 @@
+import {Buffer} from 'node:buffer';
+import {deflateSync, inflateSync} from 'node:zlib';
+
+/** Content encoding between instances; a client that doesn't accept it receives the plain body. */
+export const BODY_ENCODING = 'deflate';
+
+/** Compressing smaller bodies costs more processor time than it saves on the links. */
+const MIN_ENCODED_BYTES = 1024;
+const MAX_DECODED_BYTES = 67_108_864;
+const FASTEST_LEVEL = 1;
+
+/** Body as it is sent, with the headers that describe it. */
+export type EncodedBody = Readonly<{
+	content: Uint8Array;
+	headers: Readonly<Record<string, string | number>>;
+}>;
+
+/** Encodes a response body for a client that accepts `acceptedEncoding`. */
+export function encodeBody(
+	text: string,
+	acceptedEncoding: string | undefined,
+): EncodedBody {
+	const plain = Buffer.from(text);
+	const isEncoded =
+		acceptedEncoding === BODY_ENCODING && plain.length >= MIN_ENCODED_BYTES;
+	const content = isEncoded
+		? deflateSync(plain, {level: FASTEST_LEVEL})
+		: plain;
+	return {
+		content,
+		headers: {
+			'Content-Length': content.length,
+			...(isEncoded ? {'Content-Encoding': BODY_ENCODING} : {}),
+		},
+	};
+}
+
+/** Decodes a response body; throws if it is damaged or too large. */
+export function decodeBody(
+	content: Uint8Array,
+	encoding: string | undefined,
+): string {
+	const plain =
+		encoding === BODY_ENCODING
+			? inflateSync(content, {maxOutputLength: MAX_DECODED_BYTES})
+			: Buffer.from(content);
+	return plain.toString('utf8');
+}
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {encodeBody} from './body-encoding.js';
 
 /** Response of a handler. */
 export type JsonResponse = Readonly<{
@@ -85,12 +86,13 @@
 		const {status, body, headers = {}} = answer;
 		const payload =
 			typeof body === 'string' ? body : JSON.stringify(body ?? {});
+		const encoded = encodeBody(payload, req.headers['accept-encoding']);
 		res.writeHead(status, {
 			'Content-Type': 'application/json',
-			'Content-Length': Buffer.byteLength(payload),
+			...encoded.headers,
 			...headers,
 		});
-		res.end(payload);
+		res.end(encoded.content);
 	});
 	server.keepAliveTimeout = IDLE_TIMEOUT_MS;
 	return server;
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {BODY_ENCODING, decodeBody} from './body-encoding.js';
 
 /** HTTP client for requests to other instances of the system. */
 export type PeerClient = Readonly<{
@@ -50,6 +51,7 @@
 					path,
 					headers: {
 						'Content-Type': 'application/json',
+						'Accept-Encoding': BODY_ENCODING,
 						'Content-Length': payload.length,
 					},
 				});
@@ -92,9 +94,11 @@
 						}
 
 						try {
-							resolve(
-								ok(JSON.parse(Buffer.concat(chunks).toString('utf8')) as T),
+							const text = decodeBody(
+								Buffer.concat(chunks),
+								res.headers['content-encoding'],
 							);
+							resolve(ok(JSON.parse(text) as T));
 						} catch (error) {
 							resolve(err(String(error)));
 						}
