Decide apart from the connections which ages and changes are sent

Change: mergeAges and createAgesRequest for the entry, describeChanges and describeAges for the control instance, all pure, in files of their own. One log line when an entry begins to request all ages.

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -26,6 +26,7 @@
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger} from '@lovagevalve/runtime';
 import {type Arithmetic, createEntrySums} from './entry-sums.js';
+import {describeAges, describeChanges} from './report-parts.js';
 
 /** An entry as a control instance knows it. */
 export type KnownEntry = Readonly<{
@@ -74,17 +75,6 @@
  */
 const ENTRY_TIMEOUT_MS = 1500;
 const ENTRY_RETENTION_MS = 30_000;
-/**
- * Time for which backend servers that are gone are sent to new entries. Late
- * registrations of them arrive within seconds.
- */
-const GONE_RETENTION_MS = 15_000;
-/**
- * Larger answers, to many entries that start at once, pass the entries' time
- * limit on small links, and are then sent again in full.
- */
-const MAX_CHANGES_PER_ANSWER = 128;
-
 const LOAD_ARITHMETIC: Arithmetic<BackendLoad> = {
 	add: addLoad,
 	subtract: subtractLoad,
@@ -211,70 +201,6 @@
 		});
 	};
 
-	/** Lists changed backend servers, the oldest changes first. */
-	const listChanged = (
-		known: KnownRevision | undefined,
-		endedOnly: boolean,
-		limit: number,
-	): ReadonlyArray<Readonly<{record: BackendRecord; changedAt: number}>> => {
-		const changed: Array<{record: BackendRecord; changedAt: number}> = [];
-		const goneSince = clock.now() - GONE_RETENTION_MS;
-		for (const [id, changedAt] of changedRevisions) {
-			const record = table.get(id);
-			const isMissing =
-				known === undefined
-					? record?.state !== 'gone' || record.heardAt > goneSince
-					: changedAt > known.revision;
-			const isLeftOut = endedOnly && record?.state === 'ready';
-			if (isMissing && !isLeftOut && record !== undefined) {
-				changed.push({record, changedAt});
-			}
-
-			if (changed.length === limit) {
-				break;
-			}
-		}
-
-		return changed;
-	};
-
-	const describeChanges = (
-		reported: KnownRevision | undefined,
-		endedOnly = false,
-	): Pick<ControlReport, 'known' | 'backends' | 'hasMore'> => {
-		const now = clock.now();
-		const known = reported?.epoch === epoch ? reported : undefined;
-		const changed =
-			known?.revision === revision
-				? []
-				: listChanged(known, endedOnly, MAX_CHANGES_PER_ANSWER + 1);
-		const sent = changed.slice(0, MAX_CHANGES_PER_ANSWER);
-		const backends = sent.map(({record}) => toAgedRecord(record, now));
-		return sent.length === changed.length
-			? {known: {epoch, revision}, backends}
-			: {
-					known: {epoch, revision: sent.at(-1)!.changedAt},
-					backends,
-					hasMore: true,
-				};
-	};
-
-	const describeAges = (
-		aboveMs?: number,
-	): Pick<ControlReport, 'agesMs' | 'agesAboveMs' | 'readyCount'> => {
-		const now = clock.now();
-		const ages = [...table.values()]
-			.filter(({state}) => state === 'ready')
-			.map(({id, heardAt}) => [id, Math.round(now - heardAt)] as const);
-		const isSent = ([, ageMs]: readonly [string, number]): boolean =>
-			aboveMs === undefined || ageMs > aboveMs;
-		return {
-			agesMs: Object.fromEntries(ages.filter(isSent)),
-			agesAboveMs: aboveMs,
-			readyCount: ages.length,
-		};
-	};
-
 	const listServing = (): readonly KnownEntry[] =>
 		[...entries.values()].filter(
 			(entry) => entry.standing === 'ready' && isAlive(entry),
@@ -358,8 +284,12 @@
 			agesAboveMs,
 		}) => ({
 			entries: [...entries.values()].filter(isAlive).length,
-			...describeChanges(known, endedOnly),
-			...(wantsAges ? describeAges(agesAboveMs) : {}),
+			...describeChanges(
+				{table, changedRevisions, latest: {epoch, revision}},
+				{known, endedOnly},
+				clock.now(),
+			),
+			...(wantsAges ? describeAges(table, agesAboveMs, clock.now()) : {}),
 			...(wantsOverview
 				? {
 						overview: {
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -146,6 +146,11 @@
 	return {table: next, outcomes};
 }
 
+/** Number of backend servers in service. */
+export function countReady(table: BackendTable): number {
+	return [...table.values()].filter(({state}) => state === 'ready').length;
+}
+
 /** Drops records whose last contact is before the retention time. */
 export function dropOldRecords(table: BackendTable, now: number): BackendTable {
 	const isKept = ({heardAt}: BackendRecord): boolean =>
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -1,6 +1,7 @@
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
 export {
+	countReady,
 	dropOldRecords,
 	isSameRegistration,
 	mergeRecords,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -9,9 +9,9 @@
 	type BackendTable,
 	type Candidate,
 	chooseBackend,
+	countReady,
 	type ClosedReason,
 	type ControlReport,
-	dropOldRecords,
 	findClosedReason,
 	fromAgedRecord,
 	fromCompactLoads,
@@ -20,7 +20,6 @@
 	mergeRecords,
 	NO_LOAD,
 	getAvoidReason,
-	applyReportedAges,
 	recordExchange,
 	recordNotice,
 	type BackendHealth,
@@ -28,6 +27,11 @@
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {
+	createAgesRequest,
+	createReportedAges,
+	mergeAges,
+} from './reported-ages.js';
 
 /** Dependencies and settings of a backend view. */
 export type BackendViewOptions = Readonly<{
@@ -102,19 +106,6 @@
 
 /** Missed registrations after which a backend server counts as silent. */
 const MAX_MISSED_REGISTRATIONS = 2.5;
-/**
- * Interval at which registration ages are requested. Changes of backend servers
- * are part of every report.
- */
-const AGES_INTERVAL_MS = 1000;
-/** Missed registrations up to which a control instance leaves an age out. */
-const MAX_UNREPORTED_REGISTRATIONS = 1.5;
-/**
- * Reports in a row whose number of backend servers differs from that of this view
- * after which all ages are requested. A change that control instances are still
- * telling each other makes one differ.
- */
-const MAX_COUNT_MISMATCHES = 2;
 /** A response within this time shows that a backend server is alive. */
 const RESPONSE_FRESHNESS_MS = 2000;
 
@@ -123,19 +114,12 @@
 	const {clock, log, metrics} = options;
 	const silentAfterMs =
 		options.registrationIntervalMs * MAX_MISSED_REGISTRATIONS;
-	const agesAboveMs =
-		options.registrationIntervalMs * MAX_UNREPORTED_REGISTRATIONS;
 	const health = new Map<string, BackendHealth>();
 	const noticesById = new Map<string, BackendNotices>();
 	const ownLoads = new Map<string, BackendLoad>();
 	let table: BackendTable = new Map();
 	let remoteLoads: Readonly<Record<string, BackendLoad>> = {};
-	/**
-	 * Time of the last report that included registration ages. Ages are measured
-	 * up to here, so that they do not grow while no control instance responds.
-	 */
-	let agesReceivedAt = 0;
-	let countMismatches = 0;
+	let ages = createReportedAges(options.registrationIntervalMs);
 
 	const readHealth = (id: string): BackendHealth =>
 		health.get(id) ?? UNKNOWN_HEALTH;
@@ -151,7 +135,7 @@
 	const hasRecentContact = (record: BackendRecord): boolean => {
 		const {answeredAt} = readHealth(record.id);
 		return (
-			agesReceivedAt - record.heardAt < silentAfterMs ||
+			ages.receivedAt - record.heardAt < silentAfterMs ||
 			(answeredAt !== undefined &&
 				clock.now() - answeredAt < RESPONSE_FRESHNESS_MS)
 		);
@@ -190,42 +174,21 @@
 					service,
 					address,
 					state,
-					ageMs: Math.round(agesReceivedAt - heardAt),
+					ageMs: Math.round(ages.receivedAt - heardAt),
 				});
 			});
 	};
 
-	const countReady = (): number =>
-		[...table.values()].filter(({state}) => state === 'ready').length;
-
-	const applyAges = ({
-		agesMs,
-		agesAboveMs,
-		readyCount,
-		hasMore = false,
-	}: ControlReport): void => {
-		if (agesMs === undefined) {
-			return;
+	const applyAges = (report: ControlReport): void => {
+		const merged = mergeAges(ages, table, report, clock.now());
+		if (!ages.needsAll && merged.ages.needsAll) {
+			log.info('Requesting the ages of all backend servers.', {
+				known: countReady(table),
+				reported: report.readyCount ?? 'unknown',
+			});
 		}
 
-		const now = clock.now();
-		const isSameCount = readyCount === countReady();
-		const isComplete = agesAboveMs === undefined || isSameCount;
-		table = dropOldRecords(
-			applyReportedAges(
-				table,
-				agesMs,
-				now,
-				isComplete ? agesAboveMs : undefined,
-			),
-			now,
-		);
-		// A registration can only count as missed once newer ones could have been
-		// reported.
-		agesReceivedAt = isComplete ? now : agesReceivedAt;
-		if (!hasMore) {
-			countMismatches = isSameCount ? 0 : countMismatches + 1;
-		}
+		({ages, table} = merged);
 	};
 
 	return {
@@ -360,11 +323,7 @@
 				: Math.min(...waitsMs);
 		},
 		readOwnLoads: () => Object.fromEntries(ownLoads),
-		createAgesRequest: () => ({
-			wantsAges: clock.now() - agesReceivedAt > AGES_INTERVAL_MS,
-			agesAboveMs:
-				countMismatches < MAX_COUNT_MISMATCHES ? agesAboveMs : undefined,
-		}),
-		countReady,
+		createAgesRequest: () => createAgesRequest(ages, clock.now()),
+		countReady: () => countReady(table),
 	};
 }
