Sum the loads of all entries with each report again

Cause: since the sums were up to 20 ms old.

Change: each report takes the entry's previous values off the sums and adds the new ones; values of a silent entry are taken off before the next answer.

Result: a unit test with three reports at one moment, red before; 22 unit tests of the registry pass.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -76,6 +76,49 @@
 		expect(readLoads('entry-3')).toEqual({'e-1': [4, 20, 40]});
 	});
 
+	// Load pattern: entries that started together report at the same moment. With
+	// loads of the moment before, all of them choose the same backend server.
+	it('sends the load that other entries reported at the same moment', () => {
+		const {registry} = createTestRegistry();
+		const load = [2, 10, 20] as const;
+		const answers = ['entry-1', 'entry-2', 'entry-3'].map((entry) => {
+			registry.applyReport(createReport(entry, {loads: {'e-1': load}}));
+			return registry.createReportResponse({...reportRequest, entry});
+		});
+		expect(answers.map(({overview}) => overview!.loads)).toEqual([
+			{},
+			{'e-1': load},
+			{'e-1': [4, 20, 40]},
+		]);
+	});
+
+	it('replaces the load of an entry with its next report', () => {
+		const {registry} = createTestRegistry();
+		const load = [2, 10, 20] as const;
+		registry.applyReport(createReport('entry-1', {loads: {'e-1': load}}));
+		registry.applyReport(createReport('entry-2', {loads: {'e-1': load}}));
+		registry.applyReport(createReport('entry-2', {loads: {'e-2': load}}));
+		registry.applyReport(createReport('entry-1'));
+		const {overview} = registry.createReportResponse(reportRequest);
+		expect(overview?.loads).toEqual({'e-2': load});
+	});
+
+	it('leaves the requests in progress unknown while one entry does not report them', () => {
+		const {registry} = createTestRegistry();
+		const retries = {s: {requests: 5, retries: 1}};
+		registry.applyReport(createReport('entry-1', {retries}));
+		registry.applyReport(
+			createReport('entry-2', {retries: {s: {...retries.s, active: 3}}}),
+		);
+		const readCounts = () =>
+			registry.createReportResponse(reportRequest).overview?.retries;
+		expect(readCounts()).toEqual({s: {requests: 10, retries: 2}});
+		registry.applyReport(
+			createReport('entry-1', {retries: {s: {...retries.s, active: 4}}}),
+		);
+		expect(readCounts()).toEqual({s: {requests: 10, retries: 2, active: 7}});
+	});
+
 	it('counts a backend server as draining once an entry reports that it leaves', () => {
 		const {registry} = createTestRegistry();
 		registry.register(record);
--- a/packages/lovage-coordinator/src/entry-sums.ts
+++ b/packages/lovage-coordinator/src/entry-sums.ts
@@ -1,5 +1,3 @@
-import type {Clock} from '@lovagevalve/runtime';
-
 /** How values of several entries add up. */
 export type Arithmetic<Value> = Readonly<{
 	add: (a: Value, b: Value) => Value;
@@ -11,52 +9,55 @@
 export type EntrySums<Value> = Readonly<{
 	set: (entry: string, values: Readonly<Record<string, Value>>) => void;
 	remove: (entry: string) => void;
-	/** Sums the values of all counted entries except one, by key. */
+	/** Sums the values of all entries except one, by key. */
 	sumOthers: (entry: string) => Readonly<Record<string, Value>>;
 }>;
 
-/** Hundreds of entries report five times a second, and each receives the sums. */
-const MAX_SUM_AGE_MS = 20;
-
-/** Creates sums over the entries for which `isCounted` holds. */
-export function createEntrySums<Value>(
-	clock: Clock,
-	isCounted: (entry: string) => boolean,
-	{add, subtract, isZero}: Arithmetic<Value>,
-): EntrySums<Value> {
+/**
+ * Creates sums without any entries. They are kept up to date with each report:
+ * hundreds of entries report five times a second, often at the same moment, and an
+ * older sum would send the requests of all of them to the same backend server.
+ */
+export function createEntrySums<Value>({
+	add,
+	subtract,
+	isZero,
+}: Arithmetic<Value>): EntrySums<Value> {
 	const byEntry = new Map<string, Readonly<Record<string, Value>>>();
-	let summed: ReadonlyMap<string, Readonly<Record<string, Value>>> = new Map();
-	let sums: Readonly<Record<string, Value>> = {};
-	let summedAt = Number.NEGATIVE_INFINITY;
+	const sums = new Map<string, Value>();
 
-	const refresh = (): void => {
-		summed = new Map([...byEntry].filter(([entry]) => isCounted(entry)));
-		const next: Record<string, Value> = {};
-		[...summed.values()]
-			.flatMap((values) => Object.entries(values))
-			.forEach(([key, value]) => {
-				const sum = next[key];
-				next[key] = sum === undefined ? value : add(sum, value);
-			});
-		sums = next;
-		summedAt = clock.now();
+	const setSum = (key: string, sum: Value): void => {
+		if (isZero(sum)) {
+			sums.delete(key);
+		} else {
+			sums.set(key, sum);
+		}
+	};
+
+	const remove = (entry: string): void => {
+		Object.entries(byEntry.get(entry) ?? {}).forEach(([key, part]) => {
+			const sum = sums.get(key);
+			if (sum !== undefined) {
+				setSum(key, subtract(sum, part));
+			}
+		});
+		byEntry.delete(entry);
 	};
 
 	return {
 		set(entry, values) {
+			remove(entry);
 			byEntry.set(entry, values);
+			Object.entries(values).forEach(([key, value]) => {
+				const sum = sums.get(key);
+				setSum(key, sum === undefined ? value : add(sum, value));
+			});
 		},
-		remove(entry) {
-			byEntry.delete(entry);
-		},
+		remove,
 		sumOthers(entry) {
-			if (clock.now() - summedAt >= MAX_SUM_AGE_MS) {
-				refresh();
-			}
-
-			const own = summed.get(entry) ?? {};
+			const own = byEntry.get(entry) ?? {};
 			return Object.fromEntries(
-				Object.entries(sums)
+				[...sums]
 					.map(([key, sum]) => {
 						const part = own[key];
 						return [
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -75,33 +75,54 @@
  */
 const ENTRY_TIMEOUT_MS = 1500;
 const ENTRY_RETENTION_MS = 30_000;
+
 const LOAD_ARITHMETIC: Arithmetic<BackendLoad> = {
 	add: addLoad,
 	subtract: subtractLoad,
 	isZero: ({running}) => running === 0,
 };
 
-function combineCounts(
-	a: RetryCounts,
-	b: RetryCounts,
-	sign: 1 | -1,
-): RetryCounts {
+/** Sum of retry counts; some entries don't report their requests in progress. */
+type CountsSum = Required<RetryCounts> & Readonly<{withoutActive: number}>;
+
+function combineCounts(a: CountsSum, b: CountsSum, sign: 1 | -1): CountsSum {
 	return {
 		requests: a.requests + sign * b.requests,
 		retries: a.retries + sign * b.retries,
-		// Unknown as soon as one entry does not report it.
-		...(a.active === undefined || b.active === undefined
-			? {}
-			: {active: a.active + sign * b.active}),
+		active: a.active + sign * b.active,
+		withoutActive: a.withoutActive + sign * b.withoutActive,
 	};
 }
 
-const COUNTS_ARITHMETIC: Arithmetic<RetryCounts> = {
+const COUNTS_ARITHMETIC: Arithmetic<CountsSum> = {
 	add: (a, b) => combineCounts(a, b, 1),
 	subtract: (sum, part) => combineCounts(sum, part, -1),
 	isZero: () => false,
 };
 
+function mapValues<A, B>(
+	values: Readonly<Record<string, A>>,
+	convert: (value: A) => B,
+): Readonly<Record<string, B>> {
+	return Object.fromEntries(
+		Object.entries(values).map(([key, value]) => [key, convert(value)]),
+	);
+}
+
+function toCountsSum({requests, retries, active}: RetryCounts): CountsSum {
+	const withoutActive = active === undefined ? 1 : 0;
+	return {requests, retries, active: active ?? 0, withoutActive};
+}
+
+/** The requests in progress are unknown as soon as one entry does not report them. */
+function fromCountsSum({
+	withoutActive,
+	active,
+	...counts
+}: CountsSum): RetryCounts {
+	return withoutActive > 0 ? counts : {...counts, active};
+}
+
 function isChange(outcome: MergeOutcome): boolean {
 	return outcome === 'added' || outcome === 'changed';
 }
@@ -133,9 +154,27 @@
 	const isAlive = ({heardAt}: KnownEntry): boolean =>
 		clock.now() - heardAt < ENTRY_TIMEOUT_MS;
 
-	const isCounted = (entry: string): boolean => isAlive(entries.get(entry)!);
-	const loads = createEntrySums(clock, isCounted, LOAD_ARITHMETIC);
-	const retries = createEntrySums(clock, isCounted, COUNTS_ARITHMETIC);
+	const loads = createEntrySums(LOAD_ARITHMETIC);
+	const retries = createEntrySums(COUNTS_ARITHMETIC);
+
+	const removeFromSums = (entry: string): void => {
+		loads.remove(entry);
+		retries.remove(entry);
+	};
+
+	const describeOthers = (
+		entry: string,
+	): Pick<ClusterOverview, 'loads' | 'retries'> => {
+		[...entries.values()]
+			.filter((known) => !isAlive(known))
+			.forEach((silent) => {
+				removeFromSums(silent.entry);
+			});
+		return {
+			loads: toCompactLoads(loads.sumOthers(entry)),
+			retries: mapValues(retries.sumOthers(entry), fromCountsSum),
+		};
+	};
 
 	const recordEntry = (report: EntryReport): void => {
 		const {entry, address, dataCentre, standing} = report;
@@ -265,7 +304,7 @@
 		applyReport(report) {
 			recordEntry(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
-			retries.set(report.entry, report.retries);
+			retries.set(report.entry, mapValues(report.retries, toCountsSum));
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
 			}
@@ -294,8 +333,7 @@
 				? {
 						overview: {
 							...describeServing(knownServing),
-							loads: toCompactLoads(loads.sumOthers(entry)),
-							retries: retries.sumOthers(entry),
+							...describeOthers(entry),
 						},
 					}
 				: {}),
@@ -313,8 +351,7 @@
 				.filter(({heardAt}) => clock.now() - heardAt > ENTRY_RETENTION_MS)
 				.forEach(({entry}) => {
 					entries.delete(entry);
-					loads.remove(entry);
-					retries.remove(entry);
+					removeFromSums(entry);
 				});
 		},
 	};
