--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -1,7 +1,5 @@
 import {
-	addLoad,
 	type AgedRecord,
-	type BackendLoad,
 	type BackendRecord,
 	type BackendTable,
 	type ClusterOverview,
@@ -19,13 +17,18 @@
 	type MergeOutcome,
 	type MergeResult,
 	recordCrashes,
-	type RetryCounts,
 	toAgedRecord,
-	subtractLoad,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger} from '@lovagevalve/runtime';
-import {type Arithmetic, createEntrySums} from './entry-sums.js';
+import {
+	COUNTS_ARITHMETIC,
+	fromCountsSum,
+	LOAD_ARITHMETIC,
+	mapValues,
+	toCountsSum,
+} from './arithmetic.js';
+import {createEntrySums} from './entry-sums.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
 /** An entry as a control instance knows it. */
@@ -76,53 +79,6 @@
 const ENTRY_TIMEOUT_MS = 1500;
 const ENTRY_RETENTION_MS = 30_000;
 
-const LOAD_ARITHMETIC: Arithmetic<BackendLoad> = {
-	add: addLoad,
-	subtract: subtractLoad,
-	isZero: ({running}) => running === 0,
-};
-
-/** Sum of retry counts; some entries don't report their requests in progress. */
-type CountsSum = Required<RetryCounts> & Readonly<{withoutActive: number}>;
-
-function combineCounts(a: CountsSum, b: CountsSum, sign: 1 | -1): CountsSum {
-	return {
-		requests: a.requests + sign * b.requests,
-		retries: a.retries + sign * b.retries,
-		active: a.active + sign * b.active,
-		withoutActive: a.withoutActive + sign * b.withoutActive,
-	};
-}
-
-const COUNTS_ARITHMETIC: Arithmetic<CountsSum> = {
-	add: (a, b) => combineCounts(a, b, 1),
-	subtract: (sum, part) => combineCounts(sum, part, -1),
-	isZero: () => false,
-};
-
-function mapValues<A, B>(
-	values: Readonly<Record<string, A>>,
-	convert: (value: A) => B,
-): Readonly<Record<string, B>> {
-	return Object.fromEntries(
-		Object.entries(values).map(([key, value]) => [key, convert(value)]),
-	);
-}
-
-function toCountsSum({requests, retries, active}: RetryCounts): CountsSum {
-	const withoutActive = active === undefined ? 1 : 0;
-	return {requests, retries, active: active ?? 0, withoutActive};
-}
-
-/** The requests in progress are unknown as soon as one entry does not report them. */
-function fromCountsSum({
-	withoutActive,
-	active,
-	...counts
-}: CountsSum): RetryCounts {
-	return withoutActive > 0 ? counts : {...counts, active};
-}
-
 function isChange(outcome: MergeOutcome): boolean {
 	return outcome === 'added' || outcome === 'changed';
 }
