Reserve retries for as many requests as the reports can't know yet

A fixed reserve of 0.15 for entries without a known request goes unused where requests last for seconds.

Change: the reserve is the share of requests that have come within the report lag, by the rate that all entries report; it is divided among as many entries as can have one.

--- a/packages/lovage-dispatch/src/retry-budget.ts
+++ b/packages/lovage-dispatch/src/retry-budget.ts
@@ -56,8 +56,6 @@
 const SHARED_LIMIT_SHARE = 0.93;
 /** Part of the policy that is kept for requests that can still be on time. */
 const ON_TIME_RESERVE_SHARE = 0.25;
-/** Part of what is left that is kept for instances with requests that the others do not know of. */
-const IDLE_RESERVE_SHARE = 0.15;
 /** Time until all instances know of a retry: an interval until it is reported, and one until the others receive the sum. */
 const REPORT_LAG_MS = 600;
 /** Interval at which the next instance rounds up what it rounded down; within the report lag these are few. */
@@ -132,25 +130,27 @@
 
 /**
  * Part of what all instances have left that falls to this instance: in proportion
- * to its requests in progress, or an equal part of a reserve if the others know of
- * none.
+ * to its requests in progress or, if the others know of none, an equal part of a
+ * reserve for the requests that have come since the reports.
  */
-function computeOwnShare({
-	instances,
-	active,
-	otherCounts,
-}: RetryBudgetContext): number {
+function computeOwnShare(
+	policy: RetryBudgetPolicy,
+	{instances, active, otherCounts}: RetryBudgetContext,
+	requests: number,
+): number {
 	if (otherCounts?.active === undefined) {
 		return 1 / instances;
 	}
 
 	const known = active + otherCounts.active;
-	// Instances without a request in progress, if requests are spread evenly. Where
-	// requests are few and short, not many more have one than is known.
-	const idle = instances * Math.exp(-known / instances);
-	const unknown = Math.max(1, Math.min(known, idle));
-	const reserve = Math.min(IDLE_RESERVE_SHARE, unknown / (known + unknown));
-	return active === 0 ? reserve / unknown : (1 - reserve) * (active / known);
+	const recent = (requests * REPORT_LAG_MS) / policy.windowMs;
+	// Instances without a request in progress, if requests are spread evenly; more
+	// of them than there are requests hardly ask at the same time.
+	const idle = Math.min(known, instances * Math.exp(-known / instances));
+	const reserve = recent / Math.max(1, known + recent);
+	return active === 0
+		? reserve / Math.max(1, Math.min(recent, instances), idle)
+		: (1 - reserve) * (active / known);
 }
 
 /**
@@ -178,17 +178,18 @@
 	const localLimit =
 		LOCAL_LIMIT_SHARE *
 		(policy.ratio * own.requests + policy.extra / instances);
+	const requests = own.requests + (otherCounts?.requests ?? 0);
 	const left =
 		otherCounts === undefined
 			? 0
-			: usableShare *
-					(policy.ratio * (own.requests + otherCounts.requests) +
-						policy.extra) -
+			: usableShare * (policy.ratio * requests + policy.extra) -
 				otherCounts.retries -
 				(own.retries - unreported);
 	const isAllowed =
 		own.retries + 1 <= localLimit ||
-		(left > 0 && unreported + 1 <= left * computeOwnShare(context) + rounding);
+		(left > 0 &&
+			unreported + 1 <=
+				left * computeOwnShare(policy, context, requests) + rounding);
 	return isAllowed
 		? addCounts(budget, policy, now, {requests: 0, retries: 1})
 		: undefined;
