Go on with the backend servers where each control instance left off

Change: the revision up to which an instance has sent everything is kept apart from that of ended servers, and only grows while the instance runs.

--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -263,7 +263,7 @@
 		const report: EntryReport = {
 			...createReport(),
 			known: isEndedOnly
-				? peer.revisions.known
+				? peer.revisions.ended
 				: chooseFullRevision(peer.revisions, syncedAt ?? sentAt),
 			knownServing: peer.knownServing,
 			endedOnly: isEndedOnly,
@@ -309,7 +309,7 @@
 				(address) =>
 					isFullRound ||
 					address === primaryPeer ||
-					readPeer(address).revisions.known === undefined,
+					readPeer(address).revisions.ended === undefined,
 			);
 			targets.forEach((address) => {
 				void sendReport(address);
--- a/packages/lovage-gateway/src/peer-revisions.ts
+++ b/packages/lovage-gateway/src/peer-revisions.ts
@@ -4,10 +4,11 @@
 
 /** Revisions of the backend servers that this entry received from one control instance. */
 export type PeerRevisions = Readonly<{
-	known: KnownRevision | undefined;
-	/** Since the last full answer, ready backend servers were left out. */
-	hasGaps: boolean;
-	/** Recent revisions, the oldest first. */
+	/** Up to here, all of them. */
+	full: KnownRevision | undefined;
+	/** Up to here, those that have ended. */
+	ended: KnownRevision | undefined;
+	/** Recent values of `ended`, the oldest first. */
 	marks: readonly Mark[];
 }>;
 
@@ -21,8 +22,8 @@
 
 /** Revisions of a control instance that has not answered yet. */
 export const NO_REVISIONS: PeerRevisions = {
-	known: undefined,
-	hasGaps: false,
+	full: undefined,
+	ended: undefined,
 	marks: [],
 };
 
@@ -31,32 +32,46 @@
 /** An entry without a primary control instance for longer receives all backend servers. */
 const MARK_RETENTION_MS = 15_000;
 
+/** Picks the later of two revisions; one of an earlier start of the instance is worth nothing. */
+function pickLater(
+	newest: KnownRevision,
+	other: KnownRevision | undefined,
+): KnownRevision {
+	return other?.epoch === newest.epoch && other.revision > newest.revision
+		? other
+		: newest;
+}
+
 /** Records an answer. */
 export function recordRevision(
-	{marks}: PeerRevisions,
+	{full, ended, marks}: PeerRevisions,
 	{known, isEndedOnly, sentAt}: RevisionAnswer,
 ): PeerRevisions {
+	const nextEnded = pickLater(known, ended);
+	const keptFull = full?.epoch === known.epoch ? full : undefined;
 	return {
-		known,
-		hasGaps: isEndedOnly,
+		full: isEndedOnly ? keptFull : pickLater(known, full),
+		ended: nextEnded,
 		marks: [
-			...marks.filter(({at}) => at > sentAt - MARK_RETENTION_MS),
-			{at: sentAt, known},
+			...marks.filter(
+				({at, known: {epoch}}) =>
+					at > sentAt - MARK_RETENTION_MS && epoch === known.epoch,
+			),
+			{at: sentAt, known: nextEnded},
 		],
 	};
 }
 
 /**
- * Chooses the revision after which a control instance is asked for all changes.
- * If it has left out ready backend servers, the entry has those that the primary
- * control instance knew at `syncedAt`; the others changed at most the margin
- * before. Undefined to request all.
+ * Chooses the revision after which a control instance is asked for all changes:
+ * where its own full answers ended or, if that is later, where it was the margin
+ * before `syncedAt`, since the primary control instance of that time knew as much.
+ * Undefined to request all.
  */
 export function chooseFullRevision(
-	{known, hasGaps, marks}: PeerRevisions,
+	{full, marks}: PeerRevisions,
 	syncedAt: number,
 ): KnownRevision | undefined {
-	return hasGaps
-		? marks.findLast(({at}) => at <= syncedAt - GOSSIP_MARGIN_MS)?.known
-		: known;
+	const mark = marks.findLast(({at}) => at <= syncedAt - GOSSIP_MARGIN_MS);
+	return mark === undefined ? full : pickLater(mark.known, full);
 }
