Request backend servers from all control instances again

With ready servers from the primary control instance only, an entry knows no more than that one; by reading, one whose disk was lost answers entries before it is a member that the others send to. Not traced further.

Change: are reverted, with their tests. Changes in parts, ages over a limit, sums with each report and compressed answers stay.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -267,28 +267,6 @@
 		expect(all.at(-1)).toMatchObject({id: 'e-0', state: 'draining'});
 	});
 
-	// Each entry asks five control instances, and needs ready ones from one of them.
-	it('leaves out ready backend servers on request, and goes on after them', () => {
-		const {registry} = createTestRegistry();
-		registerMany(registry, 200);
-		const request = {...reportRequest, endedOnly: true};
-		const first = registry.createReportResponse(request);
-		expect(first).toMatchObject({backends: [], known: {revision: 201}});
-		registry.register({
-			...record,
-			id: 'e-0',
-			address: '10.0.0.0:80',
-			state: 'draining',
-			sequence: 2,
-		});
-		registry.register({...record, id: 'e-new', address: '10.1.0.0:80'});
-		const {known} = first;
-		const second = registry.createReportResponse({...request, known});
-		expect(second.backends).toMatchObject([{id: 'e-0', state: 'draining'}]);
-		const full = registry.createReportResponse({...reportRequest, known});
-		expect(full.backends.map(({id}) => id)).toEqual(['e-0', 'e-new']);
-	});
-
 	it('leaves the load of an entry that timed out out of the sums', () => {
 		const {time, registry} = createTestRegistry();
 		const load = [2, 10, 20] as const;
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -61,7 +61,6 @@
 			| 'entry'
 			| 'known'
 			| 'knownServing'
-			| 'endedOnly'
 			| 'wantsOverview'
 			| 'wantsAges'
 			| 'agesAboveMs'
@@ -273,7 +272,6 @@
 			entry,
 			known,
 			knownServing,
-			endedOnly,
 			wantsOverview,
 			wantsAges,
 			agesAboveMs,
@@ -281,7 +279,7 @@
 			entries: [...entries.values()].filter(isAlive).length,
 			...describeChanges(
 				{table, changedRevisions, latest: {epoch, revision}},
-				{known, endedOnly},
+				known,
 				clock.now(),
 			),
 			...(wantsAges ? describeAges(table, agesAboveMs, clock.now()) : {}),
--- a/packages/lovage-coordinator/src/report-parts.ts
+++ b/packages/lovage-coordinator/src/report-parts.ts
@@ -3,7 +3,6 @@
 	type BackendTable,
 	type ControlReport,
 	countReady,
-	type EntryReport,
 	type KnownRevision,
 	toAgedRecord,
 } from '@lovagevalve/dispatch';
@@ -33,7 +32,6 @@
 function listChanges(
 	{table, changedRevisions}: RevisedTable,
 	known: KnownRevision | undefined,
-	endedOnly: boolean,
 	now: number,
 ): readonly Change[] {
 	const changes: Change[] = [];
@@ -43,8 +41,7 @@
 			known === undefined
 				? record?.state !== 'gone' || now - record.heardAt < GONE_RETENTION_MS
 				: changedAt > known.revision;
-		const isLeftOut = endedOnly && record?.state === 'ready';
-		if (isMissing && !isLeftOut && record !== undefined) {
+		if (isMissing && record !== undefined) {
 			changes.push({record, changedAt});
 		}
 
@@ -59,15 +56,13 @@
 /** Describes the backend servers that changed after the revision that an entry knows. */
 export function describeChanges(
 	revised: RevisedTable,
-	{known, endedOnly = false}: Pick<EntryReport, 'known' | 'endedOnly'>,
+	known: KnownRevision | undefined,
 	now: number,
 ): Pick<ControlReport, 'known' | 'backends' | 'hasMore'> {
 	const {latest} = revised;
 	const base = known?.epoch === latest.epoch ? known : undefined;
 	const changes =
-		base?.revision === latest.revision
-			? []
-			: listChanges(revised, base, endedOnly, now);
+		base?.revision === latest.revision ? [] : listChanges(revised, base, now);
 	const sent = changes.slice(0, MAX_CHANGES_PER_ANSWER);
 	const backends = sent.map(({record}) => toAgedRecord(record, now));
 	return sent.length === changes.length
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -39,8 +39,6 @@
 	leaving?: readonly string[];
 	/** Absent to request all backend servers. */
 	known?: KnownRevision;
-	/** Leaves out backend servers that are ready; older control instances send them all the same. */
-	endedOnly?: boolean;
 	/** Requests the overview. It is the same on every control instance, so an entry asks only one at a time. */
 	wantsOverview: boolean;
 	/** Requests the time since the last contact with each backend server. */
@@ -57,12 +55,7 @@
 /** Part of an entry's report that is the same for every control instance. */
 export type SharedEntryReport = Omit<
 	EntryReport,
-	| 'known'
-	| 'knownServing'
-	| 'endedOnly'
-	| 'wantsOverview'
-	| 'wantsAges'
-	| 'agesAboveMs'
+	'known' | 'knownServing' | 'wantsOverview' | 'wantsAges' | 'agesAboveMs'
 >;
 
 /** Cluster state that is the same on every control instance. */
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -6,12 +6,6 @@
 	SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
-import {
-	chooseFullRevision,
-	NO_REVISIONS,
-	type PeerRevisions,
-	recordRevision,
-} from './peer-revisions.js';
 
 /** Dependencies and callbacks of a control client. */
 export type ControlClientOptions = Readonly<{
@@ -51,7 +45,8 @@
 	isUnreachable: boolean;
 	/** Version of the newest configuration that this peer knows. */
 	version: number;
-	revisions: PeerRevisions;
+	/** Last revision of the backend servers received from this peer. */
+	knownRevision: KnownRevision | undefined;
 	/** Revision of the advertised entries received from this peer. */
 	knownServing: KnownRevision | undefined;
 };
@@ -95,8 +90,6 @@
 	let isFetching = false;
 	let primaryPeer: string | undefined;
 	let round = 0;
-	/** When the last report was sent whose answer completed the backend servers. */
-	let syncedAt: number | undefined;
 	let firstVersionAt: number | undefined;
 
 	const readPeer = (address: string): Peer => {
@@ -105,7 +98,7 @@
 			answeredAt: undefined,
 			isUnreachable: false,
 			version: 0,
-			revisions: NO_REVISIONS,
+			knownRevision: undefined,
 			knownServing: undefined,
 		};
 		peers.set(address, peer);
@@ -222,6 +215,7 @@
 		peer.isUnreachable = false;
 		peer.answeredAt = now;
 		peer.version = report.version;
+		peer.knownRevision = report.known;
 		if (report.overview !== undefined) {
 			// The list in use is that of the last primary control instance.
 			peers.forEach((other) => {
@@ -257,16 +251,10 @@
 
 		peer.isBusy = true;
 		const isPrimary = address === primaryPeer;
-		// Until the first answer is complete, any control instance may be the first.
-		const isEndedOnly = !isPrimary && syncedAt !== undefined;
-		const sentAt = clock.now();
 		const report: EntryReport = {
 			...createReport(),
-			known: isEndedOnly
-				? peer.revisions.ended
-				: chooseFullRevision(peer.revisions, syncedAt ?? sentAt),
+			known: peer.knownRevision,
 			knownServing: peer.knownServing,
-			endedOnly: isEndedOnly,
 			wantsOverview: isPrimary,
 			...(isPrimary ? createAgesRequest() : {wantsAges: false}),
 		};
@@ -279,15 +267,8 @@
 		peer.isBusy = false;
 		response.match(
 			(found) => {
-				const {known, hasMore = false} = found;
-				peer.revisions = recordRevision(peer.revisions, {
-					known,
-					isEndedOnly,
-					sentAt,
-				});
-				syncedAt = isEndedOnly || hasMore ? syncedAt : sentAt;
 				applyReport(address, peer, found, report.version);
-				if (hasMore && address === primaryPeer) {
+				if (found.hasMore === true && address === primaryPeer) {
 					void sendReport(address);
 				}
 			},
@@ -309,7 +290,7 @@
 				(address) =>
 					isFullRound ||
 					address === primaryPeer ||
-					readPeer(address).revisions.ended === undefined,
+					readPeer(address).knownRevision === undefined,
 			);
 			targets.forEach((address) => {
 				void sendReport(address);
