Check the size of compressed answers after bytes have been sent

Cause, by reading: the test took the size at the socket's close event, which may come after the server's; the size was 0 then and the check passed for nothing.

Change: it reads the socket's own count, which must be above 0 as well. The start of a server stood four times in the file and is a function now.

--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -1,4 +1,5 @@
-import {Agent, createServer} from 'node:http';
+import {once} from 'node:events';
+import {Agent, createServer, type Server} from 'node:http';
 import {Socket, type AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createJsonServer, createPeerClient} from '../../index.js';
@@ -12,6 +13,13 @@
 	});
 });
 
+/** Starts a server on a free port and returns its address. */
+async function listen(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 describe('createPeerClient', () => {
 	it('times out early when an instance does not accept the connection', async () => {
 		// A powered-off instance answers no packet: the socket keeps connecting.
@@ -29,16 +37,12 @@
 
 	it('times out when an instance accepts the connection but does not respond', async () => {
 		const server = createServer(() => undefined);
-		const port = await new Promise<number>((resolve) => {
-			server.listen(0, '127.0.0.1', () => {
-				resolve((server.address() as AddressInfo).port);
-			});
-		});
+		const address = await listen(server);
 		cleanups.push(() => {
 			server.closeAllConnections();
 			server.close();
 		});
-		const answer = await client.call(`127.0.0.1:${port}`, '/x', {}, 300);
+		const answer = await client.call(address, '/x', {}, 300);
 		expect(answer._unsafeUnwrapErr()).toBe('timeout');
 	});
 
@@ -52,18 +56,8 @@
 			async ({path}) => ({status: 200, body: path === '/loads' ? loads : {}}),
 			() => undefined,
 		);
-		let sentBytes = 0;
-		server.on('connection', (socket) => {
-			socket.on('close', () => {
-				sentBytes = socket.bytesWritten;
-			});
-		});
-		const port = await new Promise<number>((resolve) => {
-			server.listen(0, '127.0.0.1', () => {
-				resolve((server.address() as AddressInfo).port);
-			});
-		});
-		const address = `127.0.0.1:${port}`;
+		const connected = once(server, 'connection') as Promise<[Socket]>;
+		const address = await listen(server);
 		const agent = new Agent({keepAlive: false});
 		const answer = await createPeerClient(agent).call(
 			address,
@@ -72,10 +66,10 @@
 			3000,
 		);
 		expect(answer._unsafeUnwrap()).toEqual(loads);
-		await new Promise((resolve) => {
-			server.close(resolve);
-		});
-		expect(sentBytes).toBeLessThan(plainBytes / 2);
+		const [socket] = await connected;
+		server.close();
+		expect(socket.bytesWritten).toBeGreaterThan(0);
+		expect(socket.bytesWritten).toBeLessThan(plainBytes / 2);
 	});
 
 	it('reports a damaged body', async () => {
@@ -83,13 +77,9 @@
 			res.writeHead(200, {'Content-Encoding': 'deflate'});
 			res.end('{"version":7}');
 		});
-		const port = await new Promise<number>((resolve) => {
-			server.listen(0, '127.0.0.1', () => {
-				resolve((server.address() as AddressInfo).port);
-			});
-		});
+		const address = await listen(server);
 		cleanups.push(() => server.close());
-		const answer = await client.call(`127.0.0.1:${port}`, '/x', {}, 300);
+		const answer = await client.call(address, '/x', {}, 300);
 		expect(answer._unsafeUnwrapErr()).toContain('incorrect header check');
 	});
 
@@ -97,13 +87,9 @@
 		const server = createServer((req, res) => {
 			res.end('{"version":7}');
 		});
-		const port = await new Promise<number>((resolve) => {
-			server.listen(0, '127.0.0.1', () => {
-				resolve((server.address() as AddressInfo).port);
-			});
-		});
+		const address = await listen(server);
 		cleanups.push(() => server.close());
-		const answer = await client.call(`127.0.0.1:${port}`, '/x', {}, 300);
+		const answer = await client.call(address, '/x', {}, 300);
 		expect(answer._unsafeUnwrap()).toEqual({version: 7});
 	});
 });
