Log which prompt parts a request had whose backend server crashed

Change: the adapter decodes the ids of a prompt's shared parts; the line "Backend server died while processing a request." has the request's id and its parts, and lovage_backend_crashes_total counts these lines. No decision changes.

--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -50,6 +50,9 @@
 		key: headers.key?.toString(),
 		promptTokens: Number(headers.prompt ?? 0),
 		outputTokens: 0,
+		sharedParts: String(headers.parts ?? '')
+			.split(',')
+			.filter((part) => part !== ''),
 		lastEventId: headers['last-event-id']?.toString(),
 	}),
 	createBackendHeaders: (rawHeaders, call) => [
@@ -201,7 +204,7 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		isQuarantined: (digest) => digest === '',
-		reportCrash(digest, backend) {
+		reportCrash({digest}, backend) {
 			crashes.push({digest, backend: backend.id});
 		},
 	});
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -28,7 +28,7 @@
 	/**
 	 * Reports that a backend server crashed while it was processing a request.
 	 */
-	reportCrash: (digest: string, backend: BackendRecord) => void;
+	reportCrash: (req: AcceptedRequest, backend: BackendRecord) => void;
 }>;
 
 /** A request that passed validation and is ready to be forwarded. */
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -177,9 +177,14 @@
 		dataCentre: settings.dataCentre,
 		readRouteTable: () => routeTable,
 		isQuarantined: (digest) => quarantinedAt.has(digest),
-		reportCrash(digest, {id, bornAt}) {
+		reportCrash({digest, metadata}, {id, bornAt}) {
 			const crash: Crash = {digest, backend: `${id}/${bornAt}`};
-			log.warn('Backend server died while processing a request.', crash);
+			metrics.count('backend_crashes');
+			log.warn('Backend server died while processing a request.', {
+				...crash,
+				request: metadata.id,
+				parts: metadata.sharedParts.join(' '),
+			});
 			crashes = [...crashes, {crash, at: clock.now()}].slice(
 				-MAX_REPORTED_CRASHES,
 			);
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -15,6 +15,11 @@
 	promptTokens: number;
 	/** Maximum number of output tokens. */
 	outputTokens: number;
+	/**
+	 * Ids of the parts of the prompt that other requests may share, without the
+	 * part that belongs to this request alone.
+	 */
+	sharedParts: readonly string[];
 	/** Id of the last event that the caller received in an earlier attempt. */
 	lastEventId?: string;
 }>;
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -61,7 +61,7 @@
 
 	/** The result of its probe counts from the next failure on. */
 	const countDeath = async (run: Run): Promise<void> => {
-		const isSuspected = await recordLoss(ctx, req.digest, run);
+		const isSuspected = await recordLoss(ctx, req, run);
 		deaths += isSuspected ? 1 : 0;
 	};
 
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -59,7 +59,7 @@
  */
 export async function recordLoss(
 	ctx: GatewayContext,
-	digest: string,
+	req: AcceptedRequest,
 	{backend, probe, startedAt}: Run,
 ): Promise<boolean> {
 	const runningMs =
@@ -68,7 +68,7 @@
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 	const isSuspected = !isAlive && isSuspectedCause(runningMs);
 	if (isSuspected) {
-		ctx.reportCrash(digest, backend);
+		ctx.reportCrash(req, backend);
 	}
 
 	return isSuspected;
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -53,7 +53,7 @@
 			const isAlive = await probeAddress(backend.address);
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
-				ctx.reportCrash(req.digest, backend);
+				ctx.reportCrash(req, backend);
 			}
 
 			return !isAlive;
