--- /dev/null
+++ b/packages/lovage-coordinator/src/__tests__/unit/crash-quarantine.test.ts
@@ -0,0 +1,347 @@
+import type {CrashReport, EntryReport} from '@lovagevalve/dispatch';
+import type {QuarantineState} from '@lovagevalve/quarantine';
+import {err, ok} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {
+	createCrashQuarantine,
+	type CrashQuarantine,
+} from '../../crash-quarantine.js';
+import type {QuarantineFile} from '../../quarantine-file.js';
+
+const noop = (): undefined => undefined;
+const log = {debug: noop, info: noop, warn: noop, error: noop};
+const findNone = (): undefined => undefined;
+
+/** A data folder in memory. */
+function createMemoryFile(): QuarantineFile & {isFull: boolean} {
+	let content: string | undefined;
+	return {
+		isFull: false,
+		async load() {
+			return ok(
+				content === undefined
+					? undefined
+					: (JSON.parse(content) as QuarantineState),
+			);
+		},
+		async save(state) {
+			if (this.isFull) {
+				return err('the disk is full');
+			}
+
+			content = JSON.stringify(state);
+			return ok();
+		},
+	};
+}
+
+/** Starts the quarantine of a control instance and waits until its file is read. */
+async function start(file = createMemoryFile()) {
+	const time = {now: 1000};
+	const clock = {now: () => time.now, wall: () => time.now};
+	const quarantine = createCrashQuarantine({clock, log}, file);
+	await new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+	return {quarantine, time, file};
+}
+
+function crash(
+	backend: string,
+	digest: string,
+	parts: readonly string[],
+	change: Partial<CrashReport> = {},
+): CrashReport {
+	return {
+		backend: `${backend}/1`,
+		digest,
+		parts,
+		dataCentre: 'a',
+		ageMs: 0,
+		...change,
+	};
+}
+
+function report(
+	quarantine: CrashQuarantine,
+	change: Partial<EntryReport>,
+	entry = 'entry-1',
+): void {
+	quarantine.applyReport({entry, crashes: [], ...change}, findNone);
+}
+
+type Started = Awaited<ReturnType<typeof start>>;
+
+/** Reports one crash a second, each from another entry. */
+function reportEach(
+	{quarantine, time}: Started,
+	crashes: readonly CrashReport[],
+): readonly string[] {
+	crashes.forEach((one, i) => {
+		time.now += 1000;
+		report(quarantine, {crashReports: [one]}, `entry-${i}`);
+	});
+	time.now += 1000;
+	return quarantine.describe().convicted;
+}
+
+const threeUnderOnePart = [
+	crash('e-1', 'd-1', ['common', 'bad']),
+	crash('e-2', 'd-2', ['common', 'bad']),
+	crash('e-3', 'd-3', ['common', 'bad']),
+];
+
+describe('causes of crashes', () => {
+	it('finds a whole request by the crashes that several entries report, each once', async () => {
+		const {quarantine, time} = await start();
+		['e-1', 'e-2', 'e-3'].forEach((backend, i) => {
+			time.now += 1000;
+			const crashes = [{digest: 'd', backend: `${backend}/1`}];
+			report(quarantine, {crashes}, `entry-${i}`);
+			report(quarantine, {crashes}, `entry-${i + 1}`);
+			expect(quarantine.describe().convicted).toEqual([]);
+		});
+		time.now += 1000;
+		expect(quarantine.describe().convicted).toEqual(['d']);
+	});
+
+	it('finds a part of prompts that crash engines while the other parts run soundly', async () => {
+		const started = await start();
+		const {quarantine, time} = started;
+		expect(reportEach(started, threeUnderOnePart)).toEqual([]);
+		expect(quarantine.describe().suspects).toContain('part:common');
+		report(quarantine, {soundMs: {'part:common': 100}});
+		time.now += 500;
+		report(quarantine, {
+			crashReports: [crash('e-4', 'd-4', ['common', 'bad'])],
+		});
+		time.now += 500;
+		expect(quarantine.describe().convicted).toEqual(['part:bad']);
+	});
+
+	it.each([[['bad']], [['bad', 'b']], [['a', 'bad']]])(
+		'finds the part wherever it stands: %j',
+		async (parts) => {
+			const started = await start();
+			const crashes = ['e-1', 'e-2', 'e-3'].map((backend, i) =>
+				crash(
+					backend,
+					`d-${i}`,
+					parts.map((part) => (part === 'bad' ? part : `${part}${i}`)),
+				),
+			);
+			expect(reportEach(started, crashes)).toEqual(['part:bad']);
+		},
+	);
+
+	// All engines crash within a second, so no run proves that the common part is sound.
+	it('tells a part from the common one that was on more of the lost requests', async () => {
+		const {quarantine, time} = await start();
+		const losses = [0, 1, 2, 3].flatMap((i) => [
+			crash(`e-${i}`, `d-${i}`, ['common', 'bad']),
+			crash(`e-${i}`, `sound-${i}`, ['common']),
+		]);
+		losses.forEach((loss) => {
+			time.now += 200;
+			report(quarantine, {crashReports: [loss]});
+		});
+		time.now += 500;
+		expect(quarantine.describe().convicted).toEqual(['part:bad']);
+	});
+
+	it('finds two parts at the same time', async () => {
+		const started = await start();
+		const crashes = [0, 1, 2, 3, 4, 5].map((i) =>
+			crash(`e-${i}`, `d-${i}`, [i % 2 === 0 ? 'bad' : 'worse']),
+		);
+		expect(reportEach(started, crashes)).toEqual(['part:bad', 'part:worse']);
+	});
+
+	it('blames the whole request and no part while only one request crashes', async () => {
+		const started = await start();
+		const crashes = ['e-1', 'e-2', 'e-3'].map((backend) =>
+			crash(backend, 'd', ['common']),
+		);
+		expect(reportEach(started, crashes)).toEqual(['d']);
+	});
+
+	it('counts sound runs only against crashes before them', async () => {
+		const started = await start();
+		report(started.quarantine, {soundMs: {'part:bad': 1000}});
+		expect(
+			reportEach(
+				started,
+				threeUnderOnePart.map((one) => ({...one, parts: ['bad']})),
+			),
+		).toEqual(['part:bad']);
+	});
+
+	it('takes a late report of another entry on a crash that was counted', async () => {
+		const started = await start();
+		const {quarantine, time} = started;
+		reportEach(started, [
+			crash('e-1', 'sound-1', ['x']),
+			crash('e-2', 'd-2', ['bad']),
+			crash('e-3', 'd-3', ['bad']),
+		]);
+		expect(quarantine.describe().convicted).toEqual([]);
+		const late = crash('e-1', 'd-1', ['bad'], {ageMs: 3000});
+		report(quarantine, {crashReports: [late]});
+		time.now += 10;
+		expect(quarantine.describe().convicted).toEqual(['part:bad']);
+	});
+});
+
+describe('what no request has caused', () => {
+	it('blames nothing when a data centre or all of them end at once', async () => {
+		const {quarantine, time} = await start();
+		const lost = Array.from({length: 24}, (_, i) =>
+			crash(`e-${i}`, `d-${i}`, ['common', `p-${i % 3}`], {
+				dataCentre: ['a', 'b', 'c'][i % 3]!,
+				ageMs: i * 5,
+			}),
+		);
+		report(quarantine, {crashReports: lost});
+		time.now += 1000;
+		expect(quarantine.describe().convicted).toEqual([]);
+	});
+
+	it('blames nothing when data centres end one after the other while others serve', async () => {
+		const {quarantine, time} = await start();
+		['a', 'b', 'c', 'a', 'b', 'c'].forEach((dataCentre, round) => {
+			const lost = Array.from({length: 8}, (_, i) =>
+				crash(`e-${round}-${i}`, `d-${round}-${i}`, ['common'], {dataCentre}),
+			);
+			time.now += 2500;
+			report(quarantine, {crashReports: lost});
+			time.now += 500;
+			report(quarantine, {soundMs: {'part:common': 50}});
+		});
+		expect(quarantine.describe().convicted).toEqual([]);
+	});
+
+	it('finds a part among the deaths of a lost rack', async () => {
+		const started = await start();
+		const rack = ['r-1', 'r-2', 'r-3'].map((backend) =>
+			crash(backend, `d-${backend}`, ['common'], {dataCentre: 'b'}),
+		);
+		report(started.quarantine, {crashReports: rack});
+		expect(
+			reportEach(
+				started,
+				threeUnderOnePart.map((one) => ({...one, parts: ['bad']})),
+			),
+		).toEqual(['part:bad']);
+	});
+
+	// A sound request that lost several engines to the part would be refused after
+	// one more loss that has another cause.
+	it('forgives the losses that a part has caused', async () => {
+		const started = await start();
+		const {quarantine, time} = started;
+		[1, 2].forEach((i) => {
+			report(quarantine, {
+				crashReports: [
+					crash(`e-${i}`, 'sound', ['x']),
+					crash(`e-${i}`, `d-${i}`, ['bad']),
+				],
+			});
+			time.now += 1000;
+		});
+		reportEach(started, [
+			crash('e-3', 'd-3', ['bad']),
+			crash('e-4', 'd-4', ['bad']),
+		]);
+		expect(quarantine.describe().convicted).toEqual(['part:bad']);
+		expect(reportEach(started, [crash('e-9', 'sound', ['x'])])).toEqual([
+			'part:bad',
+		]);
+	});
+});
+
+describe('ends of a verdict', () => {
+	it('ends when a run that was under way at the verdict proves sound', async () => {
+		const started = await start();
+		const crashes = threeUnderOnePart.map((one) => ({...one, parts: ['bad']}));
+		expect(reportEach(started, crashes)).toEqual(['part:bad']);
+		started.time.now += 500;
+		report(started.quarantine, {soundMs: {'part:bad': 10}});
+		expect(started.quarantine.describe().convicted).toEqual([]);
+	});
+
+	it('refuses parts that can not be told apart after five crashes, and again after one more', async () => {
+		const started = await start();
+		const {quarantine, time} = started;
+		const crashes = [1, 2, 3, 4, 5].map((i) =>
+			crash(`e-${i}`, `d-${i}`, ['bad', 'twin']),
+		);
+		expect(reportEach(started, crashes.slice(0, 4))).toEqual([]);
+		const both = ['part:bad', 'part:twin'];
+		expect(reportEach(started, crashes.slice(4))).toEqual(both);
+		time.now += 300_000;
+		await quarantine.maintain();
+		expect(quarantine.describe().convicted).toEqual([]);
+		time.now += 10_000;
+		report(quarantine, {soundMs: {'part:twin': 10}});
+		expect(reportEach(started, [crash('e-6', 'd-6', ['bad', 'twin'])])).toEqual(
+			['part:bad'],
+		);
+	});
+});
+
+describe('memory', () => {
+	it('keeps verdicts and strikes over a restart, and stores them once the disk takes them', async () => {
+		const first = await start();
+		const crashes = threeUnderOnePart.map((one) => ({...one, parts: ['bad']}));
+		reportEach(first, [
+			...crashes,
+			crash('e-4', 'd-4', ['next']),
+			crash('e-5', 'd-5', ['next']),
+		]);
+		first.file.isFull = true;
+		await first.quarantine.maintain();
+		first.file.isFull = false;
+		await first.quarantine.maintain();
+		const second = await start(first.file);
+		expect(second.quarantine.describe().convicted).toEqual(['part:bad']);
+		expect(reportEach(second, [crash('e-6', 'd-6', ['next'])])).toEqual([
+			'part:bad',
+			'part:next',
+		]);
+	});
+
+	it('learns verdicts from the other control instances', async () => {
+		const first = await start();
+		reportEach(
+			first,
+			threeUnderOnePart.map((one) => ({...one, parts: ['bad']})),
+		);
+		const second = await start();
+		second.quarantine.mergeConvictions(first.quarantine.listConvictions());
+		expect(second.quarantine.describe().convicted).toEqual(['part:bad']);
+	});
+
+	it('bounds what thousands of parts leave, and lists the leading suspects first', async () => {
+		const started = await start();
+		reportEach(
+			started,
+			Array.from({length: 700}, (_, i) =>
+				crash(
+					`e-${i}`,
+					`d-${i}`,
+					Array.from({length: 30}, (__, k) => `p-${i}-${k}`),
+				),
+			),
+		);
+		expect(
+			reportEach(started, [
+				crash('f-1', 'd', ['bad']),
+				crash('f-2', 'd-2', ['bad']),
+			]),
+		).toEqual([]);
+		const {suspects = []} = started.quarantine.describe();
+		expect(suspects.length).toBeLessThanOrEqual(128);
+		expect(suspects[0]).toBe('part:bad');
+		await started.quarantine.maintain();
+	});
+});
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -348,17 +348,6 @@
 		expect(registry.takePendingGossip().map(({id}) => id)).toEqual(['e-1']);
 		expect(registry.takePendingGossip()).toEqual([]);
 	});
-
-	it('blocks a request based on the crashes that several entries report', () => {
-		const {registry} = createTestRegistry();
-		['e-1', 'e-2', 'e-3'].forEach((backend, i) => {
-			const crashes = [{digest: 'killer', backend}];
-			registry.applyReport(createReport(`entry-${i}`, {crashes}));
-		});
-		expect(registry.createReportResponse(reportRequest).convicted).toEqual([
-			'killer',
-		]);
-	});
 });
 
 describe('applyEntry', () => {
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -16,7 +16,9 @@
 	type Logger,
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
+import {createCrashQuarantine} from './crash-quarantine.js';
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
+import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
 import {createRegistry, type KnownEntry} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
@@ -96,6 +98,13 @@
 /** Time for a successor to take over leadership before this replica stops. */
 const LEADERSHIP_TRANSFER_MS = 300;
 
+/** State that a control instance sends to the others. */
+type Gossip = Readonly<{
+	backends: readonly AgedRecord[];
+	/** Milliseconds since each conviction of the quarantine; older instances don't send it. */
+	convictedMs?: Readonly<Record<string, number>>;
+}>;
+
 type RaftDelivery = Readonly<{from: string; messages: readonly RaftMessage[]}>;
 
 /** Creates a control instance and starts opening its data folder. */
@@ -111,6 +120,10 @@
 		log,
 		Math.floor(dependencies.random() * EPOCH_LIMIT),
 	);
+	const quarantine = createCrashQuarantine(
+		{clock, log},
+		createQuarantineFile(settings.dataFolder),
+	);
 	let loggedVersion = 0;
 
 	const replica = createReplica({
@@ -202,8 +215,10 @@
 
 	const handleReport = (report: EntryReport): ControlReport => {
 		registry.applyReport(report);
+		quarantine.applyReport(report, registry.find);
 		return {
 			...registry.createReportResponse(report),
+			...quarantine.describe(),
 			version: readVersion(),
 			controls: listControls(),
 		};
@@ -251,7 +266,9 @@
 			}
 
 			case '/gossip': {
-				registry.merge((body as {backends: AgedRecord[]}).backends);
+				const {backends, convictedMs = {}} = body as Gossip;
+				registry.merge(backends);
+				quarantine.mergeConvictions(convictedMs);
 				return {status: 200};
 			}
 
@@ -274,20 +291,24 @@
 	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.removeExpired();
+		void quarantine.maintain();
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
 		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
-		sendGossip(isFull ? registry.listBackends() : pendingGossip);
-	};
-
-	const sendGossip = (backends: readonly AgedRecord[]): void => {
-		if (backends.length === 0) {
-			return;
+		if (isFull) {
+			sendGossip({
+				backends: registry.listBackends(),
+				convictedMs: quarantine.listConvictions(),
+			});
+		} else if (pendingGossip.length > 0) {
+			sendGossip({backends: pendingGossip});
 		}
+	};
 
+	const sendGossip = (message: Gossip): void => {
 		listPeers().forEach((peer) => {
 			// Failures are not logged: the next full round sends the same records.
-			void client.call(peer, '/gossip', {backends}, GOSSIP_TIMEOUT_MS);
+			void client.call(peer, '/gossip', message, GOSSIP_TIMEOUT_MS);
 		});
 	};
 
@@ -303,6 +324,10 @@
 	metrics.registerGauge('configuration_version', readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
 	metrics.registerGauge('backends', () => registry.listBackends().length);
+	metrics.registerGauge(
+		'quarantined',
+		() => quarantine.describe().convicted.length,
+	);
 	metrics.registerGauge('entries_serving', () => registry.listServing().length);
 
 	return {
@@ -331,7 +356,7 @@
 			if (outcome === 'changed' && record.state !== 'ready') {
 				// A departure must reach every entry while the backend server still
 				// serves requests.
-				sendGossip(registry.takePendingGossip());
+				sendGossip({backends: registry.takePendingGossip()});
 			}
 
 			return outcome;
--- /dev/null
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -0,0 +1,302 @@
+import type {
+	BackendRecord,
+	ControlReport,
+	EntryReport,
+} from '@lovagevalve/dispatch';
+import {
+	createPartKey,
+	createQuarantine,
+	DEFAULT_QUARANTINE_OPTIONS,
+	type QuarantineEvent,
+	type QuarantineOptions,
+	type QuarantineState,
+	type ReportedDeath,
+	stepQuarantine,
+	summarizeQuarantine,
+} from '@lovagevalve/quarantine';
+import type {Clock, Logger} from '@lovagevalve/runtime';
+import type {QuarantineFile} from './quarantine-file.js';
+
+/** Requests and parts of prompts that crash backend servers, from the reports of the entries. */
+export type CrashQuarantine = Readonly<{
+	applyReport: (
+		report: Pick<EntryReport, 'entry' | 'crashes' | 'crashReports' | 'soundMs'>,
+		findBackend: (id: string) => BackendRecord | undefined,
+	) => void;
+	/** The quarantine's part of the response to a report. */
+	describe: () => Pick<ControlReport, 'convicted' | 'suspects'>;
+	/** Milliseconds since each conviction, for the other control instances. */
+	listConvictions: () => Readonly<Record<string, number>>;
+	mergeConvictions: (agesMs: Readonly<Record<string, number>>) => void;
+	/** Drops what is outdated, and stores the state if it has changed. */
+	maintain: () => Promise<void>;
+}>;
+
+const QUARANTINE_OPTIONS: QuarantineOptions = {
+	...DEFAULT_QUARANTINE_OPTIONS,
+	// Entries report the age of a crash, so that the deaths of a rack are seen at the same time.
+	windowMs: 300,
+	deathRetentionMs: 120_000,
+	uncertainStrikes: 5,
+	// A run is past its start after a second; entries learn the suspects and report by then.
+	soundReportMs: 2000,
+	uncertainRetentionMs: 300_000,
+	maxRecords: 500,
+};
+/** Suspects are listed for this long after their last death, so that entries report whether they run soundly. */
+const SUSPECT_LISTING_MS = 30_000;
+/** Limit of suspects in a response. */
+const MAX_LISTED_SUSPECTS = 64;
+
+/** Splits `id/bornAt`. */
+function parseIncarnation(text: string): {id: string; bornAt: number} {
+	const slash = text.lastIndexOf('/');
+	return {id: text.slice(0, slash), bornAt: Number(text.slice(slash + 1))};
+}
+
+/**
+ * Creates the quarantine of a control instance. It is empty until the stored state
+ * is read; entries repeat their reports for longer than that takes.
+ */
+export function createCrashQuarantine(
+	{clock, log}: Readonly<{clock: Clock; log: Logger}>,
+	file: QuarantineFile,
+): CrashQuarantine {
+	const startedAt = clock.now();
+	/** Time of the quarantine when this process started; it stands still between processes. */
+	let offsetMs = 0;
+	let state: QuarantineState | undefined;
+	let summary = summarizeQuarantine(createQuarantine(QUARANTINE_OPTIONS));
+	let storedText = '';
+	let isStoring = false;
+
+	const readNow = (): number => offsetMs + clock.now() - startedAt;
+
+	const describeCause = (
+		{deaths}: QuarantineState,
+		key: string,
+	): Readonly<{crashes: number; backends: string}> => {
+		const guilty = deaths.filter(
+			({digests, parts = {}}) =>
+				digests.includes(key) || parts[key] !== undefined,
+		);
+		return {
+			crashes: guilty.length,
+			backends: guilty
+				.map(({backend, incarnation}) => `${backend}/${incarnation}`)
+				.join(' '),
+		};
+	};
+
+	const logChanges = (
+		before: readonly string[],
+		current: QuarantineState,
+	): void => {
+		const {convicted} = summary;
+		convicted
+			.filter((key) => !before.includes(key))
+			.forEach((key) => {
+				log.warn('Quarantined a cause of crashes.', {
+					cause: key,
+					hasLead: current.convicted[key] !== undefined,
+					...describeCause(current, key),
+				});
+			});
+		before
+			.filter((key) => !convicted.includes(key))
+			.forEach((key) => {
+				log.info('A quarantine ended.', {cause: key});
+			});
+	};
+
+	const apply = (event: QuarantineEvent): void => {
+		if (state === undefined) {
+			return;
+		}
+
+		const before = summary.convicted;
+		state = stepQuarantine(state, event).state;
+		summary = summarizeQuarantine(state);
+		logChanges(before, state);
+	};
+
+	const load = async (): Promise<void> => {
+		const loaded = await file.load();
+		const stored = loaded.unwrapOr(undefined);
+		if (loaded.isErr()) {
+			log.error('Failed to read the quarantine.', {reason: loaded.error});
+		}
+
+		offsetMs = stored?.now ?? 0;
+		state = {
+			...createQuarantine(QUARANTINE_OPTIONS),
+			...stored,
+			options: QUARANTINE_OPTIONS,
+		};
+		summary = summarizeQuarantine(state);
+		log.info('The quarantine is loaded.', {
+			convicted: summary.convicted.length,
+			suspects: summary.suspects.length,
+		});
+	};
+
+	const isDue = ({deaths, now}: QuarantineState): boolean =>
+		deaths.some(({verdict}) => verdict === 'pending') && readNow() > now;
+
+	const listDeaths = (
+		{
+			crashes,
+			crashReports,
+		}: Pick<EntryReport, 'crashes' | 'crashReports' | 'entry'>,
+		findBackend: (id: string) => BackendRecord | undefined,
+		now: number,
+	): readonly ReportedDeath[] => {
+		const detailed =
+			crashReports ??
+			crashes.map((crash) => ({
+				...crash,
+				dataCentre:
+					findBackend(parseIncarnation(crash.backend).id)?.dataCentre ?? '',
+				ageMs: 0,
+				parts: [],
+			}));
+		return detailed.map(({backend, dataCentre, ageMs, digest, parts}) => {
+			const {id, bornAt} = parseIncarnation(backend);
+			return {
+				backend: id,
+				incarnation: bornAt,
+				dataCentre,
+				digests: [digest],
+				parts: Object.fromEntries(
+					parts.map((part) => [createPartKey(part), [digest]]),
+				),
+				at: now - ageMs,
+			};
+		});
+	};
+
+	const isNewDeath = ({
+		backend,
+		incarnation,
+		digests,
+	}: ReportedDeath): boolean =>
+		state?.deaths.some(
+			(known) =>
+				known.backend === backend &&
+				known.incarnation === incarnation &&
+				digests.every((digest) => known.digests.includes(digest)),
+		) === false;
+
+	/** Whether a sound run clears strikes or a verdict, or is the first that is known. */
+	const isNewSound = (key: string, soundAt: number): boolean => {
+		const record = state?.records[key];
+		const convictedAt =
+			state?.convicted[key] ?? state?.uncertain?.[key]?.lastAt;
+		return (
+			(convictedAt !== undefined && convictedAt <= soundAt) ||
+			(record !== undefined &&
+				(record.soundAt === undefined ||
+					(record.deathTimes ?? []).some((time) => time <= soundAt)))
+		);
+	};
+
+	void load();
+	return {
+		applyReport(report, findBackend) {
+			const now = readNow();
+			// Entries repeat their reports, most of which say nothing new.
+			const deaths = listDeaths(report, findBackend, now).filter((death) =>
+				isNewDeath(death),
+			);
+			const sound = Object.entries(report.soundMs ?? {})
+				.map(([key, ageMs]): [string, number] => [key, now - ageMs])
+				.filter(([key, soundAt]) => isNewSound(key, soundAt));
+			if (deaths.length === 0 && sound.length === 0) {
+				return;
+			}
+
+			deaths.forEach(({backend, incarnation, digests, parts = {}}) => {
+				log.warn('An entry reported a crash.', {
+					entry: report.entry,
+					backend,
+					bornAt: incarnation,
+					digest: digests.join(' '),
+					parts: Object.keys(parts).join(' '),
+				});
+			});
+			apply({
+				kind: 'deaths-reported',
+				deaths,
+				completed: [],
+				sound: Object.fromEntries(sound),
+				now,
+			});
+		},
+		describe() {
+			if (state !== undefined && isDue(state)) {
+				apply({kind: 'ticked', now: readNow()});
+			}
+
+			const {convicted, suspects} = summary;
+			const countStrikes = (key: string): number =>
+				state?.records[key]?.strikes ?? 0;
+			const isRecent = (key: string): boolean =>
+				readNow() - (state?.records[key]?.lastAt ?? readNow()) <
+				SUSPECT_LISTING_MS;
+			const listed = suspects
+				.filter((key) => isRecent(key))
+				.toSorted((a, b) => countStrikes(b) - countStrikes(a))
+				.slice(0, MAX_LISTED_SUSPECTS);
+			// A run that was under way at a conviction may still clear the convicted.
+			return {
+				convicted,
+				suspects: [...convicted.slice(0, MAX_LISTED_SUSPECTS), ...listed],
+			};
+		},
+		listConvictions() {
+			const now = readNow();
+			return Object.fromEntries(
+				Object.entries(state?.convicted ?? {}).map(([key, at]) => [
+					key,
+					now - at,
+				]),
+			);
+		},
+		mergeConvictions(agesMs) {
+			const now = readNow();
+			const unknown = Object.entries(agesMs).filter(
+				([key]) => state?.convicted[key] === undefined,
+			);
+			if (unknown.length > 0) {
+				const convicted = Object.fromEntries(
+					unknown.map(([key, ageMs]) => [key, now - ageMs]),
+				);
+				apply({kind: 'convictions-received', convicted, now});
+			}
+		},
+		async maintain() {
+			if (state === undefined || isStoring) {
+				return;
+			}
+
+			apply({kind: 'ticked', now: readNow()});
+			const {deaths, records, convicted, uncertain} = state;
+			const text = JSON.stringify({deaths, records, convicted, uncertain});
+			if (text === storedText) {
+				return;
+			}
+
+			isStoring = true;
+			const stored = await file.save(state);
+			isStoring = false;
+			stored.match(
+				() => {
+					storedText = text;
+				},
+				(reason) => {
+					log.warn('Failed to store the quarantine.', {reason});
+				},
+			);
+		},
+	};
+}
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -4,7 +4,6 @@
 	type BackendTable,
 	type ClusterOverview,
 	type ControlReport,
-	type CrashHistory,
 	dropOldRecords,
 	type EntryReport,
 	type EntryStatus,
@@ -12,11 +11,9 @@
 	fromCompactLoads,
 	isSameRegistration,
 	type KnownRevision,
-	listQuarantined,
 	mergeRecords,
 	type MergeOutcome,
 	type MergeResult,
-	recordCrashes,
 	toAgedRecord,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
@@ -65,7 +62,7 @@
 			| 'wantsAges'
 			| 'agesAboveMs'
 		>,
-	) => Omit<ControlReport, 'version' | 'controls'>;
+	) => Omit<ControlReport, 'version' | 'controls' | 'convicted' | 'suspects'>;
 	/** Entries that may be advertised to callers. */
 	listServing: () => readonly KnownEntry[];
 	removeExpired: () => void;
@@ -104,7 +101,6 @@
 	 * `takePendingGossip`.
 	 */
 	const pendingGossip = new Set<string>();
-	let crashHistory: CrashHistory = new Map();
 
 	const isAlive = ({heardAt}: KnownEntry): boolean =>
 		clock.now() - heardAt < ENTRY_TIMEOUT_MS;
@@ -263,10 +259,6 @@
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
 			}
-
-			if (report.crashes.length > 0) {
-				crashHistory = recordCrashes(crashHistory, report.crashes, clock.now());
-			}
 		},
 		createReportResponse: ({
 			entry,
@@ -291,7 +283,6 @@
 						},
 					}
 				: {}),
-			convicted: listQuarantined(crashHistory, clock.now()),
 		}),
 		listServing,
 		removeExpired() {
--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -1,14 +1,10 @@
 import {describe, expect, it} from 'vitest';
 import {
-	type CrashHistory,
 	countRequest,
 	decideRetry,
 	EMPTY_BUDGET,
 	isAvoided,
 	decideStallAction,
-	isSuspectedCause,
-	listQuarantined,
-	recordCrashes,
 	recordExchange,
 	type RetryCounts,
 	type RetryInputs,
@@ -189,37 +185,6 @@
 	});
 });
 
-describe('crash history', () => {
-	it('quarantines a request that crashed three backend servers', () => {
-		const crashes = ['e-1', 'e-2', 'e-3'].map((backend) => ({
-			digest: 'killer',
-			backend,
-		}));
-		const two = recordCrashes(new Map(), crashes.slice(0, 2), 0);
-		expect(listQuarantined(two, 0)).toEqual([]);
-		const three = recordCrashes(two, crashes.slice(2), 1000);
-		expect(listQuarantined(three, 1000)).toEqual(['killer']);
-		expect(listQuarantined(three, 500_000)).toEqual([]);
-	});
-
-	// Streams run for seconds, so the loss of one data centre after another hits the
-	// same stream several times. It is not the cause.
-	it('suspects a request only if the backend server crashed soon after it started to run', () => {
-		expect(isSuspectedCause(undefined)).toBe(true);
-		expect(isSuspectedCause(200)).toBe(true);
-		expect(isSuspectedCause(1500)).toBe(false);
-	});
-
-	it('counts a crash once when several entries report it', () => {
-		const death = {digest: 'd', backend: 'e-1'};
-		const history = [0, 1, 2].reduce<CrashHistory>(
-			(known, now) => recordCrashes(known, [death], now),
-			new Map(),
-		);
-		expect(listQuarantined(history, 3)).toEqual([]);
-	});
-});
-
 describe('backend health', () => {
 	it('avoids an unreachable backend server temporarily', () => {
 		const health = recordExchange(UNKNOWN_HEALTH, 'unreachable', 0);
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -20,12 +20,6 @@
 	BackendNotices,
 	ClosedReason,
 } from './backend-notices.js';
-export {
-	isSuspectedCause,
-	listQuarantined,
-	recordCrashes,
-} from './crash-history.js';
-export type {Crash, CrashHistory} from './crash-history.js';
 export {addLoad, NO_LOAD, subtractLoad} from './load.js';
 export type {BackendLoad} from './load.js';
 export {chooseBackend} from './placement.js';
@@ -41,6 +35,8 @@
 	AgesRequest,
 	CompactLoads,
 	ControlReport,
+	Crash,
+	CrashReport,
 	EntryReport,
 	EntryStatus,
 	KnownRevision,
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -1,8 +1,25 @@
 import type {BackendRecord} from './backend-table.js';
-import type {Crash} from './crash-history.js';
 import type {BackendLoad} from './load.js';
 import type {RetryCounts} from './retry-budget.js';
 
+/** A backend server that crashed while it processed a request. */
+export type Crash = Readonly<{
+	/** Digest of the request's path, customer and body. */
+	digest: string;
+	/** Identifies the backend server and its incarnation. */
+	backend: string;
+}>;
+
+/** A crash with what is needed to find its cause. */
+export type CrashReport = Crash &
+	Readonly<{
+		dataCentre: string;
+		/** Time since the crash, in milliseconds. */
+		ageMs: number;
+		/** Parts of the request's prompt that other requests may share. */
+		parts: readonly string[];
+	}>;
+
 /** Whether callers may be directed to an entry. */
 export type EntryStatus = 'starting' | 'ready' | 'leaving';
 
@@ -35,6 +52,13 @@
 	/** Requests and retries within the retry budget's window, by service. */
 	retries: Readonly<Record<string, RetryCounts>>;
 	crashes: readonly Crash[];
+	/** The same crashes with more details; older entries don't send it. */
+	crashReports?: readonly CrashReport[];
+	/**
+	 * Milliseconds since a run got past its start, for those of the suspects that
+	 * had one recently at this entry.
+	 */
+	soundMs?: Readonly<Record<string, number>>;
 	/** Incarnations of backend servers that said they are leaving, as `id/bornAt`. */
 	leaving?: readonly string[];
 	/** Absent to request all backend servers. */
@@ -90,7 +114,10 @@
 	/** Number of backend servers in service; older control instances don't send it. */
 	readyCount?: number;
 	overview?: ClusterOverview;
+	/** Digests of requests and keys of prompt parts that are quarantined. */
 	convicted: readonly string[];
+	/** Digests and keys that may have caused crashes; older control instances don't send it. */
+	suspects?: readonly string[];
 }>;
 
 /** Encodes loads for a report. */
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -203,9 +203,12 @@
 		random: () => 0,
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
-		isQuarantined: (digest) => digest === '',
-		reportCrash({digest}, backend) {
-			crashes.push({digest, backend: backend.id});
+		crashes: {
+			findQuarantined: () => undefined,
+			reportCrash({digest}, backend) {
+				crashes.push({digest, backend: backend.id});
+			},
+			recordSound: noop,
 		},
 	});
 	const port = await listen(gateway.server);
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -4,6 +4,7 @@
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {BackendView} from './backend-view.js';
+import type {CrashWatch} from './crash-watch.js';
 import type {
 	HeaderCodec,
 	RequestMetadata,
@@ -24,11 +25,7 @@
 	dataCentre: string;
 	/** Routes of the newest configuration; undefined until one is known. */
 	readRouteTable: () => RouteTable | undefined;
-	isQuarantined: (digest: string) => boolean;
-	/**
-	 * Reports that a backend server crashed while it was processing a request.
-	 */
-	reportCrash: (req: AcceptedRequest, backend: BackendRecord) => void;
+	crashes: Pick<CrashWatch, 'findQuarantined' | 'reportCrash' | 'recordSound'>;
 }>;
 
 /** A request that passed validation and is ready to be forwarded. */
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -1,5 +1,4 @@
 import {
-	type Crash,
 	type EntryStatus,
 	type SharedEntryReport,
 	type RetryBudgetPolicy,
@@ -20,6 +19,7 @@
 import {createBackendView} from './backend-view.js';
 import type {GatewayContext} from './context.js';
 import {createControlClient} from './control-client.js';
+import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
 import type {HeaderCodec} from './protocol.js';
 import {createRetryBudgets} from './retry-budgets.js';
@@ -81,13 +81,6 @@
 const REPORT_INTERVAL_MS = 200;
 /** The process exits this long before the end of the grace period. */
 const STOP_MARGIN_MS = 300;
-/** Limit of crashes in one report. */
-const MAX_REPORTED_CRASHES = 200;
-/**
- * A crash is repeated in reports for this long, so that every reachable control
- * instance receives it.
- */
-const CRASH_REPORT_MS = 3000;
 /**
  * Values from a control instance remain valid for this long, which bridges
  * several report intervals or the loss of one instance.
@@ -111,9 +104,7 @@
 	let serving: readonly string[] = [];
 	/** Number of entries, by the control instance that reported it. */
 	const entryCounts = new Map<string, Readonly<{count: number; at: number}>>();
-	/** Last report time of each quarantined digest; `convicted` in reports. */
-	const quarantinedAt = new Map<string, number>();
-	let crashes: ReadonlyArray<Readonly<{crash: Crash; at: number}>> = [];
+	const crashes = createCrashWatch({clock, log, metrics});
 
 	const view = createBackendView({
 		clock,
@@ -142,24 +133,6 @@
 				.map(({count}) => count),
 		);
 
-	const updateQuarantined = (digests: readonly string[]): void => {
-		const now = clock.now();
-		[...quarantinedAt]
-			.filter(([, at]) => now - at > REPORT_RETENTION_MS)
-			.forEach(([digest]) => {
-				quarantinedAt.delete(digest);
-			});
-		digests.forEach((digest) => {
-			if (!quarantinedAt.has(digest)) {
-				log.warn('Blocking a request that crashes backend servers.', {
-					digest,
-				});
-			}
-
-			quarantinedAt.set(digest, now);
-		});
-	};
-
 	const retryBudgets = createRetryBudgets(
 		settings.retryBudget,
 		clock,
@@ -176,19 +149,7 @@
 		random: dependencies.random,
 		dataCentre: settings.dataCentre,
 		readRouteTable: () => routeTable,
-		isQuarantined: (digest) => quarantinedAt.has(digest),
-		reportCrash({digest, metadata}, {id, bornAt}) {
-			const crash: Crash = {digest, backend: `${id}/${bornAt}`};
-			metrics.count('backend_crashes');
-			log.warn('Backend server died while processing a request.', {
-				...crash,
-				request: metadata.id,
-				parts: metadata.sharedParts.join(' '),
-			});
-			crashes = [...crashes, {crash, at: clock.now()}].slice(
-				-MAX_REPORTED_CRASHES,
-			);
-		},
+		crashes,
 	};
 	const gateway = createGateway(ctx);
 
@@ -215,11 +176,6 @@
 		);
 	};
 
-	const listCrashes = (): readonly Crash[] => {
-		crashes = crashes.filter(({at}) => clock.now() - at < CRASH_REPORT_MS);
-		return crashes.map(({crash}) => crash);
-	};
-
 	const createReport = (): SharedEntryReport => ({
 		entry: settings.name,
 		address: settings.address,
@@ -228,7 +184,7 @@
 		version: routeTable?.configuration.version ?? 0,
 		loads: toCompactLoads(view.readOwnLoads()),
 		retries: retryBudgets.readCounts(),
-		crashes: listCrashes(),
+		...crashes.createReport(),
 		leaving: view.listLeaving(),
 	});
 
@@ -246,7 +202,7 @@
 				retryBudgets.updateRemoteCounts(report.overview.retries);
 			}
 
-			updateQuarantined(report.convicted);
+			crashes.applyReport(control, report);
 			view.applyReport(report);
 		},
 		onConfiguration: applyConfiguration,
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 	type ProblemResponse,
 } from './responses.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
+import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
 import {readBody} from './read-body.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -237,9 +238,11 @@
 		const caller = outcome.customer ?? '';
 		const digest = digestRequest(outcome.method, outcome.path, caller, body);
 		const accepted = {...outcome, body, digest};
-		if (ctx.isQuarantined(digest)) {
-			const reason = 'this request crashes the backend servers that run it';
-			endWithProblem(ctx, accepted, {status: 500, reason}, 0);
+		const cause = ctx.crashes.findQuarantined(accepted);
+		if (cause !== undefined) {
+			const reason = describeQuarantine(cause);
+			ctx.metrics.count('quarantine_refusals');
+			endWithProblem(ctx, accepted, {status: 500, reason, cause}, 0);
 			return;
 		}
 
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -10,6 +10,8 @@
 export type ProblemResponse = Readonly<{
 	status: number;
 	reason: string;
+	/** What is to blame, for the log. */
+	cause?: string;
 	/**
 	 * Value of `Retry-After`, in milliseconds; set only if the request has not
 	 * been executed.
@@ -117,6 +119,7 @@
 		status: problem.status,
 		reason: problem.reason,
 		sent,
+		...(problem.cause === undefined ? {} : {details: {cause: problem.cause}}),
 	});
 	sendProblem(req.res, problem);
 }
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -74,7 +74,7 @@
 		sent,
 		attempts,
 		maxAttempts: route.maxAttempts,
-		isQuarantined: ctx.isQuarantined(req.digest),
+		isQuarantined: ctx.crashes.findQuarantined(req) !== undefined,
 		deaths,
 		remainingMs: readRemainingMs(ctx, req),
 		canWait: delivery.hasBegun(),
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -5,6 +5,7 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
+import {isInStartWindow} from '@lovagevalve/quarantine';
 import {
 	chooseRetryAfterMs,
 	endWithProblem,
@@ -132,6 +133,12 @@
 			current.startedAt = current.lastEventAt;
 			current.reservation.markPrefilled();
 			ctx.view.reportHealth(current.backend, 'answered');
+		} else if (
+			!current.isSound &&
+			!isInStartWindow(current.lastEventAt - current.startedAt)
+		) {
+			current.isSound = true;
+			ctx.crashes.recordSound(req);
 		}
 	};
 
@@ -161,6 +168,7 @@
 			}
 
 			record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
+			ctx.crashes.recordSound(req);
 			current.kvBackup.release();
 			delivery.complete(response);
 			finish();
@@ -283,6 +291,7 @@
 			probe: 'none',
 			probedAt: 0,
 			isClosed: false,
+			isSound: false,
 		};
 		run = current;
 		attempts.recordStart(backend);
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -1,10 +1,10 @@
 import {
 	type BackendRecord,
 	decideStallAction,
-	isSuspectedCause,
 	type ProbeState,
 	type StallAction,
 } from '@lovagevalve/dispatch';
+import {isInStartWindow} from '@lovagevalve/quarantine';
 import {probeAddress, type Exchange} from './backend-exchange.js';
 import type {LoadReservation} from './backend-view.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
@@ -28,6 +28,8 @@
 	probe: ProbeState;
 	probedAt: number;
 	isClosed: boolean;
+	/** It is past its start, so that it doesn't crash its backend server. */
+	isSound: boolean;
 };
 
 /** A run that ended before the stream was complete. */
@@ -66,9 +68,9 @@
 		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
 	const isAlive = probe !== 'dead' && (await probeAddress(backend.address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
-	const isSuspected = !isAlive && isSuspectedCause(runningMs);
+	const isSuspected = !isAlive && isInStartWindow(runningMs);
 	if (isSuspected) {
-		ctx.reportCrash(req, backend);
+		ctx.crashes.reportCrash(req, backend);
 	}
 
 	return isSuspected;
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -53,7 +53,7 @@
 			const isAlive = await probeAddress(backend.address);
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
-				ctx.reportCrash(req, backend);
+				ctx.crashes.reportCrash(req, backend);
 			}
 
 			return !isAlive;
@@ -138,7 +138,7 @@
 			...next,
 			isRepeatable: isRepeatable(route.kind, route.isResumable),
 			failure,
-			isQuarantined: ctx.isQuarantined(req.digest),
+			isQuarantined: ctx.crashes.findQuarantined(req) !== undefined,
 			maxAttempts: route.maxAttempts,
 			isLate: ctx.clock.now() - req.startedAt > route.latencyTargetMs,
 			remainingMs: readRemainingMs(ctx, req),
@@ -204,6 +204,7 @@
 	switch (outcome.kind) {
 		case 'answer': {
 			ctx.view.reportHealth(backend, 'answered');
+			ctx.crashes.recordSound(req);
 			endWithResponse(ctx, req, outcome, {backend: backend.id, sent});
 			return undefined;
 		}
--- a/packages/lovage-quarantine/src/deaths.ts
+++ b/packages/lovage-quarantine/src/deaths.ts
@@ -1,4 +1,39 @@
-import type {Death, QuarantineState, ReportedDeath} from './types.js';
+import type {
+	Death,
+	PartDigests,
+	QuarantineState,
+	ReportedDeath,
+} from './types.js';
+
+function mergeParts(left: PartDigests, right: PartDigests): PartDigests {
+	const added = Object.entries(right).map(
+		([key, digests]): [string, readonly string[]] => [
+			key,
+			[...new Set([...(left[key] ?? []), ...digests])],
+		],
+	);
+	return {...left, ...Object.fromEntries(added)};
+}
+
+function createDeath({at, ...report}: ReportedDeath, now: number): Death {
+	return {...report, reportedAt: at ?? now, verdict: 'pending'};
+}
+
+function mergeReports(known: Death, report: ReportedDeath): Death {
+	const digests = [...new Set([...known.digests, ...report.digests])];
+	if (known.parts === undefined) {
+		return {...known, digests};
+	}
+
+	// A late report of another entry may name the request that is to blame.
+	const isUnchanged = digests.length === known.digests.length;
+	return {
+		...known,
+		digests,
+		parts: mergeParts(known.parts, report.parts ?? {}),
+		verdict: isUnchanged ? known.verdict : 'pending',
+	};
+}
 
 /** Adds a reported death; reports of the same death are merged. */
 export function mergeDeath(
@@ -8,21 +43,14 @@
 	const known = state.deaths.find(
 		(death) => state.options.guards.mergeReports && isSameDeath(death, report),
 	);
-	if (known === undefined) {
-		const death: Death = {
-			...report,
-			reportedAt: state.now,
-			verdict: 'pending',
-		};
-		return {...state, deaths: [...state.deaths, death]};
-	}
-
-	const digests = [...new Set([...known.digests, ...report.digests])];
-	const merged: Death = {...known, digests};
-	return {
-		...state,
-		deaths: state.deaths.map((death) => (death === known ? merged : death)),
-	};
+	return known === undefined
+		? {...state, deaths: [...state.deaths, createDeath(report, state.now)]}
+		: {
+				...state,
+				deaths: state.deaths.map((death) =>
+					death === known ? mergeReports(known, report) : death,
+				),
+			};
 }
 
 function isSameDeath(death: Death, report: ReportedDeath): boolean {
@@ -57,16 +85,48 @@
 	state: QuarantineState,
 	death: Death,
 ): readonly string[] {
+	const uncounted = death.digests.filter(
+		(digest) => !state.records[digest]?.deathTimes?.includes(death.reportedAt),
+	);
 	const related = listRelatedDeaths(state, death);
 	if (related.length === 0 || !state.options.guards.relatedDeaths) {
-		return death.digests;
+		return uncounted;
 	}
 
-	return death.digests.filter((digest) =>
+	return uncounted.filter((digest) =>
 		related.some(({digests}) => digests.includes(digest)),
 	);
 }
 
+/**
+ * Lists the parts that a death counts against. Requests with a common part run on
+ * many backend servers at a time, so deaths within a window, which may have
+ * another common cause, count once.
+ */
+export function listCountedParts(
+	state: QuarantineState,
+	{parts = {}, reportedAt}: Death,
+): readonly string[] {
+	return Object.keys(parts).filter((key) =>
+		(state.records[key]?.deathTimes ?? []).every(
+			(time) => Math.abs(time - reportedAt) >= state.options.windowMs,
+		),
+	);
+}
+
+/** Whether a part that is convicted without doubt has caused the death. */
+export function isExplained(
+	{convicted}: QuarantineState,
+	{parts = {}}: Death,
+): boolean {
+	return Object.keys(parts).some((key) => convicted[key] !== undefined);
+}
+
+/** Lists the digests and parts of a death. */
+export function listKeys({digests, parts = {}}: Death): readonly string[] {
+	return [...digests, ...Object.keys(parts)];
+}
+
 /** Whether a pending death's window for related deaths has passed. */
 export function isWindowOver(state: QuarantineState, death: Death): boolean {
 	return (
--- a/packages/lovage-quarantine/src/evaluate.ts
+++ b/packages/lovage-quarantine/src/evaluate.ts
@@ -1,7 +1,18 @@
-import {isWindowOver, listCountedDigests} from './deaths.js';
+import {
+	isExplained,
+	isWindowOver,
+	listCountedDigests,
+	listCountedParts,
+	listKeys,
+} from './deaths.js';
+import {isPartKey} from './part-key.js';
 import type {Death, QuarantineState, StrikeRecord} from './types.js';
 
 const NO_STRIKES: StrikeRecord = {strikes: 0, lastAt: 0};
+/** Different requests that must have crashed backend servers before a part is to blame. */
+const MIN_REQUESTS = 2;
+/** Difference in breadth that doesn't come about by chance at a few deaths. */
+const BREADTH_MARGIN = 0.4;
 
 /** Evaluates pending deaths whose window has passed, in the order of their reports. */
 export function evaluateDueDeaths(state: QuarantineState): QuarantineState {
@@ -17,61 +28,245 @@
 		.reduce((current, death) => evaluateDeath(current, death), state);
 }
 
+function setVerdict(
+	state: QuarantineState,
+	death: Death,
+	verdict: Death['verdict'],
+): QuarantineState {
+	return {
+		...state,
+		deaths: state.deaths.map((other) =>
+			other === death ? {...death, verdict} : other,
+		),
+	};
+}
+
+function addStrike(
+	state: QuarantineState,
+	key: string,
+	{parts, reportedAt}: Death,
+): StrikeRecord {
+	const record = state.records[key] ?? NO_STRIKES;
+	const counted = {strikes: record.strikes + 1, lastAt: state.now};
+	if (parts === undefined) {
+		return counted;
+	}
+
+	const requests = new Set([...(record.requests ?? []), ...(parts[key] ?? [])]);
+	return {
+		...record,
+		...counted,
+		deathTimes: [...(record.deathTimes ?? []), reportedAt],
+		...(isPartKey(key) ? {requests: [...requests].slice(0, MIN_REQUESTS)} : {}),
+	};
+}
+
 function evaluateDeath(state: QuarantineState, death: Death): QuarantineState {
-	const countedDigests = listCountedDigests(state, death);
-	const updated = countedDigests.map((digest): [string, StrikeRecord] => [
-		digest,
-		{
-			strikes: (state.records[digest] ?? NO_STRIKES).strikes + 1,
-			lastAt: state.now,
-		},
+	if (isExplained(state, death)) {
+		return setVerdict(state, death, 'forgiven');
+	}
+
+	const counted = [
+		...listCountedDigests(state, death),
+		...listCountedParts(state, death),
+	];
+	const updated = counted.map((key): [string, StrikeRecord] => [
+		key,
+		addStrike(state, key, death),
 	]);
 	const records = {...state.records, ...Object.fromEntries(updated)};
-	const verdict = countedDigests.length > 0 ? 'struck' : 'forgiven';
-	const deaths = state.deaths.map((other): Death =>
-		other === death ? {...death, verdict} : other,
+	const next = setVerdict(
+		{...state, records},
+		death,
+		counted.length > 0 ? 'struck' : 'forgiven',
 	);
-	const next = {...state, records, deaths};
-	const convictedDigests = countedDigests.filter((digest) =>
-		shouldConvict(next, digest),
+	const convicted = counted.filter((key) => shouldConvict(next, key));
+	const uncertain = counted.filter(
+		(key) => !convicted.includes(key) && isUncertainCause(next, key),
 	);
-	return addConvictions(next, convictedDigests);
+	return addUncertain(addConvictions(next, convicted), uncertain);
+}
+
+function countStrikes(state: QuarantineState, key: string): number {
+	return (state.records[key] ?? NO_STRIKES).strikes;
 }
 
-function countStrikes(state: QuarantineState, digest: string): number {
-	return (state.records[digest] ?? NO_STRIKES).strikes;
+function hasEnoughRequests(state: QuarantineState, key: string): boolean {
+	const {requests = []} = state.records[key] ?? NO_STRIKES;
+	return !isPartKey(key) || requests.length >= MIN_REQUESTS;
 }
 
-function shouldConvict(state: QuarantineState, digest: string): boolean {
-	const {strikes, guards} = state.options;
+/** Strikes for a conviction; parts that have run soundly before need more. */
+function readRequiredStrikes(state: QuarantineState, key: string): number {
+	const {strikes, uncertainStrikes = strikes} = state.options;
+	return wasSound(state, key) ? uncertainStrikes : strikes;
+}
+
+function wasSound({records}: QuarantineState, key: string): boolean {
+	return records[key]?.soundAt !== undefined;
+}
+
+function shouldConvict(state: QuarantineState, key: string): boolean {
 	return (
-		countStrikes(state, digest) >= strikes &&
-		(!guards.standsOut || hasRequiredLead(state, digest))
+		countStrikes(state, key) >= readRequiredStrikes(state, key) &&
+		hasEnoughRequests(state, key) &&
+		(!state.options.guards.standsOut || hasRequiredLead(state, key))
 	);
 }
 
-/** Whether all other digests of the same deaths have at least `lead` fewer strikes. */
-function hasRequiredLead(state: QuarantineState, digest: string): boolean {
-	const limit = countStrikes(state, digest) - state.options.lead;
-	return state.deaths
-		.filter(({digests}) => digests.includes(digest))
-		.flatMap(({digests}) => digests)
-		.every((other) => other === digest || countStrikes(state, other) <= limit);
+/**
+ * Mean number of requests with a part on the backend servers that died under it.
+ * Each run with a guilty part ends its backend server, so there is hardly more than
+ * one, while a common part is on most of the requests that were lost with it.
+ */
+function measureBreadth({deaths}: QuarantineState, key: string): number {
+	const counts = deaths
+		.map(({parts = {}}) => parts[key]?.length ?? 0)
+		.filter((count) => count > 0);
+	return counts.reduce((sum, count) => sum + count, 0) / counts.length;
+}
+
+/**
+ * Lists the causes of the same kind that were present at the same deaths. Those
+ * that have run soundly before are no rivals of one that never has.
+ */
+function listRivals(state: QuarantineState, key: string): readonly string[] {
+	const isPart = isPartKey(key);
+	const isNew = !wasSound(state, key);
+	const present = state.deaths
+		.map((death) => listKeys(death))
+		.filter((keys) => keys.includes(key))
+		.flat();
+	return [...new Set(present)].filter(
+		(other) =>
+			other !== key &&
+			isPartKey(other) === isPart &&
+			!(isNew && wasSound(state, other)),
+	);
+}
+
+/** Whether another part is on clearly more requests that were lost together. */
+function isBroader(
+	state: QuarantineState,
+	other: string,
+	key: string,
+): boolean {
+	return (
+		isPartKey(key) &&
+		measureBreadth(state, other) > measureBreadth(state, key) + BREADTH_MARGIN
+	);
+}
+
+/** Whether all others of the same deaths have at least `lead` fewer strikes or are broader. */
+function hasRequiredLead(state: QuarantineState, key: string): boolean {
+	const limit = countStrikes(state, key) - state.options.lead;
+	return listRivals(state, key).every(
+		(other) =>
+			countStrikes(state, other) <= limit || isBroader(state, other, key),
+	);
+}
+
+/** Whether a part has so many strikes that it is refused although others may be to blame. */
+function isUncertainCause(state: QuarantineState, key: string): boolean {
+	const {uncertainStrikes = Number.POSITIVE_INFINITY, soundReportMs = 0} =
+		state.options;
+	const {strikes, deathTimes = []} = state.records[key] ?? NO_STRIKES;
+	const required = uncertainStrikes * (wasSound(state, key) ? 2 : 1);
+	const isLikelier = (other: string): boolean =>
+		countStrikes(state, other) > strikes - state.options.lead &&
+		(isBroader(state, key, other) ||
+			(countStrikes(state, other) > strikes && !isBroader(state, other, key)));
+	return (
+		isPartKey(key) &&
+		strikes >= required &&
+		state.now - Math.min(...deathTimes) >= soundReportMs &&
+		hasEnoughRequests(state, key) &&
+		!listRivals(state, key).some((other) => isLikelier(other))
+	);
+}
+
+function removeKeys<Value>(
+	values: Readonly<Record<string, Value>>,
+	keys: readonly string[],
+): Readonly<Record<string, Value>> {
+	return Object.fromEntries(
+		Object.entries(values).filter(([key]) => !keys.includes(key)),
+	);
 }
 
 function addConvictions(
 	state: QuarantineState,
-	digests: readonly string[],
+	keys: readonly string[],
 ): QuarantineState {
-	const convictions = digests.map((digest) => [digest, state.now] as const);
-	const records = Object.entries(state.records).filter(
-		([digest]) => !digests.includes(digest),
-	);
-	return digests.length === 0
+	const convictions = keys.map((key) => [key, state.now] as const);
+	return keys.length === 0
+		? state
+		: forgiveExplained(
+				{
+					...state,
+					records: removeKeys(state.records, keys),
+					convicted: {
+						...state.convicted,
+						...Object.fromEntries(convictions),
+					},
+				},
+				keys.filter((key) => isPartKey(key)),
+			);
+}
+
+function addUncertain(
+	state: QuarantineState,
+	keys: readonly string[],
+): QuarantineState {
+	const convictions = keys.map((key): [string, StrikeRecord] => [
+		key,
+		state.records[key] ?? NO_STRIKES,
+	]);
+	return keys.length === 0
 		? state
 		: {
 				...state,
-				records: Object.fromEntries(records),
-				convicted: {...state.convicted, ...Object.fromEntries(convictions)},
+				records: removeKeys(state.records, keys),
+				uncertain: {...state.uncertain, ...Object.fromEntries(convictions)},
+			};
+}
+
+/** Removes the deaths that convicted parts have caused from the records of all others. */
+function forgiveExplained(
+	state: QuarantineState,
+	parts: readonly string[],
+): QuarantineState {
+	return state.deaths
+		.filter((death) => listKeys(death).some((key) => parts.includes(key)))
+		.reduce(
+			(current, death) =>
+				listKeys(death).reduce(
+					(records, key) =>
+						removeStrikes(records, key, (time) => time === death.reportedAt),
+					current,
+				),
+			state,
+		);
+}
+
+/** Removes strikes from a record by the times of their deaths. */
+export function removeStrikes(
+	state: QuarantineState,
+	key: string,
+	isRemoved: (time: number) => boolean,
+): QuarantineState {
+	const record = state.records[key];
+	if (record?.deathTimes === undefined) {
+		return state;
+	}
+
+	const deathTimes = record.deathTimes.filter((time) => !isRemoved(time));
+	const isEmpty = deathTimes.length === 0 && record.soundAt === undefined;
+	const records = isEmpty
+		? removeKeys(state.records, [key])
+		: {
+				...state.records,
+				[key]: {...record, strikes: deathTimes.length, deathTimes},
 			};
+	return {...state, records};
 }
--- a/packages/lovage-quarantine/src/step.ts
+++ b/packages/lovage-quarantine/src/step.ts
@@ -1,5 +1,6 @@
 import {createTransition, type Transition} from '@lovagevalve/core';
 import {mergeDeath} from './deaths.js';
+import {clearCompleted, clearSound} from './clear.js';
 import {evaluateDueDeaths} from './evaluate.js';
 import {dropExpired} from './retention.js';
 import type {QuarantineEvent, QuarantineState} from './types.js';
@@ -12,41 +13,36 @@
 ): Transition<QuarantineState, never> {
 	const advanced = {...state, now: Math.max(state.now, event.now)};
 	const evaluated = evaluateDueDeaths(advanced);
-	const updated =
-		event.kind === 'deaths-reported'
-			? applyReport(evaluated, event)
-			: evaluated;
-	return createTransition(updateVersion(state, dropExpired(updated)));
-}
-
-function applyReport(
-	state: QuarantineState,
-	event: Extract<QuarantineEvent, {kind: 'deaths-reported'}>,
-): QuarantineState {
-	const cleared = clearCompleted(state, event.completed);
-	return event.deaths.reduce(
-		(current, death) => mergeDeath(current, death),
-		cleared,
+	return createTransition(
+		updateVersion(state, dropExpired(applyEvent(evaluated, event))),
 	);
 }
 
-function clearCompleted(
+function applyEvent(
 	state: QuarantineState,
-	completed: readonly string[],
+	event: QuarantineEvent,
 ): QuarantineState {
-	if (completed.length === 0 || !state.options.guards.clearCompleted) {
-		return state;
-	}
+	switch (event.kind) {
+		case 'ticked': {
+			return state;
+		}
 
-	const done = new Set(completed);
-	const records = Object.entries(state.records).filter(
-		([digest]) => !done.has(digest),
-	);
-	const deaths = state.deaths.map((death) => ({
-		...death,
-		digests: death.digests.filter((digest) => !done.has(digest)),
-	}));
-	return {...state, records: Object.fromEntries(records), deaths};
+		case 'deaths-reported': {
+			const cleared = clearSound(
+				clearCompleted(state, event.completed),
+				event.sound ?? {},
+			);
+			return event.deaths.reduce(
+				(current, death) => mergeDeath(current, death),
+				cleared,
+			);
+		}
+
+		case 'convictions-received': {
+			const convicted = {...event.convicted, ...state.convicted};
+			return {...state, convicted};
+		}
+	}
 }
 
 function updateVersion(
--- a/packages/lovage-quarantine/src/summary.ts
+++ b/packages/lovage-quarantine/src/summary.ts
@@ -1,3 +1,4 @@
+import {listKeys} from './deaths.js';
 import {evaluatePendingDeaths} from './evaluate.js';
 import type {QuarantineState, QuarantineSummary} from './types.js';
 
@@ -17,18 +18,29 @@
 /** Summarizes the quarantine for entries. */
 export function summarizeQuarantine(state: QuarantineState): QuarantineSummary {
 	const evaluated = evaluatePendingDeaths(state);
-	const digestsInOrder = state.deaths.flatMap(({digests}) => digests);
+	const positions = new Map(
+		state.deaths
+			.flatMap((death) => listKeys(death))
+			.map((key, i): [string, number] => [key, i])
+			.toReversed(),
+	);
+	const readPosition = (key: string): number => positions.get(key) ?? -1;
 	const pendingDeaths = state.deaths.filter(
 		({verdict}) => verdict === 'pending',
 	);
-	const pendingDigests = pendingDeaths.flatMap(({digests}) => digests);
+	const pendingDigests = pendingDeaths.flatMap((death) => listKeys(death));
 	const knownDigests = new Set([
-		...Object.keys(state.records),
+		...Object.keys(state.records).filter(
+			(key) => state.records[key]!.strikes > 0,
+		),
 		...pendingDigests,
 	]);
-	const isNotConvicted = (digest: string) =>
-		state.convicted[digest] === undefined;
-	const expectedConvictions = Object.keys(evaluated.convicted);
+	const convicted = {...state.uncertain, ...state.convicted};
+	const isNotConvicted = (digest: string) => convicted[digest] === undefined;
+	const expectedConvictions = Object.keys({
+		...evaluated.uncertain,
+		...evaluated.convicted,
+	});
 	const countStrikes = (digest: string) =>
 		evaluated.convicted[digest] === undefined
 			? (evaluated.records[digest]?.strikes ?? 0)
@@ -37,10 +49,7 @@
 	const suspects = [...knownDigests]
 		.filter(isNotConvicted)
 		.toSorted()
-		.toSorted(
-			(left, right) =>
-				digestsInOrder.indexOf(left) - digestsInOrder.indexOf(right),
-		);
+		.toSorted((left, right) => readPosition(left) - readPosition(right));
 	return {
 		version: state.version,
 		suspects,
@@ -50,6 +59,6 @@
 			incarnation,
 		})),
 		held: expectedConvictions.filter(isNotConvicted).toSorted(),
-		convicted: Object.keys(state.convicted).toSorted(),
+		convicted: Object.keys(convicted).toSorted(),
 	};
 }
--- a/packages/lovage-quarantine/src/types.ts
+++ b/packages/lovage-quarantine/src/types.ts
@@ -6,8 +6,15 @@
 	rack?: string;
 	/** Digests of the requests that the entry ran on it. */
 	digests: readonly string[];
+	/** The same digests by the parts of the prompts that the requests have in common with others. */
+	parts?: PartDigests;
+	/** Time of the death, if it is known better than by its report. */
+	at?: number;
 }>;
 
+/** Digests of the requests that have a part in their prompts, by the part's key. */
+export type PartDigests = Readonly<Record<string, readonly string[]>>;
+
 /** Events of the quarantine. `now` is in milliseconds and never decreases. */
 export type QuarantineEvent =
 	| {
@@ -15,6 +22,17 @@
 			deaths: readonly ReportedDeath[];
 			/** Digests of suspects that completed. */
 			completed: readonly string[];
+			/**
+			 * Times at which a run was past its start, by digest or part; a death until
+			 * then doesn't count against it.
+			 */
+			sound?: Readonly<Record<string, number>>;
+			now: number;
+	  }
+	/** Convictions of another replica, with their times. */
+	| {
+			kind: 'convictions-received';
+			convicted: Readonly<Record<string, number>>;
 			now: number;
 	  }
 	| {kind: 'ticked'; now: number};
@@ -26,16 +44,23 @@
 	dataCentre: string;
 	rack?: string;
 	digests: readonly string[];
+	parts?: PartDigests;
 	reportedAt: number;
 	/** `pending` until the window for related deaths has passed. */
 	verdict: 'pending' | 'struck' | 'forgiven';
 }>;
 
-/** Strikes of one digest. */
+/** Strikes of one digest or part. */
 export type StrikeRecord = Readonly<{
 	/** Number of deaths that count against it. */
 	strikes: number;
 	lastAt: number;
+	/** Times of these deaths; kept where parts are reported. */
+	deathTimes?: readonly number[];
+	/** Up to two different requests with a part on these deaths. */
+	requests?: readonly string[];
+	/** Last time at which a run was past its start, before these deaths. */
+	soundAt?: number;
 }>;
 
 /** Rules that protect innocent requests. Only the specification and tests disable them. */
@@ -60,6 +85,17 @@
 	lead: number;
 	suspectRetentionMs: number;
 	convictionRetentionMs: number;
+	/** Time for which deaths are kept, so that delayed reports can be merged; by default some windows. */
+	deathRetentionMs?: number;
+	/**
+	 * Number of strikes for the conviction of a part without a lead, and for one
+	 * with a lead that has run soundly before.
+	 */
+	uncertainStrikes?: number;
+	/** Time from the first of these strikes in which a sound run would be reported. */
+	soundReportMs?: number;
+	/** Retention of a conviction without a lead; one more strike renews it. */
+	uncertainRetentionMs?: number;
 	/** Largest number of records of each kind. */
 	maxRecords: number;
 	guards: QuarantineGuards;
@@ -75,6 +111,8 @@
 	records: Readonly<Record<string, StrikeRecord>>;
 	/** Time of conviction by digest. */
 	convicted: Readonly<Record<string, number>>;
+	/** Parts that are convicted without a lead; `lastAt` is the time of the conviction. */
+	uncertain?: Readonly<Record<string, StrikeRecord>>;
 }>;
 
 /** Part of the quarantine that entries need. */
--- a/packages/lovage-storage/src/index.ts
+++ b/packages/lovage-storage/src/index.ts
@@ -1,3 +1,4 @@
+export {createFileAtomically} from './atomic-file.js';
 export type {DiskStore, StoreListener} from './disk-store.js';
 export type {AppendFile, FileSystem} from './file-system.js';
 export type {PersistEffect, PersistSnapshotEffect} from './stored-state.js';
