--- a/packages/lovage-fakes/src/relay.ts
+++ b/packages/lovage-fakes/src/relay.ts
@@ -16,6 +16,8 @@
 	hasDroppedBytes: (clientPort: number) => boolean;
 	/** Closes all open connections, including blackholed ones. */
 	closeConnections: () => void;
+	/** Refuses new connections until they are accepted again. */
+	refuseNew: (isRefused: boolean) => void;
 	countConnections: () => number;
 	/** Delays forwarded bytes and connection ends by this many milliseconds. */
 	setDelay: (ms: number) => void;
@@ -177,8 +179,18 @@
 		});
 	};
 
+	const {port} = server.address() as AddressInfo;
+	const refuseNew = (isRefused: boolean): void => {
+		if (isRefused) {
+			server.close();
+		} else if (!server.listening) {
+			server.listen(port, options.host ?? LOOPBACK);
+		}
+	};
+
 	return {
-		port: (server.address() as AddressInfo).port,
+		port,
+		refuseNew,
 		blackholeOpen,
 		blackholeNew,
 		blackholeAll(directions) {
@@ -195,6 +207,7 @@
 		async close() {
 			closeConnections();
 			await new Promise<void>((resolve) => {
+				// A server that refuses connections is closed already.
 				server.close(() => {
 					resolve();
 				});
