Log the limits that backend servers name in their answers

"A backend server named its limit." and "A backend server names no limit any more." are logged when it begins, ends or changes by a quarter; lovage_backends_limited is the number in force. An answer without a limit ends it only if its request was sent after the limit was named, so an answer that was overtaken does not. No decision changes.

--- a/packages/lovage-dispatch/src/backend-notices.ts
+++ b/packages/lovage-dispatch/src/backend-notices.ts
@@ -1,9 +1,13 @@
+import type {LimitNotice} from './rate-limit.js';
+
 /** What a backend server says about itself in the headers of an answer. */
 export type BackendNotice = Readonly<{
 	/** It is shutting down; this holds for the rest of the incarnation. */
 	isLeaving: boolean;
 	/** It asks this instance to send nothing for this long, in milliseconds. */
 	pushbackMs?: number;
+	/** Its limit; absent if the answer is none of the backend server that was meant. */
+	limit?: LimitNotice;
 }>;
 
 /** Notices of one incarnation of a backend server that are still in force. */
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -43,6 +43,8 @@
 	ClusterOverview,
 	SharedEntryReport,
 } from './report.js';
+export {applyLimitNotice, keepNewest} from './rate-limit.js';
+export type {LimitNotice, LimitStatement} from './rate-limit.js';
 export {
 	countRequest,
 	countWindow,
--- a/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
@@ -43,7 +43,7 @@
 		convicted: [],
 	});
 	const backend = view.find('e-0')!;
-	view.recordNotice(backend, {isLeaving: false, pushbackMs: 5000});
+	view.recordNotice(backend, {isLeaving: false, pushbackMs: 5000}, 0);
 	view.reportHealth(backend, 'unreachable');
 	const command = testCodec.createCopyCommand('r-1', 'elsewhere');
 	const ctx = {codec: testCodec, view};
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -47,7 +47,9 @@
 			fail(error.code ?? error.message);
 		});
 		req.on('response', (response) => {
-			readResponseMetadata(ctx, backend, response);
+			// Only the answers to callers' requests show that a limit is over.
+			const sentAt = Number.NEGATIVE_INFINITY;
+			readResponseMetadata(ctx, {backend, sentAt}, response);
 			let text = '';
 			response.setEncoding('utf8');
 			response.on('data', (chunk: string) => {
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -27,6 +27,7 @@
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {createNamedLimits} from './named-limits.js';
 import {
 	createAgesRequest,
 	createReportedAges,
@@ -84,8 +85,15 @@
 		request: PlacementRequest,
 	) => LoadReservation;
 	reportHealth: (backend: BackendRecord, outcome: ExchangeOutcome) => void;
-	/** Applies what a backend server said about itself in an answer. */
-	recordNotice: (backend: BackendRecord, notice: BackendNotice) => void;
+	/**
+	 * Applies what a backend server said about itself in an answer to a request
+	 * that was sent at `sentAt`.
+	 */
+	recordNotice: (
+		backend: BackendRecord,
+		notice: BackendNotice,
+		sentAt: number,
+	) => void;
 	/** Whether a backend server has asked for a pause that is not over yet. */
 	isPaused: (backend: BackendRecord) => boolean;
 	/**
@@ -102,6 +110,8 @@
 	createAgesRequest: () => AgesRequest;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
 	countReady: () => number;
+	/** Number of backend servers with a limit in force. */
+	countLimited: () => number;
 }>;
 
 /** Missed registrations after which a backend server counts as silent. */
@@ -114,6 +124,7 @@
 	const {clock, log, metrics} = options;
 	const silentAfterMs =
 		options.registrationIntervalMs * MAX_MISSED_REGISTRATIONS;
+	const limits = createNamedLimits({clock, log, metrics});
 	const health = new Map<string, BackendHealth>();
 	const noticesById = new Map<string, BackendNotices>();
 	const ownLoads = new Map<string, BackendLoad>();
@@ -275,8 +286,13 @@
 				});
 			}
 		},
-		recordNotice({id, bornAt, service}, notice) {
+		recordNotice(backend, notice, sentAt) {
+			const {id, bornAt, service} = backend;
 			const now = clock.now();
+			if (notice.limit !== undefined) {
+				limits.record(backend, notice.limit, sentAt);
+			}
+
 			const before = noticesById.get(id);
 			const after = recordNotice(before, bornAt, notice, now);
 			const reason = findClosedReason(after, bornAt, now);
@@ -325,5 +341,6 @@
 		readOwnLoads: () => Object.fromEntries(ownLoads),
 		createAgesRequest: () => createAgesRequest(ages, clock.now()),
 		countReady: () => countReady(table),
+		countLimited: limits.countLimited,
 	};
 }
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -63,11 +63,11 @@
  */
 export function readResponseMetadata(
 	ctx: Pick<GatewayContext, 'codec' | 'view'>,
-	backend: BackendRecord,
+	{backend, sentAt}: Readonly<{backend: BackendRecord; sentAt: number}>,
 	{statusCode = 0, headers}: IncomingMessage,
 ): ResponseMetadata {
 	const metadata = ctx.codec.readResponse(statusCode, headers);
-	ctx.view.recordNotice(backend, metadata.notice);
+	ctx.view.recordNotice(backend, metadata.notice, sentAt);
 	return metadata;
 }
 
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -217,6 +217,7 @@
 	);
 	metrics.registerGauge('requests_under_way', () => gateway.countRequests());
 	metrics.registerGauge('backends_ready', () => view.countReady());
+	metrics.registerGauge('backends_limited', () => view.countLimited());
 	metrics.registerGauge('controls_reachable', () =>
 		controlClient.countReachable(),
 	);
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -203,11 +203,7 @@
 		}
 
 		const status = response.statusCode ?? 0;
-		const {requestId, isNotRun} = readResponseMetadata(
-			ctx,
-			current.backend,
-			response,
-		);
+		const {requestId, isNotRun} = readResponseMetadata(ctx, current, response);
 		if (isNotRun) {
 			handleRunFailure(current, {
 				kind: 'rejected',
@@ -286,6 +282,7 @@
 			hasCopy: kvCopy !== undefined,
 			reservation: ctx.view.reserve(backend, reservedWork),
 			exchange: undefined,
+			sentAt: ctx.clock.now(),
 			startedAt: undefined,
 			lastEventAt: ctx.clock.now(),
 			probe: 'none',
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -18,6 +18,8 @@
 	/** It resumes from a copy of an earlier run's KV cache. */
 	readonly hasCopy: boolean;
 	exchange: Exchange | undefined;
+	/** Time of sending the request, in monotonic milliseconds. */
+	readonly sentAt: number;
 	/** Time of its first event, in monotonic milliseconds. */
 	startedAt: number | undefined;
 	/**
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -73,15 +73,17 @@
 	req: AcceptedRequest,
 	{
 		backend,
+		sentAt,
 		response,
 	}: Readonly<{
 		backend: BackendRecord;
+		sentAt: number;
 		response: IncomingMessage;
 	}>,
 	settle: (outcome: AttemptOutcome) => void,
 ): void {
 	const status = response.statusCode ?? 0;
-	const metadata = readResponseMetadata(ctx, backend, response);
+	const metadata = readResponseMetadata(ctx, {backend, sentAt}, response);
 	if (metadata.isNotRun) {
 		const reason = `not run: ${status}`;
 		settle({kind: 'failure', failure: {kind: 'rejected', reason}});
@@ -138,6 +140,7 @@
 	req: AcceptedRequest,
 	{backend, timeoutMs, timeoutOutcome}: AttemptPlan,
 ): Promise<AttemptOutcome> {
+	const sentAt = ctx.clock.now();
 	return new Promise((resolve) => {
 		let isSettled = false;
 		const settle = (outcome: AttemptOutcome): void => {
@@ -184,7 +187,7 @@
 			},
 			{
 				onResponse(response) {
-					collectResponse(ctx, req, {backend, response}, settle);
+					collectResponse(ctx, req, {backend, sentAt, response}, settle);
 				},
 				onFailure(failure) {
 					settle({kind: 'failure', failure});
