End answers of backend servers that never end

What callers would see: a backend server that writes without end in the body of a failure or in one event filled the memory of the entry until the deadline; behind the first megabyte of a body, it was relayed beyond the deadline.

Cause: the buffers of an event and of a forwarded failure had no limit, and the time limit of a plain attempt ended once its response counted as large. The search for the end of an event went over all buffered bytes again with each block.

Change: an event over 128 kB and a failure over 256 kB end the run like a broken one; a large response ends at its request's deadline; plain responses are held up to 256 kB before they are relayed; answers to commands up to 64 kB.

Endless heads were bounded by the HTTP parser already.

--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -8,6 +8,7 @@
 
 /** Copies of typical size complete within milliseconds. */
 const COMMAND_TIMEOUT_MS = 1000;
+const MAX_ANSWER_LENGTH = 65_536;
 const HTTP_OK = 200;
 
 /**
@@ -54,6 +55,9 @@
 			response.setEncoding('utf8');
 			response.on('data', (chunk: string) => {
 				text += chunk;
+				if (text.length > MAX_ANSWER_LENGTH) {
+					fail('the answer is too long');
+				}
 			});
 			response.on('error', (error) => {
 				fail(error.message);
--- a/packages/lovage-gateway/src/event-splitter.ts
+++ b/packages/lovage-gateway/src/event-splitter.ts
@@ -13,25 +13,23 @@
 	push: (chunk: Uint8Array) => readonly StreamEvent[];
 	/** Whether an incomplete event is buffered. */
 	hasPartialEvent: () => boolean;
+	/** Whether the buffered event is longer than any that is accepted. */
+	isTooLong: () => boolean;
 }>;
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+/** Generations send events of a few tokens. */
+const MAX_EVENT_BYTES = 131_072;
 
-/** Index after the blank line that ends the first event, or -1. */
-function findEventEnd(bytes: Uint8Array): number {
-	let isLineEmpty = false;
-	const end = bytes.findIndex((byte) => {
-		if (byte !== LINE_FEED) {
-			isLineEmpty &&= byte === CARRIAGE_RETURN;
-			return false;
-		}
+/** Ends of a line that is followed by a blank one. */
+const EVENT_ENDS = ['\n\n', '\n\r\n'];
 
-		const isBlank = isLineEmpty;
-		isLineEmpty = true;
-		return isBlank;
-	});
-	return end === -1 ? -1 : end + 1;
+/** Index after the blank line that ends the first event, or -1. */
+function findEventEnd({buffer, byteOffset, length}: Uint8Array): number {
+	const bytes = Buffer.from(buffer, byteOffset, length);
+	const ends = EVENT_ENDS.map((end) => ({end, at: bytes.indexOf(end)}))
+		.filter(({at}) => at !== -1)
+		.map(({end, at}) => at + end.length);
+	return ends.length === 0 ? -1 : Math.min(...ends);
 }
 
 function parseEvent(bytes: Uint8Array): StreamEvent {
@@ -46,10 +44,10 @@
 
 /** Creates an event splitter; each stream needs its own. */
 export function createEventSplitter(): EventSplitter {
-	let buffer: Uint8Array = Buffer.alloc(0);
+	let buffer = Buffer.alloc(0);
 	return {
 		push(chunk) {
-			buffer = buffer.length === 0 ? chunk : Buffer.concat([buffer, chunk]);
+			buffer = Buffer.concat([buffer, chunk]);
 			const events: StreamEvent[] = [];
 			for (
 				let end = findEventEnd(buffer);
@@ -64,5 +62,6 @@
 			return events;
 		},
 		hasPartialEvent: () => buffer.length > 0,
+		isTooLong: () => buffer.length > MAX_EVENT_BYTES,
 	};
 }
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -41,6 +41,8 @@
 }>;
 
 const HTTP_OK = 200;
+/** Longest error response that is forwarded. */
+const MAX_ERROR_BYTES = 262_144;
 /**
  * Delay before a started stream is sent again when no backend server was
  * available.
@@ -152,6 +154,10 @@
 			splitter.push(chunk).forEach((event) => {
 				deliver(current, response, event);
 			});
+			if (splitter.isTooLong()) {
+				const reason = 'an event is too long';
+				handleRunFailure(current, {kind: 'lost', reason});
+			}
 		});
 		const onTruncated = (): void => {
 			handleRunFailure(current, {kind: 'lost', reason: 'the stream broke off'});
@@ -180,7 +186,15 @@
 	/** Forwards an error response of the backend server. */
 	const forwardError = (current: Run, response: IncomingMessage): void => {
 		const chunks: Uint8Array[] = [];
-		response.on('data', (chunk: Uint8Array) => chunks.push(chunk));
+		let size = 0;
+		response.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+			size += chunk.length;
+			if (size > MAX_ERROR_BYTES) {
+				const reason = 'the error response is too long';
+				handleRunFailure(current, {kind: 'lost', reason});
+			}
+		});
 		const onComplete = (): void => {
 			if (current.isClosed || isEnded) {
 				return;
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -47,7 +47,7 @@
 /**
  * Responses up to this size can be retried elsewhere when they are truncated.
  */
-const MAX_BUFFERED_BYTES = 1_048_576;
+const MAX_BUFFERED_BYTES = 262_144;
 /**
  * A repeatable request is retried elsewhere after this multiple of its latency
  * target.
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -211,7 +211,7 @@
 
 		case 'large': {
 			ctx.view.reportHealth(backend, 'answered');
-			pipeLargeResponse(req, outcome);
+			pipeLargeResponse(ctx, req, outcome);
 			return undefined;
 		}
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -1,4 +1,8 @@
-import type {AcceptedRequest} from './context.js';
+import {
+	type AcceptedRequest,
+	type GatewayContext,
+	readRemainingMs,
+} from './context.js';
 import {watchResponseEnd} from './backend-exchange.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
 import {breakOff} from './responses.js';
@@ -26,16 +30,29 @@
 
 /** Sends the buffered head of a large response and pipes the rest. */
 export function pipeLargeResponse(
+	ctx: GatewayContext,
 	req: AcceptedRequest,
 	{response, head}: LargeResponse,
 ): void {
 	const {res} = req;
+	// A backend server may send bytes without end.
+	const timer = setTimeout(
+		() => {
+			ctx.log.warn('A large response did not end in time.', {
+				request: req.metadata.id,
+			});
+			response.destroy();
+			breakOff(res);
+		},
+		Math.max(1, readRemainingMs(ctx, req)),
+	);
 	res.writeHead(
 		response.statusCode ?? 0,
 		removeHeaders(response.rawHeaders, new Set()),
 	);
 	head.forEach((chunk) => res.write(chunk));
 	res.once('close', () => {
+		clearTimeout(timer);
 		response.destroy();
 	});
 	watchResponseEnd(
