Store a verdict at once, and name incarnations in one place

Cause: found in reading. A verdict was stored up to half a second after it, so that a kill of all instances right then would have it paid for again. The key of an incarnation was built and parsed in five places, and whether it still runs decided in two.

Change: the quarantine's file is written as soon as a verdict is new; incarnation.ts in dispatch has the keys.

--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -1,7 +1,9 @@
-import type {
-	BackendRecord,
-	ControlReport,
-	EntryReport,
+import {
+	type BackendRecord,
+	type ControlReport,
+	createIncarnationKey,
+	type EntryReport,
+	parseIncarnationKey,
 } from '@lovagevalve/dispatch';
 import {
 	createPartKey,
@@ -48,12 +50,6 @@
 /** Limit of suspects in a response. */
 const MAX_LISTED_SUSPECTS = 64;
 
-/** Splits `id/bornAt`. */
-function parseIncarnation(text: string): {id: string; bornAt: number} {
-	const slash = text.lastIndexOf('/');
-	return {id: text.slice(0, slash), bornAt: Number(text.slice(slash + 1))};
-}
-
 /**
  * Creates the quarantine of a control instance. It is empty until the stored state
  * is read; entries repeat their reports for longer than that takes.
@@ -83,7 +79,9 @@
 		return {
 			crashes: guilty.length,
 			backends: guilty
-				.map(({backend, incarnation}) => `${backend}/${incarnation}`)
+				.map(({backend, incarnation}) =>
+					createIncarnationKey({id: backend, bornAt: incarnation}),
+				)
 				.join(' '),
 		};
 	};
@@ -109,6 +107,30 @@
 			});
 	};
 
+	const store = async (): Promise<void> => {
+		if (state === undefined || isStoring) {
+			return;
+		}
+
+		const {deaths, records, convicted, uncertain} = state;
+		const text = JSON.stringify({deaths, records, convicted, uncertain});
+		if (text === storedText) {
+			return;
+		}
+
+		isStoring = true;
+		const stored = await file.save(state);
+		isStoring = false;
+		stored.match(
+			() => {
+				storedText = text;
+			},
+			(reason) => {
+				log.warn('Failed to store the quarantine.', {reason});
+			},
+		);
+	};
+
 	const apply = (event: QuarantineEvent): void => {
 		if (state === undefined) {
 			return;
@@ -118,6 +140,10 @@
 		state = stepQuarantine(state, event).state;
 		summary = summarizeQuarantine(state);
 		logChanges(before, state);
+		if (summary.convicted.some((key) => !before.includes(key))) {
+			// All instances may be killed before the next maintenance.
+			void store();
+		}
 	};
 
 	const load = async (): Promise<void> => {
@@ -156,12 +182,12 @@
 			crashes.map((crash) => ({
 				...crash,
 				dataCentre:
-					findBackend(parseIncarnation(crash.backend).id)?.dataCentre ?? '',
+					findBackend(parseIncarnationKey(crash.backend).id)?.dataCentre ?? '',
 				ageMs: 0,
 				parts: [],
 			}));
 		return detailed.map(({backend, dataCentre, ageMs, digest, parts}) => {
-			const {id, bornAt} = parseIncarnation(backend);
+			const {id, bornAt} = parseIncarnationKey(backend);
 			return {
 				backend: id,
 				incarnation: bornAt,
@@ -275,28 +301,8 @@
 			}
 		},
 		async maintain() {
-			if (state === undefined || isStoring) {
-				return;
-			}
-
 			apply({kind: 'ticked', now: readNow()});
-			const {deaths, records, convicted, uncertain} = state;
-			const text = JSON.stringify({deaths, records, convicted, uncertain});
-			if (text === storedText) {
-				return;
-			}
-
-			isStoring = true;
-			const stored = await file.save(state);
-			isStoring = false;
-			stored.match(
-				() => {
-					storedText = text;
-				},
-				(reason) => {
-					log.warn('Failed to store the quarantine.', {reason});
-				},
-			);
+			await store();
 		},
 	};
 }
--- a/packages/lovage-coordinator/src/limit-registry.ts
+++ b/packages/lovage-coordinator/src/limit-registry.ts
@@ -1,5 +1,6 @@
 import {
 	type BackendRecord,
+	isRunningIncarnation,
 	keepNewest,
 	type LimitReports,
 	type LimitStatement,
@@ -50,12 +51,7 @@
 		removeEnded(find) {
 			[...statements]
 				.filter(([key, {perSecond, at}]) => {
-					const slash = key.lastIndexOf('/');
-					const record = find(key.slice(0, slash));
-					const isRunning =
-						record !== undefined &&
-						record.state !== 'gone' &&
-						String(record.bornAt) === key.slice(slash + 1);
+					const isRunning = isRunningIncarnation(key, find);
 					return (
 						!isRunning ||
 						(perSecond === undefined && clock.now() - at > ENDED_RETENTION_MS)
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -2,6 +2,7 @@
 	type AgedRecord,
 	type BackendRecord,
 	type BackendTable,
+	createIncarnationKey,
 	type ClusterOverview,
 	type ControlReport,
 	dropOldRecords,
@@ -177,7 +178,8 @@
 	const applyDepartures = (leaving: readonly string[]): void => {
 		const departing = [...table.values()].filter(
 			({id, bornAt, state}) =>
-				state === 'ready' && leaving.includes(`${id}/${bornAt}`),
+				state === 'ready' &&
+				leaving.includes(createIncarnationKey({id, bornAt})),
 		);
 		applyMerge(
 			mergeRecords(
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -14,6 +14,12 @@
 	MergeOutcome,
 	MergeResult,
 } from './backend-table.js';
+export {
+	createIncarnationKey,
+	isRunningIncarnation,
+	parseIncarnationKey,
+} from './incarnation.js';
+export type {Incarnation} from './incarnation.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -10,6 +10,7 @@
 	type Candidate,
 	chooseBackend,
 	countReady,
+	createIncarnationKey,
 	type ClosedReason,
 	type ControlReport,
 	findClosedReason,
@@ -246,15 +247,7 @@
 				.forEach((id) => {
 					noticesById.delete(id);
 				});
-			limits.removeEnded((key) => {
-				const slash = key.lastIndexOf('/');
-				const record = table.get(key.slice(0, slash));
-				return (
-					record !== undefined &&
-					record.state !== 'gone' &&
-					String(record.bornAt) === key.slice(slash + 1)
-				);
-			});
+			limits.removeEnded((id) => table.get(id));
 			if (overview?.limits !== undefined) {
 				limits.applyReport(overview.limits);
 			}
@@ -386,7 +379,7 @@
 						table.get(id)?.bornAt === bornAt &&
 						table.get(id)?.state === 'ready',
 				)
-				.map(([id, {bornAt}]) => `${id}/${bornAt}`),
+				.map(([id, {bornAt}]) => createIncarnationKey({id, bornAt})),
 		readPushbackMs(service) {
 			const ready = listReady(service);
 			const isAnyOpen = ready.some(
--- a/packages/lovage-gateway/src/crash-watch.ts
+++ b/packages/lovage-gateway/src/crash-watch.ts
@@ -1,9 +1,10 @@
-import type {
-	BackendRecord,
-	ControlReport,
-	Crash,
-	CrashReport,
-	EntryReport,
+import {
+	type BackendRecord,
+	type ControlReport,
+	type Crash,
+	type CrashReport,
+	createIncarnationKey,
+	type EntryReport,
 } from '@lovagevalve/dispatch';
 import {createPartKey, isPartKey} from '@lovagevalve/quarantine';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
@@ -107,9 +108,10 @@
 	return {
 		findQuarantined: (req) =>
 			listKeys(req).find((key) => quarantinedAt.has(key)),
-		reportCrash(req, {id, bornAt, dataCentre}) {
+		reportCrash(req, backend) {
 			const {digest, metadata} = req;
-			const crash: Crash = {digest, backend: `${id}/${bornAt}`};
+			const {dataCentre} = backend;
+			const crash: Crash = {digest, backend: createIncarnationKey(backend)};
 			const parts = metadata.sharedParts;
 			metrics.count('backend_crashes');
 			log.warn('Backend server died while processing a request.', {
--- a/packages/lovage-gateway/src/named-limits.ts
+++ b/packages/lovage-gateway/src/named-limits.ts
@@ -1,7 +1,9 @@
 import {
 	applyLimitNotice,
 	type BackendRecord,
+	createIncarnationKey,
 	drawLimited,
+	isRunningIncarnation,
 	keepNewest,
 	LIMIT_WINDOW_MS,
 	type LimitCredits,
@@ -34,7 +36,7 @@
 	/** Merges the limits that other entries know. */
 	applyReport: (limits: LimitReports) => void;
 	/** Forgets the incarnations that have ended. */
-	removeEnded: (isRunning: (key: string) => boolean) => void;
+	removeEnded: (find: (id: string) => BackendRecord | undefined) => void;
 }>;
 
 /** Limits that differ by a smaller factor are not logged again. */
@@ -46,10 +48,6 @@
 const MAX_RETRY_AFTER_MS = 3000;
 const MIN_RETRY_AFTER_MS = 300;
 
-function createKey({id, bornAt}: BackendRecord): string {
-	return `${id}/${bornAt}`;
-}
-
 function isNotable(
 	before: number | undefined,
 	after: number | undefined,
@@ -101,7 +99,7 @@
 		(sentAt.get(key) ?? []).filter((at) => clock.now() - at < LIMIT_WINDOW_MS);
 
 	const readLimit = (backend: BackendRecord): number | undefined =>
-		statements.get(createKey(backend))?.perSecond;
+		statements.get(createIncarnationKey(backend))?.perSecond;
 
 	const update = (key: string, statement: LimitStatement): void => {
 		statements.set(key, statement);
@@ -110,7 +108,7 @@
 
 	return {
 		record(backend, notice, requestSentAt) {
-			const key = createKey(backend);
+			const key = createIncarnationKey(backend);
 			if (notice.kind === 'malformed') {
 				metrics.count('malformed_limits');
 				log.warn('Ignoring a malformed limit.', {
@@ -134,7 +132,7 @@
 			}
 
 			const candidates = limited.map((backend) => {
-				const key = createKey(backend);
+				const key = createIncarnationKey(backend);
 				return {
 					key,
 					perSecond: readLimit(backend) ?? 0,
@@ -154,7 +152,9 @@
 				sentAt.set(drawn.chosen, [...listSent(drawn.chosen), clock.now()]);
 			}
 
-			return limited.find((backend) => createKey(backend) === drawn.chosen);
+			return limited.find(
+				(backend) => createIncarnationKey(backend) === drawn.chosen,
+			);
 		},
 		readRetryAfterMs(limited) {
 			const perSecond = limited.reduce(
@@ -194,9 +194,9 @@
 				);
 			});
 		},
-		removeEnded(isRunning) {
+		removeEnded(find) {
 			[...statements.keys()]
-				.filter((key) => !isRunning(key))
+				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
 					statements.delete(key);
 					logged.delete(key);
