Refuse only the narrowest of parts that crash backend servers together

Cause: all entries were killed in the middle of the crashes, so no run had proved the common part sound, and few sound requests were lost beside the guilty ones. After five deaths both parts were refused for five minutes; no request could prove the common one sound any more.

Change: of parts that can't be told apart, the one on the fewest lost requests is refused. It is on each request that crashed a backend server, so refusing it is enough; its deaths are forgiven to the others, and if it is not to blame, three more deaths without it show that.

--- a/packages/lovage-quarantine/src/deaths.ts
+++ b/packages/lovage-quarantine/src/deaths.ts
@@ -114,12 +114,14 @@
 	);
 }
 
-/** Whether a part that is convicted without doubt has caused the death. */
+/** Whether a convicted part has caused the death. */
 export function isExplained(
-	{convicted}: QuarantineState,
+	{convicted, uncertain = {}}: QuarantineState,
 	{parts = {}}: Death,
 ): boolean {
-	return Object.keys(parts).some((key) => convicted[key] !== undefined);
+	return Object.keys(parts).some(
+		(key) => convicted[key] !== undefined || uncertain[key] !== undefined,
+	);
 }
 
 /** Lists the digests and parts of a death. */
--- a/packages/lovage-quarantine/src/evaluate.ts
+++ b/packages/lovage-quarantine/src/evaluate.ts
@@ -114,16 +114,25 @@
 	);
 }
 
+/** Number of requests with a part on the backend servers that died under it. */
+function countLostRequests({deaths}: QuarantineState, key: string): number {
+	return deaths.reduce(
+		(sum, {parts = {}}) => sum + (parts[key]?.length ?? 0),
+		0,
+	);
+}
+
 /**
- * Mean number of requests with a part on the backend servers that died under it.
+ * Mean number of requests with a part on a backend server that died under it.
  * Each run with a guilty part ends its backend server, so there is hardly more than
  * one, while a common part is on most of the requests that were lost with it.
  */
-function measureBreadth({deaths}: QuarantineState, key: string): number {
-	const counts = deaths
-		.map(({parts = {}}) => parts[key]?.length ?? 0)
-		.filter((count) => count > 0);
-	return counts.reduce((sum, count) => sum + count, 0) / counts.length;
+function measureBreadth(state: QuarantineState, key: string): number {
+	const {deaths} = state;
+	const count = deaths.filter(
+		({parts = {}}) => parts[key] !== undefined,
+	).length;
+	return countLostRequests(state, key) / count;
 }
 
 /**
@@ -166,22 +175,42 @@
 	);
 }
 
-/** Whether a part has so many strikes that it is refused although others may be to blame. */
+/** Whether a part is on fewer of the lost requests; equal ones go by their keys. */
+function isNarrower(
+	state: QuarantineState,
+	key: string,
+	other: string,
+): boolean {
+	const difference =
+		countLostRequests(state, key) - countLostRequests(state, other);
+	return difference < 0 || (difference === 0 && key < other);
+}
+
+/**
+ * Whether a part has so many strikes that it is refused although others may be to
+ * blame. Of those that were always together, only the narrowest is: it is on each
+ * request that crashed a backend server, and the others may be on all sound ones.
+ */
 function isUncertainCause(state: QuarantineState, key: string): boolean {
-	const {uncertainStrikes = Number.POSITIVE_INFINITY, soundReportMs = 0} =
-		state.options;
+	const {
+		lead,
+		uncertainStrikes = Number.POSITIVE_INFINITY,
+		soundReportMs = 0,
+	} = state.options;
 	const {strikes, deathTimes = []} = state.records[key] ?? NO_STRIKES;
 	const required = uncertainStrikes * (wasSound(state, key) ? 2 : 1);
-	const isLikelier = (other: string): boolean =>
-		countStrikes(state, other) > strikes - state.options.lead &&
-		(isBroader(state, key, other) ||
-			(countStrikes(state, other) > strikes && !isBroader(state, other, key)));
 	return (
 		isPartKey(key) &&
 		strikes >= required &&
 		state.now - Math.min(...deathTimes) >= soundReportMs &&
 		hasEnoughRequests(state, key) &&
-		!listRivals(state, key).some((other) => isLikelier(other))
+		listRivals(state, key)
+			.filter(
+				(other) =>
+					countStrikes(state, other) > strikes - lead &&
+					hasEnoughRequests(state, other),
+			)
+			.every((other) => isNarrower(state, key, other))
 	);
 }
 
@@ -224,11 +253,17 @@
 	]);
 	return keys.length === 0
 		? state
-		: {
-				...state,
-				records: removeKeys(state.records, keys),
-				uncertain: {...state.uncertain, ...Object.fromEntries(convictions)},
-			};
+		: forgiveExplained(
+				{
+					...state,
+					records: removeKeys(state.records, keys),
+					uncertain: {
+						...state.uncertain,
+						...Object.fromEntries(convictions),
+					},
+				},
+				keys,
+			);
 }
 
 /** Removes the deaths that convicted parts have caused from the records of all others. */
