--- a/packages/lovage-coordinator/src/limit-registry.ts
+++ b/packages/lovage-coordinator/src/limit-registry.ts
@@ -19,7 +19,7 @@
 	removeEnded: (find: (id: string) => BackendRecord | undefined) => void;
 }>;
 
-/** Time for which the end of a limit is told to entries that may still keep it. */
+/** Time for which the end of a limit is sent to entries that may still apply it. */
 const ENDED_RETENTION_MS = 10_000;
 
 /** Creates a registry without any limits. */
