Log software versions, and which attempt a caller resumes

Cause: no log line named the software version of a backend server or the attempt that a caller's stream resumes, so a version that is unknown at a move couldn't be told from one that is unknown at a resume. Placement does not use it yet.

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -232,10 +232,12 @@
 			const [outcome = 'ignored'] = merged.outcomes;
 			if (outcome !== 'refreshed') {
 				const {id, service, address, state, bornAt, sequence} = record;
+				const {softwareVersion = ''} = record;
 				log.info('A backend server registered.', {
 					backend: id,
 					service,
 					address,
+					softwareVersion,
 					state,
 					bornAt,
 					sequence,
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -10,6 +10,8 @@
 	dataCentre: string;
 	state: BackendState;
 	slots: number;
+	/** Version of its software; absent if it names none, or an older control instance decoded it. */
+	softwareVersion?: string;
 	/** Start of this incarnation, in Unix milliseconds by its machine's clock. */
 	bornAt: number;
 	/** Increases with each registration of the incarnation. */
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -210,12 +210,13 @@
 				const known = previousTable.get(record.id);
 				return known?.state !== record.state || known.bornAt !== record.bornAt;
 			})
-			.forEach(({id, service, address, state, heardAt}) => {
+			.forEach(({id, service, address, softwareVersion, state, heardAt}) => {
 				health.delete(id);
 				log.info('A backend server changed.', {
 					backend: id,
 					service,
 					address,
+					softwareVersion: softwareVersion ?? '',
 					state,
 					ageMs: Math.round(ages.receivedAt - heardAt),
 				});
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -22,6 +22,8 @@
 	sharedParts: readonly string[];
 	/** Id of the last event that the caller received in an earlier attempt. */
 	lastEventId?: string;
+	/** Id of the caller's attempt that brought the first event, if this one resumes it. */
+	resumes?: string;
 }>;
 
 /**
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -340,6 +340,8 @@
 				request: metadata.id,
 				from: previous.backend.id,
 				to: backend.id,
+				fromVersion: previous.backend.softwareVersion ?? '',
+				toVersion: backend.softwareVersion ?? '',
 				hasCopy: kvCopy !== undefined,
 				lastEventId: delivery.readLastEventId() ?? '',
 			});
@@ -506,6 +508,14 @@
 	});
 	return {
 		start() {
+			if (metadata.lastEventId !== undefined) {
+				ctx.log.info('A caller resumes a stream.', {
+					request: metadata.id,
+					resumes: metadata.resumes ?? '',
+					lastEventId: metadata.lastEventId,
+				});
+			}
+
 			start();
 		},
 		tick,
