Bind streams to the software version that began them

Cause: the version of a registration was dropped when it was decoded, so that neither a move, a KV cache copy nor a resume by the caller could keep it; and nothing but the entry that delivered the first event knew where a stream began. Class: a bound that belongs to a request was kept nowhere, so it ended with the attempt. Change: the record of a backend server carries its version; the first event binds a stream to service and version; placement, copies and resumes treat them as a bound. Entries report the origins of their streams to all control instances (each once, again after a restart of one); an entry asks all of them for a stream that it doesn't know. A stream of unknown origin goes on only where most control instances know of one version all along; otherwise it is refused with 503. A bound stream waits for its version for 5 s at most while others serve, and ends at once when none is left. Why it works: no path to a backend server is left that doesn't pass the filter, and what decides (stream-origin.ts) is pure.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -9,10 +9,10 @@
 const noop = (): undefined => undefined;
 const log = {debug: noop, info: noop, warn: noop, error: noop};
 
-function createTestRegistry() {
+function createTestRegistry(isFirstStart = true) {
 	const time = {now: 0};
 	const clock = {now: () => time.now, wall: () => time.now};
-	return {time, registry: createRegistry(clock, log, 1)};
+	return {time, registry: createRegistry(clock, log, {epoch: 1, isFirstStart})};
 }
 
 const record: BackendRecord = {
@@ -370,3 +370,60 @@
 		});
 	});
 });
+
+describe('origins of streams', () => {
+	const query = {key: 'k-1', services: ['model']};
+
+	it('are known from the report of any entry until its caller can no longer resume', () => {
+		const {time, registry} = createTestRegistry();
+		registry.applyReport(
+			createReport('entry-1', {origins: [['k-1', 'model', 'v1', 5000]]}),
+		);
+		time.now = 4999;
+		expect(registry.findOrigin(query).origin).toEqual({
+			service: 'model',
+			softwareVersion: 'v1',
+		});
+		time.now = 5001;
+		registry.applyReport(
+			createReport('entry-2', {origins: [['k-2', 'model', 'v1', 5000]]}),
+		);
+		expect(registry.findOrigin(query)).not.toHaveProperty('origin');
+	});
+
+	it('tell software versions that have left, and since when they are known', () => {
+		const {time, registry} = createTestRegistry(false);
+		registry.register({...record, softwareVersion: 'v1'});
+		registry.register({
+			...record,
+			id: 'e-2',
+			address: '10.0.0.2:80',
+			softwareVersion: 'v2',
+		});
+		registry.removeExpired();
+		time.now = 1000;
+		registry.register({...record, softwareVersion: 'v1', state: 'gone'});
+		time.now = 3000;
+		expect(registry.findOrigin({services: ['model']})).toEqual({
+			knownForMs: 3000,
+			versions: {model: {v1: 3000, v2: 0}},
+		});
+	});
+
+	it('know all versions from the first start of the system on', () => {
+		const {registry} = createTestRegistry();
+		expect(registry.findOrigin(query).knownForMs).toBe(Number.MAX_SAFE_INTEGER);
+	});
+});
+
+// A control instance of an earlier build passes records on without the version.
+it('keeps the software version of an incarnation that a report leaves out', () => {
+	const {registry} = createTestRegistry();
+	registry.register({...record, softwareVersion: 'v1'});
+	const {heardAt, ...rest} = record;
+	registry.merge([{...rest, sequence: 2, ageMs: heardAt}]);
+	expect(registry.find('e-1')).toMatchObject({
+		softwareVersion: 'v1',
+		sequence: 2,
+	});
+});
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -20,7 +20,7 @@
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
-import {createRegistry, type KnownEntry} from './registry.js';
+import {createRegistry, type KnownEntry, type OriginQuery} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import {createReplica} from './replica.js';
 import type {StoredConfiguration} from './state-machine.js';
@@ -115,11 +115,10 @@
 	const {clock, log, metrics} = dependencies;
 	const {name, address, readSeeds} = settings;
 	const client = createPeerClient();
-	const registry = createRegistry(
-		clock,
-		log,
-		Math.floor(dependencies.random() * EPOCH_LIMIT),
-	);
+	const registry = createRegistry(clock, log, {
+		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
+		isFirstStart: settings.isFirstStart,
+	});
 	const quarantine = createCrashQuarantine(
 		{clock, log},
 		createQuarantineFile(settings.dataFolder),
@@ -258,6 +257,10 @@
 				return {status: 200, body: handleReport(body as EntryReport)};
 			}
 
+			case '/stream-origin': {
+				return {status: 200, body: registry.findOrigin(body as OriginQuery)};
+			}
+
 			case '/configuration': {
 				const {configuration} = replica.readState();
 				return configuration === undefined
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -13,6 +13,7 @@
 	isSameRegistration,
 	type KnownRevision,
 	mergeRecords,
+	type OriginAnswer,
 	type MergeOutcome,
 	type MergeResult,
 	toAgedRecord,
@@ -28,6 +29,8 @@
 } from './arithmetic.js';
 import {createEntrySums} from './entry-sums.js';
 import {createLimitRegistry} from './limit-registry.js';
+import {createOriginRegistry} from './origin-registry.js';
+import {createVersionHistory} from './version-history.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
 /** An entry as a control instance knows it. */
@@ -39,6 +42,12 @@
 	heardAt: number;
 }>;
 
+/** Identity of a resumed stream and the services that may run it. */
+export type OriginQuery = Readonly<{
+	key?: string;
+	services: readonly string[];
+}>;
+
 /** Soft state of a control instance: backend servers and entries. */
 export type Registry = Readonly<{
 	/** Merges a registration sent to this instance. */
@@ -52,6 +61,8 @@
 	 */
 	takePendingGossip: () => readonly AgedRecord[];
 	find: (id: string) => BackendRecord | undefined;
+	/** Origin of a resumed stream and the software versions of its services. */
+	findOrigin: (query: OriginQuery) => OriginAnswer;
 	applyReport: (report: EntryReport) => void;
 	/** Creates the registry's part of the response to an entry's report. */
 	createReportResponse: (
@@ -83,12 +94,12 @@
 
 /**
  * Creates an empty registry; `epoch` distinguishes this start of the instance
- * from others.
+ * from others, `isFirstStart` is that of the whole system.
  */
 export function createRegistry(
 	clock: Clock,
 	log: Logger,
-	epoch: number,
+	{epoch, isFirstStart}: Readonly<{epoch: number; isFirstStart: boolean}>,
 ): Registry {
 	const entries = new Map<string, KnownEntry>();
 	let table: BackendTable = new Map();
@@ -110,6 +121,8 @@
 	const loads = createEntrySums(LOAD_ARITHMETIC);
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
+	const origins = createOriginRegistry(clock);
+	const versions = createVersionHistory(clock, isFirstStart);
 
 	const removeFromSums = (entry: string): void => {
 		loads.remove(entry);
@@ -260,11 +273,23 @@
 			return records.map((record) => toAgedRecord(record, now));
 		},
 		find: (id) => table.get(id),
+		findOrigin({key, services}) {
+			versions.update(table.values());
+			const origin = key === undefined ? undefined : origins.find(key);
+			return {
+				...(origin === undefined ? {} : {origin}),
+				knownForMs: versions.readKnownForMs(),
+				versions: Object.fromEntries(
+					services.map((service) => [service, versions.describe(service)]),
+				),
+			};
+		},
 		applyReport(report) {
 			recordEntry(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
 			retries.set(report.entry, mapValues(report.retries, toCountsSum));
 			limits.applyReport(report.entry, report.limits ?? {});
+			origins.applyReport(report.origins ?? []);
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
 			}
@@ -295,6 +320,7 @@
 		}),
 		listServing,
 		removeExpired() {
+			versions.update(table.values());
 			table = dropOldRecords(table, clock.now());
 			limits.removeEnded((id) => table.get(id));
 			[...changedRevisions.keys()]
--- /dev/null
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
@@ -0,0 +1,109 @@
+import {describe, expect, it} from 'vitest';
+import {
+	decideResume,
+	decideUnplaced,
+	type OriginAnswer,
+	type OriginEvidence,
+} from '../../index.js';
+
+const ALL_ALONG = Number.MAX_SAFE_INTEGER;
+const origin = {service: 'model', softwareVersion: 'v1'};
+
+function createAnswer(
+	versions: Readonly<Record<string, number>>,
+	change: Partial<OriginAnswer> = {},
+): OriginAnswer {
+	return {knownForMs: ALL_ALONG, versions: {model: versions}, ...change};
+}
+
+const onlyV1 = createAnswer({v1: 0});
+const evidence: OriginEvidence = {
+	services: ['model'],
+	windowMs: 30_000,
+	controls: 3,
+	answers: [onlyV1, onlyV1],
+	ownVersions: ['v1'],
+};
+
+describe('decideResume', () => {
+	it('goes on where an entry reported the stream, whatever else serves', () => {
+		const answers = [
+			createAnswer({v2: 0}),
+			createAnswer({v2: 0}, {knownForMs: 0, origin}),
+		];
+		expect(decideResume({...evidence, answers})).toEqual({
+			kind: 'resume',
+			origin,
+			evidence: 'reported',
+		});
+	});
+
+	it('takes the only version for the origin of a stream that nobody reported', () => {
+		expect(decideResume(evidence)).toEqual({
+			kind: 'resume',
+			origin,
+			evidence: 'only version',
+		});
+	});
+
+	it.each<readonly [string, Partial<OriginEvidence>]>([
+		[
+			'another version serves',
+			{answers: [onlyV1, createAnswer({v1: 0, v2: 0})]},
+		],
+		[
+			'another version has left since',
+			{answers: [onlyV1, createAnswer({v1: 0, v0: 29_999})]},
+		],
+		['this entry knows another version', {ownVersions: ['v1', 'v2']}],
+		['most control instances do not answer', {answers: [onlyV1]}],
+		[
+			'a control instance has started since',
+			{answers: [onlyV1, createAnswer({v1: 0}, {knownForMs: 29_999})]},
+		],
+		['no control instance answers', {answers: [], controls: 0}],
+		['several services may have begun it', {services: ['model', 'other']}],
+		[
+			'no version is known',
+			{answers: [createAnswer({}), createAnswer({})], ownVersions: []},
+		],
+	])('refuses a stream of unknown origin when %s', (_, change) => {
+		expect(decideResume({...evidence, ...change}).kind).toBe('refuse');
+	});
+
+	it('ignores versions that left before the stream can have begun', () => {
+		const answers = [createAnswer({v1: 0, v0: 30_001}), onlyV1];
+		expect(decideResume({...evidence, answers}).kind).toBe('resume');
+	});
+
+	it('refuses a stream whose service the route no longer leads to', () => {
+		const answers = [createAnswer({}, {origin})];
+		const decision = decideResume({...evidence, services: ['new'], answers});
+		expect(decision.kind).toBe('refuse');
+	});
+
+	it('refuses an id under which two versions began', () => {
+		const other = {...origin, softwareVersion: 'v2'};
+		const answers = [
+			createAnswer({}, {origin}),
+			createAnswer({}, {origin: other}),
+		];
+		expect(decideResume({...evidence, answers}).kind).toBe('refuse');
+	});
+});
+
+describe('decideUnplaced', () => {
+	const inputs = {ready: 2, hasOtherVersions: true, waitedMs: 4999};
+	it.each([
+		['waits while its servers may come back', {}, 'wait'],
+		['ends when none of them came back', {waitedMs: 5000}, 'give-up'],
+		['ends at once when none is left', {ready: 0, waitedMs: 0}, 'give-up'],
+		[
+			'waits while no other version serves',
+			{ready: 0, hasOtherVersions: false},
+			'wait',
+		],
+	] as const)('%s', (_, change, decision) => {
+		expect(decideUnplaced({...inputs, ...change})).toBe(decision);
+	});
+});
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -42,13 +42,16 @@
 	);
 }
 
-/** Whether two records of a backend server have the same incarnation, state and address. */
+/** Whether two records of a backend server have the same incarnation, state, address and version. */
 export function isSameRegistration(
 	a: BackendRecord,
 	b: BackendRecord,
 ): boolean {
 	return (
-		a.bornAt === b.bornAt && a.state === b.state && a.address === b.address
+		a.bornAt === b.bornAt &&
+		a.state === b.state &&
+		a.address === b.address &&
+		a.softwareVersion === b.softwareVersion
 	);
 }
 
@@ -103,12 +106,24 @@
 		: record;
 }
 
+/** Instances of an earlier build leave the software version out. */
+function keepVersion(
+	known: BackendRecord | undefined,
+	record: BackendRecord,
+): BackendRecord {
+	return known?.bornAt === record.bornAt &&
+		known.softwareVersion !== undefined &&
+		record.softwareVersion === undefined
+		? {...record, softwareVersion: known.softwareVersion}
+		: record;
+}
+
 function mergeOne(
 	table: Map<string, BackendRecord>,
 	received: BackendRecord,
 ): MergeOutcome {
 	const known = table.get(received.id);
-	const record = keepDraining(known, received);
+	const record = keepVersion(known, keepDraining(known, received));
 	const outcome = classifyRegistration(known, record);
 	switch (outcome) {
 		case 'ignored': {
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -48,6 +48,7 @@
 	KnownRevision,
 	LimitReport,
 	LimitReports,
+	OriginReport,
 	ClusterOverview,
 	SharedEntryReport,
 } from './report.js';
@@ -79,6 +80,20 @@
 	RetryBudgetPolicy,
 	RetryCounts,
 } from './retry-budget.js';
+export {
+	decideResume,
+	decideUnplaced,
+	readSoftwareVersion,
+} from './stream-origin.js';
+export type {
+	OriginAnswer,
+	OriginEvidence,
+	ResumeDecision,
+	StreamOrigin,
+	UnplacedDecision,
+	UnplacedInputs,
+	VersionAges,
+} from './stream-origin.js';
 export {decideStallAction} from './stalled-stream.js';
 export type {ProbeState, StallAction, StallInputs} from './stalled-stream.js';
 export {
--- a/packages/lovage-dispatch/src/placement.ts
+++ b/packages/lovage-dispatch/src/placement.ts
@@ -29,6 +29,8 @@
 	excluded: readonly string[];
 	/** Data centres to avoid if others are available, because this request failed there. */
 	failedDataCentres: readonly string[];
+	/** The only software version that may run the request; absent if any may. */
+	softwareVersion?: string;
 	engine?: EngineLimits;
 }>;
 
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -52,6 +52,17 @@
 /** Limits by incarnation of the backend server, as `id/bornAt`. */
 export type LimitReports = Readonly<Record<string, LimitReport>>;
 
+/**
+ * Origin of a stream as entries report it: key of the stream, service, software
+ * version, and milliseconds for which its caller may resume it.
+ */
+export type OriginReport = readonly [
+	key: string,
+	service: string,
+	softwareVersion: string,
+	keepMs: number,
+];
+
 /** Report that an entry sends to each control instance several times a second. */
 export type EntryReport = Readonly<{
 	entry: string;
@@ -76,6 +87,8 @@
 	leaving?: readonly string[];
 	/** Limits of backend servers that this entry knows; older entries don't send it. */
 	limits?: LimitReports;
+	/** Origins of streams that this control instance has not confirmed yet. */
+	origins?: readonly OriginReport[];
 	/** Absent to request all backend servers. */
 	known?: KnownRevision;
 	/** Requests the overview. It is the same on every control instance, so an entry asks only one at a time. */
@@ -94,7 +107,12 @@
 /** Part of an entry's report that is the same for every control instance. */
 export type SharedEntryReport = Omit<
 	EntryReport,
-	'known' | 'knownServing' | 'wantsOverview' | 'wantsAges' | 'agesAboveMs'
+	| 'known'
+	| 'knownServing'
+	| 'origins'
+	| 'wantsOverview'
+	| 'wantsAges'
+	| 'agesAboveMs'
 >;
 
 /** Cluster state that is the same on every control instance. */
--- /dev/null
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -0,0 +1,151 @@
+import type {BackendRecord} from './backend-table.js';
+
+/** Service and software version that wrote the first event of a stream. */
+export type StreamOrigin = Readonly<{
+	service: string;
+	/** Empty for backend servers that name none. */
+	softwareVersion: string;
+}>;
+
+/** Milliseconds since software versions of a service were last in service, by version. */
+export type VersionAges = Readonly<Record<string, number>>;
+
+/** What a control instance knows about a stream that a caller resumes. */
+export type OriginAnswer = Readonly<{
+	/** Absent if no entry has reported the stream. */
+	origin?: StreamOrigin;
+	/** Time for which it has known the software versions in service, in milliseconds. */
+	knownForMs: number;
+	/** Software versions by service. */
+	versions: Readonly<Record<string, VersionAges>>;
+}>;
+
+/** Everything that is known about the origin of a resumed stream. */
+export type OriginEvidence = Readonly<{
+	/** Services that may run the request. */
+	services: readonly string[];
+	/** Longest time since the stream can have begun, in milliseconds. */
+	windowMs: number;
+	/** Number of control instances that were asked. */
+	controls: number;
+	answers: readonly OriginAnswer[];
+	/** Software versions that this entry knows in the only service, if there is one. */
+	ownVersions: readonly string[];
+}>;
+
+/** Where a resumed stream goes on, or why it can't. */
+export type ResumeDecision =
+	| Readonly<{
+			kind: 'resume';
+			origin: StreamOrigin;
+			evidence: 'reported' | 'only version';
+	  }>
+	| Readonly<{kind: 'refuse'; reason: string}>;
+
+/** What to do with a stream while no backend server of its origin takes it. */
+export type UnplacedDecision = 'wait' | 'give-up';
+
+/** State of a stream that is bound to its origin and has no backend server. */
+export type UnplacedInputs = Readonly<{
+	/** Number of backend servers of its software version that are in service. */
+	ready: number;
+	/** Whether another software version of the service is in service. */
+	hasOtherVersions: boolean;
+	waitedMs: number;
+}>;
+
+/** Backend servers that crash are back within seconds. */
+const MAX_UNPLACED_MS = 5000;
+
+/** Software version of a backend server; empty if it names none. */
+export function readSoftwareVersion({
+	softwareVersion = '',
+}: Pick<BackendRecord, 'softwareVersion'>): string {
+	return softwareVersion;
+}
+
+function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+	return a.service === b.service && a.softwareVersion === b.softwareVersion;
+}
+
+/**
+ * Finds the only software version that can have begun a stream: most control
+ * instances have known the versions for the whole time, and they and this entry
+ * know no other one.
+ */
+function findOnlyVersion({
+	services: [service, ...otherServices],
+	windowMs,
+	controls,
+	answers,
+	ownVersions,
+}: OriginEvidence): StreamOrigin | undefined {
+	const informed = answers.filter(({knownForMs}) => knownForMs >= windowMs);
+	if (
+		service === undefined ||
+		otherServices.length > 0 ||
+		informed.length * 2 <= controls
+	) {
+		return undefined;
+	}
+
+	const reported = answers.flatMap(({versions}) =>
+		Object.entries(versions[service] ?? {})
+			.filter(([, ageMs]) => ageMs <= windowMs)
+			.map(([version]) => version),
+	);
+	const [softwareVersion, ...others] = new Set([...reported, ...ownVersions]);
+	return softwareVersion === undefined || others.length > 0
+		? undefined
+		: {service, softwareVersion};
+}
+
+/**
+ * Decides where a stream goes on that a caller resumes. What two software versions
+ * write doesn't fit together and backend servers don't check it, so a stream of
+ * unknown origin is refused unless only one version can have begun it.
+ */
+export function decideResume(evidence: OriginEvidence): ResumeDecision {
+	const [origin, ...others] = evidence.answers.flatMap(
+		(answer) => answer.origin ?? [],
+	);
+	if (origin === undefined) {
+		const only = findOnlyVersion(evidence);
+		return only === undefined
+			? {
+					kind: 'refuse',
+					reason: 'the software version that began the stream is unknown',
+				}
+			: {kind: 'resume', origin: only, evidence: 'only version'};
+	}
+
+	if (others.some((other) => !isSameOrigin(origin, other))) {
+		return {
+			kind: 'refuse',
+			reason: 'two streams began under the id that is resumed',
+		};
+	}
+
+	return evidence.services.includes(origin.service)
+		? {kind: 'resume', origin, evidence: 'reported'}
+		: {
+				kind: 'refuse',
+				reason: 'the route leads to other services than that of the stream',
+			};
+}
+
+/**
+ * Decides whether a stream waits for a backend server of its software version. It
+ * never goes on at another one; without one in service it ends at once.
+ */
+export function decideUnplaced({
+	ready,
+	hasOtherVersions,
+	waitedMs,
+}: UnplacedInputs): UnplacedDecision {
+	if (!hasOtherVersions) {
+		return 'wait';
+	}
+
+	return ready > 0 && waitedMs < MAX_UNPLACED_MS ? 'wait' : 'give-up';
+}
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -26,6 +26,7 @@
 import {createNamedLimits, type NamedLimits} from '../../named-limits.js';
 import type {HeaderCodec} from '../../protocol.js';
 import {createRetryBudgets} from '../../retry-budgets.js';
+import {createStreamOrigins} from '../../stream-origins.js';
 
 const noop = (): undefined => undefined;
 
@@ -219,6 +220,11 @@
 		random: () => 0,
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
+		origins: createStreamOrigins(clock),
+		lookUpOrigin: async () => ({
+			controls: 1,
+			answers: [{knownForMs: 60_000, versions: {s: {'': 0}}}],
+		}),
 		crashes: {
 			findQuarantined: () => undefined,
 			reportCrash({digest}, backend) {
--- a/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
@@ -48,6 +48,7 @@
 			retries: {},
 			crashes: [],
 		}),
+		createOriginsUpdate: (after) => ({origins: [], sequence: after}),
 		createAgesRequest: () => ({wantsAges: false}),
 		onReport: () => undefined,
 		onConfiguration: () => undefined,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -21,6 +21,7 @@
 	mergeRecords,
 	NO_LOAD,
 	getAvoidReason,
+	readSoftwareVersion,
 	recordExchange,
 	recordNotice,
 	type BackendHealth,
@@ -88,6 +89,8 @@
 		random: number,
 	) => BackendRecord | undefined;
 	find: (id: string) => BackendRecord | undefined;
+	/** Software versions of a service that are in service, with the number of backend servers. */
+	countSoftwareVersions: (service: string) => ReadonlyMap<string, number>;
 	/** Whether a backend server may receive requests, and if not, why. */
 	readAvailability: (id: string) => BackendAvailability;
 	reserve: (
@@ -170,8 +173,16 @@
 		isAvoided: isAvoided(readHealth(record.id), clock.now()),
 	});
 
-	const listOpen = (service: string): readonly BackendRecord[] =>
-		listReady(service).filter((record) => findClosed(record) === undefined);
+	const listOpen = (
+		service: string,
+		softwareVersion?: string,
+	): readonly BackendRecord[] =>
+		listReady(service).filter(
+			(record) =>
+				findClosed(record) === undefined &&
+				(softwareVersion === undefined ||
+					readSoftwareVersion(record) === softwareVersion),
+		);
 
 	const isUsable = (id: string): boolean => {
 		const record = table.get(id);
@@ -260,7 +271,7 @@
 			}
 		},
 		choose(service, request, random) {
-			const open = listOpen(service);
+			const open = listOpen(service, request.softwareVersion);
 			const unlimited = open.filter((record) => !limits.isLimited(record));
 			const limited = open.filter((record) => limits.isLimited(record));
 			const eligible = limited.filter(
@@ -277,11 +288,21 @@
 		},
 		chooseCopyTarget: (service, request, random) =>
 			chooseAmong(
-				listOpen(service).filter((record) => !limits.isLimited(record)),
+				listOpen(service, request.softwareVersion).filter(
+					(record) => !limits.isLimited(record),
+				),
 				request,
 				random,
 			),
 		find: (id) => table.get(id),
+		countSoftwareVersions(service) {
+			const counts = new Map<string, number>();
+			listReady(service).forEach((record) => {
+				const version = readSoftwareVersion(record);
+				counts.set(version, (counts.get(version) ?? 0) + 1);
+			});
+			return counts;
+		},
 		readAvailability(id) {
 			const record = table.get(id);
 			if (record?.state !== 'ready') {
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -1,6 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {BackendRecord, PlacementRequest} from '@lovagevalve/dispatch';
+import type {
+	BackendRecord,
+	PlacementRequest,
+	StreamOrigin,
+} from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {BackendView} from './backend-view.js';
@@ -10,7 +14,9 @@
 	RequestMetadata,
 	ResponseMetadata,
 } from './protocol.js';
+import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
+import type {StreamOrigins} from './stream-origins.js';
 
 /** Dependencies shared by all requests at an entry. */
 export type GatewayContext = Readonly<{
@@ -25,6 +31,10 @@
 	dataCentre: string;
 	/** Routes of the newest configuration; undefined until one is known. */
 	readRouteTable: () => RouteTable | undefined;
+	/** Origins of the streams that this entry has delivered events of. */
+	origins: Pick<StreamOrigins, 'record' | 'find'>;
+	/** Asks the control instances for the origin of a resumed stream. */
+	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	crashes: Pick<CrashWatch, 'findQuarantined' | 'reportCrash' | 'recordSound'>;
 }>;
 
@@ -33,6 +43,8 @@
 	metadata: RequestMetadata;
 	route: Route;
 	service: Service;
+	/** Where the stream began that the caller resumes; absent for other requests. */
+	origin?: StreamOrigin;
 	customer: string | undefined;
 	/** Digest of method, path, customer and body. */
 	digest: string;
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -3,9 +3,16 @@
 	ControlReport,
 	EntryReport,
 	KnownRevision,
+	OriginAnswer,
 	SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
+import {
+	lookUpOrigin,
+	type OriginLookup,
+	type OriginQuery,
+} from './origin-lookup.js';
+import type {OriginsUpdate} from './stream-origins.js';
 
 /** Dependencies and callbacks of a control client. */
 export type ControlClientOptions = Readonly<{
@@ -17,6 +24,8 @@
 	 */
 	readSeeds: () => readonly string[];
 	createReport: () => SharedEntryReport;
+	/** Origins of streams recorded after a sequence number. */
+	createOriginsUpdate: (after: number) => OriginsUpdate;
 	/** Ages of registrations to request from the primary control instance. */
 	createAgesRequest: () => AgesRequest;
 	onReport: (control: string, report: ControlReport) => void;
@@ -36,6 +45,8 @@
 	 * when each has responded or timed out.
 	 */
 	reportToAll: () => Promise<void>;
+	/** Asks all control instances for the origin of a stream. */
+	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	countReachable: () => number;
 }>;
 
@@ -49,6 +60,8 @@
 	knownRevision: KnownRevision | undefined;
 	/** Revision of the advertised entries received from this peer. */
 	knownServing: KnownRevision | undefined;
+	/** Sequence number of the last origin of a stream that this peer received. */
+	originSequence: number;
 };
 
 /**
@@ -100,6 +113,7 @@
 			version: 0,
 			knownRevision: undefined,
 			knownServing: undefined,
+			originSequence: 0,
 		};
 		peers.set(address, peer);
 		return peer;
@@ -215,6 +229,11 @@
 		peer.isUnreachable = false;
 		peer.answeredAt = now;
 		peer.version = report.version;
+		if (peer.knownRevision?.epoch !== report.known.epoch) {
+			// It has started again, and holds no origin that was sent before.
+			peer.originSequence = 0;
+		}
+
 		peer.knownRevision = report.known;
 		if (report.overview !== undefined) {
 			// The list in use is that of the last primary control instance.
@@ -251,8 +270,10 @@
 
 		peer.isBusy = true;
 		const isPrimary = address === primaryPeer;
+		const update = options.createOriginsUpdate(peer.originSequence);
 		const report: EntryReport = {
 			...createReport(),
+			...(update.origins.length > 0 ? {origins: update.origins} : {}),
 			known: peer.knownRevision,
 			knownServing: peer.knownServing,
 			wantsOverview: isPrimary,
@@ -267,6 +288,10 @@
 		peer.isBusy = false;
 		response.match(
 			(found) => {
+				if (found.known.epoch === report.known?.epoch) {
+					peer.originSequence = update.sequence;
+				}
+
 				applyReport(address, peer, found, report.version);
 				if (found.hasMore === true && address === primaryPeer) {
 					void sendReport(address);
@@ -301,6 +326,16 @@
 				listAddresses().map(async (address) => sendReport(address)),
 			);
 		},
+		lookUpOrigin: async (query) =>
+			lookUpOrigin(listAddresses(), query, async (address, body, timeoutMs) => {
+				const response = await client.call<OriginAnswer>(
+					address,
+					'/stream-origin',
+					body,
+					timeoutMs,
+				);
+				return response.unwrapOr(undefined);
+			}),
 		countReachable: () =>
 			[...peers.values()].filter(
 				({answeredAt}) =>
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -24,6 +24,7 @@
 import {createNamedLimits} from './named-limits.js';
 import type {HeaderCodec} from './protocol.js';
 import {createRetryBudgets} from './retry-budgets.js';
+import {createStreamOrigins} from './stream-origins.js';
 
 /** Settings of an entry instance. */
 export type EntrySettings = Readonly<{
@@ -106,6 +107,7 @@
 	/** Number of entries, by the control instance that reported it. */
 	const entryCounts = new Map<string, Readonly<{count: number; at: number}>>();
 	const crashes = createCrashWatch({clock, log, metrics});
+	const origins = createStreamOrigins(clock);
 
 	const limits = createNamedLimits({
 		clock,
@@ -159,6 +161,8 @@
 		dataCentre: settings.dataCentre,
 		readRouteTable: () => routeTable,
 		crashes,
+		origins,
+		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
 
@@ -204,6 +208,7 @@
 		client: createPeerClient(),
 		readSeeds: settings.readSeeds,
 		createReport,
+		createOriginsUpdate: origins.createReport,
 		createAgesRequest: view.createAgesRequest,
 		onReport(control, report) {
 			entryCounts.set(control, {count: report.entries, at: clock.now()});
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
 import {readBody} from './read-body.js';
+import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
 
 /** HTTP server that accepts and forwards callers' requests. */
@@ -57,6 +58,10 @@
  */
 const TICK_INTERVAL_MS = 50;
 const DRAIN_POLL_MS = 50;
+const CALLER_LEFT: ProblemResponse = {
+	status: 499,
+	reason: 'the caller left',
+};
 /**
  * Time for the request of a connection that was accepted just before the server
  * closed: its packets may have to be sent again.
@@ -161,6 +166,18 @@
 		};
 	};
 
+	/** Forwards a stream that its caller resumes, or ends it if it can't go on. */
+	const resume = async (accepted: AcceptedRequest): Promise<void> => {
+		const located = await locateResumedStream(ctx, accepted);
+		if ('status' in located) {
+			endWithProblem(ctx, accepted, located, 0);
+		} else if (accepted.res.destroyed) {
+			endWithProblem(ctx, accepted, CALLER_LEFT, 0);
+		} else {
+			await forward(located);
+		}
+	};
+
 	const forward = async (accepted: AcceptedRequest): Promise<void> => {
 		const end = ctx.retryBudgets.countRequest(accepted.service.name);
 		try {
@@ -246,7 +263,9 @@
 			return;
 		}
 
-		await forward(accepted);
+		await (accepted.route.kind === 'stream' && isResumed(accepted)
+			? resume(accepted)
+			: forward(accepted));
 	};
 
 	const serve = async (
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -75,6 +75,7 @@
 
 	const isCopyLost = (): boolean =>
 		kvCopy === undefined ||
+		view.find(kvCopy.backend.id)?.bornAt !== kvCopy.backend.bornAt ||
 		view.readAvailability(kvCopy.backend.id) !== 'usable';
 
 	/**
--- /dev/null
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -0,0 +1,84 @@
+import {decideResume} from '@lovagevalve/dispatch';
+import type {AcceptedRequest, GatewayContext} from './context.js';
+import type {OriginLookup} from './origin-lookup.js';
+import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
+import {createStreamKey} from './stream-origins.js';
+
+/** Longest time between a caller's deadline and its last resume. */
+const RESUME_SLACK_MS = 10_000;
+
+/** Whether the caller has events that the stream must fit to. */
+export function isResumed({metadata}: AcceptedRequest): boolean {
+	const {lastEventId = ''} = metadata;
+	return lastEventId !== '' && lastEventId !== '0';
+}
+
+/** Time for which a caller may resume a stream that begins now, in milliseconds. */
+export function readResumableMs({
+	metadata,
+	route,
+}: Pick<AcceptedRequest, 'metadata' | 'route'>): number {
+	return Math.max(metadata.waitMs ?? 0, route.timeoutMs) + RESUME_SLACK_MS;
+}
+
+/**
+ * Binds a stream that a caller resumes to the service and software version that
+ * began it, or says why it can't go on.
+ */
+export async function locateResumedStream(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+): Promise<AcceptedRequest | ProblemResponse> {
+	const {metadata, route, customer} = req;
+	const {resumes} = metadata;
+	const key =
+		resumes === undefined ? undefined : createStreamKey(customer, resumes);
+	const services = route.targets
+		.filter(({weight}) => weight > 0)
+		.map(({service}) => service);
+	const own = key === undefined ? undefined : ctx.origins.find(key);
+	const lookup: OriginLookup =
+		own === undefined
+			? await ctx.lookUpOrigin({key, services})
+			: {
+					controls: 0,
+					answers: [{origin: own, knownForMs: 0, versions: {}}],
+				};
+	const decision = decideResume({
+		services,
+		windowMs: readResumableMs(req),
+		...lookup,
+		ownVersions:
+			services.length === 1
+				? [...ctx.view.countSoftwareVersions(services[0]!).keys()]
+				: [],
+	});
+	ctx.metrics.count('resumed_streams', {
+		evidence: decision.kind === 'resume' ? decision.evidence : 'none',
+	});
+	ctx.log.info('A caller resumes a stream.', {
+		request: metadata.id,
+		resumes: resumes ?? '',
+		lastEventId: metadata.lastEventId ?? '',
+		isKnownHere: own !== undefined,
+		controls: lookup.controls,
+		answers: lookup.answers.length,
+		...(decision.kind === 'resume'
+			? {evidence: decision.evidence, ...decision.origin}
+			: {refused: decision.reason}),
+	});
+	if (decision.kind === 'refuse') {
+		const {reason} = decision;
+		return {status: 503, reason, retryAfterMs: RETRY_AFTER_MS};
+	}
+
+	const {origin} = decision;
+	if (key !== undefined) {
+		ctx.origins.record(key, origin, readResumableMs(req));
+	}
+
+	const service = ctx.readRouteTable()?.findService(origin.service);
+	return service === undefined
+		? {status: 503, reason: 'the service of the stream is not configured'}
+		: {...req, service, origin};
+}
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -77,7 +77,7 @@
 		isQuarantined: ctx.crashes.findQuarantined(req) !== undefined,
 		deaths,
 		remainingMs: readRemainingMs(ctx, req),
-		canWait: delivery.hasBegun(),
+		canWait: delivery.hasBegun() || req.origin !== undefined,
 		isLate: delivery.isLate(),
 	});
 
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -3,7 +3,9 @@
 import {
 	type AttemptFailure,
 	type BackendRecord,
+	decideUnplaced,
 	isRepeatable,
+	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import {
@@ -22,7 +24,9 @@
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import {createKvBackup} from './kv-backup.js';
 import {createStreamAttempts} from './stream-attempts.js';
+import {readResumableMs} from './resume-location.js';
 import {createStreamDelivery} from './stream-delivery.js';
+import {createStreamKey} from './stream-origins.js';
 import {
 	evaluateSilence,
 	probeRun,
@@ -65,6 +69,9 @@
 	let isEnded = false;
 	const attempts = createStreamAttempts(ctx, req, delivery);
 	let resendTimer: NodeJS.Timeout | undefined;
+	/** Service and software version that the stream is bound to by its first event. */
+	let {origin} = req;
+	let unplacedAt: number | undefined;
 
 	const closeRun = (): void => {
 		if (run !== undefined && !run.isClosed) {
@@ -117,6 +124,18 @@
 		finish();
 	};
 
+	const bindOrigin = (backend: BackendRecord): void => {
+		origin = {
+			service: service.name,
+			softwareVersion: readSoftwareVersion(backend),
+		};
+		ctx.origins.record(
+			createStreamKey(req.customer, metadata.id),
+			origin,
+			readResumableMs(req),
+		);
+	};
+
 	const deliver = (
 		current: Run,
 		response: IncomingMessage,
@@ -126,6 +145,10 @@
 			current.lastEventAt = ctx.clock.now();
 		});
 		// A stalled engine may go on sending comments or repeat what it has sent.
+		if (isDelivered && origin === undefined) {
+			bindOrigin(current.backend);
+		}
+
 		if (!isDelivered || !event.hasData) {
 			return;
 		}
@@ -258,7 +281,7 @@
 		);
 		return ctx.view.chooseCopyTarget(
 			service.name,
-			placementRequest,
+			{...placementRequest, softwareVersion: readSoftwareVersion(backend)},
 			ctx.random(),
 		);
 	};
@@ -266,12 +289,15 @@
 	const start = (previous?: PreviousRun): void => {
 		const lastEventId = delivery.readLastEventId();
 		const kvCopy = lastEventId === undefined ? undefined : previous?.kvCopy;
-		const placementRequest = createPlacementRequest(
-			ctx,
-			req,
-			attempts.listExcluded(),
-			attempts.listFailedDataCentres(),
-		);
+		const placementRequest = {
+			...createPlacementRequest(
+				ctx,
+				req,
+				attempts.listExcluded(),
+				attempts.listFailedDataCentres(),
+			),
+			softwareVersion: origin?.softwareVersion,
+		};
 		const backend =
 			kvCopy?.backend ??
 			(previous?.shouldRetryWithoutCopy
@@ -282,6 +308,7 @@
 			return;
 		}
 
+		unplacedAt = undefined;
 		const backupTarget = chooseBackupTarget(backend);
 		const reservedWork =
 			kvCopy === undefined
@@ -348,10 +375,28 @@
 		}
 	};
 
-	/** A started stream waits for a backend server; a new one is rejected. */
+	/**
+	 * A stream with events waits for a backend server of its software version; a new
+	 * one is rejected.
+	 */
 	const scheduleResend = (reason: string): void => {
-		if (!delivery.hasBegun()) {
-			abort(attempts.hasRun() ? 502 : 503, reason);
+		const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
+		if (origin === undefined) {
+			abort(status, reason);
+			return;
+		}
+
+		const versions = ctx.view.countSoftwareVersions(service.name);
+		unplacedAt ??= ctx.clock.now();
+		const decision = decideUnplaced({
+			ready: versions.get(origin.softwareVersion) ?? 0,
+			hasOtherVersions: [...versions.keys()].some(
+				(version) => version !== origin?.softwareVersion,
+			),
+			waitedMs: ctx.clock.now() - unplacedAt,
+		});
+		if (decision === 'give-up') {
+			abort(status, "no backend server of the stream's version takes it");
 			return;
 		}
 
@@ -508,14 +553,6 @@
 	});
 	return {
 		start() {
-			if (metadata.lastEventId !== undefined) {
-				ctx.log.info('A caller resumes a stream.', {
-					request: metadata.id,
-					resumes: metadata.resumes ?? '',
-					lastEventId: metadata.lastEventId,
-				});
-			}
-
 			start();
 		},
 		tick,
--- /dev/null
+++ b/packages/lovage-gateway/src/stream-origins.ts
@@ -0,0 +1,90 @@
+import {createHash} from 'node:crypto';
+import type {OriginReport, StreamOrigin} from '@lovagevalve/dispatch';
+import type {Clock} from '@lovagevalve/runtime';
+
+/** Origins of the streams that this entry has delivered events of. */
+export type StreamOrigins = Readonly<{
+	/** Remembers a stream for as long as its caller may resume it. */
+	record: (key: string, origin: StreamOrigin, keepMs: number) => void;
+	find: (key: string) => StreamOrigin | undefined;
+	/** Describes the origins recorded after a sequence number, the oldest first. */
+	createReport: (after: number) => OriginsUpdate;
+}>;
+
+/** Part of the origins for a control instance. */
+export type OriginsUpdate = Readonly<{
+	origins: readonly OriginReport[];
+	/** Sequence number of the last origin in the update. */
+	sequence: number;
+}>;
+
+type RecordedOrigin = Readonly<{
+	origin: StreamOrigin;
+	/** End of the time in which the caller may resume, in monotonic milliseconds. */
+	until: number;
+	sequence: number;
+}>;
+
+/** Limit of the origins in memory; the oldest are dropped first. */
+const MAX_ORIGINS = 20_000;
+/** Limit of the origins in one report. */
+const MAX_REPORTED = 400;
+const KEY_LENGTH = 16;
+
+/** Identifies a caller's attempt by its customer and id, in a bounded length. */
+export function createStreamKey(
+	customer: string | undefined,
+	requestId: string,
+): string {
+	return createHash('sha256')
+		.update(`${customer ?? ''}\n${requestId}`)
+		.digest('base64url')
+		.slice(0, KEY_LENGTH);
+}
+
+/** Creates a memory without any origins. */
+export function createStreamOrigins(clock: Clock): StreamOrigins {
+	/** In the order of their sequence numbers. */
+	const recorded = new Map<string, RecordedOrigin>();
+	let lastSequence = 0;
+
+	const removeExpired = (): void => {
+		const now = clock.now();
+		for (const [key, {until}] of recorded) {
+			if (until > now && recorded.size <= MAX_ORIGINS) {
+				return;
+			}
+
+			recorded.delete(key);
+		}
+	};
+
+	return {
+		record(key, origin, keepMs) {
+			lastSequence += 1;
+			recorded.delete(key);
+			recorded.set(key, {
+				origin,
+				until: clock.now() + keepMs,
+				sequence: lastSequence,
+			});
+			removeExpired();
+		},
+		find: (key) => recorded.get(key)?.origin,
+		createReport(after) {
+			const now = clock.now();
+			const missing = [...recorded]
+				.filter(([, {sequence}]) => sequence > after)
+				.slice(0, MAX_REPORTED);
+			return {
+				origins: missing.map(([key, {origin, until}]) => [
+					key,
+					origin.service,
+					origin.softwareVersion,
+					Math.round(until - now),
+				]),
+				sequence: missing.at(-1)?.[1].sequence ?? after,
+			};
+		},
+	};
+}
