Take the request of a crash watch from the protocol's types

Cause: context.ts imported the type of crash-watch.ts and crash-watch.ts that of context.ts. Change: the watch names the two fields that it reads, by the types of protocol.ts. No behaviour changes; types and linter pass.

--- a/packages/lovage-gateway/src/crash-watch.ts
+++ b/packages/lovage-gateway/src/crash-watch.ts
@@ -8,10 +8,13 @@
 } from '@lovagevalve/dispatch';
 import {createPartKey, isPartKey} from '@lovagevalve/quarantine';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
-import type {AcceptedRequest} from './context.js';
+import type {RequestMetadata} from './protocol.js';
 
 /** Identity of a request and of the parts of its prompt. */
-export type SuspectRequest = Pick<AcceptedRequest, 'digest' | 'metadata'>;
+export type SuspectRequest = Readonly<{
+	digest: string;
+	metadata: Pick<RequestMetadata, 'id' | 'sharedParts'>;
+}>;
 
 /** What this entry knows of requests and parts of prompts that crash backend servers. */
 export type CrashWatch = Readonly<{
