Log when an entry reaches no backend server of a service

Cause: an entry logged each backend server that it avoids, but not whether it reached any, nor whether they still register, so the loss of its own links couldn't be told from the loss of all backend servers. Change: a refused or timed-out connection makes the entry connect to up to five others of the service at once; if none accepts, it logs so with the number in service, checks the other services, and checks again until most are reached. The decision is pure (backend-reach.ts of dispatch). Nothing acts on it yet. Connections to backend servers can go through another host (backendHost), which tests need to cut a single entry off.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -20,6 +20,8 @@
 	parseIncarnationKey,
 } from './incarnation.js';
 export type {Incarnation} from './incarnation.js';
+export {applyReachRound, chooseRelays, CONNECTED} from './backend-reach.js';
+export type {Reach, ReachRound, RelayCandidate} from './backend-reach.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
@@ -23,6 +23,7 @@
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
+		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
 		registrationIntervalMs: 60_000,
@@ -53,7 +54,8 @@
 	view.recordNotice(backend, {isLeaving: false, pushbackMs: 5000}, 0);
 	view.reportHealth(backend, 'unreachable');
 	const command = testCodec.createCopyCommand('r-1', 'elsewhere');
-	const ctx = {codec: testCodec, view};
+	const resolveAddress = ({address}: {address: string}) => address;
+	const ctx = {codec: testCodec, view, resolveAddress};
 	const outcome = await sendBackendCommand(ctx, backend, command);
 	expect(outcome.isErr()).toBe(true);
 	expect(arrivals).toBe(0);
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -195,6 +195,7 @@
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
+		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
 		registrationIntervalMs: 60_000,
@@ -220,6 +221,7 @@
 		random: () => 0,
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
+		resolveAddress: ({address}) => address,
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
--- a/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
@@ -15,6 +15,7 @@
 	const clock = {now: () => time.now, wall: () => time.now};
 	const view = createBackendView({
 		clock,
+		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
 		registrationIntervalMs: INTERVAL_MS,
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -16,7 +16,7 @@
  * response.
  */
 export async function sendBackendCommand(
-	ctx: Pick<GatewayContext, 'codec' | 'view'>,
+	ctx: Pick<GatewayContext, 'codec' | 'view' | 'resolveAddress'>,
 	backend: BackendRecord,
 	{method, path, body = ''}: BackendCommand,
 ): Promise<Result<string, string>> {
@@ -26,7 +26,7 @@
 
 	return new Promise((resolve) => {
 		const req = request({
-			...parseAddress(backend.address),
+			...parseAddress(ctx.resolveAddress(backend)),
 			method,
 			path,
 			agent: false,
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -191,8 +191,26 @@
 	};
 }
 
+/** Creates the lookup of the address at which backend servers are connected to. */
+export function createAddressResolver(
+	backendHost: string | undefined,
+): (backend: Readonly<{address: string}>) => string {
+	return ({address}) =>
+		backendHost === undefined
+			? address
+			: `${backendHost}:${parseAddress(address).port}`;
+}
+
+/** Checks whether a backend server accepts a connection, lost packets included. */
+export async function checkReach(address: string): Promise<boolean> {
+	return probeAddress(address, CONNECT_TIMEOUT_MS);
+}
+
 /** Checks whether a backend server accepts a new connection. */
-export async function probeAddress(address: string): Promise<boolean> {
+export async function probeAddress(
+	address: string,
+	timeoutMs = PROBE_TIMEOUT_MS,
+): Promise<boolean> {
 	return new Promise((resolve) => {
 		const socket = connect(parseAddress(address));
 		const settle = (isAlive: boolean): void => {
@@ -203,7 +221,7 @@
 
 		const timer = setTimeout(() => {
 			settle(false);
-		}, PROBE_TIMEOUT_MS);
+		}, timeoutMs);
 		socket.once('connect', () => {
 			settle(true);
 		});
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -47,6 +47,8 @@
 	 */
 	registrationIntervalMs: number;
 	limits: NamedLimits;
+	/** Called when a backend server of a service accepted no connection. */
+	onUnreachable: (service: string) => void;
 }>;
 
 /**
@@ -89,6 +91,8 @@
 		random: number,
 	) => BackendRecord | undefined;
 	find: (id: string) => BackendRecord | undefined;
+	/** Backend servers in service that registered recently, by service. */
+	listInService: () => ReadonlyMap<string, readonly BackendRecord[]>;
 	/** Software versions of a service that are in service, with the number of backend servers. */
 	countSoftwareVersions: (service: string) => ReadonlyMap<string, number>;
 	/** Whether a backend server may receive requests, and if not, why. */
@@ -295,6 +299,16 @@
 				random,
 			),
 		find: (id) => table.get(id),
+		listInService() {
+			const services = new Map<string, BackendRecord[]>();
+			table.forEach((record) => {
+				if (record.state === 'ready' && hasRecentContact(record)) {
+					const known = services.get(record.service) ?? [];
+					services.set(record.service, [...known, record]);
+				}
+			});
+			return services;
+		},
 		countSoftwareVersions(service) {
 			const counts = new Map<string, number>();
 			listReady(service).forEach((record) => {
@@ -344,12 +358,16 @@
 				},
 			};
 		},
-		reportHealth({id, bornAt}, outcome) {
+		reportHealth({id, bornAt, service}, outcome) {
 			// Outcomes of an earlier process do not apply to the one that replaced it.
 			if (table.get(id)?.bornAt !== bornAt) {
 				return;
 			}
 
+			if (outcome === 'unreachable') {
+				options.onUnreachable(service);
+			}
+
 			const before = readHealth(id);
 			const after = recordExchange(before, outcome, clock.now());
 			health.set(id, after);
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -33,6 +33,8 @@
 	readRouteTable: () => RouteTable | undefined;
 	/** Origins of the streams that this entry has delivered events of. */
 	origins: Pick<StreamOrigins, 'record' | 'find'>;
+	/** Address at which this instance connects to a backend server. */
+	resolveAddress: (backend: Pick<BackendRecord, 'address'>) => string;
 	/** Asks the control instances for the origin of a resumed stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	crashes: Pick<CrashWatch, 'findQuarantined' | 'reportCrash' | 'recordSound'>;
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -16,6 +16,8 @@
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
 import type {Result} from 'neverthrow';
+import {checkReach, createAddressResolver} from './backend-exchange.js';
+import {createBackendReach} from './backend-reach.js';
 import {createBackendView} from './backend-view.js';
 import type {GatewayContext} from './context.js';
 import {createControlClient} from './control-client.js';
@@ -49,6 +51,11 @@
 	 * in milliseconds.
 	 */
 	addressLifetimeMs: number;
+	/**
+	 * Host through which this instance connects to backend servers, on networks with
+	 * address translation; absent to use their registered ones.
+	 */
+	backendHost?: string;
 }>;
 
 /** Dependencies of an entry. */
@@ -122,6 +129,18 @@
 		metrics,
 		registrationIntervalMs: settings.registrationIntervalMs,
 		limits,
+		onUnreachable(service) {
+			reach.suspect(service);
+		},
+	});
+	const resolveAddress = createAddressResolver(settings.backendHost);
+	const reach = createBackendReach({
+		clock,
+		log,
+		metrics,
+		random: dependencies.random,
+		listInService: view.listInService,
+		connect: async (backend) => checkReach(resolveAddress(backend)),
 	});
 
 	const readStatus = (): EntryStatus => {
@@ -162,6 +181,7 @@
 		readRouteTable: () => routeTable,
 		crashes,
 		origins,
+		resolveAddress,
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
@@ -233,6 +253,7 @@
 	metrics.registerGauge('requests_under_way', () => gateway.countRequests());
 	metrics.registerGauge('backends_ready', () => view.countReady());
 	metrics.registerGauge('backends_limited', () => limits.countLimited());
+	metrics.registerGauge('isolated', () => (reach.isIsolated() ? 1 : 0));
 	metrics.registerGauge('controls_reachable', () =>
 		controlClient.countReachable(),
 	);
@@ -259,6 +280,7 @@
 			// the server closes.
 			await gateway.awaitIdle(deadlineAt - clock.now());
 			clearInterval(timer);
+			reach.stop();
 			log.info('Drained.', {
 				requests: gateway.countRequests(),
 				leftMs: Math.round(deadlineAt - clock.now()),
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -339,7 +339,7 @@
 		attempts.recordStart(backend);
 		current.exchange = openExchange(
 			{
-				address: backend.address,
+				address: ctx.resolveAddress(backend),
 				method: req.method,
 				path: req.path,
 				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -49,7 +49,7 @@
 /** Probes whether the backend server of a silent run accepts connections. */
 export async function probeRun(ctx: GatewayContext, run: Run): Promise<void> {
 	run.probe = 'pending';
-	const isAlive = await probeAddress(run.backend.address);
+	const isAlive = await probeAddress(ctx.resolveAddress(run.backend));
 	run.probe = isAlive ? 'alive' : 'dead';
 	run.probedAt = ctx.clock.now();
 	if (!isAlive) {
@@ -68,7 +68,8 @@
 ): Promise<boolean> {
 	const runningMs =
 		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
-	const isAlive = probe !== 'dead' && (await probeAddress(backend.address));
+	const isAlive =
+		probe !== 'dead' && (await probeAddress(ctx.resolveAddress(backend)));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 	const isSuspected = !isAlive && isInStartWindow(runningMs);
 	if (isSuspected) {
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -173,7 +173,7 @@
 
 		const exchange: Exchange = openExchange(
 			{
-				address: backend.address,
+				address: ctx.resolveAddress(backend),
 				method: req.method,
 				path: req.path,
 				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -50,7 +50,7 @@
 		}
 
 		case 'lost': {
-			const isAlive = await probeAddress(backend.address);
+			const isAlive = await probeAddress(ctx.resolveAddress(backend));
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
 				ctx.crashes.reportCrash(req, backend);
