Serve the callers of partitioned entries through other entries

What callers saw: entries that had lost their links to all backend servers, but were reached by callers and other instances, refused each request (0 of 46 and 0 of 73 first attempts) while the others served. Cause: an entry had no way to serve but its own connections, and took the loss of all of them for the loss of each backend server by itself; the directory went on naming it. Class: a fault of the observer taken for a fault of what it observes. Evidence: backend servers register all the time and the other entries serve with them; the refusals follow three refused connections within 23 ms. Change: an entry that reaches none of a service's backend servers sends requests on to another entry, which authenticates, places, retries and counts them as its own; the mark on them grants nothing but that they aren't sent on again. Requests that may run once are sent to a further entry only if they can't have run. Streams under way go on there, by Last-Event-Id and Resumes. The entry reports that it is cut off; control instances name it to callers only while all entries are cut off, and tell it entries that take over, those of its data centre first unless most of them are cut off too. Control instances and entries of the build before ignore the new fields. Why it works: what is lost is one entry's links, and any other entry can do its work; callers that connect anywhere get an answer at the first attempt, and most of them leave within the lifetime of a directory answer.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -12,7 +12,14 @@
 function createTestRegistry(isFirstStart = true) {
 	const time = {now: 0};
 	const clock = {now: () => time.now, wall: () => time.now};
-	return {time, registry: createRegistry(clock, log, {epoch: 1, isFirstStart})};
+	return {
+		time,
+		registry: createRegistry(clock, log, {
+			epoch: 1,
+			isFirstStart,
+			random: () => 0,
+		}),
+	};
 }
 
 const record: BackendRecord = {
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -118,6 +118,7 @@
 	const registry = createRegistry(clock, log, {
 		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
 		isFirstStart: settings.isFirstStart,
+		random: dependencies.random,
 	});
 	const quarantine = createCrashQuarantine(
 		{clock, log},
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -2,6 +2,7 @@
 	type AgedRecord,
 	type BackendRecord,
 	type BackendTable,
+	chooseRelays,
 	createIncarnationKey,
 	type ClusterOverview,
 	type ControlReport,
@@ -39,6 +40,8 @@
 	address: string;
 	dataCentre: string;
 	standing: EntryStatus;
+	/** It reaches no backend server. */
+	isCutOff: boolean;
 	heardAt: number;
 }>;
 
@@ -92,14 +95,21 @@
 	return outcome === 'added' || outcome === 'changed';
 }
 
-/**
- * Creates an empty registry; `epoch` distinguishes this start of the instance
- * from others, `isFirstStart` is that of the whole system.
- */
+/** Settings of a registry. */
+export type RegistryOptions = Readonly<{
+	/** Distinguishes this start of the instance from others. */
+	epoch: number;
+	/** Whether the whole system starts for the first time. */
+	isFirstStart: boolean;
+	/** Returns a random number in [0, 1). */
+	random: () => number;
+}>;
+
+/** Creates an empty registry. */
 export function createRegistry(
 	clock: Clock,
 	log: Logger,
-	{epoch, isFirstStart}: Readonly<{epoch: number; isFirstStart: boolean}>,
+	{epoch, isFirstStart, random}: RegistryOptions,
 ): Registry {
 	const entries = new Map<string, KnownEntry>();
 	let table: BackendTable = new Map();
@@ -146,14 +156,15 @@
 	};
 
 	const recordEntry = (report: EntryReport): void => {
-		const {entry, address, dataCentre, standing} = report;
+		const {entry, address, dataCentre, standing, isCutOff = false} = report;
 		const known = entries.get(entry);
 		if (
 			known?.standing !== standing ||
 			known.address !== address ||
+			known.isCutOff !== isCutOff ||
 			!isAlive(known)
 		) {
-			log.info('An entry changed.', {entry, address, standing});
+			log.info('An entry changed.', {entry, address, standing, isCutOff});
 		}
 
 		entries.set(entry, {
@@ -161,6 +172,7 @@
 			address,
 			dataCentre,
 			standing,
+			isCutOff,
 			heardAt: clock.now(),
 		});
 	};
@@ -210,11 +222,34 @@
 		});
 	};
 
-	const listServing = (): readonly KnownEntry[] =>
+	const listReady = (): readonly KnownEntry[] =>
 		[...entries.values()].filter(
 			(entry) => entry.standing === 'ready' && isAlive(entry),
 		);
 
+	/** Entries that are cut off are advertised only while all others are as well. */
+	const listServing = (): readonly KnownEntry[] => {
+		const ready = listReady();
+		const connected = ready.filter(({isCutOff}) => !isCutOff);
+		return connected.length > 0 ? connected : ready;
+	};
+
+	/** Lists entries that take over requests of one that is cut off. */
+	const describeRelays = (entry: string): Pick<ClusterOverview, 'relays'> => {
+		const known = entries.get(entry);
+		if (known?.isCutOff !== true) {
+			return {};
+		}
+
+		const {dataCentre} = known;
+		const ready = listReady();
+		const candidates = ready.filter(({isCutOff}) => !isCutOff);
+		const cutOff = ready.filter(
+			(other) => other.isCutOff && other.dataCentre === dataCentre,
+		).length;
+		return {relays: chooseRelays(candidates, {dataCentre, cutOff}, random)};
+	};
+
 	/**
 	 * The list grows with the number of entries, and so does the number of answers;
 	 * so it is sent only after a change.
@@ -314,6 +349,7 @@
 						overview: {
 							...describeServing(knownServing),
 							...describeOthers(entry),
+							...describeRelays(entry),
 						},
 					}
 				: {}),
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -87,6 +87,8 @@
 	leaving?: readonly string[];
 	/** Limits of backend servers that this entry knows; older entries don't send it. */
 	limits?: LimitReports;
+	/** Whether the entry reaches no backend server; older entries don't send it. */
+	isCutOff?: boolean;
 	/** Origins of streams that this control instance has not confirmed yet. */
 	origins?: readonly OriginReport[];
 	/** Absent to request all backend servers. */
@@ -127,6 +129,8 @@
 	retries: Readonly<Record<string, RetryCounts>>;
 	/** Limits of backend servers; older control instances don't send it. */
 	limits?: LimitReports;
+	/** Addresses of entries that take over requests, for one that is cut off. */
+	relays?: readonly string[];
 }>;
 
 /** Answer of a control instance to an entry's report. */
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -86,6 +86,7 @@
 		'Content-Length',
 		String(call.bodyLength ?? 0),
 	],
+	createRelayHeaders: (rawHeaders) => [...rawHeaders],
 	readResponse: (_, headers) => ({
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
@@ -222,6 +223,8 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
+		reach: {isCutOff: () => false, confirm: async () => false},
+		listRelays: () => [],
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -7,6 +7,7 @@
 } from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import type {BackendReach} from './backend-reach.js';
 import type {BackendView} from './backend-view.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {
@@ -37,6 +38,9 @@
 	resolveAddress: (backend: Pick<BackendRecord, 'address'>) => string;
 	/** Asks the control instances for the origin of a resumed stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
+	reach: Pick<BackendReach, 'isCutOff' | 'confirm'>;
+	/** Addresses of entries that can take over requests, the nearest first. */
+	listRelays: () => readonly string[];
 	crashes: Pick<CrashWatch, 'findQuarantined' | 'reportCrash' | 'recordSound'>;
 }>;
 
@@ -48,6 +52,8 @@
 	/** Where the stream began that the caller resumes; absent for other requests. */
 	origin?: StreamOrigin;
 	customer: string | undefined;
+	/** Another entry sent it on, which reaches no backend server. */
+	isRelayed: boolean;
 	/** Digest of method, path, customer and body. */
 	digest: string;
 	method: string;
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -111,6 +111,8 @@
 	let routeTable: RouteTable | undefined;
 	let isLeaving = false;
 	let serving: readonly string[] = [];
+	/** Entries that take over requests while this one is cut off. */
+	let relays: readonly string[] = [];
 	/** Number of entries, by the control instance that reported it. */
 	const entryCounts = new Map<string, Readonly<{count: number; at: number}>>();
 	const crashes = createCrashWatch({clock, log, metrics});
@@ -169,6 +171,11 @@
 		countEntries,
 		dependencies.random,
 	);
+	const listRelays = (): readonly string[] =>
+		relays.length > 0
+			? relays
+			: serving.filter((address) => address !== settings.address);
+
 	const ctx: GatewayContext = {
 		clock,
 		log,
@@ -180,6 +187,8 @@
 		dataCentre: settings.dataCentre,
 		readRouteTable: () => routeTable,
 		crashes,
+		reach,
+		listRelays,
 		origins,
 		resolveAddress,
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
@@ -220,6 +229,7 @@
 		...crashes.createReport(),
 		leaving: view.listLeaving(),
 		limits: limits.createReport(),
+		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
 
 	const controlClient = createControlClient({
@@ -233,6 +243,8 @@
 		onReport(control, report) {
 			entryCounts.set(control, {count: report.entries, at: clock.now()});
 			serving = report.overview?.serving ?? serving;
+			relays =
+				report.overview === undefined ? relays : (report.overview.relays ?? []);
 			if (report.overview !== undefined) {
 				retryBudgets.updateRemoteCounts(report.overview.retries);
 			}
@@ -262,6 +274,11 @@
 		gateway,
 		isReady: () => readStatus() === 'ready',
 		listServing() {
+			// Control instances know whether others reach what this entry doesn't.
+			if (reach.isIsolated() && serving.length > 0) {
+				return serving;
+			}
+
 			const others = serving.filter((other) => other !== settings.address);
 			return readStatus() === 'ready' ? [settings.address, ...others] : others;
 		},
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
+import {CUT_OFF_HEADER, isRelayed, removeRelayHeaders} from './peer-relay.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -58,6 +59,13 @@
  */
 const TICK_INTERVAL_MS = 50;
 const DRAIN_POLL_MS = 50;
+/** Tells the entry that sent the request on to try another one. */
+const CUT_OFF: ProblemResponse = {
+	status: 503,
+	reason: 'this entry reaches no backend server of the service',
+	retryAfterMs: RETRY_AFTER_MS,
+	headers: {[CUT_OFF_HEADER]: '1'},
+};
 const CALLER_LEFT: ProblemResponse = {
 	status: 499,
 	reason: 'the caller left',
@@ -158,7 +166,8 @@
 			digest: '',
 			method: req.method ?? 'GET',
 			path,
-			rawHeaders: req.rawHeaders,
+			isRelayed: isRelayed(req.headers),
+			rawHeaders: removeRelayHeaders(req.rawHeaders),
 			body: undefined,
 			res,
 			startedAt,
@@ -179,7 +188,15 @@
 	};
 
 	const forward = async (accepted: AcceptedRequest): Promise<void> => {
-		const end = ctx.retryBudgets.countRequest(accepted.service.name);
+		if (accepted.isRelayed && ctx.reach.isCutOff(accepted.service.name)) {
+			endWithProblem(ctx, accepted, CUT_OFF, 0);
+			return;
+		}
+
+		// The entry that takes a request over counts it.
+		const end = ctx.reach.isCutOff(accepted.service.name)
+			? () => undefined
+			: ctx.retryBudgets.countRequest(accepted.service.name);
 		try {
 			await (accepted.route.kind === 'stream'
 				? forwardStream(accepted)
--- a/packages/lovage-gateway/src/index.ts
+++ b/packages/lovage-gateway/src/index.ts
@@ -17,5 +17,6 @@
 	BackendCommand,
 	HeaderCodec,
 	KvCopyReference,
+	RelayMetadata,
 	RequestMetadata,
 } from './protocol.js';
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -38,6 +38,13 @@
 	release: () => void;
 }>;
 
+/** Backup of a run whose KV cache is copied by nobody. */
+export const NO_BACKUP: KvBackup = {
+	refresh: () => undefined,
+	findCopy: () => undefined,
+	release: () => undefined,
+};
+
 /**
  * Backend servers drop a requested copy after a few seconds; each further
  * request transfers only the delta.
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -56,6 +56,14 @@
 	bodyLength?: number;
 }>;
 
+/** Metadata of a request that another entry sends on. */
+export type RelayMetadata = Readonly<{
+	remainingMs: number;
+	lastEventId?: string;
+	resumes?: string;
+	bodyLength?: number;
+}>;
+
 /** Response metadata that a backend server sends in headers. */
 export type ResponseMetadata = Readonly<{
 	/** Id of the request that this response belongs to. */
@@ -78,6 +86,11 @@
 		rawHeaders: readonly string[],
 		call: BackendRequestMetadata,
 	) => string[];
+	/** Alternating header names and values for the request to another entry. */
+	createRelayHeaders: (
+		rawHeaders: readonly string[],
+		relay: RelayMetadata,
+	) => string[];
 	readResponse: (
 		status: number,
 		headers: IncomingHttpHeaders,
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -17,6 +17,8 @@
 	 * been executed.
 	 */
 	retryAfterMs?: number;
+	/** Further headers. */
+	headers?: Readonly<Record<string, string>>;
 }>;
 
 /**
@@ -42,7 +44,7 @@
  */
 export function sendProblem(
 	res: ServerResponse,
-	{status, reason, retryAfterMs}: ProblemResponse,
+	{status, reason, retryAfterMs, headers = {}}: ProblemResponse,
 ): void {
 	if (res.headersSent || res.destroyed) {
 		return;
@@ -50,6 +52,7 @@
 
 	const body = JSON.stringify({title: reason, status});
 	res.writeHead(status, {
+		...headers,
 		'Content-Type': 'application/problem+json',
 		'Content-Length': Buffer.byteLength(body),
 		...(retryAfterMs === undefined
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -22,7 +22,14 @@
 	readResponseMetadata,
 } from './context.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import {createKvBackup} from './kv-backup.js';
+import {createKvBackup, NO_BACKUP} from './kv-backup.js';
+import {
+	choosePeer,
+	chooseRelayPeer,
+	createPeerRecord,
+	createRelayHeaders,
+	isCutOffAnswer,
+} from './peer-relay.js';
 import {createStreamAttempts} from './stream-attempts.js';
 import {readResumableMs} from './resume-location.js';
 import {createStreamDelivery} from './stream-delivery.js';
@@ -72,6 +79,8 @@
 	/** Service and software version that the stream is bound to by its first event. */
 	let {origin} = req;
 	let unplacedAt: number | undefined;
+	/** Its first event came through another entry, so its origin is unknown here. */
+	let isBegunAtPeer = false;
 
 	const closeRun = (): void => {
 		if (run !== undefined && !run.isClosed) {
@@ -145,7 +154,10 @@
 			current.lastEventAt = ctx.clock.now();
 		});
 		// A stalled engine may go on sending comments or repeat what it has sent.
-		if (isDelivered && origin === undefined) {
+		if (isDelivered && current.isRelayed) {
+			// The other entry knows and reports where the stream began.
+			isBegunAtPeer ||= origin === undefined;
+		} else if (isDelivered && origin === undefined) {
 			bindOrigin(current.backend);
 		}
 
@@ -240,6 +252,11 @@
 		}
 
 		const status = response.statusCode ?? 0;
+		if (current.isRelayed) {
+			handleRelayedResponse(current, response);
+			return;
+		}
+
 		const {requestId, isNotRun} = readResponseMetadata(ctx, current, response);
 		if (isNotRun) {
 			handleRunFailure(current, {
@@ -261,6 +278,24 @@
 		}
 	};
 
+	/** Handles the answer of another entry, which has checked whose answer it is. */
+	const handleRelayedResponse = (
+		current: Run,
+		response: IncomingMessage,
+	): void => {
+		const status = response.statusCode ?? 0;
+		if (isCutOffAnswer(response.headers)) {
+			const reason = 'the other entry is cut off too';
+			handleRunFailure(current, {kind: 'rejected', reason});
+		} else if (status === HTTP_OK) {
+			relayEvents(current, response);
+		} else if (delivery.hasBegun()) {
+			handleRunFailure(current, {kind: 'failed', reason: String(status)});
+		} else {
+			forwardError(current, response);
+		}
+	};
+
 	const chooseBackupTarget = (
 		backend: BackendRecord,
 	): BackendRecord | undefined => {
@@ -286,6 +321,77 @@
 		);
 	};
 
+	/** A run that is about to be sent. */
+	const createRun = (
+		backend: BackendRecord,
+		address: string,
+	): Omit<Run, 'kvBackup' | 'hasCopy' | 'reservation'> => ({
+		backend,
+		isRelayed: false,
+		address,
+		exchange: undefined,
+		sentAt: ctx.clock.now(),
+		startedAt: undefined,
+		lastEventAt: ctx.clock.now(),
+		probe: 'none',
+		probedAt: 0,
+		isClosed: false,
+		isSound: false,
+	});
+
+	const send = (current: Run, headers: string[]): void => {
+		run = current;
+		attempts.recordStart(current.backend);
+		current.exchange = openExchange(
+			{
+				address: current.address,
+				method: req.method,
+				path: req.path,
+				headers,
+				body: req.body,
+			},
+			{
+				onResponse(response) {
+					handleResponse(current, response);
+				},
+				onFailure(failure) {
+					handleRunFailure(current, failure);
+				},
+			},
+		);
+	};
+
+	/** Starts a run at another entry; without one, the stream ends. */
+	const startAtPeer = (peer: string | undefined): void => {
+		if (peer === undefined) {
+			const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
+			abort(status, 'no other entry takes the stream over');
+			return;
+		}
+
+		ctx.metrics.count('relayed_requests', {outcome: 'stream'});
+		ctx.log.info('Sending a stream on to another entry.', {
+			request: metadata.id,
+			peer,
+			lastEventId: delivery.readLastEventId() ?? '',
+		});
+		const backend = createPeerRecord(peer, service.name);
+		send(
+			{
+				...createRun(backend, peer),
+				isRelayed: true,
+				kvBackup: NO_BACKUP,
+				hasCopy: false,
+				reservation: {
+					backend,
+					markPrefilled: () => undefined,
+					release: () => undefined,
+				},
+			},
+			createRelayHeaders(ctx, req, delivery.readLastEventId()),
+		);
+	};
+
 	const start = (previous?: PreviousRun): void => {
 		const lastEventId = delivery.readLastEventId();
 		const kvCopy = lastEventId === undefined ? undefined : previous?.kvCopy;
@@ -298,6 +404,14 @@
 			),
 			softwareVersion: origin?.softwareVersion,
 		};
+		const peer = isBegunAtPeer
+			? choosePeer(ctx, attempts.listExcluded())
+			: chooseRelayPeer(ctx, req, attempts.listExcluded());
+		if (peer !== undefined || isBegunAtPeer) {
+			startAtPeer(peer);
+			return;
+		}
+
 		const backend =
 			kvCopy?.backend ??
 			(previous?.shouldRetryWithoutCopy
@@ -314,8 +428,9 @@
 			kvCopy === undefined
 				? placementRequest
 				: {...placementRequest, promptTokens: 0};
+		const address = ctx.resolveAddress(backend);
 		const current: Run = {
-			backend,
+			...createRun(backend, address),
 			kvBackup: createKvBackup({
 				ctx,
 				requestId: metadata.id,
@@ -326,41 +441,18 @@
 			}),
 			hasCopy: kvCopy !== undefined,
 			reservation: ctx.view.reserve(backend, reservedWork),
-			exchange: undefined,
-			sentAt: ctx.clock.now(),
-			startedAt: undefined,
-			lastEventAt: ctx.clock.now(),
-			probe: 'none',
-			probedAt: 0,
-			isClosed: false,
-			isSound: false,
 		};
-		run = current;
-		attempts.recordStart(backend);
-		current.exchange = openExchange(
-			{
-				address: ctx.resolveAddress(backend),
-				method: req.method,
-				path: req.path,
-				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
-					backend: backend.id,
-					customer: req.customer,
-					remainingMs: readRemainingMs(ctx, req),
-					backupAddress: backupTarget?.address,
-					lastEventId,
-					copy: kvCopy?.copy,
-					bodyLength: req.body?.length,
-				}),
-				body: req.body,
-			},
-			{
-				onResponse(response) {
-					handleResponse(current, response);
-				},
-				onFailure(failure) {
-					handleRunFailure(current, failure);
-				},
-			},
+		send(
+			current,
+			ctx.codec.createBackendHeaders(req.rawHeaders, {
+				backend: backend.id,
+				customer: req.customer,
+				remainingMs: readRemainingMs(ctx, req),
+				backupAddress: backupTarget?.address,
+				lastEventId,
+				copy: kvCopy?.copy,
+				bodyLength: req.body?.length,
+			}),
 		);
 		if (previous !== undefined) {
 			ctx.log.info('Started a new attempt for a stream.', {
@@ -375,6 +467,24 @@
 		}
 	};
 
+	/** Ends a stream that this entry can't place, unless another entry takes it over. */
+	const relayOrAbort = async (
+		status: 502 | 503,
+		reason: string,
+	): Promise<void> => {
+		const isCutOff = await ctx.reach.confirm(service.name);
+		const peer = chooseRelayPeer(ctx, req, attempts.listExcluded());
+		if (isEnded) {
+			return;
+		}
+
+		if (isCutOff && peer !== undefined) {
+			startAtPeer(peer);
+		} else {
+			abort(status, reason);
+		}
+	};
+
 	/**
 	 * A stream with events waits for a backend server of its software version; a new
 	 * one is rejected.
@@ -382,7 +492,7 @@
 	const scheduleResend = (reason: string): void => {
 		const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
 		if (origin === undefined) {
-			abort(status, reason);
+			void relayOrAbort(status, reason);
 			return;
 		}
 
@@ -477,7 +587,7 @@
 			}
 
 			case 'refuse': {
-				abort(delivery.hasBegun() ? 502 : 503, failure.reason);
+				void relayOrAbort(delivery.hasBegun() ? 502 : 503, failure.reason);
 				break;
 			}
 
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -12,7 +12,12 @@
 
 /** Execution of a streaming request at one backend server. */
 export type Run = {
+	/** For a run at another entry, that entry. */
 	readonly backend: BackendRecord;
+	/** Whether another entry runs it, as this one reaches no backend server. */
+	readonly isRelayed: boolean;
+	/** Address that the request was sent to. */
+	readonly address: string;
 	readonly reservation: LoadReservation;
 	readonly kvBackup: KvBackup;
 	/** It resumes from a copy of an earlier run's KV cache. */
@@ -46,10 +51,13 @@
 	shouldRetryWithoutCopy: boolean;
 }>;
 
+/** Silence after which the entry that runs a stream is probed. */
+const RELAY_PROBE_MS = 700;
+
 /** Probes whether the backend server of a silent run accepts connections. */
 export async function probeRun(ctx: GatewayContext, run: Run): Promise<void> {
 	run.probe = 'pending';
-	const isAlive = await probeAddress(ctx.resolveAddress(run.backend));
+	const isAlive = await probeAddress(run.address);
 	run.probe = isAlive ? 'alive' : 'dead';
 	run.probedAt = ctx.clock.now();
 	if (!isAlive) {
@@ -64,12 +72,15 @@
 export async function recordLoss(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{backend, probe, startedAt}: Run,
+	{backend, address, isRelayed, probe, startedAt}: Run,
 ): Promise<boolean> {
+	if (isRelayed) {
+		return false;
+	}
+
 	const runningMs =
 		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
-	const isAlive =
-		probe !== 'dead' && (await probeAddress(ctx.resolveAddress(backend)));
+	const isAlive = probe !== 'dead' && (await probeAddress(address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 	const isSuspected = !isAlive && isInStartWindow(runningMs);
 	if (isSuspected) {
@@ -90,6 +101,13 @@
 	hasEvents: boolean,
 ): StallAction {
 	const now = ctx.clock.now();
+	if (run.isRelayed && run.probe !== 'dead') {
+		// The other entry moves the stream itself.
+		return run.probe === 'none' && now - run.lastEventAt > RELAY_PROBE_MS
+			? 'probe'
+			: 'wait';
+	}
+
 	return decideStallAction({
 		idleMs: now - run.lastEventAt,
 		hasFirstEvent: run.startedAt !== undefined,
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -16,6 +16,7 @@
 	readRemainingMs,
 	readResponseMetadata,
 } from './context.js';
+import {createRelayHeaders, isCutOffAnswer} from './peer-relay.js';
 
 /** A response that is fully buffered before any of it is sent to the caller. */
 export type BufferedResponse = Readonly<{
@@ -55,15 +56,58 @@
 const SLOW_ATTEMPT_FACTOR = 1.4;
 const MIN_SERVER_ERROR = 500;
 
-/** Backend server and timeout of one attempt. */
+/** Where an attempt is sent. */
+export type AttemptTarget =
+	| Readonly<{kind: 'backend'; backend: BackendRecord}>
+	/** Another entry, which reaches the backend servers. */
+	| Readonly<{kind: 'peer'; address: string}>;
+
+/** Target and timeout of one attempt. */
 export type AttemptPlan = Readonly<{
-	backend: BackendRecord;
+	target: AttemptTarget;
 	/** The attempt is cancelled if it is not settled by then. */
 	timeoutMs: number;
 	/** Outcome of the attempt when the timeout expires. */
 	timeoutOutcome: AttemptOutcome;
 }>;
 
+/** Finds out from its head that a response is none for the caller. */
+function findHeadFailure(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	{
+		target,
+		sentAt,
+		response,
+	}: Readonly<{
+		target: AttemptTarget;
+		sentAt: number;
+		response: IncomingMessage;
+	}>,
+): AttemptFailure | undefined {
+	switch (target.kind) {
+		case 'backend': {
+			const {backend} = target;
+			const metadata = readResponseMetadata(ctx, {backend, sentAt}, response);
+			if (metadata.isNotRun) {
+				const reason = `not run: ${response.statusCode ?? 0}`;
+				return {kind: 'rejected', reason};
+			}
+
+			return metadata.requestId === req.metadata.id
+				? undefined
+				: {kind: 'lost', reason: 'the answer belongs to another request'};
+		}
+
+		case 'peer': {
+			// The other entry has checked whose answer it is.
+			return isCutOffAnswer(response.headers)
+				? {kind: 'rejected', reason: 'the other entry is cut off too'}
+				: undefined;
+		}
+	}
+}
+
 /**
  * Buffers a response; `settle` may be called more than once, and only the first
  * call counts.
@@ -72,28 +116,20 @@
 	ctx: GatewayContext,
 	req: AcceptedRequest,
 	{
-		backend,
+		target,
 		sentAt,
 		response,
 	}: Readonly<{
-		backend: BackendRecord;
+		target: AttemptTarget;
 		sentAt: number;
 		response: IncomingMessage;
 	}>,
 	settle: (outcome: AttemptOutcome) => void,
 ): void {
 	const status = response.statusCode ?? 0;
-	const metadata = readResponseMetadata(ctx, {backend, sentAt}, response);
-	if (metadata.isNotRun) {
-		const reason = `not run: ${status}`;
-		settle({kind: 'failure', failure: {kind: 'rejected', reason}});
-		response.destroy();
-		return;
-	}
-
-	if (metadata.requestId !== req.metadata.id) {
-		const reason = 'the answer belongs to another request';
-		settle({kind: 'failure', failure: {kind: 'lost', reason}});
+	const failure = findHeadFailure(ctx, req, {target, sentAt, response});
+	if (failure !== undefined) {
+		settle({kind: 'failure', failure});
 		response.destroy();
 		return;
 	}
@@ -122,7 +158,7 @@
 			};
 			const failure: AttemptFailure = {kind: 'failed', reason: String(status)};
 			settle(
-				status >= MIN_SERVER_ERROR
+				status >= MIN_SERVER_ERROR && target.kind === 'backend'
 					? {kind: 'failure', failure, response: buffered}
 					: buffered,
 			);
@@ -134,11 +170,42 @@
 	);
 }
 
-/** Sends a request to a backend server without retries. */
+/** Address and headers of an attempt. */
+function describeTarget(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	target: AttemptTarget,
+): Readonly<{address: string; headers: string[]}> {
+	const {lastEventId} = req.metadata;
+	switch (target.kind) {
+		case 'backend': {
+			const {backend} = target;
+			return {
+				address: ctx.resolveAddress(backend),
+				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
+					backend: backend.id,
+					customer: req.customer,
+					remainingMs: readRemainingMs(ctx, req),
+					lastEventId,
+					bodyLength: req.body?.length,
+				}),
+			};
+		}
+
+		case 'peer': {
+			return {
+				address: target.address,
+				headers: createRelayHeaders(ctx, req, lastEventId),
+			};
+		}
+	}
+}
+
+/** Sends a request without retries. */
 export async function runAttempt(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{backend, timeoutMs, timeoutOutcome}: AttemptPlan,
+	{target, timeoutMs, timeoutOutcome}: AttemptPlan,
 ): Promise<AttemptOutcome> {
 	const sentAt = ctx.clock.now();
 	return new Promise((resolve) => {
@@ -173,21 +240,14 @@
 
 		const exchange: Exchange = openExchange(
 			{
-				address: ctx.resolveAddress(backend),
+				...describeTarget(ctx, req, target),
 				method: req.method,
 				path: req.path,
-				headers: ctx.codec.createBackendHeaders(req.rawHeaders, {
-					backend: backend.id,
-					customer: req.customer,
-					remainingMs: readRemainingMs(ctx, req),
-					lastEventId: req.metadata.lastEventId,
-					bodyLength: req.body?.length,
-				}),
 				body: req.body,
 			},
 			{
 				onResponse(response) {
-					collectResponse(ctx, req, {backend, sentAt, response}, settle);
+					collectResponse(ctx, req, {target, sentAt, response}, settle);
 				},
 				onFailure(failure) {
 					settle({kind: 'failure', failure});
@@ -204,25 +264,26 @@
 export function planAttempt(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	backend: BackendRecord,
+	target: AttemptTarget,
 	sent: number,
 ): AttemptPlan {
 	const {route} = req;
 	const timeoutMs = Math.max(1, readRemainingMs(ctx, req));
 	const slowTimeoutMs = route.latencyTargetMs * SLOW_ATTEMPT_FACTOR;
 	const canRetryWhenSlow =
+		target.kind === 'backend' &&
 		isRepeatable(route.kind, route.isResumable) &&
 		sent + 1 < route.maxAttempts &&
 		slowTimeoutMs < timeoutMs / 2;
 	const failure: AttemptFailure = {kind: 'failed', reason: 'too slow'};
 	return canRetryWhenSlow
 		? {
-				backend,
+				target,
 				timeoutMs: slowTimeoutMs,
 				timeoutOutcome: {kind: 'failure', failure},
 			}
 		: {
-				backend,
+				target,
 				timeoutMs,
 				timeoutOutcome: {kind: 'ended', reason: 'timeout'},
 			};
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -15,6 +15,7 @@
 	type GatewayContext,
 	readRemainingMs,
 } from './context.js';
+import {canRelayAgain, chooseRelayPeer} from './peer-relay.js';
 import {pipeLargeResponse, sendBufferedResponse} from './unary-response.js';
 import {decideWithinBudget} from './retry-budgets.js';
 import {
@@ -157,6 +158,15 @@
 		return res.destroyed ? undefined : next;
 	}
 
+	const canRelay =
+		decision.kind === 'refuse' &&
+		isNotSent &&
+		(await ctx.reach.confirm(service.name)) &&
+		chooseRelayPeer(ctx, req, next.excluded) !== undefined;
+	if (canRelay) {
+		return next;
+	}
+
 	if (response === undefined) {
 		const {reason} = failure;
 		endWithProblem(
@@ -174,12 +184,72 @@
 	return undefined;
 }
 
+/**
+ * Makes one attempt through another entry; resolves with the progress if another
+ * one follows. The other entry retries, so only what it can't have run is repeated
+ * here, and what may run more than once.
+ */
+async function relayOnce(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	progress: Progress,
+	peer: string,
+): Promise<Progress | undefined> {
+	const sent = progress.sent + 1;
+	const plan = planAttempt(ctx, req, {kind: 'peer', address: peer}, sent);
+	const outcome = await runAttempt(ctx, req, plan);
+	ctx.metrics.count('relayed_requests', {outcome: outcome.kind});
+	switch (outcome.kind) {
+		case 'answer': {
+			endWithResponse(ctx, req, outcome, {backend: peer, sent});
+			return undefined;
+		}
+
+		case 'large': {
+			pipeLargeResponse(ctx, req, outcome);
+			return undefined;
+		}
+
+		case 'ended': {
+			endWithProblem(ctx, req, {status: 504, reason: outcome.reason}, sent);
+			return undefined;
+		}
+
+		case 'failure': {
+			const {kind, reason} = outcome.failure;
+			const mayHaveRun = kind === 'lost' || kind === 'failed';
+			ctx.log.warn('Another entry did not take a request over.', {
+				request: req.metadata.id,
+				peer,
+				failure: kind,
+				reason,
+			});
+			if (mayHaveRun && !canRelayAgain(req)) {
+				endWithProblem(ctx, req, {status: 502, reason}, sent);
+				return undefined;
+			}
+
+			return {
+				...progress,
+				excluded: [...progress.excluded, peer],
+				sent: mayHaveRun ? sent : progress.sent,
+				hasRun: progress.hasRun || mayHaveRun,
+			};
+		}
+	}
+}
+
 /** Makes one attempt; resolves with the progress if another one follows. */
 async function attemptOnce(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
 	progress: Progress,
 ): Promise<Progress | undefined> {
+	const peer = chooseRelayPeer(ctx, req, progress.excluded);
+	if (peer !== undefined) {
+		return relayOnce(ctx, req, progress, peer);
+	}
+
 	const placementRequest = createPlacementRequest(
 		ctx,
 		req,
@@ -192,13 +262,18 @@
 		ctx.random(),
 	);
 	if (backend === undefined) {
+		const isCutOff = await ctx.reach.confirm(req.service.name);
+		if (isCutOff && chooseRelayPeer(ctx, req, progress.excluded)) {
+			return progress;
+		}
+
 		endWithoutBackend(ctx, req, progress);
 		return undefined;
 	}
 
 	const reservation = ctx.view.reserve(backend, placementRequest);
 	const sent = progress.sent + 1;
-	const plan = planAttempt(ctx, req, backend, progress.sent);
+	const plan = planAttempt(ctx, req, {kind: 'backend', backend}, progress.sent);
 	const outcome = await runAttempt(ctx, req, plan);
 	reservation.release();
 	switch (outcome.kind) {
