Keep brittle backend servers from falling over

What callers would see: backend servers that name Server-Brittle are sent more than they have room for; beyond N rejections a second they fall over, and their load goes to the others. Cause: the notice was not read, and rejections were how entries found out what a server takes. Class: as with named limits, a bound on all instances together that has no place where all are known. Change: while a server is brittle, the slots of its service are dealt to the entries in turn; an entry uses its own, and others only where the reports show that half is free. A rejection makes it send less for a time that grows with the number of entries, and half of the allowed rejections over all entries (reported as limits are) stop it. A rejected request goes only to another slot of its own; one without room waits for 0.4 of its latency target at most and is then refused with a time to come back. A new incarnation is taken to be as its service is.

--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -131,6 +131,7 @@
 	const loads = createEntrySums(LOAD_ARITHMETIC);
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
+	const brittle = createLimitRegistry(clock);
 	const origins = createOriginRegistry(clock);
 	const versions = createVersionHistory(clock, isFirstStart);
 
@@ -138,11 +139,12 @@
 		loads.remove(entry);
 		retries.remove(entry);
 		limits.removeEntry(entry);
+		brittle.removeEntry(entry);
 	};
 
 	const describeOthers = (
 		entry: string,
-	): Pick<ClusterOverview, 'loads' | 'retries' | 'limits'> => {
+	): Pick<ClusterOverview, 'loads' | 'retries' | 'limits' | 'brittle'> => {
 		[...entries.values()]
 			.filter((known) => !isAlive(known))
 			.forEach((silent) => {
@@ -152,6 +154,7 @@
 			loads: toCompactLoads(loads.sumOthers(entry)),
 			retries: mapValues(retries.sumOthers(entry), fromCountsSum),
 			limits: limits.describe(entry),
+			brittle: brittle.describe(entry),
 		};
 	};
 
@@ -324,6 +327,7 @@
 			loads.set(report.entry, fromCompactLoads(report.loads));
 			retries.set(report.entry, mapValues(report.retries, toCountsSum));
 			limits.applyReport(report.entry, report.limits ?? {});
+			brittle.applyReport(report.entry, report.brittle ?? {});
 			origins.applyReport(report.origins ?? []);
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
@@ -359,6 +363,7 @@
 			versions.update(table.values());
 			table = dropOldRecords(table, clock.now());
 			limits.removeEnded((id) => table.get(id));
+			brittle.removeEnded((id) => table.get(id));
 			[...changedRevisions.keys()]
 				.filter((id) => !table.has(id))
 				.forEach((id) => {
--- /dev/null
+++ b/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
@@ -0,0 +1,82 @@
+import {describe, expect, it} from 'vitest';
+import {
+	acceptsBrittle,
+	type BrittleInputs,
+	chooseCoolDownMs,
+	countOwnSlots,
+} from '../../index.js';
+
+describe('countOwnSlots', () => {
+	it.each([
+		[7, 3, 6],
+		[4, 3, 4],
+		[195, 6, 6],
+		[1, 3, 6],
+	])(
+		'deals all slots to %i instances, each once: %i backend servers of %i',
+		(instances, backends, slots) => {
+			const bySlot = Array.from({length: backends}, (_, position) =>
+				Array.from({length: instances}, (_, rank) =>
+					countOwnSlots({position, backends, slots, rank, instances}),
+				),
+			);
+			const sums = bySlot.map((owned) => owned.reduce((a, b) => a + b, 0));
+			expect(sums).toEqual(Array.from({length: backends}, () => slots));
+			const perInstance = Array.from({length: instances}, (_, rank) =>
+				bySlot.reduce((sum, owned) => sum + owned[rank]!, 0),
+			);
+			expect(
+				Math.max(...perInstance) - Math.min(...perInstance),
+			).toBeLessThanOrEqual(1);
+		},
+	);
+});
+
+describe('acceptsBrittle', () => {
+	const full = {ownRunning: 2, running: 6, slots: 6, ownSlots: 2};
+	const inputs: BrittleInputs = {
+		maxRejections: 4,
+		rejections: 0,
+		isCoolingDown: false,
+		isRetry: false,
+		occupancy: full,
+	};
+
+	it.each<readonly [string, Partial<BrittleInputs>, boolean]>([
+		['sends nothing to a full one', {}, false],
+		['uses a slot of its own', {occupancy: {...full, ownRunning: 1}}, true],
+		[
+			'uses others that are certainly free',
+			{occupancy: {...full, running: 2}},
+			true,
+		],
+		[
+			'sends no rejected request on to slots of others',
+			{isRetry: true, occupancy: {...full, running: 2}},
+			false,
+		],
+		[
+			'sends nothing after half of the rejections',
+			{rejections: 2, occupancy: {...full, ownRunning: 0, running: 0}},
+			false,
+		],
+		[
+			'sends less after a rejection of its own',
+			{isCoolingDown: true, occupancy: {...full, ownRunning: 1}},
+			false,
+		],
+		[
+			'sends nothing after one rejection where none is allowed',
+			{maxRejections: 0, rejections: 1, occupancy: {...full, ownRunning: 0}},
+			false,
+		],
+	])('%s', (_, change, isAccepted) => {
+		expect(acceptsBrittle({...inputs, ...change})).toBe(isAccepted);
+	});
+});
+
+it('cools down longer the more instances share what is allowed', () => {
+	expect(chooseCoolDownMs(20, 7, 0.5)).toBe(1000);
+	expect(chooseCoolDownMs(4, 7, 0.5)).toBe(3500);
+	expect(chooseCoolDownMs(4, 195, 0.5)).toBe(10_000);
+});
--- a/packages/lovage-dispatch/src/backend-notices.ts
+++ b/packages/lovage-dispatch/src/backend-notices.ts
@@ -8,6 +8,11 @@
 	pushbackMs?: number;
 	/** Its limit; absent if the answer is none of the backend server that was meant. */
 	limit?: LimitNotice;
+	/**
+	 * Rejections a second for want of room beyond which it falls over; absent as
+	 * `limit` is.
+	 */
+	brittle?: LimitNotice;
 }>;
 
 /** Notices of one incarnation of a backend server that are still in force. */
--- /dev/null
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -0,0 +1,101 @@
+/** Load of a backend server beside what it can take at once. */
+export type Occupancy = Readonly<{
+	/** Requests of this instance. */
+	ownRunning: number;
+	/** Requests of all instances, as of their last reports. */
+	running: number;
+	slots: number;
+	/** Slots that no other instance uses while the backend server is brittle. */
+	ownSlots: number;
+}>;
+
+/** What is known of a brittle backend server when a request could be sent to it. */
+export type BrittleInputs = Readonly<{
+	/** Rejections a second beyond which it falls over, whichever instances cause them. */
+	maxRejections: number;
+	/** Rejections by it that all instances have seen within the window. */
+	rejections: number;
+	/** Whether it turned a request of this instance away a short time ago. */
+	isCoolingDown: boolean;
+	/** Whether another backend server has turned this request away. */
+	isRetry: boolean;
+	occupancy: Occupancy;
+}>;
+
+/** Position of a backend server in its service, and of this instance among all. */
+export type SlotShare = Readonly<{
+	/** Position of the backend server among those of its service. */
+	position: number;
+	backends: number;
+	slots: number;
+	/** Position of this instance among those that serve. */
+	rank: number;
+	instances: number;
+}>;
+
+/** Window in which the rejections of all instances are summed. */
+export const REJECTION_WINDOW_MS = 1000;
+/** Part of the allowed rejections after which nothing is sent, as sums are known with a delay. */
+const USED_SHARE = 0.5;
+/** Fill up to which a server certainly has room, though the loads are known with a delay. */
+const ROOMY_FILL = 0.5;
+const MIN_COOL_DOWN_MS = 1000;
+const MAX_COOL_DOWN_MS = 10_000;
+
+/**
+ * Counts the slots of a backend server that belong to one instance. The slots of a
+ * service are dealt to the instances in turn, so that together they never send more
+ * than fits, without asking each other.
+ */
+export function countOwnSlots({
+	position,
+	backends,
+	slots,
+	rank,
+	instances,
+}: SlotShare): number {
+	return Array.from(
+		{length: slots},
+		(_, slot) => (slot * backends + position) % instances,
+	).filter((owner) => owner === rank).length;
+}
+
+/**
+ * Decides whether a brittle backend server may be sent a request. It must not be
+ * used to find out how much it takes: what it turns away counts against all
+ * instances together, and the load of one that fell over goes to the others.
+ */
+export function acceptsBrittle({
+	maxRejections,
+	rejections,
+	isCoolingDown,
+	isRetry,
+	occupancy: {ownRunning, running, slots, ownSlots},
+}: BrittleInputs): boolean {
+	if (rejections >= Math.max(1, maxRejections * USED_SHARE)) {
+		return false;
+	}
+
+	if (isCoolingDown) {
+		return ownRunning < Math.floor(ownSlots / 2);
+	}
+
+	const hasCertainRoom = (running + 1) / Math.max(1, slots) <= ROOMY_FILL;
+	return ownRunning < ownSlots || (hasCertainRoom && !isRetry);
+}
+
+/**
+ * Time for which an instance sends a brittle backend server less after a rejection,
+ * so that the instances together stay below what it allows; `random` is in [0, 1).
+ */
+export function chooseCoolDownMs(
+	maxRejections: number,
+	instances: number,
+	random: number,
+): number {
+	const shareMs = (instances * 1000) / Math.max(1, maxRejections * USED_SHARE);
+	return Math.min(
+		MAX_COOL_DOWN_MS,
+		Math.max(MIN_COOL_DOWN_MS, shareMs * (0.5 + random)),
+	);
+}
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -22,6 +22,13 @@
 export type {Incarnation} from './incarnation.js';
 export {applyReachRound, chooseRelays, CONNECTED} from './backend-reach.js';
 export type {Reach, ReachRound, RelayCandidate} from './backend-reach.js';
+export {
+	acceptsBrittle,
+	chooseCoolDownMs,
+	countOwnSlots,
+	REJECTION_WINDOW_MS,
+} from './brittle-backend.js';
+export type {BrittleInputs, Occupancy, SlotShare} from './brittle-backend.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -87,6 +87,11 @@
 	leaving?: readonly string[];
 	/** Limits of backend servers that this entry knows; older entries don't send it. */
 	limits?: LimitReports;
+	/**
+	 * Brittle backend servers and the rejections by them; `perSecond` are rejections
+	 * that they allow. Older entries don't send it.
+	 */
+	brittle?: LimitReports;
 	/** Whether the entry reaches no backend server; older entries don't send it. */
 	isCutOff?: boolean;
 	/** Origins of streams that this control instance has not confirmed yet. */
@@ -129,6 +134,8 @@
 	retries: Readonly<Record<string, RetryCounts>>;
 	/** Limits of backend servers; older control instances don't send it. */
 	limits?: LimitReports;
+	/** Brittle backend servers; older control instances don't send it. */
+	brittle?: LimitReports;
 	/** Addresses of entries that take over requests, for one that is cut off. */
 	relays?: readonly string[];
 }>;
--- a/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
@@ -4,6 +4,7 @@
 import {createBackendView} from '../../backend-view.js';
 import {sendBackendCommand} from '../../backend-command.js';
 import {
+	createTestBrittle,
 	createTestLimits,
 	silentLogger,
 	silentMetrics,
@@ -23,6 +24,8 @@
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
+		brittle: createTestBrittle(clock),
+		readRank: () => ({rank: 0, instances: 1}),
 		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -22,6 +22,10 @@
 } from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import {createBackendView} from '../../backend-view.js';
+import {
+	createBrittleBackends,
+	type BrittleBackends,
+} from '../../brittle-backends.js';
 import {createGateway, type Gateway} from '../../gateway.js';
 import {createNamedLimits, type NamedLimits} from '../../named-limits.js';
 import type {HeaderCodec} from '../../protocol.js';
@@ -51,6 +55,17 @@
 	});
 }
 
+/** Brittle backend servers of a test without other entries. */
+export function createTestBrittle(clock: Clock): BrittleBackends {
+	return createBrittleBackends({
+		clock,
+		log: silentLogger,
+		metrics: silentMetrics,
+		random: () => 0,
+		countEntries: () => 1,
+	});
+}
+
 export const silentMetrics: PrometheusMetrics = {
 	count: noop,
 	time: noop,
@@ -196,6 +211,8 @@
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
+		brittle: createTestBrittle(clock),
+		readRank: () => ({rank: 0, instances: 1}),
 		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
--- a/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {createBackendView} from '../../backend-view.js';
 import {
+	createTestBrittle,
 	createTestLimits,
 	silentLogger,
 	silentMetrics,
@@ -15,6 +16,8 @@
 	const clock = {now: () => time.now, wall: () => time.now};
 	const view = createBackendView({
 		clock,
+		brittle: createTestBrittle(clock),
+		readRank: () => ({rank: 0, instances: 1}),
 		onUnreachable: () => undefined,
 		log: silentLogger,
 		metrics: silentMetrics,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -9,6 +9,7 @@
 	type BackendTable,
 	type Candidate,
 	chooseBackend,
+	countOwnSlots,
 	countReady,
 	createIncarnationKey,
 	type ClosedReason,
@@ -29,6 +30,7 @@
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import type {BrittleBackends} from './brittle-backends.js';
 import type {NamedLimits} from './named-limits.js';
 import {
 	createAgesRequest,
@@ -47,6 +49,9 @@
 	 */
 	registrationIntervalMs: number;
 	limits: NamedLimits;
+	brittle: BrittleBackends;
+	/** Position of this entry among those that serve. */
+	readRank: () => Readonly<{rank: number; instances: number}>;
 	/** Called when a backend server of a service accepted no connection. */
 	onUnreachable: (service: string) => void;
 }>;
@@ -111,6 +116,8 @@
 		notice: BackendNotice,
 		sentAt: number,
 	) => void;
+	/** Records that a backend server turned a request away that it did not run. */
+	recordRejection: (backend: BackendRecord) => void;
 	/** Whether commands may be sent to a backend server, which count as requests. */
 	acceptsCommands: (backend: BackendRecord) => boolean;
 	/**
@@ -123,6 +130,8 @@
 	 * milliseconds; undefined unless all of them asked for a pause or named a limit.
 	 */
 	readPushbackMs: (service: string) => number | undefined;
+	/** Whether requests for a service wait a moment for room at brittle backend servers. */
+	hasBrittle: (service: string) => boolean;
 	/** Requests the ages of registrations, if they are due. */
 	createAgesRequest: () => AgesRequest;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
@@ -136,7 +145,7 @@
 
 /** Creates a view without any backend servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-	const {clock, log, metrics, limits} = options;
+	const {clock, log, metrics, limits, brittle} = options;
 	const silentAfterMs =
 		options.registrationIntervalMs * MAX_MISSED_REGISTRATIONS;
 	const health = new Map<string, BackendHealth>();
@@ -188,6 +197,41 @@
 					readSoftwareVersion(record) === softwareVersion),
 		);
 
+	/** Whether a backend server is not brittle, or has room for a request. */
+	const hasRoom = (
+		backend: BackendRecord,
+		{memoryTokens, engine, excluded}: PlacementRequest,
+	): boolean => {
+		if (!brittle.isBrittle(backend)) {
+			return true;
+		}
+
+		const {id, service} = backend;
+		const ids = listReady(service)
+			.map((record) => record.id)
+			.toSorted();
+		const slots =
+			engine === undefined
+				? backend.slots
+				: Math.min(
+						backend.slots,
+						Math.floor(engine.memoryTokens / Math.max(1, memoryTokens)),
+					);
+		const own = (ownLoads.get(id) ?? NO_LOAD).running;
+		const occupancy = {
+			ownRunning: own,
+			running: own + (remoteLoads[id] ?? NO_LOAD).running,
+			slots,
+			ownSlots: countOwnSlots({
+				position: ids.indexOf(id),
+				backends: ids.length,
+				slots,
+				...options.readRank(),
+			}),
+		};
+		return brittle.accepts(backend, occupancy, excluded.length > 0);
+	};
+
 	const isUsable = (id: string): boolean => {
 		const record = table.get(id);
 		return (
@@ -264,10 +308,15 @@
 					noticesById.delete(id);
 				});
 			limits.removeEnded((id) => table.get(id));
+			brittle.removeEnded((id) => table.get(id));
 			if (overview?.limits !== undefined) {
 				limits.applyReport(overview.limits);
 			}
 
+			if (overview?.brittle !== undefined) {
+				brittle.applyReport(overview.brittle);
+			}
+
 			remoteLoads =
 				overview === undefined ? remoteLoads : fromCompactLoads(overview.loads);
 			if (records.length > 0) {
@@ -275,7 +324,9 @@
 			}
 		},
 		choose(service, request, random) {
-			const open = listOpen(service, request.softwareVersion);
+			const open = listOpen(service, request.softwareVersion).filter((record) =>
+				hasRoom(record, request),
+			);
 			const unlimited = open.filter((record) => !limits.isLimited(record));
 			const limited = open.filter((record) => limits.isLimited(record));
 			const eligible = limited.filter(
@@ -293,7 +344,7 @@
 		chooseCopyTarget: (service, request, random) =>
 			chooseAmong(
 				listOpen(service, request.softwareVersion).filter(
-					(record) => !limits.isLimited(record),
+					(record) => !limits.isLimited(record) && hasRoom(record, request),
 				),
 				request,
 				random,
@@ -386,6 +437,10 @@
 				limits.record(backend, notice.limit, sentAt);
 			}
 
+			if (notice.brittle !== undefined) {
+				brittle.record(backend, notice.brittle, sentAt);
+			}
+
 			const before = noticesById.get(id);
 			const after = recordNotice(before, bornAt, notice, now);
 			const reason = findClosedReason(after, bornAt, now);
@@ -409,6 +464,7 @@
 					: {}),
 			});
 		},
+		recordRejection: brittle.recordRejection,
 		acceptsCommands: (backend) =>
 			findClosed(backend) !== 'pushback' && !limits.isLimited(backend),
 		listLeaving: () =>
@@ -442,6 +498,7 @@
 				: Math.min(...waitsMs);
 		},
 		readOwnLoads: () => Object.fromEntries(ownLoads),
+		hasBrittle: (service) => listOpen(service).some(brittle.isBrittle),
 		createAgesRequest: () => createAgesRequest(ages, clock.now()),
 		countReady: () => countReady(table),
 	};
--- /dev/null
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -0,0 +1,207 @@
+import {
+	acceptsBrittle,
+	applyLimitNotice,
+	type BackendRecord,
+	chooseCoolDownMs,
+	createIncarnationKey,
+	isRunningIncarnation,
+	keepNewest,
+	type LimitNotice,
+	type LimitReports,
+	type LimitStatement,
+	type Occupancy,
+	REJECTION_WINDOW_MS,
+} from '@lovagevalve/dispatch';
+import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+
+/** Backend servers that fall over when they turn too many requests away. */
+export type BrittleBackends = Readonly<{
+	/** Applies an answer to a request that was sent at `sentAt`. */
+	record: (backend: BackendRecord, notice: LimitNotice, sentAt: number) => void;
+	/** Records that a backend server turned a request away. */
+	recordRejection: (backend: BackendRecord) => void;
+	/** Whether a backend server is brittle, or a new one of a service that is. */
+	isBrittle: (backend: BackendRecord) => boolean;
+	/** Whether a brittle backend server may be sent a request. */
+	accepts: (
+		backend: BackendRecord,
+		occupancy: Occupancy,
+		isRetry: boolean,
+	) => boolean;
+	countBrittle: () => number;
+	/** What this entry knows and has seen, for the control instances. */
+	createReport: () => LimitReports;
+	/** Merges what other entries know and have seen. */
+	applyReport: (reports: LimitReports) => void;
+	/** Forgets the incarnations that have ended. */
+	removeEnded: (find: (id: string) => BackendRecord | undefined) => void;
+}>;
+
+/** Dependencies of the state. */
+export type BrittleBackendsOptions = Readonly<{
+	clock: Clock;
+	log: Logger;
+	metrics: PrometheusMetrics;
+	random: () => number;
+	/** Number of entries in service. */
+	countEntries: () => number;
+}>;
+
+/** A service whose backend servers have not named it for this long is no longer brittle. */
+const SERVICE_RETENTION_MS = 5000;
+/** The end of brittleness is reported for this long, so that no entry keeps it. */
+const ENDED_REPORT_MS = 5000;
+
+/** Creates the state of backend servers of which none is brittle. */
+export function createBrittleBackends({
+	clock,
+	log,
+	metrics,
+	random,
+	countEntries,
+}: BrittleBackendsOptions): BrittleBackends {
+	const statements = new Map<string, LimitStatement>();
+	/** Times of rejections that this entry saw within the window. */
+	const rejectedAt = new Map<string, readonly number[]>();
+	const rejectedForOthers = new Map<string, number>();
+	const coolingUntil = new Map<string, number>();
+	/** Incarnations that have answered, by key, with their service. */
+	const answered = new Set<string>();
+	/** What the backend servers of a service last allowed, by service. */
+	const namedByService = new Map<string, Readonly<{max: number; at: number}>>();
+
+	/** One that has not answered yet is taken to be as the others of its service. */
+	const readMaxRejections = (backend: BackendRecord): number | undefined => {
+		const key = createIncarnationKey(backend);
+		const own = statements.get(key)?.perSecond;
+		if (own !== undefined || answered.has(key)) {
+			return own;
+		}
+
+		const named = namedByService.get(backend.service);
+		return named !== undefined && clock.now() - named.at < SERVICE_RETENTION_MS
+			? named.max
+			: undefined;
+	};
+
+	const listRejections = (key: string): readonly number[] =>
+		(rejectedAt.get(key) ?? []).filter(
+			(at) => clock.now() - at < REJECTION_WINDOW_MS,
+		);
+
+	const update = (key: string, statement: LimitStatement): void => {
+		const before = statements.get(key)?.perSecond;
+		const after = statement.perSecond;
+		statements.set(key, statement);
+		if (before !== after) {
+			log.warn(
+				after === undefined
+					? 'A backend server is no longer brittle.'
+					: 'A backend server is brittle.',
+				{
+					backend: key,
+					...(after === undefined ? {} : {maxRejections: after}),
+				},
+			);
+		}
+	};
+
+	return {
+		record(backend, notice, sentAt) {
+			const key = createIncarnationKey(backend);
+			if (notice.kind === 'malformed') {
+				metrics.count('malformed_limits');
+				log.warn('Ignoring a malformed notice of a brittle backend server.', {
+					backend: key,
+					text: notice.text,
+				});
+			}
+
+			answered.add(key);
+			if (notice.kind === 'named') {
+				namedByService.set(backend.service, {
+					max: notice.perSecond,
+					at: clock.now(),
+				});
+			}
+
+			const statement = applyLimitNotice(statements.get(key), notice, {
+				sentAt,
+				now: clock.now(),
+			});
+			if (statement !== undefined) {
+				update(key, statement);
+			}
+		},
+		recordRejection(backend) {
+			const key = createIncarnationKey(backend);
+			const maxRejections = readMaxRejections(backend);
+			if (maxRejections === undefined) {
+				return;
+			}
+
+			const now = clock.now();
+			const forMs = chooseCoolDownMs(maxRejections, countEntries(), random());
+			rejectedAt.set(key, [...listRejections(key), now]);
+			coolingUntil.set(key, now + forMs);
+			metrics.count('brittle_rejections');
+			log.warn('A brittle backend server turned a request away.', {
+				backend: key,
+				maxRejections,
+				here: listRejections(key).length,
+				elsewhere: rejectedForOthers.get(key) ?? 0,
+				forMs: Math.round(forMs),
+			});
+		},
+		isBrittle: (backend) => readMaxRejections(backend) !== undefined,
+		accepts(backend, occupancy, isRetry) {
+			const key = createIncarnationKey(backend);
+			return acceptsBrittle({
+				maxRejections: readMaxRejections(backend) ?? 0,
+				rejections:
+					listRejections(key).length + (rejectedForOthers.get(key) ?? 0),
+				isCoolingDown: clock.now() < (coolingUntil.get(key) ?? 0),
+				isRetry,
+				occupancy,
+			});
+		},
+		countBrittle: () =>
+			[...statements.values()].filter(({perSecond}) => perSecond !== undefined)
+				.length,
+		createReport() {
+			const now = clock.now();
+			return Object.fromEntries(
+				[...statements]
+					.filter(
+						([, {perSecond, at}]) =>
+							perSecond !== undefined || now - at < ENDED_REPORT_MS,
+					)
+					.map(([key, {perSecond, at}]) => [
+						key,
+						{perSecond, ageMs: now - at, sent: listRejections(key).length},
+					]),
+			);
+		},
+		applyReport(reports) {
+			const now = clock.now();
+			rejectedForOthers.clear();
+			Object.entries(reports).forEach(([key, {perSecond, ageMs, sent}]) => {
+				rejectedForOthers.set(key, sent);
+				update(
+					key,
+					keepNewest(statements.get(key), {perSecond, at: now - ageMs}),
+				);
+			});
+		},
+		removeEnded(find) {
+			[...answered, ...statements.keys()]
+				.filter((key) => !isRunningIncarnation(key, find))
+				.forEach((key) => {
+					answered.delete(key);
+					[statements, rejectedAt, rejectedForOthers, coolingUntil].forEach(
+						(known) => known.delete(key),
+					);
+				});
+		},
+	};
+}
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -20,6 +20,7 @@
 import {createBackendReach} from './backend-reach.js';
 import {createBackendView} from './backend-view.js';
 import type {GatewayContext} from './context.js';
+import {createBrittleBackends} from './brittle-backends.js';
 import {createControlClient} from './control-client.js';
 import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
@@ -125,12 +126,27 @@
 		initialCredit: dependencies.random(),
 		readDemand: (service) => retryBudgets.readDemand(service),
 	});
+	const brittle = createBrittleBackends({
+		clock,
+		log,
+		metrics,
+		random: dependencies.random,
+		countEntries: () => countEntries(),
+	});
 	const view = createBackendView({
 		clock,
 		log,
 		metrics,
 		registrationIntervalMs: settings.registrationIntervalMs,
 		limits,
+		brittle,
+		readRank() {
+			const sorted = serving.toSorted();
+			const rank = sorted.indexOf(settings.address);
+			return rank === -1
+				? {rank: sorted.length, instances: sorted.length + 1}
+				: {rank, instances: sorted.length};
+		},
 		onUnreachable(service) {
 			reach.suspect(service);
 		},
@@ -229,6 +245,7 @@
 		...crashes.createReport(),
 		leaving: view.listLeaving(),
 		limits: limits.createReport(),
+		brittle: brittle.createReport(),
 		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
 
@@ -265,6 +282,7 @@
 	metrics.registerGauge('requests_under_way', () => gateway.countRequests());
 	metrics.registerGauge('backends_ready', () => view.countReady());
 	metrics.registerGauge('backends_limited', () => limits.countLimited());
+	metrics.registerGauge('backends_brittle', () => brittle.countBrittle());
 	metrics.registerGauge('isolated', () => (reach.isIsolated() ? 1 : 0));
 	metrics.registerGauge('controls_reachable', () =>
 		controlClient.countReachable(),
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -101,6 +101,7 @@
 				}
 
 				case 'rejected': {
+					ctx.view.recordRejection(backend);
 					break;
 				}
 
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	type AttemptFailure,
 	type BackendRecord,
@@ -25,6 +26,10 @@
 	type AttemptOutcome,
 } from './unary-attempt.js';
 
+/** Part of the latency target for which a request waits for room. */
+const ROOM_WAIT_SHARE = 0.4;
+const ROOM_POLL_MS = 15;
+
 /**
  * Updates the health of a backend server after a failed attempt; resolves with
  * whether it crashed.
@@ -42,6 +47,7 @@
 		}
 
 		case 'rejected': {
+			ctx.view.recordRejection(backend);
 			return false;
 		}
 
@@ -239,6 +245,22 @@
 	}
 }
 
+/**
+ * Whether a request may wait for room at a brittle backend server: only while its
+ * answer can still be on time.
+ */
+function mayWaitForRoom(
+	ctx: GatewayContext,
+	{service, route, res, startedAt}: AcceptedRequest,
+): boolean {
+	const waitedMs = ctx.clock.now() - startedAt;
+	return (
+		!res.destroyed &&
+		waitedMs < route.latencyTargetMs * ROOM_WAIT_SHARE &&
+		ctx.view.hasBrittle(service.name)
+	);
+}
+
 /** Makes one attempt; resolves with the progress if another one follows. */
 async function attemptOnce(
 	ctx: GatewayContext,
@@ -262,6 +284,11 @@
 		ctx.random(),
 	);
 	if (backend === undefined) {
+		if (mayWaitForRoom(ctx, req)) {
+			await sleep(ROOM_POLL_MS);
+			return progress;
+		}
+
 		const isCutOff = await ctx.reach.confirm(req.service.name);
 		if (isCutOff && chooseRelayPeer(ctx, req, progress.excluded)) {
 			return progress;
