--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -46,6 +46,35 @@
 		expect(answer._unsafeUnwrapErr()).toBe('timeout');
 	});
 
+	// Keep-alive probes of the operating system give up after many seconds, or as
+	// TCP_USER_TIMEOUT decides where something has set it.
+	it('gives up a kept connection that falls silent by its own time limit', async () => {
+		const connections = new Map<Socket, number>();
+		const server = createServer((req, res) => {
+			req.resume();
+			const count = (connections.get(req.socket) ?? 0) + 1;
+			connections.set(req.socket, count);
+			if (count === 1) {
+				res.end('{}');
+			}
+		});
+		const address = await listen(server);
+		cleanups.push(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const first = await client.call(address, '/x', {}, 300);
+		const silent = await client.call(address, '/x', {}, 300);
+		const third = await client.call(address, '/x', {}, 300);
+		expect([first, silent, third].map((answer) => answer.isOk())).toEqual([
+			true,
+			false,
+			true,
+		]);
+		expect(silent._unsafeUnwrapErr()).toBe('timeout');
+		expect(connections.size).toBe(2);
+	});
+
 	// Hundreds of entries receive the loads of all backend servers from one instance.
 	it('receives large bodies compressed, in less than half their size', async () => {
 		const loads = Object.fromEntries(
