Split where a stream runs, and how it is read, from its relay

Change: stream-placement.ts chooses where the next run starts and keeps what binds the stream; stream-reader.ts reads events and error bodies; load-reservations.ts counts this entry's load. No behaviour changes.

--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -1,5 +1,4 @@
 import {
-	addLoad,
 	type AgesRequest,
 	type AvoidReason,
 	type BackendLoad,
@@ -31,6 +30,10 @@
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {BrittleBackends} from './brittle-backends.js';
+import {
+	createLoadReservations,
+	type LoadReservation,
+} from './load-reservations.js';
 import type {NamedLimits} from './named-limits.js';
 import {
 	createAgesRequest,
@@ -56,16 +59,6 @@
 	onUnreachable: (service: string) => void;
 }>;
 
-/**
- * Load of a request that counts against a backend server until it is released.
- */
-export type LoadReservation = Readonly<{
-	backend: BackendRecord;
-	/** Releases the prefill tokens once the prompt is processed. */
-	markPrefilled: () => void;
-	release: () => void;
-}>;
-
 /** Whether a backend server may receive requests. */
 export type BackendAvailability =
 	| 'usable'
@@ -150,7 +143,7 @@
 		options.registrationIntervalMs * MAX_MISSED_REGISTRATIONS;
 	const health = new Map<string, BackendHealth>();
 	const noticesById = new Map<string, BackendNotices>();
-	const ownLoads = new Map<string, BackendLoad>();
+	const ownLoads = createLoadReservations();
 	let table: BackendTable = new Map();
 	let remoteLoads: Readonly<Record<string, BackendLoad>> = {};
 	let ages = createReportedAges(options.registrationIntervalMs);
@@ -180,7 +173,7 @@
 		address: record.address,
 		dataCentre: record.dataCentre,
 		slots: record.slots,
-		ownLoad: ownLoads.get(record.id) ?? NO_LOAD,
+		ownLoad: ownLoads.read(record.id),
 		othersLoad: remoteLoads[record.id] ?? NO_LOAD,
 		isResponsive: hasRecentContact(record),
 		isAvoided: isAvoided(readHealth(record.id), clock.now()),
@@ -217,7 +210,7 @@
 						backend.slots,
 						Math.floor(engine.memoryTokens / Math.max(1, memoryTokens)),
 					);
-		const own = (ownLoads.get(id) ?? NO_LOAD).running;
+		const own = ownLoads.read(id).running;
 		const occupancy = {
 			ownRunning: own,
 			running: own + (remoteLoads[id] ?? NO_LOAD).running,
@@ -254,15 +247,6 @@
 		return chosen === undefined ? undefined : table.get(chosen.id);
 	};
 
-	const adjustLoad = (id: string, delta: BackendLoad): void => {
-		const next = addLoad(ownLoads.get(id) ?? NO_LOAD, delta);
-		if (next.running > 0) {
-			ownLoads.set(id, next);
-		} else {
-			ownLoads.delete(id);
-		}
-	};
-
 	const logChanges = (previousTable: BackendTable): void => {
 		[...table.values()]
 			.filter((record) => {
@@ -382,33 +366,7 @@
 				(hasRecentContact(record) ? 'usable' : 'silent')
 			);
 		},
-		reserve(backend, request) {
-			const {id} = backend;
-			let prefillTokens = request.promptTokens;
-			let isReserved = true;
-			adjustLoad(id, {
-				running: 1,
-				prefillTokens,
-				memoryTokens: request.memoryTokens,
-			});
-			return {
-				backend,
-				markPrefilled() {
-					adjustLoad(id, {...NO_LOAD, prefillTokens: -prefillTokens});
-					prefillTokens = 0;
-				},
-				release() {
-					if (isReserved) {
-						isReserved = false;
-						adjustLoad(id, {
-							running: -1,
-							prefillTokens: -prefillTokens,
-							memoryTokens: -request.memoryTokens,
-						});
-					}
-				},
-			};
-		},
+		reserve: ownLoads.reserve,
 		reportHealth({id, bornAt, service}, outcome) {
 			// Outcomes of an earlier process do not apply to the one that replaced it.
 			if (table.get(id)?.bornAt !== bornAt) {
@@ -497,7 +455,7 @@
 				? undefined
 				: Math.min(...waitsMs);
 		},
-		readOwnLoads: () => Object.fromEntries(ownLoads),
+		readOwnLoads: ownLoads.readAll,
 		hasBrittle: (service) => listOpen(service).some(brittle.isBrittle),
 		createAgesRequest: () => createAgesRequest(ages, clock.now()),
 		countReady: () => countReady(table),
--- a/packages/lovage-gateway/src/index.ts
+++ b/packages/lovage-gateway/src/index.ts
@@ -5,7 +5,8 @@
 	ExchangeRequest,
 } from './backend-exchange.js';
 export {createBackendView} from './backend-view.js';
-export type {BackendView, LoadReservation} from './backend-view.js';
+export type {BackendView} from './backend-view.js';
+export type {LoadReservation} from './load-reservations.js';
 export {createEntry} from './entry.js';
 export type {Entry, EntryDependencies, EntrySettings} from './entry.js';
 export {createEventSplitter} from './event-splitter.js';
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -1,11 +1,8 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
 	type AttemptFailure,
 	type BackendRecord,
-	decideUnplaced,
 	isRepeatable,
-	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import {
@@ -13,28 +10,28 @@
 	endWithProblem,
 	recordCompletion,
 } from './responses.js';
-import {watchResponseEnd, openExchange} from './backend-exchange.js';
+import {openExchange} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
-	createPlacementRequest,
 	type GatewayContext,
 	readRemainingMs,
 	readResponseMetadata,
 } from './context.js';
-import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import type {StreamEvent} from './event-splitter.js';
 import {createKvBackup, NO_BACKUP} from './kv-backup.js';
 import {
-	choosePeer,
 	chooseRelayPeer,
 	createPeerRecord,
 	createRelayHeaders,
 	isCutOffAnswer,
 } from './peer-relay.js';
 import {createStreamAttempts} from './stream-attempts.js';
-import {readResumableMs} from './resume-location.js';
 import {createStreamDelivery} from './stream-delivery.js';
-import {createStreamKey} from './stream-origins.js';
+import {createStreamPlacement, type StreamTarget} from './stream-placement.js';
+import {readErrorBody, readEvents} from './stream-reader.js';
 import {
+	createNoReservation,
+	createRun,
 	evaluateSilence,
 	probeRun,
 	type PreviousRun,
@@ -52,8 +49,6 @@
 }>;
 
 const HTTP_OK = 200;
-/** Longest error response that is forwarded. */
-const MAX_ERROR_BYTES = 262_144;
 /**
  * Delay before a started stream is sent again when no backend server was
  * available.
@@ -76,11 +71,7 @@
 	let isEnded = false;
 	const attempts = createStreamAttempts(ctx, req, delivery);
 	let resendTimer: NodeJS.Timeout | undefined;
-	/** Service and software version that the stream is bound to by its first event. */
-	let {origin} = req;
-	let unplacedAt: number | undefined;
-	/** Its first event came through another entry, so its origin is unknown here. */
-	let isBegunAtPeer = false;
+	const placement = createStreamPlacement(ctx, req, attempts);
 
 	const closeRun = (): void => {
 		if (run !== undefined && !run.isClosed) {
@@ -133,18 +124,6 @@
 		finish();
 	};
 
-	const bindOrigin = (backend: BackendRecord): void => {
-		origin = {
-			service: service.name,
-			softwareVersion: readSoftwareVersion(backend),
-		};
-		ctx.origins.record(
-			createStreamKey(req.customer, metadata.id),
-			origin,
-			readResumableMs(req),
-		);
-	};
-
 	const deliver = (
 		current: Run,
 		response: IncomingMessage,
@@ -154,11 +133,8 @@
 			current.lastEventAt = ctx.clock.now();
 		});
 		// A stalled engine may go on sending comments or repeat what it has sent.
-		if (isDelivered && current.isRelayed) {
-			// The other entry knows and reports where the stream began.
-			isBegunAtPeer ||= origin === undefined;
-		} else if (isDelivered && origin === undefined) {
-			bindOrigin(current.backend);
+		if (isDelivered) {
+			placement.bind(current);
 		}
 
 		if (!isDelivered || !event.hasData) {
@@ -180,68 +156,37 @@
 	};
 
 	const relayEvents = (current: Run, response: IncomingMessage): void => {
-		const splitter = createEventSplitter();
-		response.on('data', (chunk: Uint8Array) => {
-			if (current.isClosed) {
-				return;
-			}
-
-			splitter.push(chunk).forEach((event) => {
+		readEvents(response, {
+			isClosed: () => current.isClosed,
+			onEvent(event) {
 				deliver(current, response, event);
-			});
-			if (splitter.isTooLong()) {
-				const reason = 'an event is too long';
+			},
+			onComplete() {
+				record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
+				ctx.crashes.recordSound(req);
+				current.kvBackup.release();
+				delivery.complete(response);
+				finish();
+			},
+			onLost(reason) {
 				handleRunFailure(current, {kind: 'lost', reason});
-			}
+			},
 		});
-		const onTruncated = (): void => {
-			handleRunFailure(current, {kind: 'lost', reason: 'the stream broke off'});
-		};
-
-		const onComplete = (): void => {
-			if (current.isClosed) {
-				return;
-			}
-
-			if (splitter.hasPartialEvent()) {
-				onTruncated();
-				return;
-			}
-
-			record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
-			ctx.crashes.recordSound(req);
-			current.kvBackup.release();
-			delivery.complete(response);
-			finish();
-		};
-
-		watchResponseEnd(response, onComplete, onTruncated);
 	};
 
 	/** Forwards an error response of the backend server. */
 	const forwardError = (current: Run, response: IncomingMessage): void => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		response.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > MAX_ERROR_BYTES) {
-				const reason = 'the error response is too long';
+		readErrorBody(response, {
+			onComplete(body) {
+				if (!current.isClosed && !isEnded) {
+					record(response.statusCode ?? 0, 'backend server');
+					delivery.forwardError(response, body);
+					finish();
+				}
+			},
+			onLost(reason) {
 				handleRunFailure(current, {kind: 'lost', reason});
-			}
-		});
-		const onComplete = (): void => {
-			if (current.isClosed || isEnded) {
-				return;
-			}
-
-			record(response.statusCode ?? 0, 'backend server');
-			delivery.forwardError(response, Buffer.concat(chunks));
-			finish();
-		};
-
-		watchResponseEnd(response, onComplete, () => {
-			handleRunFailure(current, {kind: 'lost', reason: 'the answer broke off'});
+			},
 		});
 	};
 
@@ -296,49 +241,6 @@
 		}
 	};
 
-	const chooseBackupTarget = (
-		backend: BackendRecord,
-	): BackendRecord | undefined => {
-		if (service.engine?.canBackUp !== true || !canRepeat) {
-			return undefined;
-		}
-
-		const avoided = [...attempts.listExcluded(), backend.id];
-		const avoidedDataCentres = [
-			...attempts.listFailedDataCentres(),
-			backend.dataCentre,
-		];
-		const placementRequest = createPlacementRequest(
-			ctx,
-			req,
-			avoided,
-			avoidedDataCentres,
-		);
-		return ctx.view.chooseCopyTarget(
-			service.name,
-			{...placementRequest, softwareVersion: readSoftwareVersion(backend)},
-			ctx.random(),
-		);
-	};
-
-	/** A run that is about to be sent. */
-	const createRun = (
-		backend: BackendRecord,
-		address: string,
-	): Omit<Run, 'kvBackup' | 'hasCopy' | 'reservation'> => ({
-		backend,
-		isRelayed: false,
-		address,
-		exchange: undefined,
-		sentAt: ctx.clock.now(),
-		startedAt: undefined,
-		lastEventAt: ctx.clock.now(),
-		probe: 'none',
-		probedAt: 0,
-		isClosed: false,
-		isSound: false,
-	});
-
 	const send = (current: Run, headers: string[]): void => {
 		run = current;
 		attempts.recordStart(current.backend);
@@ -361,14 +263,7 @@
 		);
 	};
 
-	/** Starts a run at another entry; without one, the stream ends. */
-	const startAtPeer = (peer: string | undefined): void => {
-		if (peer === undefined) {
-			const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
-			abort(status, 'no other entry takes the stream over');
-			return;
-		}
-
+	const startAtPeer = (peer: string): void => {
 		ctx.metrics.count('relayed_requests', {outcome: 'stream'});
 		ctx.log.info('Sending a stream on to another entry.', {
 			request: metadata.id,
@@ -378,15 +273,11 @@
 		const backend = createPeerRecord(peer, service.name);
 		send(
 			{
-				...createRun(backend, peer),
+				...createRun(ctx, backend, peer),
 				isRelayed: true,
 				kvBackup: NO_BACKUP,
 				hasCopy: false,
-				reservation: {
-					backend,
-					markPrefilled: () => undefined,
-					release: () => undefined,
-				},
+				reservation: createNoReservation(backend),
 			},
 			createRelayHeaders(ctx, req, delivery.readLastEventId()),
 		);
@@ -394,53 +285,48 @@
 
 	const start = (previous?: PreviousRun): void => {
 		const lastEventId = delivery.readLastEventId();
-		const kvCopy = lastEventId === undefined ? undefined : previous?.kvCopy;
-		const placementRequest = {
-			...createPlacementRequest(
-				ctx,
-				req,
-				attempts.listExcluded(),
-				attempts.listFailedDataCentres(),
-			),
-			softwareVersion: origin?.softwareVersion,
-		};
-		const peer = isBegunAtPeer
-			? choosePeer(ctx, attempts.listExcluded())
-			: chooseRelayPeer(ctx, req, attempts.listExcluded());
-		if (peer !== undefined || isBegunAtPeer) {
-			startAtPeer(peer);
-			return;
-		}
+		const target = placement.choose(previous, lastEventId !== undefined);
+		switch (target.kind) {
+			case 'backend': {
+				startAtBackend(target, previous);
+				break;
+			}
 
-		const backend =
-			kvCopy?.backend ??
-			(previous?.shouldRetryWithoutCopy
-				? previous.backend
-				: ctx.view.choose(service.name, placementRequest, ctx.random()));
-		if (backend === undefined) {
-			scheduleResend('no backend server is known');
-			return;
+			case 'peer': {
+				startAtPeer(target.address);
+				break;
+			}
+
+			case 'none': {
+				scheduleResend('no backend server is known');
+				break;
+			}
+
+			case 'stranded': {
+				abort(502, 'no other entry takes the stream over');
+				break;
+			}
 		}
+	};
 
-		unplacedAt = undefined;
-		const backupTarget = chooseBackupTarget(backend);
-		const reservedWork =
-			kvCopy === undefined
-				? placementRequest
-				: {...placementRequest, promptTokens: 0};
+	const startAtBackend = (
+		{backend, kvCopy, work}: Extract<StreamTarget, {kind: 'backend'}>,
+		previous: PreviousRun | undefined,
+	): void => {
+		const backupTarget = placement.chooseBackupTarget(backend);
 		const address = ctx.resolveAddress(backend);
 		const current: Run = {
-			...createRun(backend, address),
+			...createRun(ctx, backend, address),
 			kvBackup: createKvBackup({
 				ctx,
 				requestId: metadata.id,
 				backend,
 				initialBackupTarget: backupTarget,
 				canCopy: canRepeat && service.engine?.canCopy === true,
-				chooseBackupTarget: () => chooseBackupTarget(backend),
+				chooseBackupTarget: () => placement.chooseBackupTarget(backend),
 			}),
 			hasCopy: kvCopy !== undefined,
-			reservation: ctx.view.reserve(backend, reservedWork),
+			reservation: ctx.view.reserve(backend, work),
 		};
 		send(
 			current,
@@ -449,7 +335,7 @@
 				customer: req.customer,
 				remainingMs: readRemainingMs(ctx, req),
 				backupAddress: backupTarget?.address,
-				lastEventId,
+				lastEventId: delivery.readLastEventId(),
 				copy: kvCopy?.copy,
 				bodyLength: req.body?.length,
 			}),
@@ -491,20 +377,12 @@
 	 */
 	const scheduleResend = (reason: string): void => {
 		const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
-		if (origin === undefined) {
+		if (!placement.isBound()) {
 			void relayOrAbort(status, reason);
 			return;
 		}
 
-		const versions = ctx.view.countSoftwareVersions(service.name);
-		unplacedAt ??= ctx.clock.now();
-		const decision = decideUnplaced({
-			ready: versions.get(origin.softwareVersion) ?? 0,
-			hasOtherVersions: [...versions.keys()].some(
-				(version) => version !== origin?.softwareVersion,
-			),
-			waitedMs: ctx.clock.now() - unplacedAt,
-		});
+		const decision = placement.decideUnplaced();
 		if (decision === 'give-up') {
 			abort(status, "no backend server of the stream's version takes it");
 			return;
--- /dev/null
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -0,0 +1,158 @@
+import {
+	type BackendRecord,
+	decideUnplaced,
+	isRepeatable,
+	type PlacementRequest,
+	readSoftwareVersion,
+	type UnplacedDecision,
+} from '@lovagevalve/dispatch';
+import {
+	type AcceptedRequest,
+	createPlacementRequest,
+	type GatewayContext,
+} from './context.js';
+import type {KvCopy} from './kv-backup.js';
+import {choosePeer, chooseRelayPeer} from './peer-relay.js';
+import {readResumableMs} from './resume-location.js';
+import type {StreamAttempts} from './stream-attempts.js';
+import {createStreamKey} from './stream-origins.js';
+import type {PreviousRun, Run} from './stream-run.js';
+
+/** Where the next run of a stream starts. */
+export type StreamTarget =
+	| Readonly<{
+			kind: 'backend';
+			backend: BackendRecord;
+			/** Copy of the KV cache to resume from. */
+			kvCopy: KvCopy | undefined;
+			/** Load that the run adds. */
+			work: PlacementRequest;
+	  }>
+	/** Another entry, as this one reaches no backend server. */
+	| Readonly<{kind: 'peer'; address: string}>
+	/** No backend server takes the stream now. */
+	| Readonly<{kind: 'none'}>
+	/** Only other entries know where the stream began, and none takes it. */
+	| Readonly<{kind: 'stranded'}>;
+
+/** Where one stream may run, bound by its first event. */
+export type StreamPlacement = Readonly<{
+	/** Binds the stream to the run that delivered an event, if it is the first one. */
+	bind: (run: Run) => void;
+	/** Whether the stream may run only where it began. */
+	isBound: () => boolean;
+	choose: (
+		previous: PreviousRun | undefined,
+		hasEvents: boolean,
+	) => StreamTarget;
+	/** Chooses a backend server that keeps a copy of a run's KV cache. */
+	chooseBackupTarget: (backend: BackendRecord) => BackendRecord | undefined;
+	/** Decides about a bound stream that no backend server takes now. */
+	decideUnplaced: () => UnplacedDecision;
+}>;
+
+/** Creates the placement of a stream that has not run here yet. */
+export function createStreamPlacement(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	attempts: StreamAttempts,
+): StreamPlacement {
+	const {route, service, metadata, customer} = req;
+	/** Service and software version that the stream is bound to by its first event. */
+	let {origin} = req;
+	/** Its first event came through another entry, so its origin is unknown here. */
+	let isBegunAtPeer = false;
+	let unplacedAt: number | undefined;
+
+	const createRequest = (
+		softwareVersion: string | undefined,
+		excluded = attempts.listExcluded(),
+		failedDataCentres = attempts.listFailedDataCentres(),
+	): PlacementRequest => ({
+		...createPlacementRequest(ctx, req, excluded, failedDataCentres),
+		softwareVersion,
+	});
+
+	const choosePeerTarget = (): StreamTarget | undefined => {
+		const address = isBegunAtPeer
+			? choosePeer(ctx, attempts.listExcluded())
+			: chooseRelayPeer(ctx, req, attempts.listExcluded());
+		if (address !== undefined) {
+			return {kind: 'peer', address};
+		}
+
+		return isBegunAtPeer ? {kind: 'stranded'} : undefined;
+	};
+
+	return {
+		bind(run) {
+			if (origin !== undefined) {
+				return;
+			}
+
+			if (run.isRelayed) {
+				// The other entry knows and reports where the stream began.
+				isBegunAtPeer = true;
+				return;
+			}
+
+			origin = {
+				service: service.name,
+				softwareVersion: readSoftwareVersion(run.backend),
+			};
+			ctx.origins.record(
+				createStreamKey(customer, metadata.id),
+				origin,
+				readResumableMs(req),
+			);
+		},
+		isBound: () => origin !== undefined,
+		choose(previous, hasEvents) {
+			const peer = choosePeerTarget();
+			if (peer !== undefined) {
+				return peer;
+			}
+
+			const request = createRequest(origin?.softwareVersion);
+			const kvCopy = hasEvents ? previous?.kvCopy : undefined;
+			const backend =
+				kvCopy?.backend ??
+				(previous?.shouldRetryWithoutCopy
+					? previous.backend
+					: ctx.view.choose(service.name, request, ctx.random()));
+			if (backend === undefined) {
+				return {kind: 'none'};
+			}
+
+			unplacedAt = undefined;
+			const work =
+				kvCopy === undefined ? request : {...request, promptTokens: 0};
+			return {kind: 'backend', backend, kvCopy, work};
+		},
+		chooseBackupTarget(backend) {
+			const canRepeat = isRepeatable(route.kind, route.isResumable);
+			if (service.engine?.canBackUp !== true || !canRepeat) {
+				return undefined;
+			}
+
+			const request = createRequest(
+				readSoftwareVersion(backend),
+				[...attempts.listExcluded(), backend.id],
+				[...attempts.listFailedDataCentres(), backend.dataCentre],
+			);
+			return ctx.view.chooseCopyTarget(service.name, request, ctx.random());
+		},
+		decideUnplaced() {
+			const versions = ctx.view.countSoftwareVersions(service.name);
+			const own = origin?.softwareVersion ?? '';
+			unplacedAt ??= ctx.clock.now();
+			return decideUnplaced({
+				ready: versions.get(own) ?? 0,
+				hasOtherVersions: [...versions.keys()].some(
+					(version) => version !== own,
+				),
+				waitedMs: ctx.clock.now() - unplacedAt,
+			});
+		},
+	};
+}
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -6,9 +6,9 @@
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import {probeAddress, type Exchange} from './backend-exchange.js';
-import type {LoadReservation} from './backend-view.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {KvCopy, KvBackup} from './kv-backup.js';
+import type {LoadReservation} from './load-reservations.js';
 
 /** Execution of a streaming request at one backend server. */
 export type Run = {
@@ -51,6 +51,37 @@
 	shouldRetryWithoutCopy: boolean;
 }>;
 
+/** Creates a run that is about to be sent. */
+export function createRun(
+	{clock}: Pick<GatewayContext, 'clock'>,
+	backend: BackendRecord,
+	address: string,
+): Omit<Run, 'kvBackup' | 'hasCopy' | 'reservation'> {
+	const now = clock.now();
+	return {
+		backend,
+		isRelayed: false,
+		address,
+		exchange: undefined,
+		sentAt: now,
+		startedAt: undefined,
+		lastEventAt: now,
+		probe: 'none',
+		probedAt: 0,
+		isClosed: false,
+		isSound: false,
+	};
+}
+
+/** The load of a run at another entry, which accounts for it. */
+export function createNoReservation(backend: BackendRecord): LoadReservation {
+	return {
+		backend,
+		markPrefilled: () => undefined,
+		release: () => undefined,
+	};
+}
+
 /** Silence after which the entry that runs a stream is probed. */
 const RELAY_PROBE_MS = 700;
 
