Find two parts of prompts that crash backend servers by turns

What callers saw: with no traffic before, two parts that crash engines on requests by turns, beside sound ones with a common part: engine after engine was lost, and sound requests were refused or cut. Cause: a part was convicted only with a lead of two over each other part of its deaths. Two that had met at one death kept each other from it; the common part, on the deaths of both, led each of them by two and was refused with all sound requests, or nothing was. Class: rivals are compared one by one where several account for the evidence together. Evidence: the unit test, both orders, refuses only the common part on the code before. Change: a part is convicted by the deaths for which no other part on the same backend server accounts; several narrower parts account for those of a broader one. The narrowest of parts without a lead is looked for among the rivals as well as on the present death. Why it works: each guilty part has deaths without the other, and every death under the common one has one of them.

--- a/packages/lovage-quarantine/src/__tests__/unit/quarantine.test.ts
+++ b/packages/lovage-quarantine/src/__tests__/unit/quarantine.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {
 	DEFAULT_QUARANTINE_OPTIONS,
+	createPartKey,
 	createQuarantine,
 	stepQuarantine,
 	summarizeQuarantine,
@@ -230,3 +231,49 @@
 		});
 	});
 });
+
+describe('parts of prompts', () => {
+	const options = {
+		...DEFAULT_QUARANTINE_OPTIONS,
+		windowMs: 300,
+		deathRetentionMs: 120_000,
+		uncertainStrikes: 5,
+		soundReportMs: 2000,
+		uncertainRetentionMs: 300_000,
+	};
+	const [common, first, second] = ['c', 'bad0', 'bad1'].map((part) =>
+		createPartKey(part),
+	) as [string, string, string];
+
+	/** A backend server that died under requests, each with a part beside the common one. */
+	function partDeath(index: number, guilty: readonly string[]): ReportedDeath {
+		const requests = guilty.map((part) => `${part}-${index}`);
+		const sound = `sound-${index}`;
+		return {
+			...death(`e${index}`, [...requests, sound], 'a'),
+			at: index * 1000,
+			parts: {
+				[common]: [...requests, sound],
+				...Object.fromEntries(guilty.map((part, i) => [part, [requests[i]!]])),
+			},
+		};
+	}
+
+	// A part is on one more of the lost requests than the other whenever its own
+	// death is evaluated, and the common one is on all of them.
+	it.each([
+		['the first of them first', [first, second]],
+		['the second of them first', [second, first]],
+	])('refuses two that crash backend servers by turns, %s', (_, turns) => {
+		let state = createQuarantine(options);
+		for (let index = 0; index < 14; index += 1) {
+			const guilty = index === 0 ? turns : [turns[(index + 1) % 2]!];
+			state = report(state, index * 1000, [partDeath(index, guilty)]);
+			state = tick(state, index * 1000 + 500);
+		}
+
+		const refused = summarizeQuarantine(state).convicted;
+		expect(refused).toEqual(expect.arrayContaining([first, second]));
+		expect(refused).not.toContain(common);
+	});
+});
--- a/packages/lovage-quarantine/src/evaluate.ts
+++ b/packages/lovage-quarantine/src/evaluate.ts
@@ -11,6 +11,8 @@
 const NO_STRIKES: StrikeRecord = {strikes: 0, lastAt: 0};
 /** Different requests that must have crashed backend servers before a part is to blame. */
 const MIN_REQUESTS = 2;
+/** Strikes from which on a narrower part may account for deaths under a broader one. */
+const MIN_NARROWER_STRIKES = 2;
 /** Difference in breadth that doesn't come about by chance at a few deaths. */
 const BREADTH_MARGIN = 0.4;
 
@@ -81,7 +83,11 @@
 		counted.length > 0 ? 'struck' : 'forgiven',
 	);
 	const convicted = counted.filter((key) => shouldConvict(next, key));
-	const uncertain = counted.filter(
+	const partRivals = counted
+		.filter((key) => isPartKey(key))
+		.flatMap((key) => listRivals(next, key));
+	// The narrowest of parts that crash by turns may not be on this death.
+	const uncertain = [...new Set([...counted, ...partRivals])].filter(
 		(key) => !convicted.includes(key) && isUncertainCause(next, key),
 	);
 	return addUncertain(addConvictions(next, convicted), uncertain);
@@ -110,10 +116,61 @@
 	return (
 		countStrikes(state, key) >= readRequiredStrikes(state, key) &&
 		hasEnoughRequests(state, key) &&
-		(!state.options.guards.standsOut || hasRequiredLead(state, key))
+		(!state.options.guards.standsOut ||
+			(isPartKey(key)
+				? countUnexplained(state, key) >= readRequiredStrikes(state, key)
+				: hasRequiredLead(state, key)))
 	);
 }
 
+/** Whether another part accounts for a death under a part as well as this one does. */
+function isAlternative(
+	state: QuarantineState,
+	other: string,
+	key: string,
+): boolean {
+	const isKnownSound = wasSound(state, other) && !wasSound(state, key);
+	if (
+		other === key ||
+		!isPartKey(other) ||
+		isKnownSound ||
+		isBroader(state, other, key)
+	) {
+		return false;
+	}
+
+	return (
+		countStrikes(state, other) >
+			countStrikes(state, key) - state.options.lead ||
+		isNarrowerAlternative(state, other, key)
+	);
+}
+
+/** Several narrower parts can account for all deaths under a common one. */
+function isNarrowerAlternative(
+	state: QuarantineState,
+	other: string,
+	key: string,
+): boolean {
+	return (
+		countStrikes(state, other) >= MIN_NARROWER_STRIKES &&
+		isBroader(state, key, other)
+	);
+}
+
+/** Strikes of a part for which no other part on the same backend server accounts. */
+function countUnexplained(state: QuarantineState, key: string): number {
+	const {deathTimes = []} = state.records[key] ?? NO_STRIKES;
+	return state.deaths.filter((death) => {
+		const keys = listKeys(death);
+		return (
+			deathTimes.includes(death.reportedAt) &&
+			keys.includes(key) &&
+			!keys.some((other) => isAlternative(state, other, key))
+		);
+	}).length;
+}
+
 /** Number of requests with a part on the backend servers that died under it. */
 function countLostRequests({deaths}: QuarantineState, key: string): number {
 	return deaths.reduce(
@@ -207,7 +264,8 @@
 		listRivals(state, key)
 			.filter(
 				(other) =>
-					countStrikes(state, other) > strikes - lead &&
+					(countStrikes(state, other) > strikes - lead ||
+						isNarrowerAlternative(state, other, key)) &&
 					hasEnoughRequests(state, other),
 			)
 			.every((other) => isNarrower(state, key, other))
