Look for rivals only of parts with enough strikes

Cause: the search for the narrowest part listed the rivals of each part on a death, so thousands of made-up parts took 42 s in the test that bounds them (beside other load). Change: only parts with the strikes of an uncertain verdict are looked at; the others can have no rival that is due.

--- a/packages/lovage-quarantine/src/evaluate.ts
+++ b/packages/lovage-quarantine/src/evaluate.ts
@@ -83,8 +83,10 @@
 		counted.length > 0 ? 'struck' : 'forgiven',
 	);
 	const convicted = counted.filter((key) => shouldConvict(next, key));
+	const {uncertainStrikes: minStrikes = Number.POSITIVE_INFINITY} =
+		state.options;
 	const partRivals = counted
-		.filter((key) => isPartKey(key))
+		.filter((key) => isPartKey(key) && countStrikes(next, key) >= minStrikes)
 		.flatMap((key) => listRivals(next, key));
 	// The narrowest of parts that crash by turns may not be on this death.
 	const uncertain = [...new Set([...counted, ...partRivals])].filter(
