--- a/packages/lovage-dispatch/src/backend-reach.ts
+++ b/packages/lovage-dispatch/src/backend-reach.ts
@@ -45,7 +45,7 @@
 /** An entry that could take over requests from one that is cut off. */
 export type RelayCandidate = Readonly<{address: string; dataCentre: string}>;
 
-/** Limit of the entries that one which is cut off is told of. */
+/** Limit of the entries that are listed to one that is cut off. */
 const MAX_RELAYS = 8;
 
 /**
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -38,7 +38,7 @@
 	release: () => void;
 }>;
 
-/** Backup of a run whose KV cache is copied by nobody. */
+/** Backup of a run that keeps no copy of its KV cache. */
 export const NO_BACKUP: KvBackup = {
 	refresh: () => undefined,
 	findCopy: () => undefined,
