Name the type of a response whose headers have arrived

The same three fields stood twice in unary-attempt.ts. Types only; the compiler accepts the package and formatting passes, no test was run on it.

--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -71,19 +71,19 @@
 	timeoutOutcome: AttemptOutcome;
 }>;
 
+/** A response whose headers have arrived. */
+type ReceivedHead = Readonly<{
+	target: AttemptTarget;
+	/** Time of sending the request, in monotonic milliseconds. */
+	sentAt: number;
+	response: IncomingMessage;
+}>;
+
 /** Finds out from its head that a response is none for the caller. */
 function findHeadFailure(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{
-		target,
-		sentAt,
-		response,
-	}: Readonly<{
-		target: AttemptTarget;
-		sentAt: number;
-		response: IncomingMessage;
-	}>,
+	{target, sentAt, response}: ReceivedHead,
 ): AttemptFailure | undefined {
 	switch (target.kind) {
 		case 'backend': {
@@ -115,15 +115,7 @@
 function collectResponse(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{
-		target,
-		sentAt,
-		response,
-	}: Readonly<{
-		target: AttemptTarget;
-		sentAt: number;
-		response: IncomingMessage;
-	}>,
+	{target, sentAt, response}: ReceivedHead,
 	settle: (outcome: AttemptOutcome) => void,
 ): void {
 	const status = response.statusCode ?? 0;
