Count the slots of brittle backend servers by address

Callers: with backend servers that name Server-Brittle and restart under load, entries pushed each new incarnation over again.

Cause: the load was kept with an incarnation, while the slots are those of the address. Entries that did not know yet of a new incarnation filled it with requests meant for the one before; under its own name it looked empty, and each filled it again. And the reported load of a server that was away is zero, so each entry also took slots of the others. A trace of what entries accepted and servers turned away shows four rejections within 0.1 s of each start.

Change: an entry counts what it has running by address, and the deal goes by the addresses of the service, which a restart does not change. A slot of another entry is used by a draw per report, with a chance by which the entries together use just the free ones, and not within a second of a failure to reach the server.

--- a/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
@@ -4,6 +4,7 @@
 	type BrittleInputs,
 	chooseCoolDownMs,
 	countOwnSlots,
+	mayBorrowSlot,
 } from '../../index.js';
 
 describe('countOwnSlots', () => {
@@ -39,6 +40,7 @@
 		rejections: 0,
 		isCoolingDown: false,
 		isRetry: false,
+		mayBorrow: false,
 		occupancy: full,
 	};
 
@@ -46,13 +48,18 @@
 		['sends nothing to a full one', {}, false],
 		['uses a slot of its own', {occupancy: {...full, ownRunning: 1}}, true],
 		[
-			'uses others that are certainly free',
-			{occupancy: {...full, running: 2}},
+			'uses a slot of another instance where it may borrow one',
+			{mayBorrow: true},
 			true,
 		],
+		[
+			'borrows one slot at most',
+			{mayBorrow: true, occupancy: {...full, ownRunning: 3}},
+			false,
+		],
 		[
 			'sends no rejected request on to slots of others',
-			{isRetry: true, occupancy: {...full, running: 2}},
+			{isRetry: true, mayBorrow: true},
 			false,
 		],
 		[
@@ -75,6 +82,25 @@
 	});
 });
 
+describe('mayBorrowSlot', () => {
+	const idle = {running: 0, slots: 8, instances: 10, answeringForMs: 5000};
+
+	it('lets the instances use half of an idle backend server together', () => {
+		const borrowers = Array.from({length: idle.instances}, (_, rank) =>
+			mayBorrowSlot({...idle, draw: rank / idle.instances}),
+		).filter(Boolean);
+		expect(borrowers).toHaveLength(4);
+	});
+
+	it('borrows nothing of one that is half full', () => {
+		expect(mayBorrowSlot({...idle, running: 4, draw: 0})).toBe(false);
+	});
+
+	it('borrows nothing of one that was away a short time ago', () => {
+		expect(mayBorrowSlot({...idle, answeringForMs: 300, draw: 0})).toBe(false);
+	});
+});
+
 it('cools down longer the more instances share what is allowed', () => {
 	expect(chooseCoolDownMs(20, 7, 0.5)).toBe(1000);
 	expect(chooseCoolDownMs(4, 7, 0.5)).toBe(3500);
--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -9,6 +9,18 @@
 	ownSlots: number;
 }>;
 
+/** What decides whether an instance may use a slot of another one. */
+export type BorrowInputs = Readonly<{
+	/** Requests of all instances, as of their last reports. */
+	running: number;
+	slots: number;
+	instances: number;
+	/** Time for which it has answered this instance without fail, in milliseconds. */
+	answeringForMs: number;
+	/** In [0, 1); the same for a backend server until the next reports. */
+	draw: number;
+}>;
+
 /** What is known of a brittle backend server when a request could be sent to it. */
 export type BrittleInputs = Readonly<{
 	/** Rejections a second beyond which it falls over, whichever instances cause them. */
@@ -19,6 +31,8 @@
 	isCoolingDown: boolean;
 	/** Whether another backend server has turned this request away. */
 	isRetry: boolean;
+	/** Whether this instance may use a slot of another one. */
+	mayBorrow: boolean;
 	occupancy: Occupancy;
 }>;
 
@@ -37,8 +51,10 @@
 export const REJECTION_WINDOW_MS = 1000;
 /** Part of the allowed rejections after which nothing is sent, as sums are known with a delay. */
 const USED_SHARE = 0.5;
-/** Fill up to which a server certainly has room, though the loads are known with a delay. */
+/** Fill up to which a backend server has slots that others may use. */
 const ROOMY_FILL = 0.5;
+/** Time after which the loads of all instances at a backend server that was away are known. */
+const MIN_ANSWERING_MS = 1000;
 const MIN_COOL_DOWN_MS = 1000;
 const MAX_COOL_DOWN_MS = 10_000;
 
@@ -60,6 +76,24 @@
 	).filter((owner) => owner === rank).length;
 }
 
+/**
+ * Whether an instance may use a slot of another one. The loads are known with a
+ * delay, so all instances see the same room: each uses a part of it. The load of a
+ * backend server that was away a short time ago is not known yet.
+ */
+export function mayBorrowSlot({
+	running,
+	slots,
+	instances,
+	answeringForMs,
+	draw,
+}: BorrowInputs): boolean {
+	const free = Math.floor(slots * ROOMY_FILL) - running;
+	return (
+		answeringForMs >= MIN_ANSWERING_MS && draw < free / Math.max(1, instances)
+	);
+}
+
 /**
  * Decides whether a brittle backend server may be sent a request. It must not be
  * used to find out how much it takes: what it turns away counts against all
@@ -70,7 +104,8 @@
 	rejections,
 	isCoolingDown,
 	isRetry,
-	occupancy: {ownRunning, running, slots, ownSlots},
+	mayBorrow,
+	occupancy: {ownRunning, ownSlots},
 }: BrittleInputs): boolean {
 	if (rejections >= Math.max(1, maxRejections * USED_SHARE)) {
 		return false;
@@ -80,8 +115,7 @@
 		return ownRunning < Math.floor(ownSlots / 2);
 	}
 
-	const hasCertainRoom = (running + 1) / Math.max(1, slots) <= ROOMY_FILL;
-	return ownRunning < ownSlots || (hasCertainRoom && !isRetry);
+	return ownRunning < ownSlots + (mayBorrow && !isRetry ? 1 : 0);
 }
 
 /**
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -26,9 +26,15 @@
 	acceptsBrittle,
 	chooseCoolDownMs,
 	countOwnSlots,
+	mayBorrowSlot,
 	REJECTION_WINDOW_MS,
 } from './brittle-backend.js';
-export type {BrittleInputs, Occupancy, SlotShare} from './brittle-backend.js';
+export type {
+	BorrowInputs,
+	BrittleInputs,
+	Occupancy,
+	SlotShare,
+} from './brittle-backend.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -190,6 +190,18 @@
 					readSoftwareVersion(record) === softwareVersion),
 		);
 
+	/** Addresses of a service in order; a restart does not change their positions. */
+	const listAddresses = (service: string): readonly string[] =>
+		[
+			...new Set(
+				[...table.values()]
+					.filter(
+						(record) => record.service === service && record.state !== 'gone',
+					)
+					.map(({address}) => address),
+			),
+		].toSorted();
+
 	/** Whether a backend server is not brittle, or has room for a request. */
 	const hasRoom = (
 		backend: BackendRecord,
@@ -199,10 +211,8 @@
 			return true;
 		}
 
-		const {id, service} = backend;
-		const ids = listReady(service)
-			.map((record) => record.id)
-			.toSorted();
+		const {id, address} = backend;
+		const addresses = listAddresses(backend.service);
 		const slots =
 			engine === undefined
 				? backend.slots
@@ -210,14 +220,14 @@
 						backend.slots,
 						Math.floor(engine.memoryTokens / Math.max(1, memoryTokens)),
 					);
-		const own = ownLoads.read(id).running;
+		const own = ownLoads.countAtAddress(address);
 		const occupancy = {
 			ownRunning: own,
 			running: own + (remoteLoads[id] ?? NO_LOAD).running,
 			slots,
 			ownSlots: countOwnSlots({
-				position: ids.indexOf(id),
-				backends: ids.length,
+				position: addresses.indexOf(address),
+				backends: addresses.length,
 				slots,
 				...options.readRank(),
 			}),
@@ -367,7 +377,8 @@
 			);
 		},
 		reserve: ownLoads.reserve,
-		reportHealth({id, bornAt, service}, outcome) {
+		reportHealth(backend, outcome) {
+			const {id, bornAt, service} = backend;
 			// Outcomes of an earlier process do not apply to the one that replaced it.
 			if (table.get(id)?.bornAt !== bornAt) {
 				return;
@@ -375,6 +386,7 @@
 
 			if (outcome === 'unreachable') {
 				options.onUnreachable(service);
+				brittle.recordUnreachable(backend);
 			}
 
 			const before = readHealth(id);
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -9,6 +9,7 @@
 	type LimitNotice,
 	type LimitReports,
 	type LimitStatement,
+	mayBorrowSlot,
 	type Occupancy,
 	REJECTION_WINDOW_MS,
 } from '@lovagevalve/dispatch';
@@ -20,6 +21,8 @@
 	record: (backend: BackendRecord, notice: LimitNotice, sentAt: number) => void;
 	/** Records that a backend server turned a request away. */
 	recordRejection: (backend: BackendRecord) => void;
+	/** Records that a backend server could not be reached. */
+	recordUnreachable: (backend: BackendRecord) => void;
 	/** Whether a backend server is brittle, or a new one of a service that is. */
 	isBrittle: (backend: BackendRecord) => boolean;
 	/** Whether a brittle backend server may be sent a request. */
@@ -65,6 +68,10 @@
 	const rejectedAt = new Map<string, readonly number[]>();
 	const rejectedForOthers = new Map<string, number>();
 	const coolingUntil = new Map<string, number>();
+	/** Times of the first answer since an incarnation was last unreachable. */
+	const answeringSince = new Map<string, number>();
+	/** Draws for slots of other entries, until their loads are known anew. */
+	const borrowDraws = new Map<string, number>();
 	/** Incarnations that have answered, by key, with their service. */
 	const answered = new Set<string>();
 	/** What the backend servers of a service last allowed, by service. */
@@ -106,6 +113,12 @@
 		}
 	};
 
+	const readBorrowDraw = (key: string): number => {
+		const draw = borrowDraws.get(key) ?? random();
+		borrowDraws.set(key, draw);
+		return draw;
+	};
+
 	return {
 		record(backend, notice, sentAt) {
 			const key = createIncarnationKey(backend);
@@ -118,6 +131,7 @@
 			}
 
 			answered.add(key);
+			answeringSince.set(key, answeringSince.get(key) ?? clock.now());
 			if (notice.kind === 'named') {
 				namedByService.set(backend.service, {
 					max: notice.perSecond,
@@ -153,15 +167,25 @@
 				forMs: Math.round(forMs),
 			});
 		},
+		recordUnreachable(backend) {
+			answeringSince.delete(createIncarnationKey(backend));
+		},
 		isBrittle: (backend) => readMaxRejections(backend) !== undefined,
 		accepts(backend, occupancy, isRetry) {
 			const key = createIncarnationKey(backend);
+			const now = clock.now();
 			return acceptsBrittle({
 				maxRejections: readMaxRejections(backend) ?? 0,
 				rejections:
 					listRejections(key).length + (rejectedForOthers.get(key) ?? 0),
-				isCoolingDown: clock.now() < (coolingUntil.get(key) ?? 0),
+				isCoolingDown: now < (coolingUntil.get(key) ?? 0),
 				isRetry,
+				mayBorrow: mayBorrowSlot({
+					...occupancy,
+					instances: countEntries(),
+					answeringForMs: now - (answeringSince.get(key) ?? now),
+					draw: readBorrowDraw(key),
+				}),
 				occupancy,
 			});
 		},
@@ -185,6 +209,7 @@
 		applyReport(reports) {
 			const now = clock.now();
 			rejectedForOthers.clear();
+			borrowDraws.clear();
 			Object.entries(reports).forEach(([key, {perSecond, ageMs, sent}]) => {
 				rejectedForOthers.set(key, sent);
 				update(
@@ -198,9 +223,14 @@
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
 					answered.delete(key);
-					[statements, rejectedAt, rejectedForOthers, coolingUntil].forEach(
-						(known) => known.delete(key),
-					);
+					[
+						statements,
+						rejectedAt,
+						rejectedForOthers,
+						coolingUntil,
+						answeringSince,
+						borrowDraws,
+					].forEach((known) => known.delete(key));
 				});
 		},
 	};
--- a/packages/lovage-gateway/src/load-reservations.ts
+++ b/packages/lovage-gateway/src/load-reservations.ts
@@ -23,12 +23,17 @@
 		request: PlacementRequest,
 	) => LoadReservation;
 	read: (id: string) => BackendLoad;
+	/** Requests sent to an address, whichever incarnation they were meant for. */
+	countAtAddress: (address: string) => number;
 	readAll: () => Readonly<Record<string, BackendLoad>>;
 }>;
 
 /** Creates the load of an entry without requests. */
 export function createLoadReservations(): LoadReservations {
 	const loads = new Map<string, BackendLoad>();
+	const runningByAddress = new Map<string, number>();
+	const countAtAddress = (address: string): number =>
+		runningByAddress.get(address) ?? 0;
 	const read = (id: string): BackendLoad => loads.get(id) ?? NO_LOAD;
 
 	const adjust = (id: string, delta: BackendLoad): void => {
@@ -40,12 +45,22 @@
 		}
 	};
 
+	const adjustAddress = (address: string, delta: number): void => {
+		const next = countAtAddress(address) + delta;
+		if (next > 0) {
+			runningByAddress.set(address, next);
+		} else {
+			runningByAddress.delete(address);
+		}
+	};
+
 	return {
 		reserve(backend, {promptTokens, memoryTokens}) {
-			const {id} = backend;
+			const {id, address} = backend;
 			let prefillTokens = promptTokens;
 			let isReserved = true;
 			adjust(id, {running: 1, prefillTokens, memoryTokens});
+			adjustAddress(address, 1);
 			return {
 				backend,
 				markPrefilled() {
@@ -55,6 +70,7 @@
 				release() {
 					if (isReserved) {
 						isReserved = false;
+						adjustAddress(address, -1);
 						adjust(id, {
 							running: -1,
 							prefillTokens: -prefillTokens,
@@ -65,6 +81,7 @@
 			};
 		},
 		read,
+		countAtAddress,
 		readAll: () => Object.fromEntries(loads),
 	};
 }
