Remember software versions over restarts of control instances

Callers: after all entries and all control instances had restarted, resumes were refused with 503 ("the software version that began the stream is unknown") although one version only had ever served.

Cause: that one version can have begun a stream is known from the versions in service, which control instances kept in memory only.

Change: a control instance stores the versions that it knows, when there is another one and every 5 s, and reads them when it starts. They count as complete if it was away for a minute at most by the wall clock; a lost disk, a damaged file, a longer absence and a clock that was set back leave it without knowledge, as before. An instance without complete knowledge stores nothing until it has known all versions for longer than a stream lasts, so that nobody reads it as complete. All versions that were read count as in service until now.

Why it works: a stream can only begin at a version that an entry has learnt from a control instance, and a majority of complete ones is still needed.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -4,7 +4,13 @@
 	KnownRevision,
 } from '@lovagevalve/dispatch';
 import {describe, expect, it} from 'vitest';
-import {applyEntry, createRegistry, EMPTY_GROUP_STATE} from '../../index.js';
+import {ok} from 'neverthrow';
+import {
+	applyEntry,
+	createRegistry,
+	createVersionHistory,
+	EMPTY_GROUP_STATE,
+} from '../../index.js';
 
 const noop = (): undefined => undefined;
 const log = {debug: noop, info: noop, warn: noop, error: noop};
@@ -16,7 +22,12 @@
 		time,
 		registry: createRegistry(clock, log, {
 			epoch: 1,
-			isFirstStart,
+			versions: createVersionHistory({
+				clock,
+				log,
+				file: {load: async () => ok(undefined), save: async () => ok()},
+				isFirstStart,
+			}),
 			random: () => 0,
 		}),
 	};
--- /dev/null
+++ b/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
@@ -0,0 +1,118 @@
+import type {BackendRecord} from '@lovagevalve/dispatch';
+import {err, ok, type Result} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {
+	createVersionHistory,
+	type StoredVersions,
+	type VersionFile,
+} from '../../index.js';
+
+const noop = (): undefined => undefined;
+const log = {debug: noop, info: noop, warn: noop, error: noop};
+
+const record: BackendRecord = {
+	id: 'e-1',
+	service: 'model',
+	address: '10.0.0.1:80',
+	dataCentre: 'a',
+	softwareVersion: 'v1',
+	state: 'ready',
+	slots: 8,
+	bornAt: 1,
+	sequence: 1,
+	heardAt: 0,
+};
+
+/** A file in memory, and processes that are started on it one after the other. */
+function createDisk() {
+	const time = {now: 1_000_000};
+	const clock = {now: () => time.now, wall: () => time.now};
+	const disk: {
+		loaded: Result<StoredVersions | undefined, string>;
+		saves: number;
+	} = {loaded: ok(undefined), saves: 0};
+	const file: VersionFile = {
+		load: async () => disk.loaded,
+		async save(state) {
+			disk.loaded = ok(state);
+			disk.saves += 1;
+			return ok();
+		},
+	};
+
+	return {
+		time,
+		disk,
+		async start(isFirstStart = false) {
+			const history = createVersionHistory({clock, log, file, isFirstStart});
+			await history.load();
+			return history;
+		},
+	};
+}
+
+/** Starts a system and stores that it has known one version. */
+async function createUsedDisk() {
+	const used = createDisk();
+	const history = await used.start(true);
+	history.update([record]);
+	await history.maintain();
+	return used;
+}
+
+describe('software versions after a restart', () => {
+	it('are known as before', async () => {
+		const {time, start} = await createUsedDisk();
+		time.now += 20_000;
+		const history = await start();
+		expect(history.describe('model')).toEqual({v1: 0});
+		expect(history.readKnownForMs()).toBe(Number.MAX_SAFE_INTEGER);
+	});
+
+	it.each([
+		['a long absence', 61_000],
+		['a clock that was set back', -1000],
+	])('are not complete after %s', async (_, awayMs) => {
+		const {time, start} = await createUsedDisk();
+		time.now += awayMs;
+		const history = await start();
+		expect(history.describe('model')).toEqual({v1: 0});
+		expect(history.readKnownForMs()).toBe(0);
+	});
+
+	it.each([
+		['a lost disk', ok(undefined)],
+		['a damaged file', err('torn')],
+	])('are unknown after %s', async (_, loaded) => {
+		const {disk, start} = await createUsedDisk();
+		disk.loaded = loaded;
+		const history = await start();
+		expect(history.describe('model')).toEqual({});
+		expect(history.readKnownForMs()).toBe(0);
+	});
+
+	it('are not stored while they are incomplete', async () => {
+		const {time, disk, start} = await createUsedDisk();
+		disk.loaded = ok(undefined);
+		const history = await start();
+		history.update([record]);
+		await history.maintain();
+		expect(disk.loaded).toEqual(ok(undefined));
+		time.now += 900_000;
+		history.update([record]);
+		await history.maintain();
+		expect(disk.loaded._unsafeUnwrap()?.versions).toEqual({model: ['v1']});
+	});
+
+	it('are stored at once when there is another one, else now and then', async () => {
+		const {time, disk, start} = await createUsedDisk();
+		const history = await start();
+		history.update([record, {...record, id: 'e-2', softwareVersion: 'v2'}]);
+		await history.maintain();
+		await history.maintain();
+		expect(disk.saves).toBe(2);
+		time.now += 5000;
+		await history.maintain();
+		expect(disk.saves).toBe(3);
+	});
+});
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -20,6 +20,8 @@
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
+import {createVersionFile} from './version-file.js';
+import {createVersionHistory} from './version-history.js';
 import {createRegistry, type KnownEntry, type OriginQuery} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import {createReplica} from './replica.js';
@@ -115,9 +117,16 @@
 	const {clock, log, metrics} = dependencies;
 	const {name, address, readSeeds} = settings;
 	const client = createPeerClient();
+	const versions = createVersionHistory({
+		clock,
+		log,
+		file: createVersionFile(settings.dataFolder),
+		isFirstStart: settings.isFirstStart,
+	});
+	void versions.load();
 	const registry = createRegistry(clock, log, {
 		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
-		isFirstStart: settings.isFirstStart,
+		versions,
 		random: dependencies.random,
 	});
 	const quarantine = createCrashQuarantine(
@@ -296,6 +305,7 @@
 	const gossip = (): void => {
 		registry.removeExpired();
 		void quarantine.maintain();
+		void versions.maintain();
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
 		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -11,3 +11,6 @@
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
 export type {GroupState, StoredConfiguration} from './state-machine.js';
+export {createVersionHistory} from './version-history.js';
+export type {VersionHistory, VersionHistoryOptions} from './version-history.js';
+export type {StoredVersions, VersionFile} from './version-file.js';
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -31,7 +31,7 @@
 import {createEntrySums} from './entry-sums.js';
 import {createLimitRegistry} from './limit-registry.js';
 import {createOriginRegistry} from './origin-registry.js';
-import {createVersionHistory} from './version-history.js';
+import type {VersionHistory} from './version-history.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
 /** An entry as a control instance knows it. */
@@ -99,8 +99,7 @@
 export type RegistryOptions = Readonly<{
 	/** Distinguishes this start of the instance from others. */
 	epoch: number;
-	/** Whether the whole system starts for the first time. */
-	isFirstStart: boolean;
+	versions: VersionHistory;
 	/** Returns a random number in [0, 1). */
 	random: () => number;
 }>;
@@ -109,7 +108,7 @@
 export function createRegistry(
 	clock: Clock,
 	log: Logger,
-	{epoch, isFirstStart, random}: RegistryOptions,
+	{epoch, versions, random}: RegistryOptions,
 ): Registry {
 	const entries = new Map<string, KnownEntry>();
 	let table: BackendTable = new Map();
@@ -133,7 +132,6 @@
 	const limits = createLimitRegistry(clock);
 	const brittle = createLimitRegistry(clock);
 	const origins = createOriginRegistry(clock);
-	const versions = createVersionHistory(clock, isFirstStart);
 
 	const removeFromSums = (entry: string): void => {
 		loads.remove(entry);
--- a/packages/lovage-coordinator/src/version-history.ts
+++ b/packages/lovage-coordinator/src/version-history.ts
@@ -3,7 +3,12 @@
 	readSoftwareVersion,
 	type VersionAges,
 } from '@lovagevalve/dispatch';
-import type {Clock} from '@lovagevalve/runtime';
+import type {Clock, Logger} from '@lovagevalve/runtime';
+import {
+	isComplete,
+	type StoredVersions,
+	type VersionFile,
+} from './version-file.js';
 
 /** Software versions that were in service, and when. */
 export type VersionHistory = Readonly<{
@@ -12,21 +17,53 @@
 	describe: (service: string) => VersionAges;
 	/** Time for which all versions in service have been recorded, in milliseconds. */
 	readKnownForMs: () => number;
+	/** Reads what was known before a restart. */
+	load: () => Promise<void>;
+	/** Stores what is known if it has changed or was stored some time ago. */
+	maintain: () => Promise<void>;
+}>;
+
+/** Dependencies of a history. */
+export type VersionHistoryOptions = Readonly<{
+	clock: Clock;
+	log: Logger;
+	file: VersionFile;
+	/** Whether no version was in service before. */
+	isFirstStart: boolean;
 }>;
 
 /** Longer than any stream lasts. */
 const RETENTION_MS = 900_000;
+/** Interval at which the file shows that the instance is in service. */
+const STORE_INTERVAL_MS = 5000;
 
-/**
- * Creates the history of a control instance. On the first start of the whole system
- * no version was in service before.
- */
-export function createVersionHistory(
-	clock: Clock,
-	isFirstStart: boolean,
-): VersionHistory {
+/** Creates the history of a control instance. */
+export function createVersionHistory({
+	clock,
+	log,
+	file,
+	isFirstStart,
+}: VersionHistoryOptions): VersionHistory {
 	const startedAt = clock.now();
+	let isRemembered = isFirstStart;
 	const seenAt = new Map<string, Map<string, number>>();
+	let storedText = '';
+	let storedAt = Number.NEGATIVE_INFINITY;
+	let isStoring = false;
+	let isLoaded = false;
+
+	const record = (service: string, version: string, at: number): void => {
+		const versions = seenAt.get(service) ?? new Map<string, number>();
+		seenAt.set(service, versions.set(version, at));
+	};
+
+	const listVersions = (): StoredVersions['versions'] =>
+		Object.fromEntries(
+			[...seenAt].map(([service, versions]) => [
+				service,
+				[...versions.keys()].toSorted(),
+			]),
+		);
 
 	const removeOld = (): void => {
 		seenAt.forEach((versions, service) => {
@@ -44,14 +81,15 @@
 	return {
 		update(records) {
 			const now = clock.now();
-			for (const record of records) {
-				const versions =
-					seenAt.get(record.service) ?? new Map<string, number>();
-				seenAt.set(record.service, versions);
-				const version = readSoftwareVersion(record);
+			for (const backend of records) {
+				const {service, state} = backend;
+				const version = readSoftwareVersion(backend);
 				// One that has ended before this instance heard of it began streams too.
-				if (record.state !== 'gone' || !versions.has(version)) {
-					versions.set(version, now);
+				if (
+					state !== 'gone' ||
+					seenAt.get(service)?.get(version) === undefined
+				) {
+					record(service, version, now);
 				}
 			}
 
@@ -67,8 +105,59 @@
 			);
 		},
 		readKnownForMs: () =>
-			isFirstStart
+			isRemembered
 				? Number.MAX_SAFE_INTEGER
 				: Math.round(clock.now() - startedAt),
+		async load() {
+			const loaded = await file.load();
+			const stored = loaded.unwrapOr(undefined);
+			if (loaded.isErr()) {
+				log.error('Failed to read the software versions.', {
+					reason: loaded.error,
+				});
+			}
+
+			const isUsable = stored !== undefined && isComplete(stored, clock.wall());
+			isRemembered ||= isUsable;
+			isLoaded = true;
+			// When they were last in service is not known, so they count as if now.
+			Object.entries(stored?.versions ?? {}).forEach(([service, versions]) => {
+				versions.forEach((version) => {
+					record(service, version, clock.now());
+				});
+			});
+			log.info('The software versions are loaded.', {
+				services: Object.keys(stored?.versions ?? {}).length,
+				isComplete: isRemembered,
+				...(stored === undefined
+					? {}
+					: {awayMs: Math.round(clock.wall() - stored.at)}),
+			});
+		},
+		async maintain() {
+			const versions = listVersions();
+			const text = JSON.stringify(versions);
+			const isStored =
+				text === storedText && clock.now() - storedAt < STORE_INTERVAL_MS;
+			// What is not complete must not be read as such after a restart.
+			const isDurable = isRemembered || clock.now() - startedAt >= RETENTION_MS;
+			if (!isLoaded || isStoring || isStored || !isDurable) {
+				return;
+			}
+
+			isStoring = true;
+			const now = clock.now();
+			const saved = await file.save({at: clock.wall(), versions});
+			isStoring = false;
+			storedAt = now;
+			saved.match(
+				() => {
+					storedText = text;
+				},
+				(reason) => {
+					log.warn('Failed to store the software versions.', {reason});
+				},
+			);
+		},
 	};
 }
