Let entries without slots of brittle backend servers share the free ones

Callers: with more entries than slots of a brittle service, callers of the entries that own none got 503 although the servers had room: with 16 entries on 12 slots at 0.4 of the capacity, four entries had 0 or 1 of 8 requests served.

Cause: slots of others could only be used by an entry that had had an answer of the server itself, which one without slots never gets.

Change: an entry may use a slot of another one once the server has been known for a second and could be reached since. Entries without slots share the free ones among themselves. The chance is free slots over the requests that can start before the loads are known again; it goes by what runs in the whole service, as the load of a server that restarts is zero while any request of the service may come to it.

--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -4,19 +4,26 @@
 	ownRunning: number;
 	/** Requests of all instances, as of their last reports. */
 	running: number;
+	/** The same for its whole service. */
+	serviceRunning: number;
 	slots: number;
 	/** Slots that no other instance uses while the backend server is brittle. */
 	ownSlots: number;
+	/** Instances that share the slots which their owners leave free. */
+	borrowers: number;
 }>;
 
 /** What decides whether an instance may use a slot of another one. */
 export type BorrowInputs = Readonly<{
 	/** Requests of all instances, as of their last reports. */
 	running: number;
+	/** The same for its whole service, any of which may come here next. */
+	serviceRunning: number;
 	slots: number;
-	instances: number;
-	/** Time for which it has answered this instance without fail, in milliseconds. */
-	answeringForMs: number;
+	/** Instances that share the slots which their owners leave free. */
+	borrowers: number;
+	/** Time since it became known, or could last not be reached, in milliseconds. */
+	steadyForMs: number;
 	/** In [0, 1); the same for a backend server until the next reports. */
 	draw: number;
 }>;
@@ -52,9 +59,11 @@
 /** Part of the allowed rejections after which nothing is sent, as sums are known with a delay. */
 const USED_SHARE = 0.5;
 /** Fill up to which a backend server has slots that others may use. */
-const ROOMY_FILL = 0.5;
+const ROOMY_FILL = 0.75;
+/** Requests that can start before the loads are known again, for each that runs. */
+const STARTS_PER_RUNNING = 4;
 /** Time after which the loads of all instances at a backend server that was away are known. */
-const MIN_ANSWERING_MS = 1000;
+const MIN_STEADY_MS = 1000;
 const MIN_COOL_DOWN_MS = 1000;
 const MAX_COOL_DOWN_MS = 10_000;
 
@@ -76,6 +85,20 @@
 	).filter((owner) => owner === rank).length;
 }
 
+/**
+ * Counts the instances that share the free slots with this one: one that owns slots
+ * of the service needs others rarely, so those that own none share among themselves.
+ */
+export function countBorrowers({
+	backends,
+	slots,
+	rank,
+	instances,
+}: SlotShare): number {
+	const owners = backends * slots;
+	return rank < owners ? instances : instances - owners;
+}
+
 /**
  * Whether an instance may use a slot of another one. The loads are known with a
  * delay, so all instances see the same room: each uses a part of it. The load of a
@@ -83,15 +106,15 @@
  */
 export function mayBorrowSlot({
 	running,
+	serviceRunning,
 	slots,
-	instances,
-	answeringForMs,
+	borrowers,
+	steadyForMs,
 	draw,
 }: BorrowInputs): boolean {
 	const free = Math.floor(slots * ROOMY_FILL) - running;
-	return (
-		answeringForMs >= MIN_ANSWERING_MS && draw < free / Math.max(1, instances)
-	);
+	const starts = Math.min(borrowers, STARTS_PER_RUNNING * (serviceRunning + 1));
+	return steadyForMs >= MIN_STEADY_MS && draw < free / Math.max(1, starts);
 }
 
 /**
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -25,6 +25,7 @@
 export {
 	acceptsBrittle,
 	chooseCoolDownMs,
+	countBorrowers,
 	countOwnSlots,
 	mayBorrowSlot,
 	REJECTION_WINDOW_MS,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -8,6 +8,7 @@
 	type BackendTable,
 	type Candidate,
 	chooseBackend,
+	countBorrowers,
 	countOwnSlots,
 	countReady,
 	createIncarnationKey,
@@ -202,6 +203,13 @@
 			),
 		].toSorted();
 
+	const countRunning = (service: string): number =>
+		listReady(service).reduce(
+			(sum, {id}) =>
+				sum + ownLoads.read(id).running + (remoteLoads[id] ?? NO_LOAD).running,
+			0,
+		);
+
 	/** Whether a backend server is not brittle, or has room for a request. */
 	const hasRoom = (
 		backend: BackendRecord,
@@ -211,8 +219,8 @@
 			return true;
 		}
 
-		const {id, address} = backend;
-		const addresses = listAddresses(backend.service);
+		const {id, address, service} = backend;
+		const addresses = listAddresses(service);
 		const slots =
 			engine === undefined
 				? backend.slots
@@ -221,16 +229,19 @@
 						Math.floor(engine.memoryTokens / Math.max(1, memoryTokens)),
 					);
 		const own = ownLoads.countAtAddress(address);
+		const share = {
+			position: addresses.indexOf(address),
+			backends: addresses.length,
+			slots,
+			...options.readRank(),
+		};
 		const occupancy = {
 			ownRunning: own,
 			running: own + (remoteLoads[id] ?? NO_LOAD).running,
+			serviceRunning: countRunning(service),
 			slots,
-			ownSlots: countOwnSlots({
-				position: addresses.indexOf(address),
-				backends: addresses.length,
-				slots,
-				...options.readRank(),
-			}),
+			ownSlots: countOwnSlots(share),
+			borrowers: countBorrowers(share),
 		};
 		return brittle.accepts(backend, occupancy, excluded.length > 0);
 	};
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -68,8 +68,8 @@
 	const rejectedAt = new Map<string, readonly number[]>();
 	const rejectedForOthers = new Map<string, number>();
 	const coolingUntil = new Map<string, number>();
-	/** Times of the first answer since an incarnation was last unreachable. */
-	const answeringSince = new Map<string, number>();
+	/** Times at which an incarnation became known, or could last not be reached. */
+	const steadySince = new Map<string, number>();
 	/** Draws for slots of other entries, until their loads are known anew. */
 	const borrowDraws = new Map<string, number>();
 	/** Incarnations that have answered, by key, with their service. */
@@ -100,6 +100,7 @@
 		const before = statements.get(key)?.perSecond;
 		const after = statement.perSecond;
 		statements.set(key, statement);
+		steadySince.set(key, steadySince.get(key) ?? clock.now());
 		if (before !== after) {
 			log.warn(
 				after === undefined
@@ -131,7 +132,6 @@
 			}
 
 			answered.add(key);
-			answeringSince.set(key, answeringSince.get(key) ?? clock.now());
 			if (notice.kind === 'named') {
 				namedByService.set(backend.service, {
 					max: notice.perSecond,
@@ -168,7 +168,10 @@
 			});
 		},
 		recordUnreachable(backend) {
-			answeringSince.delete(createIncarnationKey(backend));
+			const key = createIncarnationKey(backend);
+			if (steadySince.has(key)) {
+				steadySince.set(key, clock.now());
+			}
 		},
 		isBrittle: (backend) => readMaxRejections(backend) !== undefined,
 		accepts(backend, occupancy, isRetry) {
@@ -182,8 +185,7 @@
 				isRetry,
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
-					instances: countEntries(),
-					answeringForMs: now - (answeringSince.get(key) ?? now),
+					steadyForMs: now - (steadySince.get(key) ?? now),
 					draw: readBorrowDraw(key),
 				}),
 				occupancy,
@@ -228,7 +230,7 @@
 						rejectedAt,
 						rejectedForOthers,
 						coolingUntil,
-						answeringSince,
+						steadySince,
 						borrowDraws,
 					].forEach((known) => known.delete(key));
 				});
