Double the cool-down after repeated rejections by brittle backend servers

Cause: those servers register 8 slots and run 3 requests at once while they are brittle. The entries deal 8, and learn of less by rejections only; each forgot it after 1 to 3 s. The logs show one rejection by each entry at each server as often as that, and falls where they met.

Change: the cool-down of an entry at a server doubles with each rejection that comes within 3 s after one, up to 10 s. A rejection within a cool-down, of a request that was under way, says nothing new.

Why it works: the rejections of all entries thin out while the server stays as it is; one that takes its slots again is used fully after 10 s at most.

--- a/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
@@ -5,6 +5,7 @@
 	chooseCoolDownMs,
 	countBorrowers,
 	countOwnSlots,
+	countRepeats,
 	mayBorrowSlot,
 } from '../../index.js';
 
@@ -133,7 +134,23 @@
 });
 
 it('cools down longer the more instances share what is allowed', () => {
-	expect(chooseCoolDownMs(20, 7, 0.5)).toBe(1000);
-	expect(chooseCoolDownMs(4, 7, 0.5)).toBe(3500);
-	expect(chooseCoolDownMs(4, 195, 0.5)).toBe(10_000);
+	expect(chooseCoolDownMs(20, 7, 0, 0.5)).toBe(1000);
+	expect(chooseCoolDownMs(4, 7, 0, 0.5)).toBe(3500);
+	expect(chooseCoolDownMs(4, 195, 0, 0.5)).toBe(10_000);
+});
+
+it('cools down longer with each repeated rejection', () => {
+	const times = [0, 1, 2, 3].map((repeats) =>
+		chooseCoolDownMs(4, 4, repeats, 0.5),
+	);
+	expect(times).toEqual([2000, 4000, 8000, 10_000]);
+});
+
+it.each([
+	['at first', Number.NEGATIVE_INFINITY, 0],
+	['within a cool-down', 6000, 2],
+	['soon after a cool-down', 4000, 3],
+	['long after a cool-down', 1000, 0],
+])('counts rejections in a row %s', (_, coolingUntil, repeats) => {
+	expect(countRepeats(2, coolingUntil, 5000)).toBe(repeats);
 });
--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -66,6 +66,8 @@
 const MIN_STEADY_MS = 1000;
 const MIN_COOL_DOWN_MS = 1000;
 const MAX_COOL_DOWN_MS = 10_000;
+/** Time after a cool-down in which a rejection is a repeated one. */
+const REPEAT_WINDOW_MS = 3000;
 
 /**
  * Counts the slots of a backend server that belong to one instance. The slots of a
@@ -144,15 +146,33 @@
 /**
  * Time for which an instance sends a brittle backend server less after a rejection,
  * so that the instances together stay below what it allows; `random` is in [0, 1).
+ * Doubles with each of the `repeats`, as a server may take less than its slots.
  */
 export function chooseCoolDownMs(
 	maxRejections: number,
 	instances: number,
+	repeats: number,
 	random: number,
 ): number {
 	const shareMs = (instances * 1000) / Math.max(1, maxRejections * USED_SHARE);
 	return Math.min(
 		MAX_COOL_DOWN_MS,
-		Math.max(MIN_COOL_DOWN_MS, shareMs * (0.5 + random)),
+		Math.max(MIN_COOL_DOWN_MS, shareMs * (0.5 + random)) * 2 ** repeats,
 	);
 }
+
+/**
+ * Counts the rejections in a row: one that comes soon after a cool-down has ended
+ * shows that it was too short; one within it says nothing new.
+ */
+export function countRepeats(
+	repeats: number,
+	coolingUntil: number,
+	now: number,
+): number {
+	if (now < coolingUntil) {
+		return repeats;
+	}
+
+	return now - coolingUntil < REPEAT_WINDOW_MS ? repeats + 1 : 0;
+}
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -27,6 +27,7 @@
 	chooseCoolDownMs,
 	countBorrowers,
 	countOwnSlots,
+	countRepeats,
 	mayBorrowSlot,
 	REJECTION_WINDOW_MS,
 } from './brittle-backend.js';
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -3,6 +3,7 @@
 	applyLimitNotice,
 	type BackendRecord,
 	chooseCoolDownMs,
+	countRepeats,
 	createIncarnationKey,
 	isRunningIncarnation,
 	keepNewest,
@@ -55,6 +56,11 @@
 /** The end of brittleness is reported for this long, so that no entry keeps it. */
 const ENDED_REPORT_MS = 5000;
 
+/** Time until which a backend server is sent less, and rejections in a row that led to it. */
+type CoolDown = Readonly<{until: number; repeats: number}>;
+
+const NO_COOL_DOWN: CoolDown = {until: Number.NEGATIVE_INFINITY, repeats: 0};
+
 /** Creates the state of backend servers of which none is brittle. */
 export function createBrittleBackends({
 	clock,
@@ -67,7 +73,7 @@
 	/** Times of rejections that this entry saw within the window. */
 	const rejectedAt = new Map<string, readonly number[]>();
 	const rejectedForOthers = new Map<string, number>();
-	const coolingUntil = new Map<string, number>();
+	const coolDowns = new Map<string, CoolDown>();
 	/** Times at which an incarnation became known, or could last not be reached. */
 	const steadySince = new Map<string, number>();
 	/** Draws for slots of other entries, until their loads are known anew. */
@@ -155,15 +161,26 @@
 			}
 
 			const now = clock.now();
-			const forMs = chooseCoolDownMs(maxRejections, countEntries(), random());
+			const previous = coolDowns.get(key) ?? NO_COOL_DOWN;
+			const repeats = countRepeats(previous.repeats, previous.until, now);
+			const forMs = chooseCoolDownMs(
+				maxRejections,
+				countEntries(),
+				repeats,
+				random(),
+			);
 			rejectedAt.set(key, [...listRejections(key), now]);
-			coolingUntil.set(key, now + forMs);
+			coolDowns.set(key, {
+				until: Math.max(previous.until, now + forMs),
+				repeats,
+			});
 			metrics.count('brittle_rejections');
 			log.warn('A brittle backend server turned a request away.', {
 				backend: key,
 				maxRejections,
 				here: listRejections(key).length,
 				elsewhere: rejectedForOthers.get(key) ?? 0,
+				repeats,
 				forMs: Math.round(forMs),
 			});
 		},
@@ -181,7 +198,7 @@
 				maxRejections: readMaxRejections(backend) ?? 0,
 				rejections:
 					listRejections(key).length + (rejectedForOthers.get(key) ?? 0),
-				isCoolingDown: now < (coolingUntil.get(key) ?? 0),
+				isCoolingDown: now < (coolDowns.get(key) ?? NO_COOL_DOWN).until,
 				isRetry,
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
@@ -229,7 +246,7 @@
 						statements,
 						rejectedAt,
 						rejectedForOthers,
-						coolingUntil,
+						coolDowns,
 						steadySince,
 						borrowDraws,
 					].forEach((known) => known.delete(key));
