Describe the room of brittle backend servers apart from the view

How an entry's share of the slots, the load at an address and the load of a service are put together stood in backend-view.ts, which chooses and keeps the table.

--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -8,8 +8,6 @@
 	type BackendTable,
 	type Candidate,
 	chooseBackend,
-	countBorrowers,
-	countOwnSlots,
 	countReady,
 	createIncarnationKey,
 	type ClosedReason,
@@ -30,6 +28,7 @@
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {describeOccupancy} from './brittle-room.js';
 import type {BrittleBackends} from './brittle-backends.js';
 import {
 	createLoadReservations,
@@ -191,59 +190,23 @@
 					readSoftwareVersion(record) === softwareVersion),
 		);
 
-	/** Addresses of a service in order; a restart does not change their positions. */
-	const listAddresses = (service: string): readonly string[] =>
-		[
-			...new Set(
-				[...table.values()]
-					.filter(
-						(record) => record.service === service && record.state !== 'gone',
-					)
-					.map(({address}) => address),
-			),
-		].toSorted();
-
-	const countRunning = (service: string): number =>
-		listReady(service).reduce(
-			(sum, {id}) =>
-				sum + ownLoads.read(id).running + (remoteLoads[id] ?? NO_LOAD).running,
-			0,
-		);
-
 	/** Whether a backend server is not brittle, or has room for a request. */
 	const hasRoom = (
 		backend: BackendRecord,
-		{memoryTokens, engine, excluded}: PlacementRequest,
+		request: PlacementRequest,
 	): boolean => {
 		if (!brittle.isBrittle(backend)) {
 			return true;
 		}
 
-		const {id, address, service} = backend;
-		const addresses = listAddresses(service);
-		const slots =
-			engine === undefined
-				? backend.slots
-				: Math.min(
-						backend.slots,
-						Math.floor(engine.memoryTokens / Math.max(1, memoryTokens)),
-					);
-		const own = ownLoads.countAtAddress(address);
-		const share = {
-			position: addresses.indexOf(address),
-			backends: addresses.length,
-			slots,
-			...options.readRank(),
-		};
-		const occupancy = {
-			ownRunning: own,
-			running: own + (remoteLoads[id] ?? NO_LOAD).running,
-			serviceRunning: countRunning(service),
-			slots,
-			ownSlots: countOwnSlots(share),
-			borrowers: countBorrowers(share),
-		};
-		return brittle.accepts(backend, occupancy, excluded.length > 0);
+		const occupancy = describeOccupancy(backend, request, {
+			listBackends: () => table.values(),
+			countOwn: (id) => ownLoads.read(id).running,
+			countAtAddress: ownLoads.countAtAddress,
+			countOthers: (id) => (remoteLoads[id] ?? NO_LOAD).running,
+			readRank: options.readRank,
+		});
+		return brittle.accepts(backend, occupancy, request.excluded.length > 0);
 	};
 
 	const isUsable = (id: string): boolean => {
