Retry to store the software versions every five seconds only

Cause: a version that could not be stored was sent to the file again with each round of gossip, and each failure logged, five times a second on a full disk.

Change: the last attempt counts, not the last success.

--- a/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
@@ -30,12 +30,17 @@
 	const disk: {
 		loaded: Result<StoredVersions | undefined, string>;
 		saves: number;
-	} = {loaded: ok(undefined), saves: 0};
+		isFull: boolean;
+	} = {loaded: ok(undefined), saves: 0, isFull: false};
 	const file: VersionFile = {
 		load: async () => disk.loaded,
 		async save(state) {
-			disk.loaded = ok(state);
 			disk.saves += 1;
+			if (disk.isFull) {
+				return err('no space left');
+			}
+
+			disk.loaded = ok(state);
 			return ok();
 		},
 	};
@@ -115,4 +120,20 @@
 		await history.maintain();
 		expect(disk.saves).toBe(3);
 	});
+
+	it('are stored again some time after a full disk', async () => {
+		const {time, disk, start} = await createUsedDisk();
+		const history = await start();
+		disk.isFull = true;
+		history.update([{...record, id: 'e-2', softwareVersion: 'v2'}]);
+		await history.maintain();
+		await history.maintain();
+		expect(disk.saves).toBe(2);
+		disk.isFull = false;
+		time.now += 5000;
+		await history.maintain();
+		expect(disk.loaded._unsafeUnwrap()?.versions).toEqual({
+			model: ['v1', 'v2'],
+		});
+	});
 });
--- a/packages/lovage-coordinator/src/version-history.ts
+++ b/packages/lovage-coordinator/src/version-history.ts
@@ -47,8 +47,8 @@
 	const startedAt = clock.now();
 	let isRemembered = isFirstStart;
 	const seenAt = new Map<string, Map<string, number>>();
-	let storedText = '';
-	let storedAt = Number.NEGATIVE_INFINITY;
+	/** What was last sent to the file, and when. */
+	let attempt = {text: '', at: Number.NEGATIVE_INFINITY};
 	let isStoring = false;
 	let isLoaded = false;
 
@@ -137,27 +137,24 @@
 		async maintain() {
 			const versions = listVersions();
 			const text = JSON.stringify(versions);
-			const isStored =
-				text === storedText && clock.now() - storedAt < STORE_INTERVAL_MS;
+			const now = clock.now();
+			const isDue =
+				text !== attempt.text || now - attempt.at >= STORE_INTERVAL_MS;
 			// What is not complete must not be read as such after a restart.
-			const isDurable = isRemembered || clock.now() - startedAt >= RETENTION_MS;
-			if (!isLoaded || isStoring || isStored || !isDurable) {
+			const knowsAll = isRemembered || now - startedAt >= RETENTION_MS;
+			if (!isLoaded || isStoring || !isDue || !knowsAll) {
 				return;
 			}
 
 			isStoring = true;
-			const now = clock.now();
+			attempt = {text, at: now};
 			const saved = await file.save({at: clock.wall(), versions});
 			isStoring = false;
-			storedAt = now;
-			saved.match(
-				() => {
-					storedText = text;
-				},
-				(reason) => {
-					log.warn('Failed to store the software versions.', {reason});
-				},
-			);
+			if (saved.isErr()) {
+				log.warn('Failed to store the software versions.', {
+					reason: saved.error,
+				});
+			}
 		},
 	};
 }
