Keep limits and brittleness in one kind of statement

named-limits.ts and brittle-backends.ts each kept what backend servers state in their answers, the events that count against it here and elsewhere, and its reports: the same forty lines twice. limit-statements.ts has them once; the two keep what differs, the draw of a limited server and the decision on a brittle one. A comment is reworded in the terms of the field.

No change in behaviour, but that draws and cool-downs of incarnations that ended without a statement are forgotten too. Tests of the gateway, the coordinator and named limits over instances are green.

--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -1,20 +1,18 @@
 import {
 	acceptsBrittle,
-	applyLimitNotice,
 	type BackendRecord,
 	chooseCoolDownMs,
 	countRepeats,
 	createIncarnationKey,
 	isRunningIncarnation,
-	keepNewest,
 	type LimitNotice,
 	type LimitReports,
-	type LimitStatement,
 	mayBorrowSlot,
 	type Occupancy,
 	REJECTION_WINDOW_MS,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {createLimitStatements} from './limit-statements.js';
 
 /** Backend servers that fall over when they turn too many requests away. */
 export type BrittleBackends = Readonly<{
@@ -53,8 +51,6 @@
 
 /** A service whose backend servers have not named it for this long is no longer brittle. */
 const SERVICE_RETENTION_MS = 5000;
-/** The end of brittleness is reported for this long, so that no entry keeps it. */
-const ENDED_REPORT_MS = 5000;
 
 /** Time until which a backend server is sent less, and rejections in a row that led to it. */
 type CoolDown = Readonly<{until: number; repeats: number}>;
@@ -69,24 +65,43 @@
 	random,
 	countEntries,
 }: BrittleBackendsOptions): BrittleBackends {
-	const statements = new Map<string, LimitStatement>();
-	/** Times of rejections that this entry saw within the window. */
-	const rejectedAt = new Map<string, readonly number[]>();
-	const rejectedForOthers = new Map<string, number>();
 	const coolDowns = new Map<string, CoolDown>();
 	/** Times at which an incarnation became known, or could last not be reached. */
 	const steadySince = new Map<string, number>();
-	/** Draws for slots of other entries, until their loads are known anew. */
+	/** Draws for slots of other entries; the next report replaces them. */
 	const borrowDraws = new Map<string, number>();
-	/** Incarnations that have answered, by key, with their service. */
+	/** Incarnations that have answered, by key. */
 	const answered = new Set<string>();
 	/** What the backend servers of a service last allowed, by service. */
 	const namedByService = new Map<string, Readonly<{max: number; at: number}>>();
 
+	const statements = createLimitStatements({
+		clock,
+		log,
+		metrics,
+		windowMs: REJECTION_WINDOW_MS,
+		malformedMessage:
+			'Ignoring a malformed notice of a brittle backend server.',
+		onStatement(key, after, before) {
+			steadySince.set(key, steadySince.get(key) ?? clock.now());
+			if (before !== after) {
+				log.warn(
+					after === undefined
+						? 'A backend server is no longer brittle.'
+						: 'A backend server is brittle.',
+					{
+						backend: key,
+						...(after === undefined ? {} : {maxRejections: after}),
+					},
+				);
+			}
+		},
+	});
+
 	/** One that has not answered yet is taken to be as the others of its service. */
 	const readMaxRejections = (backend: BackendRecord): number | undefined => {
 		const key = createIncarnationKey(backend);
-		const own = statements.get(key)?.perSecond;
+		const own = statements.read(key);
 		if (own !== undefined || answered.has(key)) {
 			return own;
 		}
@@ -97,29 +112,6 @@
 			: undefined;
 	};
 
-	const listRejections = (key: string): readonly number[] =>
-		(rejectedAt.get(key) ?? []).filter(
-			(at) => clock.now() - at < REJECTION_WINDOW_MS,
-		);
-
-	const update = (key: string, statement: LimitStatement): void => {
-		const before = statements.get(key)?.perSecond;
-		const after = statement.perSecond;
-		statements.set(key, statement);
-		steadySince.set(key, steadySince.get(key) ?? clock.now());
-		if (before !== after) {
-			log.warn(
-				after === undefined
-					? 'A backend server is no longer brittle.'
-					: 'A backend server is brittle.',
-				{
-					backend: key,
-					...(after === undefined ? {} : {maxRejections: after}),
-				},
-			);
-		}
-	};
-
 	const readBorrowDraw = (key: string): number => {
 		const draw = borrowDraws.get(key) ?? random();
 		borrowDraws.set(key, draw);
@@ -128,16 +120,7 @@
 
 	return {
 		record(backend, notice, sentAt) {
-			const key = createIncarnationKey(backend);
-			if (notice.kind === 'malformed') {
-				metrics.count('malformed_limits');
-				log.warn('Ignoring a malformed notice of a brittle backend server.', {
-					backend: key,
-					text: notice.text,
-				});
-			}
-
-			answered.add(key);
+			answered.add(createIncarnationKey(backend));
 			if (notice.kind === 'named') {
 				namedByService.set(backend.service, {
 					max: notice.perSecond,
@@ -145,13 +128,7 @@
 				});
 			}
 
-			const statement = applyLimitNotice(statements.get(key), notice, {
-				sentAt,
-				now: clock.now(),
-			});
-			if (statement !== undefined) {
-				update(key, statement);
-			}
+			statements.record(backend, notice, sentAt);
 		},
 		recordRejection(backend) {
 			const key = createIncarnationKey(backend);
@@ -169,7 +146,7 @@
 				repeats,
 				random(),
 			);
-			rejectedAt.set(key, [...listRejections(key), now]);
+			statements.addEvent(key);
 			coolDowns.set(key, {
 				until: Math.max(previous.until, now + forMs),
 				repeats,
@@ -178,8 +155,8 @@
 			log.warn('A brittle backend server turned a request away.', {
 				backend: key,
 				maxRejections,
-				here: listRejections(key).length,
-				elsewhere: rejectedForOthers.get(key) ?? 0,
+				here: statements.countHere(key),
+				elsewhere: statements.countElsewhere(key),
 				repeats,
 				forMs: Math.round(forMs),
 			});
@@ -196,8 +173,7 @@
 			const now = clock.now();
 			return acceptsBrittle({
 				maxRejections: readMaxRejections(backend) ?? 0,
-				rejections:
-					listRejections(key).length + (rejectedForOthers.get(key) ?? 0),
+				rejections: statements.countHere(key) + statements.countElsewhere(key),
 				isCoolingDown: now < (coolDowns.get(key) ?? NO_COOL_DOWN).until,
 				isRetry,
 				mayBorrow: mayBorrowSlot({
@@ -208,48 +184,20 @@
 				occupancy,
 			});
 		},
-		countBrittle: () =>
-			[...statements.values()].filter(({perSecond}) => perSecond !== undefined)
-				.length,
-		createReport() {
-			const now = clock.now();
-			return Object.fromEntries(
-				[...statements]
-					.filter(
-						([, {perSecond, at}]) =>
-							perSecond !== undefined || now - at < ENDED_REPORT_MS,
-					)
-					.map(([key, {perSecond, at}]) => [
-						key,
-						{perSecond, ageMs: now - at, sent: listRejections(key).length},
-					]),
-			);
-		},
+		countBrittle: statements.countInForce,
+		createReport: statements.createReport,
 		applyReport(reports) {
-			const now = clock.now();
-			rejectedForOthers.clear();
 			borrowDraws.clear();
-			Object.entries(reports).forEach(([key, {perSecond, ageMs, sent}]) => {
-				rejectedForOthers.set(key, sent);
-				update(
-					key,
-					keepNewest(statements.get(key), {perSecond, at: now - ageMs}),
-				);
-			});
+			statements.applyReport(reports);
 		},
 		removeEnded(find) {
-			[...answered, ...statements.keys()]
+			statements.removeEnded(find);
+			[...answered, ...steadySince.keys(), ...coolDowns.keys()]
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
-					answered.delete(key);
-					[
-						statements,
-						rejectedAt,
-						rejectedForOthers,
-						coolDowns,
-						steadySince,
-						borrowDraws,
-					].forEach((known) => known.delete(key));
+					[answered, coolDowns, steadySince, borrowDraws].forEach((known) =>
+						known.delete(key),
+					);
 				});
 		},
 	};
--- a/packages/lovage-gateway/src/named-limits.ts
+++ b/packages/lovage-gateway/src/named-limits.ts
@@ -1,17 +1,15 @@
 import {
-	applyLimitNotice,
 	type BackendRecord,
 	createIncarnationKey,
 	drawLimited,
 	isRunningIncarnation,
-	keepNewest,
 	LIMIT_WINDOW_MS,
 	type LimitCredits,
 	type LimitNotice,
 	type LimitReports,
-	type LimitStatement,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {createLimitStatements} from './limit-statements.js';
 
 /** Limits that backend servers name in their answers. */
 export type NamedLimits = Readonly<{
@@ -42,8 +40,6 @@
 /** Limits that differ by a smaller factor are not logged again. */
 const LOGGED_CHANGE = 1.25;
 
-/** The end of a limit is reported for this long, so that no entry keeps it. */
-const ENDED_REPORT_MS = 5000;
 /** Longest time to come back; callers try another entry by then. */
 const MAX_RETRY_AFTER_MS = 3000;
 const MIN_RETRY_AFTER_MS = 300;
@@ -73,15 +69,10 @@
 	/** Requests a second for a service at all entries. */
 	readDemand: (service: string) => number;
 }>): NamedLimits {
-	const statements = new Map<string, LimitStatement>();
-	/** Times of the requests to limited backend servers within the window. */
-	const sentAt = new Map<string, readonly number[]>();
-	const sentByOthers = new Map<string, number>();
 	let credits: LimitCredits = new Map();
 	const logged = new Map<string, number | undefined>();
 
-	const logChange = (key: string): void => {
-		const after = statements.get(key)?.perSecond;
+	const logChange = (key: string, after: number | undefined): void => {
 		if (!isNotable(logged.get(key), after)) {
 			return;
 		}
@@ -95,36 +86,20 @@
 		);
 	};
 
-	const listSent = (key: string): readonly number[] =>
-		(sentAt.get(key) ?? []).filter((at) => clock.now() - at < LIMIT_WINDOW_MS);
+	const statements = createLimitStatements({
+		clock,
+		log,
+		metrics,
+		windowMs: LIMIT_WINDOW_MS,
+		malformedMessage: 'Ignoring a malformed limit.',
+		onStatement: logChange,
+	});
 
 	const readLimit = (backend: BackendRecord): number | undefined =>
-		statements.get(createIncarnationKey(backend))?.perSecond;
-
-	const update = (key: string, statement: LimitStatement): void => {
-		statements.set(key, statement);
-		logChange(key);
-	};
+		statements.read(createIncarnationKey(backend));
 
 	return {
-		record(backend, notice, requestSentAt) {
-			const key = createIncarnationKey(backend);
-			if (notice.kind === 'malformed') {
-				metrics.count('malformed_limits');
-				log.warn('Ignoring a malformed limit.', {
-					backend: key,
-					text: notice.text,
-				});
-			}
-
-			const statement = applyLimitNotice(statements.get(key), notice, {
-				sentAt: requestSentAt,
-				now: clock.now(),
-			});
-			if (statement !== undefined) {
-				update(key, statement);
-			}
-		},
+		record: statements.record,
 		isLimited: (backend) => readLimit(backend) !== undefined,
 		draw(service, limited, unlimitedSlots) {
 			if (limited.length === 0) {
@@ -137,8 +112,8 @@
 					key,
 					perSecond: readLimit(backend) ?? 0,
 					slots: backend.slots,
-					sent: listSent(key).length,
-					sentByOthers: sentByOthers.get(key) ?? 0,
+					sent: statements.countHere(key),
+					sentByOthers: statements.countElsewhere(key),
 				};
 			});
 			const context = {
@@ -149,7 +124,7 @@
 			const drawn = drawLimited(candidates, context, credits);
 			credits = drawn.credits;
 			if (drawn.chosen !== undefined) {
-				sentAt.set(drawn.chosen, [...listSent(drawn.chosen), clock.now()]);
+				statements.addEvent(drawn.chosen);
 			}
 
 			return limited.find(
@@ -166,43 +141,19 @@
 				Math.max(MIN_RETRY_AFTER_MS, 1000 / Math.max(0.1, perSecond)),
 			);
 		},
-		countLimited: () =>
-			[...statements.values()].filter(({perSecond}) => perSecond !== undefined)
-				.length,
-		createReport() {
-			const now = clock.now();
-			return Object.fromEntries(
-				[...statements]
-					.filter(
-						([, {perSecond, at}]) =>
-							perSecond !== undefined || now - at < ENDED_REPORT_MS,
-					)
-					.map(([key, {perSecond, at}]) => [
-						key,
-						{perSecond, ageMs: now - at, sent: listSent(key).length},
-					]),
-			);
-		},
-		applyReport(limits) {
-			const now = clock.now();
-			sentByOthers.clear();
-			Object.entries(limits).forEach(([key, {perSecond, ageMs, sent}]) => {
-				sentByOthers.set(key, sent);
-				update(
-					key,
-					keepNewest(statements.get(key), {perSecond, at: now - ageMs}),
-				);
-			});
-		},
+		countLimited: statements.countInForce,
+		createReport: statements.createReport,
+		applyReport: statements.applyReport,
 		removeEnded(find) {
-			[...statements.keys()]
+			statements.removeEnded(find);
+			[...logged.keys()]
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
-					statements.delete(key);
 					logged.delete(key);
-					sentAt.delete(key);
 				});
-			credits = new Map([...credits].filter(([key]) => statements.has(key)));
+			credits = new Map(
+				[...credits].filter(([key]) => isRunningIncarnation(key, find)),
+			);
 		},
 	};
 }
