Learn from other entries that a service is brittle

Callers: backend servers that restart while they are brittle were pushed over again by entries that own no slot of theirs.

Cause: a new incarnation is taken to be as its service is, and an entry knew that from its own answers of the last five seconds only. One that owns no slot has none, took the new server for a sound one and sent what it liked. A trace shows nine arrivals at a new incarnation, six of them sent to it as to a brittle one.

Change: what other entries report of an incarnation counts for its service.

--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -282,7 +282,7 @@
 			}
 
 			if (overview?.brittle !== undefined) {
-				brittle.applyReport(overview.brittle);
+				brittle.applyReport(overview.brittle, (id) => table.get(id));
 			}
 
 			remoteLoads =
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -9,6 +9,7 @@
 	type LimitReports,
 	mayBorrowSlot,
 	type Occupancy,
+	parseIncarnationKey,
 	REJECTION_WINDOW_MS,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
@@ -34,7 +35,10 @@
 	/** What this entry knows and has seen, for the control instances. */
 	createReport: () => LimitReports;
 	/** Merges what other entries know and have seen. */
-	applyReport: (reports: LimitReports) => void;
+	applyReport: (
+		reports: LimitReports,
+		find: (id: string) => BackendRecord | undefined,
+	) => void;
 	/** Forgets the incarnations that have ended. */
 	removeEnded: (find: (id: string) => BackendRecord | undefined) => void;
 }>;
@@ -112,6 +116,17 @@
 			: undefined;
 	};
 
+	/** Entries that get no answers themselves must know of a service, too. */
+	const recordService = (
+		service: string,
+		statement: Readonly<{max: number; at: number}>,
+	): void => {
+		const known = namedByService.get(service);
+		if (known === undefined || known.at <= statement.at) {
+			namedByService.set(service, statement);
+		}
+	};
+
 	const readBorrowDraw = (key: string): number => {
 		const draw = borrowDraws.get(key) ?? random();
 		borrowDraws.set(key, draw);
@@ -122,7 +137,7 @@
 		record(backend, notice, sentAt) {
 			answered.add(createIncarnationKey(backend));
 			if (notice.kind === 'named') {
-				namedByService.set(backend.service, {
+				recordService(backend.service, {
 					max: notice.perSecond,
 					at: clock.now(),
 				});
@@ -186,9 +201,15 @@
 		},
 		countBrittle: statements.countInForce,
 		createReport: statements.createReport,
-		applyReport(reports) {
+		applyReport(reports, find) {
 			borrowDraws.clear();
 			statements.applyReport(reports);
+			Object.entries(reports).forEach(([key, {perSecond, ageMs}]) => {
+				const service = find(parseIncarnationKey(key).id)?.service;
+				if (service !== undefined && perSecond !== undefined) {
+					recordService(service, {max: perSecond, at: clock.now() - ageMs});
+				}
+			});
 		},
 		removeEnded(find) {
 			statements.removeEnded(find);
