Lend no slots of a brittle backend server that may be away

A server that has ended runs nothing in the reports, so that entries still took slots of others there until its next registration was known. One that runs nothing while the others of its service run a request each on average lends no slots now; the owners go on using theirs.

--- a/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
@@ -40,6 +40,7 @@
 		ownRunning: 2,
 		running: 6,
 		serviceRunning: 12,
+		backends: 3,
 		slots: 6,
 		ownSlots: 2,
 		borrowers: 3,
@@ -95,6 +96,7 @@
 	const half = {
 		running: 4,
 		serviceRunning: 12,
+		backends: 3,
 		slots: 8,
 		borrowers: 10,
 		steadyForMs: 5000,
@@ -112,6 +114,10 @@
 		expect(mayBorrowSlot({...idle, draw: 0.99})).toBe(true);
 	});
 
+	it('borrows nothing of one that runs nothing while others are busy', () => {
+		expect(mayBorrowSlot({...half, running: 0, draw: 0})).toBe(false);
+	});
+
 	it('borrows nothing of one that is three quarters full', () => {
 		expect(mayBorrowSlot({...half, running: 6, draw: 0})).toBe(false);
 	});
--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -6,6 +6,8 @@
 	running: number;
 	/** The same for its whole service. */
 	serviceRunning: number;
+	/** Backend servers of its service. */
+	backends: number;
 	slots: number;
 	/** Slots that no other instance uses while the backend server is brittle. */
 	ownSlots: number;
@@ -19,6 +21,8 @@
 	running: number;
 	/** The same for its whole service, any of which may come here next. */
 	serviceRunning: number;
+	/** Backend servers of its service. */
+	backends: number;
 	slots: number;
 	/** Instances that share the slots which their owners leave free. */
 	borrowers: number;
@@ -104,11 +108,13 @@
 /**
  * Whether an instance may use a slot of another one. The loads are known with a
  * delay, so all instances see the same room: each uses a part of it. The load of a
- * backend server that was away a short time ago is not known yet.
+ * backend server that was away a short time ago is not known yet, and one that runs
+ * nothing while the others are busy may be away.
  */
 export function mayBorrowSlot({
 	running,
 	serviceRunning,
+	backends,
 	slots,
 	borrowers,
 	steadyForMs,
@@ -116,7 +122,12 @@
 }: BorrowInputs): boolean {
 	const free = Math.floor(slots * ROOMY_FILL) - running;
 	const starts = Math.min(borrowers, STARTS_PER_RUNNING * (serviceRunning + 1));
-	return steadyForMs >= MIN_STEADY_MS && draw < free / Math.max(1, starts);
+	const mayBeAway = running === 0 && serviceRunning >= backends;
+	return (
+		steadyForMs >= MIN_STEADY_MS &&
+		!mayBeAway &&
+		draw < free / Math.max(1, starts)
+	);
 }
 
 /**
--- a/packages/lovage-gateway/src/__tests__/unit/brittle-room.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/brittle-room.test.ts
@@ -36,6 +36,7 @@
 		ownRunning: 1,
 		running: 3,
 		serviceRunning: 6,
+		backends: 2,
 		slots: 4,
 		ownSlots: 2,
 		borrowers: 4,
--- a/packages/lovage-gateway/src/brittle-room.ts
+++ b/packages/lovage-gateway/src/brittle-room.ts
@@ -66,6 +66,7 @@
 			(sum, peer) => sum + countOwn(peer.id) + countOthers(peer.id),
 			0,
 		),
+		backends: addresses.length,
 		slots,
 		ownSlots: countOwnSlots(share),
 		borrowers: countBorrowers(share),
