Keep the entries of a control instance in a registry of their own

What is known of entries, whom callers are sent to and who takes over for one that is cut off are in entry-registry.ts now.

--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -6,7 +6,7 @@
 	ReadOutcome,
 } from './coordinator.js';
 export {findFailedVoter} from './membership.js';
-export type {KnownEntry} from './registry.js';
+export type {KnownEntry} from './entry-registry.js';
 export {createRegistry} from './registry.js';
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -2,17 +2,14 @@
 	type AgedRecord,
 	type BackendRecord,
 	type BackendTable,
-	chooseRelays,
 	createIncarnationKey,
 	type ClusterOverview,
 	type ControlReport,
 	dropOldRecords,
 	type EntryReport,
-	type EntryStatus,
 	fromAgedRecord,
 	fromCompactLoads,
 	isSameRegistration,
-	type KnownRevision,
 	mergeRecords,
 	type OriginAnswer,
 	type MergeOutcome,
@@ -28,23 +25,13 @@
 	mapValues,
 	toCountsSum,
 } from './arithmetic.js';
+import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
 import {createEntrySums} from './entry-sums.js';
 import {createLimitRegistry} from './limit-registry.js';
 import {createOriginRegistry} from './origin-registry.js';
 import type {VersionHistory} from './version-history.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
-/** An entry as a control instance knows it. */
-export type KnownEntry = Readonly<{
-	entry: string;
-	address: string;
-	dataCentre: string;
-	standing: EntryStatus;
-	/** It reaches no backend server. */
-	isCutOff: boolean;
-	heardAt: number;
-}>;
-
 /** Identity of a resumed stream and the services that may run it. */
 export type OriginQuery = Readonly<{
 	key?: string;
@@ -84,13 +71,6 @@
 	removeExpired: () => void;
 }>;
 
-/**
- * Entries report several times a second; one that is silent for this long is
- * not advertised.
- */
-const ENTRY_TIMEOUT_MS = 1500;
-const ENTRY_RETENTION_MS = 30_000;
-
 function isChange(outcome: MergeOutcome): boolean {
 	return outcome === 'added' || outcome === 'changed';
 }
@@ -110,12 +90,9 @@
 	log: Logger,
 	{epoch, versions, random}: RegistryOptions,
 ): Registry {
-	const entries = new Map<string, KnownEntry>();
+	const entries = createEntryRegistry({clock, log, epoch, random});
 	let table: BackendTable = new Map();
 	let revision = 1;
-	/** Advertised entries as last described, and the number of changes of them. */
-	let lastServing: readonly string[] = [];
-	let servingCount = 0;
 	/** Revision of the last change of each backend server, in ascending order. */
 	const changedRevisions = new Map<string, number>();
 	/**
@@ -124,9 +101,6 @@
 	 */
 	const pendingGossip = new Set<string>();
 
-	const isAlive = ({heardAt}: KnownEntry): boolean =>
-		clock.now() - heardAt < ENTRY_TIMEOUT_MS;
-
 	const loads = createEntrySums(LOAD_ARITHMETIC);
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
@@ -143,11 +117,7 @@
 	const describeOthers = (
 		entry: string,
 	): Pick<ClusterOverview, 'loads' | 'retries' | 'limits' | 'brittle'> => {
-		[...entries.values()]
-			.filter((known) => !isAlive(known))
-			.forEach((silent) => {
-				removeFromSums(silent.entry);
-			});
+		entries.listSilent().forEach(removeFromSums);
 		return {
 			loads: toCompactLoads(loads.sumOthers(entry)),
 			retries: mapValues(retries.sumOthers(entry), fromCountsSum),
@@ -156,28 +126,6 @@
 		};
 	};
 
-	const recordEntry = (report: EntryReport): void => {
-		const {entry, address, dataCentre, standing, isCutOff = false} = report;
-		const known = entries.get(entry);
-		if (
-			known?.standing !== standing ||
-			known.address !== address ||
-			known.isCutOff !== isCutOff ||
-			!isAlive(known)
-		) {
-			log.info('An entry changed.', {entry, address, standing, isCutOff});
-		}
-
-		entries.set(entry, {
-			entry,
-			address,
-			dataCentre,
-			standing,
-			isCutOff,
-			heardAt: clock.now(),
-		});
-	};
-
 	const listBackends = (): readonly AgedRecord[] =>
 		[...table.values()].map((record) => toAgedRecord(record, clock.now()));
 
@@ -223,56 +171,6 @@
 		});
 	};
 
-	const listReady = (): readonly KnownEntry[] =>
-		[...entries.values()].filter(
-			(entry) => entry.standing === 'ready' && isAlive(entry),
-		);
-
-	/** Entries that are cut off are advertised only while all others are as well. */
-	const listServing = (): readonly KnownEntry[] => {
-		const ready = listReady();
-		const connected = ready.filter(({isCutOff}) => !isCutOff);
-		return connected.length > 0 ? connected : ready;
-	};
-
-	/** Lists entries that take over requests of one that is cut off. */
-	const describeRelays = (entry: string): Pick<ClusterOverview, 'relays'> => {
-		const known = entries.get(entry);
-		if (known?.isCutOff !== true) {
-			return {};
-		}
-
-		const {dataCentre} = known;
-		const ready = listReady();
-		const candidates = ready.filter(({isCutOff}) => !isCutOff);
-		const cutOff = ready.filter(
-			(other) => other.isCutOff && other.dataCentre === dataCentre,
-		).length;
-		return {relays: chooseRelays(candidates, {dataCentre, cutOff}, random)};
-	};
-
-	/**
-	 * The list grows with the number of entries, and so does the number of answers;
-	 * so it is sent only after a change.
-	 */
-	const describeServing = (
-		knownServing: KnownRevision | undefined,
-	): Pick<ClusterOverview, 'serving' | 'servingRevision'> => {
-		const serving = listServing().map(({address}) => address);
-		const isChanged =
-			serving.length !== lastServing.length ||
-			serving.some((address, i) => address !== lastServing[i]);
-		if (isChanged) {
-			lastServing = serving;
-			servingCount += 1;
-		}
-
-		const servingRevision = {epoch, revision: servingCount};
-		const isKnown =
-			knownServing?.epoch === epoch && knownServing.revision === servingCount;
-		return isKnown ? {servingRevision} : {servingRevision, serving};
-	};
-
 	return {
 		register(record) {
 			const merged = mergeRecords(table, [record]);
@@ -321,7 +219,7 @@
 			};
 		},
 		applyReport(report) {
-			recordEntry(report);
+			entries.record(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
 			retries.set(report.entry, mapValues(report.retries, toCountsSum));
 			limits.applyReport(report.entry, report.limits ?? {});
@@ -339,7 +237,7 @@
 			wantsAges,
 			agesAboveMs,
 		}) => ({
-			entries: [...entries.values()].filter(isAlive).length,
+			entries: entries.countAlive(),
 			...describeChanges(
 				{table, changedRevisions, latest: {epoch, revision}},
 				known,
@@ -349,14 +247,14 @@
 			...(wantsOverview
 				? {
 						overview: {
-							...describeServing(knownServing),
+							...entries.describeServing(knownServing),
 							...describeOthers(entry),
-							...describeRelays(entry),
+							...entries.describeRelays(entry),
 						},
 					}
 				: {}),
 		}),
-		listServing,
+		listServing: entries.listServing,
 		removeExpired() {
 			versions.update(table.values());
 			table = dropOldRecords(table, clock.now());
@@ -367,12 +265,7 @@
 				.forEach((id) => {
 					changedRevisions.delete(id);
 				});
-			[...entries.values()]
-				.filter(({heardAt}) => clock.now() - heardAt > ENTRY_RETENTION_MS)
-				.forEach(({entry}) => {
-					entries.delete(entry);
-					removeFromSums(entry);
-				});
+			entries.removeExpired().forEach(removeFromSums);
 		},
 	};
 }
