Keep what an entry knows of the others in a file of its own

entry.ts wires the parts, and also kept which entries are advertised, how many there are, who takes over requests and the entry's position among them as loose variables. They are in entry-peers.ts now.

--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -26,6 +26,7 @@
 import {createGateway, type Gateway} from './gateway.js';
 import {createNamedLimits} from './named-limits.js';
 import type {HeaderCodec} from './protocol.js';
+import {createEntryPeers} from './entry-peers.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {createStreamOrigins} from './stream-origins.js';
 
@@ -91,11 +92,6 @@
 const REPORT_INTERVAL_MS = 200;
 /** The process exits this long before the end of the grace period. */
 const STOP_MARGIN_MS = 300;
-/**
- * Values from a control instance remain valid for this long, which bridges
- * several report intervals or the loss of one instance.
- */
-const REPORT_RETENTION_MS = 3000;
 
 async function sleep(ms: number): Promise<void> {
 	return new Promise((resolve) => {
@@ -111,11 +107,7 @@
 	const {clock, log, metrics} = dependencies;
 	let routeTable: RouteTable | undefined;
 	let isLeaving = false;
-	let serving: readonly string[] = [];
-	/** Entries that take over requests while this one is cut off. */
-	let relays: readonly string[] = [];
-	/** Number of entries, by the control instance that reported it. */
-	const entryCounts = new Map<string, Readonly<{count: number; at: number}>>();
+	const peers = createEntryPeers(clock, settings.address);
 	const crashes = createCrashWatch({clock, log, metrics});
 	const origins = createStreamOrigins(clock);
 
@@ -131,7 +123,7 @@
 		log,
 		metrics,
 		random: dependencies.random,
-		countEntries: () => countEntries(),
+		countEntries: peers.count,
 	});
 	const view = createBackendView({
 		clock,
@@ -140,13 +132,7 @@
 		registrationIntervalMs: settings.registrationIntervalMs,
 		limits,
 		brittle,
-		readRank() {
-			const sorted = serving.toSorted();
-			const rank = sorted.indexOf(settings.address);
-			return rank === -1
-				? {rank: sorted.length, instances: sorted.length + 1}
-				: {rank, instances: sorted.length};
-		},
+		readRank: peers.readRank,
 		onUnreachable(service) {
 			reach.suspect(service);
 		},
@@ -169,29 +155,12 @@
 		return routeTable === undefined ? 'starting' : 'ready';
 	};
 
-	/**
-	 * The largest recent count, as a control instance that has just started knows
-	 * few entries.
-	 */
-	const countEntries = (): number =>
-		Math.max(
-			1,
-			...[...entryCounts.values()]
-				.filter(({at}) => clock.now() - at < REPORT_RETENTION_MS)
-				.map(({count}) => count),
-		);
-
 	const retryBudgets = createRetryBudgets(
 		settings.retryBudget,
 		clock,
-		countEntries,
+		peers.count,
 		dependencies.random,
 	);
-	const listRelays = (): readonly string[] =>
-		relays.length > 0
-			? relays
-			: serving.filter((address) => address !== settings.address);
-
 	const ctx: GatewayContext = {
 		clock,
 		log,
@@ -204,7 +173,7 @@
 		readRouteTable: () => routeTable,
 		crashes,
 		reach,
-		listRelays,
+		listRelays: peers.listRelays,
 		origins,
 		resolveAddress,
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
@@ -258,10 +227,7 @@
 		createOriginsUpdate: origins.createReport,
 		createAgesRequest: view.createAgesRequest,
 		onReport(control, report) {
-			entryCounts.set(control, {count: report.entries, at: clock.now()});
-			serving = report.overview?.serving ?? serving;
-			relays =
-				report.overview === undefined ? relays : (report.overview.relays ?? []);
+			peers.applyReport(control, report);
 			if (report.overview !== undefined) {
 				retryBudgets.updateRemoteCounts(report.overview.retries);
 			}
@@ -293,11 +259,12 @@
 		isReady: () => readStatus() === 'ready',
 		listServing() {
 			// Control instances know whether others reach what this entry doesn't.
+			const serving = peers.listServing();
 			if (reach.isIsolated() && serving.length > 0) {
 				return serving;
 			}
 
-			const others = serving.filter((other) => other !== settings.address);
+			const others = peers.listOthers();
 			return readStatus() === 'ready' ? [settings.address, ...others] : others;
 		},
 		async drain() {
