Write the last log lines of a program before it exits

The record of the streams lost at planned stops has no line of the process that lost them after its SIGTERM. Log lines are written asynchronously, and the programs called process.exit right behind the last ones: of three lines before an exit one reached the pipe, in three runs of three.

--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -24,6 +24,7 @@
 export type {PrometheusMetrics} from './prometheus-metrics.js';
 export {createPrometheusMetrics} from './prometheus-metrics.js';
 export {createRateLimitedLogger, installStdoutLogWriter} from './stdout-log.js';
+export type {StdoutLogWriter} from './stdout-log.js';
 export type {JsonResponse, JsonRequest, JsonHandler} from './json-server.js';
 export {createJsonServer} from './json-server.js';
 export type {PeerClient} from './peer-client.js';
--- a/packages/lovage-runtime/src/stdout-log.ts
+++ b/packages/lovage-runtime/src/stdout-log.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
 // eslint-disable-next-line import-x/no-unassigned-import
 import './enable-roarr.js';
 // eslint-disable-next-line import-x/order
@@ -15,12 +16,23 @@
 const MAX_LINES_PER_SECOND = 20;
 const SECOND_MS = 1000;
 
+/** Writer of the log lines of a process. */
+export type StdoutLogWriter = Readonly<{
+	/**
+	 * Resolves when all lines are written or the time limit, in milliseconds, has
+	 * passed. A process that exits before that loses its last lines.
+	 */
+	flush: (limitMs: number) => Promise<void>;
+}>;
+
+const FLUSH_POLL_MS = 5;
+
 /**
  * Configures roarr to write JSON lines to standard output. Writes are
  * asynchronous and don't block the event loop. Lines are dropped while the buffer
  * is full; the number of dropped lines is logged before the next line that fits.
  */
-export function installStdoutLogWriter(): void {
+export function installStdoutLogWriter(): StdoutLogWriter {
 	let waiting: string[] = [];
 	let waitingBytes = 0;
 	let dropped = 0;
@@ -65,6 +77,17 @@
 		waitingBytes += line.length;
 		flush();
 	};
+
+	return {
+		async flush(limitMs) {
+			const deadlineAt = performance.now() + limitMs;
+			const isBusy = (): boolean => isWriting && performance.now() < deadlineAt;
+			while (isBusy()) {
+				// eslint-disable-next-line no-await-in-loop -- polls until the lines are written
+				await sleep(FLUSH_POLL_MS);
+			}
+		},
+	};
 }
 
 type RateLimitWindow = {startedAt: number; lines: number; leftOut: number};
