Log the requests that the end of a draining entry cuts

Callers saw streams end without a whole answer around the SIGTERM of an entry, and no log line of that entry named them: their responses close with the process, so nothing records how they ended. The drain now logs when it stops listening, and at its end each open request with its id, its age, and whether it arrived before or after the stop signal (20 lines at most, and their number). Open requests are kept in a file of their own; what is served does not change.

--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -92,6 +92,8 @@
 const REPORT_INTERVAL_MS = 200;
 /** The process exits this long before the end of the grace period. */
 const STOP_MARGIN_MS = 300;
+/** Limit of the lines on requests that the end of the process cuts. */
+const MAX_LOGGED_REQUESTS = 20;
 
 async function sleep(ms: number): Promise<void> {
 	return new Promise((resolve) => {
@@ -268,23 +270,35 @@
 			return readStatus() === 'ready' ? [settings.address, ...others] : others;
 		},
 		async drain() {
-			const deadlineAt = clock.now() + settings.gracePeriodMs - STOP_MARGIN_MS;
+			const stoppedAt = clock.now();
+			const deadlineAt = stoppedAt + settings.gracePeriodMs - STOP_MARGIN_MS;
 			isLeaving = true;
 			log.info('Draining: no longer advertised to callers.', {
 				requests: gateway.countRequests(),
 			});
 			void controlClient.reportToAll();
-			gateway.disableKeepAlive();
+			gateway.open.disableKeepAlive();
 			// Callers keep using an address for a while and are served until then.
 			await sleep(settings.addressLifetimeMs);
+			log.info('Draining: accepts no more connections.', {
+				requests: gateway.countRequests(),
+				leftMs: Math.round(deadlineAt - clock.now()),
+			});
 			gateway.server.close();
 			// Idleness counts only from here on, because requests can arrive until
 			// the server closes.
 			await gateway.awaitIdle(deadlineAt - clock.now());
 			clearInterval(timer);
 			reach.stop();
+			const cutOff = gateway.open.list();
+			cutOff.slice(0, MAX_LOGGED_REQUESTS).forEach((request) => {
+				log.warn('The end of the process cuts a request.', {
+					...request,
+					arrivedMs: Math.round(clock.now() - stoppedAt - request.ageMs),
+				});
+			});
 			log.info('Drained.', {
-				requests: gateway.countRequests(),
+				requests: cutOff.length,
 				leftMs: Math.round(deadlineAt - clock.now()),
 			});
 		},
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -6,7 +6,6 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import {
 	breakOff,
@@ -19,6 +18,7 @@
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
 import {CUT_OFF_HEADER, isRelayed, removeRelayHeaders} from './peer-relay.js';
+import {createOpenRequests, type OpenRequests} from './open-requests.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -28,13 +28,9 @@
 	server: Server;
 	/** Applies the server limits of the active configuration. */
 	applyLimits: () => void;
-	/** From now on, closes each connection after its next response. */
-	disableKeepAlive: () => void;
-	/**
-	 * Resolves when all responses are delivered and no request can arrive on a
-	 * connection that was accepted before the server closed, or the time limit has
-	 * passed.
-	 */
+	/** The connections of callers and the requests on them. */
+	open: Pick<OpenRequests, 'disableKeepAlive' | 'list'>;
+	/** Resolves when nothing is open any more, or the time limit has passed. */
 	awaitIdle: (limitMs: number) => Promise<void>;
 	countRequests: () => number;
 }>;
@@ -58,7 +54,6 @@
  * triggers a probe.
  */
 const TICK_INTERVAL_MS = 50;
-const DRAIN_POLL_MS = 50;
 /** Tells the entry that sent the request on to try another one. */
 const CUT_OFF: ProblemResponse = {
 	status: 503,
@@ -70,12 +65,6 @@
 	status: 499,
 	reason: 'the caller left',
 };
-/**
- * Time for the request of a connection that was accepted just before the server
- * closed: its packets may have to be sent again.
- */
-const SILENT_CONNECTION_MS = 1000;
-
 function countHeaderBytes(req: IncomingMessage): number {
 	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
@@ -96,11 +85,11 @@
 /** Creates the server for callers; the owner calls `listen`. */
 export function createGateway(ctx: GatewayContext): Gateway {
 	const relays = new Set<StreamRelay>();
-	const connections = new Set<Socket>();
-	/** Responses of which the caller may not have received everything. */
-	const openResponses = new Set<ServerResponse>();
+	const open = createOpenRequests(
+		ctx.clock,
+		({headers}) => ctx.codec.readRequest(headers).id,
+	);
 	let activeRequests = 0;
-	let isKeepAliveDisabled = false;
 
 	const reject = (
 		req: IncomingMessage,
@@ -222,10 +211,6 @@
 		res: ServerResponse,
 	): Promise<void> => {
 		const startedAt = ctx.clock.now();
-		if (isKeepAliveDisabled) {
-			res.shouldKeepAlive = false;
-		}
-
 		const routeTable = ctx.readRouteTable();
 		if (routeTable === undefined) {
 			const reason = 'no configuration is known yet';
@@ -313,20 +298,12 @@
 		(req, res) => {
 			req.on('error', () => undefined);
 			res.on('error', () => undefined);
-			openResponses.add(res);
-			res.once('close', () => {
-				openResponses.delete(res);
-			});
+			open.add(res);
 			void serve(req, res);
 		},
 	);
 	server.requestTimeout = 0;
-	server.on('connection', (socket) => {
-		connections.add(socket);
-		socket.once('close', () => {
-			connections.delete(socket);
-		});
-	});
+	server.on('connection', open.addConnection);
 	const timer = setInterval(() => {
 		relays.forEach((relay) => {
 			relay.tick();
@@ -343,29 +320,10 @@
 	return {
 		server,
 		applyLimits,
+		open,
 		countRequests: () => activeRequests,
-		disableKeepAlive() {
-			isKeepAliveDisabled = true;
-		},
 		async awaitIdle(limitMs) {
-			const startedAt = ctx.clock.now();
-			const deadlineAt = startedAt + limitMs;
-			const isBusy = (): boolean => {
-				const now = ctx.clock.now();
-				const mayReceiveRequest =
-					connections.size > 0 && now - startedAt < SILENT_CONNECTION_MS;
-				return (
-					(openResponses.size > 0 || mayReceiveRequest) && now < deadlineAt
-				);
-			};
-
-			while (isBusy()) {
-				// eslint-disable-next-line no-await-in-loop
-				await new Promise((resolve) => {
-					setTimeout(resolve, DRAIN_POLL_MS);
-				});
-			}
-
+			await open.awaitIdle(limitMs);
 			clearInterval(timer);
 		},
 	};
--- /dev/null
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -0,0 +1,96 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '@lovagevalve/runtime';
+
+/** A request whose caller may not have received everything, for the log. */
+export type OpenRequest = Readonly<{
+	request: string;
+	path: string;
+	/** Time since its headers arrived, in milliseconds. */
+	ageMs: number;
+	/** Whether the response has begun. */
+	hasHead: boolean;
+	/** Whether the response is complete and waits for a slow caller. */
+	isEnded: boolean;
+}>;
+
+/** Connections of callers and the requests on them. */
+export type OpenRequests = Readonly<{
+	addConnection: (socket: Socket) => void;
+	/** Keeps a request until its response was handed to the operating system. */
+	add: (res: ServerResponse) => void;
+	/** From now on, each connection is closed after its next response. */
+	disableKeepAlive: () => void;
+	/** Describes the open requests, the oldest first. */
+	list: () => readonly OpenRequest[];
+	/**
+	 * Resolves when all responses are delivered and no request can arrive on a
+	 * connection that was accepted before the server closed, or the time limit has
+	 * passed.
+	 */
+	awaitIdle: (limitMs: number) => Promise<void>;
+}>;
+
+const DRAIN_POLL_MS = 50;
+/**
+ * Time for the request of a connection that was accepted just before the server
+ * closed: its packets may have to be sent again.
+ */
+const SILENT_CONNECTION_MS = 1000;
+
+/** Creates the record of a server without connections. */
+export function createOpenRequests(
+	clock: Clock,
+	readId: (req: IncomingMessage) => string,
+): OpenRequests {
+	const connections = new Set<Socket>();
+	/** Time of arrival of each request, in monotonic milliseconds. */
+	const open = new Map<ServerResponse, number>();
+	let isKeepAliveDisabled = false;
+
+	return {
+		addConnection(socket) {
+			connections.add(socket);
+			socket.once('close', () => {
+				connections.delete(socket);
+			});
+		},
+		add(res) {
+			open.set(res, clock.now());
+			res.once('close', () => {
+				open.delete(res);
+			});
+			if (isKeepAliveDisabled) {
+				res.shouldKeepAlive = false;
+			}
+		},
+		disableKeepAlive() {
+			isKeepAliveDisabled = true;
+		},
+		list: () =>
+			[...open].map(([res, arrivedAt]) => ({
+				request: readId(res.req),
+				path: res.req.url ?? '',
+				ageMs: Math.round(clock.now() - arrivedAt),
+				hasHead: res.headersSent,
+				isEnded: res.writableEnded,
+			})),
+		async awaitIdle(limitMs) {
+			const startedAt = clock.now();
+			const deadlineAt = startedAt + limitMs;
+			const isBusy = (): boolean => {
+				const now = clock.now();
+				const mayReceiveRequest =
+					connections.size > 0 && now - startedAt < SILENT_CONNECTION_MS;
+				return (open.size > 0 || mayReceiveRequest) && now < deadlineAt;
+			};
+
+			while (isBusy()) {
+				// eslint-disable-next-line no-await-in-loop
+				await new Promise((resolve) => {
+					setTimeout(resolve, DRAIN_POLL_MS);
+				});
+			}
+		},
+	};
+}
