Reproduce the streams that a planned stop cuts

Streams that take longer than what is left of the grace period are sent to an entry while it drains: on new connections, and on one whose earlier stream outlasts the listener.

--- a/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-drain.test.ts
@@ -1,22 +1,15 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createJsonServer} from '@lovagevalve/runtime';
-import type {ControlReport} from '@lovagevalve/dispatch';
-import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
-import {createEntry} from '../../entry.js';
 import {
 	call,
 	configuration,
 	createCleanups,
 	formatEvent,
-	listen,
-	silentMetrics,
-	silentLogger,
 	startBackend,
-	testCodec,
 } from './harness.js';
+import {startEntry} from './started-entry.js';
 
 const ADDRESS_LIFETIME_MS = 300;
 const STREAM_DURATION_MS = 800;
@@ -24,44 +17,6 @@
 const LARGE_BODY_BYTES = 12_000_000;
 const cleanups = createCleanups();
 
-/** Starts a fake control instance that reports one backend server. */
-async function startControl(backendPort: number): Promise<string> {
-	const report: ControlReport = {
-		version: 1,
-		controls: [],
-		entries: 1,
-		known: {epoch: 1, revision: 1},
-		backends: [
-			{
-				id: 'e-0',
-				service: 's',
-				address: `127.0.0.1:${backendPort}`,
-				dataCentre: 'a',
-				state: 'ready',
-				slots: 8,
-				bornAt: 1,
-				sequence: 1,
-				ageMs: 0,
-			},
-		],
-		agesMs: {},
-		overview: {serving: [], loads: {}, retries: {}},
-		convicted: [],
-	};
-	const server = createJsonServer(
-		async ({path}) =>
-			path === '/report'
-				? {status: 200, body: report}
-				: {status: 200, body: {text: 'one'}},
-		() => undefined,
-	);
-	cleanups.push(() => {
-		server.closeAllConnections();
-		server.close();
-	});
-	return `127.0.0.1:${await listen(server)}`;
-}
-
 async function startDraining(): Promise<{
 	port: number;
 	isDrained: () => boolean;
@@ -81,34 +36,11 @@
 			res.end(formatEvent(2));
 		}, STREAM_DURATION_MS);
 	});
-	cleanups.push(() => backend.server.close());
-	const control = await startControl(backend.port);
-	const entry = createEntry(
-		{
-			name: 'entry',
-			address: '127.0.0.1:1',
-			dataCentre: 'a',
-			readSeeds: () => [control],
-			registrationIntervalMs: 60_000,
-			retryBudget: {windowMs: 10_000, ratio: 1, extra: 10},
-			gracePeriodMs: 5000,
-			addressLifetimeMs: ADDRESS_LIFETIME_MS,
-		},
-		{
-			clock: {now: () => performance.now(), wall: () => Date.now()},
-			log: silentLogger,
-			metrics: silentMetrics,
-			codec: testCodec,
-			random: () => 0,
-			decodeConfiguration: () => ok(configuration),
-		},
-	);
-	const port = await listen(entry.gateway.server);
-	while (!entry.isReady()) {
-		// eslint-disable-next-line no-await-in-loop -- polls until the configuration is applied
-		await sleep(20);
-	}
-
+	const {entry, port} = await startEntry(backend, cleanups, {
+		configuration,
+		gracePeriodMs: 5000,
+		addressLifetimeMs: ADDRESS_LIFETIME_MS,
+	});
 	let isDrained = false;
 	const closedResponses: boolean[] = [];
 	entry.gateway.server.on('request', (_req, res) => {
--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -0,0 +1,167 @@
+import {Agent, request} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Configuration} from '@lovagevalve/routing';
+import {describe, expect, it} from 'vitest';
+import {
+	configuration,
+	createCleanups,
+	formatEvent,
+	startBackend,
+} from './harness.js';
+import {startEntry} from './started-entry.js';
+
+const GRACE_PERIOD_MS = 3000;
+const ADDRESS_LIFETIME_MS = 1000;
+const EVENT_INTERVAL_MS = 100;
+/** Longer than the time that is left once callers no longer get the address. */
+const LONG_STREAM_EVENTS = 21;
+const SHORT_STREAM_EVENTS = 4;
+const cleanups = createCleanups();
+
+const longRoutes: Configuration = {
+	...configuration,
+	routes: configuration.routes.map((route) => ({...route, timeoutMs: 15_000})),
+};
+
+/** What the caller got of one request. */
+type Outcome = Readonly<{
+	id: string;
+	status: number;
+	retryAfter: string | undefined;
+	isWhole: boolean;
+}>;
+
+/** Sends a request for a stream; resolves when the answer ends or breaks off. */
+async function send(port: number, id: string, agent: Agent): Promise<Outcome> {
+	return new Promise((resolve) => {
+		const req = request({
+			host: '127.0.0.1',
+			port,
+			path: `/stream/${id}`,
+			method: 'POST',
+			agent,
+			headers: {Host: 'test', 'Request-Id': id, 'wait-ms': '15000'},
+		});
+		req.on('error', () => {
+			resolve({id, status: 0, retryAfter: undefined, isWhole: false});
+		});
+		req.on('response', (res) => {
+			const end = (): void => {
+				resolve({
+					id,
+					status: res.statusCode ?? 0,
+					retryAfter: res.headers['retry-after'],
+					isWhole: res.complete,
+				});
+			};
+
+			res.on('end', end);
+			res.on('error', end);
+			res.resume();
+		});
+		req.end();
+	});
+}
+
+/** Starts an entry before an engine whose streams have as many events as their ids say. */
+async function startSystem(): Promise<{
+	port: number;
+	ran: ReadonlySet<string>;
+	/** Drains the entry and ends what is open, as the end of its process does. */
+	stop: () => Promise<void>;
+}> {
+	const ran = new Set<string>();
+	const backend = await startBackend((req, res) => {
+		const id = String(req.headers['request-id']);
+		const eventCount = id.startsWith('short')
+			? SHORT_STREAM_EVENTS
+			: LONG_STREAM_EVENTS;
+		ran.add(id);
+		res.writeHead(200, {'Request-Id': id});
+		let sent = 0;
+		const timer = setInterval(() => {
+			sent += 1;
+			res.write(formatEvent(sent));
+			if (sent === eventCount) {
+				clearInterval(timer);
+				res.end();
+			}
+		}, EVENT_INTERVAL_MS);
+		res.once('close', () => {
+			clearInterval(timer);
+		});
+	});
+	const {entry, port} = await startEntry(backend, cleanups, {
+		configuration: longRoutes,
+		gracePeriodMs: GRACE_PERIOD_MS,
+		addressLifetimeMs: ADDRESS_LIFETIME_MS,
+	});
+	return {
+		port,
+		ran,
+		async stop() {
+			await entry.drain();
+			entry.gateway.server.closeAllConnections();
+		},
+	};
+}
+
+function createAgent(): Agent {
+	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	cleanups.push(() => {
+		agent.destroy();
+	});
+	return agent;
+}
+
+describe('an entry that is stopped', () => {
+	// The end of its process cut streams that it had accepted with too little time left.
+	it('runs no stream that the end of its process cuts', async () => {
+		const {port, ran, stop} = await startSystem();
+		const stopped = stop();
+		const outcomes = await Promise.all(
+			Array.from({length: 25}, async (_, i) => {
+				await sleep(i * 100);
+				return send(port, `long-${i}`, createAgent());
+			}),
+		);
+		await stopped;
+		const cut = outcomes.filter(({id, isWhole}) => ran.has(id) && !isWhole);
+		expect(cut).toEqual([]);
+	});
+
+	// A response whose head said keep-alive before the stop leaves its connection open.
+	it('refuses a stream on a connection that became free late', async () => {
+		const {port, ran, stop} = await startSystem();
+		const agent = createAgent();
+		const first = send(port, 'long-first', agent);
+		await sleep(150);
+		const stopped = stop();
+		expect(await first).toMatchObject({status: 200, isWhole: true});
+		const second = await send(port, 'long-second', agent);
+		await stopped;
+		expect([...ran]).toEqual(['long-first']);
+		expect(second).toMatchObject({status: 503, isWhole: true});
+		expect(Number(second.retryAfter)).toBeLessThan(1);
+	});
+
+	// Callers keep the address for a while and need not go elsewhere for a short answer.
+	it('serves streams that are over in time', async () => {
+		const {port, stop} = await startSystem();
+		const before = await Promise.all(
+			Array.from({length: 10}, async (_, i) =>
+				send(port, `short-before-${i}`, createAgent()),
+			),
+		);
+		const stopped = stop();
+		const after = await Promise.all(
+			Array.from({length: 9}, async (_, i) => {
+				await sleep(i * 100);
+				return send(port, `short-after-${i}`, createAgent());
+			}),
+		);
+		await stopped;
+		expect([...before, ...after].filter(({isWhole}) => !isWhole)).toEqual([]);
+		expect(after.map(({status}) => status)).toEqual(after.map(() => 200));
+	});
+});
