Take only requests that a draining entry can complete

Cause: nothing asked whether a request can be over before the process ends. An entry that drained took every request until the forced end at the grace period: 3 s after the signal a stream has 4.7 s left, on a connection that becomes free later less, and streams take 5 s and longer. Responses whose head had not been sent when the signal came still said keep-alive, which brought further requests.

A draining entry now compares the time until its end with the longest of the last answers of the route (its deadline while few are known) and refuses what may outlast it, with "not run" and when to come back, before any backend server has seen it: 50 ms where other entries serve, the restart where none does. Requests that another entry sent on carry the header by which that entry tries the next one. The listener closes before the grace period ends even where callers keep addresses for longer than it lasts, and a grace period of a second or two is not cut by the whole margin.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -124,3 +124,5 @@
 	BackendHealth,
 	ExchangeOutcome,
 } from './backend-health.js';
+export {decideDrainAdmission} from './drain-admission.js';
+export type {DrainDecision, DrainInputs} from './drain-admission.js';
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -21,6 +21,7 @@
 	type RouteKind,
 } from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {createAnswerTimes} from '../../answer-times.js';
 import {createBackendView} from '../../backend-view.js';
 import {
 	createBrittleBackends,
@@ -236,6 +237,8 @@
 			() => 1,
 			() => 0,
 		),
+		answerTimes: createAnswerTimes(),
+		drainGate: {check: () => undefined},
 		random: () => 0,
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -136,11 +136,15 @@
 		const agent = createAgent();
 		const first = send(port, 'long-first', agent);
 		await sleep(150);
+		// It keeps the entry from ending when the first one is complete.
+		const other = send(port, 'long-other', createAgent());
+		await sleep(50);
 		const stopped = stop();
 		expect(await first).toMatchObject({status: 200, isWhole: true});
 		const second = await send(port, 'long-second', agent);
 		await stopped;
-		expect([...ran]).toEqual(['long-first']);
+		expect(await other).toMatchObject({isWhole: true});
+		expect([...ran]).toEqual(['long-first', 'long-other']);
 		expect(second).toMatchObject({status: 503, isWhole: true});
 		expect(Number(second.retryAfter)).toBeLessThan(1);
 	});
--- a/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
@@ -33,7 +33,7 @@
 			},
 		],
 		agesMs: {},
-		overview: {serving: [], loads: {}, retries: {}},
+		overview: {serving: ['127.0.0.1:2'], loads: {}, retries: {}},
 		convicted: [],
 	};
 	const server = createJsonServer(
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -8,7 +8,9 @@
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {BackendReach} from './backend-reach.js';
+import type {AnswerTimes} from './answer-times.js';
 import type {BackendView} from './backend-view.js';
+import type {DrainGate} from './drain-gate.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {
 	HeaderCodec,
@@ -27,6 +29,9 @@
 	codec: HeaderCodec;
 	view: BackendView;
 	retryBudgets: RetryBudgets;
+	answerTimes: Pick<AnswerTimes, 'record'>;
+	/** Admission of requests while this entry drains. */
+	drainGate: Pick<DrainGate, 'check'>;
 	/** Returns a random number in [0, 1). */
 	random: () => number;
 	dataCentre: string;
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -21,6 +21,9 @@
 import {createBackendView} from './backend-view.js';
 import type {GatewayContext} from './context.js';
 import {createBrittleBackends} from './brittle-backends.js';
+import {createAnswerTimes} from './answer-times.js';
+import {drainGateway} from './drain.js';
+import {createDrainGate} from './drain-gate.js';
 import {createControlClient} from './control-client.js';
 import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
@@ -90,17 +93,6 @@
  * become active.
  */
 const REPORT_INTERVAL_MS = 200;
-/** The process exits this long before the end of the grace period. */
-const STOP_MARGIN_MS = 300;
-/** Limit of the lines on requests that the end of the process cuts. */
-const MAX_LOGGED_REQUESTS = 20;
-
-async function sleep(ms: number): Promise<void> {
-	return new Promise((resolve) => {
-		setTimeout(resolve, ms);
-	});
-}
-
 /** Creates an entry and starts reporting to the control instances. */
 export function createEntry(
 	settings: EntrySettings,
@@ -163,6 +155,14 @@
 		peers.count,
 		dependencies.random,
 	);
+	const answerTimes = createAnswerTimes();
+	const drainGate = createDrainGate({
+		clock,
+		log,
+		metrics,
+		answerTimes,
+		hasOthers: () => peers.listOthers().length > 0,
+	});
 	const ctx: GatewayContext = {
 		clock,
 		log,
@@ -170,6 +170,8 @@
 		codec: dependencies.codec,
 		view,
 		retryBudgets,
+		answerTimes,
+		drainGate,
 		random: dependencies.random,
 		dataCentre: settings.dataCentre,
 		readRouteTable: () => routeTable,
@@ -270,37 +272,17 @@
 			return readStatus() === 'ready' ? [settings.address, ...others] : others;
 		},
 		async drain() {
-			const stoppedAt = clock.now();
-			const deadlineAt = stoppedAt + settings.gracePeriodMs - STOP_MARGIN_MS;
 			isLeaving = true;
-			log.info('Draining: no longer advertised to callers.', {
-				requests: gateway.countRequests(),
-			});
 			void controlClient.reportToAll();
-			gateway.open.disableKeepAlive();
-			// Callers keep using an address for a while and are served until then.
-			await sleep(settings.addressLifetimeMs);
-			log.info('Draining: accepts no more connections.', {
-				requests: gateway.countRequests(),
-				leftMs: Math.round(deadlineAt - clock.now()),
+			await drainGateway({
+				...settings,
+				gateway,
+				gate: drainGate,
+				clock,
+				log,
 			});
-			gateway.server.close();
-			// Idleness counts only from here on, because requests can arrive until
-			// the server closes.
-			await gateway.awaitIdle(deadlineAt - clock.now());
 			clearInterval(timer);
 			reach.stop();
-			const cutOff = gateway.open.list();
-			cutOff.slice(0, MAX_LOGGED_REQUESTS).forEach((request) => {
-				log.warn('The end of the process cuts a request.', {
-					...request,
-					arrivedMs: Math.round(clock.now() - stoppedAt - request.ageMs),
-				});
-			});
-			log.info('Drained.', {
-				requests: cutOff.length,
-				leftMs: Math.round(deadlineAt - clock.now()),
-			});
 		},
 	};
 }
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -1,12 +1,10 @@
-import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {
 	createServer,
 	type IncomingMessage,
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
+import {acceptRequest, countHeaderBytes} from './accept-request.js';
 import {
 	breakOff,
 	endWithProblem,
@@ -17,7 +15,7 @@
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
-import {CUT_OFF_HEADER, isRelayed, removeRelayHeaders} from './peer-relay.js';
+import {CUT_OFF_HEADER} from './peer-relay.js';
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
@@ -30,6 +28,8 @@
 	applyLimits: () => void;
 	/** The connections of callers and the requests on them. */
 	open: Pick<OpenRequests, 'disableKeepAlive' | 'list'>;
+	/** Accepts no more connections; open ones stay. */
+	stopListening: () => void;
 	/** Resolves when nothing is open any more, or the time limit has passed. */
 	awaitIdle: (limitMs: number) => Promise<void>;
 	countRequests: () => number;
@@ -65,23 +65,6 @@
 	status: 499,
 	reason: 'the caller left',
 };
-function countHeaderBytes(req: IncomingMessage): number {
-	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
-/** Digest that is the same for all attempts of a caller's request. */
-function digestRequest(
-	method: string,
-	path: string,
-	caller: string,
-	body: Uint8Array | undefined,
-): string {
-	return createHash('sha256')
-		.update(`${method} ${path} ${caller}\n`)
-		.update(body ?? '')
-		.digest('base64url');
-}
-
 /** Creates the server for callers; the owner calls `listen`. */
 export function createGateway(ctx: GatewayContext): Gateway {
 	const relays = new Set<StreamRelay>();
@@ -107,63 +90,6 @@
 		sendProblem(res, problem);
 	};
 
-	const accept = (
-		req: IncomingMessage,
-		res: ServerResponse,
-		routeTable: RouteTable,
-		startedAt: number,
-	): AcceptedRequest | ProblemResponse => {
-		const path = req.url ?? '/';
-		const metadata = ctx.codec.readRequest(req.headers);
-		const route = routeTable.findRoute(req.headers.host ?? '', path);
-		if (route === undefined) {
-			return {status: 404, reason: 'no route matches'};
-		}
-
-		const customer =
-			metadata.key === undefined
-				? undefined
-				: routeTable.findCustomer(metadata.key);
-		if (
-			routeTable.requiresKey &&
-			!route.isAnonymous &&
-			customer === undefined
-		) {
-			return {status: 401, reason: 'the key is unknown'};
-		}
-
-		const target = chooseTarget(route.targets, ctx.random());
-		const service =
-			target === undefined ? undefined : routeTable.findService(target);
-		if (service === undefined) {
-			return {
-				status: 503,
-				reason: 'the route has no service',
-				retryAfterMs: RETRY_AFTER_MS,
-			};
-		}
-
-		const waitMs = Math.min(
-			metadata.waitMs ?? route.timeoutMs,
-			route.timeoutMs,
-		);
-		return {
-			metadata,
-			route,
-			service,
-			customer: customer?.name,
-			digest: '',
-			method: req.method ?? 'GET',
-			path,
-			isRelayed: isRelayed(req.headers),
-			rawHeaders: removeRelayHeaders(req.rawHeaders),
-			body: undefined,
-			res,
-			startedAt,
-			deadlineAt: startedAt + waitMs,
-		};
-	};
-
 	/** Forwards a stream that its caller resumes, or ends it if it can't go on. */
 	const resume = async (accepted: AcceptedRequest): Promise<void> => {
 		const located = await locateResumedStream(ctx, accepted);
@@ -242,21 +168,23 @@
 		}
 
 		// A configuration that arrived while the body was read applies already.
-		const outcome = accept(
-			req,
+		const accepted = acceptRequest(ctx, req, {
 			res,
-			ctx.readRouteTable() ?? routeTable,
+			routeTable: ctx.readRouteTable() ?? routeTable,
+			body: bodyOutcome.body,
 			startedAt,
-		);
-		if ('status' in outcome) {
-			reject(req, res, outcome);
+		});
+		if ('status' in accepted) {
+			reject(req, res, accepted);
+			return;
+		}
+
+		const drainProblem = ctx.drainGate.check(accepted);
+		if (drainProblem !== undefined) {
+			endWithProblem(ctx, accepted, drainProblem, 0);
 			return;
 		}
 
-		const {body} = bodyOutcome;
-		const caller = outcome.customer ?? '';
-		const digest = digestRequest(outcome.method, outcome.path, caller, body);
-		const accepted = {...outcome, body, digest};
 		const cause = ctx.crashes.findQuarantined(accepted);
 		if (cause !== undefined) {
 			const reason = describeQuarantine(cause);
@@ -321,6 +249,9 @@
 		server,
 		applyLimits,
 		open,
+		stopListening() {
+			server.close();
+		},
 		countRequests: () => activeRequests,
 		async awaitIdle(limitMs) {
 			await open.awaitIdle(limitMs);
--- a/packages/lovage-gateway/src/open-requests.ts
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -19,7 +19,7 @@
 	addConnection: (socket: Socket) => void;
 	/** Keeps a request until its response was handed to the operating system. */
 	add: (res: ServerResponse) => void;
-	/** From now on, each connection is closed after its next response. */
+	/** From now on, each connection is closed after its last request. */
 	disableKeepAlive: () => void;
 	/** Describes the open requests, the oldest first. */
 	list: () => readonly OpenRequest[];
@@ -43,19 +43,21 @@
 	clock: Clock,
 	readId: (req: IncomingMessage) => string,
 ): OpenRequests {
-	const connections = new Set<Socket>();
-	/** Time of arrival of each request, in monotonic milliseconds. */
+	/** Connections on which no request has arrived yet. */
+	const silent = new Set<Socket>();
+	/** Requests in the order of their arrival, each with its time in monotonic milliseconds. */
 	const open = new Map<ServerResponse, number>();
 	let isKeepAliveDisabled = false;
 
 	return {
 		addConnection(socket) {
-			connections.add(socket);
+			silent.add(socket);
 			socket.once('close', () => {
-				connections.delete(socket);
+				silent.delete(socket);
 			});
 		},
 		add(res) {
+			silent.delete(res.req.socket);
 			open.set(res, clock.now());
 			res.once('close', () => {
 				open.delete(res);
@@ -66,6 +68,11 @@
 		},
 		disableKeepAlive() {
 			isKeepAliveDisabled = true;
+			[...open.keys()]
+				.filter(({headersSent}) => !headersSent)
+				.forEach((res) => {
+					res.shouldKeepAlive = false;
+				});
 		},
 		list: () =>
 			[...open].map(([res, arrivedAt]) => ({
@@ -81,7 +88,7 @@
 			const isBusy = (): boolean => {
 				const now = clock.now();
 				const mayReceiveRequest =
-					connections.size > 0 && now - startedAt < SILENT_CONNECTION_MS;
+					silent.size > 0 && now - startedAt < SILENT_CONNECTION_MS;
 				return (open.size > 0 || mayReceiveRequest) && now < deadlineAt;
 			};
 
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -104,6 +104,10 @@
 		version: ctx.readRouteTable()?.configuration.version ?? 0,
 		...details,
 	};
+	if (status < 300) {
+		ctx.answerTimes.record(req.route.name, durationMs);
+	}
+
 	if (status >= 400) {
 		ctx.log.warn('Request failed.', context);
 	} else {
