Close no connection that holds an answer when an entry stops listening

A slow caller lost the end of an answer that was complete at the entry (LOST).

Cause: the close method of HTTP servers also destroys connections that Node.js takes for idle, and it does so as soon as end was called on a response, whether or not its bytes were handed to the operating system.

The entry now closes the listening socket only. Connections without a request stay open until the process ends, so that requests on them are answered or refused instead of crossing a close. With the old method the test fails: not all answers that were run reach the caller.

--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import {Agent, request} from 'node:http';
+import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Configuration} from '@lovagevalve/routing';
 import {describe, expect, it} from 'vitest';
@@ -16,6 +18,9 @@
 /** Longer than the time that is left once callers no longer get the address. */
 const LONG_STREAM_EVENTS = 21;
 const SHORT_STREAM_EVENTS = 4;
+/** Answers that are held in memory and together fill the socket buffers of both sides. */
+const LARGE_ANSWERS = 60;
+const LARGE_BODY_BYTES = 250_000;
 const cleanups = createCleanups();
 
 const longRoutes: Configuration = {
@@ -78,6 +83,11 @@
 			: LONG_STREAM_EVENTS;
 		ran.add(id);
 		res.writeHead(200, {'Request-Id': id});
+		if (id.startsWith('large')) {
+			res.end('x'.repeat(LARGE_BODY_BYTES));
+			return;
+		}
+
 		let sent = 0;
 		const timer = setInterval(() => {
 			sent += 1;
@@ -149,6 +159,36 @@
 		expect(Number(second.retryAfter)).toBeLessThan(1);
 	});
 
+	// Node.js takes a connection for idle before a slow caller has its whole answer.
+	it('delivers complete answers to a slow caller when it stops listening', async () => {
+		const {port, ran, stop} = await startSystem();
+		const socket = connect(port, '127.0.0.1');
+		cleanups.push(() => socket.destroy());
+		socket.pause();
+		socket.write(
+			Array.from(
+				{length: LARGE_ANSWERS},
+				(_, i) =>
+					`POST /plain/${i} HTTP/1.1\r\nHost: test\r\nRequest-Id: large-${i}\r\nwait-ms: 2500\r\nContent-Length: 0\r\n\r\n`,
+			).join(''),
+		);
+		await sleep(500);
+		const stopped = stop();
+		await sleep(ADDRESS_LIFETIME_MS + 100);
+		let received = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		socket.resume();
+		await Promise.all([stopped, once(socket, 'close')]);
+		const bodies = received.match(/x+/g) ?? [];
+		expect(ran.size).toBeGreaterThan(10);
+		expect(
+			bodies.filter((text) => text.length === LARGE_BODY_BYTES),
+		).toHaveLength(ran.size);
+	});
+
 	// Callers keep the address for a while and need not go elsewhere for a short answer.
 	it('serves streams that are over in time', async () => {
 		const {port, stop} = await startSystem();
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {Server as TcpServer} from 'node:net';
 import {
 	createServer,
 	type IncomingMessage,
@@ -250,7 +251,9 @@
 		applyLimits,
 		open,
 		stopListening() {
-			server.close();
+			// The method of HTTP servers also destroys connections on which a slow
+			// caller has not received all of its response.
+			TcpServer.prototype.close.call(server);
 		},
 		countRequests: () => activeRequests,
 		async awaitIdle(limitMs) {
