Run requests of one connection in turn

Requests of one connection now wait for the one before. An answer whose head was not sent yet keeps the connection open for them; where it closes the connection, they are not run.

--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -159,6 +159,31 @@
 		expect(Number(second.retryAfter)).toBeLessThan(1);
 	});
 
+	// A second request right behind a stream was run, and cut with the connection.
+	it('answers a request that follows another one on its connection', async () => {
+		const {port, ran, stop} = await startSystem();
+		const stopped = stop();
+		const socket = connect(port, '127.0.0.1');
+		cleanups.push(() => socket.destroy());
+		const ids = ['short-1', 'short-2'];
+		socket.write(
+			ids
+				.map(
+					(id) =>
+						`POST /stream/${id} HTTP/1.1\r\nHost: test\r\nRequest-Id: ${id}\r\nwait-ms: 1500\r\nContent-Length: 0\r\n\r\n`,
+				)
+				.join(''),
+		);
+		let received = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		await Promise.all([stopped, once(socket, 'close')]);
+		expect([...ran]).toEqual(ids);
+		expect(received.match(/0\r\n\r\n/g)).toHaveLength(2);
+	});
+
 	// Node.js takes a connection for idle before a slow caller has its whole answer.
 	it('delivers complete answers to a slow caller when it stops listening', async () => {
 		const {port, ran, stop} = await startSystem();
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -205,7 +205,9 @@
 	): Promise<void> => {
 		activeRequests += 1;
 		try {
-			await handle(req, res);
+			if (await open.awaitTurn(res)) {
+				await handle(req, res);
+			}
 		} catch (error) {
 			// An exception in one request must not affect the others.
 			ctx.metrics.count('faults');
--- a/packages/lovage-gateway/src/open-requests.ts
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@lovagevalve/runtime';
@@ -19,6 +20,11 @@
 	addConnection: (socket: Socket) => void;
 	/** Keeps a request until its response was handed to the operating system. */
 	add: (res: ServerResponse) => void;
+	/**
+	 * Waits for the request before it on the same connection; resolves with false if
+	 * the connection ends with that one.
+	 */
+	awaitTurn: (res: ServerResponse) => Promise<boolean>;
 	/** From now on, each connection is closed after its last request. */
 	disableKeepAlive: () => void;
 	/** Describes the open requests, the oldest first. */
@@ -47,6 +53,9 @@
 	const silent = new Set<Socket>();
 	/** Requests in the order of their arrival, each with its time in monotonic milliseconds. */
 	const open = new Map<ServerResponse, number>();
+	/** The request that precedes one on the same connection. */
+	const previous = new WeakMap<ServerResponse, ServerResponse>();
+	const latest = new WeakMap<Socket, ServerResponse>();
 	let isKeepAliveDisabled = false;
 
 	return {
@@ -57,7 +66,14 @@
 			});
 		},
 		add(res) {
-			silent.delete(res.req.socket);
+			const {socket} = res.req;
+			const before = latest.get(socket);
+			if (before !== undefined) {
+				previous.set(res, before);
+			}
+
+			latest.set(socket, res);
+			silent.delete(socket);
 			open.set(res, clock.now());
 			res.once('close', () => {
 				open.delete(res);
@@ -66,6 +82,28 @@
 				res.shouldKeepAlive = false;
 			}
 		},
+		async awaitTurn(res) {
+			const before = previous.get(res);
+			previous.delete(res);
+			if (before === undefined) {
+				return true;
+			}
+
+			if (open.has(before)) {
+				if (!before.headersSent) {
+					before.shouldKeepAlive = true;
+				}
+
+				await once(before, 'close');
+			}
+
+			const isTurn = before.shouldKeepAlive && !res.req.socket.destroyed;
+			if (!isTurn) {
+				open.delete(res);
+			}
+
+			return isTurn;
+		},
 		disableKeepAlive() {
 			isKeepAliveDisabled = true;
 			[...open.keys()]
