Wait for the request before on a connection even if it fails

events.once rejects when the response reports an error, which would have counted as a fault of the program and broken off the next request of the connection. Found by reading; the tests of planned stops pass as before.

--- a/packages/lovage-gateway/src/open-requests.ts
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@lovagevalve/runtime';
@@ -94,7 +93,9 @@
 					before.shouldKeepAlive = true;
 				}
 
-				await once(before, 'close');
+				await new Promise((resolve) => {
+					before.once('close', resolve);
+				});
 			}
 
 			const isTurn = before.shouldKeepAlive && !res.req.socket.destroyed;
