Deliver complete answers before the programs of the own interface end

An entry of the own interface closed all connections as soon as its state held no stream or call, with up to 1 MB of a stream still unread. A control instance waited for its server to close, which destroys connections that Node.js takes for idle. The HTTP server now counts open responses and waits for their delivery, ten seconds at most at an entry.

--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {trpcServer} from '@hono/trpc-server';
 import {
 	createClock,
@@ -34,6 +35,8 @@
 
 const TICK_MS = 25;
 const HEARTBEAT_MS = 1000;
+/** Time for slow callers to receive the end of answers that are complete here. */
+const DELIVERY_TIMEOUT_MS = 10_000;
 const RESTART_POLICY = {maxRestarts: 3, withinMs: 60_000};
 
 /** A running entry program. */
@@ -127,7 +130,12 @@
 			async start() {
 				const {host: address, port} = cfg.listen;
 				const server = await serveHttp(app, address, port);
-				return server.map(({close}) => ({stop: close}));
+				return server.map(({drain, close}) => ({
+					async stop() {
+						await Promise.race([drain(), sleep(DELIVERY_TIMEOUT_MS)]);
+						await close();
+					},
+				}));
 			},
 		},
 		{
--- a/packages/lovage-runtime/src/http-server.ts
+++ b/packages/lovage-runtime/src/http-server.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import {Server as TcpServer} from 'node:net';
 import {createAdaptorServer} from '@hono/node-server';
 import type {Hono} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
@@ -8,8 +9,8 @@
 export type HttpServer = Readonly<{
 	port: number;
 	/**
-	 * Stops accepting connections and resolves when all open requests have
-	 * completed.
+	 * Stops accepting connections and resolves when all open responses are
+	 * delivered.
 	 */
 	drain: () => Promise<void>;
 	/** Closes all connections immediately. */
@@ -23,11 +24,29 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const MAX_HEADERS = 64;
 
-async function stop(server: Server): Promise<void> {
-	const closed = once(server, 'close');
-	server.close();
+/**
+ * Stops accepting connections and waits for the open responses. The method of HTTP
+ * servers would also destroy connections on which a slow caller has not received
+ * all of its response.
+ */
+async function drainServer(
+	server: Server,
+	responses: ReadonlySet<ServerResponse>,
+): Promise<void> {
+	TcpServer.prototype.close.call(server);
+	while (responses.size > 0) {
+		// eslint-disable-next-line no-await-in-loop -- further requests can arrive on open connections
+		await Promise.all(
+			[...responses].map(
+				async (res) =>
+					new Promise((resolve) => {
+						res.once('close', resolve);
+					}),
+			),
+		);
+	}
+
 	server.closeIdleConnections();
-	await closed;
 }
 
 /** Serves a Hono application over HTTP. Port 0 selects a free port. */
@@ -41,6 +60,13 @@
 	server.headersTimeout = HEADERS_TIMEOUT_MS;
 	server.maxHeadersCount = MAX_HEADERS;
 	server.requestTimeout = 0;
+	const responses = new Set<ServerResponse>();
+	server.on('request', (_req, res: ServerResponse) => {
+		responses.add(res);
+		res.once('close', () => {
+			responses.delete(res);
+		});
+	});
 	try {
 		server.listen(port, host);
 		await once(server, 'listening');
@@ -54,9 +80,10 @@
 		typeof address === 'object' && address ? address.port : port;
 	return ok({
 		port: boundPort,
-		drain: async () => stop(server),
+		drain: async () => drainServer(server, responses),
 		async close() {
-			const closed = stop(server);
+			const closed = once(server, 'close');
+			server.close();
 			server.closeAllConnections();
 			await closed;
 		},
