Reset the answers that the end of a draining entry cuts

A caller of HTTP/1.0 takes the end of its connection for the end of its answer. The drain now breaks off what is open at its end, as the entry does with any other answer that cannot be completed.

Found by going through the kinds of connections around a planned stop. Without the line the new test sees an orderly end; with it, a reset.

--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Configuration} from '@lovagevalve/routing';
 import {describe, expect, it} from 'vitest';
+import type {Entry} from '../../entry.js';
 import {
 	configuration,
 	createCleanups,
@@ -69,7 +70,11 @@
 }
 
 /** Starts an entry before an engine whose streams have as many events as their ids say. */
-async function startSystem(): Promise<{
+async function startSystem(
+	gracePeriodMs = GRACE_PERIOD_MS,
+	addressLifetimeMs = ADDRESS_LIFETIME_MS,
+): Promise<{
+	entry: Entry;
 	port: number;
 	ran: ReadonlySet<string>;
 	/** Drains the entry and ends what is open, as the end of its process does. */
@@ -80,7 +85,9 @@
 		const id = String(req.headers['request-id']);
 		const eventCount = id.startsWith('short')
 			? SHORT_STREAM_EVENTS
-			: LONG_STREAM_EVENTS;
+			: id === 'endless'
+				? Infinity
+				: LONG_STREAM_EVENTS;
 		ran.add(id);
 		res.writeHead(200, {'Request-Id': id});
 		if (id.startsWith('large')) {
@@ -103,10 +110,11 @@
 	});
 	const {entry, port} = await startEntry(backend, cleanups, {
 		configuration: longRoutes,
-		gracePeriodMs: GRACE_PERIOD_MS,
-		addressLifetimeMs: ADDRESS_LIFETIME_MS,
+		gracePeriodMs,
+		addressLifetimeMs,
 	});
 	return {
+		entry,
 		port,
 		ran,
 		async stop() {
@@ -214,6 +222,31 @@
 		).toHaveLength(ran.size);
 	});
 
+	// The end of the process closes connections in order, which ends an answer that
+	// has neither length nor chunks.
+	it('lets no caller take a stream that it cuts for complete', async () => {
+		const {port, stop} = await startSystem();
+		const socket = connect(port, '127.0.0.1');
+		cleanups.push(() => socket.destroy());
+		socket.write(
+			'POST /stream/endless HTTP/1.0\r\nHost: test\r\nRequest-Id: endless\r\nwait-ms: 15000\r\nContent-Length: 0\r\n\r\n',
+		);
+		socket.resume();
+		const closed = once(socket, 'close');
+		await sleep(100);
+		await Promise.all([
+			stop(),
+			expect(closed).rejects.toMatchObject({code: 'ECONNRESET'}),
+		]);
+	});
+
+	it('ends within a grace period that is shorter than the life of its address', async () => {
+		const {entry} = await startSystem(500, 3000);
+		const startedAt = performance.now();
+		await entry.drain();
+		expect(performance.now() - startedAt).toBeLessThan(500);
+	});
+
 	// Callers keep the address for a while and need not go elsewhere for a short answer.
 	it('serves streams that are over in time', async () => {
 		const {port, stop} = await startSystem();
--- a/packages/lovage-gateway/src/drain.ts
+++ b/packages/lovage-gateway/src/drain.ts
@@ -66,5 +66,6 @@
 			arrivedMs: Math.round(clock.now() - stoppedAt - request.ageMs),
 		});
 	});
+	gateway.open.breakOffAll();
 	log.info('Drained.', {requests: cutOff.length, leftMs: readLeftMs()});
 }
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -28,7 +28,7 @@
 	/** Applies the server limits of the active configuration. */
 	applyLimits: () => void;
 	/** The connections of callers and the requests on them. */
-	open: Pick<OpenRequests, 'disableKeepAlive' | 'list'>;
+	open: Pick<OpenRequests, 'disableKeepAlive' | 'list' | 'breakOffAll'>;
 	/** Accepts no more connections; open ones stay. */
 	stopListening: () => void;
 	/** Resolves when nothing is open any more, or the time limit has passed. */
--- a/packages/lovage-gateway/src/open-requests.ts
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@lovagevalve/runtime';
+import {breakOff} from './responses.js';
 
 /** A request whose caller may not have received everything, for the log. */
 export type OpenRequest = Readonly<{
@@ -28,6 +29,8 @@
 	disableKeepAlive: () => void;
 	/** Describes the open requests, the oldest first. */
 	list: () => readonly OpenRequest[];
+	/** Ends all open responses so that no caller takes one for complete. */
+	breakOffAll: () => void;
 	/**
 	 * Resolves when all responses are delivered and no request can arrive on a
 	 * connection that was accepted before the server closed, or the time limit has
@@ -121,6 +124,11 @@
 				hasHead: res.headersSent,
 				isEnded: res.writableEnded,
 			})),
+		breakOffAll() {
+			[...open.keys()].forEach((res) => {
+				breakOff(res);
+			});
+		},
 		async awaitIdle(limitMs) {
 			const startedAt = clock.now();
 			const deadlineAt = startedAt + limitMs;
