Compare whose answer it is before what it promises

What callers saw: a backend server that ran a request, and wrote the refusal of another one in place of or before the answer, made the entry send the request to a second server, or tell the caller 503 with Retry-After. For requests that may run once this is TWICE or REFUSED. The notices of such a refusal (leaving, pause, limit) were applied as well, and a KV command took the answer to another request.

Cause: single answers and streams looked at the "not run" mark before the echoed request id; commands didn't look at the id.

Why it works: judgeAnswer (lovage-dispatch) decides from the head alone, the id first; single answers, streams and commands all go through it. An answer that names another request, or none though backend servers echo the id, counts as a lost attempt: it may have run, its connection is closed, its notices don't count. An entry's own refusals name no request; only there is the cut-off mark believed.

One fake server of gateway.test.ts refused without echoing the id, which backend servers don't do; it echoes it now, and the test asks for the same as before.

--- /dev/null
+++ b/packages/lovage-dispatch/src/answer-verdict.ts
@@ -0,0 +1,69 @@
+/** What the head of an answer says. */
+export type AnswerHead = Readonly<{
+	/** Id of the request that it names; empty if it names none. */
+	named: string;
+	/** It states that the request was not run. */
+	isNotRun: boolean;
+}>;
+
+/** Who was asked. */
+export type AnswerSource =
+	/** A backend server; its answers name the request that they belong to. */
+	| 'backend'
+	/**
+	 * Another entry; only the answers that it passes on name a request, its own
+	 * refusals name none.
+	 */
+	| 'peer'
+	/** A backend server that was sent a command, which carries no request id. */
+	| 'command';
+
+/** The request that an answer is expected to. */
+export type ExpectedAnswer = Readonly<{
+	source: AnswerSource;
+	requestId: string;
+}>;
+
+/** Whose answer it is, and what it promises. */
+export type AnswerVerdict =
+	/** It belongs to another request and says nothing about this one, which may run. */
+	| 'foreign'
+	/** The request was not run and never will be. */
+	| 'not-run'
+	/** The answer for the caller. */
+	| 'answer';
+
+/** Whether an answer is shown to be another request's by the one that it names. */
+function isForeign(
+	{source, requestId}: ExpectedAnswer,
+	named: string,
+): boolean {
+	switch (source) {
+		case 'backend': {
+			return named !== requestId;
+		}
+
+		case 'peer':
+		case 'command': {
+			return named !== '' && named !== requestId;
+		}
+	}
+}
+
+/**
+ * Judges an answer by its head. Whose answer it is comes first: what one of
+ * another request promises holds for that one.
+ */
+export function judgeAnswer(
+	expected: ExpectedAnswer,
+	{named, isNotRun}: AnswerHead,
+): AnswerVerdict {
+	if (isForeign(expected, named)) {
+		return 'foreign';
+	}
+
+	const isFromPeerItself = expected.source === 'peer' && named === '';
+	return isNotRun && (isFromPeerItself || expected.source !== 'peer')
+		? 'not-run'
+		: 'answer';
+}
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -1,3 +1,10 @@
+export {judgeAnswer} from './answer-verdict.js';
+export type {
+	AnswerHead,
+	AnswerSource,
+	AnswerVerdict,
+	ExpectedAnswer,
+} from './answer-verdict.js';
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
 export {
--- a/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/gateway.test.ts
@@ -272,7 +272,7 @@
 		const second = await startBackend((req, res) => {
 			asked += 1;
 			if (req.headers.copy !== undefined) {
-				res.writeHead(503, {'Not-Run': '1'}).end();
+				res.writeHead(503, {'Not-Run': '1', 'Request-Id': 'r-1'}).end();
 				return;
 			}
 
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -203,11 +203,16 @@
 	return cleanups;
 }
 
-/** Starts a gateway; without `initialConfiguration`, none is known. */
+/**
+ * Starts a gateway; without `initialConfiguration`, none is known. With `peers`, it
+ * reaches no backend server and sends requests on to the entries at these ports.
+ */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
 	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
+	peers: readonly number[] = [],
 ): Promise<Harness> {
+	const isCutOff = peers.length > 0;
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
@@ -240,8 +245,8 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
-		reach: {isCutOff: () => false, confirm: async () => false},
-		listRelays: () => [],
+		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
+		listRelays: () => peers.map((peer) => `127.0.0.1:${peer}`),
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -2,8 +2,9 @@
 import {request} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
+import {findAnswerFailure} from './answer-reader.js';
 import {parseAddress} from './backend-exchange.js';
-import {type GatewayContext, readResponseMetadata} from './context.js';
+import type {GatewayContext} from './context.js';
 import type {BackendCommand} from './protocol.js';
 
 /** Copies of typical size complete within milliseconds. */
@@ -11,13 +12,20 @@
 const MAX_ANSWER_LENGTH = 65_536;
 const HTTP_OK = 200;
 
+/** A run that a command is about. */
+export type CommandTarget = Readonly<{
+	/** Backend server that executes the run. */
+	backend: BackendRecord;
+	requestId: string;
+}>;
+
 /**
  * Sends a command to a backend server and resolves with the body of a 200
  * response.
  */
 export async function sendBackendCommand(
-	ctx: Pick<GatewayContext, 'codec' | 'view' | 'resolveAddress'>,
-	backend: BackendRecord,
+	ctx: Pick<GatewayContext, 'codec' | 'view' | 'log' | 'resolveAddress'>,
+	{backend, requestId}: CommandTarget,
 	{method, path, body = ''}: BackendCommand,
 ): Promise<Result<string, string>> {
 	if (!ctx.view.acceptsCommands(backend)) {
@@ -50,7 +58,16 @@
 		req.on('response', (response) => {
 			// Only the answers to callers' requests show that a limit is over.
 			const sentAt = Number.NEGATIVE_INFINITY;
-			readResponseMetadata(ctx, {backend, sentAt}, response);
+			const failure = findAnswerFailure(
+				ctx,
+				{source: 'command', requestId, backend, sentAt},
+				response,
+			);
+			if (failure !== undefined) {
+				fail(failure.reason);
+				return;
+			}
+
 			let text = '';
 			response.setEncoding('utf8');
 			response.on('data', (chunk: string) => {
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {
 	BackendRecord,
 	PlacementRequest,
@@ -10,11 +10,7 @@
 import type {BackendReach} from './backend-reach.js';
 import type {BackendView} from './backend-view.js';
 import type {CrashWatch} from './crash-watch.js';
-import type {
-	HeaderCodec,
-	RequestMetadata,
-	ResponseMetadata,
-} from './protocol.js';
+import type {HeaderCodec, RequestMetadata} from './protocol.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {StreamOrigins} from './stream-origins.js';
@@ -77,20 +73,6 @@
 	return Math.floor(req.deadlineAt - ctx.clock.now());
 }
 
-/**
- * Reads the metadata of a response and applies what the backend server says
- * about itself in it, whether or not the response is of use to the caller.
- */
-export function readResponseMetadata(
-	ctx: Pick<GatewayContext, 'codec' | 'view'>,
-	{backend, sentAt}: Readonly<{backend: BackendRecord; sentAt: number}>,
-	{statusCode = 0, headers}: IncomingMessage,
-): ResponseMetadata {
-	const metadata = ctx.codec.readResponse(statusCode, headers);
-	ctx.view.recordNotice(backend, metadata.notice, sentAt);
-	return metadata;
-}
-
 /** Describes a request for backend selection. */
 export function createPlacementRequest(
 	ctx: GatewayContext,
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -96,14 +96,18 @@
 		const previous = kvCopy;
 		const response = await sendBackendCommand(
 			ctx,
-			backend,
+			{backend, requestId},
 			codec.createCopyCommand(requestId, target.address),
 		);
 		const handle = response.isOk()
 			? codec.readCopyHandle(response.value)
 			: undefined;
 		if (isReleased && handle !== undefined) {
-			void sendBackendCommand(ctx, backend, codec.createReleaseCommand(handle));
+			void sendBackendCommand(
+				ctx,
+				{backend, requestId},
+				codec.createReleaseCommand(handle),
+			);
 			return;
 		}
 
@@ -151,7 +155,7 @@
 			if (copyHandle !== undefined) {
 				void sendBackendCommand(
 					ctx,
-					backend,
+					{backend, requestId},
 					codec.createReleaseCommand(copyHandle),
 				);
 			}
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -10,12 +10,12 @@
 	endWithProblem,
 	recordCompletion,
 } from './responses.js';
+import {describeRun, findAnswerFailure} from './answer-reader.js';
 import {openExchange} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	type GatewayContext,
 	readRemainingMs,
-	readResponseMetadata,
 } from './context.js';
 import type {StreamEvent} from './event-splitter.js';
 import {createKvBackup, NO_BACKUP} from './kv-backup.js';
@@ -23,7 +23,6 @@
 	chooseRelayPeer,
 	createPeerRecord,
 	createRelayHeaders,
-	isCutOffAnswer,
 } from './peer-relay.js';
 import {createStreamAttempts} from './stream-attempts.js';
 import {createStreamDelivery} from './stream-delivery.js';
@@ -202,15 +201,9 @@
 			return;
 		}
 
-		const {requestId, isNotRun} = readResponseMetadata(ctx, current, response);
-		if (isNotRun) {
-			handleRunFailure(current, {
-				kind: 'rejected',
-				reason: `not run: ${status}`,
-			});
-		} else if (requestId !== metadata.id) {
-			const reason = 'the answer belongs to another request';
-			handleRunFailure(current, {kind: 'lost', reason});
+		const failure = findAnswerFailure(ctx, describeRun(req, current), response);
+		if (failure !== undefined) {
+			handleRunFailure(current, failure);
 		} else if (status === HTTP_OK) {
 			relayEvents(current, response);
 		} else if (
@@ -223,15 +216,15 @@
 		}
 	};
 
-	/** Handles the answer of another entry, which has checked whose answer it is. */
+	/** Handles the answer of another entry. */
 	const handleRelayedResponse = (
 		current: Run,
 		response: IncomingMessage,
 	): void => {
 		const status = response.statusCode ?? 0;
-		if (isCutOffAnswer(response.headers)) {
-			const reason = 'the other entry is cut off too';
-			handleRunFailure(current, {kind: 'rejected', reason});
+		const failure = findAnswerFailure(ctx, describeRun(req, current), response);
+		if (failure !== undefined) {
+			handleRunFailure(current, failure);
 		} else if (status === HTTP_OK) {
 			relayEvents(current, response);
 		} else if (delivery.hasBegun()) {
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -5,6 +5,11 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
+import {
+	describeAsked,
+	describeAskedPeer,
+	findAnswerFailure,
+} from './answer-reader.js';
 import {
 	watchResponseEnd,
 	openExchange,
@@ -14,9 +19,8 @@
 	type AcceptedRequest,
 	type GatewayContext,
 	readRemainingMs,
-	readResponseMetadata,
 } from './context.js';
-import {createRelayHeaders, isCutOffAnswer} from './peer-relay.js';
+import {createRelayHeaders} from './peer-relay.js';
 
 /** A response that is fully buffered before any of it is sent to the caller. */
 export type BufferedResponse = Readonly<{
@@ -87,23 +91,13 @@
 ): AttemptFailure | undefined {
 	switch (target.kind) {
 		case 'backend': {
-			const {backend} = target;
-			const metadata = readResponseMetadata(ctx, {backend, sentAt}, response);
-			if (metadata.isNotRun) {
-				const reason = `not run: ${response.statusCode ?? 0}`;
-				return {kind: 'rejected', reason};
-			}
-
-			return metadata.requestId === req.metadata.id
-				? undefined
-				: {kind: 'lost', reason: 'the answer belongs to another request'};
+			const asked = describeAsked(req, target.backend, sentAt);
+			return findAnswerFailure(ctx, asked, response);
 		}
 
 		case 'peer': {
-			// The other entry has checked whose answer it is.
-			return isCutOffAnswer(response.headers)
-				? {kind: 'rejected', reason: 'the other entry is cut off too'}
-				: undefined;
+			const asked = describeAskedPeer(req, target.address);
+			return findAnswerFailure(ctx, asked, response);
 		}
 	}
 }
