Pass on no promise that the backend server did not make

What callers saw: a backend server ran a request that may run once and answered it with 408, 429 or 503 of its own, without the mark "not run". The entry passed status, body and Retry-After on. To the caller these statuses (421 too) say that the request has not run and never will: REFUSED.

Cause: only the mark was looked at. An answer without it was handed on whatever its status, for single answers of any size, error answers of streams, and what another entry had passed on.

Why it works: judgeAnswer calls such an answer unpromised, and the attempt counts as failed: it may have run, is not sent again, and the caller gets the entry's 502, which promises nothing and bears no header of the server. Requests that may run again get the server's answer as before.

--- a/packages/lovage-dispatch/src/answer-verdict.ts
+++ b/packages/lovage-dispatch/src/answer-verdict.ts
@@ -1,5 +1,6 @@
 /** What the head of an answer says. */
 export type AnswerHead = Readonly<{
+	status: number;
 	/** Id of the request that it names; empty if it names none. */
 	named: string;
 	/** It states that the request was not run. */
@@ -22,6 +23,8 @@
 export type ExpectedAnswer = Readonly<{
 	source: AnswerSource;
 	requestId: string;
+	/** Whether the request may run more than once. */
+	isRepeatable: boolean;
 }>;
 
 /** Whose answer it is, and what it promises. */
@@ -30,9 +33,17 @@
 	| 'foreign'
 	/** The request was not run and never will be. */
 	| 'not-run'
+	/**
+	 * Callers would take its status for a promise that nobody made, and must not
+	 * run the request again.
+	 */
+	| 'unpromised'
 	/** The answer for the caller. */
 	| 'answer';
 
+/** Statuses that tell a caller that the request has not run and never will. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Whether an answer is shown to be another request's by the one that it names. */
 function isForeign(
 	{source, requestId}: ExpectedAnswer,
@@ -56,14 +67,20 @@
  */
 export function judgeAnswer(
 	expected: ExpectedAnswer,
-	{named, isNotRun}: AnswerHead,
+	{status, named, isNotRun}: AnswerHead,
 ): AnswerVerdict {
 	if (isForeign(expected, named)) {
 		return 'foreign';
 	}
 
 	const isFromPeerItself = expected.source === 'peer' && named === '';
-	return isNotRun && (isFromPeerItself || expected.source !== 'peer')
-		? 'not-run'
+	if (isNotRun && (isFromPeerItself || expected.source !== 'peer')) {
+		return 'not-run';
+	}
+
+	return PROMISE_STATUSES.has(status) &&
+		!expected.isRepeatable &&
+		!isFromPeerItself
+		? 'unpromised'
 		: 'answer';
 }
--- a/packages/lovage-gateway/src/__tests__/integration/stale-refusals.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/stale-refusals.test.ts
@@ -317,6 +317,58 @@
 	);
 });
 
+describe('a status that promises "not run" without the mark', () => {
+	const cases = ONCE.flatMap((path) =>
+		REFUSING_STATUSES.map((status) => [path, status] as const),
+	);
+
+	it.each(cases)(
+		'is not passed on for a request that may run once: %s, %i',
+		async (path, status) => {
+			const headers = ['Seal: s', 'Retry-After: 1', 'Content-Length: 4'];
+			const first = await startServer(
+				'first',
+				answerWith(`${formatHead(status, 'r-1', headers)}busy`),
+			);
+			const {port} = await start(first, await startServer('second', SOUND));
+			const response = await call(port, path);
+			expectTruthful(response, 'r-1');
+			expect(response.status).toBe(502);
+			expect(response.headers.seal).toBeUndefined();
+			expect(response.headers['retry-after']).toBeUndefined();
+			expect(runs).toHaveLength(1);
+		},
+	);
+
+	it('is not passed on with a large body either', async () => {
+		const body = 'x'.repeat(400_000);
+		const head = formatHead(503, 'r-1', [`Content-Length: ${body.length}`]);
+		const {port} = await start(
+			await startServer('first', answerWith(head + body)),
+		);
+		expect(await call(port, '/once/1')).toMatchObject({status: 502});
+	});
+
+	it('leaves other failures of the backend server as they are', async () => {
+		const head = formatHead(400, 'r-1', ['Seal: s', 'Content-Length: 3']);
+		const {port} = await start(
+			await startServer('first', answerWith(`${head}bad`)),
+		);
+		const response = await call(port, '/once/1');
+		expect(response).toMatchObject({status: 400, body: 'bad'});
+		expect(response.headers.seal).toBe('s');
+	});
+
+	it('is passed on for a request that may run again', async () => {
+		const head = formatHead(429, 'r-1', [
+			'Retry-After: 1',
+			'Content-Length: 0',
+		]);
+		const {port} = await start(await startServer('first', answerWith(head)));
+		expect(await call(port, '/plain/1')).toMatchObject({status: 429});
+	});
+});
+
 describe('an answer of another entry', () => {
 	async function startRelaying(...peers: readonly number[]): Promise<Harness> {
 		runs.length = 0;
@@ -359,6 +411,21 @@
 		},
 	);
 
+	it.each(ONCE)(
+		'that passes on a refusal of its backend server is no promise: %s',
+		async (path) => {
+			const refusal = formatHead(503, 'r-1', ['Content-Length: 0']);
+			const peer = await startServer('peer', answerWith(refusal));
+			const {port} = await startRelaying(
+				peer,
+				await startServer('next', SOUND),
+			);
+			const response = await call(port, path);
+			expectTruthful(response, 'r-1');
+			expect(response.status).toBe(502);
+		},
+	);
+
 	it.each(ONCE)('that names another request is lost: %s', async (path) => {
 		const peer = await startServer(
 			'peer',
--- a/packages/lovage-gateway/src/answer-reader.ts
+++ b/packages/lovage-gateway/src/answer-reader.ts
@@ -3,6 +3,7 @@
 	type AnswerVerdict,
 	type AttemptFailure,
 	type BackendRecord,
+	isRepeatable,
 	judgeAnswer,
 } from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
@@ -12,6 +13,8 @@
 /** Who was asked, for which request. */
 export type AskedServer = Readonly<{
 	requestId: string;
+	/** Whether the request may run more than once. */
+	isRepeatable: boolean;
 }> &
 	(
 		| Readonly<{
@@ -29,13 +32,14 @@
 
 /** Describes a request that was sent to a backend server. */
 export function describeAsked(
-	{metadata}: AcceptedRequest,
+	{route, metadata}: AcceptedRequest,
 	backend: BackendRecord,
 	sentAt: number,
 ): AskedServer {
 	return {
 		source: 'backend',
 		requestId: metadata.id,
+		isRepeatable: isRepeatable(route.kind, route.isResumable),
 		backend,
 		sentAt,
 	};
@@ -43,12 +47,13 @@
 
 /** Describes a request that was sent on to another entry. */
 export function describeAskedPeer(
-	{metadata}: AcceptedRequest,
+	{route, metadata}: AcceptedRequest,
 	address: string,
 ): AskedServer {
 	return {
 		source: 'peer',
 		requestId: metadata.id,
+		isRepeatable: isRepeatable(route.kind, route.isResumable),
 		address,
 	};
 }
@@ -83,6 +88,10 @@
 			};
 		}
 
+		case 'unpromised': {
+			return {kind: 'failed', reason: `${status} without "not run"`};
+		}
+
 		case 'answer': {
 			return undefined;
 		}
@@ -103,12 +112,12 @@
 	const named = metadata.requestId ?? '';
 	const isNotRun =
 		asked.source === 'peer' ? isCutOffAnswer(headers) : metadata.isNotRun;
-	const verdict = judgeAnswer(asked, {named, isNotRun});
+	const verdict = judgeAnswer(asked, {status, named, isNotRun});
 	if (verdict !== 'foreign' && asked.source !== 'peer') {
 		ctx.view.recordNotice(asked.backend, metadata.notice, asked.sentAt);
 	}
 
-	if (verdict === 'foreign') {
+	if (verdict === 'foreign' || verdict === 'unpromised') {
 		ctx.log.warn('An answer was not believed.', {
 			request: asked.requestId,
 			verdict,
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -60,7 +60,7 @@
 			const sentAt = Number.NEGATIVE_INFINITY;
 			const failure = findAnswerFailure(
 				ctx,
-				{source: 'command', requestId, backend, sentAt},
+				{source: 'command', requestId, isRepeatable: true, backend, sentAt},
 				response,
 			);
 			if (failure !== undefined) {
