Test that our own interface believes no refusal of a backend server

What callers could see, had it come about: "not run" for a call that ran, or a second run of one that may run once (REFUSED, TWICE), from a refusal of another call.

Cause: none here. A call goes out on a connection of its own, and only an exchange of which no byte was written counts as not sent. Whatever a backend server answers to a non-idempotent call settles its claim as done and goes back as the status of the service inside a 200; a refusal of an attempt at a generation cancels that attempt.

For generations a unit test, of which both cases fail when a refusal only closes the connection.

--- a/packages/lovage-generation/src/__tests__/unit/generation.test.ts
+++ b/packages/lovage-generation/src/__tests__/unit/generation.test.ts
@@ -66,6 +66,20 @@
 	return effects.map((effect) => effect.kind);
 }
 
+describe('a refusal', () => {
+	// It may be one of another attempt, and this one may run.
+	it.each([
+		[true, ['close', 'cancel', 'place']],
+		[false, ['close', 'cancel', 'fail']],
+	])('cancels the attempt (transient: %s)', (transient, kinds) => {
+		const {effects} = run(createState(), [
+			placed,
+			{kind: 'backend-refused', connection: 1, transient, now: 10},
+		]);
+		expect(listKinds(effects.slice(-3))).toEqual(kinds);
+	});
+});
+
 describe('detection', () => {
 	it('probes after a silence that is long for this attempt', () => {
 		const {state} = run(createState(), [placed, ...createChunks(20)]);
