--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -111,6 +111,12 @@
 	UnplacedInputs,
 	VersionAges,
 } from './stream-origin.js';
+export {
+	classifyPart,
+	isStreamAnswer,
+	parseStreamPart,
+} from './stream-answer.js';
+export type {PartKind, StreamAnswerHead, StreamPart} from './stream-answer.js';
 export {decideStallAction} from './stalled-stream.js';
 export type {ProbeState, StallAction, StallInputs} from './stalled-stream.js';
 export {
--- /dev/null
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -0,0 +1,87 @@
+/** What an answer says about itself before its body. */
+export type StreamAnswerHead = Readonly<{
+	status: number;
+	/** Absent if the answer names no type. */
+	contentType: string | undefined;
+}>;
+
+/** Fields of a part of a body that ends with a blank line. */
+export type StreamPart = Readonly<{
+	/** Absent if it has none, and if it has several. */
+	id: string | undefined;
+	hasData: boolean;
+	/** Whether each line is one that events have. */
+	isWellFormed: boolean;
+}>;
+
+/** What a part of a body is to a stream. */
+export type PartKind =
+	/** The next event of the stream. */
+	| 'next'
+	/** An event that the caller has. */
+	| 'known'
+	/** It carries no data, such as a comment that keeps the connection open. */
+	| 'comment'
+	/** It doesn't belong to the stream, nor does what follows. */
+	| 'foreign';
+
+const HTTP_OK = 200;
+const EVENT_STREAM_TYPE = 'text/event-stream';
+const COMMENT_OR_FIELD = /^(?::|(?:data|event|id|retry)(?::|$))/;
+/** A header that changes in the middle of a stream, in lower case, before the fields. */
+const LEADING_LINE = /^[a-z][a-z\d-]*: ?\S*$/;
+const WHOLE_NUMBER = /^\d+$/;
+
+/** Whether the body of an answer can hold events of a stream. */
+export function isStreamAnswer({
+	status,
+	contentType,
+}: StreamAnswerHead): boolean {
+	const type = contentType?.split(';')[0]!.trim().toLowerCase();
+	return (
+		status === HTTP_OK && (type === undefined || type === EVENT_STREAM_TYPE)
+	);
+}
+
+/** Reads the fields of a part of a body, with the blank line that ends it. */
+export function parseStreamPart(text: string): StreamPart {
+	const lines = text
+		.split('\n')
+		.map((line) => (line.endsWith('\r') ? line.slice(0, -1) : line))
+		.filter((line) => line !== '');
+	const fieldsAt = lines.findIndex((line) => COMMENT_OR_FIELD.test(line));
+	const leading = fieldsAt === -1 ? lines : lines.slice(0, fieldsAt);
+	const fields = fieldsAt === -1 ? [] : lines.slice(fieldsAt);
+	const ids = fields.filter((line) => line.startsWith('id'));
+	return {
+		id: ids.length === 1 ? ids[0]!.slice('id:'.length).trim() : undefined,
+		hasData: fields.some((line) => line.startsWith('data')),
+		isWellFormed:
+			ids.length <= 1 &&
+			(fields.length > 0 || leading.length === 0) &&
+			leading.every((line) => LEADING_LINE.test(line)) &&
+			fields.every((line) => COMMENT_OR_FIELD.test(line)),
+	};
+}
+
+/** Decides whether a part of a body is the next event of a stream. */
+export function classifyPart(
+	{id, hasData, isWellFormed}: StreamPart,
+	lastEventId: string | undefined,
+): PartKind {
+	if (!isWellFormed) {
+		return 'foreign';
+	}
+
+	if (id === undefined && !hasData) {
+		return 'comment';
+	}
+
+	if (id === undefined || !hasData || !WHOLE_NUMBER.test(id)) {
+		return 'foreign';
+	}
+
+	return lastEventId !== undefined && Number(id) <= Number(lastEventId)
+		? 'known'
+		: 'next';
+}
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -101,7 +101,12 @@
 		'Content-Length',
 		String(call.bodyLength ?? 0),
 	],
-	createRelayHeaders: (rawHeaders) => [...rawHeaders],
+	createRelayHeaders: (rawHeaders, relay) => [
+		...rawHeaders,
+		...(relay.lastEventId === undefined
+			? []
+			: ['Last-Event-Id', relay.lastEventId]),
+	],
 	readResponse: (_, headers) => ({
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
@@ -203,11 +208,16 @@
 	return cleanups;
 }
 
-/** Starts a gateway; without `initialConfiguration`, none is known. */
+/**
+ * Starts a gateway; without `initialConfiguration`, none is known. One with `peers`,
+ * which are addresses of other entries, reaches no backend server itself.
+ */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
 	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
+	peers: readonly string[] = [],
 ): Promise<Harness> {
+	const isCutOff = peers.length > 0;
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
 	const view = createBackendView({
 		clock,
@@ -240,8 +250,8 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
-		reach: {isCutOff: () => false, confirm: async () => false},
-		listRelays: () => [],
+		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
+		listRelays: () => peers,
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
--- a/packages/lovage-gateway/src/event-splitter.ts
+++ b/packages/lovage-gateway/src/event-splitter.ts
@@ -1,14 +1,10 @@
 import {Buffer} from 'node:buffer';
+import {parseStreamPart, type StreamPart} from '@lovagevalve/dispatch';
 
-/** A complete server-sent event, or a comment. */
-export type StreamEvent = Readonly<{
-	id: string | undefined;
-	/** False for comments, which don't show that a stream makes progress. */
-	hasData: boolean;
-	bytes: Uint8Array;
-}>;
+/** A part of a body up to a blank line: a whole server-sent event, a comment, or neither. */
+export type StreamEvent = StreamPart & Readonly<{bytes: Uint8Array}>;
 
-/** Splits a byte stream into complete server-sent events. */
+/** Splits a byte stream at blank lines. */
 export type EventSplitter = Readonly<{
 	push: (chunk: Uint8Array) => readonly StreamEvent[];
 	/** Whether an incomplete event is buffered. */
@@ -33,13 +29,8 @@
 }
 
 function parseEvent(bytes: Uint8Array): StreamEvent {
-	const lines = Buffer.from(bytes).toString('latin1').split('\n');
-	const idLine = lines.find((text) => text.startsWith('id:'));
-	return {
-		id: idLine?.slice('id:'.length).trim(),
-		hasData: lines.some((text) => text.startsWith('data')),
-		bytes,
-	};
+	const part = parseStreamPart(Buffer.from(bytes).toString('latin1'));
+	return {...part, bytes};
 }
 
 /** Creates an event splitter; each stream needs its own. */
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -8,14 +8,14 @@
 /** Delivery of an event stream to its caller. */
 export type StreamDelivery = Readonly<{
 	/**
-	 * Writes an event unless the caller already has it, and returns whether it did;
-	 * calls `onDrained` when a slow caller can receive more.
+	 * Writes an event that the caller does not have, or a comment; calls `onDrained`
+	 * when a slow caller can receive more.
 	 */
 	deliver: (
 		response: IncomingMessage,
 		event: StreamEvent,
 		onDrained: () => void,
-	) => boolean;
+	) => void;
 	/** Ends the stream properly. */
 	complete: (response: IncomingMessage) => void;
 	/** Forwards an error response of the backend server. */
@@ -79,17 +79,8 @@
 		deliveredAt = now;
 	};
 
-	const isDuplicate = (id: string | undefined): boolean =>
-		id !== undefined &&
-		lastEventId !== undefined &&
-		Number(id) <= Number(lastEventId);
-
 	return {
 		deliver(response, {id, bytes}, onDrained) {
-			if (isDuplicate(id)) {
-				return false;
-			}
-
 			recordTimings();
 			sendHead(response);
 			lastEventId = id ?? lastEventId;
@@ -102,8 +93,6 @@
 					response.resume();
 				});
 			}
-
-			return true;
 		},
 		complete(response) {
 			sendHead(response);
--- /dev/null
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -0,0 +1,131 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {
+	type AttemptFailure,
+	classifyPart,
+	isStreamAnswer,
+} from '@lovagevalve/dispatch';
+import {isInStartWindow} from '@lovagevalve/quarantine';
+import type {AcceptedRequest, GatewayContext} from './context.js';
+import type {StreamEvent} from './event-splitter.js';
+import type {StreamDelivery} from './stream-delivery.js';
+import {readEvents} from './stream-reader.js';
+import type {Run} from './stream-run.js';
+
+/** What becomes of a run whose answer is relayed. */
+export type EventRelayListener = Readonly<{
+	/** An event or a comment was delivered. */
+	onDelivered: (run: Run) => void;
+	/** The stream is complete. */
+	onComplete: (run: Run, response: IncomingMessage) => void;
+	/** The run ended before the stream was complete. */
+	onFailure: (run: Run, failure: AttemptFailure) => void;
+}>;
+
+/** Relays the events of the runs of one stream. */
+export type EventRelay = Readonly<{
+	/** Relays the answer of a run, if it is a stream. */
+	relay: (run: Run, response: IncomingMessage) => void;
+}>;
+
+const MAX_LOGGED_LENGTH = 40;
+
+/** Creates the relay of a stream that has not run yet. */
+export function createEventRelay(
+	ctx: GatewayContext,
+	req: AcceptedRequest,
+	delivery: StreamDelivery,
+	{onDelivered, onComplete, onFailure}: EventRelayListener,
+): EventRelay {
+	/** Leaves a run whose answer does not belong to the stream. */
+	const leaveForeign = (run: Run, reason: string, answer: string): void => {
+		ctx.metrics.count('foreign_stream_answers');
+		ctx.log.warn('An answer does not belong to its stream.', {
+			request: req.metadata.id,
+			backend: run.backend.id,
+			reason,
+			answer: answer.slice(0, MAX_LOGGED_LENGTH),
+			lastEventId: delivery.readLastEventId() ?? '',
+		});
+		onFailure(run, {kind: 'failed', reason});
+	};
+
+	const recordProgress = (run: Run): void => {
+		run.lastEventAt = ctx.clock.now();
+		if (run.startedAt === undefined) {
+			run.startedAt = run.lastEventAt;
+			run.reservation.markPrefilled();
+			ctx.view.reportHealth(run.backend, 'answered');
+		} else if (
+			!run.isSound &&
+			!isInStartWindow(run.lastEventAt - run.startedAt)
+		) {
+			run.isSound = true;
+			ctx.crashes.recordSound(req);
+		}
+	};
+
+	const deliver = (
+		run: Run,
+		response: IncomingMessage,
+		event: StreamEvent,
+	): void => {
+		delivery.deliver(response, event, () => {
+			run.lastEventAt = ctx.clock.now();
+		});
+		onDelivered(run);
+	};
+
+	const handleEvent = (
+		run: Run,
+		response: IncomingMessage,
+		event: StreamEvent,
+	): void => {
+		switch (classifyPart(event, delivery.readLastEventId())) {
+			case 'next': {
+				deliver(run, response, event);
+				recordProgress(run);
+				break;
+			}
+
+			// A stalled engine may go on sending comments or repeat what it has sent.
+			case 'comment': {
+				deliver(run, response, event);
+				break;
+			}
+
+			case 'known': {
+				break;
+			}
+
+			case 'foreign': {
+				const text = Buffer.from(event.bytes).toString('latin1');
+				leaveForeign(run, 'bytes that are no event of the stream', text);
+				break;
+			}
+		}
+	};
+
+	return {
+		relay(run, response) {
+			const contentType = response.headers['content-type'];
+			if (!isStreamAnswer({status: response.statusCode ?? 0, contentType})) {
+				leaveForeign(run, 'the answer is no event stream', contentType ?? '');
+				return;
+			}
+
+			readEvents(response, {
+				isClosed: () => run.isClosed,
+				onEvent(event) {
+					handleEvent(run, response, event);
+				},
+				onComplete() {
+					onComplete(run, response);
+				},
+				onLost(reason) {
+					onFailure(run, {kind: 'lost', reason});
+				},
+			});
+		},
+	};
+}
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -4,7 +4,6 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
-import {isInStartWindow} from '@lovagevalve/quarantine';
 import {
 	chooseRetryAfterMs,
 	endWithProblem,
@@ -17,7 +16,6 @@
 	readRemainingMs,
 	readResponseMetadata,
 } from './context.js';
-import type {StreamEvent} from './event-splitter.js';
 import {createKvBackup, NO_BACKUP} from './kv-backup.js';
 import {
 	chooseRelayPeer,
@@ -27,8 +25,9 @@
 } from './peer-relay.js';
 import {createStreamAttempts} from './stream-attempts.js';
 import {createStreamDelivery} from './stream-delivery.js';
+import {createEventRelay} from './stream-events.js';
 import {createStreamPlacement, type StreamTarget} from './stream-placement.js';
-import {readErrorBody, readEvents} from './stream-reader.js';
+import {readErrorBody} from './stream-reader.js';
 import {
 	createNoReservation,
 	createRun,
@@ -124,55 +123,19 @@
 		finish();
 	};
 
-	const deliver = (
-		current: Run,
-		response: IncomingMessage,
-		event: StreamEvent,
-	): void => {
-		const isDelivered = delivery.deliver(response, event, () => {
-			current.lastEventAt = ctx.clock.now();
-		});
-		// A stalled engine may go on sending comments or repeat what it has sent.
-		if (isDelivered) {
-			placement.bind(current);
-		}
-
-		if (!isDelivered || !event.hasData) {
-			return;
-		}
-
-		current.lastEventAt = ctx.clock.now();
-		if (current.startedAt === undefined) {
-			current.startedAt = current.lastEventAt;
-			current.reservation.markPrefilled();
-			ctx.view.reportHealth(current.backend, 'answered');
-		} else if (
-			!current.isSound &&
-			!isInStartWindow(current.lastEventAt - current.startedAt)
-		) {
-			current.isSound = true;
+	const events = createEventRelay(ctx, req, delivery, {
+		onDelivered: placement.bind,
+		onComplete(current, response) {
+			record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
 			ctx.crashes.recordSound(req);
-		}
-	};
-
-	const relayEvents = (current: Run, response: IncomingMessage): void => {
-		readEvents(response, {
-			isClosed: () => current.isClosed,
-			onEvent(event) {
-				deliver(current, response, event);
-			},
-			onComplete() {
-				record(HTTP_OK, attempts.countMoves() > 0 ? 'moved' : 'backend server');
-				ctx.crashes.recordSound(req);
-				current.kvBackup.release();
-				delivery.complete(response);
-				finish();
-			},
-			onLost(reason) {
-				handleRunFailure(current, {kind: 'lost', reason});
-			},
-		});
-	};
+			current.kvBackup.release();
+			delivery.complete(response);
+			finish();
+		},
+		onFailure(current, failure) {
+			handleRunFailure(current, failure);
+		},
+	});
 
 	/** Forwards an error response of the backend server. */
 	const forwardError = (current: Run, response: IncomingMessage): void => {
@@ -212,7 +175,7 @@
 			const reason = 'the answer belongs to another request';
 			handleRunFailure(current, {kind: 'lost', reason});
 		} else if (status === HTTP_OK) {
-			relayEvents(current, response);
+			events.relay(current, response);
 		} else if (
 			delivery.hasBegun() ||
 			(status >= 500 && canRepeat && attempts.countSent() < route.maxAttempts)
@@ -233,7 +196,7 @@
 			const reason = 'the other entry is cut off too';
 			handleRunFailure(current, {kind: 'rejected', reason});
 		} else if (status === HTTP_OK) {
-			relayEvents(current, response);
+			events.relay(current, response);
 		} else if (delivery.hasBegun()) {
 			handleRunFailure(current, {kind: 'failed', reason: String(status)});
 		} else {
--- a/packages/lovage-gateway/src/stream-reader.ts
+++ b/packages/lovage-gateway/src/stream-reader.ts
@@ -37,7 +37,14 @@
 			return;
 		}
 
-		splitter.push(chunk).forEach(onEvent);
+		for (const event of splitter.push(chunk)) {
+			if (isClosed()) {
+				return;
+			}
+
+			onEvent(event);
+		}
+
 		if (splitter.isTooLong()) {
 			onLost('an event is too long');
 		}
