--- a/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
@@ -1,7 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {
 	classifyPart,
+	decideStreamEnd,
 	isStreamAnswer,
+	NO_QUIET_ENDS,
 	parseStreamPart,
 } from '../../stream-answer.js';
 
@@ -72,3 +74,36 @@
 		expect(classifyPart(part, 'of another system')).toBe('next');
 	});
 });
+
+// A run that fails without saying so ends properly and brings nothing, as one does that
+// follows the last event.
+describe('decideStreamEnd', () => {
+	const quiet = {backend: 'a', hasNewEvent: false, lastEventId: '2'};
+
+	it('is complete after a run with a new event', () => {
+		const end = {...quiet, hasNewEvent: true};
+		expect(decideStreamEnd(NO_QUIET_ENDS, end).kind).toBe('complete');
+	});
+
+	it('is complete when another backend server agrees', () => {
+		const first = decideStreamEnd(NO_QUIET_ENDS, quiet);
+		expect(first.kind).toBe('ask-another');
+		const again = decideStreamEnd(first.quietEnds, quiet);
+		expect(again.kind).toBe('ask-another');
+		const other = decideStreamEnd(again.quietEnds, {...quiet, backend: 'b'});
+		expect(other.kind).toBe('complete');
+	});
+
+	it('is not complete when the other one followed another event', () => {
+		const {quietEnds} = decideStreamEnd(NO_QUIET_ENDS, quiet);
+		const end = {...quiet, backend: 'b', lastEventId: '3'};
+		expect(decideStreamEnd(quietEnds, end).kind).toBe('ask-another');
+	});
+
+	it('is never complete without any event', () => {
+		const end = {...quiet, lastEventId: undefined};
+		const {quietEnds} = decideStreamEnd(NO_QUIET_ENDS, end);
+		const other = decideStreamEnd(quietEnds, {...end, backend: 'b'});
+		expect(other.kind).toBe('ask-another');
+	});
+});
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -113,10 +113,19 @@
 } from './stream-origin.js';
 export {
 	classifyPart,
+	decideStreamEnd,
 	isStreamAnswer,
+	NO_QUIET_ENDS,
 	parseStreamPart,
 } from './stream-answer.js';
-export type {PartKind, StreamAnswerHead, StreamPart} from './stream-answer.js';
+export type {
+	PartKind,
+	QuietEnds,
+	RunEnd,
+	StreamAnswerHead,
+	StreamEndDecision,
+	StreamPart,
+} from './stream-answer.js';
 export {decideStallAction} from './stalled-stream.js';
 export type {ProbeState, StallAction, StallInputs} from './stalled-stream.js';
 export {
--- a/packages/lovage-dispatch/src/stream-answer.ts
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -25,8 +25,38 @@
 	/** It doesn't belong to the stream, nor does what follows. */
 	| 'foreign';
 
+/**
+ * Runs that ended properly without a new event, since the last one that was
+ * delivered.
+ */
+export type QuietEnds = Readonly<{
+	lastEventId: string | undefined;
+	/** Each one once. */
+	backends: readonly string[];
+}>;
+
+/** The proper end of a run. */
+export type RunEnd = Readonly<{
+	backend: string;
+	/** Whether the run brought an event that the caller did not have. */
+	hasNewEvent: boolean;
+	/** The last event of the caller, from this or an earlier run. */
+	lastEventId: string | undefined;
+}>;
+
+/** Whether a stream is complete after the proper end of a run. */
+export type StreamEndDecision = Readonly<{
+	kind: 'complete' | 'ask-another';
+	quietEnds: QuietEnds;
+}>;
+
+/** The state of a stream before a run has ended. */
+export const NO_QUIET_ENDS: QuietEnds = {lastEventId: undefined, backends: []};
+
 const HTTP_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
+/** Backend servers that have to agree that nothing follows the last event. */
+const REQUIRED_AGREEMENT = 2;
 const COMMENT_OR_FIELD = /^(?::|(?:data|event|id|retry)(?::|$))/;
 /** A header that changes in the middle of a stream, in lower case, before the fields. */
 const LEADING_LINE = /^[a-z][a-z\d-]*: ?\S*$/;
@@ -85,3 +115,28 @@
 		? 'known'
 		: 'next';
 }
+
+/**
+ * Decides whether a stream is complete when a run has ended properly. Nothing but
+ * that end announces it. A run without a new event proves little: the one before
+ * may have broken off behind the last event, or this one may have failed. So the
+ * same has to be said by another backend server that was asked for what follows
+ * the same event. A stream without any event is never complete.
+ */
+export function decideStreamEnd(
+	known: QuietEnds,
+	{backend, hasNewEvent, lastEventId}: RunEnd,
+): StreamEndDecision {
+	if (hasNewEvent) {
+		return {kind: 'complete', quietEnds: NO_QUIET_ENDS};
+	}
+
+	const earlier = known.lastEventId === lastEventId ? known.backends : [];
+	const backends = [...new Set([...earlier, backend])];
+	const isAgreed =
+		lastEventId !== undefined && backends.length >= REQUIRED_AGREEMENT;
+	return {
+		kind: isAgreed ? 'complete' : 'ask-another',
+		quietEnds: {lastEventId, backends},
+	};
+}
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -3,7 +3,9 @@
 import {
 	type AttemptFailure,
 	classifyPart,
+	decideStreamEnd,
 	isStreamAnswer,
+	NO_QUIET_ENDS,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import type {AcceptedRequest, GatewayContext} from './context.js';
@@ -37,6 +39,8 @@
 	delivery: StreamDelivery,
 	{onDelivered, onComplete, onFailure}: EventRelayListener,
 ): EventRelay {
+	let quietEnds = NO_QUIET_ENDS;
+
 	/** Leaves a run whose answer does not belong to the stream. */
 	const leaveForeign = (run: Run, reason: string, answer: string): void => {
 		ctx.metrics.count('foreign_stream_answers');
@@ -106,6 +110,38 @@
 		}
 	};
 
+	const handleEnd = (run: Run, response: IncomingMessage): void => {
+		const lastEventId = delivery.readLastEventId();
+		const decision = decideStreamEnd(quietEnds, {
+			backend: run.backend.id,
+			hasNewEvent: run.startedAt !== undefined,
+			lastEventId,
+		});
+		quietEnds = decision.quietEnds;
+		if (run.startedAt === undefined) {
+			ctx.metrics.count('quiet_stream_ends', {decision: decision.kind});
+			ctx.log.info('A run ended without a new event.', {
+				request: req.metadata.id,
+				backend: run.backend.id,
+				lastEventId: lastEventId ?? '',
+				decision: decision.kind,
+			});
+		}
+
+		switch (decision.kind) {
+			case 'complete': {
+				onComplete(run, response);
+				break;
+			}
+
+			case 'ask-another': {
+				const reason = 'the run ended without a new event';
+				onFailure(run, {kind: 'failed', reason});
+				break;
+			}
+		}
+	};
+
 	return {
 		relay(run, response) {
 			const contentType = response.headers['content-type'];
@@ -120,7 +156,7 @@
 					handleEvent(run, response, event);
 				},
 				onComplete() {
-					onComplete(run, response);
+					handleEnd(run, response);
 				},
 				onLost(reason) {
 					onFailure(run, {kind: 'lost', reason});
