--- a/packages/lovage-runtime/src/http-server.ts
+++ b/packages/lovage-runtime/src/http-server.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
 import type {Hono} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
+import {breakOffOnError} from './break-off.js';
 
 /** A listening HTTP server. */
 export type HttpServer = Readonly<{
@@ -30,13 +31,24 @@
 	await closed;
 }
 
+function isEventStream({headers}: Response): boolean {
+	return headers.get('content-type') === 'text/event-stream';
+}
+
 /** Serves a Hono application over HTTP. Port 0 selects a free port. */
 export async function serveHttp(
 	app: Hono,
 	host: string,
 	port: number,
 ): Promise<Result<HttpServer, ListenError>> {
-	const server = createAdaptorServer({fetch: app.fetch}) as Server;
+	const server = createAdaptorServer({
+		async fetch(req, env) {
+			const response = await app.fetch(req, env);
+			return isEventStream(response)
+				? breakOffOnError(response, env.outgoing as ServerResponse)
+				: response;
+		},
+	}) as Server;
 	server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
 	server.headersTimeout = HEADERS_TIMEOUT_MS;
 	server.maxHeadersCount = MAX_HEADERS;
