Treat an answer with a malformed head as lost

Seen: a backend server that answered with status 050, or with a header whose name held a space, ended the entry that had asked it, with all requests there. Callers of plain requests saw a closed connection.

Cause: Node.js reads such heads and refuses to write them. The head of a stream is written in the handler of an event, so that the exception was caught by nothing; the programs install no handler for those.

Evidence: malformed-heads.test.ts answers plain requests and streams so. A trial with each byte in name and value of a header found no other one that is read and not written.

Change: openExchange reports an answer as lost whose status is not from 200 to 599 or whose header names are no tokens (findHeadFault), for all kinds of requests and for answers of other entries. Its body reaches no caller.

--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/malformed-heads.test.ts
@@ -0,0 +1,45 @@
+import {describe, expect, it} from 'vitest';
+import {
+	createAnswer,
+	createBroken,
+	createHead,
+	createStream,
+	formatEvents,
+	startFleet,
+	STREAM,
+} from './faulty-answers.js';
+import {call, createCleanups} from './harness.js';
+
+// Node.js reads the head of an answer that it refuses to write: the exception ends the
+// entry with all its streams.
+
+const cleanups = createCleanups();
+
+describe.each(['/once/1', '/plain/1', '/stream/1', '/stream-once/1'])(
+	'at %s',
+	(path) => {
+		it.each([
+			['a status that is none', createHead(50).replace('50', '050')],
+			['a header whose name is none', `${STREAM}No name: x\r\n`],
+		])('%s is a failure', async (_, head) => {
+			const answer = createAnswer(head, formatEvents(2));
+			const {port} = await startFleet(cleanups, [answer]);
+			expect(await call(port, path)).toMatchObject({status: 502});
+		});
+	},
+);
+
+describe('behind the first events', () => {
+	it.each([
+		['a status that is none', createHead(50).replace('50', '050')],
+		['a header whose name is none', `${STREAM}No name: x\r\n`],
+	])('%s is left, and the stream goes on elsewhere', async (_, head) => {
+		const {port} = await startFleet(cleanups, [
+			createBroken(1),
+			createAnswer(head, formatEvents(2)),
+			createStream(formatEvents(2)),
+		]);
+		const response = await call(port, '/stream/1');
+		expect(response).toMatchObject({body: formatEvents(1, 2), isWhole: true});
+	});
+});
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -2,6 +2,7 @@
 import {request as sendHttp, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
+import {findHeadFault} from './answer-head.js';
 
 /** A request to a single backend server. */
 export type ExchangeRequest = Readonly<{
@@ -160,6 +161,13 @@
 			return;
 		}
 
+		const fault = findHeadFault(response);
+		if (fault !== undefined) {
+			settleFailure({kind: 'lost', reason: fault});
+			response.destroy();
+			return;
+		}
+
 		isSettled = true;
 		receivedResponse = response;
 		detectResetAtEnd(response);
