--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -6,6 +6,7 @@
 	type Server,
 } from 'node:http';
 import {
+	connect,
 	createServer as createTcpServer,
 	type AddressInfo,
 	type Server as TcpServer,
@@ -102,7 +103,12 @@
 		'Content-Length',
 		String(call.bodyLength ?? 0),
 	],
-	createRelayHeaders: (rawHeaders) => [...rawHeaders],
+	createRelayHeaders: (rawHeaders, relay) => [
+		...rawHeaders,
+		...(relay.lastEventId === undefined
+			? []
+			: ['Last-Event-Id', relay.lastEventId]),
+	],
 	readResponse: (_, headers) => ({
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
@@ -205,13 +211,13 @@
 }
 
 /**
- * Starts a gateway; without `initialConfiguration`, none is known. With `peers`, it
- * reaches no backend server and sends requests on to the entries at these ports.
+ * Starts a gateway; without `initialConfiguration`, none is known. One with `peers`,
+ * which are addresses of other entries, reaches no backend server itself.
  */
 export async function startHarness(
 	initialConfiguration: Configuration | undefined,
 	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
-	peers: readonly number[] = [],
+	peers: readonly string[] = [],
 ): Promise<Harness> {
 	const isCutOff = peers.length > 0;
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
@@ -249,7 +255,7 @@
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
 		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
-		listRelays: () => peers.map((peer) => `127.0.0.1:${peer}`),
+		listRelays: () => peers,
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
@@ -374,6 +380,40 @@
 	return {server, port: await listen(server)};
 }
 
+/** What arrived on a connection until it ended. */
+export type RawAnswer = Readonly<{text: string; isReset: boolean}>;
+
+/** Sends raw bytes and reads until the connection ends. */
+export async function exchangeRaw(
+	port: number,
+	text: string,
+): Promise<RawAnswer> {
+	return new Promise((resolve) => {
+		const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+		let received = '';
+		const end = (isReset: boolean): void => {
+			resolve({text: received, isReset});
+			socket.destroy();
+		};
+
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		socket.on('error', () => {
+			end(true);
+		});
+		// Node.js reports a reset behind unread bytes as an orderly end; a write tells
+		// them apart.
+		socket.on('end', () => {
+			socket.write('\r\n', (error) => {
+				end(error instanceof Error);
+			});
+		});
+		socket.write(text);
+	});
+}
+
 /** Formats a server-sent event. */
 export function formatEvent(id: number): string {
 	return `id: ${id}\ndata: piece ${id}\n\n`;
--- a/packages/lovage-gateway/src/__tests__/integration/stale-refusals.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/stale-refusals.test.ts
@@ -372,7 +372,11 @@
 describe('an answer of another entry', () => {
 	async function startRelaying(...peers: readonly number[]): Promise<Harness> {
 		runs.length = 0;
-		const harness = await startHarness(configuration, undefined, peers);
+		const harness = await startHarness(
+			configuration,
+			undefined,
+			peers.map((peer) => `127.0.0.1:${peer}`),
+		);
 		cleanups.push(harness.close);
 		return harness;
 	}
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -2,6 +2,7 @@
 import {request as sendHttp, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
+import {findHeadFault} from './answer-head.js';
 
 /** A request to a single backend server. */
 export type ExchangeRequest = Readonly<{
@@ -58,6 +59,11 @@
 	);
 }
 
+/** Whether a response has arrived whole, by its length or its last chunk. */
+function hasEnded(response: IncomingMessage): boolean {
+	return response.complete && !isCloseDelimited(response);
+}
+
 /**
  * Detects a reset at the end of a close-delimited response. When the last bytes
  * and the RST arrive together, Node.js reports an orderly end of the stream,
@@ -160,6 +166,13 @@
 			return;
 		}
 
+		const fault = findHeadFault(response);
+		if (fault !== undefined) {
+			settleFailure({kind: 'lost', reason: fault});
+			response.destroy();
+			return;
+		}
+
 		isSettled = true;
 		receivedResponse = response;
 		detectResetAtEnd(response);
@@ -167,6 +180,11 @@
 	});
 	req.on('error', (error: NodeJS.ErrnoException) => {
 		clearTimeout(connectTimer);
+		if (receivedResponse !== undefined && hasEnded(receivedResponse)) {
+			// The bytes behind a whole response belong to no request.
+			return;
+		}
+
 		// Node.js treats a reset as the end of a close-delimited response.
 		if (receivedResponse !== undefined) {
 			failedResponses.add(receivedResponse);
--- a/packages/lovage-runtime/src/http-server.ts
+++ b/packages/lovage-runtime/src/http-server.ts
@@ -4,6 +4,7 @@
 import {createAdaptorServer} from '@hono/node-server';
 import type {Hono} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
+import {breakOffOnError} from './break-off.js';
 
 /** A listening HTTP server. */
 export type HttpServer = Readonly<{
@@ -49,13 +50,24 @@
 	server.closeIdleConnections();
 }
 
+function isEventStream({headers}: Response): boolean {
+	return headers.get('content-type') === 'text/event-stream';
+}
+
 /** Serves a Hono application over HTTP. Port 0 selects a free port. */
 export async function serveHttp(
 	app: Hono,
 	host: string,
 	port: number,
 ): Promise<Result<HttpServer, ListenError>> {
-	const server = createAdaptorServer({fetch: app.fetch}) as Server;
+	const server = createAdaptorServer({
+		async fetch(req, env) {
+			const response = await app.fetch(req, env);
+			return isEventStream(response)
+				? breakOffOnError(response, env.outgoing as ServerResponse)
+				: response;
+		},
+	}) as Server;
 	server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
 	server.headersTimeout = HEADERS_TIMEOUT_MS;
 	server.maxHeadersCount = MAX_HEADERS;
