Tell a reset from an end in tests of the gateway

Cause, as far as a trial shows: when a reset arrives behind bytes that Node.js has not read, it reports an orderly end. A trial with a client that reads 0.3 s late shows so each time; a write behind that end fails with ECONNRESET, and succeeds behind an orderly one.

The tests that ask how a connection of an HTTP/1.0 caller ended share exchangeRaw now, which writes behind the end. They are as strict as before: an orderly end still fails them.

--- a/packages/lovage-entry/src/__tests__/integration/broken-caller-stream.test.ts
+++ b/packages/lovage-entry/src/__tests__/integration/broken-caller-stream.test.ts
@@ -44,15 +44,23 @@
 	const served = await serveHttp(app, '127.0.0.1', 0);
 	const server = served._unsafeUnwrap();
 	cleanups.push(server.close);
-	const socket = connect(server.port, '127.0.0.1');
+	const socket = connect({
+		port: server.port,
+		host: '127.0.0.1',
+		allowHalfOpen: true,
+	});
 	cleanups.push(() => socket.destroy());
 	let text = '';
 	const closed = new Promise<'end' | 'reset'>((resolve) => {
 		socket.on('error', () => {
 			resolve('reset');
 		});
+		// Node.js reports a reset behind unread bytes as an orderly end; a write tells
+		// them apart.
 		socket.on('end', () => {
-			resolve('end');
+			socket.write('\r\n', (error) => {
+				resolve(error instanceof Error ? 'reset' : 'end');
+			});
 		});
 	});
 	socket.setEncoding('latin1');
--- a/packages/lovage-gateway/src/__tests__/integration/broken-answers.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/broken-answers.test.ts
@@ -1,9 +1,9 @@
-import {connect} from 'node:net';
 import {describe, expect, it} from 'vitest';
 import {
 	call,
 	configuration,
 	createCleanups,
+	exchangeRaw,
 	formatEvent,
 	startHarness,
 	startRawBackend,
@@ -36,27 +36,6 @@
 	return `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 }
 
-type RawAnswer = Readonly<{text: string; isReset: boolean}>;
-
-/** Sends raw bytes and reads until the connection ends. */
-async function exchangeRaw(port: number, text: string): Promise<RawAnswer> {
-	return new Promise((resolve) => {
-		const socket = connect(port, '127.0.0.1');
-		let received = '';
-		socket.setEncoding('latin1');
-		socket.on('data', (chunk: string) => {
-			received += chunk;
-		});
-		socket.on('error', () => {
-			resolve({text: received, isReset: true});
-		});
-		socket.on('end', () => {
-			resolve({text: received, isReset: false});
-		});
-		socket.write(text);
-	});
-}
-
 describe('a backend server that sends an answer twice', () => {
 	it.each([0, 30])(
 		'does not reach the next caller with the copy, %i ms later',
--- a/packages/lovage-gateway/src/__tests__/integration/close-delimited.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/close-delimited.test.ts
@@ -1,9 +1,9 @@
-import {connect} from 'node:net';
 import {describe, expect, it} from 'vitest';
 import {
 	call,
 	configuration,
 	createCleanups,
+	exchangeRaw,
 	formatEvent,
 	startHarness,
 	startRawBackend,
@@ -83,19 +83,10 @@
 		'ends the connection of an HTTP/1.0 caller likewise: %s',
 		async (end, isWhole) => {
 			const {port} = await start({bytes: HEAD + formatEvent(1), end});
-			const isReset = await new Promise<boolean>((resolve) => {
-				const socket = connect(port, '127.0.0.1');
-				socket.resume();
-				socket.on('error', () => {
-					resolve(true);
-				});
-				socket.on('end', () => {
-					resolve(false);
-				});
-				socket.write(
-					'POST /stream-once/1 HTTP/1.0\r\nHost: test\r\nRequest-Id: r-1\r\nContent-Length: 0\r\n\r\n',
-				);
-			});
+			const {isReset} = await exchangeRaw(
+				port,
+				'POST /stream-once/1 HTTP/1.0\r\nHost: test\r\nRequest-Id: r-1\r\nContent-Length: 0\r\n\r\n',
+			);
 			expect(isReset).toBe(!isWhole);
 		},
 	);
--- a/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
@@ -1,7 +1,8 @@
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {
 	call,
 	configuration,
+	exchangeRaw,
 	formatEvent,
 	startHarness,
 	startRawBackend,
@@ -119,27 +120,11 @@
 	port: number,
 	path: string,
 ): Promise<Http10Answer> {
-	return new Promise((resolve) => {
-		const socket = connect(port, '127.0.0.1');
-		let text = '';
-		const end = (isReset: boolean): void => {
-			resolve({body: text.slice(text.indexOf('\r\n\r\n') + 4), isReset});
-		};
-
-		socket.setEncoding('latin1');
-		socket.on('data', (chunk: string) => {
-			text += chunk;
-		});
-		socket.on('error', () => {
-			end(true);
-		});
-		socket.on('end', () => {
-			end(false);
-		});
-		socket.write(
-			`POST ${path} HTTP/1.0\r\nHost: test\r\n${ID}Content-Length: 0\r\n\r\n`,
-		);
-	});
+	const {text, isReset} = await exchangeRaw(
+		port,
+		`POST ${path} HTTP/1.0\r\nHost: test\r\n${ID}Content-Length: 0\r\n\r\n`,
+	);
+	return {body: text.slice(text.indexOf('\r\n\r\n') + 4), isReset};
 }
 
 /** Sends a request and removes comments from the answer. */
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -6,6 +6,7 @@
 	type Server,
 } from 'node:http';
 import {
+	connect,
 	createServer as createTcpServer,
 	type AddressInfo,
 	type Server as TcpServer,
@@ -376,6 +377,40 @@
 	return {server, port: await listen(server)};
 }
 
+/** What arrived on a connection until it ended. */
+export type RawAnswer = Readonly<{text: string; isReset: boolean}>;
+
+/** Sends raw bytes and reads until the connection ends. */
+export async function exchangeRaw(
+	port: number,
+	text: string,
+): Promise<RawAnswer> {
+	return new Promise((resolve) => {
+		const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+		let received = '';
+		const end = (isReset: boolean): void => {
+			resolve({text: received, isReset});
+			socket.destroy();
+		};
+
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		socket.on('error', () => {
+			end(true);
+		});
+		// Node.js reports a reset behind unread bytes as an orderly end; a write tells
+		// them apart.
+		socket.on('end', () => {
+			socket.write('\r\n', (error) => {
+				end(error instanceof Error);
+			});
+		});
+		socket.write(text);
+	});
+}
+
 /** Formats a server-sent event. */
 export function formatEvent(id: number): string {
 	return `id: ${id}\ndata: piece ${id}\n\n`;
