Keep a whole answer when bytes follow it

Seen: a backend server sent a whole answer and further bytes. The caller of a plain request got 502, and a stream was sent to another backend server though its last event and its end had been delivered.

Cause: when the bytes come with the end of the answer, Node.js reports a parse error before the answer has been read, and each error of the connection counted as one of the answer. Such bytes belong to no request.

Evidence: answer-ends.test.ts writes text or another answer behind small and large answers and behind streams, from backend servers and other entries. Without this change 4 of those 12 tests fail, the ones with text behind a small answer or a stream. Its tests of large answers that end early passed before: they look whole over neither HTTP/1.1 nor 1.0.

Change: an error behind a response that has arrived whole, by its length or its last chunk, is left out. One that ends with its connection is still checked for a reset.

After it 12 of 12 pass.

--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -59,6 +59,11 @@
 	);
 }
 
+/** Whether a response has arrived whole, by its length or its last chunk. */
+function hasEnded(response: IncomingMessage): boolean {
+	return response.complete && !isCloseDelimited(response);
+}
+
 /**
  * Detects a reset at the end of a close-delimited response. When the last bytes
  * and the RST arrive together, Node.js reports an orderly end of the stream,
@@ -175,6 +180,11 @@
 	});
 	req.on('error', (error: NodeJS.ErrnoException) => {
 		clearTimeout(connectTimer);
+		if (receivedResponse !== undefined && hasEnded(receivedResponse)) {
+			// The bytes behind a whole response belong to no request.
+			return;
+		}
+
 		// Node.js treats a reset as the end of a close-delimited response.
 		if (receivedResponse !== undefined) {
 			failedResponses.add(receivedResponse);
