Break off a large answer at once when it fails before it is passed on

Seen: an answer in chunks turned malformed right behind the part that is buffered. Its caller waited until the deadline, with the connection open.

Cause: the response fails between the moment when it is found too large for the buffer and the one when it is passed on, while only the buffer listened.

Change: pipeLargeResponse breaks off a response that is destroyed already.

--- a/packages/lovage-gateway/src/__tests__/integration/answer-ends.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/answer-ends.test.ts
@@ -3,6 +3,7 @@
 	callAsHttp10,
 	createAnswer,
 	createStream,
+	formatChunk,
 	formatEvents,
 	OK,
 	startFleet,
@@ -10,11 +11,16 @@
 } from './faulty-answers.js';
 import {call, createCleanups} from './harness.js';
 
-// Bytes behind a whole answer lose it, and an answer that breaks off looks whole.
+// Bytes behind a whole answer lose it, and an answer that breaks off looks whole or
+// hangs.
 
 const cleanups = createCleanups();
 
 const SMALL = 'answer';
+/** Answers up to this size are passed on when they are whole. */
+const BUFFERED_BYTES = 262_144;
+/** The caller's own limit. */
+const WAIT_MS = 2000;
 const LARGE = 'x'.repeat(2_000_000);
 const GARBAGE = '<p>Internal error</p>';
 const SECOND_ANSWER = 'HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno';
@@ -76,4 +82,15 @@
 		const response = await call(port, '/once/1');
 		expect(response.isWhole && response.body === LARGE).toBe(true);
 	});
+
+	it('a large answer that turns malformed breaks off at once', async () => {
+		const chunk = 'x'.repeat(BUFFERED_BYTES + 100);
+		const head = `${OK}Transfer-Encoding: chunked\r\n\r\n`;
+		const bytes = `${head + formatChunk(chunk)}no chunk\r\n`;
+		const {port} = await startFleet(cleanups, [{bytes, end: 'end'}], via);
+		const startedAt = performance.now();
+		const {status, isWhole} = await call(port, '/once/1');
+		expect(status === 200 && isWhole).toBe(false);
+		expect(performance.now() - startedAt).toBeLessThan(WAIT_MS / 2);
+	});
 });
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -51,6 +51,13 @@
 		removeHeaders(response.rawHeaders, new Set()),
 	);
 	head.forEach((chunk) => res.write(chunk));
+	if (response.destroyed) {
+		// It failed before anyone listened.
+		clearTimeout(timer);
+		breakOff(res);
+		return;
+	}
+
 	res.once('close', () => {
 		clearTimeout(timer);
 		response.destroy();
