--- a/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
@@ -10,7 +10,10 @@
 } from './harness.js';
 
 /** What a backend server writes, and how the connection ends. */
-export type Answer = Readonly<{bytes: string; end: 'end' | 'reset'}>;
+export type Answer = Readonly<{
+	bytes: string;
+	end: 'end' | 'reset' | 'silence';
+}>;
 
 const ID = 'Request-Id: r-1\r\n';
 /** The begin of a head, to which headers can be added. */
@@ -62,10 +65,20 @@
 }
 
 function endConnection(socket: Socket, end: Answer['end']): void {
-	if (end === 'end') {
-		socket.end();
-	} else {
-		socket.resetAndDestroy();
+	switch (end) {
+		case 'end': {
+			socket.end();
+			break;
+		}
+
+		case 'reset': {
+			socket.resetAndDestroy();
+			break;
+		}
+
+		case 'silence': {
+			break;
+		}
 	}
 }
 
@@ -119,10 +132,11 @@
 export async function callAsHttp10(
 	port: number,
 	path: string,
+	waitMs = 2000,
 ): Promise<Http10Answer> {
 	const {text, isReset} = await exchangeRaw(
 		port,
-		`POST ${path} HTTP/1.0\r\nHost: test\r\n${ID}Content-Length: 0\r\n\r\n`,
+		`POST ${path} HTTP/1.0\r\nHost: test\r\n${ID}Wait-Ms: ${waitMs}\r\nContent-Length: 0\r\n\r\n`,
 	);
 	return {body: text.slice(text.indexOf('\r\n\r\n') + 4), isReset};
 }
