Spread an entry's draws for slots of other entries evenly

Callers of entries without slots of a brittle service were refused with 503 after the whole wait for room, while 60 in 100 of its slots were free.

In the traces an entry without slots had chances of 0.25 to 0.5 at each of three servers and drew for each of them, and for each report, on its own.

An entry now takes its draws from one sequence that is spread evenly, and deals them to the servers in random order. What it sends is as much as before on average, and the draws of the entries stay independent, so a server gets no more.

--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -28,7 +28,7 @@
 	borrowers: number;
 	/** Time since it became known, or could last not be reached, in milliseconds. */
 	steadyForMs: number;
-	/** In [0, 1); the same for a backend server until the next reports. */
+	/** In [0, 1); the same for a backend server until the next reports, see `dealDraw`. */
 	draw: number;
 }>;
 
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -37,6 +37,8 @@
 	Occupancy,
 	SlotShare,
 } from './brittle-backend.js';
+export {clearHand, createSpreadDraws, dealDraw} from './spread-draws.js';
+export type {SpreadDraws} from './spread-draws.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -2,8 +2,11 @@
 	acceptsBrittle,
 	type BackendRecord,
 	chooseCoolDownMs,
+	clearHand,
 	countRepeats,
 	createIncarnationKey,
+	createSpreadDraws,
+	dealDraw,
 	isRunningIncarnation,
 	type LimitNotice,
 	type LimitReports,
@@ -11,6 +14,7 @@
 	type Occupancy,
 	parseIncarnationKey,
 	REJECTION_WINDOW_MS,
+	type SpreadDraws,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import {createLimitStatements} from './limit-statements.js';
@@ -72,8 +76,10 @@
 	const coolDowns = new Map<string, CoolDown>();
 	/** Times at which an incarnation became known, or could last not be reached. */
 	const steadySince = new Map<string, number>();
-	/** Draws for slots of other entries; the next report replaces them. */
+	/** Draws for slots of other entries, by incarnation; the next report replaces them. */
 	const borrowDraws = new Map<string, number>();
+	/** What is left to deal, by service. */
+	const drawsByService = new Map<string, SpreadDraws>();
 	/** Incarnations that have answered, by key. */
 	const answered = new Set<string>();
 	/** What the backend servers of a service last allowed, by service. */
@@ -127,8 +133,19 @@
 		}
 	};
 
-	const readBorrowDraw = (key: string): number => {
-		const draw = borrowDraws.get(key) ?? random();
+	const readBorrowDraw = (
+		{service}: BackendRecord,
+		key: string,
+		backends: number,
+	): number => {
+		const known = borrowDraws.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const before = drawsByService.get(service) ?? createSpreadDraws(random());
+		const {draw, draws} = dealDraw(before, backends, random());
+		drawsByService.set(service, draws);
 		borrowDraws.set(key, draw);
 		return draw;
 	};
@@ -194,7 +211,7 @@
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
 					steadyForMs: now - (steadySince.get(key) ?? now),
-					draw: readBorrowDraw(key),
+					draw: readBorrowDraw(backend, key, occupancy.backends),
 				}),
 				occupancy,
 			});
@@ -203,6 +220,9 @@
 		createReport: statements.createReport,
 		applyReport(reports, find) {
 			borrowDraws.clear();
+			drawsByService.forEach((draws, service) => {
+				drawsByService.set(service, clearHand(draws));
+			});
 			statements.applyReport(reports);
 			Object.entries(reports).forEach(([key, {perSecond, ageMs}]) => {
 				const service = find(parseIncarnationKey(key).id)?.service;
