Lend slots at once where a backend server in service turns brittle

When a service began to name that it is brittle, callers of entries without slots were refused for a second or more, though the servers had been in service all the time and were mostly free.

An entry uses no slots of others for a second after a server was away, as its load is not known yet. The time was taken from the first notice that it is brittle, so that each server seemed to have been away just then.

The time now starts when an incarnation becomes known or can't be reached; a first notice starts it again if the incarnation is known for less than two seconds, as entries have only begun to send to that one. The part of the view that asks for room moves to brittle-room.ts.

"uses slots of others at once where a backend server in service turns brittle" failed before (tried on the old rule).

--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -67,7 +67,7 @@
 /** Requests that can start before the loads are known again, for each that runs. */
 const STARTS_PER_RUNNING = 4;
 /** Time after which the loads of all instances at a backend server that was away are known. */
-const MIN_STEADY_MS = 1000;
+export const MIN_STEADY_MS = 1000;
 const MIN_COOL_DOWN_MS = 1000;
 const MAX_COOL_DOWN_MS = 10_000;
 /** Time after a cool-down in which a rejection is a repeated one. */
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -29,6 +29,7 @@
 	countOwnSlots,
 	countRepeats,
 	mayBorrowSlot,
+	MIN_STEADY_MS,
 	REJECTION_WINDOW_MS,
 } from './brittle-backend.js';
 export type {
--- a/packages/lovage-gateway/src/__tests__/unit/brittle-backends.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/brittle-backends.test.ts
@@ -1,4 +1,4 @@
-import type {BackendRecord} from '@lovagevalve/dispatch';
+import type {BackendRecord, Occupancy} from '@lovagevalve/dispatch';
 import {expect, it} from 'vitest';
 import {createBrittleBackends} from '../../brittle-backends.js';
 import {silentLogger, silentMetrics} from '../integration/harness.js';
@@ -16,6 +16,72 @@
 };
 const restarted: BackendRecord = {...first, id: 'desk-1-2', bornAt: 2};
 
+const calm: Occupancy = {
+	ownRunning: 0,
+	running: 1,
+	serviceRunning: 1,
+	backends: 1,
+	slots: 4,
+	ownSlots: 0,
+	borrowers: 1,
+};
+
+function createTestState() {
+	const time = {now: 100_000};
+	const brittle = createBrittleBackends({
+		clock: {now: () => time.now, wall: () => time.now},
+		log: silentLogger,
+		metrics: silentMetrics,
+		random: () => 0,
+		countEntries: () => 16,
+	});
+	const name = (backend: BackendRecord): void => {
+		brittle.record(backend, {kind: 'named', perSecond: 4}, time.now);
+	};
+
+	return {time, brittle, name};
+}
+
+// The first notice was taken for a restart: entries without slots refused for a second.
+it('uses slots of others at once where a backend server in service turns brittle', () => {
+	const {time, brittle, name} = createTestState();
+	brittle.recordKnown(first);
+	time.now += 5000;
+	name(first);
+	expect(brittle.accepts(first, calm, false)).toBe(true);
+});
+
+it('uses no slots of others at a new incarnation for a second after its first notice', () => {
+	const {time, brittle, name} = createTestState();
+	brittle.recordKnown(restarted);
+	time.now += 500;
+	name(restarted);
+	time.now += 900;
+	expect(brittle.accepts(restarted, calm, false)).toBe(false);
+	time.now += 100;
+	expect(brittle.accepts(restarted, calm, false)).toBe(true);
+});
+
+it('uses no slots of others for a second after a backend server could not be reached', () => {
+	const {time, brittle, name} = createTestState();
+	brittle.recordKnown(first);
+	name(first);
+	time.now += 5000;
+	brittle.recordUnreachable(first);
+	time.now += 900;
+	expect(brittle.accepts(first, calm, false)).toBe(false);
+});
+
+it('keeps the age of an incarnation when a late report names the one before', () => {
+	const {time, brittle, name} = createTestState();
+	const replaced = {...first, bornAt: 2};
+	brittle.recordKnown(replaced);
+	name(replaced);
+	time.now += 2000;
+	name(first);
+	expect(brittle.accepts(replaced, calm, false)).toBe(true);
+});
+
 it('knows from other entries that a service is brittle', () => {
 	const time = {now: 100_000};
 	const brittle = createBrittleBackends({
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -28,7 +28,7 @@
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
-import {describeOccupancy} from './brittle-room.js';
+import {createBrittleRoom} from './brittle-room.js';
 import type {BrittleBackends} from './brittle-backends.js';
 import {
 	createLoadReservations,
@@ -190,24 +190,13 @@
 					readSoftwareVersion(record) === softwareVersion),
 		);
 
-	/** Whether a backend server is not brittle, or has room for a request. */
-	const hasRoom = (
-		backend: BackendRecord,
-		request: PlacementRequest,
-	): boolean => {
-		if (!brittle.isBrittle(backend)) {
-			return true;
-		}
-
-		const occupancy = describeOccupancy(backend, request, {
-			listBackends: () => table.values(),
-			countOwn: (id) => ownLoads.read(id).running,
-			countAtAddress: ownLoads.countAtAddress,
-			countOthers: (id) => (remoteLoads[id] ?? NO_LOAD).running,
-			readRank: options.readRank,
-		});
-		return brittle.accepts(backend, occupancy, request.excluded.length > 0);
-	};
+	const room = createBrittleRoom(brittle, {
+		listBackends: () => table.values(),
+		countOwn: (id) => ownLoads.read(id).running,
+		countAtAddress: ownLoads.countAtAddress,
+		countOthers: (id) => (remoteLoads[id] ?? NO_LOAD).running,
+		readRank: options.readRank,
+	});
 
 	const isUsable = (id: string): boolean => {
 		const record = table.get(id);
@@ -276,15 +265,11 @@
 					noticesById.delete(id);
 				});
 			limits.removeEnded((id) => table.get(id));
-			brittle.removeEnded((id) => table.get(id));
+			room.applyReport(records, overview?.brittle, (id) => table.get(id));
 			if (overview?.limits !== undefined) {
 				limits.applyReport(overview.limits);
 			}
 
-			if (overview?.brittle !== undefined) {
-				brittle.applyReport(overview.brittle, (id) => table.get(id));
-			}
-
 			remoteLoads =
 				overview === undefined ? remoteLoads : fromCompactLoads(overview.loads);
 			if (records.length > 0) {
@@ -293,7 +278,7 @@
 		},
 		choose(service, request, random) {
 			const open = listOpen(service, request.softwareVersion).filter((record) =>
-				hasRoom(record, request),
+				room.hasRoom(record, request),
 			);
 			const unlimited = open.filter((record) => !limits.isLimited(record));
 			const limited = open.filter((record) => limits.isLimited(record));
@@ -312,7 +297,8 @@
 		chooseCopyTarget: (service, request, random) =>
 			chooseAmong(
 				listOpen(service, request.softwareVersion).filter(
-					(record) => !limits.isLimited(record) && hasRoom(record, request),
+					(record) =>
+						!limits.isLimited(record) && room.hasRoom(record, request),
 				),
 				request,
 				random,
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -18,6 +18,7 @@
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import {createLimitStatements} from './limit-statements.js';
+import {createSteadyBackends} from './steady-backends.js';
 
 /** Backend servers that fall over when they turn too many requests away. */
 export type BrittleBackends = Readonly<{
@@ -25,6 +26,8 @@
 	record: (backend: BackendRecord, notice: LimitNotice, sentAt: number) => void;
 	/** Records that a backend server turned a request away. */
 	recordRejection: (backend: BackendRecord) => void;
+	/** Records that a backend server is registered, brittle or not. */
+	recordKnown: (backend: BackendRecord) => void;
 	/** Records that a backend server could not be reached. */
 	recordUnreachable: (backend: BackendRecord) => void;
 	/** Whether a backend server is brittle, or a new one of a service that is. */
@@ -74,8 +77,7 @@
 	countEntries,
 }: BrittleBackendsOptions): BrittleBackends {
 	const coolDowns = new Map<string, CoolDown>();
-	/** Times at which an incarnation became known, or could last not be reached. */
-	const steadySince = new Map<string, number>();
+	const steady = createSteadyBackends(clock);
 	/** Draws for slots of other entries, by incarnation; the next report replaces them. */
 	const borrowDraws = new Map<string, number>();
 	/** What is left to deal, by service. */
@@ -93,7 +95,11 @@
 		malformedMessage:
 			'Ignoring a malformed notice of a brittle backend server.',
 		onStatement(key, after, before) {
-			steadySince.set(key, steadySince.get(key) ?? clock.now());
+			if (before === undefined && after !== undefined) {
+				const {id, bornAt} = parseIncarnationKey(key);
+				steady.recordBrittle(id, bornAt);
+			}
+
 			if (before !== after) {
 				log.warn(
 					after === undefined
@@ -193,12 +199,8 @@
 				forMs: Math.round(forMs),
 			});
 		},
-		recordUnreachable(backend) {
-			const key = createIncarnationKey(backend);
-			if (steadySince.has(key)) {
-				steadySince.set(key, clock.now());
-			}
-		},
+		recordKnown: steady.recordKnown,
+		recordUnreachable: steady.recordUnreachable,
 		isBrittle: (backend) => readMaxRejections(backend) !== undefined,
 		accepts(backend, occupancy, isRetry) {
 			const key = createIncarnationKey(backend);
@@ -210,7 +212,7 @@
 				isRetry,
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
-					steadyForMs: now - (steadySince.get(key) ?? now),
+					steadyForMs: steady.readSteadyMs(backend),
 					draw: readBorrowDraw(backend, key, occupancy.backends),
 				}),
 				occupancy,
@@ -233,10 +235,11 @@
 		},
 		removeEnded(find) {
 			statements.removeEnded(find);
-			[...answered, ...steadySince.keys(), ...coolDowns.keys()]
+			steady.removeEnded(find);
+			[...answered, ...coolDowns.keys()]
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
-					[answered, coolDowns, steadySince, borrowDraws].forEach((known) =>
+					[answered, coolDowns, borrowDraws].forEach((known) =>
 						known.delete(key),
 					);
 				});
--- a/packages/lovage-gateway/src/brittle-room.ts
+++ b/packages/lovage-gateway/src/brittle-room.ts
@@ -2,9 +2,11 @@
 	type BackendRecord,
 	countBorrowers,
 	countOwnSlots,
+	type LimitReports,
 	type Occupancy,
 	type PlacementRequest,
 } from '@lovagevalve/dispatch';
+import type {BrittleBackends} from './brittle-backends.js';
 
 /** What an entry knows of the requests at backend servers. */
 export type RoomSources = Readonly<{
@@ -72,3 +74,43 @@
 		borrowers: countBorrowers(share),
 	};
 }
+
+/** Room for requests at the backend servers that an entry knows. */
+export type BrittleRoom = Readonly<{
+	/** Whether a backend server is not brittle, or has room for a request. */
+	hasRoom: (backend: BackendRecord, request: PlacementRequest) => boolean;
+	/** Applies a report; `changed` are the backend servers that it lists. */
+	applyReport: (
+		changed: readonly BackendRecord[],
+		reports: LimitReports | undefined,
+		find: (id: string) => BackendRecord | undefined,
+	) => void;
+}>;
+
+/** Creates the room at brittle backend servers. */
+export function createBrittleRoom(
+	brittle: BrittleBackends,
+	sources: RoomSources,
+): BrittleRoom {
+	return {
+		hasRoom: (backend, request) =>
+			!brittle.isBrittle(backend) ||
+			brittle.accepts(
+				backend,
+				describeOccupancy(backend, request, sources),
+				request.excluded.length > 0,
+			),
+		applyReport(changed, reports, find) {
+			changed.forEach(({id}) => {
+				const record = find(id);
+				if (record !== undefined) {
+					brittle.recordKnown(record);
+				}
+			});
+			brittle.removeEnded(find);
+			if (reports !== undefined) {
+				brittle.applyReport(reports, find);
+			}
+		},
+	};
+}
