Let owners of slots of brittle backend servers keep them after a rejection

A rejection stops all but half of an entry's own slots, which of one slot is nothing, for 4 to 10 s with 16 entries, as if each of them could be rejected in its own slot.

The cool-down after a rejection in an own slot now goes by the entries that own slots of the server, 1 to 3 s for four slots. A rejection of a borrowed slot says nothing about the own ones: it has a pause of its own, which stops borrowing only and goes by all entries as before. The log line of a rejection tells which it was.

--- a/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/brittle-backend.test.ts
@@ -5,6 +5,7 @@
 	chooseCoolDownMs,
 	countBorrowers,
 	countOwnSlots,
+	countRejected,
 	countRepeats,
 	mayBorrowSlot,
 } from '../../index.js';
@@ -49,6 +50,7 @@
 		maxRejections: 4,
 		rejections: 0,
 		isCoolingDown: false,
+		isBorrowingPaused: false,
 		isRetry: false,
 		mayBorrow: false,
 		occupancy: full,
@@ -62,6 +64,11 @@
 			{mayBorrow: true},
 			true,
 		],
+		[
+			'borrows nothing after a rejection of a borrowed slot',
+			{mayBorrow: true, isBorrowingPaused: true},
+			false,
+		],
 		[
 			'borrows one slot at most',
 			{mayBorrow: true, occupancy: {...full, ownRunning: 3}},
@@ -139,6 +146,17 @@
 	});
 });
 
+it.each([
+	[true, 195, 6, 195],
+	[false, 195, 6, 6],
+	[false, 4, 6, 4],
+])(
+	'counts the instances that can be rejected alike (borrowed: %s, %i instances, %i slots)',
+	(isBorrowed, instances, slots, count) => {
+		expect(countRejected(isBorrowed, instances, slots)).toBe(count);
+	},
+);
+
 it('cools down longer the more instances share what is allowed', () => {
 	expect(chooseCoolDownMs(20, 7, 0, 0.5)).toBe(1000);
 	expect(chooseCoolDownMs(4, 7, 0, 0.5)).toBe(3500);
--- a/packages/lovage-dispatch/src/brittle-backend.ts
+++ b/packages/lovage-dispatch/src/brittle-backend.ts
@@ -40,6 +40,8 @@
 	rejections: number;
 	/** Whether it turned a request of this instance away a short time ago. */
 	isCoolingDown: boolean;
+	/** The same of a request that used a slot of another instance. */
+	isBorrowingPaused: boolean;
 	/** Whether another backend server has turned this request away. */
 	isRetry: boolean;
 	/** Whether this instance may use a slot of another one. */
@@ -139,6 +141,7 @@
 	maxRejections,
 	rejections,
 	isCoolingDown,
+	isBorrowingPaused,
 	isRetry,
 	mayBorrow,
 	occupancy: {ownRunning, ownSlots},
@@ -151,12 +154,34 @@
 		return ownRunning < Math.floor(ownSlots / 2);
 	}
 
-	return ownRunning < ownSlots + (mayBorrow && !isRetry ? 1 : 0);
+	const borrows = mayBorrow && !isRetry && !isBorrowingPaused;
+	return ownRunning < ownSlots + (borrows ? 1 : 0);
+}
+
+/**
+ * Whether a request that was turned away used a slot of another instance. That shows
+ * that the loads were not known well, and nothing about the slots of its own.
+ */
+export function isBorrowedSlot({
+	ownRunning,
+	ownSlots,
+}: Pick<Occupancy, 'ownRunning' | 'ownSlots'>): boolean {
+	return ownRunning >= ownSlots;
+}
+
+/** Counts the instances that can be turned away by a backend server in the same way. */
+export function countRejected(
+	isBorrowed: boolean,
+	instances: number,
+	slots: number,
+): number {
+	return isBorrowed ? instances : Math.min(instances, slots);
 }
 
 /**
  * Time for which an instance sends a brittle backend server less after a rejection,
- * so that the instances together stay below what it allows; `random` is in [0, 1).
+ * so that the `instances` that it turns away stay below what it allows together;
+ * `random` is in [0, 1).
  * Doubles with each of the `repeats`, as a server may take less than its slots.
  */
 export function chooseCoolDownMs(
--- a/packages/lovage-gateway/src/__tests__/unit/brittle-backends.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/brittle-backends.test.ts
@@ -82,6 +82,31 @@
 	expect(brittle.accepts(replaced, calm, false)).toBe(true);
 });
 
+// With 16 entries, one with a single slot could not use it for 4 to 10 s.
+it('cools down by the instances that own slots after a rejection of its own slot', () => {
+	const {time, brittle, name} = createTestState();
+	const own = {...calm, ownSlots: 1};
+	brittle.recordKnown(first);
+	name(first);
+	brittle.recordRejection(first, own);
+	time.now += 900;
+	expect(brittle.accepts(first, own, false)).toBe(false);
+	time.now += 200;
+	expect(brittle.accepts(first, own, false)).toBe(true);
+});
+
+it('goes on using its own slot after a rejection of a borrowed one', () => {
+	const {time, brittle, name} = createTestState();
+	const busy = {...calm, ownSlots: 1, ownRunning: 1};
+	brittle.recordKnown(first);
+	time.now += 5000;
+	name(first);
+	expect(brittle.accepts(first, busy, false)).toBe(true);
+	brittle.recordRejection(first, busy);
+	expect(brittle.accepts(first, busy, false)).toBe(false);
+	expect(brittle.accepts(first, {...busy, ownRunning: 0}, false)).toBe(true);
+});
+
 it('knows from other entries that a service is brittle', () => {
 	const time = {now: 100_000};
 	const brittle = createBrittleBackends({
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -394,7 +394,7 @@
 					: {}),
 			});
 		},
-		recordRejection: brittle.recordRejection,
+		recordRejection: room.recordRejection,
 		acceptsCommands: (backend) =>
 			findClosed(backend) !== 'pushback' && !limits.isLimited(backend),
 		listLeaving: () =>
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -3,11 +3,13 @@
 	type BackendRecord,
 	chooseCoolDownMs,
 	clearHand,
+	countRejected,
 	countRepeats,
 	createIncarnationKey,
 	createSpreadDraws,
 	dealDraw,
 	isRunningIncarnation,
+	isBorrowedSlot,
 	type LimitNotice,
 	type LimitReports,
 	mayBorrowSlot,
@@ -24,8 +26,8 @@
 export type BrittleBackends = Readonly<{
 	/** Applies an answer to a request that was sent at `sentAt`. */
 	record: (backend: BackendRecord, notice: LimitNotice, sentAt: number) => void;
-	/** Records that a backend server turned a request away. */
-	recordRejection: (backend: BackendRecord) => void;
+	/** Records that a backend server turned a request away, which no longer counts there. */
+	recordRejection: (backend: BackendRecord, occupancy: Occupancy) => void;
 	/** Records that a backend server is registered, brittle or not. */
 	recordKnown: (backend: BackendRecord) => void;
 	/** Records that a backend server could not be reached. */
@@ -76,7 +78,10 @@
 	random,
 	countEntries,
 }: BrittleBackendsOptions): BrittleBackends {
+	/** After rejections of requests that used slots of this entry. */
 	const coolDowns = new Map<string, CoolDown>();
+	/** After rejections of requests that used slots of other entries. */
+	const borrowingPauses = new Map<string, CoolDown>();
 	const steady = createSteadyBackends(clock);
 	/** Draws for slots of other entries, by incarnation; the next report replaces them. */
 	const borrowDraws = new Map<string, number>();
@@ -168,7 +173,7 @@
 
 			statements.record(backend, notice, sentAt);
 		},
-		recordRejection(backend) {
+		recordRejection(backend, occupancy) {
 			const key = createIncarnationKey(backend);
 			const maxRejections = readMaxRejections(backend);
 			if (maxRejections === undefined) {
@@ -176,16 +181,18 @@
 			}
 
 			const now = clock.now();
-			const previous = coolDowns.get(key) ?? NO_COOL_DOWN;
+			const isBorrowed = isBorrowedSlot(occupancy);
+			const pauses = isBorrowed ? borrowingPauses : coolDowns;
+			const previous = pauses.get(key) ?? NO_COOL_DOWN;
 			const repeats = countRepeats(previous.repeats, previous.until, now);
 			const forMs = chooseCoolDownMs(
 				maxRejections,
-				countEntries(),
+				countRejected(isBorrowed, countEntries(), backend.slots),
 				repeats,
 				random(),
 			);
 			statements.addEvent(key);
-			coolDowns.set(key, {
+			pauses.set(key, {
 				until: Math.max(previous.until, now + forMs),
 				repeats,
 			});
@@ -195,6 +202,7 @@
 				maxRejections,
 				here: statements.countHere(key),
 				elsewhere: statements.countElsewhere(key),
+				isBorrowed,
 				repeats,
 				forMs: Math.round(forMs),
 			});
@@ -209,6 +217,8 @@
 				maxRejections: readMaxRejections(backend) ?? 0,
 				rejections: statements.countHere(key) + statements.countElsewhere(key),
 				isCoolingDown: now < (coolDowns.get(key) ?? NO_COOL_DOWN).until,
+				isBorrowingPaused:
+					now < (borrowingPauses.get(key) ?? NO_COOL_DOWN).until,
 				isRetry,
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
@@ -236,10 +246,10 @@
 		removeEnded(find) {
 			statements.removeEnded(find);
 			steady.removeEnded(find);
-			[...answered, ...coolDowns.keys()]
+			[...answered, ...coolDowns.keys(), ...borrowingPauses.keys()]
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
-					[answered, coolDowns, borrowDraws].forEach((known) =>
+					[answered, coolDowns, borrowingPauses, borrowDraws].forEach((known) =>
 						known.delete(key),
 					);
 				});
--- a/packages/lovage-gateway/src/brittle-room.ts
+++ b/packages/lovage-gateway/src/brittle-room.ts
@@ -24,6 +24,9 @@
 
 type Need = Pick<PlacementRequest, 'memoryTokens' | 'engine'>;
 
+/** Need of a request that fits wherever a slot is free. */
+const ANY_NEED: Need = {memoryTokens: 0};
+
 function countSlots(
 	{slots}: BackendRecord,
 	{memoryTokens, engine}: Need,
@@ -79,6 +82,8 @@
 export type BrittleRoom = Readonly<{
 	/** Whether a backend server is not brittle, or has room for a request. */
 	hasRoom: (backend: BackendRecord, request: PlacementRequest) => boolean;
+	/** Records that a backend server turned a request away whose load is released. */
+	recordRejection: (backend: BackendRecord) => void;
 	/** Applies a report; `changed` are the backend servers that it lists. */
 	applyReport: (
 		changed: readonly BackendRecord[],
@@ -100,6 +105,14 @@
 				describeOccupancy(backend, request, sources),
 				request.excluded.length > 0,
 			),
+		recordRejection(backend) {
+			if (brittle.isBrittle(backend)) {
+				brittle.recordRejection(
+					backend,
+					describeOccupancy(backend, ANY_NEED, sources),
+				);
+			}
+		},
 		applyReport(changed, reports, find) {
 			changed.forEach(({id}) => {
 				const record = find(id);
