--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -34,8 +34,11 @@
 	chooseCoolDownMs,
 	countBorrowers,
 	countOwnSlots,
+	countRejected,
 	countRepeats,
+	isBorrowedSlot,
 	mayBorrowSlot,
+	MIN_STEADY_MS,
 	REJECTION_WINDOW_MS,
 } from './brittle-backend.js';
 export type {
@@ -44,6 +47,8 @@
 	Occupancy,
 	SlotShare,
 } from './brittle-backend.js';
+export {clearHand, createSpreadDraws, dealDraw} from './spread-draws.js';
+export type {SpreadDraws} from './spread-draws.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
 export type {
 	BackendNotice,
--- a/packages/lovage-gateway/src/brittle-backends.ts
+++ b/packages/lovage-gateway/src/brittle-backends.ts
@@ -2,25 +2,34 @@
 	acceptsBrittle,
 	type BackendRecord,
 	chooseCoolDownMs,
+	clearHand,
+	countRejected,
 	countRepeats,
 	createIncarnationKey,
+	createSpreadDraws,
+	dealDraw,
 	isRunningIncarnation,
+	isBorrowedSlot,
 	type LimitNotice,
 	type LimitReports,
 	mayBorrowSlot,
 	type Occupancy,
 	parseIncarnationKey,
 	REJECTION_WINDOW_MS,
+	type SpreadDraws,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import {createLimitStatements} from './limit-statements.js';
+import {createSteadyBackends} from './steady-backends.js';
 
 /** Backend servers that fall over when they turn too many requests away. */
 export type BrittleBackends = Readonly<{
 	/** Applies an answer to a request that was sent at `sentAt`. */
 	record: (backend: BackendRecord, notice: LimitNotice, sentAt: number) => void;
-	/** Records that a backend server turned a request away. */
-	recordRejection: (backend: BackendRecord) => void;
+	/** Records that a backend server turned a request away, which no longer counts there. */
+	recordRejection: (backend: BackendRecord, occupancy: Occupancy) => void;
+	/** Records that a backend server is registered, brittle or not. */
+	recordKnown: (backend: BackendRecord) => void;
 	/** Records that a backend server could not be reached. */
 	recordUnreachable: (backend: BackendRecord) => void;
 	/** Whether a backend server is brittle, or a new one of a service that is. */
@@ -69,11 +78,15 @@
 	random,
 	countEntries,
 }: BrittleBackendsOptions): BrittleBackends {
+	/** After rejections of requests that used slots of this entry. */
 	const coolDowns = new Map<string, CoolDown>();
-	/** Times at which an incarnation became known, or could last not be reached. */
-	const steadySince = new Map<string, number>();
-	/** Draws for slots of other entries; the next report replaces them. */
+	/** After rejections of requests that used slots of other entries. */
+	const borrowingPauses = new Map<string, CoolDown>();
+	const steady = createSteadyBackends(clock);
+	/** Draws for slots of other entries, by incarnation; the next report replaces them. */
 	const borrowDraws = new Map<string, number>();
+	/** What is left to deal, by service. */
+	const drawsByService = new Map<string, SpreadDraws>();
 	/** Incarnations that have answered, by key. */
 	const answered = new Set<string>();
 	/** What the backend servers of a service last allowed, by service. */
@@ -87,7 +100,11 @@
 		malformedMessage:
 			'Ignoring a malformed notice of a brittle backend server.',
 		onStatement(key, after, before) {
-			steadySince.set(key, steadySince.get(key) ?? clock.now());
+			if (before === undefined && after !== undefined) {
+				const {id, bornAt} = parseIncarnationKey(key);
+				steady.recordBrittle(id, bornAt);
+			}
+
 			if (before !== after) {
 				log.warn(
 					after === undefined
@@ -127,8 +144,19 @@
 		}
 	};
 
-	const readBorrowDraw = (key: string): number => {
-		const draw = borrowDraws.get(key) ?? random();
+	const readBorrowDraw = (
+		{service}: BackendRecord,
+		key: string,
+		backends: number,
+	): number => {
+		const known = borrowDraws.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const before = drawsByService.get(service) ?? createSpreadDraws(random());
+		const {draw, draws} = dealDraw(before, backends, random());
+		drawsByService.set(service, draws);
 		borrowDraws.set(key, draw);
 		return draw;
 	};
@@ -145,7 +173,7 @@
 
 			statements.record(backend, notice, sentAt);
 		},
-		recordRejection(backend) {
+		recordRejection(backend, occupancy) {
 			const key = createIncarnationKey(backend);
 			const maxRejections = readMaxRejections(backend);
 			if (maxRejections === undefined) {
@@ -153,16 +181,18 @@
 			}
 
 			const now = clock.now();
-			const previous = coolDowns.get(key) ?? NO_COOL_DOWN;
+			const isBorrowed = isBorrowedSlot(occupancy);
+			const pauses = isBorrowed ? borrowingPauses : coolDowns;
+			const previous = pauses.get(key) ?? NO_COOL_DOWN;
 			const repeats = countRepeats(previous.repeats, previous.until, now);
 			const forMs = chooseCoolDownMs(
 				maxRejections,
-				countEntries(),
+				countRejected(isBorrowed, countEntries(), backend.slots),
 				repeats,
 				random(),
 			);
 			statements.addEvent(key);
-			coolDowns.set(key, {
+			pauses.set(key, {
 				until: Math.max(previous.until, now + forMs),
 				repeats,
 			});
@@ -172,16 +202,13 @@
 				maxRejections,
 				here: statements.countHere(key),
 				elsewhere: statements.countElsewhere(key),
+				isBorrowed,
 				repeats,
 				forMs: Math.round(forMs),
 			});
 		},
-		recordUnreachable(backend) {
-			const key = createIncarnationKey(backend);
-			if (steadySince.has(key)) {
-				steadySince.set(key, clock.now());
-			}
-		},
+		recordKnown: steady.recordKnown,
+		recordUnreachable: steady.recordUnreachable,
 		isBrittle: (backend) => readMaxRejections(backend) !== undefined,
 		accepts(backend, occupancy, isRetry) {
 			const key = createIncarnationKey(backend);
@@ -190,11 +217,13 @@
 				maxRejections: readMaxRejections(backend) ?? 0,
 				rejections: statements.countHere(key) + statements.countElsewhere(key),
 				isCoolingDown: now < (coolDowns.get(key) ?? NO_COOL_DOWN).until,
+				isBorrowingPaused:
+					now < (borrowingPauses.get(key) ?? NO_COOL_DOWN).until,
 				isRetry,
 				mayBorrow: mayBorrowSlot({
 					...occupancy,
-					steadyForMs: now - (steadySince.get(key) ?? now),
-					draw: readBorrowDraw(key),
+					steadyForMs: steady.readSteadyMs(backend),
+					draw: readBorrowDraw(backend, key, occupancy.backends),
 				}),
 				occupancy,
 			});
@@ -203,6 +232,9 @@
 		createReport: statements.createReport,
 		applyReport(reports, find) {
 			borrowDraws.clear();
+			drawsByService.forEach((draws, service) => {
+				drawsByService.set(service, clearHand(draws));
+			});
 			statements.applyReport(reports);
 			Object.entries(reports).forEach(([key, {perSecond, ageMs}]) => {
 				const service = find(parseIncarnationKey(key).id)?.service;
@@ -213,10 +245,11 @@
 		},
 		removeEnded(find) {
 			statements.removeEnded(find);
-			[...answered, ...steadySince.keys(), ...coolDowns.keys()]
+			steady.removeEnded(find);
+			[...answered, ...coolDowns.keys(), ...borrowingPauses.keys()]
 				.filter((key) => !isRunningIncarnation(key, find))
 				.forEach((key) => {
-					[answered, coolDowns, steadySince, borrowDraws].forEach((known) =>
+					[answered, coolDowns, borrowingPauses, borrowDraws].forEach((known) =>
 						known.delete(key),
 					);
 				});
