Count no version as the only one before all servers registered again

A stream of unknown origin goes on if control instances know one version only. What they know after a restart comes from a file that is written up to 0.5 s after a version has come. Streams that the missing version had begun went on at the other one, until its servers had registered again. The same holds for an instance that was frozen while servers registered elsewhere, and for one that hears of a version by the next gossip only.

An instance that has started again, or stood still for 2 s, now says that it knows nothing until 2.5 registration intervals have passed, in which each server that serves registers. A version that is new is told to the other control instances at once. A take-up in that time is refused with Retry-After; one whose origin was reported isn't affected.

The unit test that expected complete knowledge just after a restart stated the fault; it now asks for none before the catch-up and all after it. Two more cover the moment before its end, and a process that stood still; they fail without the change. Versions that came and left within the catch-up are still missed.

--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -59,6 +59,7 @@
 			address: `127.0.0.1:${port}`,
 			dataFolder: folder,
 			isFirstStart,
+			registrationIntervalMs: 1000,
 			readSeeds: () => seeds,
 		},
 		{clock, log, metrics, random: Math.random},
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -27,6 +27,7 @@
 				log,
 				file: {load: async () => ok(undefined), save: async () => ok()},
 				isFirstStart,
+				catchUpMs: 0,
 			}),
 			random: () => 0,
 		}),
--- a/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
@@ -10,6 +10,9 @@
 const noop = (): undefined => undefined;
 const log = {debug: noop, info: noop, warn: noop, error: noop};
 
+/** All backend servers that serve have registered once in this time. */
+const CATCH_UP_MS = 1000;
+
 const record: BackendRecord = {
 	id: 'e-1',
 	service: 'model',
@@ -49,7 +52,13 @@
 		time,
 		disk,
 		async start(isFirstStart = false) {
-			const history = createVersionHistory({clock, log, file, isFirstStart});
+			const history = createVersionHistory({
+				clock,
+				log,
+				file,
+				isFirstStart,
+				catchUpMs: CATCH_UP_MS,
+			});
 			await history.load();
 			return history;
 		},
@@ -71,6 +80,30 @@
 		time.now += 20_000;
 		const history = await start();
 		expect(history.describe('model')).toEqual({v1: 0});
+		time.now += CATCH_UP_MS;
+		expect(history.readKnownForMs()).toBe(Number.MAX_SAFE_INTEGER);
+	});
+
+	// The version that it missed has begun streams, and registers again.
+	it('are not complete before one that was not stored can have registered', async () => {
+		const {time, start} = await createUsedDisk();
+		const history = await start();
+		time.now += CATCH_UP_MS - 1;
+		expect(history.readKnownForMs()).toBe(0);
+	});
+
+	// Registrations went to other control instances while this one was frozen.
+	it('are not complete just after the process stood still', async () => {
+		const {time, start} = await createUsedDisk();
+		const history = await start();
+		time.now += CATCH_UP_MS;
+		history.update([record]);
+		expect(history.readKnownForMs()).toBe(Number.MAX_SAFE_INTEGER);
+		time.now += 5000;
+		history.update([record]);
+		expect(history.readKnownForMs()).toBe(0);
+		time.now += CATCH_UP_MS;
+		history.update([record]);
 		expect(history.readKnownForMs()).toBe(Number.MAX_SAFE_INTEGER);
 	});
 
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -1,11 +1,12 @@
 import type {Server} from 'node:http';
 import type {JoiningMember, RaftMessage} from '@lovagevalve/consensus';
-import type {
-	AgedRecord,
-	BackendRecord,
-	ControlReport,
-	EntryReport,
-	MergeOutcome,
+import {
+	type AgedRecord,
+	type BackendRecord,
+	type ControlReport,
+	type EntryReport,
+	type MergeOutcome,
+	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
 import {
 	type Clock,
@@ -39,6 +40,8 @@
 	 * bootstrap the group.
 	 */
 	isFirstStart: boolean;
+	/** Interval at which a backend server renews its registration, in milliseconds. */
+	registrationIntervalMs: number;
 	/**
 	 * Returns the current addresses of control instances for traffic between
 	 * instances.
@@ -96,6 +99,8 @@
  */
 const EPOCH_LIMIT = 2 ** 32;
 const GOSSIP_TIMEOUT_MS = 400;
+/** Registrations in which a backend server reaches a control instance that was away. */
+const CATCH_UP_INTERVALS = 2.5;
 /** Less than the second after which a caller retries at another instance. */
 const FORWARD_TIMEOUT_MS = 950;
 /** Time for a successor to take over leadership before this replica stops. */
@@ -123,6 +128,7 @@
 		log,
 		file: createVersionFile(settings.dataFolder),
 		isFirstStart: settings.isFirstStart,
+		catchUpMs: settings.registrationIntervalMs * CATCH_UP_INTERVALS,
 	});
 	void versions.load();
 	const registry = createRegistry(clock, log, {
@@ -367,10 +373,16 @@
 			return outcome ?? {kind: 'unavailable'};
 		},
 		register(record) {
+			const isNewVersion = !versions.isKnown(
+				record.service,
+				readSoftwareVersion(record),
+			);
 			const outcome = registry.register(record);
-			if (outcome === 'changed' && record.state !== 'ready') {
+			const isDeparture = outcome === 'changed' && record.state !== 'ready';
+			if (isDeparture || isNewVersion) {
 				// A departure must reach every entry while the backend server still
-				// serves requests.
+				// serves requests, and a version all control instances before it begins
+				// streams.
 				sendGossip({backends: registry.takePendingGossip()});
 			}
 
--- a/packages/lovage-coordinator/src/version-history.ts
+++ b/packages/lovage-coordinator/src/version-history.ts
@@ -15,6 +15,8 @@
 	/** Records the versions of the known backend servers; called several times a second. */
 	update: (records: Iterable<BackendRecord>) => void;
 	describe: (service: string) => VersionAges;
+	/** Whether a version of a service was in service lately, as far as is known. */
+	isKnown: (service: string, version: string) => boolean;
 	/** Time for which all versions in service have been recorded, in milliseconds. */
 	readKnownForMs: () => number;
 	/** Reads what was known before a restart. */
@@ -30,12 +32,16 @@
 	file: VersionFile;
 	/** Whether no version was in service before. */
 	isFirstStart: boolean;
+	/** Time in which all backend servers that serve register once, in milliseconds. */
+	catchUpMs: number;
 }>;
 
 /** Longer than any stream lasts. */
 const RETENTION_MS = 900_000;
 /** Interval at which the file shows that the instance is in service. */
 const STORE_INTERVAL_MS = 5000;
+/** An instance that records nothing for this long was stopped, and missed registrations. */
+const MAX_PAUSE_MS = 2000;
 
 /** Creates the history of a control instance. */
 export function createVersionHistory({
@@ -43,9 +49,13 @@
 	log,
 	file,
 	isFirstStart,
+	catchUpMs,
 }: VersionHistoryOptions): VersionHistory {
 	const startedAt = clock.now();
 	let isRemembered = isFirstStart;
+	/** From then on, versions that serve but were missed have registered. */
+	let caughtUpAt = isFirstStart ? startedAt : startedAt + catchUpMs;
+	let updatedAt = startedAt;
 	const seenAt = new Map<string, Map<string, number>>();
 	/** What was last sent to the file, and when. */
 	let attempt = {text: '', at: Number.NEGATIVE_INFINITY};
@@ -81,6 +91,16 @@
 	return {
 		update(records) {
 			const now = clock.now();
+			const pauseMs = now - updatedAt;
+			updatedAt = now;
+			if (pauseMs > MAX_PAUSE_MS) {
+				caughtUpAt = now + catchUpMs;
+				log.warn('This instance stood still; it may miss software versions.', {
+					pauseMs: Math.round(pauseMs),
+					catchUpMs,
+				});
+			}
+
 			for (const backend of records) {
 				const {service, state} = backend;
 				const version = readSoftwareVersion(backend);
@@ -104,10 +124,17 @@
 				]),
 			);
 		},
-		readKnownForMs: () =>
-			isRemembered
+		isKnown: (service, version) => seenAt.get(service)?.has(version) ?? false,
+		readKnownForMs() {
+			const now = clock.now();
+			if (now < caughtUpAt) {
+				return 0;
+			}
+
+			return isRemembered
 				? Number.MAX_SAFE_INTEGER
-				: Math.round(clock.now() - startedAt),
+				: Math.round(now - startedAt);
+		},
 		async load() {
 			const loaded = await file.load();
 			const stored = loaded.unwrapOr(undefined);
