Keep the origins of streams over restarts of control instances

The origins of streams were kept in memory only, by entries and control instances. After the end of both, nothing says which version began a stream.

A control instance now appends what entries report to files in its data folder, ten times a second and off the path of requests, and reads it at its start.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -7,6 +7,7 @@
 import {ok} from 'neverthrow';
 import {
 	applyEntry,
+	createOriginRegistry,
 	createRegistry,
 	createVersionHistory,
 	EMPTY_GROUP_STATE,
@@ -29,6 +30,7 @@
 				isFirstStart,
 				catchUpMs: 0,
 			}),
+			origins: createOriginRegistry(clock),
 			random: () => 0,
 		}),
 	};
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -21,6 +21,9 @@
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
+import {createOriginLog} from './origin-log.js';
+import {createOriginRegistry} from './origin-registry.js';
+import {createOriginStore} from './origin-store.js';
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
 import type {KnownEntry} from './entry-registry.js';
@@ -89,6 +92,8 @@
  * immediately.
  */
 const GOSSIP_INTERVAL_MS = 500;
+/** Less than the interval at which entries report. */
+const ORIGIN_STORE_INTERVAL_MS = 100;
 /**
  * Every n-th round sends all records, for instances that missed earlier rounds.
  */
@@ -131,9 +136,18 @@
 		catchUpMs: settings.registrationIntervalMs * CATCH_UP_INTERVALS,
 	});
 	void versions.load();
+	const origins = createOriginRegistry(clock);
+	const originStore = createOriginStore({
+		clock,
+		log,
+		file: createOriginLog(clock, settings.dataFolder),
+		origins,
+	});
+	void originStore.load();
 	const registry = createRegistry(clock, log, {
 		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
 		versions,
+		origins,
 		random: dependencies.random,
 	});
 	const quarantine = createCrashQuarantine(
@@ -341,6 +355,9 @@
 			void groupJoiner.advance();
 		}, JOIN_INTERVAL_MS),
 		setInterval(gossip, GOSSIP_INTERVAL_MS),
+		setInterval(() => {
+			void originStore.store();
+		}, ORIGIN_STORE_INTERVAL_MS),
 	];
 	metrics.registerGauge('configuration_version', readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
@@ -398,6 +415,8 @@
 			timers.forEach((timer) => {
 				clearInterval(timer);
 			});
+			await originStore.store();
+			await originStore.close();
 			await replica.stop();
 			client.close();
 		},
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -7,6 +7,10 @@
 } from './coordinator.js';
 export {findFailedVoter} from './membership.js';
 export type {KnownEntry} from './entry-registry.js';
+export {createOriginLog} from './origin-log.js';
+export type {OriginLog, StoredOrigin} from './origin-log.js';
+export {createOriginRegistry} from './origin-registry.js';
+export type {OriginRegistry} from './origin-registry.js';
 export {createRegistry} from './registry.js';
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -28,7 +28,7 @@
 import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
 import {createEntrySums} from './entry-sums.js';
 import {createLimitRegistry} from './limit-registry.js';
-import {createOriginRegistry} from './origin-registry.js';
+import type {OriginRegistry} from './origin-registry.js';
 import type {VersionHistory} from './version-history.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
@@ -80,6 +80,7 @@
 	/** Distinguishes this start of the instance from others. */
 	epoch: number;
 	versions: VersionHistory;
+	origins: OriginRegistry;
 	/** Returns a random number in [0, 1). */
 	random: () => number;
 }>;
@@ -88,7 +89,7 @@
 export function createRegistry(
 	clock: Clock,
 	log: Logger,
-	{epoch, versions, random}: RegistryOptions,
+	{epoch, versions, origins, random}: RegistryOptions,
 ): Registry {
 	const entries = createEntryRegistry({clock, log, epoch, random});
 	let table: BackendTable = new Map();
@@ -105,7 +106,6 @@
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
 	const brittle = createLimitRegistry(clock);
-	const origins = createOriginRegistry(clock);
 
 	const removeFromSums = (entry: string): void => {
 		loads.remove(entry);
