Send a begun stream only to the incarnation that registered

A backend server that starts again serves before its registration has reached the entries, and X-Target-Instance names the id only. Until then it counts as its predecessor: streams of the old version were moved or resumed there, and new streams that it began were bound to the old version and went on at other servers of that.

Where several versions serve, an entry now asks the server who it is before it sends a stream that has begun, and takes another one if `born` in its report isn't that of the registration. An origin comes to be in doubt when a registration shows that its server had started again as another version before the first event (or up to 1 s after it, as clocks differ). Entries report the incarnation with the origin, so that control instances see it as well, also after a restart. A stream whose origin is in doubt is neither moved nor resumed. Control instances answer in the same way for an id under which two versions were reported, as two entries may do for a third that is cut off; until now the last report counted. A registration that changes a server's version is passed on to the other control instances at once.

The first server that comes back as a version that no entry knows yet isn't asked; nor does a server count as another one that names no `born`. Earlier builds ignore what is added to reports and answers.

--- a/packages/lovage-coordinator/src/__tests__/integration/origin-log.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/origin-log.test.ts
@@ -24,10 +24,10 @@
 	await rm(folder, {recursive: true});
 });
 
-const createOrigin = (key: string, version = 'v1'): StoredOrigin => [
+const createOrigin = (key: string): StoredOrigin => [
 	key,
 	'model',
-	version,
+	'v1',
 	time.now + KEEP_MS,
 ];
 
@@ -48,7 +48,10 @@
 describe('origins of streams after a restart', () => {
 	it('are known as before, in their order', async () => {
 		const {log} = await start();
-		const origins = [createOrigin('a'), createOrigin('b', 'v2')];
+		const origins: readonly StoredOrigin[] = [
+			createOrigin('a'),
+			['b', 'model', 'v2', time.now + KEEP_MS, 'e-1/1', time.now],
+		];
 		await log.append(origins.slice(0, 1));
 		time.now += 20_000;
 		await log.append(origins.slice(1));
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -412,6 +412,38 @@
 		expect(registry.findOrigin(query)).not.toHaveProperty('origin');
 	});
 
+	// An entry that was cut off had the stream begun at two others, one after the other.
+	it('are none where two were reported under one id', () => {
+		const {registry} = createTestRegistry();
+		['v1', 'v2', 'v1'].forEach((version, i) => {
+			registry.applyReport(
+				createReport(`entry-${i}`, {
+					origins: [['k-1', 'model', version, 5000]],
+				}),
+			);
+		});
+		expect(registry.findOrigin(query)).toMatchObject({isAmbiguous: true});
+		expect(registry.findOrigin(query)).not.toHaveProperty('origin');
+	});
+
+	it('are none where the backend server had started again as another version', () => {
+		const {time, registry} = createTestRegistry();
+		time.now = 10_000;
+		registry.register({...record, softwareVersion: 'v1'});
+		registry.applyReport(
+			createReport('entry-1', {
+				origins: [['k-1', 'model', 'v1', 5000, 'e-1/1', 100]],
+			}),
+		);
+		expect(registry.findOrigin(query).origin).toEqual({
+			service: 'model',
+			softwareVersion: 'v1',
+		});
+		registry.register({...record, softwareVersion: 'v2', bornAt: 9800});
+		expect(registry.findOrigin(query)).toMatchObject({isAmbiguous: true});
+		expect(registry.findOrigin(query)).not.toHaveProperty('origin');
+	});
+
 	it('tell software versions that have left, and since when they are known', () => {
 		const {time, registry} = createTestRegistry(false);
 		registry.register({...record, softwareVersion: 'v1'});
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -390,10 +390,11 @@
 			return outcome ?? {kind: 'unavailable'};
 		},
 		register(record) {
-			const isNewVersion = !versions.isKnown(
-				record.service,
-				readSoftwareVersion(record),
-			);
+			const version = readSoftwareVersion(record);
+			const previous = registry.find(record.id);
+			const isNewVersion =
+				!versions.isKnown(record.service, version) ||
+				(previous !== undefined && readSoftwareVersion(previous) !== version);
 			const outcome = registry.register(record);
 			const isDeparture = outcome === 'changed' && record.state !== 'ready';
 			if (isDeparture || isNewVersion) {
--- a/packages/lovage-coordinator/src/origin-log.ts
+++ b/packages/lovage-coordinator/src/origin-log.ts
@@ -10,13 +10,16 @@
 
 /**
  * Origin of a stream as a control instance stores it; `until` is the wall-clock
- * time up to which its caller may resume it, in milliseconds since the epoch.
+ * time up to which its caller may resume it, in milliseconds since the epoch. The
+ * last two say where its first event came from, as in the report, and when.
  */
 export type StoredOrigin = readonly [
 	key: string,
 	service: string,
 	softwareVersion: string,
 	until: number,
+	incarnation?: string,
+	begunAt?: number,
 ];
 
 /** Keeps origins of streams over restarts of a control instance. */
@@ -38,16 +41,19 @@
 const MAX_STORED = 200_000;
 
 function isStoredOrigin(value: unknown): value is StoredOrigin {
-	if (!Array.isArray(value) || value.length !== 4) {
+	if (!Array.isArray(value) || ![4, 6].includes(value.length)) {
 		return false;
 	}
 
-	const [key, service, softwareVersion, until] = value as unknown[];
+	const [key, service, softwareVersion, until, incarnation = '', begunAt = 0] =
+		value as unknown[];
 	return (
 		typeof key === 'string' &&
 		typeof service === 'string' &&
 		typeof softwareVersion === 'string' &&
-		typeof until === 'number'
+		typeof until === 'number' &&
+		typeof incarnation === 'string' &&
+		typeof begunAt === 'number'
 	);
 }
 
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -209,9 +209,13 @@
 		find: (id) => table.get(id),
 		findOrigin({key, services}) {
 			versions.update(table.values());
-			const origin = key === undefined ? undefined : origins.find(key);
+			const finding =
+				key === undefined
+					? undefined
+					: origins.find(key, (id) => table.get(id));
 			return {
-				...(origin === undefined ? {} : {origin}),
+				...(finding?.kind === 'found' ? {origin: finding.origin} : {}),
+				...(finding?.kind === 'ambiguous' ? {isAmbiguous: true} : {}),
 				knownForMs: versions.readKnownForMs(),
 				versions: Object.fromEntries(
 					services.map((service) => [service, versions.describe(service)]),
--- a/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
@@ -1,7 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {
+	type BackendRecord,
 	decideResume,
 	decideUnplaced,
+	isOriginDoubtful,
 	type OriginAnswer,
 	type OriginEvidence,
 } from '../../index.js';
@@ -90,6 +92,54 @@
 		];
 		expect(decideResume({...evidence, answers}).kind).toBe('refuse');
 	});
+
+	it('refuses an id of which one control instance says so', () => {
+		const answers = [
+			createAnswer({}, {origin}),
+			createAnswer({}, {isAmbiguous: true}),
+		];
+		expect(decideResume({...evidence, answers}).kind).toBe('refuse');
+	});
+});
+
+// It answered under its id before its registration had arrived.
+describe('isOriginDoubtful', () => {
+	const begunAt = 1_000_000;
+	const beginning = {incarnation: 'e-1/5000', at: begunAt};
+	const reborn: BackendRecord = {
+		id: 'e-1',
+		service: 'model',
+		address: '10.0.0.1:80',
+		dataCentre: 'a',
+		state: 'ready',
+		slots: 8,
+		softwareVersion: 'v2',
+		bornAt: begunAt,
+		sequence: 1,
+		heardAt: 0,
+	};
+	it.each<readonly [string, BackendRecord | undefined, boolean]>([
+		['its backend server had started again as another version', reborn, true],
+		[
+			'the clocks of the machines differ',
+			{...reborn, bornAt: begunAt + 1000},
+			true,
+		],
+		[
+			'its backend server started again later',
+			{...reborn, bornAt: begunAt + 1001},
+			false,
+		],
+		[
+			'it started again as the same version',
+			{...reborn, softwareVersion: 'v1'},
+			false,
+		],
+		['it has not started again', {...reborn, bornAt: 5000}, false],
+		['its registration is forgotten', undefined, false],
+	])('tells whether %s', (_, record, isDoubtful) => {
+		expect(isOriginDoubtful(origin, beginning, record)).toBe(isDoubtful);
+	});
 });
 
 describe('decideUnplaced', () => {
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -100,12 +100,14 @@
 export {
 	decideResume,
 	decideUnplaced,
+	isOriginDoubtful,
 	readSoftwareVersion,
 } from './stream-origin.js';
 export type {
 	OriginAnswer,
 	OriginEvidence,
 	ResumeDecision,
+	StreamBeginning,
 	StreamOrigin,
 	UnplacedDecision,
 	UnplacedInputs,
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -54,13 +54,17 @@
 
 /**
  * Origin of a stream as entries report it: key of the stream, service, software
- * version, and milliseconds for which its caller may resume it.
+ * version, and milliseconds for which its caller may resume it. Reports of the
+ * entry that delivered the first event also name the incarnation of the backend
+ * server, as `id/bornAt`, and the milliseconds since; older entries don't.
  */
 export type OriginReport = readonly [
 	key: string,
 	service: string,
 	softwareVersion: string,
 	keepMs: number,
+	incarnation?: string,
+	ageMs?: number,
 ];
 
 /** Report that an entry sends to each control instance several times a second. */
--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -1,4 +1,5 @@
 import type {BackendRecord} from './backend-table.js';
+import {parseIncarnationKey} from './incarnation.js';
 
 /** Service and software version that wrote the first event of a stream. */
 export type StreamOrigin = Readonly<{
@@ -7,6 +8,14 @@
 	softwareVersion: string;
 }>;
 
+/** First event of a stream, as the entry that delivered it saw it. */
+export type StreamBeginning = Readonly<{
+	/** Incarnation of the backend server that it was asked of, as `id/bornAt`. */
+	incarnation: string;
+	/** Time of the event, in Unix milliseconds. */
+	at: number;
+}>;
+
 /** Milliseconds since software versions of a service were last in service, by version. */
 export type VersionAges = Readonly<Record<string, number>>;
 
@@ -14,6 +23,11 @@
 export type OriginAnswer = Readonly<{
 	/** Absent if no entry has reported the stream. */
 	origin?: StreamOrigin;
+	/**
+	 * Whether streams of two origins were reported under the id, or the origin is in
+	 * doubt; older instances don't send it.
+	 */
+	isAmbiguous?: boolean;
 	/** Time for which it has known the software versions in service, in milliseconds. */
 	knownForMs: number;
 	/** Software versions by service. */
@@ -54,6 +68,8 @@
 	waitedMs: number;
 }>;
 
+/** Longest difference between the clocks of an instance and a backend server. */
+const MAX_CLOCK_DIFFERENCE_MS = 1000;
 /** Backend servers that crash are back within seconds. */
 const MAX_UNPLACED_MS = 5000;
 
@@ -68,6 +84,25 @@
 	return a.service === b.service && a.softwareVersion === b.softwareVersion;
 }
 
+/**
+ * Whether the software version of a stream's first event is in doubt: its backend
+ * server had started again under its id as another version by then, but had not
+ * registered yet. `record` is its latest registration.
+ */
+export function isOriginDoubtful(
+	{softwareVersion}: StreamOrigin,
+	beginning: StreamBeginning,
+	record: BackendRecord | undefined,
+): boolean {
+	const {id, bornAt} = parseIncarnationKey(beginning.incarnation);
+	return (
+		record?.id === id &&
+		record.bornAt > bornAt &&
+		readSoftwareVersion(record) !== softwareVersion &&
+		record.bornAt <= beginning.at + MAX_CLOCK_DIFFERENCE_MS
+	);
+}
+
 /**
  * Finds the only software version that can have begun a stream: most control
  * instances have known the versions for the whole time, and they and this entry
@@ -109,6 +144,16 @@
 	const [origin, ...others] = evidence.answers.flatMap(
 		(answer) => answer.origin ?? [],
 	);
+	const isAmbiguous =
+		evidence.answers.some((answer) => answer.isAmbiguous === true) ||
+		others.some((other) => !isSameOrigin(origin!, other));
+	if (isAmbiguous) {
+		return {
+			kind: 'refuse',
+			reason: 'two software versions may have begun the stream',
+		};
+	}
+
 	if (origin === undefined) {
 		const only = findOnlyVersion(evidence);
 		return only === undefined
@@ -119,13 +164,6 @@
 			: {kind: 'resume', origin: only, evidence: 'only version'};
 	}
 
-	if (others.some((other) => !isSameOrigin(origin, other))) {
-		return {
-			kind: 'refuse',
-			reason: 'two streams began under the id that is resumed',
-		};
-	}
-
 	return evidence.services.includes(origin.service)
 		? {kind: 'resume', origin, evidence: 'reported'}
 		: {
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -118,6 +118,8 @@
 		body: to,
 	}),
 	readCopyHandle: (text) => text,
+	createStatusCommand: () => ({method: 'GET', path: '/status'}),
+	readBornAt: () => undefined,
 	createReleaseCommand: (copy) => ({method: 'DELETE', path: `/copy/${copy}`}),
 };
 
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -19,6 +19,7 @@
 	ctx: Pick<GatewayContext, 'codec' | 'view' | 'resolveAddress'>,
 	backend: BackendRecord,
 	{method, path, body = ''}: BackendCommand,
+	timeoutMs = COMMAND_TIMEOUT_MS,
 ): Promise<Result<string, string>> {
 	if (!ctx.view.acceptsCommands(backend)) {
 		return err('the backend server asked for a pause or named a limit');
@@ -43,7 +44,7 @@
 
 		const timer = setTimeout(() => {
 			fail('timeout');
-		}, COMMAND_TIMEOUT_MS);
+		}, timeoutMs);
 		req.on('error', (error: NodeJS.ErrnoException) => {
 			fail(error.code ?? error.message);
 		});
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -33,7 +33,7 @@
 
 /** An HTTP call that manages KV cache copies at a backend server. */
 export type BackendCommand = Readonly<{
-	method: 'POST' | 'DELETE';
+	method: 'GET' | 'POST' | 'DELETE';
 	path: string;
 	body?: string;
 }>;
@@ -101,6 +101,10 @@
 	createCopyCommand: (requestId: string, to: string) => BackendCommand;
 	/** Extracts the handle of the copy from the response to a copy command. */
 	readCopyHandle: (text: string) => string | undefined;
+	/** Asks a backend server what it says of itself. */
+	createStatusCommand: () => BackendCommand;
+	/** Extracts the start of the incarnation from its answer, in Unix milliseconds. */
+	readBornAt: (text: string) => number | undefined;
 	/** Frees a copy that is no longer needed. */
 	createReleaseCommand: (copy: string) => BackendCommand;
 }>;
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -1,8 +1,12 @@
-import {decideResume} from '@lovagevalve/dispatch';
+import {
+	decideResume,
+	isOriginDoubtful,
+	parseIncarnationKey,
+} from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {OriginLookup} from './origin-lookup.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
-import {createStreamKey} from './stream-origins.js';
+import {createStreamKey, type KnownOrigin} from './stream-origins.js';
 
 /** Longest time between a caller's deadline and its last resume. */
 const RESUME_SLACK_MS = 10_000;
@@ -21,6 +25,21 @@
 	return Math.max(metadata.waitMs ?? 0, route.timeoutMs) + RESUME_SLACK_MS;
 }
 
+/** Whether what this entry recorded about a stream may be of another version. */
+export function isDoubtful(
+	{view}: Pick<GatewayContext, 'view'>,
+	{origin, beginning}: KnownOrigin,
+): boolean {
+	return (
+		beginning !== undefined &&
+		isOriginDoubtful(
+			origin,
+			beginning,
+			view.find(parseIncarnationKey(beginning.incarnation).id),
+		)
+	);
+}
+
 /**
  * Binds a stream that a caller resumes to the service and software version that
  * began it, or says why it can't go on.
@@ -42,7 +61,14 @@
 			? await ctx.lookUpOrigin({key, services})
 			: {
 					controls: 0,
-					answers: [{origin: own, knownForMs: 0, versions: {}}],
+					answers: [
+						{
+							origin: own.origin,
+							isAmbiguous: isDoubtful(ctx, own),
+							knownForMs: 0,
+							versions: {},
+						},
+					],
 				};
 	const decision = decideResume({
 		services,
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -10,7 +10,6 @@
 	endWithProblem,
 	recordCompletion,
 } from './responses.js';
-import {openExchange} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	type GatewayContext,
@@ -244,7 +243,8 @@
 	const send = (current: Run, headers: string[]): void => {
 		run = current;
 		attempts.recordStart(current.backend);
-		current.exchange = openExchange(
+		current.exchange = placement.openExchange(
+			current,
 			{
 				address: current.address,
 				method: req.method,
--- a/packages/lovage-gateway/src/stream-origins.ts
+++ b/packages/lovage-gateway/src/stream-origins.ts
@@ -1,12 +1,21 @@
 import {createHash} from 'node:crypto';
-import type {OriginReport, StreamOrigin} from '@lovagevalve/dispatch';
+import type {
+	OriginReport,
+	StreamBeginning,
+	StreamOrigin,
+} from '@lovagevalve/dispatch';
 import type {Clock} from '@lovagevalve/runtime';
 
 /** Origins of the streams that this entry has delivered events of. */
 export type StreamOrigins = Readonly<{
 	/** Remembers a stream for as long as its caller may resume it. */
-	record: (key: string, origin: StreamOrigin, keepMs: number) => void;
-	find: (key: string) => StreamOrigin | undefined;
+	record: (
+		key: string,
+		origin: StreamOrigin,
+		keepMs: number,
+		beginning?: StreamBeginning,
+	) => void;
+	find: (key: string) => KnownOrigin | undefined;
 	/** Describes the origins recorded after a sequence number, the oldest first. */
 	createReport: (after: number) => OriginsUpdate;
 }>;
@@ -18,8 +27,16 @@
 	sequence: number;
 }>;
 
+/** Origin of a stream as this entry knows it. */
+export type KnownOrigin = Readonly<{
+	origin: StreamOrigin;
+	/** Absent if another entry delivered the first event. */
+	beginning?: StreamBeginning;
+}>;
+
 type RecordedOrigin = Readonly<{
 	origin: StreamOrigin;
+	beginning?: StreamBeginning;
 	/** End of the time in which the caller may resume, in monotonic milliseconds. */
 	until: number;
 	sequence: number;
@@ -42,6 +59,15 @@
 		.slice(0, KEY_LENGTH);
 }
 
+function describeBeginning(
+	beginning: StreamBeginning | undefined,
+	now: number,
+): readonly [incarnation?: string, ageMs?: number] {
+	return beginning === undefined
+		? []
+		: [beginning.incarnation, Math.round(now - beginning.at)];
+}
+
 /** Creates a memory without any origins. */
 export function createStreamOrigins(clock: Clock): StreamOrigins {
 	/** In the order of their sequence numbers. */
@@ -60,28 +86,30 @@
 	};
 
 	return {
-		record(key, origin, keepMs) {
+		record(key, origin, keepMs, beginning = recorded.get(key)?.beginning) {
 			lastSequence += 1;
 			recorded.delete(key);
 			recorded.set(key, {
 				origin,
+				beginning,
 				until: clock.now() + keepMs,
 				sequence: lastSequence,
 			});
 			removeExpired();
 		},
-		find: (key) => recorded.get(key)?.origin,
+		find: (key) => recorded.get(key),
 		createReport(after) {
 			const now = clock.now();
 			const missing = [...recorded]
 				.filter(([, {sequence}]) => sequence > after)
 				.slice(0, MAX_REPORTED);
 			return {
-				origins: missing.map(([key, {origin, until}]) => [
+				origins: missing.map(([key, {origin, until, beginning}]) => [
 					key,
 					origin.service,
 					origin.softwareVersion,
 					Math.round(until - now),
+					...describeBeginning(beginning, clock.wall()),
 				]),
 				sequence: missing.at(-1)?.[1].sequence ?? after,
 			};
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -1,19 +1,27 @@
 import {
 	type BackendRecord,
+	createIncarnationKey,
 	decideUnplaced,
 	isRepeatable,
 	type PlacementRequest,
 	readSoftwareVersion,
 	type UnplacedDecision,
 } from '@lovagevalve/dispatch';
+import {
+	type Exchange,
+	type ExchangeListener,
+	type ExchangeRequest,
+	openExchange,
+} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
 	type GatewayContext,
 } from './context.js';
+import {openCheckedExchange} from './incarnation-check.js';
 import type {KvCopy} from './kv-backup.js';
 import {choosePeer, chooseRelayPeer} from './peer-relay.js';
-import {readResumableMs} from './resume-location.js';
+import {isDoubtful, readResumableMs} from './resume-location.js';
 import type {StreamAttempts} from './stream-attempts.js';
 import {createStreamKey} from './stream-origins.js';
 import type {PreviousRun, Run} from './stream-run.js';
@@ -45,6 +53,15 @@
 		previous: PreviousRun | undefined,
 		hasEvents: boolean,
 	) => StreamTarget;
+	/**
+	 * Sends a run's request; where versions serve side by side, to the incarnation
+	 * that registered only.
+	 */
+	openExchange: (
+		run: Run,
+		request: ExchangeRequest,
+		listener: ExchangeListener,
+	) => Exchange;
 	/** Chooses a backend server that keeps a copy of a run's KV cache. */
 	chooseBackupTarget: (backend: BackendRecord) => BackendRecord | undefined;
 	/** Decides about a bound stream that no backend server takes now. */
@@ -64,6 +81,14 @@
 	let isBegunAtPeer = false;
 	let unplacedAt: number | undefined;
 
+	const key = createStreamKey(customer, metadata.id);
+
+	/** Whether the version that began it here has come to be in doubt. */
+	const isOriginLost = (): boolean => {
+		const own = ctx.origins.find(key);
+		return own !== undefined && isDoubtful(ctx, own);
+	};
+
 	const createRequest = (
 		softwareVersion: string | undefined,
 		excluded = attempts.listExcluded(),
@@ -100,14 +125,17 @@
 				service: service.name,
 				softwareVersion: readSoftwareVersion(run.backend),
 			};
-			ctx.origins.record(
-				createStreamKey(customer, metadata.id),
-				origin,
-				readResumableMs(req),
-			);
+			ctx.origins.record(key, origin, readResumableMs(req), {
+				incarnation: createIncarnationKey(run.backend),
+				at: ctx.clock.wall(),
+			});
 		},
 		isBound: () => origin !== undefined,
 		choose(previous, hasEvents) {
+			if (isOriginLost()) {
+				return {kind: 'none'};
+			}
+
 			const peer = choosePeerTarget();
 			if (peer !== undefined) {
 				return peer;
@@ -129,6 +157,17 @@
 				kvCopy === undefined ? request : {...request, promptTokens: 0};
 			return {kind: 'backend', backend, kvCopy, work};
 		},
+		openExchange(run, request, listener) {
+			const versions = ctx.view.countSoftwareVersions(service.name);
+			return origin === undefined || run.isRelayed || versions.size < 2
+				? openExchange(request, listener)
+				: openCheckedExchange(
+						ctx,
+						{backend: run.backend, requestId: metadata.id},
+						request,
+						listener,
+					);
+		},
 		chooseBackupTarget(backend) {
 			const canRepeat = isRepeatable(route.kind, route.isResumable);
 			if (service.engine?.canBackUp !== true || !canRepeat) {
@@ -143,6 +182,10 @@
 			return ctx.view.chooseCopyTarget(service.name, request, ctx.random());
 		},
 		decideUnplaced() {
+			if (isOriginLost()) {
+				return 'give-up';
+			}
+
 			const versions = ctx.view.countSoftwareVersions(service.name);
 			const own = origin?.softwareVersion ?? '';
 			unplacedAt ??= ctx.clock.now();
