Ask a server who it is also while one version is known

A stream that has begun was sent to the incarnation that registered only where the entry knew several versions. The second server broke off before the first one's registration had arrived, so its streams went on at the first, unasked.

Streams that are bound to a named version are now checked in any case. Servers that name no version aren't asked.

--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -54,8 +54,8 @@
 		hasEvents: boolean,
 	) => StreamTarget;
 	/**
-	 * Sends a run's request; where versions serve side by side, to the incarnation
-	 * that registered only.
+	 * Sends a run's request; that of a stream that is bound to a version only to the
+	 * incarnation that registered.
 	 */
 	openExchange: (
 		run: Run,
@@ -158,8 +158,10 @@
 			return {kind: 'backend', backend, kvCopy, work};
 		},
 		openExchange(run, request, listener) {
-			const versions = ctx.view.countSoftwareVersions(service.name);
-			return origin === undefined || run.isRelayed || versions.size < 2
+			// Another version may serve before any of its servers has registered.
+			const isUnchecked =
+				run.isRelayed || (origin?.softwareVersion ?? '') === '';
+			return isUnchecked
 				? openExchange(request, listener)
 				: openCheckedExchange(
 						ctx,
