--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -1,11 +1,12 @@
 import type {Server} from 'node:http';
 import type {JoiningMember, RaftMessage} from '@lovagevalve/consensus';
-import type {
-	AgedRecord,
-	BackendRecord,
-	ControlReport,
-	EntryReport,
-	MergeOutcome,
+import {
+	type AgedRecord,
+	type BackendRecord,
+	type ControlReport,
+	type EntryReport,
+	type MergeOutcome,
+	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
 import {
 	type Clock,
@@ -20,6 +21,9 @@
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
+import {createOriginLog} from './origin-log.js';
+import {createOriginRegistry} from './origin-registry.js';
+import {createOriginStore} from './origin-store.js';
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
 import type {KnownEntry} from './entry-registry.js';
@@ -39,6 +43,8 @@
 	 * bootstrap the group.
 	 */
 	isFirstStart: boolean;
+	/** Interval at which a backend server renews its registration, in milliseconds. */
+	registrationIntervalMs: number;
 	/**
 	 * Returns the current addresses of control instances for traffic between
 	 * instances.
@@ -86,6 +92,8 @@
  * immediately.
  */
 const GOSSIP_INTERVAL_MS = 500;
+/** Less than the interval at which entries report. */
+const ORIGIN_STORE_INTERVAL_MS = 100;
 /**
  * Every n-th round sends all records, for instances that missed earlier rounds.
  */
@@ -96,6 +104,8 @@
  */
 const EPOCH_LIMIT = 2 ** 32;
 const GOSSIP_TIMEOUT_MS = 400;
+/** Registrations in which a backend server reaches a control instance that was away. */
+const CATCH_UP_INTERVALS = 2.5;
 /** Less than the second after which a caller retries at another instance. */
 const FORWARD_TIMEOUT_MS = 950;
 /** Time for a successor to take over leadership before this replica stops. */
@@ -123,11 +133,21 @@
 		log,
 		file: createVersionFile(settings.dataFolder),
 		isFirstStart: settings.isFirstStart,
+		catchUpMs: settings.registrationIntervalMs * CATCH_UP_INTERVALS,
 	});
 	void versions.load();
+	const origins = createOriginRegistry(clock);
+	const originStore = createOriginStore({
+		clock,
+		log,
+		file: createOriginLog(clock, settings.dataFolder),
+		origins,
+	});
+	void originStore.load();
 	const registry = createRegistry(clock, log, {
 		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
 		versions,
+		origins,
 		random: dependencies.random,
 	});
 	const quarantine = createCrashQuarantine(
@@ -335,6 +355,9 @@
 			void groupJoiner.advance();
 		}, JOIN_INTERVAL_MS),
 		setInterval(gossip, GOSSIP_INTERVAL_MS),
+		setInterval(() => {
+			void originStore.store();
+		}, ORIGIN_STORE_INTERVAL_MS),
 	];
 	metrics.registerGauge('configuration_version', readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
@@ -367,10 +390,17 @@
 			return outcome ?? {kind: 'unavailable'};
 		},
 		register(record) {
+			const version = readSoftwareVersion(record);
+			const previous = registry.find(record.id);
+			const isNewVersion =
+				!versions.isKnown(record.service, version) ||
+				(previous !== undefined && readSoftwareVersion(previous) !== version);
 			const outcome = registry.register(record);
-			if (outcome === 'changed' && record.state !== 'ready') {
+			const isDeparture = outcome === 'changed' && record.state !== 'ready';
+			if (isDeparture || isNewVersion) {
 				// A departure must reach every entry while the backend server still
-				// serves requests.
+				// serves requests, and a version all control instances before it begins
+				// streams.
 				sendGossip({backends: registry.takePendingGossip()});
 			}
 
@@ -386,6 +416,8 @@
 			timers.forEach((timer) => {
 				clearInterval(timer);
 			});
+			await originStore.store();
+			await originStore.close();
 			await replica.stop();
 			client.close();
 		},
