Answer pipelined requests without holding them back

Requests of one connection run at once again, as before. In a drain only the last answer of a connection closes it, also for requests that came before the signal, and a request behind an answer that said so is not run. When a connection ends, all its requests are forgotten. Two tests are new: three requests before a stop are all answered, and a caller that left keeps no place.

--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -8,6 +8,7 @@
 import {
 	configuration,
 	createCleanups,
+	exchangeRaw,
 	formatEvent,
 	startBackend,
 } from './harness.js';
@@ -192,6 +193,48 @@
 		expect(received.match(/0\r\n\r\n/g)).toHaveLength(2);
 	});
 
+	// The stop took back that a connection stays open for the request that waits.
+	it('answers requests that were on their connection before the stop', async () => {
+		const {port, ran, stop} = await startSystem();
+		const socket = connect(port, '127.0.0.1');
+		cleanups.push(() => socket.destroy());
+		let received = '';
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		const ids = ['short-1', 'short-2', 'short-3'];
+		socket.write(
+			ids
+				.map(
+					(id) =>
+						`POST /stream/${id} HTTP/1.1\r\nHost: test\r\nRequest-Id: ${id}\r\nwait-ms: 1500\r\nContent-Length: 0\r\n\r\n`,
+				)
+				.join(''),
+		);
+		await sleep(50);
+		await Promise.all([stop(), once(socket, 'close')]);
+		expect([...ran].toSorted()).toEqual(ids);
+		expect(received.match(/0\r\n\r\n/g)).toHaveLength(3);
+	});
+
+	// Responses that wait behind another one report no end when their caller leaves.
+	it('forgets the requests of a caller that left', async () => {
+		const {entry, port} = await startSystem();
+		const socket = connect(port, '127.0.0.1');
+		cleanups.push(() => socket.destroy());
+		socket.write(
+			'POST /stream/long HTTP/1.1\r\nHost: test\r\nRequest-Id: long\r\nContent-Length: 0\r\n\r\n'.repeat(
+				3,
+			),
+		);
+		await sleep(200);
+		expect(entry.gateway.open.list()).toHaveLength(3);
+		socket.destroy();
+		await sleep(200);
+		expect(entry.gateway.open.list()).toEqual([]);
+	});
+
 	// Node.js takes a connection for idle before a slow caller has its whole answer.
 	it('delivers complete answers to a slow caller when it stops listening', async () => {
 		const {port, ran, stop} = await startSystem();
@@ -226,18 +269,13 @@
 	// has neither length nor chunks.
 	it('lets no caller take a stream that it cuts for complete', async () => {
 		const {port, stop} = await startSystem();
-		const socket = connect(port, '127.0.0.1');
-		cleanups.push(() => socket.destroy());
-		socket.write(
+		const received = exchangeRaw(
+			port,
 			'POST /stream/endless HTTP/1.0\r\nHost: test\r\nRequest-Id: endless\r\nwait-ms: 15000\r\nContent-Length: 0\r\n\r\n',
 		);
-		socket.resume();
-		const closed = once(socket, 'close');
 		await sleep(100);
-		await Promise.all([
-			stop(),
-			expect(closed).rejects.toMatchObject({code: 'ECONNRESET'}),
-		]);
+		await stop();
+		expect(await received).toMatchObject({isReset: true});
 	});
 
 	it('ends within a grace period that is shorter than the life of its address', async () => {
@@ -251,7 +289,7 @@
 	it('serves streams that are over in time', async () => {
 		const {port, stop} = await startSystem();
 		const before = await Promise.all(
-			Array.from({length: 10}, async (_, i) =>
+			Array.from({length: 20}, async (_, i) =>
 				send(port, `short-before-${i}`, createAgent()),
 			),
 		);
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -205,9 +205,7 @@
 	): Promise<void> => {
 		activeRequests += 1;
 		try {
-			if (await open.awaitTurn(res)) {
-				await handle(req, res);
-			}
+			await handle(req, res);
 		} catch (error) {
 			// An exception in one request must not affect the others.
 			ctx.metrics.count('faults');
@@ -229,8 +227,9 @@
 		(req, res) => {
 			req.on('error', () => undefined);
 			res.on('error', () => undefined);
-			open.add(res);
-			void serve(req, res);
+			if (open.add(res)) {
+				void serve(req, res);
+			}
 		},
 	);
 	server.requestTimeout = 0;
--- a/packages/lovage-gateway/src/open-requests.ts
+++ b/packages/lovage-gateway/src/open-requests.ts
@@ -18,13 +18,11 @@
 /** Connections of callers and the requests on them. */
 export type OpenRequests = Readonly<{
 	addConnection: (socket: Socket) => void;
-	/** Keeps a request until its response was handed to the operating system. */
-	add: (res: ServerResponse) => void;
 	/**
-	 * Waits for the request before it on the same connection; resolves with false if
-	 * the connection ends with that one.
+	 * Keeps a request until its response was handed to the operating system; returns
+	 * whether it can be answered: not if its connection ends with the one before.
 	 */
-	awaitTurn: (res: ServerResponse) => Promise<boolean>;
+	add: (res: ServerResponse) => boolean;
 	/** From now on, each connection is closed after its last request. */
 	disableKeepAlive: () => void;
 	/** Describes the open requests, the oldest first. */
@@ -55,63 +53,59 @@
 	const silent = new Set<Socket>();
 	/** Requests in the order of their arrival, each with its time in monotonic milliseconds. */
 	const open = new Map<ServerResponse, number>();
-	/** The request that precedes one on the same connection. */
-	const previous = new WeakMap<ServerResponse, ServerResponse>();
-	const latest = new WeakMap<Socket, ServerResponse>();
+	/** The last request on each connection. */
+	const latest = new Map<Socket, ServerResponse>();
 	let isKeepAliveDisabled = false;
 
+	/** Lets a response be the last one on its connection; false if one before it is. */
+	const makeLast = (
+		res: ServerResponse,
+		before: ServerResponse | undefined,
+	): boolean => {
+		if (before !== undefined && open.has(before)) {
+			if (before.headersSent && !before.shouldKeepAlive) {
+				return false;
+			}
+
+			before.shouldKeepAlive = true;
+		}
+
+		res.shouldKeepAlive = false;
+		return true;
+	};
+
 	return {
 		addConnection(socket) {
 			silent.add(socket);
 			socket.once('close', () => {
 				silent.delete(socket);
+				latest.delete(socket);
+				// A response that waits behind another one reports no end of its own.
+				[...open.keys()]
+					.filter(({req}) => req.socket === socket)
+					.forEach((res) => {
+						open.delete(res);
+					});
 			});
 		},
 		add(res) {
 			const {socket} = res.req;
-			const before = latest.get(socket);
-			if (before !== undefined) {
-				previous.set(res, before);
+			silent.delete(socket);
+			if (isKeepAliveDisabled && !makeLast(res, latest.get(socket))) {
+				return false;
 			}
 
 			latest.set(socket, res);
-			silent.delete(socket);
 			open.set(res, clock.now());
 			res.once('close', () => {
 				open.delete(res);
 			});
-			if (isKeepAliveDisabled) {
-				res.shouldKeepAlive = false;
-			}
-		},
-		async awaitTurn(res) {
-			const before = previous.get(res);
-			previous.delete(res);
-			if (before === undefined) {
-				return true;
-			}
-
-			if (open.has(before)) {
-				if (!before.headersSent) {
-					before.shouldKeepAlive = true;
-				}
-
-				await new Promise((resolve) => {
-					before.once('close', resolve);
-				});
-			}
-
-			const isTurn = before.shouldKeepAlive && !res.req.socket.destroyed;
-			if (!isTurn) {
-				open.delete(res);
-			}
-
-			return isTurn;
+			return true;
 		},
 		disableKeepAlive() {
 			isKeepAliveDisabled = true;
-			[...open.keys()]
-				.filter(({headersSent}) => !headersSent)
+			[...latest.values()]
+				.filter((res) => open.has(res) && !res.headersSent)
 				.forEach((res) => {
 					res.shouldKeepAlive = false;
 				});
