--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -250,7 +250,7 @@
 			() => 1,
 			() => 0,
 		),
-		answerTimes: createAnswerTimes(),
+		answerTimes: createAnswerTimes(clock.now),
 		drainGate: {check: () => undefined},
 		random: () => 0,
 		dataCentre: 'a',
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -25,7 +25,7 @@
 	codec: HeaderCodec;
 	view: BackendView;
 	retryBudgets: RetryBudgets;
-	answerTimes: Pick<AnswerTimes, 'record'>;
+	answerTimes: Pick<AnswerTimes, 'record' | 'begin'>;
 	/** Admission of requests while this entry drains. */
 	drainGate: Pick<DrainGate, 'check'>;
 	/** Returns a random number in [0, 1). */
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -155,7 +155,7 @@
 		peers.count,
 		dependencies.random,
 	);
-	const answerTimes = createAnswerTimes();
+	const answerTimes = createAnswerTimes(clock.now);
 	const drainGate = createDrainGate({
 		clock,
 		log,
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -113,12 +113,14 @@
 		const end = ctx.reach.isCutOff(accepted.service.name)
 			? () => undefined
 			: ctx.retryBudgets.countRequest(accepted.service.name);
+		const endTime = ctx.answerTimes.begin(accepted.route.name);
 		try {
 			await (accepted.route.kind === 'stream'
 				? forwardStream(accepted)
 				: forwardUnary(ctx, accepted));
 		} finally {
 			end();
+			endTime();
 		}
 	};
 
--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -104,7 +104,8 @@
 		version: ctx.readRouteTable()?.configuration.version ?? 0,
 		...details,
 	};
-	if (status < 300) {
+	// A resumed stream is only the rest of one.
+	if (status < 300 && req.origin === undefined) {
 		ctx.answerTimes.record(req.route.name, durationMs);
 	}
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -65,6 +65,8 @@
 	watchResponseEnd(
 		response,
 		() => {
+			const tookMs = ctx.clock.now() - req.startedAt;
+			ctx.answerTimes.record(req.route.name, tookMs);
 			res.end();
 		},
 		() => {
