--- a/packages/lovage-dispatch/src/answer-verdict.ts
+++ b/packages/lovage-dispatch/src/answer-verdict.ts
@@ -34,8 +34,8 @@
 	/** The request was not run and never will be. */
 	| 'not-run'
 	/**
-	 * Callers would take its status for a promise that nobody made, and must not
-	 * run the request again.
+	 * Its status tells callers that the request has not run, which the answer does not
+	 * state, of a request that must not run twice.
 	 */
 	| 'unpromised'
 	/** The answer for the caller. */
