Show that two empty answers end a broken stream as complete

An engine breaks a stream off after 10 of 30 events. The next two engines answer the take-up with status 200, no event and a proper end. The caller gets the 10 events as a complete stream.

--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -9,7 +9,8 @@
 
 /**
  * Starts a worker that registers at the control nodes until it is stopped. `onRun` is
- * called with each request that it begins to run.
+ * called with each request that it begins to run; `chooseFault` says whether the
+ * answer to a stream is truncated to its first events, and whether it then breaks off.
  */
 export async function startWorker({
 	record,
@@ -23,6 +24,7 @@
 	events = 0,
 	eventMs = 30,
 	onRun = () => undefined,
+	chooseFault = () => undefined,
 }) {
 	const born = Date.now();
 	let sequence = 0;
@@ -40,18 +42,25 @@
 			.end();
 	};
 
-	const stream = async (res, requestId, after) => {
+	const stream = async (res, requestId, {after, path}) => {
+		const fault = chooseFault({requestId, after, path, worker: id});
+		const last = fault === undefined ? events : after + fault.events;
 		res.writeHead(200, {
 			'X-Request-Id': requestId,
 			'X-Server-Seal': createSeal(id, requestId),
 			'Content-Type': 'text/event-stream',
 		});
-		for (let event = after + 1; event <= events && !res.destroyed; event += 1) {
+		for (let event = after + 1; event <= last && !res.destroyed; event += 1) {
 			res.write(`id: ${event}\ndata: token-${event}\n\n`);
 			// eslint-disable-next-line no-await-in-loop -- one event after the other
 			await sleep(eventMs);
 		}
 
+		if (fault?.breaksOff) {
+			res.socket.resetAndDestroy();
+			return;
+		}
+
 		res.end();
 	};
 
@@ -95,7 +104,10 @@
 			running += 1;
 			onRun({requestId, at: performance.now(), worker: id});
 			if (events > 0) {
-				await stream(res, requestId, Number(req.headers['last-event-id'] ?? 0));
+				await stream(res, requestId, {
+					after: Number(req.headers['last-event-id'] ?? 0),
+					path: req.url,
+				});
 			} else {
 				await sleep(workMs);
 				const body = `answer of ${id} to ${requestId} `.repeat(10);
