--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // A core machine is replaced; then another one loses its disk.
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // A heartbeat of another writer, whose address is none; then the engines of a zone crash.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createClient} from '../lib/client.mjs';
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // A worker says that it leaves; right after the acknowledgement the core is killed.
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // Three engines truncate one answer each; the answers are those to one stream.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createClient} from '../lib/client.mjs';
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // Stand-in for clients: keeps connections and sends one request after the other on each.
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // The configuration of a small deployment: one service of engines, one plain service.
 
 export const HOST = 'ficu95.example';
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // Starts the programs of the deploy file as processes on loopback addresses, and
 // keeps the record of a case.
 import {Buffer} from 'node:buffer';
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -1,3 +1,4 @@
+/* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
 // Stand-ins for workers that follow the pages: a plain service and a model engine.
 import {setTimeout as sleep} from 'node:timers/promises';
 import {call, HEARTBEAT_MS, listen} from './system.mjs';
