--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,24 +1,30 @@
 /* eslint @typescript-eslint/switch-exhaustiveness-check: "off" -- it needs types, which JavaScript has none of */
-// Three engines truncate one answer each; the answers are those to one stream.
+// A worker says that it leaves; right after the acknowledgement the core is killed.
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createClient} from '../lib/client.mjs';
 import {createConfiguration} from '../lib/configuration.mjs';
-import {HAS_TROUBLE, putConfiguration, runCase} from '../lib/system.mjs';
+import {
+	BOUNDS,
+	HAS_TROUBLE,
+	putConfiguration,
+	runCase,
+} from '../lib/system.mjs';
 import {startWorker} from '../lib/worker.mjs';
 
 const ZONES = ['bne-a', 'bne-b', 'syd-a', 'syd-b'];
-const ENGINES = 6;
+const DESKS = 4;
 const FRONTS = 2;
-const CLIENTS_PER_FRONT = 28;
-const EVENTS = 30;
-const EVENT_MS = 30;
-const TRAFFIC_MS = 14_000;
-const TARGET_AT_MS = 7000;
-const TARGET_PATH = '/stream/target';
-/** Events after which the first answer breaks off. */
-const KEPT_EVENTS = 10;
-
-const countEvents = (body) => [...body.matchAll(/^id: (\d+)$/gm)].length;
+const CLIENTS_PER_FRONT = 4;
+const PAUSE_MS = 60;
+const TRAFFIC_MS = 18_000;
+const LEAVES_AT_MS = 2000;
+/** Time from the acknowledgement until the core is killed. */
+const KILL_AFTER_MS = Number(process.env.KILL_AFTER_MS ?? 0);
+/** Time from the kill of the core until its processes are started again. */
+const DOWN_MS = 600;
+/** Time for which the worker goes on serving after the acknowledgement. */
+const SERVES_MS = 12_000;
 
 await runCase(import.meta.dirname, async (system, record) => {
 	const controls = ZONES.slice(0, 3).map((zone, i) =>
@@ -38,86 +44,92 @@
 		throw new Error('the first configuration was not acknowledged');
 	}
 
-	const answers = new Map();
-	const spoiled = [];
-	/** The first answer to the target breaks off; the next two end properly with nothing new. */
-	const chooseFault = ({path, after, worker}) => {
-		answers.set(worker, (answers.get(worker) ?? 0) + 1);
-		if (!HAS_TROUBLE || path !== TARGET_PATH || spoiled.length === 3) {
-			return undefined;
-		}
-
-		const fault =
-			spoiled.length === 0
-				? {events: KEPT_EVENTS, breaksOff: true}
-				: {events: 0, breaksOff: false};
-		spoiled.push(worker);
-		record(
-			`${worker} truncates its answer to the target after ${fault.events} events behind event ${after}: ${fault.breaksOff ? 'reset' : 'proper end'}`,
-		);
-		return fault;
-	};
-
-	await Promise.all(
-		Array.from({length: ENGINES}, async (_, i) =>
+	const runs = [];
+	const workers = await Promise.all(
+		Array.from({length: DESKS}, async (_, i) =>
 			startWorker({
 				record,
 				controls,
-				host: system.host(i + 21),
-				id: `m-${i}`,
-				service: 'model',
+				host: system.host(i + 31),
+				id: `d-${i}`,
+				service: 'desk',
 				zone: ZONES[i % ZONES.length],
-				slots: 96,
-				events: EVENTS,
-				eventMs: EVENT_MS,
-				chooseFault,
+				slots: 6,
+				onRun(run) {
+					runs.push(run);
+				},
 			}),
 		),
 	);
-	await sleep(2500);
+	await sleep(4000);
 
-	const stream = {
-		method: 'POST',
-		path: '/stream/brief',
-		body: 'x'.repeat(5000),
-		deadlineMs: 25_000,
-		headers: {'X-Model': 'm', 'X-Token-Usage': '5000,240'},
-	};
-	const seen = [];
+	const sentAt = new Map();
 	const endsAt = performance.now() + TRAFFIC_MS;
 	const traffic = fronts.flatMap((front) =>
 		Array.from({length: CLIENTS_PER_FRONT}, async () => {
 			const client = createClient(front.front);
 			while (performance.now() < endsAt) {
-				// eslint-disable-next-line no-await-in-loop -- one request after the other
-				seen.push(await client.send(stream));
+				/* eslint-disable no-await-in-loop -- one request after the other on a connection */
+				const result = await client.send({path: '/lookup/song'});
+				sentAt.set(result.requestId, result.sentAt);
+				await sleep(PAUSE_MS);
+				/* eslint-enable no-await-in-loop */
 			}
 
 			client.close();
 		}),
 	);
 
-	await sleep(TARGET_AT_MS);
-	const client = createClient(fronts[0].front);
-	seen.push(await client.send({...stream, path: TARGET_PATH}));
-	client.close();
+	await sleep(LEAVES_AT_MS);
+	const [leaving] = workers;
+	const node = await leaving.leave();
+	const acknowledgedAt = performance.now();
+	if (node === undefined) {
+		throw new Error('no node acknowledged that the worker leaves');
+	}
+
+	record(`DELETE of ${leaving.id} acknowledged by ${node.name}`);
+	if (HAS_TROUBLE) {
+		if (KILL_AFTER_MS > 0) {
+			await sleep(KILL_AFTER_MS);
+		}
+
+		controls.forEach((control) => {
+			control.signal('SIGKILL');
+		});
+		await Promise.all(controls.map(async (control) => control.awaitEnd()));
+		await sleep(DOWN_MS);
+		controls.forEach((control) => {
+			control.start();
+		});
+	}
+
+	const startedAt = performance.now();
+	await sleep(Math.max(0, acknowledgedAt + SERVES_MS - performance.now()));
+	record(`${leaving.id} ends`);
+	leaving.crash();
 	await Promise.all(traffic);
 
-	const short = seen.filter(
-		({status, outcome, body}) =>
-			status === 200 && outcome === 'answered' && countEvents(body) < EVENTS,
+	// Machines are in touch again `contact-ms` after the last start of a core machine.
+	const judgedFrom = Math.max(
+		acknowledgedAt + BOUNDS['drain-timeout-ms'],
+		startedAt + BOUNDS['contact-ms'],
+	);
+	const after = runs.filter(
+		({worker, at}) => worker === leaving.id && at > acknowledgedAt,
 	);
-	short.forEach(({requestId, path, body}) => {
+	after.forEach(({requestId, at}) => {
+		const sent = sentAt.get(requestId);
 		record(
-			`${path} ${requestId}: status 200, ended properly with ${countEvents(body)} of ${EVENTS} events`,
+			`${requestId}, sent ${sent === undefined ? '?' : ((sent - acknowledgedAt) / 1000).toFixed(3)} s after the acknowledgement, runs at ${leaving.id} after ${((at - acknowledgedAt) / 1000).toFixed(3)} s`,
 		);
 	});
-	record(
-		`answers by engine: ${[...answers].map(([worker, count]) => `${worker} ${count}, truncated ${spoiled.filter((other) => other === worker).length}`).join('; ')}`,
+	const late = after.filter(
+		({requestId}) => (sentAt.get(requestId) ?? 0) > judgedFrom,
 	);
-	const isBroken = short.length > 0;
+	const isBroken = late.length > 0;
 	return {
 		isBroken,
-		summary: `${isBroken ? 'ORDER broken' : 'held'}: ${short.length} of ${seen.length} streams ended as complete before their last event; largest share of truncated answers of an engine ${Math.max(0, ...spoiled.map((worker) => 1 / answers.get(worker))).toFixed(3)}`,
+		summary: `${isBroken ? 'DRAIN broken' : 'held'}: ${late.length} requests that were sent later than ${((judgedFrom - acknowledgedAt) / 1000).toFixed(1)} s after the acknowledgement reached ${leaving.id}`,
 	};
 });
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -28,7 +28,7 @@
 const REPOSITORY = path.resolve(import.meta.dirname, '../..');
 const LIMIT_MS = 115_000;
 const PORTS = {front: 8740, control: 8748, ready: 8749, directory: 8750};
-const INNER_PORT = 7200;
+export const INNER_PORT = 7200;
 const METRICS_PORT = 9464;
 /** Bounds of the site file. */
 export const BOUNDS = {
@@ -147,7 +147,7 @@
 	let seeds = [1, 2, 3].map((host) => `${block}.${host}:${PORTS.control}`);
 	const instances = [];
 
-	const createInstance = (role, host, zone) => {
+	const createInstance = (role, host, zone, {advertisedIp} = {}) => {
 		const isControl = role === 'control';
 		const name = `${isControl ? 'core' : 'front'}-${host}`;
 		const ip = `${block}.${host}`;
@@ -211,6 +211,9 @@
 						PATH: process.env.PATH,
 						HOME: process.env.HOME,
 						LOVAGEVALVE_NODE_FILE: settingsFile,
+						...(advertisedIp === undefined
+							? {}
+							: {LOVAGEVALVE_ADVERTISED_IP: advertisedIp}),
 					},
 					stdio: ['ignore', output, output],
 				});
@@ -258,7 +261,9 @@
 				});
 		},
 		host: (number) => `${block}.${number}`,
-		createControl: (host, zone) => createInstance('control', host, zone),
+		/** `advertisedIp` is where other nodes reach it, if that is a relay. */
+		createControl: (host, zone, options) =>
+			createInstance('control', host, zone, options),
 		createEntry: (host, zone) => createInstance('entry', host, zone),
 		async stop() {
 			[...children].forEach((child) => {
