Name the cause in the last line of a process that ends by itself

The record of the incident holds an exit status and no cause: Node.js prints an uncaught error to standard error and exits, and the log lines that wait are lost. Each program now logs the error with its stack, its origin and the exit code, and a thread writes the line before the process exits.

--- a/packages/lovage-runtime/src/daemon.ts
+++ b/packages/lovage-runtime/src/daemon.ts
@@ -3,6 +3,7 @@
 import type {Result} from 'neverthrow';
 import type {z} from 'zod';
 import {createLogger, installLogWriter, type LogLevel} from './logs.js';
+import {logProcessEnd} from './process-end.js';
 import {EXIT_CODES, waitForShutdown} from './program.js';
 import {loadSettings} from './settings.js';
 import type {ChildError} from './supervisor.js';
@@ -62,6 +63,8 @@
 			}
 
 			installLogWriter(cfg.value.logLevel);
+			// Standard error is written to synchronously.
+			logProcessEnd(log, () => undefined);
 			const started = await spec.start(cfg.value, fail);
 			if (started.isErr()) {
 				return fail(started.error);
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -8,6 +8,7 @@
 export {createLogger, installLogWriter} from './logs.js';
 export type {Metrics, MetricsSettings} from './metrics.js';
 export {createMetrics, metricsSettingsSchema} from './metrics.js';
+export {describeError, logProcessEnd} from './process-end.js';
 export {EXIT_CODES, waitForShutdown} from './program.js';
 export type {SettingsError} from './settings.js';
 export {loadSettings, parseSettings} from './settings.js';
--- a/packages/lovage-runtime/src/stdout-log.ts
+++ b/packages/lovage-runtime/src/stdout-log.ts
@@ -23,9 +23,13 @@
 	 * passed. A process that exits before that loses its last lines.
 	 */
 	flush: (limitMs: number) => Promise<void>;
+	/** Gives all lines to the system and waits, without serving anything else. */
+	flushBlocking: () => void;
 }>;
 
 const FLUSH_POLL_MS = 5;
+/** A thread writes meanwhile; a reader that is slower must not hold up the end of a process. */
+const FLUSH_BLOCKING_MS = 30;
 
 /**
  * Configures roarr to write JSON lines to standard output. Writes are
@@ -87,6 +91,15 @@
 				await sleep(FLUSH_POLL_MS);
 			}
 		},
+		flushBlocking() {
+			// Also behind a write that is under way, whose callback can't run any more.
+			write(STDOUT, Buffer.from(waiting.join('')), () => undefined);
+			waiting = [];
+			const endAt = performance.now() + FLUSH_BLOCKING_MS;
+			while (performance.now() < endAt) {
+				// A synchronous write would hang behind a reader that has stopped.
+			}
+		},
 	};
 }
 
