Remove a replaced voter before the next instance may be lost

The replaced voter stayed in the group until the leader had not heard of it for 6 s; until then three of four voters had to answer, and two were left.

Class: the group's size followed a constant instead of what may be lost at once. Now it follows the number of tolerated losses in the settings: while there are more voters than two for each tolerated loss and one, the leader removes one that is silent for 2 s, and one that stops says so (/leave). An older leader answers 404 to that call and removes it by its silence. The other side of the same cause: a group of five that tolerates two lost disks shrank to three voters, of which a majority could lose its disks; it keeps five now.

--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -2,6 +2,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createCoordinator, type Coordinator} from '../../index.js';
@@ -79,6 +80,30 @@
 }
 
 const POLL_INTERVAL_MS = 50;
+/** Time in which an instance becomes a voter. */
+const JOIN_MS = 2000;
+const RECOVERY_MS = 12_000;
+
+/** Resolves with whether a condition holds before the time limit. */
+async function isReached(
+	condition: () => Promise<boolean>,
+	limitMs: number,
+): Promise<boolean> {
+	const endAt = performance.now() + limitMs;
+	return new Promise((resolve) => {
+		const check = async (): Promise<void> => {
+			if (await condition()) {
+				resolve(true);
+			} else if (performance.now() >= endAt) {
+				resolve(false);
+			} else {
+				setTimeout(check, POLL_INTERVAL_MS);
+			}
+		};
+
+		void check();
+	});
+}
 
 async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
 	if (await condition()) {
@@ -149,6 +174,33 @@
 		await waitUntil(async () => (await readVersion(again[0]!)) === 8);
 	});
 
+	// The instance that stopped stayed a voter, so that three of four had to answer.
+	it('survives the loss of a disk right after a replaced instance has stopped', async () => {
+		const starts = await startGroup();
+		const group = await Promise.all(starts.map(start));
+		await put(group[0]!, 1);
+		const successor = await start({
+			name: 'control-3',
+			port: await findFreePort(),
+			folder: await createFolder(),
+			seeds: starts[0]!.seeds,
+			isFirstStart: false,
+		});
+		await sleep(JOIN_MS);
+		await stop(group[0]!);
+		await put(group[1]!, 2);
+		await stop(group[1]!);
+		const returned = await start({
+			...starts[1]!,
+			folder: await createFolder(),
+			isFirstStart: false,
+		});
+		const isRead = async (): Promise<boolean> =>
+			(await readVersion(returned)) === 2 &&
+			(await readVersion(successor)) === 2;
+		expect(await isReached(isRead, RECOVERY_MS)).toBe(true);
+	});
+
 	it('rejects reads and proposals without a quorum', async () => {
 		const starts = await startGroup();
 		const group = await Promise.all(starts.map(start));
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -1,5 +1,10 @@
 import type {Server} from 'node:http';
-import type {JoiningMember, RaftMessage} from '@lovagevalve/consensus';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {
+	JoiningMember,
+	RaftMessage,
+	ReplicaId,
+} from '@lovagevalve/consensus';
 import {
 	type AgedRecord,
 	type BackendRecord,
@@ -45,6 +50,8 @@
 	isFirstStart: boolean;
 	/** Interval at which a backend server renews its registration, in milliseconds. */
 	registrationIntervalMs: number;
+	/** Number of control instances whose disks may be lost at once; 1 by default. */
+	tolerated?: number;
 	/**
 	 * Returns the current addresses of control instances for traffic between
 	 * instances.
@@ -110,6 +117,7 @@
 const FORWARD_TIMEOUT_MS = 950;
 /** Time for a successor to take over leadership before this replica stops. */
 const LEADERSHIP_TRANSFER_MS = 300;
+const DEFAULT_TOLERATED = 1;
 
 /** State that a control instance sends to the others. */
 type Gossip = Readonly<{
@@ -118,6 +126,8 @@
 	convictedMs?: Readonly<Record<string, number>>;
 }>;
 
+type Departure = Readonly<{replica: ReplicaId}>;
+
 type RaftDelivery = Readonly<{from: string; messages: readonly RaftMessage[]}>;
 
 /** Creates a control instance and starts opening its data folder. */
@@ -161,6 +171,7 @@
 		log,
 		transport: createRaftTransport(client, address),
 		folder: settings.dataFolder,
+		tolerated: settings.tolerated ?? DEFAULT_TOLERATED,
 		random: dependencies.random,
 		onApplied({configuration, appliedIndex}) {
 			const version = configuration?.version ?? 0;
@@ -275,6 +286,11 @@
 				return {status: 200};
 			}
 
+			case '/leave': {
+				replica.leave((body as Departure).replica);
+				return {status: 200};
+			}
+
 			case '/propose': {
 				const outcome = await replica.propose(body as StoredConfiguration);
 				return {status: 200, body: {outcome}};
@@ -410,9 +426,12 @@
 		listServing: registry.listServing,
 		async stop() {
 			replica.transferLeadership();
-			await new Promise((resolve) => {
-				setTimeout(resolve, LEADERSHIP_TRANSFER_MS);
-			});
+			await sleep(LEADERSHIP_TRANSFER_MS);
+			const departure = replica.readRaft()?.replica;
+			if (departure !== undefined && replica.isSpareVoter()) {
+				await callLeader('/leave', {replica: departure});
+			}
+
 			timers.forEach((timer) => {
 				clearInterval(timer);
 			});
--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -10,6 +10,7 @@
 	type RaftEvent,
 	type RaftMessage,
 	type RaftState,
+	type ReplicaId,
 	readMembers,
 	stepRaft,
 } from '@lovagevalve/consensus';
@@ -22,7 +23,7 @@
 	type DiskStore,
 	type OpenedStore,
 } from '@lovagevalve/storage';
-import {findFailedVoter} from './membership.js';
+import {findFailedVoter, hasSpareVoter} from './membership.js';
 import type {RaftTransport} from './raft-transport.js';
 import {
 	createPendingRequests,
@@ -43,6 +44,8 @@
 	log: Logger;
 	transport: RaftTransport;
 	folder: string;
+	/** Number of instances whose disks may be lost at once. */
+	tolerated: number;
 	random: () => number;
 	/** Called after entries were applied. */
 	onApplied: (state: GroupState) => void;
@@ -69,6 +72,10 @@
 	receive: (address: string, messages: readonly RaftMessage[]) => void;
 	initialise: (group: string, members: readonly JoiningMember[]) => void;
 	join: (member: JoiningMember) => void;
+	/** Removes a voter that stops, if this replica leads and the group can spare it. */
+	leave: (replica: ReplicaId) => void;
+	/** Whether this replica is a voter that the group can spare. */
+	isSpareVoter: () => boolean;
 	needsJoin: () => boolean;
 	tick: () => void;
 	transferLeadership: () => void;
@@ -113,6 +120,7 @@
 	const {clock, log, transport, folder} = options;
 	const pending = createPendingRequests();
 	const learnedAddresses = new Map<string, string>();
+	const leaving = new Set<ReplicaId>();
 	let state: GroupState = EMPTY_GROUP_STATE;
 	let snapshotVersion = 0;
 	let disk: DiskStore | undefined;
@@ -360,8 +368,24 @@
 			dispatch({kind: 'initialised', group, members});
 		},
 		join(member) {
+			leaving.delete(member.replica);
 			dispatch({kind: 'join-requested', member});
 		},
+		leave(replica) {
+			if (
+				store?.read().role.kind === 'leader' &&
+				hasSpareVoter(listMembers(), options.tolerated)
+			) {
+				leaving.add(replica);
+			}
+		},
+		isSpareVoter() {
+			const own = store?.read().replica;
+			return (
+				hasSpareVoter(listMembers(), options.tolerated) &&
+				listMembers().some(({replica, voter}) => voter && replica === own)
+			);
+		},
 		needsJoin: () =>
 			store !== undefined && needsJoin(store.read(), clock.now()),
 		tick() {
@@ -369,8 +393,17 @@
 			const failedVoter =
 				store === undefined
 					? undefined
-					: findFailedVoter(store.read(), listMembers(), clock.now());
+					: findFailedVoter(store.read(), {
+							members: listMembers(),
+							tolerated: options.tolerated,
+							leaving,
+							now: clock.now(),
+						});
 			if (failedVoter !== undefined) {
+				log.info('Removing a voter that is silent or stops.', {
+					replica: failedVoter,
+					isLeaving: leaving.has(failedVoter),
+				});
 				dispatch({kind: 'removal-requested', replica: failedVoter});
 			}
 		},
