Store which backend servers leave before it is acknowledged

Registrations are repeated and may be kept in memory; a departure is said once, and was kept in memory too. Entries ask five times a second, so none had heard of it.

The instance that acknowledges stores its departures first, for 0.4 s at most, as the backend server asks another instance after a second, and restores them at its start.

Not covered: the disk of that very instance is lost together with the kill.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -23,6 +23,7 @@
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
 import {createCrashQuarantine} from './crash-quarantine.js';
+import {createDepartureFile, createDepartureStore} from './departure-store.js';
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
@@ -84,7 +85,8 @@
 	 */
 	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
 	readConfiguration: () => Promise<ReadOutcome>;
-	register: (record: BackendRecord) => MergeOutcome;
+	/** Merges a registration; resolves once a departure is stored. */
+	register: (record: BackendRecord) => Promise<MergeOutcome>;
 	find: (id: string) => BackendRecord | undefined;
 	/** Entries that callers may connect to. */
 	listServing: () => readonly KnownEntry[];
@@ -164,6 +166,19 @@
 		{clock, log},
 		createQuarantineFile(settings.dataFolder),
 	);
+	const departures = createDepartureStore({
+		clock,
+		log,
+		file: createDepartureFile(settings.dataFolder),
+		listDepartures: () =>
+			registry.listBackends().filter(({state}) => state !== 'ready'),
+	});
+	const restoreDepartures = async (): Promise<void> => {
+		const records = await departures.load();
+		registry.restore(records);
+		sendGossip({backends: registry.takePendingGossip()});
+	};
+
 	let loggedVersion = 0;
 
 	const replica = createReplica({
@@ -338,6 +353,7 @@
 		},
 	);
 
+	void restoreDepartures();
 	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.removeExpired();
@@ -405,14 +421,16 @@
 				: await callLeader<ReadOutcome>('/read', {});
 			return outcome ?? {kind: 'unavailable'};
 		},
-		register(record) {
+		async register(record) {
 			const version = readSoftwareVersion(record);
 			const previous = registry.find(record.id);
 			const isNewVersion =
 				!versions.isKnown(record.service, version) ||
 				(previous !== undefined && readSoftwareVersion(previous) !== version);
 			const outcome = registry.register(record);
-			const isDeparture = outcome === 'changed' && record.state !== 'ready';
+			const isDeparture =
+				(outcome === 'changed' || outcome === 'added') &&
+				record.state !== 'ready';
 			if (isDeparture || isNewVersion) {
 				// A departure must reach every entry while the backend server still
 				// serves requests, and a version all control instances before it begins
@@ -420,6 +438,10 @@
 				sendGossip({backends: registry.takePendingGossip()});
 			}
 
+			if (isDeparture) {
+				await departures.store();
+			}
+
 			return outcome;
 		},
 		find: registry.find,
--- /dev/null
+++ b/packages/lovage-coordinator/src/departure-store.ts
@@ -0,0 +1,150 @@
+import {
+	type AgedRecord,
+	type BackendRecord,
+	fromAgedRecord,
+	RECORD_RETENTION_MS,
+} from '@lovagevalve/dispatch';
+import type {Clock, Logger} from '@lovagevalve/runtime';
+import {createStateFile, type StateFile} from './state-file.js';
+
+/** Departures of backend servers, as a control instance stores them. */
+export type StoredDepartures = Readonly<{
+	/** Wall-clock time of storing, in milliseconds since the epoch. */
+	at: number;
+	records: readonly AgedRecord[];
+}>;
+
+/** Keeps which backend servers leave while all instances are down. */
+export type DepartureStore = Readonly<{
+	/** Reads the departures that were known before a restart. */
+	load: () => Promise<readonly BackendRecord[]>;
+	/** Resolves when the current departures are durable, or the disk takes too long. */
+	store: () => Promise<void>;
+}>;
+
+/** Dependencies of a store. */
+export type DepartureStoreOptions = Readonly<{
+	clock: Clock;
+	log: Logger;
+	file: StateFile<StoredDepartures>;
+	/** Backend servers that drain or are gone. */
+	listDepartures: () => readonly AgedRecord[];
+}>;
+
+const FILE_NAME = 'departures.json';
+/** A backend server asks another instance if it has no answer after a second. */
+const MAX_STORE_MS = 400;
+
+function isAgedRecord(value: unknown): value is AgedRecord {
+	const record = (value ?? {}) as Partial<Record<keyof AgedRecord, unknown>>;
+	const texts = [
+		record.id,
+		record.service,
+		record.address,
+		record.dataCentre,
+		record.state,
+	];
+	const numbers = [record.bornAt, record.sequence, record.ageMs, record.slots];
+	return (
+		texts.every((text) => typeof text === 'string') &&
+		numbers.every((figure) => typeof figure === 'number')
+	);
+}
+
+function isStoredDepartures(value: unknown): value is StoredDepartures {
+	const {at, records} = (value ?? {}) as Partial<
+		Record<keyof StoredDepartures, unknown>
+	>;
+	return (
+		typeof at === 'number' &&
+		Array.isArray(records) &&
+		records.every(isAgedRecord)
+	);
+}
+
+/** Creates access to the file of the departures in a data folder. */
+export function createDepartureFile(
+	folder: string,
+): StateFile<StoredDepartures> {
+	return createStateFile(folder, FILE_NAME, isStoredDepartures);
+}
+
+/** Adds the time since the departures were stored, and drops those that were dropped by now. */
+export function restoreDepartures(
+	{at, records}: StoredDepartures,
+	{now, wall}: Readonly<{now: number; wall: number}>,
+): readonly BackendRecord[] {
+	const awayMs = Math.max(0, wall - at);
+	return records
+		.map((record) => ({...record, ageMs: record.ageMs + awayMs}))
+		.filter(({ageMs}) => ageMs < RECORD_RETENTION_MS)
+		.map((record) => fromAgedRecord(record, now));
+}
+
+/** Creates the store of a control instance. */
+export function createDepartureStore({
+	clock,
+	log,
+	file,
+	listDepartures,
+}: DepartureStoreOptions): DepartureStore {
+	/** The write under way, and the one that follows it. */
+	let running: Promise<void> | undefined;
+	let next: Promise<void> | undefined;
+
+	const save = async (): Promise<void> => {
+		const saved = await file.save({
+			at: clock.wall(),
+			records: listDepartures(),
+		});
+		if (saved.isErr()) {
+			log.error('Failed to store which backend servers leave.', {
+				reason: saved.error,
+			});
+		}
+	};
+
+	const saveAfter = async (previous: Promise<void>): Promise<void> => {
+		await previous;
+		next = undefined;
+		running = save();
+		await running;
+		running = undefined;
+	};
+
+	const saveSoon = async (): Promise<void> => {
+		next ??= saveAfter(running ?? Promise.resolve());
+		await next;
+	};
+
+	return {
+		async load() {
+			const loaded = await file.load();
+			if (loaded.isErr()) {
+				log.error('Failed to read which backend servers leave.', {
+					reason: loaded.error,
+				});
+			}
+
+			const stored = loaded.unwrapOr(undefined);
+			return stored === undefined
+				? []
+				: restoreDepartures(stored, {now: clock.now(), wall: clock.wall()});
+		},
+		async store() {
+			let timer: NodeJS.Timeout | undefined;
+			const limit = new Promise<'late'>((resolve) => {
+				timer = setTimeout(() => {
+					resolve('late');
+				}, MAX_STORE_MS);
+			});
+			const outcome = await Promise.race([saveSoon(), limit]);
+			clearTimeout(timer);
+			if (outcome === 'late') {
+				log.warn('A departure was acknowledged before it is durable.', {
+					afterMs: MAX_STORE_MS,
+				});
+			}
+		},
+	};
+}
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -44,6 +44,8 @@
 	register: (record: BackendRecord) => MergeOutcome;
 	/** Merges records received from another control instance. */
 	merge: (records: readonly AgedRecord[]) => void;
+	/** Merges departures that were stored before a restart. */
+	restore: (records: readonly BackendRecord[]) => void;
 	listBackends: () => readonly AgedRecord[];
 	/**
 	 * Returns the backend servers that registered at this instance since the last
@@ -199,6 +201,17 @@
 			const received = records.map((record) => fromAgedRecord(record, now));
 			applyMerge(mergeRecords(table, received));
 		},
+		restore(records) {
+			applyMerge(mergeRecords(table, records));
+			records.forEach(({id}) => {
+				pendingGossip.add(id);
+			});
+			if (records.length > 0) {
+				log.info('Restored which backend servers leave.', {
+					backends: records.length,
+				});
+			}
+		},
 		listBackends,
 		takePendingGossip() {
 			const now = clock.now();
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -12,6 +12,7 @@
 	dropOldRecords,
 	isSameRegistration,
 	mergeRecords,
+	RECORD_RETENTION_MS,
 	applyReportedAges,
 } from './backend-table.js';
 export type {
