Take only base URLs that the HTTP client accepts from backend servers

An announcement named an address such as ftp://10.0.0.1 or http://10.0.0.1/path: valid as a URL, and refused by the HTTP client with an exception. openEngineStream and exchangeCall created the client outside their try, so the first stream or call that was placed there left a rejection that nothing handles, and lovage-entry ended with all its streams.

The schema of announcements, direct and relayed, takes http(s) origins only, and both exchanges count a refused address as unreached or not sent. odd-addresses.test.ts: 15 of 21 failed before, with six unhandled rejections; all pass.

--- a/packages/lovage-entry/src/call-exchange.ts
+++ b/packages/lovage-entry/src/call-exchange.ts
@@ -42,33 +42,34 @@
 	const connector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
 	let isPermitted = false;
 	let isPermissionRequested = false;
-	const client = new Client(call.address, {
-		pipelining: 1,
-		maxResponseSize: MAX_ANSWER_BYTES,
-		headersTimeout: 0,
-		bodyTimeout: 0,
-		connect(options, callback) {
-			connector(options, (...outcome) => {
-				const [error, socket] = outcome;
-				if (error) {
-					callback(error, null);
-					return;
-				}
+	let client: Client | undefined;
+	try {
+		client = new Client(call.address, {
+			pipelining: 1,
+			maxResponseSize: MAX_ANSWER_BYTES,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect(options, callback) {
+				connector(options, (...outcome) => {
+					const [error, socket] = outcome;
+					if (error) {
+						callback(error, null);
+						return;
+					}
 
-				// Refuse a reconnect: it would send the call a second time.
-				isPermitted = !isPermissionRequested && call.mayWrite();
-				isPermissionRequested = true;
-				if (isPermitted) {
-					callback(null, socket);
-					return;
-				}
+					// Refuse a reconnect: it would send the call a second time.
+					isPermitted = !isPermissionRequested && call.mayWrite();
+					isPermissionRequested = true;
+					if (isPermitted) {
+						callback(null, socket);
+						return;
+					}
 
-				socket.destroy();
-				callback(new Error('No permission to write the call.'), null);
-			});
-		},
-	});
-	try {
+					socket.destroy();
+					callback(new Error('No permission to write the call.'), null);
+				});
+			},
+		});
 		const res = await client.request({
 			method: 'POST',
 			path: '/v1/calls',
@@ -83,6 +84,6 @@
 	} finally {
 		// A connection that opens after this point must not send the call.
 		isPermissionRequested = true;
-		void client.destroy();
+		void client?.destroy();
 	}
 }
--- a/packages/lovage-entry/src/engine-stream.ts
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -132,17 +132,18 @@
 	listener: EngineListener,
 	signal: AbortSignal,
 ): Promise<void> {
-	const client = new Client(req.address, {
-		pipelining: 1,
-		connect: {timeout: CONNECT_TIMEOUT_MS},
-		headersTimeout: 0,
-		bodyTimeout: 0,
-	});
+	let client: Client | undefined;
 	let isUnreached = true;
-	client.once('connect', () => {
-		isUnreached = false;
-	});
 	try {
+		client = new Client(req.address, {
+			pipelining: 1,
+			connect: {timeout: CONNECT_TIMEOUT_MS},
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		client.once('connect', () => {
+			isUnreached = false;
+		});
 		const res = await dispatch(client, req, signal);
 		if (signal.aborted) {
 			return;
@@ -158,7 +159,7 @@
 	} catch {
 		// Reported below, like a connection that closed early.
 	} finally {
-		void client.destroy();
+		void client?.destroy();
 	}
 
 	if (!signal.aborted) {
--- a/packages/lovage-wire/src/backend-api.ts
+++ b/packages/lovage-wire/src/backend-api.ts
@@ -1,5 +1,17 @@
 import {z} from 'zod';
 
+/** Whether a URL names a server and nothing else; the HTTP client refuses other ones. */
+function isOrigin(value: string): boolean {
+	return (
+		URL.canParse(value) && new URL(value).href === `${new URL(value).origin}/`
+	);
+}
+
+/** Base URL of a server. */
+export const serverAddressSchema = z
+	.url({protocol: /^https?$/})
+	.refine(isOrigin, {error: 'must have no path, query or user'});
+
 /** Load reported by a backend server; may be out of date. */
 export const loadSchema = z.strictObject({
 	running: z.number().int().min(0),
@@ -23,7 +35,7 @@
 	dataCentre: z.string().min(1).max(63),
 	rack: z.string().max(63).optional(),
 	/** Base URL of the backend server. */
-	address: z.url(),
+	address: serverAddressSchema,
 	/** Increases with each start of the backend server. */
 	incarnation: z.number().int().min(0),
 	/** Increases with each announcement of an incarnation. */
