Contain an error of one call in the server of the control interface

What callers saw: a request with the target // (or //[, http://%zz) ended the process with exit status 1; a path such as /v1/instances/%zz was answered 500; a configuration with bytes that are no UTF-8 was read with other characters in their place.

Cause: the target was parsed outside of the try that caught errors of the handler, and so were the serialization and the head of the answer. Errors there became a rejection that nothing handles.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -12,6 +12,7 @@
 	type Clock,
 	createJsonServer,
 	createPeerClient,
+	describeError,
 	type JsonResponse,
 	type JsonRequest,
 	type Logger,
@@ -316,8 +317,9 @@
 		async ({path, text}: JsonRequest) =>
 			handleCall(path, JSON.parse(text === '' ? '{}' : text)),
 		(error) => {
+			metrics.count('failed_calls', {listener: 'instances'});
 			log.error('A call from another instance failed.', {
-				reason: String(error),
+				reason: describeError(error),
 			});
 		},
 	);
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -30,3 +30,5 @@
 export {createJsonServer} from './json-server.js';
 export type {PeerClient} from './peer-client.js';
 export {createPeerClient} from './peer-client.js';
+export {decodePathSegment, parseRequestTarget} from './request-target.js';
+export type {RequestTarget} from './request-target.js';
