Report an unusable address or body of a call between instances

What was seen: a seed, a listed control instance or a member with port 80800 (or no port, or a host with a control character) made the call to it reject, in callers that wait for nothing: the process ended with exit status 1, and again after a restart, as peers repeat the address. A response without end was kept in memory.

Cause: the address went from the message to request() of Node.js, which throws for it, inside of a promise; JSON.stringify throws for what is nested deep.

Evidence: peer-client.test.ts failed in 14 of 20 cases, with ERR_SOCKET_BAD_PORT, ERR_INVALID_CHAR and RangeError, and passes in 20.

Why it works: parseHostPort returns only what request() accepts; each step of a call returns a result, and a response above 64 MB ends the call.

--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {Agent, createServer, type Server} from 'node:http';
 import {Socket, type AddressInfo} from 'node:net';
@@ -121,4 +122,41 @@
 		const answer = await client.call(address, '/x', {}, 300);
 		expect(answer._unsafeUnwrap()).toEqual({version: 7});
 	});
+
+	// A bad port or host threw from the call, in callers that wait for nothing.
+	it.each([
+		'127.0.0.1:80800',
+		'127.0.0.1:-1',
+		'127.0.0.1:0',
+		'127.0.0.1:1.5',
+		'127.0.0.1',
+		'a\u0000b:80',
+		'a b:80',
+		'',
+		'constructor',
+		undefined,
+		7,
+		null,
+	])('reports that %j is no address', async (address) => {
+		const answer = await client.call(address as string, '/report', {}, 1000);
+		expect(answer._unsafeUnwrapErr()).toMatch(/the address is not/);
+	});
+
+	it('reports a body that is nested too deep to be written', async () => {
+		const deep: unknown = JSON.parse('['.repeat(500_000) + ']'.repeat(500_000));
+		const answer = await client.call('127.0.0.1:9', '/report', deep, 1000);
+		expect(answer.isErr()).toBe(true);
+	});
+
+	it('reports a response that is too large', async () => {
+		const block = Buffer.alloc(4_194_304, ' ');
+		const server = createServer((_req, res) => {
+			res.on('error', () => undefined);
+			Array.from({length: 24}).forEach(() => res.write(block));
+			res.end('{}');
+		});
+		cleanups.push(() => server.close());
+		const answer = await client.call(await listen(server), '/', {}, 15_000);
+		expect(answer._unsafeUnwrapErr()).toBe('the response is too large');
+	});
 });
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -32,3 +32,19 @@
 export {createPeerClient} from './peer-client.js';
 export {decodePathSegment, parseRequestTarget} from './request-target.js';
 export type {RequestTarget} from './request-target.js';
+export type {HostPort} from './address.js';
+export {isAddress, isPort, parseHostPort} from './address.js';
+export {isHeaderText} from './header-text.js';
+export type {JsonObject} from './json.js';
+export {
+	isAbsent,
+	isCount,
+	isFigure,
+	isJsonObject,
+	isListOf,
+	isNonEmptyText,
+	isRecordOf,
+	parseJson,
+	readOwn,
+	serializeJson,
+} from './json.js';
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
-import {Agent, request} from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
-import {BODY_ENCODING, decodeBody} from './body-encoding.js';
+import {Agent, type ClientRequest, request} from 'node:http';
+import {err, ok, Result} from 'neverthrow';
+import {type HostPort, parseHostPort} from './address.js';
+import {BODY_ENCODING, decodeBody, MAX_DECODED_BYTES} from './body-encoding.js';
+import {parseJson, serializeJson} from './json.js';
 
 /** HTTP client for requests to other instances of the system. */
 export type PeerClient = Readonly<{
@@ -26,6 +28,89 @@
 const IDLE_TIMEOUT_MS = 10_000;
 const STATUS_OK = 200;
 
+const openRequest = Result.fromThrowable(
+	(
+		agent: Agent,
+		{host, port}: HostPort,
+		path: string,
+		payload: Uint8Array,
+	): ClientRequest =>
+		request({
+			agent,
+			host,
+			port,
+			method: 'POST',
+			path,
+			headers: {
+				'Content-Type': 'application/json',
+				'Accept-Encoding': BODY_ENCODING,
+				'Content-Length': payload.length,
+			},
+		}),
+	String,
+);
+
+const decodeText = Result.fromThrowable(decodeBody, String);
+
+/** Sends a request and resolves with the text of the response. */
+async function exchange(
+	req: ClientRequest,
+	payload: Uint8Array,
+	timeoutMs: number,
+): Promise<Result<string, string>> {
+	return new Promise((resolve) => {
+		const fail = (reason: string): void => {
+			clearTimeout(timer);
+			clearTimeout(connectTimer);
+			req.destroy();
+			resolve(err(reason));
+		};
+
+		const timer = setTimeout(() => {
+			fail('timeout');
+		}, timeoutMs);
+		const connectTimer = setTimeout(() => {
+			fail('connect timeout');
+		}, CONNECT_TIMEOUT_MS);
+		req.on('socket', (socket) => {
+			if (socket.connecting) {
+				socket.once('connect', () => {
+					clearTimeout(connectTimer);
+				});
+			} else {
+				clearTimeout(connectTimer);
+			}
+		});
+		req.on('error', (error: NodeJS.ErrnoException) => {
+			fail(error.code ?? error.message);
+		});
+		req.on('response', (res) => {
+			const chunks: Uint8Array[] = [];
+			let size = 0;
+			res.on('data', (chunk: Uint8Array) => {
+				size += chunk.length;
+				if (size > MAX_DECODED_BYTES) {
+					fail('the response is too large');
+				} else {
+					chunks.push(chunk);
+				}
+			});
+			res.on('error', (error) => {
+				fail(error.message);
+			});
+			res.on('end', () => {
+				clearTimeout(timer);
+				resolve(
+					res.statusCode === STATUS_OK
+						? decodeText(Buffer.concat(chunks), res.headers['content-encoding'])
+						: err(`status ${res.statusCode ?? 0}`),
+				);
+			});
+		});
+		req.end(payload);
+	});
+}
+
 /**
  * Creates a client with persistent connections. The connection of a request
  * that times out is closed, as the peer may never respond on it again.
@@ -40,72 +125,22 @@
 			body: unknown,
 			timeoutMs: number,
 		) {
-			const colon = address.lastIndexOf(':');
-			const payload = Buffer.from(JSON.stringify(body));
-			return new Promise<Result<T, string>>((resolve) => {
-				const req = request({
-					agent,
-					host: address.slice(0, colon),
-					port: Number(address.slice(colon + 1)),
-					method: 'POST',
-					path,
-					headers: {
-						'Content-Type': 'application/json',
-						'Accept-Encoding': BODY_ENCODING,
-						'Content-Length': payload.length,
-					},
-				});
-				const fail = (reason: string): void => {
-					clearTimeout(timer);
-					clearTimeout(connectTimer);
-					req.destroy();
-					resolve(err(reason));
-				};
+			const payload = serializeJson(body).map((text) => Buffer.from(text));
+			const opened = parseHostPort(address).andThen((target) =>
+				payload.andThen((content) =>
+					openRequest(agent, target, path, content).map((req) => ({
+						req,
+						content,
+					})),
+				),
+			);
+			if (opened.isErr()) {
+				return err(opened.error);
+			}
 
-				const timer = setTimeout(() => {
-					fail('timeout');
-				}, timeoutMs);
-				const connectTimer = setTimeout(() => {
-					fail('connect timeout');
-				}, CONNECT_TIMEOUT_MS);
-				req.on('socket', (socket) => {
-					if (socket.connecting) {
-						socket.once('connect', () => {
-							clearTimeout(connectTimer);
-						});
-					} else {
-						clearTimeout(connectTimer);
-					}
-				});
-				req.on('error', (error: NodeJS.ErrnoException) => {
-					fail(error.code ?? error.message);
-				});
-				req.on('response', (res) => {
-					const chunks: Uint8Array[] = [];
-					res.on('data', (chunk: Uint8Array) => chunks.push(chunk));
-					res.on('error', (error) => {
-						fail(error.message);
-					});
-					res.on('end', () => {
-						clearTimeout(timer);
-						if (res.statusCode !== STATUS_OK) {
-							resolve(err(`status ${res.statusCode ?? 0}`));
-							return;
-						}
-
-						try {
-							const text = decodeBody(
-								Buffer.concat(chunks),
-								res.headers['content-encoding'],
-							);
-							resolve(ok(JSON.parse(text) as T));
-						} catch (error) {
-							resolve(err(String(error)));
-						}
-					});
-				});
-				req.end(payload);
-			});
+			const {req, content} = opened.value;
+			const text = await exchange(req, content, timeoutMs);
+			return text.andThen((found) => parseJson(found) as Result<T, string>);
 		},
 		close() {
 			agent.destroy();
