Refuse a malformed message between instances as a whole

What was seen: the fields of messages between instances were read as if each peer sent what this build sends. A report, gossip, a join request or a Raft message of another shape was applied up to the field that broke (the first of two Raft messages was taken), left registrations that no request can be sent to, and made the answers to later, sound reports fail; a log entry that can't be read threw while it was applied, after the state had changed.

Cause: the bodies were cast, not decoded; answers of the leader and of founding members too, where an error was a rejection that nothing handled.

Why it works: each message is checked as a whole, without copies, before any of it is applied; a malformed one is answered 400, logged and counted. Optional fields may be missing, as older builds leave them out. A single registration in gossip that names no usable backend server is left out and the others are taken, since an older peer that accepted it would otherwise be cut off. A log entry that can't be read changes nothing, at all replicas alike.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -1,7 +1,5 @@
 import type {Server} from 'node:http';
-import type {JoiningMember, RaftMessage} from '@lovagevalve/consensus';
 import {
-	type AgedRecord,
 	type BackendRecord,
 	type ControlReport,
 	type EntryReport,
@@ -16,9 +14,24 @@
 	type JsonResponse,
 	type JsonRequest,
 	type Logger,
+	parseJson,
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
+import type {Result} from 'neverthrow';
 import {createCrashQuarantine} from './crash-quarantine.js';
+import {
+	decodeGossip,
+	decodeJoiningMember,
+	decodeOriginQuery,
+	decodeProposal,
+	decodeProposeOutcome,
+	decodeRaftDelivery,
+	decodeReadOutcome,
+	type Gossip,
+	type ReadOutcome,
+	type ReceivedGossip,
+} from './decode-messages.js';
+import {decodeReport} from './decode-report.js';
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
@@ -28,7 +41,7 @@
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
 import type {KnownEntry} from './entry-registry.js';
-import {createRegistry, type OriginQuery} from './registry.js';
+import {createRegistry} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import {createReplica} from './replica.js';
 import type {StoredConfiguration} from './state-machine.js';
@@ -61,13 +74,6 @@
 	random: () => number;
 }>;
 
-/** Result of a linearizable read of the configuration. */
-export type ReadOutcome =
-	| Readonly<{kind: 'found'; configuration: StoredConfiguration}>
-	| Readonly<{kind: 'none'}>
-	/** This instance cannot confirm which configuration is the newest. */
-	| Readonly<{kind: 'unavailable'}>;
-
 /** A running control instance. */
 export type Coordinator = Readonly<{
 	/** Server for traffic between instances; the owner calls `listen`. */
@@ -112,15 +118,6 @@
 /** Time for a successor to take over leadership before this replica stops. */
 const LEADERSHIP_TRANSFER_MS = 300;
 
-/** State that a control instance sends to the others. */
-type Gossip = Readonly<{
-	backends: readonly AgedRecord[];
-	/** Milliseconds since each conviction of the quarantine; older instances don't send it. */
-	convictedMs?: Readonly<Record<string, number>>;
-}>;
-
-type RaftDelivery = Readonly<{from: string; messages: readonly RaftMessage[]}>;
-
 /** Creates a control instance and starts opening its data folder. */
 export function createCoordinator(
 	settings: CoordinatorSettings,
@@ -202,19 +199,20 @@
 	const callLeader = async <T>(
 		path: string,
 		body: unknown,
+		decode: (value: unknown) => Result<T, string>,
 	): Promise<T | undefined> => {
 		const leader = replica.findLeaderAddress();
 		if (leader === undefined || leader === address) {
 			return undefined;
 		}
 
-		const response = await client.call<T>(
+		const response = await client.call<unknown>(
 			leader,
 			path,
 			body,
 			FORWARD_TIMEOUT_MS,
 		);
-		return response.match(
+		return response.andThen(decode).match(
 			(value) => value,
 			(reason) => {
 				log.warn('The leader did not respond.', {leader, path, reason});
@@ -226,11 +224,12 @@
 	const proposeToLeader = async (
 		configuration: StoredConfiguration,
 	): Promise<ProposeOutcome> => {
-		const response = await callLeader<{outcome: ProposeOutcome}>(
+		const outcome = await callLeader(
 			'/propose',
 			configuration,
+			decodeProposeOutcome,
 		);
-		return response?.outcome ?? 'unknown';
+		return outcome ?? 'unknown';
 	};
 
 	const readLocally = async (): Promise<ReadOutcome> => {
@@ -255,15 +254,52 @@
 		};
 	};
 
+	/** Handles a message, or refuses all of a malformed one. */
+	const handleDecoded = async <T>(
+		path: string,
+		message: Result<T, string>,
+		handle: (value: T) => unknown,
+	): Promise<JsonResponse> => {
+		if (message.isErr()) {
+			metrics.count('malformed_messages', {path});
+			log.warn('Refused a malformed message of an instance.', {
+				path,
+				reason: message.error,
+			});
+			return {status: 400, body: {error: message.error}};
+		}
+
+		return {status: 200, body: await handle(message.value)};
+	};
+
+	const handleGossip = ({
+		backends,
+		convictedMs,
+		unusable,
+	}: ReceivedGossip): void => {
+		if (unusable > 0) {
+			log.warn('Left out backend servers that no request can be sent to.', {
+				unusable,
+			});
+		}
+
+		registry.merge(backends);
+		quarantine.mergeConvictions(convictedMs);
+	};
+
 	const handleCall = async (
 		path: string,
 		body: unknown,
 	): Promise<JsonResponse> => {
 		switch (path) {
 			case '/raft': {
-				const {from, messages} = body as RaftDelivery;
-				replica.receive(from, messages);
-				return {status: 200};
+				return handleDecoded(
+					path,
+					decodeRaftDelivery(body),
+					({from, messages}) => {
+						replica.receive(from, messages);
+					},
+				);
 			}
 
 			case '/status': {
@@ -272,13 +308,17 @@
 			}
 
 			case '/join': {
-				replica.join(body as JoiningMember);
-				return {status: 200};
+				return handleDecoded(path, decodeJoiningMember(body), replica.join);
 			}
 
 			case '/propose': {
-				const outcome = await replica.propose(body as StoredConfiguration);
-				return {status: 200, body: {outcome}};
+				return handleDecoded(
+					path,
+					decodeProposal(body),
+					async (configuration) => ({
+						outcome: await replica.propose(configuration),
+					}),
+				);
 			}
 
 			case '/read': {
@@ -286,11 +326,15 @@
 			}
 
 			case '/report': {
-				return {status: 200, body: handleReport(body as EntryReport)};
+				return handleDecoded(path, decodeReport(body), handleReport);
 			}
 
 			case '/stream-origin': {
-				return {status: 200, body: registry.findOrigin(body as OriginQuery)};
+				return handleDecoded(
+					path,
+					decodeOriginQuery(body),
+					registry.findOrigin,
+				);
 			}
 
 			case '/configuration': {
@@ -301,10 +345,7 @@
 			}
 
 			case '/gossip': {
-				const {backends, convictedMs = {}} = body as Gossip;
-				registry.merge(backends);
-				quarantine.mergeConvictions(convictedMs);
-				return {status: 200};
+				return handleDecoded(path, decodeGossip(body), handleGossip);
 			}
 
 			default: {
@@ -315,7 +356,13 @@
 
 	const server = createJsonServer(
 		async ({path, text}: JsonRequest) =>
-			handleCall(path, JSON.parse(text === '' ? '{}' : text)),
+			parseJson(text === '' ? '{}' : text).match(
+				async (body) => handleCall(path, body),
+				async (reason): Promise<JsonResponse> => ({
+					status: 400,
+					body: {error: reason},
+				}),
+			),
 		(error) => {
 			metrics.count('failed_calls', {listener: 'instances'});
 			log.error('A call from another instance failed.', {
@@ -388,7 +435,7 @@
 		async readConfiguration() {
 			const outcome = replica.isLeader()
 				? await readLocally()
-				: await callLeader<ReadOutcome>('/read', {});
+				: await callLeader('/read', {}, decodeReadOutcome);
 			return outcome ?? {kind: 'unavailable'};
 		},
 		register(record) {
--- a/packages/lovage-coordinator/src/group-joiner.ts
+++ b/packages/lovage-coordinator/src/group-joiner.ts
@@ -1,5 +1,6 @@
 import type {JoiningMember} from '@lovagevalve/consensus';
 import type {Logger, PeerClient} from '@lovagevalve/runtime';
+import {decodeReplicaStatus} from './decode-messages.js';
 import type {Replica} from './replica.js';
 
 /** Status of an instance's replica, as sent to other instances. */
@@ -64,13 +65,13 @@
 	const fetchStatus = async (
 		peer: string,
 	): Promise<ReplicaStatus | undefined> => {
-		const response = await client.call<ReplicaStatus>(
+		const response = await client.call<unknown>(
 			peer,
 			'/status',
 			{},
 			CALL_TIMEOUT_MS,
 		);
-		return response.unwrapOr(undefined);
+		return response.andThen(decodeReplicaStatus).unwrapOr(undefined);
 	};
 
 	const bootstrap = async (addresses: readonly string[]): Promise<void> => {
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -3,8 +3,8 @@
 	Coordinator,
 	CoordinatorDependencies,
 	CoordinatorSettings,
-	ReadOutcome,
 } from './coordinator.js';
+export type {ReadOutcome} from './decode-messages.js';
 export {findFailedVoter} from './membership.js';
 export type {KnownEntry} from './entry-registry.js';
 export {createOriginLog} from './origin-log.js';
--- a/packages/lovage-coordinator/src/state-machine.ts
+++ b/packages/lovage-coordinator/src/state-machine.ts
@@ -1,8 +1,21 @@
 import type {LogEntry, Snapshot} from '@lovagevalve/consensus';
+import {isCount, isJsonObject, parseJson} from '@lovagevalve/runtime';
 
 /** The newest committed configuration, in the form in which it was sent. */
 export type StoredConfiguration = Readonly<{version: number; text: string}>;
 
+/** Whether a value is a configuration as the log stores it. */
+export function isStoredConfiguration(
+	value: unknown,
+): value is StoredConfiguration {
+	return (
+		isJsonObject(value) &&
+		isCount(value.version) &&
+		value.version > 0 &&
+		typeof value.text === 'string'
+	);
+}
+
 /** State built from the replicated log. */
 export type GroupState = Readonly<{
 	configuration: StoredConfiguration | undefined;
@@ -25,8 +38,11 @@
 		return applied;
 	}
 
-	const command = JSON.parse(entry.data) as StoredConfiguration;
-	const isNewer = command.version > (state.configuration?.version ?? 0);
+	// One that can't be read changes nothing, at all replicas alike.
+	const command = parseJson(entry.data).unwrapOr(undefined);
+	const isNewer =
+		isStoredConfiguration(command) &&
+		command.version > (state.configuration?.version ?? 0);
 	return isNewer ? {...applied, configuration: command} : applied;
 }
 
@@ -37,12 +53,11 @@
 
 /** Restores the state from a snapshot. */
 export function decodeState({index, data}: Snapshot): GroupState {
-	const stored = JSON.parse(data) as Partial<StoredConfiguration>;
+	const stored = parseJson(data).unwrapOr(undefined);
 	return {
 		appliedIndex: index,
-		configuration:
-			stored.version === undefined || stored.text === undefined
-				? undefined
-				: {version: stored.version, text: stored.text},
+		configuration: isStoredConfiguration(stored)
+			? {version: stored.version, text: stored.text}
+			: undefined,
 	};
 }
