Keep sums of services named like members of all objects

What was seen: once an entry reported a backend server or service named constructor or toString, the loads of it were answered as null to all others, and a digest of that name read a function as the record of its crashes.

Cause: sums, limits and the quarantine looked texts from outside up in records, which inherit such members.

Evidence: the case over constructor, __proto__ and toString in malformed-messages.test.ts got [null,null,null] for each and now gets the loads that were reported; the two cases with such digests were not run on the code before.

Why it works: readOwn looks at own members only, in the sums, limits and quarantine of the coordinator. The records of lovage-quarantine are keyed by digests, so a digest that each object inherits is refused where it enters.

--- a/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
@@ -155,6 +155,15 @@
 		JSON.stringify({...report, loads: {'i-1': [1e300, 0, 0]}}),
 	],
 	['/gossip', 'convictions', '{"backends":[],"convictedMs":{"d":"x"}}'],
+	['/gossip', 'a digest', '{"backends":[],"convictedMs":{"__proto__":1}}'],
+	[
+		'/report',
+		'a digest',
+		JSON.stringify({
+			...report,
+			crashes: [{digest: 'constructor', backend: 'i-1/1'}],
+		}),
+	],
 	['/raft', 'a kind', deliver({...append, kind: 'constructor'})],
 	['/raft', 'a term', deliver({...append, term: 1e300})],
 	['/raft', 'entries', deliver({...append, entries: {}})],
@@ -226,4 +235,21 @@
 		expect(coordinator.find(odd.id)).toBeUndefined();
 		expect(coordinator.find(id)?.state).toBe('ready');
 	});
+
+	it('knows nothing of entries and services with the names of members of objects', async () => {
+		const names = ['constructor', '__proto__', 'toString'];
+		const loads = names.map((name) => `"${name}":[1,1,1]`).join(',');
+		const retries = names
+			.map((name) => `"${name}":{"requests":1,"retries":1}`)
+			.join(',');
+		const body = JSON.stringify({...report, entry: 'entry-2'}).replace(
+			/"loads":.*"crashes"/,
+			`"loads":{${loads}},"retries":{${retries}},"crashes"`,
+		);
+		expect(await send('/report', body)).toMatchObject({status: 200});
+		const {text} = await send('/report', JSON.stringify(report));
+		const {overview} = JSON.parse(text) as ControlReport;
+		expect(JSON.stringify(overview!.loads)).toBe(`{${loads}}`);
+		expect(JSON.stringify(overview!.retries)).toContain(retries);
+	});
 });
--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -16,7 +16,7 @@
 	stepQuarantine,
 	summarizeQuarantine,
 } from '@lovagevalve/quarantine';
-import type {Clock, Logger} from '@lovagevalve/runtime';
+import {type Clock, type Logger, readOwn} from '@lovagevalve/runtime';
 import type {QuarantineFile} from './quarantine-file.js';
 
 /** Requests and parts of prompts that crash backend servers, from the reports of the entries. */
@@ -74,7 +74,7 @@
 	): Readonly<{crashes: number; backends: string}> => {
 		const guilty = deaths.filter(
 			({digests, parts = {}}) =>
-				digests.includes(key) || parts[key] !== undefined,
+				digests.includes(key) || Object.hasOwn(parts, key),
 		);
 		return {
 			crashes: guilty.length,
@@ -96,7 +96,7 @@
 			.forEach((key) => {
 				log.warn('Quarantined a cause of crashes.', {
 					cause: key,
-					hasLead: current.convicted[key] !== undefined,
+					hasLead: readOwn(current.convicted, key) !== undefined,
 					...describeCause(current, key),
 				});
 			});
@@ -215,9 +215,10 @@
 
 	/** Whether a sound run clears strikes or a verdict, or is the first that is known. */
 	const isNewSound = (key: string, soundAt: number): boolean => {
-		const record = state?.records[key];
+		const {records = {}, convicted = {}, uncertain = {}} = state ?? {};
+		const record = readOwn(records, key);
 		const convictedAt =
-			state?.convicted[key] ?? state?.uncertain?.[key]?.lastAt;
+			readOwn(convicted, key) ?? readOwn(uncertain, key)?.lastAt;
 		return (
 			(convictedAt !== undefined && convictedAt <= soundAt) ||
 			(record !== undefined &&
@@ -265,9 +266,9 @@
 
 			const {convicted, suspects} = summary;
 			const countStrikes = (key: string): number =>
-				state?.records[key]?.strikes ?? 0;
+				readOwn(state?.records ?? {}, key)?.strikes ?? 0;
 			const isRecent = (key: string): boolean =>
-				readNow() - (state?.records[key]?.lastAt ?? readNow()) <
+				readNow() - (readOwn(state?.records ?? {}, key)?.lastAt ?? readNow()) <
 				SUSPECT_LISTING_MS;
 			const listed = suspects
 				.filter((key) => isRecent(key))
@@ -291,7 +292,7 @@
 		mergeConvictions(agesMs) {
 			const now = readNow();
 			const unknown = Object.entries(agesMs).filter(
-				([key]) => state?.convicted[key] === undefined,
+				([key]) => readOwn(state?.convicted ?? {}, key) === undefined,
 			);
 			if (unknown.length > 0) {
 				const convicted = Object.fromEntries(
--- a/packages/lovage-coordinator/src/decode-messages.ts
+++ b/packages/lovage-coordinator/src/decode-messages.ts
@@ -16,6 +16,7 @@
 	isRecordOf,
 } from '@lovagevalve/runtime';
 import {err, ok, type Result} from 'neverthrow';
+import {isDigest} from './decode-report.js';
 import type {ReplicaStatus} from './group-joiner.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import type {OriginQuery} from './registry.js';
@@ -128,7 +129,10 @@
 	}
 
 	const convictedMs = value.convictedMs ?? {};
-	if (!isRecordOf(convictedMs, isFigure)) {
+	if (
+		!isRecordOf(convictedMs, isFigure) ||
+		!Object.keys(convictedMs).every((key) => isDigest(key))
+	) {
 		return err('malformed convictions');
 	}
 
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -68,10 +68,15 @@
 	);
 }
 
+/** Whether a value names a request in the records of the quarantine, and no member that all objects have. */
+export function isDigest(value: unknown): value is string {
+	return isNonEmptyText(value) && !(value in Object.prototype);
+}
+
 function isCrash(value: unknown): value is Crash {
 	return (
 		isJsonObject(value) &&
-		isText(value.digest) &&
+		isDigest(value.digest) &&
 		isText(value.backend) &&
 		Number.isFinite(parseIncarnationKey(value.backend).bornAt)
 	);
--- a/packages/lovage-coordinator/src/entry-sums.ts
+++ b/packages/lovage-coordinator/src/entry-sums.ts
@@ -1,3 +1,5 @@
+import {readOwn} from '@lovagevalve/runtime';
+
 /** How values of several entries add up. */
 export type Arithmetic<Value> = Readonly<{
 	add: (a: Value, b: Value) => Value;
@@ -59,7 +61,7 @@
 			return Object.fromEntries(
 				[...sums]
 					.map(([key, sum]) => {
-						const part = own[key];
+						const part = readOwn(own, key);
 						return [
 							key,
 							part === undefined ? sum : subtract(sum, part),
--- a/packages/lovage-coordinator/src/limit-registry.ts
+++ b/packages/lovage-coordinator/src/limit-registry.ts
@@ -5,7 +5,7 @@
 	type LimitReports,
 	type LimitStatement,
 } from '@lovagevalve/dispatch';
-import type {Clock} from '@lovagevalve/runtime';
+import {type Clock, readOwn} from '@lovagevalve/runtime';
 import {mapValues, NUMBER_ARITHMETIC} from './arithmetic.js';
 import {createEntrySums} from './entry-sums.js';
 
@@ -43,7 +43,7 @@
 			return Object.fromEntries(
 				[...statements].map(([key, {perSecond, at}]) => [
 					key,
-					{perSecond, ageMs: clock.now() - at, sent: others[key] ?? 0},
+					{perSecond, ageMs: clock.now() - at, sent: readOwn(others, key) ?? 0},
 				]),
 			);
 		},
