--- a/packages/lovage-routing/src/route-table.ts
+++ b/packages/lovage-routing/src/route-table.ts
@@ -68,8 +68,10 @@
 ): string | undefined {
 	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
 	let remaining = random * total;
-	return targets.find(({weight}) => {
+	const chosen = targets.find(({weight}) => {
 		remaining -= weight;
 		return remaining < 0;
-	})?.service;
+	});
+	// What is left after large weights may be rounded to 0.
+	return (chosen ?? targets.findLast(({weight}) => weight > 0))?.service;
 }
