Answer a scrape of the metrics with 500 when a gauge can't be read

What was seen: an error in a gauge became a rejection that nothing handles, and the scrape ended the process.

Cause: the metrics server awaited the text of the metrics outside of a try.

Evidence: prometheus-metrics.test.ts ended with the unhandled RangeError and passes.

Why it works: the error is contained in the scrape, which is answered 500; the next scrape reads the gauges anew.

--- a/packages/lovage-runtime/src/prometheus-metrics.ts
+++ b/packages/lovage-runtime/src/prometheus-metrics.ts
@@ -65,9 +65,14 @@
 		},
 		serve(ip, port) {
 			const server = createServer(async (req, res) => {
-				const text = await registry.metrics();
-				res.setHeader('Content-Type', registry.contentType);
-				res.end(text);
+				try {
+					const text = await registry.metrics();
+					res.setHeader('Content-Type', registry.contentType);
+					res.end(text);
+				} catch {
+					// A gauge could not be read; the failing scrape shows it.
+					res.writeHead(500).end();
+				}
 			});
 			// A metrics port in use must not stop the process; failing scrapes show it.
 			server.on('error', () => undefined);
