Refuse registrations that name nothing a connection can be opened to

Cause: the address of a registration was checked by its shape alone. Port 80800 was acknowledged as a ready backend server; http.request and net.connect throw for it, in a callback of the connection before once a stream is moved there.

Expected: if no record holds an address, id or number that such a call refuses, no stream can be placed there. decodeRecord in lovage-dispatch is the one place for these bounds (IPv4 parts up to 255, port 1 to 65535, ids in printable ASCII as they become a header, safe integers). Registrations are decoded by it, and so is each record that a control instance hands to an entry: one of an earlier build checks less.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -7,6 +7,8 @@
 } from './answer-verdict.js';
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
+export {isSocketAddress, parseSocketAddress} from './backend-address.js';
+export type {SocketAddress} from './backend-address.js';
 export {
 	countReady,
 	dropOldRecords,
@@ -59,6 +61,8 @@
 export type {BackendLoad} from './load.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
+export {decodeRecord, isCount} from './record-decoder.js';
+export type {DecodedRecord} from './record-decoder.js';
 export {
 	fromAgedRecord,
 	fromCompactLoads,
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -35,6 +35,7 @@
 	type LoadReservation,
 } from './load-reservations.js';
 import type {NamedLimits} from './named-limits.js';
+import {createRecordFilter} from './reported-records.js';
 import {
 	createAgesRequest,
 	createReportedAges,
@@ -144,6 +145,7 @@
 	const health = new Map<string, BackendHealth>();
 	const noticesById = new Map<string, BackendNotices>();
 	const ownLoads = createLoadReservations();
+	const keepSound = createRecordFilter(options);
 	let table: BackendTable = new Map();
 	let remoteLoads: Readonly<Record<string, BackendLoad>> = {};
 	let ages = createReportedAges(options.registrationIntervalMs);
@@ -256,7 +258,9 @@
 			const now = clock.now();
 			const previousTable = table;
 			const {backends, overview} = report;
-			const records = backends.map((record) => fromAgedRecord(record, now));
+			const records = keepSound(backends).map((record) =>
+				fromAgedRecord(record, now),
+			);
 			table = records.length === 0 ? table : mergeRecords(table, records).table;
 			applyAges(report);
 			[...noticesById.keys()]
