End one request, not the entry, if a callback of it throws

What callers saw: an error in a callback of a socket or timer of one request ended the entry and every request on its kept connections (FAULT, LOST).

Cause: only the first attempt runs inside the promise that contained errors. Retries, moves, probes, timers, copies and the events of answers don't; and openExchange, probeAddress and sendBackendCommand passed on what Node.js throws for an argument that it refuses.

Expected: if one small guard runs all callbacks of a request, an error ends exactly that request, whatever threw it. createGuard wraps callbacks, work that nobody awaits, and the listeners of an emitter (caller's request and response, each answer), so files that only add listeners need no change. The guard of a request counts lovage_faults_total once, logs the stack, answers with 500 or breaks an answer off that has begun, and releases what was reserved. A refused argument is a failure `not-sent`, reported after openExchange has returned. A plain attempt for a caller who has left no longer registers a listener that would use the exchange before there is one.

The integration tests of lovage-gateway pass.

--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -220,6 +220,7 @@
 	initialConfiguration: Configuration | undefined,
 	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
 	peers: readonly string[] = [],
+	codec: HeaderCodec = testCodec,
 ): Promise<Harness> {
 	const isCutOff = peers.length > 0;
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
@@ -242,7 +243,7 @@
 		clock,
 		log: silentLogger,
 		metrics: silentMetrics,
-		codec: testCodec,
+		codec,
 		view,
 		retryBudgets: createRetryBudgets(
 			retryPolicy,
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -3,6 +3,7 @@
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
+import type {RequestGuard} from './request-guard.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
 
 /** Size of a request's headers as it was sent, in bytes. */
@@ -29,11 +30,13 @@
 	req: IncomingMessage,
 	{
 		res,
+		guard,
 		routeTable,
 		body,
 		startedAt,
 	}: Readonly<{
 		res: ServerResponse;
+		guard: RequestGuard;
 		routeTable: RouteTable;
 		body: Uint8Array | undefined;
 		/** Time of arrival, in monotonic milliseconds. */
@@ -80,6 +83,7 @@
 		rawHeaders: removeRelayHeaders(req.rawHeaders),
 		body,
 		res,
+		guard,
 		startedAt,
 		deadlineAt: startedAt + waitMs,
 	};
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -1,9 +1,8 @@
 import {Buffer} from 'node:buffer';
-import {request} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {findAnswerFailure} from './answer-reader.js';
-import {parseAddress} from './backend-exchange.js';
+import {createClientRequest, parseAddress} from './backend-exchange.js';
 import type {GatewayContext} from './context.js';
 import type {BackendCommand} from './protocol.js';
 
@@ -34,7 +33,7 @@
 	}
 
 	return new Promise((resolve) => {
-		const req = request({
+		const created = createClientRequest({
 			...parseAddress(ctx.resolveAddress(backend)),
 			method,
 			path,
@@ -44,6 +43,12 @@
 				'Content-Length': Buffer.byteLength(body),
 			},
 		});
+		if (created.isErr()) {
+			resolve(err(created.error));
+			return;
+		}
+
+		const req = created.value;
 		const fail = (reason: string): void => {
 			clearTimeout(timer);
 			req.destroy();
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -1,6 +1,12 @@
 import {Buffer} from 'node:buffer';
-import {request as sendHttp, type IncomingMessage} from 'node:http';
+import {
+	request,
+	type ClientRequest,
+	type IncomingMessage,
+	type RequestOptions,
+} from 'node:http';
 import {connect} from 'node:net';
+import {fromThrowable} from 'neverthrow';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
 import {findHeadFault} from './answer-head.js';
 
@@ -109,6 +115,21 @@
 	});
 }
 
+function describeRefusal(error: unknown): string {
+	const {code, message} = error as NodeJS.ErrnoException;
+	return code ?? message;
+}
+
+/** Creates a request; Node.js throws for some addresses, headers and paths. */
+export const createClientRequest = fromThrowable(
+	(options: RequestOptions): ClientRequest => request(options),
+	describeRefusal,
+);
+const openSocket = fromThrowable(
+	(address: string) => connect(parseAddress(address)),
+	describeRefusal,
+);
+
 /** Parses `host:port`. */
 export function parseAddress(address: string): {host: string; port: number} {
 	const colon = address.lastIndexOf(':');
@@ -118,6 +139,21 @@
 	};
 }
 
+/** An exchange that can't begin; it fails as any other, after this returns. */
+function createFailedExchange(
+	reason: string,
+	{onFailure}: ExchangeListener,
+): Exchange {
+	const timer = setImmediate(() => {
+		onFailure({kind: 'not-sent', reason});
+	});
+	return {
+		cancel() {
+			clearImmediate(timer);
+		},
+	};
+}
+
 /**
  * Sends a request on a new connection that closes after the response. No bytes
  * of an earlier response can precede this one, and a failure before the
@@ -125,8 +161,9 @@
  */
 export function openExchange(
 	{address, method, path, headers, body}: ExchangeRequest,
-	{onResponse, onFailure}: ExchangeListener,
+	listener: ExchangeListener,
 ): Exchange {
+	const {onResponse, onFailure} = listener;
 	let isConnected = false;
 	let isSettled = false;
 	let receivedResponse: IncomingMessage | undefined;
@@ -139,7 +176,7 @@
 	};
 
 	const {host, port} = parseAddress(address);
-	const req = sendHttp({
+	const created = createClientRequest({
 		host,
 		port,
 		method,
@@ -150,6 +187,11 @@
 		...CONNECTION_OPTIONS,
 		maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
 	});
+	if (created.isErr()) {
+		return createFailedExchange(created.error, listener);
+	}
+
+	const req = created.value;
 	const connectTimer = setTimeout(() => {
 		settleFailure({kind: 'not-sent', reason: 'connect timeout'});
 		req.destroy();
@@ -230,7 +272,13 @@
 	timeoutMs = PROBE_TIMEOUT_MS,
 ): Promise<boolean> {
 	return new Promise((resolve) => {
-		const socket = connect(parseAddress(address));
+		const opened = openSocket(address);
+		if (opened.isErr()) {
+			resolve(false);
+			return;
+		}
+
+		const socket = opened.value;
 		const settle = (isAlive: boolean): void => {
 			clearTimeout(timer);
 			socket.destroy();
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type {DrainGate} from './drain-gate.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {HeaderCodec, RequestMetadata} from './protocol.js';
+import type {RequestGuard} from './request-guard.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {StreamOrigins} from './stream-origins.js';
@@ -62,6 +63,8 @@
 	rawHeaders: readonly string[];
 	body: Uint8Array | undefined;
 	res: ServerResponse;
+	/** Runs the callbacks of this request. */
+	guard: RequestGuard;
 	startedAt: number;
 	/**
 	 * Earlier of the caller's and the route's deadline, in monotonic
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -7,7 +7,6 @@
 } from 'node:http';
 import {acceptRequest, countHeaderBytes} from './accept-request.js';
 import {
-	breakOff,
 	endWithProblem,
 	RETRY_AFTER_MS,
 	sendProblem,
@@ -18,6 +17,7 @@
 import {forwardUnary} from './unary-forwarder.js';
 import {CUT_OFF_HEADER} from './peer-relay.js';
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
+import {createRequestGuard, type RequestGuard} from './request-guard.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -138,6 +138,7 @@
 	const handle = async (
 		req: IncomingMessage,
 		res: ServerResponse,
+		guard: RequestGuard,
 	): Promise<void> => {
 		const startedAt = ctx.clock.now();
 		const routeTable = ctx.readRouteTable();
@@ -173,6 +174,7 @@
 		// A configuration that arrived while the body was read applies already.
 		const accepted = acceptRequest(ctx, req, {
 			res,
+			guard,
 			routeTable: ctx.readRouteTable() ?? routeTable,
 			body: bodyOutcome.body,
 			startedAt,
@@ -206,22 +208,9 @@
 		res: ServerResponse,
 	): Promise<void> => {
 		activeRequests += 1;
-		try {
-			await handle(req, res);
-		} catch (error) {
-			// An exception in one request must not affect the others.
-			ctx.metrics.count('faults');
-			ctx.log.error('Unexpected error while handling a request.', {
-				request: ctx.codec.readRequest(req.headers).id,
-				reason:
-					error instanceof Error
-						? (error.stack ?? error.message)
-						: String(error),
-			});
-			breakOff(res);
-		} finally {
-			activeRequests -= 1;
-		}
+		const guard = createRequestGuard(ctx, res);
+		await guard.settle(handle(req, res, guard));
+		activeRequests -= 1;
 	};
 
 	const server = createServer(
--- /dev/null
+++ b/packages/lovage-gateway/src/guard.ts
@@ -0,0 +1,59 @@
+import type {EventEmitter} from 'node:events';
+
+/**
+ * Runs callbacks of timers, sockets and promises so that what one of them throws
+ * reaches the owner of the guard and doesn't end the process.
+ */
+export type Guard = Readonly<{
+	run: (action: () => void) => void;
+	/** Wraps a callback whose result nobody reads. */
+	wrap: <Values extends readonly unknown[]>(
+		callback: (...args: Values) => void,
+	) => (...args: Values) => void;
+	/** Awaits work that nobody else waits for; resolves in any case. */
+	settle: (work: Promise<unknown>) => Promise<void>;
+	/** Runs the listeners of an emitter, also those that are added later. */
+	watch: (emitter: EventEmitter) => void;
+}>;
+
+/** Creates a guard; `onFault` receives what was thrown and must not throw itself. */
+export function createGuard(onFault: (error: unknown) => void): Guard {
+	const wrap: Guard['wrap'] =
+		(callback) =>
+		(...args) => {
+			try {
+				callback(...args);
+			} catch (error) {
+				onFault(error);
+			}
+		};
+
+	return {
+		run(action) {
+			wrap(action)();
+		},
+		wrap,
+		async settle(work) {
+			try {
+				await work;
+			} catch (error) {
+				onFault(error);
+			}
+		},
+		watch(emitter) {
+			const emit = emitter.emit.bind(emitter) as (
+				...args: readonly unknown[]
+			) => boolean;
+			Object.assign(emitter, {
+				emit(...args: readonly unknown[]): boolean {
+					try {
+						return emit(...args);
+					} catch (error) {
+						onFault(error);
+						return true;
+					}
+				},
+			});
+		},
+	};
+}
--- a/packages/lovage-gateway/src/kv-backup.ts
+++ b/packages/lovage-gateway/src/kv-backup.ts
@@ -1,6 +1,7 @@
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {sendBackendCommand} from './backend-command.js';
 import type {GatewayContext} from './context.js';
+import type {Guard} from './guard.js';
 import type {KvCopyReference} from './protocol.js';
 
 /**
@@ -14,6 +15,8 @@
 /** Options of the KV cache backup of one run. */
 export type KvBackupOptions = Readonly<{
 	ctx: GatewayContext;
+	/** Guard of the run's request. */
+	guard: Guard;
 	requestId: string;
 	/** Backend server that executes the run. */
 	backend: BackendRecord;
@@ -61,6 +64,7 @@
 export function createKvBackup(options: KvBackupOptions): KvBackup {
 	const {
 		ctx,
+		guard,
 		requestId,
 		backend,
 		initialBackupTarget,
@@ -92,6 +96,12 @@
 	const findRefreshTarget = (): BackendRecord | undefined =>
 		copyHandle === undefined ? undefined : kvCopy?.backend;
 
+	const releaseCopy = (handle: string): void => {
+		const target = {backend, requestId};
+		const command = codec.createReleaseCommand(handle);
+		void guard.settle(sendBackendCommand(ctx, target, command));
+	};
+
 	const requestCopy = async (target: BackendRecord): Promise<void> => {
 		const previous = kvCopy;
 		const response = await sendBackendCommand(
@@ -103,11 +113,7 @@
 			? codec.readCopyHandle(response.value)
 			: undefined;
 		if (isReleased && handle !== undefined) {
-			void sendBackendCommand(
-				ctx,
-				{backend, requestId},
-				codec.createReleaseCommand(handle),
-			);
+			releaseCopy(handle);
 			return;
 		}
 
@@ -146,18 +152,14 @@
 
 			const target = isCopyLost() ? chooseBackupTarget() : findRefreshTarget();
 			if (target !== undefined) {
-				void runCopyRequest(target);
+				void guard.settle(runCopyRequest(target));
 			}
 		},
 		findCopy: () => (isCopyLost() ? undefined : kvCopy),
 		release() {
 			isReleased = true;
 			if (copyHandle !== undefined) {
-				void sendBackendCommand(
-					ctx,
-					{backend, requestId},
-					codec.createReleaseCommand(copyHandle),
-				);
+				releaseCopy(copyHandle);
 			}
 		},
 	};
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -113,7 +113,7 @@
 
 				case 'lost': {
 					hasRun = true;
-					void countDeath(run);
+					void req.guard.settle(countDeath(run));
 					break;
 				}
 			}
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -61,7 +61,7 @@
 	req: AcceptedRequest,
 	onEnd: () => void,
 ): StreamRelay {
-	const {route, service, res, metadata} = req;
+	const {route, service, res, metadata, guard} = req;
 	const canRepeat = isRepeatable(route.kind, route.isResumable);
 	let run: Run | undefined;
 	const delivery = createStreamDelivery(ctx, req);
@@ -209,12 +209,13 @@
 				body: req.body,
 			},
 			{
-				onResponse(response) {
+				onResponse: guard.wrap((response) => {
+					guard.watch(response);
 					handleResponse(current, response);
-				},
-				onFailure(failure) {
+				}),
+				onFailure: guard.wrap((failure) => {
 					handleRunFailure(current, failure);
-				},
+				}),
 			},
 		);
 	};
@@ -271,10 +272,20 @@
 	): void => {
 		const backupTarget = placement.chooseBackupTarget(backend);
 		const address = ctx.resolveAddress(backend);
+		const headers = ctx.codec.createBackendHeaders(req.rawHeaders, {
+			backend: backend.id,
+			customer: req.customer,
+			remainingMs: readRemainingMs(ctx, req),
+			backupAddress: backupTarget?.address,
+			lastEventId: delivery.readLastEventId(),
+			copy: kvCopy?.copy,
+			bodyLength: req.body?.length,
+		});
 		const current: Run = {
 			...createRun(ctx, backend, address),
 			kvBackup: createKvBackup({
 				ctx,
+				guard,
 				requestId: metadata.id,
 				backend,
 				initialBackupTarget: backupTarget,
@@ -284,18 +295,7 @@
 			hasCopy: kvCopy !== undefined,
 			reservation: ctx.view.reserve(backend, work),
 		};
-		send(
-			current,
-			ctx.codec.createBackendHeaders(req.rawHeaders, {
-				backend: backend.id,
-				customer: req.customer,
-				remainingMs: readRemainingMs(ctx, req),
-				backupAddress: backupTarget?.address,
-				lastEventId: delivery.readLastEventId(),
-				copy: kvCopy?.copy,
-				bodyLength: req.body?.length,
-			}),
-		);
+		send(current, headers);
 		if (previous !== undefined) {
 			ctx.log.info('Started a new attempt for a stream.', {
 				request: metadata.id,
@@ -334,7 +334,7 @@
 	const scheduleResend = (reason: string): void => {
 		const status = delivery.hasBegun() || attempts.hasRun() ? 502 : 503;
 		if (!placement.isBound()) {
-			void relayOrAbort(status, reason);
+			void guard.settle(relayOrAbort(status, reason));
 			return;
 		}
 
@@ -345,11 +345,14 @@
 		}
 
 		attempts.clearExcluded();
-		resendTimer = setTimeout(() => {
-			if (!isEnded) {
-				start();
-			}
-		}, RESEND_DELAY_MS);
+		resendTimer = setTimeout(
+			guard.wrap(() => {
+				if (!isEnded) {
+					start();
+				}
+			}),
+			RESEND_DELAY_MS,
+		);
 	};
 
 	const handleRunFailure = (current: Run, failure: AttemptFailure): void => {
@@ -412,16 +415,21 @@
 					ctx.metrics.count('retries_postponed');
 				}
 
-				resendTimer = setTimeout(() => {
-					if (!isEnded) {
-						decideNextRun(failed, failure, true);
-					}
-				}, RESEND_DELAY_MS);
+				resendTimer = setTimeout(
+					guard.wrap(() => {
+						if (!isEnded) {
+							decideNextRun(failed, failure, true);
+						}
+					}),
+					RESEND_DELAY_MS,
+				);
 				break;
 			}
 
 			case 'refuse': {
-				void relayOrAbort(delivery.hasBegun() ? 502 : 503, failure.reason);
+				void guard.settle(
+					relayOrAbort(delivery.hasBegun() ? 502 : 503, failure.reason),
+				);
 				break;
 			}
 
@@ -466,7 +474,7 @@
 			}
 
 			case 'probe': {
-				void probe(current);
+				void guard.settle(probe(current));
 				break;
 			}
 
@@ -484,11 +492,12 @@
 	};
 
 	const deadlineTimer = setTimeout(
-		() => {
+		guard.wrap(() => {
 			abort(504, 'timeout');
-		},
+		}),
 		Math.max(1, readRemainingMs(ctx, req)),
 	);
+	guard.addCleanup(finish);
 	res.once('close', () => {
 		if (!isEnded) {
 			record(499, 'the caller left');
@@ -496,9 +505,9 @@
 		}
 	});
 	return {
-		start() {
+		start: guard.wrap(() => {
 			start();
-		},
-		tick,
+		}),
+		tick: guard.wrap(tick),
 	};
 }
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -13,7 +13,7 @@
 import {
 	watchResponseEnd,
 	openExchange,
-	type Exchange,
+	type ExchangeRequest,
 } from './backend-exchange.js';
 import {
 	type AcceptedRequest,
@@ -194,6 +194,17 @@
 	{target, timeoutMs, timeoutOutcome}: AttemptPlan,
 ): Promise<AttemptOutcome> {
 	const sentAt = ctx.clock.now();
+	const {guard} = req;
+	if (req.res.destroyed) {
+		return {kind: 'ended', reason: 'left'};
+	}
+
+	const request: ExchangeRequest = {
+		...describeTarget(ctx, req, target),
+		method: req.method,
+		path: req.path,
+		body: req.body,
+	};
 	return new Promise((resolve) => {
 		let isSettled = false;
 		const settle = (outcome: AttemptOutcome): void => {
@@ -212,34 +223,24 @@
 			exchange.cancel();
 		};
 
-		const timer = setTimeout(() => {
-			settle(timeoutOutcome);
-			exchange.cancel();
-		}, timeoutMs);
-		req.res.once('close', onCallerClosed);
-		if (req.res.destroyed) {
-			isSettled = true;
-			clearTimeout(timer);
-			resolve({kind: 'ended', reason: 'left'});
-			return;
-		}
-
-		const exchange: Exchange = openExchange(
-			{
-				...describeTarget(ctx, req, target),
-				method: req.method,
-				path: req.path,
-				body: req.body,
-			},
-			{
-				onResponse(response) {
-					collectResponse(ctx, req, {target, sentAt, response}, settle);
-				},
-				onFailure(failure) {
-					settle({kind: 'failure', failure});
-				},
-			},
+		const timer = setTimeout(
+			guard.wrap(() => {
+				settle(timeoutOutcome);
+				exchange.cancel();
+			}),
+			timeoutMs,
 		);
+		guard.addCleanup(onCallerClosed);
+		req.res.once('close', onCallerClosed);
+		const exchange = openExchange(request, {
+			onResponse: guard.wrap((response) => {
+				guard.watch(response);
+				collectResponse(ctx, req, {target, sentAt, response}, settle);
+			}),
+			onFailure: guard.wrap((failure) => {
+				settle({kind: 'failure', failure});
+			}),
+		});
 	});
 }
 
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -299,6 +299,7 @@
 	}
 
 	const reservation = ctx.view.reserve(backend, placementRequest);
+	req.guard.addCleanup(reservation.release);
 	const sent = progress.sent + 1;
 	const plan = planAttempt(ctx, req, {kind: 'backend', backend}, progress.sent);
 	const outcome = await runAttempt(ctx, req, plan);
