--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -61,7 +61,7 @@
 export type {BackendLoad} from './load.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
-export {decodeRecord, isCount} from './record-decoder.js';
+export {decodeRecord, isCount, isHeaderText} from './record-decoder.js';
 export type {DecodedRecord} from './record-decoder.js';
 export {
 	fromAgedRecord,
--- a/packages/lovage-dispatch/src/record-decoder.ts
+++ b/packages/lovage-dispatch/src/record-decoder.ts
@@ -17,8 +17,8 @@
 const MAX_VERSION_LENGTH = 128;
 const MAX_SLOTS = 65_536;
 const MAX_LOGGED_LENGTH = 40;
-/** Ids become header values, which lose spaces at the ends. */
-const ID_PATTERN = /^[!-~](?:[ -~]*[!-~])?$/;
+/** Header values lose spaces at the ends. */
+const HEADER_TEXT_PATTERN = /^[!-~](?:[ -~]*[!-~])?$/;
 
 function isText(value: unknown, maxLength: number): value is string {
 	return typeof value === 'string' && value.length <= maxLength;
@@ -28,8 +28,9 @@
 	return isText(value, MAX_NAME_LENGTH) && value !== '';
 }
 
-function isId(value: unknown): boolean {
-	return isText(value, MAX_NAME_LENGTH) && ID_PATTERN.test(value);
+/** Whether a value can be a header as it is: printable ASCII, not too long. */
+export function isHeaderText(value: unknown): value is string {
+	return isText(value, MAX_NAME_LENGTH) && HEADER_TEXT_PATTERN.test(value);
 }
 
 /** Whether a value counts something exactly: fractions and 1e300 don't. */
@@ -40,7 +41,7 @@
 const RULES: readonly FieldRule[] = [
 	{
 		field: 'id',
-		isSound: isId,
+		isSound: isHeaderText,
 		rule: `must be printable ASCII of at most ${MAX_NAME_LENGTH} characters`,
 	},
 	{field: 'service', isSound: isName, rule: 'must be a name'},
