Keep configured times within the range of timers

What callers saw: with a timeout of 1e300 ms in the configuration each stream ended at once, with 504.

Cause: Node.js lets a timer of more than 2^31-1 ms expire at once; the times of the server were taken as they came, also negative ones and fractions.

Expected: toTimerMs brings them into the range at the two places where a configuration's times enter, the deadline of a request and the limits of the server, whatever an earlier control instance has accepted.

--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -5,6 +5,7 @@
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
 import type {RequestGuard} from './request-guard.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
+import {toTimerMs} from './timer-range.js';
 
 /** Size of a request's headers as it was sent, in bytes. */
 export function countHeaderBytes(req: IncomingMessage): number {
@@ -85,6 +86,6 @@
 		res,
 		guard,
 		startedAt,
-		deadlineAt: startedAt + waitMs,
+		deadlineAt: startedAt + toTimerMs(waitMs),
 	};
 }
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
+import {toTimerMs} from './timer-range.js';
 
 /** HTTP server that accepts and forwards callers' requests. */
 export type Gateway = Readonly<{
@@ -233,8 +234,8 @@
 
 	const applyLimits = (): void => {
 		const limits = ctx.readRouteTable()?.configuration.limits ?? DEFAULT_LIMITS;
-		server.keepAliveTimeout = limits.idleTimeoutMs;
-		server.headersTimeout = limits.headerTimeoutMs;
+		server.keepAliveTimeout = toTimerMs(limits.idleTimeoutMs);
+		server.headersTimeout = toTimerMs(limits.headerTimeoutMs);
 	};
 
 	applyLimits();
