Tell names that all objects have from what a report holds

What callers saw: a backend server with the id `constructor` or `toString` got a load and an age that are no numbers, counted as silent and was placed at random; a service of such a name had no retries left.

Cause: `record[id] ?? fallback` finds what every object inherits.

Expected: with one lookup for own properties, readOwn, unknown stays unknown. It is used where entries look up loads, ages and counts of retries by id or service; sums are kept in Maps already.

Looked for elsewhere: `versions[service]` in stream-origin.ts goes through Object.entries, which yields nothing for an inherited function or Object.prototype, so it stays as it is. The records of lovage-coordinator and decode-configuration.ts are not part of this change.

--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -1,3 +1,5 @@
+import {readOwn} from './own-property.js';
+
 /** State that a backend server registers with. */
 export type BackendState = 'ready' | 'draining' | 'gone';
 
@@ -191,7 +193,7 @@
 	return new Map(
 		[...table].map(([id, record]) => {
 			const ageMs =
-				agesMs[id] ?? (record.state === 'ready' ? restMs : undefined);
+				readOwn(agesMs, id) ?? (record.state === 'ready' ? restMs : undefined);
 			const heardAt = Math.max(
 				record.heardAt,
 				ageMs === undefined ? 0 : now - ageMs,
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -59,6 +59,7 @@
 } from './backend-notices.js';
 export {addLoad, NO_LOAD, subtractLoad} from './load.js';
 export type {BackendLoad} from './load.js';
+export {readOwn} from './own-property.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
 export {decodeRecord, isCount, isHeaderText} from './record-decoder.js';
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -20,6 +20,7 @@
 	mergeRecords,
 	NO_LOAD,
 	getAvoidReason,
+	readOwn,
 	readSoftwareVersion,
 	recordExchange,
 	recordNotice,
@@ -170,13 +171,16 @@
 		);
 	};
 
+	const readOthersLoad = (id: string): BackendLoad =>
+		readOwn(remoteLoads, id) ?? NO_LOAD;
+
 	const toCandidate = (record: BackendRecord): Candidate => ({
 		id: record.id,
 		address: record.address,
 		dataCentre: record.dataCentre,
 		slots: record.slots,
 		ownLoad: ownLoads.read(record.id),
-		othersLoad: remoteLoads[record.id] ?? NO_LOAD,
+		othersLoad: readOthersLoad(record.id),
 		isResponsive: hasRecentContact(record),
 		isAvoided: isAvoided(readHealth(record.id), clock.now()),
 	});
@@ -196,7 +200,7 @@
 		listBackends: () => table.values(),
 		countOwn: (id) => ownLoads.read(id).running,
 		countAtAddress: ownLoads.countAtAddress,
-		countOthers: (id) => (remoteLoads[id] ?? NO_LOAD).running,
+		countOthers: (id) => readOthersLoad(id).running,
 		readRank: options.readRank,
 	});
 
--- a/packages/lovage-gateway/src/retry-budgets.ts
+++ b/packages/lovage-gateway/src/retry-budgets.ts
@@ -5,6 +5,7 @@
 	decideRetry,
 	EMPTY_BUDGET,
 	estimateDemand,
+	readOwn,
 	type RetryBudget,
 	type RetryBudgetPolicy,
 	type RetryCounts,
@@ -57,7 +58,7 @@
 	let remoteCountsAt = Number.NEGATIVE_INFINITY;
 	const readRemoteCounts = (service: string): RetryCounts | undefined =>
 		clock.now() - remoteCountsAt < REMOTE_COUNTS_FRESHNESS_MS
-			? (remoteCounts[service] ?? {requests: 0, retries: 0})
+			? (readOwn(remoteCounts, service) ?? {requests: 0, retries: 0})
 			: undefined;
 	const roundingOffset = random();
 
