Decode the reports of control instances, and contain work outside of requests

What callers saw: a report of another build, with a field missing or of another shape, ended the entry as an unhandled rejection (FAULT); an address in it that can't be connected to did so at each later round.

Cause: answers of control instances were taken as they came, and reports, checks of reach and the fetch of a configuration run in promises that nobody awaits.

Expected: decodeControlReport keeps what is of the shape of a report, item by item, and leaves out the rest; unknown fields are dropped, so a new field has to be added there. callControl turns an answer of another shape, or an address that the client throws for, into a failure. A guard of tasks takes what else is thrown outside of requests (lovage_task_faults_total) and applies the four parts of a report one by one. A control instance that names a newer configuration but answers something else than its text no longer keeps an entry from starting: the next one is asked.

Evidence: foreign-reports.test.ts, with the client, entry and checks of before, failed in one test and raised 72 unhandled errors, ERR_SOCKET_BAD_PORT among them; its 10 tests pass now without any, as do those of report-decoder.test.ts and the integration tests of lovage-gateway.

--- a/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/control-client.test.ts
@@ -3,7 +3,8 @@
 import {ok} from 'neverthrow';
 import {expect, it} from 'vitest';
 import {createControlClient} from '../../control-client.js';
-import {silentLogger} from '../integration/harness.js';
+import {createTaskGuard} from '../../guard.js';
+import {silentLogger, silentMetrics} from '../integration/harness.js';
 
 const PARTS = 20;
 const SEEDS = ['10.0.0.1:1', '10.0.0.2:1'];
@@ -52,6 +53,7 @@
 		createAgesRequest: () => ({wantsAges: false}),
 		onReport: () => undefined,
 		onConfiguration: () => undefined,
+		guard: createTaskGuard({log: silentLogger, metrics: silentMetrics}),
 	});
 	controlClient.report();
 	await new Promise((resolve) => {
--- a/packages/lovage-gateway/src/backend-reach.ts
+++ b/packages/lovage-gateway/src/backend-reach.ts
@@ -5,6 +5,7 @@
 	type Reach,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {createTaskGuard} from './guard.js';
 
 /** Whether this entry reaches the backend servers, service by service. */
 export type BackendReach = Readonly<{
@@ -41,6 +42,7 @@
 /** Creates the checks for an entry that has not lost any backend server yet. */
 export function createBackendReach(options: BackendReachOptions): BackendReach {
 	const {clock, log, metrics, random, listInService, connect} = options;
+	const guard = createTaskGuard(options);
 	const reaches = new Map<string, Reach>();
 	const running = new Map<string, Promise<void>>();
 	const checkedAt = new Map<string, number>();
@@ -110,7 +112,7 @@
 			return known;
 		}
 
-		const round = runRound(service);
+		const round = guard.settle(runRound(service));
 		running.set(service, round);
 		await round;
 		running.delete(service);
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -1,12 +1,19 @@
-import type {
-	AgesRequest,
-	ControlReport,
-	EntryReport,
-	KnownRevision,
-	OriginAnswer,
-	SharedEntryReport,
+import {
+	type AgesRequest,
+	type ControlReport,
+	decodeControlReport,
+	type EntryReport,
+	type KnownRevision,
+	type OriginAnswer,
+	type SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
+import {
+	callControl,
+	MALFORMED_ANSWER,
+	readConfigurationText,
+} from './control-call.js';
+import type {Guard} from './guard.js';
 import {
 	lookUpOrigin,
 	type OriginLookup,
@@ -31,6 +38,8 @@
 	onReport: (control: string, report: ControlReport) => void;
 	/** Receives the text of a configuration that is newer than the active one. */
 	onConfiguration: (text: string) => void;
+	/** Guard of the exchanges, so that one of them doesn't end the others. */
+	guard: Guard;
 }>;
 
 /** Exchanges reports with the control instances and fetches configurations. */
@@ -96,8 +105,15 @@
 export function createControlClient(
 	options: ControlClientOptions,
 ): ControlClient {
-	const {clock, log, client, readSeeds, createReport, createAgesRequest} =
-		options;
+	const {
+		clock,
+		log,
+		client,
+		readSeeds,
+		createReport,
+		createAgesRequest,
+		guard,
+	} = options;
 	const peers = new Map<string, Peer>();
 	const advertisedAt = new Map<string, number>();
 	let isFetching = false;
@@ -141,21 +157,26 @@
 	const fetchConfiguration = async (
 		address: string,
 		version: number,
+		ownVersion: number,
 	): Promise<void> => {
 		if (isFetching) {
 			return;
 		}
 
 		isFetching = true;
-		const response = await client.call<{text: string}>(
-			address,
-			'/configuration',
-			{version},
-			CONFIGURATION_TIMEOUT_MS,
+		const response = await callControl(
+			client,
+			{
+				address,
+				path: '/configuration',
+				body: {version},
+				timeoutMs: CONFIGURATION_TIMEOUT_MS,
+			},
+			readConfigurationText,
 		);
 		isFetching = false;
 		response.match(
-			({text}) => {
+			(text) => {
 				options.onConfiguration(text);
 			},
 			(reason) => {
@@ -164,6 +185,11 @@
 					version,
 					reason,
 				});
+				if (reason === MALFORMED_ANSWER) {
+					// Until its next report, another one is asked.
+					readPeer(address).version = 0;
+					fetchNewest(ownVersion);
+				}
 			},
 		);
 	};
@@ -197,7 +223,9 @@
 	const fetchNewest = (ownVersion: number): void => {
 		const source = chooseConfigurationSource(ownVersion);
 		if (source !== undefined) {
-			void fetchConfiguration(source.address, source.version);
+			void guard.settle(
+				fetchConfiguration(source.address, source.version, ownVersion),
+			);
 		}
 	};
 
@@ -268,7 +296,6 @@
 			return;
 		}
 
-		peer.isBusy = true;
 		const isPrimary = address === primaryPeer;
 		const update = options.createOriginsUpdate(peer.originSequence);
 		const report: EntryReport = {
@@ -279,11 +306,16 @@
 			wantsOverview: isPrimary,
 			...(isPrimary ? createAgesRequest() : {wantsAges: false}),
 		};
-		const response = await client.call<ControlReport>(
-			address,
-			'/report',
-			report,
-			REPORT_TIMEOUT_MS,
+		peer.isBusy = true;
+		const response = await callControl(
+			client,
+			{
+				address,
+				path: '/report',
+				body: report,
+				timeoutMs: REPORT_TIMEOUT_MS,
+			},
+			decodeControlReport,
 		);
 		peer.isBusy = false;
 		response.match(
@@ -294,7 +326,7 @@
 
 				applyReport(address, peer, found, report.version);
 				if (found.hasMore === true && address === primaryPeer) {
-					void sendReport(address);
+					void guard.settle(sendReport(address));
 				}
 			},
 			(reason) => {
@@ -318,12 +350,14 @@
 					readPeer(address).knownRevision === undefined,
 			);
 			targets.forEach((address) => {
-				void sendReport(address);
+				void guard.settle(sendReport(address));
 			});
 		},
 		async reportToAll() {
 			await Promise.all(
-				listAddresses().map(async (address) => sendReport(address)),
+				listAddresses().map(async (address) =>
+					guard.settle(sendReport(address)),
+				),
 			);
 		},
 		lookUpOrigin: async (query) =>
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -28,6 +28,7 @@
 import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
 import {createNamedLimits} from './named-limits.js';
+import {createTaskGuard} from './guard.js';
 import type {HeaderCodec} from './protocol.js';
 import {createEntryPeers} from './entry-peers.js';
 import {createRetryBudgets} from './retry-budgets.js';
@@ -99,6 +100,7 @@
 	dependencies: EntryDependencies,
 ): Entry {
 	const {clock, log, metrics} = dependencies;
+	const tasks = createTaskGuard(dependencies);
 	let routeTable: RouteTable | undefined;
 	let isLeaving = false;
 	const peers = createEntryPeers(clock, settings.address);
@@ -231,20 +233,29 @@
 		createOriginsUpdate: origins.createReport,
 		createAgesRequest: view.createAgesRequest,
 		onReport(control, report) {
-			peers.applyReport(control, report);
-			if (report.overview !== undefined) {
-				retryBudgets.updateRemoteCounts(report.overview.retries);
-			}
-
-			crashes.applyReport(control, report);
-			view.applyReport(report);
+			const {overview} = report;
+			// One part that can't be applied leaves the others in force.
+			tasks.run(() => {
+				peers.applyReport(control, report);
+			});
+			tasks.run(() => {
+				if (overview !== undefined) {
+					retryBudgets.updateRemoteCounts(overview.retries);
+				}
+			});
+			tasks.run(() => {
+				crashes.applyReport(control, report);
+			});
+			tasks.run(() => {
+				view.applyReport(report);
+			});
 		},
 		onConfiguration: applyConfiguration,
+		guard: tasks,
 	});
-	const timer = setInterval(() => {
-		controlClient.report();
-	}, REPORT_INTERVAL_MS);
-	controlClient.report();
+	const report = tasks.wrap(controlClient.report);
+	const timer = setInterval(report, REPORT_INTERVAL_MS);
+	report();
 	metrics.registerGauge(
 		'configuration_version',
 		() => routeTable?.configuration.version ?? 0,
--- a/packages/lovage-gateway/src/guard.ts
+++ b/packages/lovage-gateway/src/guard.ts
@@ -1,4 +1,9 @@
 import type {EventEmitter} from 'node:events';
+import {
+	describeError,
+	type Logger,
+	type PrometheusMetrics,
+} from '@lovagevalve/runtime';
 
 /**
  * Runs callbacks of timers, sockets and promises so that what one of them throws
@@ -57,3 +62,16 @@
 		},
 	};
 }
+
+/** Creates a guard of work that belongs to no request, such as reports. */
+export function createTaskGuard({
+	log,
+	metrics,
+}: Readonly<{log: Logger; metrics: PrometheusMetrics}>): Guard {
+	return createGuard((error) => {
+		metrics.count('task_faults');
+		log.error('Unexpected error outside of requests.', {
+			reason: describeError(error),
+		});
+	});
+}
