--- a/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
@@ -205,7 +205,7 @@
 
 		// What is sound is followed as before.
 		const id = `i-new-${nextNumber}`;
-		coordinator.register(fromAgedRecord({...record, id}, clock.now()));
+		await coordinator.register(fromAgedRecord({...record, id}, clock.now()));
 		expect(coordinator.find(id)?.id).toBe(id);
 		expect(await put(nextNumber++)).toBe(true);
 		const answer = await send('/report', JSON.stringify(report));
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -7,6 +7,8 @@
 } from './answer-verdict.js';
 export {decideRetry, isRepeatable} from './attempts.js';
 export type {AttemptFailure, RetryDecision, RetryInputs} from './attempts.js';
+export {isSocketAddress, parseSocketAddress} from './backend-address.js';
+export type {SocketAddress} from './backend-address.js';
 export {
 	countReady,
 	dropOldRecords,
@@ -58,8 +60,12 @@
 } from './backend-notices.js';
 export {addLoad, NO_LOAD, subtractLoad} from './load.js';
 export type {BackendLoad} from './load.js';
+export {readOwn} from './own-property.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
+export {decodeRecord, isCount, isHeaderText} from './record-decoder.js';
+export {decodeControlReport} from './report-decoder.js';
+export type {DecodedRecord} from './record-decoder.js';
 export {
 	fromAgedRecord,
 	fromCompactLoads,
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -3,7 +3,9 @@
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
+import type {RequestGuard} from './request-guard.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
+import {toTimerMs} from './timer-range.js';
 
 /** Size of a request's headers as it was sent, in bytes. */
 export function countHeaderBytes(req: IncomingMessage): number {
@@ -29,11 +31,13 @@
 	req: IncomingMessage,
 	{
 		res,
+		guard,
 		routeTable,
 		body,
 		startedAt,
 	}: Readonly<{
 		res: ServerResponse;
+		guard: RequestGuard;
 		routeTable: RouteTable;
 		body: Uint8Array | undefined;
 		/** Time of arrival, in monotonic milliseconds. */
@@ -80,7 +84,8 @@
 		rawHeaders: removeRelayHeaders(req.rawHeaders),
 		body,
 		res,
+		guard,
 		startedAt,
-		deadlineAt: startedAt + waitMs,
+		deadlineAt: startedAt + toTimerMs(waitMs),
 	};
 }
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -20,6 +20,7 @@
 	mergeRecords,
 	NO_LOAD,
 	getAvoidReason,
+	readOwn,
 	readSoftwareVersion,
 	recordExchange,
 	recordNotice,
@@ -35,6 +36,7 @@
 	type LoadReservation,
 } from './load-reservations.js';
 import type {NamedLimits} from './named-limits.js';
+import {createRecordFilter} from './reported-records.js';
 import {
 	createAgesRequest,
 	createReportedAges,
@@ -144,6 +146,7 @@
 	const health = new Map<string, BackendHealth>();
 	const noticesById = new Map<string, BackendNotices>();
 	const ownLoads = createLoadReservations();
+	const keepSound = createRecordFilter(options);
 	let table: BackendTable = new Map();
 	let remoteLoads: Readonly<Record<string, BackendLoad>> = {};
 	let ages = createReportedAges(options.registrationIntervalMs);
@@ -168,13 +171,16 @@
 		);
 	};
 
+	const readOthersLoad = (id: string): BackendLoad =>
+		readOwn(remoteLoads, id) ?? NO_LOAD;
+
 	const toCandidate = (record: BackendRecord): Candidate => ({
 		id: record.id,
 		address: record.address,
 		dataCentre: record.dataCentre,
 		slots: record.slots,
 		ownLoad: ownLoads.read(record.id),
-		othersLoad: remoteLoads[record.id] ?? NO_LOAD,
+		othersLoad: readOthersLoad(record.id),
 		isResponsive: hasRecentContact(record),
 		isAvoided: isAvoided(readHealth(record.id), clock.now()),
 	});
@@ -194,7 +200,7 @@
 		listBackends: () => table.values(),
 		countOwn: (id) => ownLoads.read(id).running,
 		countAtAddress: ownLoads.countAtAddress,
-		countOthers: (id) => (remoteLoads[id] ?? NO_LOAD).running,
+		countOthers: (id) => readOthersLoad(id).running,
 		readRank: options.readRank,
 	});
 
@@ -256,7 +262,9 @@
 			const now = clock.now();
 			const previousTable = table;
 			const {backends, overview} = report;
-			const records = backends.map((record) => fromAgedRecord(record, now));
+			const records = keepSound(backends).map((record) =>
+				fromAgedRecord(record, now),
+			);
 			table = records.length === 0 ? table : mergeRecords(table, records).table;
 			applyAges(report);
 			[...noticesById.keys()]
