Refuse an answer in a transfer coding that is not undone

Expected: Node.js takes no cut head for one, and its framing decides what is whole. The first held; the second did not. Callers got a 200 that looked whole

- with the bytes of a body in the coding `chunk` (a cut `chunked`), `gzip` or `gzip, chunked`: the header that names the coding concerns one connection and is dropped, the bytes were passed on as they came;
- with a part of the body, where the answer had the coding `identity` (or any other than `chunked`) and was reset right behind its last bytes: the detection of such a reset took the header for a frame.

findHeadFault now names such a coding, which makes the answer a lost one, and isCloseDelimited reads the coding. `identity` changes nothing and is still accepted.

cut-heads.test.ts cuts answers behind each byte, followed by a close, a reset, or a reset a little later: no caller gets a false success. Its 32 tests also passed before this change, but for the two causes above, which it does not contain.

--- a/packages/lovage-gateway/src/__tests__/integration/close-delimited.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/close-delimited.test.ts
@@ -14,13 +14,26 @@
 /** The head of an answer that ends with its connection. */
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nConnection: close\r\n\r\n';
 
+/** The same, with a transfer coding that changes nothing. */
+const IDENTITY_HEAD = HEAD.replace(
+	'Connection:',
+	'Transfer-Encoding: identity\r\nConnection:',
+);
+
 async function start(
-	...answers: ReadonlyArray<Readonly<{bytes: string; end: 'end' | 'reset'}>>
+	...answers: ReadonlyArray<
+		Readonly<{bytes: string; end: 'end' | 'reset' | 'reset at once'}>
+	>
 ): Promise<Harness> {
 	const ports = await Promise.all(
 		answers.map(async ({bytes, end}) => {
 			const backend = await startRawBackend((socket) => {
 				socket.write(bytes);
+				if (end === 'reset at once') {
+					socket.resetAndDestroy();
+					return;
+				}
+
 				setTimeout(() => {
 					if (end === 'end') {
 						socket.end();
@@ -69,6 +82,25 @@
 		},
 	);
 
+	// The reset arrives with the last bytes, and Node.js reports an orderly end.
+	it.each([
+		['/once/1', HEAD],
+		['/once/1', IDENTITY_HEAD],
+		['/stream-once/1', HEAD],
+		['/stream-once/1', IDENTITY_HEAD],
+	])('is not whole when it is reset at once: %s, %j', async (path, head) => {
+		const bytes = head + formatEvent(1);
+		const {port} = await start({bytes, end: 'reset at once'});
+		const {status, isWhole} = await call(port, path);
+		expect(status === 200 && isWhole).toBe(false);
+	});
+
+	it('is whole after an orderly end in the coding "identity"', async () => {
+		const {port} = await start({bytes: IDENTITY_HEAD + whole, end: 'end'});
+		const answer = await call(port, '/once/1');
+		expect(answer).toMatchObject({status: 200, isWhole: true, body: whole});
+	});
+
 	it('of a stream that can not be resumed looks broken off to the caller', async () => {
 		const bytes = `${HEAD}${formatEvent(1)}id: 2\ndata: pie`;
 		const {port} = await start({bytes, end: 'end'});
--- a/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/faulty-answers.ts
@@ -64,7 +64,8 @@
 	return {bytes: CHUNKED + formatChunk(formatEvents(...ids)), end: 'reset'};
 }
 
-function endConnection(socket: Socket, end: Answer['end']): void {
+/** Ends the connection of an answer. */
+export function endConnection(socket: Socket, end: Answer['end']): void {
 	switch (end) {
 		case 'end': {
 			socket.end();
--- a/packages/lovage-gateway/src/__tests__/integration/malformed-heads.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/malformed-heads.test.ts
@@ -4,6 +4,7 @@
 	createBroken,
 	createHead,
 	createStream,
+	formatChunk,
 	formatEvents,
 	startFleet,
 	STREAM,
@@ -29,6 +30,20 @@
 	},
 );
 
+// A transfer coding concerns one connection and is not passed on: the caller gets the
+// coded bytes as the body.
+describe.each(['/once/1', '/stream-once/1'])('at %s', (path) => {
+	it.each(['chunk', 'gzip', 'gzip, chunked', 'chunked, chunk'])(
+		'a body in the transfer coding %s is a failure',
+		async (coding) => {
+			const head = `${STREAM}Transfer-Encoding: ${coding}\r\n\r\n`;
+			const bytes = `${head}${formatChunk(formatEvents(1))}0\r\n\r\n`;
+			const {port} = await startFleet(cleanups, [{bytes, end: 'end'}]);
+			expect(await call(port, path)).toMatchObject({status: 502});
+		},
+	);
+});
+
 describe('behind the first events', () => {
 	it.each([
 		['a status that is none', createHead(50).replace('50', '050')],
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -2,7 +2,7 @@
 import {request as sendHttp, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
-import {findHeadFault} from './answer-head.js';
+import {findHeadFault, isCloseDelimited} from './answer-head.js';
 
 /** A request to a single backend server. */
 export type ExchangeRequest = Readonly<{
@@ -52,16 +52,9 @@
  */
 const failedResponses = new WeakSet<IncomingMessage>();
 
-function isCloseDelimited({headers}: IncomingMessage): boolean {
-	return (
-		headers['content-length'] === undefined &&
-		headers['transfer-encoding'] === undefined
-	);
-}
-
 /** Whether a response has arrived whole, by its length or its last chunk. */
 function hasEnded(response: IncomingMessage): boolean {
-	return response.complete && !isCloseDelimited(response);
+	return response.complete && !isCloseDelimited(response.rawHeaders);
 }
 
 /**
@@ -71,7 +64,7 @@
  * extra line break, as HTTP recommends.
  */
 function detectResetAtEnd(response: IncomingMessage): void {
-	if (isCloseDelimited(response)) {
+	if (isCloseDelimited(response.rawHeaders)) {
 		response.socket.prependOnceListener('end', () => {
 			response.socket.write('\r\n', (error) => {
 				if (error) {
@@ -101,7 +94,7 @@
 
 	response.on('error', onTruncated);
 	response.on('end', () => {
-		if (isCloseDelimited(response)) {
+		if (isCloseDelimited(response.rawHeaders)) {
 			setImmediate(settle);
 		} else {
 			settle();
