Complete a stream on the last event repeated, not on empty answers

Empty answers that fail in the same way agree as well as true ones, so that no number of them proves the end.

A server that is asked for what follows an earlier event has to send one that the caller has before it ends, and thereby reads the stream. So after a run that ended properly without a new event, the next one is asked for the last event again: it begins behind the id before it (chooseResumeId). If it brings that event alone and ends properly, the stream is complete. An empty answer, events that were not asked for and a reset prove nothing, and the stream breaks off if nobody is left. The event is not delivered twice: classifyPart knows its id. The number of runs is that of before; one event is made again.

--- a/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
@@ -1,9 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {
+	chooseResumeId,
 	classifyPart,
 	decideStreamEnd,
 	isStreamAnswer,
-	NO_QUIET_ENDS,
 	parseStreamPart,
 } from '../../stream-answer.js';
 
@@ -76,34 +76,60 @@
 });
 
 // A run that fails without saying so ends properly and brings nothing, as one does that
-// follows the last event.
+// follows the last event. Several may fail in the same way.
 describe('decideStreamEnd', () => {
-	const quiet = {backend: 'a', hasNewEvent: false, lastEventId: '2'};
+	const quiet = {
+		hasNewEvent: false,
+		lastEventId: '3',
+		resumeId: '3',
+		knownIds: new Set<string>(),
+	};
+	const askedAgain = {...quiet, resumeId: '2'};
 
-	it('is complete after a run with a new event', () => {
-		const end = {...quiet, hasNewEvent: true};
-		expect(decideStreamEnd(NO_QUIET_ENDS, end).kind).toBe('complete');
-	});
-
-	it('is complete when another backend server agrees', () => {
-		const first = decideStreamEnd(NO_QUIET_ENDS, quiet);
-		expect(first.kind).toBe('ask-another');
-		const again = decideStreamEnd(first.quietEnds, quiet);
-		expect(again.kind).toBe('ask-another');
-		const other = decideStreamEnd(again.quietEnds, {...quiet, backend: 'b'});
-		expect(other.kind).toBe('complete');
+	it.each([
+		['a new event', {...quiet, hasNewEvent: true}, 'complete'],
+		['nothing', quiet, 'ask-another'],
+		['the last event unasked', {...quiet, knownIds: ['3']}, 'ask-another'],
+		['nothing, asked again', askedAgain, 'ask-another'],
+		['the last event', {...askedAgain, knownIds: ['3']}, 'complete'],
+		['the same twice', {...askedAgain, knownIds: ['3', '03']}, 'complete'],
+		['an earlier event', {...askedAgain, knownIds: ['2']}, 'ask-another'],
+		['both', {...askedAgain, knownIds: ['2', '3']}, 'ask-another'],
+		[
+			'the only event',
+			{...quiet, lastEventId: '0', resumeId: undefined, knownIds: ['0']},
+			'complete',
+		],
+		[
+			'no event ever',
+			{...quiet, lastEventId: undefined, resumeId: undefined},
+			'ask-another',
+		],
+	])('after a run that brought %s', (_, end, expected) => {
+		const knownIds = new Set(end.knownIds);
+		expect(decideStreamEnd({...end, knownIds})).toBe(expected);
 	});
+});
 
-	it('is not complete when the other one followed another event', () => {
-		const {quietEnds} = decideStreamEnd(NO_QUIET_ENDS, quiet);
-		const end = {...quiet, backend: 'b', lastEventId: '3'};
-		expect(decideStreamEnd(quietEnds, end).kind).toBe('ask-another');
+describe('chooseResumeId', () => {
+	it.each([
+		['3', false, '3'],
+		[undefined, false, undefined],
+		['3', true, '2'],
+		['10', true, '9'],
+		['1', true, '0'],
+		['9007199254740993', true, '9007199254740992'],
+		['0', true, undefined],
+		[undefined, true, undefined],
+		// No number: the event before it is unknown.
+		['of another system', true, 'of another system'],
+	])('behind %s, after a quiet end: %s, is %s', (last, isQuiet, expected) => {
+		expect(chooseResumeId(last, isQuiet)).toBe(expected);
 	});
 
-	it('is never complete without any event', () => {
-		const end = {...quiet, lastEventId: undefined};
-		const {quietEnds} = decideStreamEnd(NO_QUIET_ENDS, end);
-		const other = decideStreamEnd(quietEnds, {...end, backend: 'b'});
-		expect(other.kind).toBe('ask-another');
+	it('makes the last event one that is asked for and known', () => {
+		const part = parseStreamPart('id: 3\ndata: c\n\n');
+		expect(classifyPart(part, chooseResumeId('3', true))).toBe('next');
+		expect(classifyPart(part, '3')).toBe('known');
 	});
 });
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -127,14 +127,13 @@
 } from './stream-origin.js';
 export {
 	classifyPart,
+	chooseResumeId,
 	decideStreamEnd,
 	isStreamAnswer,
-	NO_QUIET_ENDS,
 	parseStreamPart,
 } from './stream-answer.js';
 export type {
 	PartKind,
-	QuietEnds,
 	RunEnd,
 	StreamAnswerHead,
 	StreamEndDecision,
--- a/packages/lovage-dispatch/src/stream-answer.ts
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -25,38 +25,23 @@
 	/** It doesn't belong to the stream, nor does what follows. */
 	| 'foreign';
 
-/**
- * Runs that ended properly without a new event, since the last one that was
- * delivered.
- */
-export type QuietEnds = Readonly<{
-	lastEventId: string | undefined;
-	/** Each one once. */
-	backends: readonly string[];
-}>;
-
 /** The proper end of a run. */
 export type RunEnd = Readonly<{
-	backend: string;
 	/** Whether the run brought an event that the caller did not have. */
 	hasNewEvent: boolean;
 	/** The last event of the caller, from this or an earlier run. */
 	lastEventId: string | undefined;
+	/** The event behind which the run was to begin. */
+	resumeId: string | undefined;
+	/** Events that the run brought and the caller had. */
+	knownIds: ReadonlySet<string>;
 }>;
 
 /** Whether a stream is complete after the proper end of a run. */
-export type StreamEndDecision = Readonly<{
-	kind: 'complete' | 'ask-another';
-	quietEnds: QuietEnds;
-}>;
-
-/** The state of a stream before a run has ended. */
-export const NO_QUIET_ENDS: QuietEnds = {lastEventId: undefined, backends: []};
+export type StreamEndDecision = 'complete' | 'ask-another';
 
 const HTTP_OK = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
-/** Backend servers that have to agree that nothing follows the last event. */
-const REQUIRED_AGREEMENT = 2;
 const COMMENT_OR_FIELD = /^(?::|(?:data|event|id|retry)(?::|$))/;
 /** A header that changes in the middle of a stream, in lower case, before the fields. */
 const LEADING_LINE = /^[a-z][a-z\d-]*: ?\S*$/;
@@ -117,26 +102,41 @@
 }
 
 /**
- * Decides whether a stream is complete when a run has ended properly. Nothing but
- * that end announces it. A run without a new event proves little: the one before
- * may have broken off behind the last event, or this one may have failed. So the
- * same has to be said by another backend server that was asked for what follows
- * the same event. A stream without any event is never complete.
+ * Chooses the event behind which a run begins. After a run that ended without a new
+ * event, the next one is asked for the last event again. The caller has that one, but
+ * a backend server that sends it reads the stream, and its end is that of the stream.
  */
-export function decideStreamEnd(
-	known: QuietEnds,
-	{backend, hasNewEvent, lastEventId}: RunEnd,
-): StreamEndDecision {
-	if (hasNewEvent) {
-		return {kind: 'complete', quietEnds: NO_QUIET_ENDS};
+export function chooseResumeId(
+	lastEventId: string | undefined,
+	hasQuietEnd: boolean,
+): string | undefined {
+	if (lastEventId === undefined || !hasQuietEnd) {
+		return lastEventId;
 	}
 
-	const earlier = known.lastEventId === lastEventId ? known.backends : [];
-	const backends = [...new Set([...earlier, backend])];
-	const isAgreed =
-		lastEventId !== undefined && backends.length >= REQUIRED_AGREEMENT;
-	return {
-		kind: isAgreed ? 'complete' : 'ask-another',
-		quietEnds: {lastEventId, backends},
-	};
+	if (!WHOLE_NUMBER.test(lastEventId)) {
+		return lastEventId;
+	}
+
+	const id = BigInt(lastEventId);
+	return id === 0n ? undefined : String(id - 1n);
+}
+
+/** Whether a run was asked for the last event again and brought that one alone. */
+function hasRepeatedLast({lastEventId, resumeId, knownIds}: RunEnd): boolean {
+	return (
+		resumeId !== lastEventId &&
+		knownIds.size > 0 &&
+		[...knownIds].every((id) => Number(id) === Number(lastEventId))
+	);
+}
+
+/**
+ * Decides whether a stream is complete when a run has ended properly. Nothing but
+ * that end announces it. A run that brought nothing proves nothing, however many
+ * agree: the one before may have broken off behind the last event, or this one may
+ * have failed. Nor does one that brought events it wasn't asked for.
+ */
+export function decideStreamEnd(end: RunEnd): StreamEndDecision {
+	return end.hasNewEvent || hasRepeatedLast(end) ? 'complete' : 'ask-another';
 }
--- a/packages/lovage-gateway/src/peer-relay.ts
+++ b/packages/lovage-gateway/src/peer-relay.ts
@@ -65,18 +65,26 @@
 	return choices[Math.floor(ctx.random() * choices.length)];
 }
 
+/** How far a request is that is sent to another entry. */
+export type RelayedProgress = Readonly<{
+	/** Last event of the caller. */
+	lastEventId: string | undefined;
+	/** The event behind which the other entry begins. */
+	resumeId: string | undefined;
+}>;
+
 /** Headers of a request that another entry handles as if its caller had sent it there. */
 export function createRelayHeaders(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	lastEventId: string | undefined,
+	{lastEventId, resumeId}: RelayedProgress,
 ): string[] {
 	const {metadata, body} = req;
 	const isTakenUp = lastEventId !== metadata.lastEventId;
 	return [
 		...ctx.codec.createRelayHeaders(req.rawHeaders, {
 			remainingMs: readRemainingMs(ctx, req),
-			lastEventId,
+			lastEventId: resumeId,
 			// The first event may have come through this entry.
 			resumes: metadata.resumes ?? (isTakenUp ? metadata.id : undefined),
 			bodyLength: body?.length,
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -2,10 +2,10 @@
 import type {IncomingMessage} from 'node:http';
 import {
 	type AttemptFailure,
+	chooseResumeId,
 	classifyPart,
 	decideStreamEnd,
 	isStreamAnswer,
-	NO_QUIET_ENDS,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import type {AcceptedRequest, GatewayContext} from './context.js';
@@ -28,6 +28,8 @@
 export type EventRelay = Readonly<{
 	/** Relays the answer of a run, if it is a stream. */
 	relay: (run: Run, response: IncomingMessage) => void;
+	/** The event behind which the next run begins. */
+	readResumeId: () => string | undefined;
 }>;
 
 const MAX_LOGGED_LENGTH = 40;
@@ -39,7 +41,14 @@
 	delivery: StreamDelivery,
 	{onDelivered, onComplete, onFailure}: EventRelayListener,
 ): EventRelay {
-	let quietEnds = NO_QUIET_ENDS;
+	/** Last event of the caller when a run ended without a new one. */
+	let quietBehind: string | undefined;
+	const knownIds = new Set<string>();
+
+	const readResumeId = (): string | undefined => {
+		const lastEventId = delivery.readLastEventId();
+		return chooseResumeId(lastEventId, quietBehind === lastEventId);
+	};
 
 	/** Leaves a run whose answer does not belong to the stream. */
 	const leaveForeign = (run: Run, reason: string, answer: string): void => {
@@ -99,6 +108,7 @@
 			}
 
 			case 'known': {
+				knownIds.add(event.id!);
 				break;
 			}
 
@@ -112,29 +122,33 @@
 
 	const handleEnd = (run: Run, response: IncomingMessage): void => {
 		const lastEventId = delivery.readLastEventId();
-		const decision = decideStreamEnd(quietEnds, {
-			backend: run.backend.id,
-			hasNewEvent: run.startedAt !== undefined,
+		const resumeId = readResumeId();
+		const hasNewEvent = run.startedAt !== undefined;
+		const decision = decideStreamEnd({
+			hasNewEvent,
 			lastEventId,
+			resumeId,
+			knownIds,
 		});
-		quietEnds = decision.quietEnds;
-		if (run.startedAt === undefined) {
-			ctx.metrics.count('quiet_stream_ends', {decision: decision.kind});
+		if (!hasNewEvent) {
+			ctx.metrics.count('quiet_stream_ends', {decision});
 			ctx.log.info('A run ended without a new event.', {
 				request: req.metadata.id,
 				backend: run.backend.id,
 				lastEventId: lastEventId ?? '',
-				decision: decision.kind,
+				resumedBehind: resumeId ?? '',
+				decision,
 			});
 		}
 
-		switch (decision.kind) {
+		switch (decision) {
 			case 'complete': {
 				onComplete(run, response);
 				break;
 			}
 
 			case 'ask-another': {
+				quietBehind = lastEventId;
 				const reason = 'the run ended without a new event';
 				onFailure(run, {kind: 'failed', reason});
 				break;
@@ -143,7 +157,9 @@
 	};
 
 	return {
+		readResumeId,
 		relay(run, response) {
+			knownIds.clear();
 			const contentType = response.headers['content-type'];
 			if (!isStreamAnswer({status: response.statusCode ?? 0, contentType})) {
 				leaveForeign(run, 'the answer is no event stream', contentType ?? '');
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -235,7 +235,10 @@
 				hasCopy: false,
 				reservation: createNoReservation(backend),
 			},
-			createRelayHeaders(ctx, req, delivery.readLastEventId()),
+			createRelayHeaders(ctx, req, {
+				lastEventId: delivery.readLastEventId(),
+				resumeId: events.readResumeId(),
+			}),
 		);
 	};
 
@@ -291,7 +294,7 @@
 				customer: req.customer,
 				remainingMs: readRemainingMs(ctx, req),
 				backupAddress: backupTarget?.address,
-				lastEventId: delivery.readLastEventId(),
+				lastEventId: events.readResumeId(),
 				copy: kvCopy?.copy,
 				bodyLength: req.body?.length,
 			}),
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -181,7 +181,10 @@
 		case 'peer': {
 			return {
 				address: target.address,
-				headers: createRelayHeaders(ctx, req, lastEventId),
+				headers: createRelayHeaders(ctx, req, {
+					lastEventId,
+					resumeId: lastEventId,
+				}),
 			};
 		}
 	}
