Refuse a success without the signature of a backend server

Callers got a 200 that looked whole from an answer whose head held no more than its status and the request's id: without a length it ends with its connection, and the entry wrote a length of its own, 0. Node.js takes no cut head for such a one (cut-heads.test.ts), a program in front of the backend server may. The gateway did not look for the signature.

The codec says whether an answer is signed; a deployment that signs nothing leaves it out.

--- a/packages/lovage-dispatch/src/__tests__/unit/answer-verdict.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/answer-verdict.test.ts
@@ -22,11 +22,11 @@
 	source: AnswerSource,
 	status: number,
 	named: string,
-	{isNotRun = false, isRepeatable = false} = {},
+	{isNotRun = false, isRepeatable = false, isSigned = true} = {},
 ): AnswerVerdict {
 	return judgeAnswer(
 		{source, requestId: OWN, isRepeatable},
-		{status, named, isNotRun},
+		{status, named, isNotRun, isSigned},
 	);
 }
 
@@ -51,7 +51,7 @@
 	it('is known of a request without an id', () => {
 		const verdict = judgeAnswer(
 			{source: 'backend', requestId: NONE, isRepeatable: false},
-			{status: 400, named: NONE, isNotRun: true},
+			{status: 400, named: NONE, isNotRun: true, isSigned: false},
 		);
 		expect(verdict).toBe('not-run');
 	});
@@ -108,3 +108,27 @@
 		},
 	);
 });
+
+// What is left of a head whose headers were cut off passes for a success.
+describe('a signature', () => {
+	it.each([200, 204, 206, 299])('is missed with status %i', (status) => {
+		expect(judge('backend', status, OWN, {isSigned: false})).toBe('unsigned');
+		expect(judge('peer', status, OWN, {isSigned: false})).toBe('unsigned');
+		expect(judge('peer', status, NONE, {isSigned: false})).toBe('unsigned');
+		expect(judge('command', status, NONE, {isSigned: false})).toBe('answer');
+	});
+
+	it.each([300, 304, 400, 404, 500])(
+		'is not missed with status %i',
+		(status) => {
+			expect(judge('backend', status, OWN, {isSigned: false})).toBe('answer');
+			expect(judge('peer', status, OWN, {isSigned: false})).toBe('answer');
+		},
+	);
+
+	it('matters after whose answer it is, and whether it was run', () => {
+		expect(judge('backend', 200, OTHER, {isSigned: false})).toBe('foreign');
+		const notRun = {isSigned: false, isNotRun: true};
+		expect(judge('backend', 503, OWN, notRun)).toBe('not-run');
+	});
+});
--- a/packages/lovage-dispatch/src/answer-verdict.ts
+++ b/packages/lovage-dispatch/src/answer-verdict.ts
@@ -5,6 +5,8 @@
 	named: string;
 	/** It states that the request was not run. */
 	isNotRun: boolean;
+	/** It carries the signature that each success of a backend server carries. */
+	isSigned: boolean;
 }>;
 
 /** Who was asked. */
@@ -38,12 +40,17 @@
 	 * state, of a request that must not run twice.
 	 */
 	| 'unpromised'
+	/** A success that no backend server gave, or not with its whole head. */
+	| 'unsigned'
 	/** The answer for the caller. */
 	| 'answer';
 
 /** Statuses that tell a caller that the request has not run and never will. */
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+const MIN_SUCCESS = 200;
+const MIN_REDIRECTION = 300;
+
 /** Whether an answer is shown to be another request's by the one that it names. */
 function isForeign(
 	{source, requestId}: ExpectedAnswer,
@@ -67,7 +74,7 @@
  */
 export function judgeAnswer(
 	expected: ExpectedAnswer,
-	{status, named, isNotRun}: AnswerHead,
+	{status, named, isNotRun, isSigned}: AnswerHead,
 ): AnswerVerdict {
 	if (isForeign(expected, named)) {
 		return 'foreign';
@@ -78,6 +85,11 @@
 		return 'not-run';
 	}
 
+	const isSuccess = status >= MIN_SUCCESS && status < MIN_REDIRECTION;
+	if (isSuccess && !isSigned && expected.source !== 'command') {
+		return 'unsigned';
+	}
+
 	return PROMISE_STATUSES.has(status) &&
 		!expected.isRepeatable &&
 		!isFromPeerItself
--- a/packages/lovage-gateway/src/__tests__/integration/cut-heads.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/cut-heads.test.ts
@@ -89,6 +89,7 @@
 		plain(`${HTTP_10}\r\n${BODY}`, {endsWithConnection: true}),
 	],
 	['without a body', plain(`${createHead(204)}\r\n`, {status: 204, body: ''})],
+	['not modified', plain(`${createHead(304)}\r\n`, {status: 304, body: ''})],
 ];
 
 const STREAMS: ReadonlyArray<readonly [name: string, answer: CutAnswer]> = [
@@ -170,8 +171,9 @@
 	}));
 }
 
+/** A 304 lets the caller use what it has, as a success does. */
 function looksSuccessful({status, isWhole}: Received): boolean {
-	return status >= 200 && status < 300 && isWhole;
+	return status >= 200 && status < 400 && isWhole;
 }
 
 async function expectNoFalseSuccess(
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -112,6 +112,7 @@
 	readResponse: (_, headers) => ({
 		requestId: headers['request-id']?.toString(),
 		isNotRun: headers['not-run'] !== undefined,
+		isSigned: headers.unsigned === undefined,
 		notice: {
 			isLeaving: headers.leaving !== undefined,
 			...(headers.pushback === undefined
--- a/packages/lovage-gateway/src/answer-reader.ts
+++ b/packages/lovage-gateway/src/answer-reader.ts
@@ -78,6 +78,10 @@
 			return {kind: 'lost', reason: 'the answer belongs to another request'};
 		}
 
+		case 'unsigned': {
+			return {kind: 'lost', reason: `${status} without a signature`};
+		}
+
 		case 'not-run': {
 			return {
 				kind: 'rejected',
@@ -112,12 +116,17 @@
 	const named = metadata.requestId ?? '';
 	const isNotRun =
 		asked.source === 'peer' ? isCutOffAnswer(headers) : metadata.isNotRun;
-	const verdict = judgeAnswer(asked, {status, named, isNotRun});
+	const verdict = judgeAnswer(asked, {
+		status,
+		named,
+		isNotRun,
+		isSigned: metadata.isSigned ?? true,
+	});
 	if (verdict !== 'foreign' && asked.source !== 'peer') {
 		ctx.view.recordNotice(asked.backend, metadata.notice, asked.sentAt);
 	}
 
-	if (verdict === 'foreign' || verdict === 'unpromised') {
+	if (verdict !== 'answer' && verdict !== 'not-run') {
 		ctx.log.warn('An answer was not believed.', {
 			request: asked.requestId,
 			verdict,
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -70,6 +70,11 @@
 	requestId?: string;
 	/** The backend server did not execute the request. */
 	isNotRun: boolean;
+	/**
+	 * It carries the signature of a backend server, without which a success is none;
+	 * absent in a deployment whose backend servers sign nothing.
+	 */
+	isSigned?: boolean;
 	notice: BackendNotice;
 }>;
 
