--- a/packages/lovage-fakes/src/index.ts
+++ b/packages/lovage-fakes/src/index.ts
@@ -4,7 +4,7 @@
 export {callOnce, callUntilFinal} from './caller-calls.js';
 export type {ConnectionRecord, GenerationCall, Transcript} from './caller.js';
 export {runGeneration} from './caller.js';
-export type {Program, ProgramSpec} from './program.js';
+export type {Program, ProgramExit, ProgramSpec} from './program.js';
 export {startProgram} from './program.js';
 export type {Relay, RelayOptions, BlackholedDirections} from './relay.js';
 export {startRelay} from './relay.js';
--- a/packages/lovage-fakes/src/program.ts
+++ b/packages/lovage-fakes/src/program.ts
@@ -69,12 +69,15 @@
 	child.stdout.pipe(output, {end: false});
 	child.stderr.pipe(output, {end: false});
 
+	// The last output arrives after the exit.
+	child.on('close', () => {
+		output.end();
+	});
 	killOnExit(child);
 	let isRunning = true;
 	const exited = new Promise<ProgramExit>((resolve) => {
 		child.on('exit', (code, signal) => {
 			isRunning = false;
-			output.end();
 			resolve({code: code ?? undefined, signal: signal ?? undefined});
 		});
 	});
