--- a/packages/lovage-coordinator/src/decode-messages.ts
+++ b/packages/lovage-coordinator/src/decode-messages.ts
@@ -5,12 +5,11 @@
 	type RaftMessage,
 	type ReplicaId,
 } from '@lovagevalve/consensus';
-import type {AgedRecord} from '@lovagevalve/dispatch';
+import {type AgedRecord, decodeRecord} from '@lovagevalve/dispatch';
 import {
 	isAbsent,
 	isAddress,
 	isFigure,
-	isHeaderText,
 	isJsonObject,
 	isListOf,
 	isNonEmptyText,
@@ -49,11 +48,6 @@
 	/** This instance cannot confirm which configuration is the newest. */
 	| Readonly<{kind: 'unavailable'}>;
 
-const BACKEND_STATES: ReadonlySet<unknown> = new Set([
-	'ready',
-	'draining',
-	'gone',
-]);
 const PROPOSE_OUTCOMES: ReadonlySet<unknown> = new Set([
 	'committed',
 	'not-leader',
@@ -117,24 +111,6 @@
 		: err('malformed question');
 }
 
-/** Whether a record names a backend server that requests can be sent to. */
-function isUsableRecord(value: unknown): value is AgedRecord {
-	return (
-		isJsonObject(value) &&
-		isNonEmptyText(value.id) &&
-		isHeaderText(value.id) &&
-		isNonEmptyText(value.service) &&
-		isAddress(value.address) &&
-		isText(value.dataCentre) &&
-		BACKEND_STATES.has(value.state) &&
-		isFigure(value.slots) &&
-		isFigure(value.bornAt) &&
-		isFigure(value.sequence) &&
-		isFigure(value.ageMs) &&
-		(value.softwareVersion === undefined || isText(value.softwareVersion))
-	);
-}
-
 /** Checks the state of another control instance; an older one may hold a record that names no usable backend server. */
 export function decodeGossip(value: unknown): Result<ReceivedGossip, string> {
 	if (!isJsonObject(value) || !Array.isArray(value.backends)) {
@@ -149,7 +125,10 @@
 		return err('malformed convictions');
 	}
 
-	const backends = value.backends.filter((record) => isUsableRecord(record));
+	const backends = value.backends.flatMap((record: unknown) => {
+		const decoded = decodeRecord(record);
+		return decoded.kind === 'sound' ? [decoded.record] : [];
+	});
 	return ok({
 		backends,
 		convictedMs,
--- a/packages/lovage-coordinator/src/departure-store.ts
+++ b/packages/lovage-coordinator/src/departure-store.ts
@@ -1,6 +1,7 @@
 import {
 	type AgedRecord,
 	type BackendRecord,
+	decodeRecord,
 	fromAgedRecord,
 	RECORD_RETENTION_MS,
 } from '@lovagevalve/dispatch';
@@ -35,22 +36,6 @@
 /** A backend server asks another instance if it has no answer after a second. */
 const MAX_STORE_MS = 400;
 
-function isAgedRecord(value: unknown): value is AgedRecord {
-	const record = (value ?? {}) as Partial<Record<keyof AgedRecord, unknown>>;
-	const texts = [
-		record.id,
-		record.service,
-		record.address,
-		record.dataCentre,
-		record.state,
-	];
-	const numbers = [record.bornAt, record.sequence, record.ageMs, record.slots];
-	return (
-		texts.every((text) => typeof text === 'string') &&
-		numbers.every((figure) => typeof figure === 'number')
-	);
-}
-
 function isStoredDepartures(value: unknown): value is StoredDepartures {
 	const {at, records} = (value ?? {}) as Partial<
 		Record<keyof StoredDepartures, unknown>
@@ -58,7 +43,7 @@
 	return (
 		typeof at === 'number' &&
 		Array.isArray(records) &&
-		records.every(isAgedRecord)
+		records.every((record) => decodeRecord(record).kind === 'sound')
 	);
 }
 
--- a/packages/lovage-dispatch/src/record-decoder.ts
+++ b/packages/lovage-dispatch/src/record-decoder.ts
@@ -29,7 +29,7 @@
 }
 
 /** Whether a value can be a header as it is: printable ASCII, not too long. */
-export function isHeaderText(value: unknown): value is string {
+export function isHeaderId(value: unknown): value is string {
 	return isText(value, MAX_NAME_LENGTH) && HEADER_TEXT_PATTERN.test(value);
 }
 
@@ -41,7 +41,7 @@
 const RULES: readonly FieldRule[] = [
 	{
 		field: 'id',
-		isSound: isHeaderText,
+		isSound: isHeaderId,
 		rule: `must be printable ASCII of at most ${MAX_NAME_LENGTH} characters`,
 	},
 	{field: 'service', isSound: isName, rule: 'must be a name'},
