Start without what a file in the data folder does not hold

What was seen: a quarantine.json with null for its records, for one record or for one death was taken as the quarantine, and the control instance ended with exit status 1 at each start.

Cause: quarantine.json was checked for the types of its fields only, records of the store not at all; errors of tasks in the background were rejections without a handler.

Why it works: each file is checked in all its fields where it is read; what is malformed counts as lost, as damage did before. Tasks that nothing waits for run in runContained, which logs and counts an error; the next run begins anew, also that of the group joiner, which stayed busy before. Timers of the replicated log are not contained, since its state may be broken then.

--- a/packages/lovage-consensus/src/decode-message.ts
+++ b/packages/lovage-consensus/src/decode-message.ts
@@ -34,7 +34,8 @@
 	);
 }
 
-function isMember(value: unknown): value is Member {
+/** Whether a value is a member of a group. */
+export function isMember(value: unknown): value is Member {
 	return (
 		isJoiningMember(value) &&
 		typeof (value as Partial<Member>).voter === 'boolean'
@@ -45,7 +46,8 @@
 	return Array.isArray(value) && value.every((member) => isMember(member));
 }
 
-function isLogEntry(value: unknown): value is LogEntry {
+/** Whether a value is an entry of the log. */
+export function isLogEntry(value: unknown): value is LogEntry {
 	if (!isFields(value) || !isNumber(value.index) || !isNumber(value.term)) {
 		return false;
 	}
--- a/packages/lovage-consensus/src/index.ts
+++ b/packages/lovage-consensus/src/index.ts
@@ -1,5 +1,10 @@
 export type {RaftEffect, RaftEvent, RefusalReason} from './events.js';
-export {isJoiningMember, isRaftMessage} from './decode-message.js';
+export {
+	isJoiningMember,
+	isLogEntry,
+	isMember,
+	isRaftMessage,
+} from './decode-message.js';
 export {allGuards} from './guards.js';
 export type {RaftGuards} from './guards.js';
 export type {
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -16,6 +16,7 @@
 	type Logger,
 	parseJson,
 	type PrometheusMetrics,
+	runContained,
 } from '@lovagevalve/runtime';
 import type {Result} from 'neverthrow';
 import {createCrashQuarantine} from './crash-quarantine.js';
@@ -126,6 +127,15 @@
 	const {clock, log, metrics} = dependencies;
 	const {name, address, readSeeds} = settings;
 	const client = createPeerClient();
+	const inBackground = (task: () => Promise<void>): void => {
+		runContained(task, (error) => {
+			metrics.count('failed_tasks');
+			log.error('A task in the background failed.', {
+				reason: describeError(error),
+			});
+		});
+	};
+
 	const versions = createVersionHistory({
 		clock,
 		log,
@@ -133,7 +143,7 @@
 		isFirstStart: settings.isFirstStart,
 		catchUpMs: settings.registrationIntervalMs * CATCH_UP_INTERVALS,
 	});
-	void versions.load();
+	inBackground(versions.load);
 	const origins = createOriginRegistry(clock);
 	const originStore = createOriginStore({
 		clock,
@@ -141,7 +151,7 @@
 		file: createOriginLog(clock, settings.dataFolder),
 		origins,
 	});
-	void originStore.load();
+	inBackground(originStore.load);
 	const registry = createRegistry(clock, log, {
 		epoch: Math.floor(dependencies.random() * EPOCH_LIMIT),
 		versions,
@@ -374,8 +384,8 @@
 	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.removeExpired();
-		void quarantine.maintain();
-		void versions.maintain();
+		inBackground(quarantine.maintain);
+		inBackground(versions.maintain);
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
 		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
@@ -401,11 +411,11 @@
 			replica.tick();
 		}, TICK_INTERVAL_MS),
 		setInterval(() => {
-			void groupJoiner.advance();
+			inBackground(groupJoiner.advance);
 		}, JOIN_INTERVAL_MS),
 		setInterval(gossip, GOSSIP_INTERVAL_MS),
 		setInterval(() => {
-			void originStore.store();
+			inBackground(originStore.store);
 		}, ORIGIN_STORE_INTERVAL_MS),
 	];
 	metrics.registerGauge('configuration_version', readVersion);
--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -16,7 +16,13 @@
 	stepQuarantine,
 	summarizeQuarantine,
 } from '@lovagevalve/quarantine';
-import {type Clock, type Logger, readOwn} from '@lovagevalve/runtime';
+import {
+	type Clock,
+	describeError,
+	type Logger,
+	readOwn,
+	runContained,
+} from '@lovagevalve/runtime';
 import type {QuarantineFile} from './quarantine-file.js';
 
 /** Requests and parts of prompts that crash backend servers, from the reports of the entries. */
@@ -142,7 +148,11 @@
 		logChanges(before, state);
 		if (summary.convicted.some((key) => !before.includes(key))) {
 			// All instances may be killed before the next maintenance.
-			void store();
+			runContained(store, (error) => {
+				log.warn('Failed to store the quarantine.', {
+					reason: describeError(error),
+				});
+			});
 		}
 	};
 
@@ -227,7 +237,11 @@
 		);
 	};
 
-	void load();
+	runContained(load, (error) => {
+		log.error('Failed to read the quarantine.', {
+			reason: describeError(error),
+		});
+	});
 	return {
 		applyReport(report, findBackend) {
 			const now = readNow();
--- a/packages/lovage-coordinator/src/group-joiner.ts
+++ b/packages/lovage-coordinator/src/group-joiner.ts
@@ -119,10 +119,13 @@
 			}
 
 			isBusy = true;
-			await (group === undefined && founders?.includes(address)
-				? bootstrap(founders)
-				: join(member));
-			isBusy = false;
+			try {
+				await (group === undefined && founders?.includes(address)
+					? bootstrap(founders)
+					: join(member));
+			} finally {
+				isBusy = false;
+			}
 		},
 	};
 }
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -48,3 +48,4 @@
 	readOwn,
 	serializeJson,
 } from './json.js';
+export {runContained} from './contain.js';
--- a/packages/lovage-storage/src/__tests__/unit/store.test.ts
+++ b/packages/lovage-storage/src/__tests__/unit/store.test.ts
@@ -1,5 +1,6 @@
 import {expect, test, vi} from 'vitest';
 import {openStore, archiveDamagedStore} from '../../index.js';
+import {encodeRecord} from '../../record.js';
 import {
 	createEntry,
 	createHarness,
@@ -145,3 +146,40 @@
 	expect(harness.synced).toEqual([]);
 	expect(harness.failures).toHaveLength(1);
 });
+
+const baseRecord = {
+	replica: 'replica-1',
+	hasSnapshot: false,
+	hardState: {term: 1},
+	entries: [],
+};
+
+// A record with a sound checksum was cast, and what started from it threw later.
+test.each([
+	['null'],
+	['[]'],
+	['{'],
+	['['.repeat(500_000) + ']'.repeat(500_000)],
+	[JSON.stringify({...baseRecord, replica: 7})],
+	[JSON.stringify({...baseRecord, hardState: null})],
+	[JSON.stringify({...baseRecord, hardState: {term: 'x'}})],
+	[JSON.stringify({...baseRecord, entries: {}})],
+	[JSON.stringify({...baseRecord, entries: [{index: 1, term: 1}]})],
+	[JSON.stringify({...baseRecord, hasSnapshot: undefined})],
+	[JSON.stringify(baseRecord), 'null'],
+	[JSON.stringify(baseRecord), '[null]'],
+	[JSON.stringify(baseRecord), '[{"entries":[null]}]'],
+	[JSON.stringify(baseRecord), '[{"entries":[],"hardState":null}]'],
+	[JSON.stringify(baseRecord), '[{"entries":[],"truncateAfter":-1}]'],
+])('a record of another shape is reported as damage', async (...payloads) => {
+	const files = createMemoryFileSystem();
+	const harness = createHarness(files);
+	const file = await files.openAppend(`${FOLDER}/log-1`);
+	for (const payload of payloads) {
+		// eslint-disable-next-line no-await-in-loop -- in this order
+		await file.append(encodeRecord(payload));
+	}
+
+	const result = await openStore(harness.options);
+	expect(result._unsafeUnwrapErr().kind).toBe('damaged');
+});
--- a/packages/lovage-storage/src/recover-folder.ts
+++ b/packages/lovage-storage/src/recover-folder.ts
@@ -1,5 +1,6 @@
 import type {Snapshot} from '@lovagevalve/consensus';
 import {err, ok, type Result} from 'neverthrow';
+import {decodeSnapshot} from './decode-stored.js';
 import type {FileSystem} from './file-system.js';
 import {restoreState, type StoredState} from './stored-state.js';
 import {
@@ -36,7 +37,7 @@
 	const {payloads, state} = decodeRecords(content);
 	const [payload] = payloads;
 	return state === 'whole' && payload !== undefined
-		? ok(JSON.parse(payload) as Snapshot)
+		? decodeSnapshot(payload).mapErr((reason) => ({kind: 'damaged', reason}))
 		: createDamagedError('the snapshot is corrupt');
 }
 
--- a/packages/lovage-storage/src/stored-state.ts
+++ b/packages/lovage-storage/src/stored-state.ts
@@ -6,7 +6,8 @@
 	ReplicaId,
 	Snapshot,
 } from '@lovagevalve/consensus';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
+import {decodeBaseRecord, decodeLogChanges} from './decode-stored.js';
 
 /** Effect of the replicated log that persists entries or the hard state. */
 export type PersistEffect = Extract<RaftEffect, {kind: 'persist'}>;
@@ -81,16 +82,24 @@
 		return err('the log has no first record');
 	}
 
-	const {replica, hardState, entries, hasSnapshot} = JSON.parse(
-		first,
-	) as BaseRecord;
+	const base = decodeBaseRecord(first);
+	const later = Result.combine(rest.map((text) => decodeLogChanges(text)));
+	if (base.isErr() || later.isErr()) {
+		return err(base.isErr() ? base.error : later._unsafeUnwrapErr());
+	}
+
+	const {replica, hardState, entries, hasSnapshot} = base.value;
 	if (hasSnapshot && snapshot === undefined) {
 		return err('the snapshot is missing');
 	}
 
-	const base = hasSnapshot ? snapshot : undefined;
-	const state: StoredState = {replica, hardState, snapshot: base, entries: []};
-	const changes = rest.flatMap((text) => JSON.parse(text) as LogChange[]);
+	const state: StoredState = {
+		replica,
+		hardState,
+		snapshot: hasSnapshot ? snapshot : undefined,
+		entries: [],
+	};
+	const changes = later.value.flat();
 	const isConsistent = [{entries}, ...changes].every((change) =>
 		applyChange(state, change),
 	);
