--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -4,6 +4,7 @@
 	createIncarnationKey,
 	type EntryReport,
 	parseIncarnationKey,
+	readOwn,
 } from '@lovagevalve/dispatch';
 import {
 	createPartKey,
@@ -20,7 +21,6 @@
 	type Clock,
 	describeError,
 	type Logger,
-	readOwn,
 	runContained,
 } from '@lovagevalve/runtime';
 import type {QuarantineFile} from './quarantine-file.js';
--- a/packages/lovage-coordinator/src/entry-sums.ts
+++ b/packages/lovage-coordinator/src/entry-sums.ts
@@ -1,4 +1,4 @@
-import {readOwn} from '@lovagevalve/runtime';
+import {readOwn} from '@lovagevalve/dispatch';
 
 /** How values of several entries add up. */
 export type Arithmetic<Value> = Readonly<{
--- a/packages/lovage-coordinator/src/limit-registry.ts
+++ b/packages/lovage-coordinator/src/limit-registry.ts
@@ -4,8 +4,9 @@
 	keepNewest,
 	type LimitReports,
 	type LimitStatement,
+	readOwn,
 } from '@lovagevalve/dispatch';
-import {type Clock, readOwn} from '@lovagevalve/runtime';
+import type {Clock} from '@lovagevalve/runtime';
 import {mapValues, NUMBER_ARITHMETIC} from './arithmetic.js';
 import {createEntrySums} from './entry-sums.js';
 
--- a/packages/lovage-coordinator/src/state-file.ts
+++ b/packages/lovage-coordinator/src/state-file.ts
@@ -11,7 +11,7 @@
 	save: (state: State) => Promise<Result<void, string>>;
 }>;
 
-function describeError(error: unknown): string {
+function readMessage(error: unknown): string {
 	return error instanceof Error ? error.message : String(error);
 }
 
@@ -36,7 +36,7 @@
 					? ok(stored)
 					: err(`${fileName} does not hold what it should`);
 			} catch (error) {
-				return err(describeError(error));
+				return err(readMessage(error));
 			}
 		},
 		async save(state) {
@@ -51,7 +51,7 @@
 				await file.close();
 				return ok();
 			} catch (error) {
-				return err(describeError(error));
+				return err(readMessage(error));
 			}
 		},
 	};
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -63,7 +63,7 @@
 export {readOwn} from './own-property.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
-export {decodeRecord, isCount, isHeaderId} from './record-decoder.js';
+export {decodeRecord, isHeaderId} from './record-decoder.js';
 export {decodeControlReport} from './report-decoder.js';
 export type {DecodedRecord} from './record-decoder.js';
 export {
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -45,7 +45,6 @@
 	isNonEmptyText,
 	isRecordOf,
 	parseJson,
-	readOwn,
 	serializeJson,
 } from './json.js';
 export {runContained} from './contain.js';
--- a/packages/lovage-runtime/src/json.ts
+++ b/packages/lovage-runtime/src/json.ts
@@ -61,11 +61,3 @@
 ): value is readonly Value[] {
 	return Array.isArray(value) && value.every(isValue);
 }
-
-/** Reads a member of a record by a name from outside; names that all objects have are unknown. */
-export function readOwn<Value>(
-	record: Readonly<Record<string, Value>>,
-	name: string,
-): Value | undefined {
-	return Object.hasOwn(record, name) ? record[name] : undefined;
-}
