Send a begun stream only where the incarnation is proved

What callers saw: servers started again under their ids as another software version and registered late. Streams that were under way went on there and hold events of two versions (ORDER).

Expected: the check of the incarnation fails open. Cause: checkIncarnation waited 0.3 s and took a server at its registration that answered later, not at all or without `born`, and one that had asked for a pause or named a limit without asking it. "Unknown" and "proved" were one value.

Now proveIncarnation (lovage-dispatch) has three outcomes and only "proved" lets a request go. A word that was read by a process that stood still for over 0.4 s proves nothing. Not to trade ORDER for LOST, decideProofWait waits up to 1.5 s, asks up to three others of the version after 0.25 s and leaves for the first that proves itself; concurrent requests share a question; servers that were silent are chosen last for 2 s and aren't blamed as unreachable. Reports take no slot, so they are asked for in a pause and beside a limit. Where no server of a service names its start at all, the id is taken, which the server checks itself.

--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -3,7 +3,12 @@
 /** Why an attempt at one backend server produced no answer for the caller. */
 export type AttemptFailure =
 	/** No byte of the request was written. */
-	| Readonly<{kind: 'not-sent'; reason: string}>
+	| Readonly<{
+			kind: 'not-sent';
+			reason: string;
+			/** The backend server answers, but doesn't show which incarnation it is. */
+			isUnproved?: true;
+	  }>
 	/** The backend server reported that it did not run the request. */
 	| Readonly<{kind: 'rejected'; reason: string}>
 	/** The request was written and may have run. */
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -109,6 +109,19 @@
 	RetryBudgetPolicy,
 	RetryCounts,
 } from './retry-budget.js';
+export {
+	decideProofWait,
+	MAX_PROOF_WAIT_MS,
+	MAX_QUESTION_PAUSE_MS,
+	proveIncarnation,
+} from './incarnation-proof.js';
+export type {
+	IncarnationEvidence,
+	IncarnationProof,
+	IncarnationWord,
+	ProofWait,
+	ProofWaitDecision,
+} from './incarnation-proof.js';
 export {
 	decideResume,
 	decideUnplaced,
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -256,6 +256,11 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
+		incarnations: {
+			ask: async () => ({kind: 'proved'}),
+			wasSilent: () => false,
+			chooseOthers: () => [],
+		},
 		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
 		listRelays: () => peers,
 		origins: createStreamOrigins(clock),
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -19,20 +19,35 @@
 	requestId: string;
 }>;
 
+type CommandContext = Pick<
+	GatewayContext,
+	'codec' | 'view' | 'log' | 'resolveAddress'
+>;
+
 /**
  * Sends a command to a backend server and resolves with the body of a 200
  * response.
  */
 export async function sendBackendCommand(
-	ctx: Pick<GatewayContext, 'codec' | 'view' | 'log' | 'resolveAddress'>,
+	ctx: CommandContext,
+	target: CommandTarget,
+	command: BackendCommand,
+): Promise<Result<string, string>> {
+	return ctx.view.acceptsCommands(target.backend)
+		? askBackend(ctx, target, command, COMMAND_TIMEOUT_MS)
+		: err('the backend server asked for a pause or named a limit');
+}
+
+/**
+ * Asks a backend server what it says of itself. That takes no slot and runs
+ * nothing, so it is asked in a pause and beside a limit too.
+ */
+export async function askBackend(
+	ctx: CommandContext,
 	{backend, requestId}: CommandTarget,
 	{method, path, body = ''}: BackendCommand,
-	timeoutMs = COMMAND_TIMEOUT_MS,
+	timeoutMs: number,
 ): Promise<Result<string, string>> {
-	if (!ctx.view.acceptsCommands(backend)) {
-		return err('the backend server asked for a pause or named a limit');
-	}
-
 	return new Promise((resolve) => {
 		const req = request({
 			...parseAddress(ctx.resolveAddress(backend)),
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -12,6 +12,7 @@
 import type {BackendView} from './backend-view.js';
 import type {DrainGate} from './drain-gate.js';
 import type {CrashWatch} from './crash-watch.js';
+import type {IncarnationQuestions} from './incarnation-questions.js';
 import type {HeaderCodec, RequestMetadata} from './protocol.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
@@ -39,6 +40,7 @@
 	resolveAddress: (backend: Pick<BackendRecord, 'address'>) => string;
 	/** Asks the control instances for the origin of a resumed stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
+	incarnations: IncarnationQuestions;
 	reach: Pick<BackendReach, 'isCutOff' | 'confirm'>;
 	/** Addresses of entries that can take over requests, the nearest first. */
 	listRelays: () => readonly string[];
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -27,6 +27,7 @@
 import {createControlClient} from './control-client.js';
 import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
+import {createIncarnationQuestions} from './incarnation-questions.js';
 import {createNamedLimits} from './named-limits.js';
 import type {HeaderCodec} from './protocol.js';
 import {createEntryPeers} from './entry-peers.js';
@@ -180,6 +181,11 @@
 		listRelays: peers.listRelays,
 		origins,
 		resolveAddress,
+		incarnations: createIncarnationQuestions({
+			...dependencies,
+			view,
+			resolveAddress,
+		}),
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
--- a/packages/lovage-gateway/src/incarnation-check.ts
+++ b/packages/lovage-gateway/src/incarnation-check.ts
@@ -1,5 +1,9 @@
-import type {AttemptFailure, BackendRecord} from '@lovagevalve/dispatch';
-import {sendBackendCommand} from './backend-command.js';
+import {
+	type AttemptFailure,
+	type BackendRecord,
+	decideProofWait,
+	type IncarnationProof,
+} from '@lovagevalve/dispatch';
 import {
 	type Exchange,
 	type ExchangeListener,
@@ -8,41 +12,113 @@
 } from './backend-exchange.js';
 import type {GatewayContext} from './context.js';
 
-/** Backend servers say who they are without waiting for a slot. */
-const CHECK_TIMEOUT_MS = 300;
+const POLL_MS = 50;
 
 /**
- * Asks a backend server whether it is still the incarnation that registered; one
- * that doesn't answer, or says nothing about it, is taken at its registration.
+ * Waits for a backend server's word of which incarnation it is; undefined if it
+ * says nothing in time, or another one of its version does so first.
  */
+async function awaitProof(
+	{clock, incarnations}: GatewayContext,
+	backend: BackendRecord,
+): Promise<IncarnationProof | undefined> {
+	const askedAt = clock.now();
+	let isOtherProved = false;
+	let areOthersAsked = false;
+	const askOther = async (other: BackendRecord): Promise<void> => {
+		const proof = await incarnations.ask(other);
+		isOtherProved ||= proof.kind === 'proved';
+	};
+
+	return new Promise((resolve) => {
+		const settle = (proof: IncarnationProof | undefined): void => {
+			clearInterval(timer);
+			resolve(proof);
+		};
+
+		const timer = setInterval(() => {
+			const waitedMs = clock.now() - askedAt;
+			switch (decideProofWait({waitedMs, isOtherProved})) {
+				case 'wait': {
+					break;
+				}
+
+				case 'ask-others': {
+					if (!areOthersAsked) {
+						areOthersAsked = true;
+						incarnations.chooseOthers(backend).forEach((other) => {
+							void askOther(other);
+						});
+					}
+
+					break;
+				}
+
+				case 'give-up': {
+					settle(undefined);
+					break;
+				}
+			}
+		}, POLL_MS);
+		const ask = async (): Promise<void> => {
+			settle(await incarnations.ask(backend));
+		};
+
+		void ask();
+	});
+}
+
+/** Why a request that goes on can't be sent to a backend server; undefined if it can. */
 async function checkIncarnation(
 	ctx: GatewayContext,
 	backend: BackendRecord,
 	requestId: string,
 ): Promise<AttemptFailure | undefined> {
-	const answer = await sendBackendCommand(
-		ctx,
-		{backend, requestId},
-		ctx.codec.createStatusCommand(),
-		CHECK_TIMEOUT_MS,
-	);
-	const bornAt = answer.isOk() ? ctx.codec.readBornAt(answer.value) : undefined;
-	if (bornAt === undefined || bornAt === backend.bornAt) {
-		return undefined;
-	}
-
-	ctx.metrics.count('unregistered_incarnations');
-	ctx.log.warn('A backend server has started again and not registered yet.', {
+	const askedAt = ctx.clock.now();
+	const proof = (await awaitProof(ctx, backend)) ?? {
+		kind: 'unproved',
+		reason: 'it has not answered in time',
+	};
+	const facts = {
 		request: requestId,
 		backend: backend.id,
 		service: backend.service,
-		bornAt,
 		registeredBornAt: backend.bornAt,
-	});
-	return {kind: 'not-sent', reason: 'it has started again'};
+		waitedMs: Math.round(ctx.clock.now() - askedAt),
+	};
+	switch (proof.kind) {
+		case 'proved': {
+			return undefined;
+		}
+
+		case 'replaced': {
+			ctx.metrics.count('unregistered_incarnations');
+			ctx.log.warn(
+				'A backend server has started again and not registered yet.',
+				{
+					...facts,
+					bornAt: proof.bornAt,
+				},
+			);
+			return {kind: 'not-sent', reason: 'it has started again'};
+		}
+
+		case 'unproved': {
+			ctx.metrics.count('unproved_incarnations');
+			ctx.log.warn('A backend server has not shown which incarnation it is.', {
+				...facts,
+				reason: proof.reason,
+			});
+			return {
+				kind: 'not-sent',
+				reason: `its incarnation is unproved: ${proof.reason}`,
+				isUnproved: true,
+			};
+		}
+	}
 }
 
-/** Sends a request to a backend server if it is the incarnation that registered. */
+/** Sends a request to a backend server if it is proved to be the incarnation that registered. */
 export function openCheckedExchange(
 	ctx: GatewayContext,
 	{backend, requestId}: Readonly<{backend: BackendRecord; requestId: string}>,
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -96,7 +96,10 @@
 			switch (failure.kind) {
 				case 'not-sent': {
 					sentTo.delete(backend.id);
-					ctx.view.reportHealth(backend, 'unreachable');
+					if (failure.isUnproved !== true) {
+						ctx.view.reportHealth(backend, 'unreachable');
+					}
+
 					break;
 				}
 
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -98,6 +98,17 @@
 		softwareVersion,
 	});
 
+	/** Leaves out backend servers that have just not shown which incarnation they are. */
+	const excludeSilent = (request: PlacementRequest): PlacementRequest => ({
+		...request,
+		excluded: [
+			...request.excluded,
+			...(ctx.view.listInService().get(service.name) ?? [])
+				.filter((backend) => ctx.incarnations.wasSilent(backend))
+				.map(({id}) => id),
+		],
+	});
+
 	const choosePeerTarget = (): StreamTarget | undefined => {
 		const address = isBegunAtPeer
 			? choosePeer(ctx, attempts.listExcluded())
@@ -142,12 +153,14 @@
 			}
 
 			const request = createRequest(origin?.softwareVersion);
+			const first = origin === undefined ? request : excludeSilent(request);
 			const kvCopy = hasEvents ? previous?.kvCopy : undefined;
 			const backend =
 				kvCopy?.backend ??
 				(previous?.shouldRetryWithoutCopy
 					? previous.backend
-					: ctx.view.choose(service.name, request, ctx.random()));
+					: (ctx.view.choose(service.name, first, ctx.random()) ??
+						ctx.view.choose(service.name, request, ctx.random())));
 			if (backend === undefined) {
 				return {kind: 'none'};
 			}
