Ask the server that began a stream which incarnation it was

What callers saw: servers started again under their ids as a newer software version and registered late. Streams that they began meanwhile broke with their entries, were taken up elsewhere and went on at servers of the older version.

Expected: the origin is wrong, not the place where the stream goes on, so the proof of that place can't help. Cause: an origin is the version of the registration, and the doubt about it needs the next registration to arrive before the caller comes back, which may take seconds. Streams that no control instance had heard of went on by "one version only" while a version without any registration served.

Now the server that began the stream is asked, before a take-up and before a move, in parallel with the proof of the next one; control instances pass on which incarnation it was (a new optional field that older entries ignore). If it says that it started again before the first event, a take-up is refused, and a stream under way waits for the registration. Silence is no objection here: a server that began a stream has mostly crashed when the stream is taken up.

--- a/packages/lovage-coordinator/src/origin-registry.ts
+++ b/packages/lovage-coordinator/src/origin-registry.ts
@@ -25,7 +25,11 @@
 
 /** What is known about the origin of a stream. */
 export type OriginFinding =
-	| Readonly<{kind: 'found'; origin: StreamOrigin}>
+	| Readonly<{
+			kind: 'found';
+			origin: StreamOrigin;
+			beginning: StreamBeginning | undefined;
+	  }>
 	| Readonly<{kind: 'unknown'}>
 	/** Two were reported, or the backend server may have been of another version. */
 	| Readonly<{kind: 'ambiguous'}>;
@@ -156,7 +160,7 @@
 				);
 			return isAmbiguous || isDoubtful
 				? {kind: 'ambiguous'}
-				: {kind: 'found', origin};
+				: {kind: 'found', origin, beginning};
 		},
 		takeReported() {
 			const taken = reported;
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -214,7 +214,9 @@
 					? undefined
 					: origins.find(key, (id) => table.get(id));
 			return {
-				...(finding?.kind === 'found' ? {origin: finding.origin} : {}),
+				...(finding?.kind === 'found'
+					? {origin: finding.origin, beginning: finding.beginning}
+					: {}),
 				...(finding?.kind === 'ambiguous' ? {isAmbiguous: true} : {}),
 				knownForMs: versions.readKnownForMs(),
 				versions: Object.fromEntries(
--- a/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
@@ -3,6 +3,7 @@
 	type BackendRecord,
 	decideResume,
 	decideUnplaced,
+	isBeginningReplaced,
 	isOriginDoubtful,
 	type OriginAnswer,
 	type OriginEvidence,
@@ -102,6 +103,18 @@
 	});
 });
 
+// A server that came back under its id has not registered yet.
+it.each<readonly [string, number | undefined, boolean]>([
+	['has started again by then', 1_000_000, true],
+	['has, by a clock that differs', 1_001_000, true],
+	['started again later', 1_001_001, false],
+	['is the incarnation that was asked', 5000, false],
+	['says nothing', undefined, false],
+])('the server that began a stream %s', (_, bornAt, isReplaced) => {
+	const beginning = {incarnation: 'e-1/5000', at: 1_000_000};
+	expect(isBeginningReplaced(beginning, bornAt)).toBe(isReplaced);
+});
+
 // It answered under its id before its registration had arrived.
 describe('isOriginDoubtful', () => {
 	const begunAt = 1_000_000;
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -125,6 +125,7 @@
 export {
 	decideResume,
 	decideUnplaced,
+	isBeginningReplaced,
 	isOriginDoubtful,
 	readSoftwareVersion,
 } from './stream-origin.js';
--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -23,6 +23,8 @@
 export type OriginAnswer = Readonly<{
 	/** Absent if no entry has reported the stream. */
 	origin?: StreamOrigin;
+	/** Its first event, as far as it is known; older instances don't send it. */
+	beginning?: StreamBeginning;
 	/**
 	 * Whether streams of two origins were reported under the id, or the origin is in
 	 * doubt; older instances don't send it.
@@ -103,6 +105,23 @@
 	);
 }
 
+/**
+ * Whether another incarnation than the one that was asked may have written the first
+ * event: its backend server says that it has started again by then, and may be of
+ * another software version. `bornAt` is its own word, absent if it says nothing.
+ */
+export function isBeginningReplaced(
+	beginning: StreamBeginning,
+	bornAt: number | undefined,
+): boolean {
+	const asked = parseIncarnationKey(beginning.incarnation);
+	return (
+		bornAt !== undefined &&
+		bornAt > asked.bornAt &&
+		bornAt <= beginning.at + MAX_CLOCK_DIFFERENCE_MS
+	);
+}
+
 /**
  * Finds the only software version that can have begun a stream: most control
  * instances have known the versions for the whole time, and they and this entry
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -91,6 +91,8 @@
 	find: (id: string) => BackendRecord | undefined;
 	/** Backend servers in service that registered recently, by service. */
 	listInService: () => ReadonlyMap<string, readonly BackendRecord[]>;
+	/** Backend servers of a service that have not ended, heard of lately or not. */
+	listRegistered: (service: string) => readonly BackendRecord[];
 	/** Software versions of a service that are in service, with the number of backend servers. */
 	countSoftwareVersions: (service: string) => ReadonlyMap<string, number>;
 	/** Whether a backend server may receive requests, and if not, why. */
@@ -314,6 +316,10 @@
 			});
 			return services;
 		},
+		listRegistered: (service) =>
+			[...table.values()].filter(
+				(record) => record.service === service && record.state !== 'gone',
+			),
 		countSoftwareVersions(service) {
 			const counts = new Map<string, number>();
 			listReady(service).forEach((record) => {
--- a/packages/lovage-gateway/src/incarnation-check.ts
+++ b/packages/lovage-gateway/src/incarnation-check.ts
@@ -3,6 +3,7 @@
 	type BackendRecord,
 	decideProofWait,
 	type IncarnationProof,
+	type StreamBeginning,
 } from '@lovagevalve/dispatch';
 import {
 	type Exchange,
@@ -10,9 +11,15 @@
 	type ExchangeRequest,
 	openExchange,
 } from './backend-exchange.js';
+import {hasOtherBegun} from './beginning-check.js';
 import type {GatewayContext} from './context.js';
 
 const POLL_MS = 50;
+const DOUBTFUL: AttemptFailure = {
+	kind: 'not-sent',
+	reason: 'the software version that began the stream is in doubt',
+	isUnproved: true,
+};
 
 /**
  * Waits for a backend server's word of which incarnation it is; undefined if it
@@ -118,21 +125,40 @@
 	}
 }
 
+/** A request that goes on with what another backend server began. */
+export type CheckedRun = Readonly<{
+	backend: BackendRecord;
+	requestId: string;
+	/** Absent if this entry doesn't know it. */
+	beginning: StreamBeginning | undefined;
+	/** Called if the version that began the stream is in doubt. */
+	onDoubt: () => void;
+}>;
+
 /** Sends a request to a backend server if it is proved to be the incarnation that registered. */
 export function openCheckedExchange(
 	ctx: GatewayContext,
-	{backend, requestId}: Readonly<{backend: BackendRecord; requestId: string}>,
+	{backend, requestId, beginning, onDoubt}: CheckedRun,
 	request: ExchangeRequest,
 	listener: ExchangeListener,
 ): Exchange {
 	let isCancelled = false;
 	let exchange: Exchange | undefined;
 	const open = async (): Promise<void> => {
-		const failure = await checkIncarnation(ctx, backend, requestId);
+		const [unproved, isDoubtful] = await Promise.all([
+			checkIncarnation(ctx, backend, requestId),
+			beginning !== undefined && hasOtherBegun(ctx, beginning, requestId),
+		]);
 		if (isCancelled) {
 			return;
 		}
 
+		if (isDoubtful) {
+			onDoubt();
+		}
+
+		const failure = isDoubtful ? DOUBTFUL : unproved;
+
 		if (failure === undefined) {
 			exchange = openExchange(request, listener);
 		} else {
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -2,7 +2,9 @@
 	decideResume,
 	isOriginDoubtful,
 	parseIncarnationKey,
+	type ResumeDecision,
 } from '@lovagevalve/dispatch';
+import {hasOtherBegun, hasUnregistered} from './beginning-check.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {OriginLookup} from './origin-lookup.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
@@ -40,6 +42,42 @@
 	);
 }
 
+/** Refuses a stream that an incarnation may have begun which has not registered. */
+async function checkBeginning(
+	ctx: GatewayContext,
+	requestId: string,
+	decision: ResumeDecision,
+	{answers}: OriginLookup,
+): Promise<ResumeDecision> {
+	if (decision.kind === 'refuse') {
+		return decision;
+	}
+
+	const beginning = answers.find((answer) => answer.beginning)?.beginning;
+	switch (decision.evidence) {
+		case 'reported': {
+			return beginning !== undefined &&
+				(await hasOtherBegun(ctx, beginning, requestId))
+				? {
+						kind: 'refuse',
+						reason:
+							'the backend server that began the stream had started again',
+					}
+				: decision;
+		}
+
+		case 'only version': {
+			const {service} = decision.origin;
+			return (await hasUnregistered(ctx, service, requestId))
+				? {
+						kind: 'refuse',
+						reason: 'an unregistered software version may have begun it',
+					}
+				: decision;
+		}
+	}
+}
+
 /**
  * Binds a stream that a caller resumes to the service and software version that
  * began it, or says why it can't go on.
@@ -64,13 +102,14 @@
 					answers: [
 						{
 							origin: own.origin,
+							beginning: own.beginning,
 							isAmbiguous: isDoubtful(ctx, own),
 							knownForMs: 0,
 							versions: {},
 						},
 					],
 				};
-	const decision = decideResume({
+	const found = decideResume({
 		services,
 		windowMs: readResumableMs(req),
 		...lookup,
@@ -79,6 +118,7 @@
 				? [...ctx.view.countSoftwareVersions(services[0]!).keys()]
 				: [],
 	});
+	const decision = await checkBeginning(ctx, metadata.id, found, lookup);
 	ctx.metrics.count('resumed_streams', {
 		evidence: decision.kind === 'resume' ? decision.evidence : 'none',
 	});
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -68,6 +68,9 @@
 	decideUnplaced: () => UnplacedDecision;
 }>;
 
+/** Interval at which it is looked whether a doubt about a stream's version is over. */
+const DOUBT_PAUSE_MS = 700;
+
 /** Creates the placement of a stream that has not run here yet. */
 export function createStreamPlacement(
 	ctx: GatewayContext,
@@ -80,6 +83,8 @@
 	/** Its first event came through another entry, so its origin is unknown here. */
 	let isBegunAtPeer = false;
 	let unplacedAt: number | undefined;
+	/** When the version that began it was last found in doubt. */
+	let doubtedAt = Number.NEGATIVE_INFINITY;
 
 	const key = createStreamKey(customer, metadata.id);
 
@@ -143,7 +148,7 @@
 		},
 		isBound: () => origin !== undefined,
 		choose(previous, hasEvents) {
-			if (isOriginLost()) {
+			if (isOriginLost() || ctx.clock.now() - doubtedAt < DOUBT_PAUSE_MS) {
 				return {kind: 'none'};
 			}
 
@@ -178,7 +183,14 @@
 				? openExchange(request, listener)
 				: openCheckedExchange(
 						ctx,
-						{backend: run.backend, requestId: metadata.id},
+						{
+							backend: run.backend,
+							requestId: metadata.id,
+							beginning: ctx.origins.find(key)?.beginning,
+							onDoubt() {
+								doubtedAt = ctx.clock.now();
+							},
+						},
 						request,
 						listener,
 					);
