Tell other entries the origins that control does not confirm

What callers saw: an entry was partitioned from control, went on taking streams and was killed. Each of these streams was refused when it was taken up elsewhere, though servers of its version served (LOST).

Expected: their origins were kept in that entry alone. Cause: where a stream began was told to control instances only.

Now an entry tells two others what no control instance has confirmed for 0.4 s, on their callers' port under a host that no route has. They use it and report it as their own, so control knows it as well. The message is parsed strictly, bounded, and answered 404 by older builds, of which another entry is chosen. A second origin under one key makes it ambiguous.

A take-up asks each control instance twice, 0.5 s each, instead of once for 0.4 s: beside other load all three were too busy to answer, and streams whose origins they held were refused.

Not played: an entry that is cut off from other entries too.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -122,11 +122,13 @@
 	ProofWait,
 	ProofWaitDecision,
 } from './incarnation-proof.js';
+export {parseOriginReports} from './origin-telling.js';
 export {
 	decideResume,
 	decideUnplaced,
 	isBeginningReplaced,
 	isOriginDoubtful,
+	isSameOrigin,
 	readSoftwareVersion,
 } from './stream-origin.js';
 export type {
--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -82,7 +82,8 @@
 	return softwareVersion;
 }
 
-function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+/** Whether two streams, or two reports of one, began at the same version of a service. */
+export function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
 	return a.service === b.service && a.softwareVersion === b.softwareVersion;
 }
 
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -48,6 +48,8 @@
 	/** Asks all control instances for the origin of a stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	countReachable: () => number;
+	/** Sequence number of the last origin that a control instance has confirmed. */
+	readConfirmedOrigin: () => number;
 }>;
 
 type Peer = {
@@ -336,6 +338,8 @@
 				);
 				return response.unwrapOr(undefined);
 			}),
+		readConfirmedOrigin: () =>
+			Math.max(0, ...[...peers.values()].map((peer) => peer.originSequence)),
 		countReachable: () =>
 			[...peers.values()].filter(
 				({answeredAt}) =>
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -31,6 +31,7 @@
 import {createNamedLimits} from './named-limits.js';
 import type {HeaderCodec} from './protocol.js';
 import {createEntryPeers} from './entry-peers.js';
+import {startPeerOrigins} from './peer-origins.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {createStreamOrigins} from './stream-origins.js';
 
@@ -133,6 +134,8 @@
 		},
 	});
 	const resolveAddress = createAddressResolver(settings.backendHost);
+	const asking = {...dependencies, view, resolveAddress};
+	const incarnations = createIncarnationQuestions(asking);
 	const reach = createBackendReach({
 		clock,
 		log,
@@ -181,11 +184,7 @@
 		listRelays: peers.listRelays,
 		origins,
 		resolveAddress,
-		incarnations: createIncarnationQuestions({
-			...dependencies,
-			view,
-			resolveAddress,
-		}),
+		incarnations,
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
@@ -251,6 +250,8 @@
 		controlClient.report();
 	}, REPORT_INTERVAL_MS);
 	controlClient.report();
+	const telling = {...dependencies, origins, controlClient, peers};
+	const peerOrigins = startPeerOrigins(telling, createPeerClient());
 	metrics.registerGauge(
 		'configuration_version',
 		() => routeTable?.configuration.version ?? 0,
@@ -288,6 +289,7 @@
 				log,
 			});
 			clearInterval(timer);
+			peerOrigins.stop();
 			reach.stop();
 		},
 	};
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {forwardUnary} from './unary-forwarder.js';
 import {CUT_OFF_HEADER} from './peer-relay.js';
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
+import {isOriginsMessage, receiveOrigins} from './peer-origins.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -207,7 +208,9 @@
 	): Promise<void> => {
 		activeRequests += 1;
 		try {
-			await handle(req, res);
+			await (isOriginsMessage(req)
+				? receiveOrigins(ctx, req, res)
+				: handle(req, res));
 		} catch (error) {
 			// An exception in one request must not affect the others.
 			ctx.metrics.count('faults');
--- a/packages/lovage-gateway/src/origin-lookup.ts
+++ b/packages/lovage-gateway/src/origin-lookup.ts
@@ -14,8 +14,8 @@
 	services: readonly string[];
 }>;
 
-/** Control instances answer within milliseconds; a caller waits for this one. */
-const LOOKUP_TIMEOUT_MS = 400;
+/** Control instances answer within milliseconds; busy ones are asked once more. */
+const LOOKUP_TIMEOUT_MS = 500;
 
 /** Asks one control instance; resolves with undefined if it doesn't answer. */
 export type AskControl = (
@@ -41,7 +41,9 @@
 		};
 
 		const askOne = async (address: string): Promise<void> => {
-			const answer = await ask(address, query, LOOKUP_TIMEOUT_MS);
+			const answer =
+				(await ask(address, query, LOOKUP_TIMEOUT_MS)) ??
+				(await ask(address, query, LOOKUP_TIMEOUT_MS));
 			if (answer !== undefined) {
 				answers.push(answer);
 			}
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -30,8 +30,12 @@
 /** Whether what this entry recorded about a stream may be of another version. */
 export function isDoubtful(
 	{view}: Pick<GatewayContext, 'view'>,
-	{origin, beginning}: KnownOrigin,
+	{origin, beginning, isAmbiguous}: KnownOrigin,
 ): boolean {
+	if (isAmbiguous === true) {
+		return true;
+	}
+
 	return (
 		beginning !== undefined &&
 		isOriginDoubtful(
--- a/packages/lovage-gateway/src/stream-origins.ts
+++ b/packages/lovage-gateway/src/stream-origins.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
-import type {
-	OriginReport,
-	StreamBeginning,
-	StreamOrigin,
+import {
+	isSameOrigin,
+	type OriginReport,
+	type StreamBeginning,
+	type StreamOrigin,
 } from '@lovagevalve/dispatch';
 import type {Clock} from '@lovagevalve/runtime';
 
@@ -15,9 +16,18 @@
 		keepMs: number,
 		beginning?: StreamBeginning,
 	) => void;
+	/** Remembers a stream that another entry began; two origins make it ambiguous. */
+	recordTold: (
+		key: string,
+		origin: StreamOrigin,
+		keepMs: number,
+		beginning: StreamBeginning | undefined,
+	) => void;
 	find: (key: string) => KnownOrigin | undefined;
 	/** Describes the origins recorded after a sequence number, the oldest first. */
 	createReport: (after: number) => OriginsUpdate;
+	/** Describes those of them that this entry recorded itself, up to a time. */
+	createTelling: (after: number, recordedBefore: number) => OriginsUpdate;
 }>;
 
 /** Part of the origins for a control instance. */
@@ -32,6 +42,8 @@
 	origin: StreamOrigin;
 	/** Absent if another entry delivered the first event. */
 	beginning?: StreamBeginning;
+	/** Another entry named another origin. */
+	isAmbiguous?: boolean;
 }>;
 
 type RecordedOrigin = Readonly<{
@@ -40,6 +52,11 @@
 	/** End of the time in which the caller may resume, in monotonic milliseconds. */
 	until: number;
 	sequence: number;
+	/** In monotonic milliseconds. */
+	recordedAt: number;
+	/** Another entry recorded it. */
+	isTold: boolean;
+	isAmbiguous?: boolean;
 }>;
 
 /** Limit of the origins in memory; the oldest are dropped first. */
@@ -85,34 +102,66 @@
 		}
 	};
 
+	const add = (
+		key: string,
+		entry: Omit<RecordedOrigin, 'sequence' | 'recordedAt'>,
+	): void => {
+		lastSequence += 1;
+		recorded.delete(key);
+		recorded.set(key, {
+			...entry,
+			sequence: lastSequence,
+			recordedAt: clock.now(),
+		});
+		removeExpired();
+	};
+
+	const describe = (
+		entries: ReadonlyArray<readonly [string, RecordedOrigin]>,
+		after: number,
+	): OriginsUpdate => {
+		const now = clock.now();
+		const missing = entries
+			.filter(([, {sequence}]) => sequence > after)
+			.slice(0, MAX_REPORTED);
+		return {
+			origins: missing.map(([key, {origin, until, beginning}]) => [
+				key,
+				origin.service,
+				origin.softwareVersion,
+				Math.max(0, Math.round(until - now)),
+				...describeBeginning(beginning, clock.wall()),
+			]),
+			sequence: missing.at(-1)?.[1].sequence ?? after,
+		};
+	};
+
 	return {
 		record(key, origin, keepMs, beginning = recorded.get(key)?.beginning) {
-			lastSequence += 1;
-			recorded.delete(key);
-			recorded.set(key, {
+			add(key, {
 				origin,
 				beginning,
 				until: clock.now() + keepMs,
-				sequence: lastSequence,
+				isTold: false,
 			});
-			removeExpired();
 		},
-		find: (key) => recorded.get(key),
-		createReport(after) {
-			const now = clock.now();
-			const missing = [...recorded]
-				.filter(([, {sequence}]) => sequence > after)
-				.slice(0, MAX_REPORTED);
-			return {
-				origins: missing.map(([key, {origin, until, beginning}]) => [
-					key,
-					origin.service,
-					origin.softwareVersion,
-					Math.round(until - now),
-					...describeBeginning(beginning, clock.wall()),
-				]),
-				sequence: missing.at(-1)?.[1].sequence ?? after,
-			};
+		recordTold(key, origin, keepMs, beginning) {
+			const known = recorded.get(key);
+			const until = clock.now() + keepMs;
+			if (known === undefined) {
+				add(key, {origin, beginning, until, isTold: true});
+			} else if (!isSameOrigin(known.origin, origin)) {
+				recorded.set(key, {...known, isAmbiguous: true});
+			}
 		},
+		find: (key) => recorded.get(key),
+		createReport: (after) => describe([...recorded], after),
+		createTelling: (after, recordedBefore) =>
+			describe(
+				[...recorded].filter(
+					([, {isTold, recordedAt}]) => !isTold && recordedAt <= recordedBefore,
+				),
+				after,
+			),
 	};
 }
