Count no silent control instance as one that agrees

What callers could see: a control instance that is cut off from the others holds the registrations of a new version alone. A stream that began there breaks and is taken up by its name at an entry that reaches the others: they are most, vouch that one version serves, and the stream goes on at that one (ORDER).

Cause: "one version only" needed the word of more than half of the control instances, whatever the rest may know. Now a named stream of unknown origin is refused while a control instance is silent that served in the last 15 s and doesn't refuse connections. Its origin is reported in the regular case, so few are concerned. Streams without a name still go on by the word of most, as all their take-ups rest on it, and refusing them whenever one control instance is away would trade ORDER for LOST.

--- a/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
@@ -24,6 +24,8 @@
 	services: ['model'],
 	windowMs: 30_000,
 	controls: 3,
+	silentControls: 0,
+	isNamed: true,
 	answers: [onlyV1, onlyV1],
 	ownVersions: ['v1'],
 };
@@ -49,7 +51,16 @@
 		});
 	});
 
+	it('takes it for that of a stream without a name while a control instance is silent', () => {
+		const change = {silentControls: 1, isNamed: false};
+		expect(decideResume({...evidence, ...change}).kind).toBe('resume');
+	});
+
 	it.each<readonly [string, Partial<OriginEvidence>]>([
+		[
+			'a control instance may be cut off together with another version',
+			{silentControls: 1},
+		],
 		[
 			'another version serves',
 			{answers: [onlyV1, createAnswer({v1: 0, v2: 0})]},
--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -44,7 +44,14 @@
 	windowMs: number;
 	/** Number of control instances that were asked. */
 	controls: number;
+	/**
+	 * Number of those that served lately and neither answered nor have ended: they may
+	 * be cut off together with a software version that the others don't know.
+	 */
+	silentControls: number;
 	answers: readonly OriginAnswer[];
+	/** Whether the caller names the attempt that began the stream. */
+	isNamed: boolean;
 	/** Software versions that this entry knows in the only service, if there is one. */
 	ownVersions: readonly string[];
 }>;
@@ -132,9 +139,16 @@
 	services: [service, ...otherServices],
 	windowMs,
 	controls,
+	silentControls,
 	answers,
+	isNamed,
 	ownVersions,
 }: OriginEvidence): StreamOrigin | undefined {
+	// The origin of a named stream is reported; where it is unknown, something is amiss.
+	if (isNamed && silentControls > 0) {
+		return undefined;
+	}
+
 	const informed = answers.filter(({knownForMs}) => knownForMs >= windowMs);
 	if (
 		service === undefined ||
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -266,6 +266,7 @@
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
+			silentControls: 0,
 			answers: [{knownForMs: 60_000, versions: {s: {'': 0}}}],
 		}),
 		crashes: {
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -88,6 +88,8 @@
 const FIRST_CONFIGURATION_WAIT_MS = 400;
 const MAX_PEERS = 16;
 const REACHABLE_WINDOW_MS = 1500;
+/** A control instance that is silent for longer is taken for lost, not for cut off. */
+const MAX_CUT_OFF_MS = 15_000;
 
 /**
  * Creates a client that reports to every control instance, so that the loss of
@@ -306,6 +308,13 @@
 		);
 	};
 
+	const servedLately = (address: string): boolean => {
+		const {answeredAt} = readPeer(address);
+		return (
+			answeredAt !== undefined && clock.now() - answeredAt < MAX_CUT_OFF_MS
+		);
+	};
+
 	return {
 		report() {
 			removeStalePeers();
@@ -336,7 +345,13 @@
 					body,
 					timeoutMs,
 				);
-				return response.unwrapOr(undefined);
+				return response.match(
+					(answer) => answer,
+					(reason) =>
+						reason === 'ECONNREFUSED' || !servedLately(address)
+							? 'ended'
+							: 'silent',
+				);
 			}),
 		readConfirmedOrigin: () =>
 			Math.max(0, ...[...peers.values()].map((peer) => peer.originSequence)),
--- a/packages/lovage-gateway/src/origin-lookup.ts
+++ b/packages/lovage-gateway/src/origin-lookup.ts
@@ -4,6 +4,8 @@
 export type OriginLookup = Readonly<{
 	/** Number of control instances that were asked. */
 	controls: number;
+	/** Number of those that served lately, have not ended and did not answer. */
+	silentControls: number;
 	answers: readonly OriginAnswer[];
 }>;
 
@@ -17,12 +19,12 @@
 /** Control instances answer within milliseconds; busy ones are asked once more. */
 const LOOKUP_TIMEOUT_MS = 500;
 
-/** Asks one control instance; resolves with undefined if it doesn't answer. */
+/** Asks one control instance; `ended` if it runs no more, `silent` if it doesn't answer. */
 export type AskControl = (
 	address: string,
 	query: OriginQuery,
 	timeoutMs: number,
-) => Promise<OriginAnswer | undefined>;
+) => Promise<OriginAnswer | 'ended' | 'silent'>;
 
 /**
  * Asks all control instances for the origin of a stream, as each may have received
@@ -35,21 +37,25 @@
 	ask: AskControl,
 ): Promise<OriginLookup> {
 	const answers: OriginAnswer[] = [];
+	let silentControls = 0;
 	return new Promise((resolve) => {
 		const settle = (): void => {
-			resolve({controls: controls.length, answers});
+			resolve({controls: controls.length, silentControls, answers});
 		};
 
 		const askOne = async (address: string): Promise<void> => {
+			const first = await ask(address, query, LOOKUP_TIMEOUT_MS);
 			const answer =
-				(await ask(address, query, LOOKUP_TIMEOUT_MS)) ??
-				(await ask(address, query, LOOKUP_TIMEOUT_MS));
-			if (answer !== undefined) {
+				first === 'silent'
+					? await ask(address, query, LOOKUP_TIMEOUT_MS)
+					: first;
+			if (answer === 'silent') {
+				silentControls += 1;
+			} else if (answer !== 'ended') {
 				answers.push(answer);
-			}
-
-			if (answer?.origin !== undefined) {
-				settle();
+				if (answer.origin !== undefined) {
+					settle();
+				}
 			}
 		};
 
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -103,6 +103,7 @@
 			? await ctx.lookUpOrigin({key, services})
 			: {
 					controls: 0,
+					silentControls: 0,
 					answers: [
 						{
 							origin: own.origin,
@@ -116,6 +117,7 @@
 	const found = decideResume({
 		services,
 		windowMs: readResumableMs(req),
+		isNamed: key !== undefined,
 		...lookup,
 		ownVersions:
 			services.length === 1
@@ -132,6 +134,7 @@
 		lastEventId: metadata.lastEventId ?? '',
 		isKnownHere: own !== undefined,
 		controls: lookup.controls,
+		silentControls: lookup.silentControls,
 		answers: lookup.answers.length,
 		...(decision.kind === 'resume'
 			? {evidence: decision.evidence, ...decision.origin}
