--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -116,10 +116,26 @@
 	RetryBudgetPolicy,
 	RetryCounts,
 } from './retry-budget.js';
+export {
+	decideProofWait,
+	MAX_PROOF_WAIT_MS,
+	MAX_QUESTION_PAUSE_MS,
+	proveIncarnation,
+} from './incarnation-proof.js';
+export type {
+	IncarnationEvidence,
+	IncarnationProof,
+	IncarnationWord,
+	ProofWait,
+	ProofWaitDecision,
+} from './incarnation-proof.js';
+export {parseOriginReports} from './origin-telling.js';
 export {
 	decideResume,
 	decideUnplaced,
+	isBeginningReplaced,
 	isOriginDoubtful,
+	isSameOrigin,
 	readSoftwareVersion,
 } from './stream-origin.js';
 export type {
--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -23,6 +23,8 @@
 export type OriginAnswer = Readonly<{
 	/** Absent if no entry has reported the stream. */
 	origin?: StreamOrigin;
+	/** Its first event, as far as it is known; older instances don't send it. */
+	beginning?: StreamBeginning;
 	/**
 	 * Whether streams of two origins were reported under the id, or the origin is in
 	 * doubt; older instances don't send it.
@@ -42,7 +44,14 @@
 	windowMs: number;
 	/** Number of control instances that were asked. */
 	controls: number;
+	/**
+	 * Number of those that served lately and neither answered nor have ended: they may
+	 * be cut off together with a software version that the others don't know.
+	 */
+	silentControls: number;
 	answers: readonly OriginAnswer[];
+	/** Whether the caller names the attempt that began the stream. */
+	isNamed: boolean;
 	/** Software versions that this entry knows in the only service, if there is one. */
 	ownVersions: readonly string[];
 }>;
@@ -80,7 +89,8 @@
 	return softwareVersion;
 }
 
-function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+/** Whether two streams, or two reports of one, began at the same version of a service. */
+export function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
 	return a.service === b.service && a.softwareVersion === b.softwareVersion;
 }
 
@@ -103,6 +113,23 @@
 	);
 }
 
+/**
+ * Whether another incarnation than the one that was asked may have written the first
+ * event: its backend server says that it has started again by then, and may be of
+ * another software version. `bornAt` is its own word, absent if it says nothing.
+ */
+export function isBeginningReplaced(
+	beginning: StreamBeginning,
+	bornAt: number | undefined,
+): boolean {
+	const asked = parseIncarnationKey(beginning.incarnation);
+	return (
+		bornAt !== undefined &&
+		bornAt > asked.bornAt &&
+		bornAt <= beginning.at + MAX_CLOCK_DIFFERENCE_MS
+	);
+}
+
 /**
  * Finds the only software version that can have begun a stream: most control
  * instances have known the versions for the whole time, and they and this entry
@@ -112,9 +139,16 @@
 	services: [service, ...otherServices],
 	windowMs,
 	controls,
+	silentControls,
 	answers,
+	isNamed,
 	ownVersions,
 }: OriginEvidence): StreamOrigin | undefined {
+	// The origin of a named stream is reported; where it is unknown, something is amiss.
+	if (isNamed && silentControls > 0) {
+		return undefined;
+	}
+
 	const informed = answers.filter(({knownForMs}) => knownForMs >= windowMs);
 	if (
 		service === undefined ||
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -258,11 +258,17 @@
 		dataCentre: 'a',
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
+		incarnations: {
+			ask: async () => ({kind: 'proved'}),
+			wasSilent: () => false,
+			chooseOthers: () => [],
+		},
 		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
 		listRelays: () => peers,
 		origins: createStreamOrigins(clock),
 		lookUpOrigin: async () => ({
 			controls: 1,
+			silentControls: 0,
 			answers: [{knownForMs: 60_000, versions: {s: {'': 0}}}],
 		}),
 		crashes: {
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -12,6 +12,7 @@
 import type {BackendView} from './backend-view.js';
 import type {DrainGate} from './drain-gate.js';
 import type {CrashWatch} from './crash-watch.js';
+import type {IncarnationQuestions} from './incarnation-questions.js';
 import type {HeaderCodec, RequestMetadata} from './protocol.js';
 import type {RequestGuard} from './request-guard.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
@@ -35,11 +36,12 @@
 	/** Routes of the newest configuration; undefined until one is known. */
 	readRouteTable: () => RouteTable | undefined;
 	/** Origins of the streams that this entry has delivered events of. */
-	origins: Pick<StreamOrigins, 'record' | 'find'>;
+	origins: Pick<StreamOrigins, 'record' | 'recordTold' | 'find'>;
 	/** Address at which this instance connects to a backend server. */
 	resolveAddress: (backend: Pick<BackendRecord, 'address'>) => string;
 	/** Asks the control instances for the origin of a resumed stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
+	incarnations: IncarnationQuestions;
 	reach: Pick<BackendReach, 'isCutOff' | 'confirm'>;
 	/** Addresses of entries that can take over requests, the nearest first. */
 	listRelays: () => readonly string[];
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -57,6 +57,8 @@
 	/** Asks all control instances for the origin of a stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	countReachable: () => number;
+	/** Sequence number of the last origin that a control instance has confirmed. */
+	readConfirmedOrigin: () => number;
 }>;
 
 type Peer = {
@@ -95,6 +97,8 @@
 const FIRST_CONFIGURATION_WAIT_MS = 400;
 const MAX_PEERS = 16;
 const REACHABLE_WINDOW_MS = 1500;
+/** A control instance that is silent for longer is taken for lost, not for cut off. */
+const MAX_CUT_OFF_MS = 15_000;
 
 /**
  * Creates a client that reports to every control instance, so that the loss of
@@ -336,6 +340,13 @@
 		);
 	};
 
+	const servedLately = (address: string): boolean => {
+		const {answeredAt} = readPeer(address);
+		return (
+			answeredAt !== undefined && clock.now() - answeredAt < MAX_CUT_OFF_MS
+		);
+	};
+
 	return {
 		report() {
 			removeStalePeers();
@@ -368,8 +379,16 @@
 					body,
 					timeoutMs,
 				);
-				return response.unwrapOr(undefined);
+				return response.match(
+					(answer) => answer,
+					(reason) =>
+						reason === 'ECONNREFUSED' || !servedLately(address)
+							? 'ended'
+							: 'silent',
+				);
 			}),
+		readConfirmedOrigin: () =>
+			Math.max(0, ...[...peers.values()].map((peer) => peer.originSequence)),
 		countReachable: () =>
 			[...peers.values()].filter(
 				({answeredAt}) =>
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -27,10 +27,12 @@
 import {createControlClient} from './control-client.js';
 import {createCrashWatch} from './crash-watch.js';
 import {createGateway, type Gateway} from './gateway.js';
+import {createIncarnationQuestions} from './incarnation-questions.js';
 import {createNamedLimits} from './named-limits.js';
 import {createTaskGuard} from './guard.js';
 import type {HeaderCodec} from './protocol.js';
 import {createEntryPeers} from './entry-peers.js';
+import {startPeerOrigins} from './peer-origins.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {createStreamOrigins} from './stream-origins.js';
 
@@ -134,6 +136,8 @@
 		},
 	});
 	const resolveAddress = createAddressResolver(settings.backendHost);
+	const asking = {...dependencies, view, resolveAddress};
+	const incarnations = createIncarnationQuestions(asking);
 	const reach = createBackendReach({
 		clock,
 		log,
@@ -182,6 +186,7 @@
 		listRelays: peers.listRelays,
 		origins,
 		resolveAddress,
+		incarnations,
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
@@ -256,6 +261,8 @@
 	const report = tasks.wrap(controlClient.report);
 	const timer = setInterval(report, REPORT_INTERVAL_MS);
 	report();
+	const telling = {...dependencies, origins, controlClient, peers};
+	const peerOrigins = startPeerOrigins(telling, createPeerClient());
 	metrics.registerGauge(
 		'configuration_version',
 		() => routeTable?.configuration.version ?? 0,
@@ -293,6 +300,7 @@
 				log,
 			});
 			clearInterval(timer);
+			peerOrigins.stop();
 			reach.stop();
 		},
 	};
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import {CUT_OFF_HEADER} from './peer-relay.js';
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
 import {createRequestGuard, type RequestGuard} from './request-guard.js';
+import {isOriginsMessage, receiveOrigins} from './peer-origins.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -210,7 +211,11 @@
 	): Promise<void> => {
 		activeRequests += 1;
 		const guard = createRequestGuard(ctx, res);
-		await guard.settle(handle(req, res, guard));
+		await guard.settle(
+			isOriginsMessage(req)
+				? receiveOrigins(ctx, req, res)
+				: handle(req, res, guard),
+		);
 		activeRequests -= 1;
 	};
 
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -2,7 +2,9 @@
 	decideResume,
 	isOriginDoubtful,
 	parseIncarnationKey,
+	type ResumeDecision,
 } from '@lovagevalve/dispatch';
+import {hasOtherBegun, hasUnregistered} from './beginning-check.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {OriginLookup} from './origin-lookup.js';
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
@@ -28,8 +30,12 @@
 /** Whether what this entry recorded about a stream may be of another version. */
 export function isDoubtful(
 	{view}: Pick<GatewayContext, 'view'>,
-	{origin, beginning}: KnownOrigin,
+	{origin, beginning, isAmbiguous}: KnownOrigin,
 ): boolean {
+	if (isAmbiguous === true) {
+		return true;
+	}
+
 	return (
 		beginning !== undefined &&
 		isOriginDoubtful(
@@ -40,6 +46,42 @@
 	);
 }
 
+/** Refuses a stream that an incarnation may have begun which has not registered. */
+async function checkBeginning(
+	ctx: GatewayContext,
+	requestId: string,
+	decision: ResumeDecision,
+	{answers}: OriginLookup,
+): Promise<ResumeDecision> {
+	if (decision.kind === 'refuse') {
+		return decision;
+	}
+
+	const beginning = answers.find((answer) => answer.beginning)?.beginning;
+	switch (decision.evidence) {
+		case 'reported': {
+			return beginning !== undefined &&
+				(await hasOtherBegun(ctx, beginning, requestId))
+				? {
+						kind: 'refuse',
+						reason:
+							'the backend server that began the stream had started again',
+					}
+				: decision;
+		}
+
+		case 'only version': {
+			const {service} = decision.origin;
+			return (await hasUnregistered(ctx, service, requestId))
+				? {
+						kind: 'refuse',
+						reason: 'an unregistered software version may have begun it',
+					}
+				: decision;
+		}
+	}
+}
+
 /**
  * Binds a stream that a caller resumes to the service and software version that
  * began it, or says why it can't go on.
@@ -61,24 +103,28 @@
 			? await ctx.lookUpOrigin({key, services})
 			: {
 					controls: 0,
+					silentControls: 0,
 					answers: [
 						{
 							origin: own.origin,
+							beginning: own.beginning,
 							isAmbiguous: isDoubtful(ctx, own),
 							knownForMs: 0,
 							versions: {},
 						},
 					],
 				};
-	const decision = decideResume({
+	const found = decideResume({
 		services,
 		windowMs: readResumableMs(req),
+		isNamed: key !== undefined,
 		...lookup,
 		ownVersions:
 			services.length === 1
 				? [...ctx.view.countSoftwareVersions(services[0]!).keys()]
 				: [],
 	});
+	const decision = await checkBeginning(ctx, metadata.id, found, lookup);
 	ctx.metrics.count('resumed_streams', {
 		evidence: decision.kind === 'resume' ? decision.evidence : 'none',
 	});
@@ -88,6 +134,7 @@
 		lastEventId: metadata.lastEventId ?? '',
 		isKnownHere: own !== undefined,
 		controls: lookup.controls,
+		silentControls: lookup.silentControls,
 		answers: lookup.answers.length,
 		...(decision.kind === 'resume'
 			? {evidence: decision.evidence, ...decision.origin}
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -68,6 +68,9 @@
 	decideUnplaced: () => UnplacedDecision;
 }>;
 
+/** Interval at which it is looked whether a doubt about a stream's version is over. */
+const DOUBT_PAUSE_MS = 700;
+
 /** Creates the placement of a stream that has not run here yet. */
 export function createStreamPlacement(
 	ctx: GatewayContext,
@@ -80,6 +83,8 @@
 	/** Its first event came through another entry, so its origin is unknown here. */
 	let isBegunAtPeer = false;
 	let unplacedAt: number | undefined;
+	/** When the version that began it was last found in doubt. */
+	let doubtedAt = Number.NEGATIVE_INFINITY;
 
 	const key = createStreamKey(customer, metadata.id);
 
@@ -98,6 +103,17 @@
 		softwareVersion,
 	});
 
+	/** Leaves out backend servers that have just not shown which incarnation they are. */
+	const excludeSilent = (request: PlacementRequest): PlacementRequest => ({
+		...request,
+		excluded: [
+			...request.excluded,
+			...(ctx.view.listInService().get(service.name) ?? [])
+				.filter((backend) => ctx.incarnations.wasSilent(backend))
+				.map(({id}) => id),
+		],
+	});
+
 	const choosePeerTarget = (): StreamTarget | undefined => {
 		const address = isBegunAtPeer
 			? choosePeer(ctx, attempts.listExcluded())
@@ -132,7 +148,7 @@
 		},
 		isBound: () => origin !== undefined,
 		choose(previous, hasEvents) {
-			if (isOriginLost()) {
+			if (isOriginLost() || ctx.clock.now() - doubtedAt < DOUBT_PAUSE_MS) {
 				return {kind: 'none'};
 			}
 
@@ -142,12 +158,14 @@
 			}
 
 			const request = createRequest(origin?.softwareVersion);
+			const first = origin === undefined ? request : excludeSilent(request);
 			const kvCopy = hasEvents ? previous?.kvCopy : undefined;
 			const backend =
 				kvCopy?.backend ??
 				(previous?.shouldRetryWithoutCopy
 					? previous.backend
-					: ctx.view.choose(service.name, request, ctx.random()));
+					: (ctx.view.choose(service.name, first, ctx.random()) ??
+						ctx.view.choose(service.name, request, ctx.random())));
 			if (backend === undefined) {
 				return {kind: 'none'};
 			}
@@ -165,7 +183,14 @@
 				? openExchange(request, listener)
 				: openCheckedExchange(
 						ctx,
-						{backend: run.backend, requestId: metadata.id},
+						{
+							backend: run.backend,
+							requestId: metadata.id,
+							beginning: ctx.origins.find(key)?.beginning,
+							onDoubt() {
+								doubtedAt = ctx.clock.now();
+							},
+						},
 						request,
 						listener,
 					);
