--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -38,6 +38,7 @@
 } from './decode-messages.js';
 import {decodeReport} from './decode-report.js';
 import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
+import {createInstanceCalls} from './instance-calls.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
 import {createOriginLog} from './origin-log.js';
@@ -275,121 +276,17 @@
 			: {kind: 'found', configuration};
 	};
 
-	const handleReport = (report: EntryReport): ControlReport => {
-		registry.applyReport(report);
-		quarantine.applyReport(report, registry.find);
-		return {
-			...registry.createReportResponse(report),
-			...quarantine.describe(),
-			version: readVersion(),
-			controls: listControls(),
-		};
-	};
-
-	/** Handles a message, or refuses all of a malformed one. */
-	const handleDecoded = async <T>(
-		path: string,
-		message: Result<T, string>,
-		handle: (value: T) => unknown,
-	): Promise<JsonResponse> => {
-		if (message.isErr()) {
-			metrics.count('malformed_messages', {path});
-			log.warn('Refused a malformed message of an instance.', {
-				path,
-				reason: message.error,
-			});
-			return {status: 400, body: {error: message.error}};
-		}
-
-		return {status: 200, body: await handle(message.value)};
-	};
-
-	const handleGossip = ({
-		backends,
-		convictedMs,
-		unusable,
-	}: ReceivedGossip): void => {
-		if (unusable > 0) {
-			log.warn('Left out backend servers that no request can be sent to.', {
-				unusable,
-			});
-		}
-
-		registry.merge(backends);
-		quarantine.mergeConvictions(convictedMs);
-	};
-
-	const handleCall = async (
-		path: string,
-		body: unknown,
-	): Promise<JsonResponse> => {
-		switch (path) {
-			case '/raft': {
-				return handleDecoded(
-					path,
-					decodeRaftDelivery(body),
-					({from, messages}) => {
-						replica.receive(from, messages);
-					},
-				);
-			}
-
-			case '/status': {
-				const status: ReplicaStatus = groupJoiner.readStatus();
-				return {status: 200, body: status};
-			}
-
-			case '/join': {
-				return handleDecoded(path, decodeJoiningMember(body), replica.join);
-			}
-
-			case '/leave': {
-				return handleDecoded(path, decodeDeparture(body), replica.leave);
-			}
-
-			case '/propose': {
-				return handleDecoded(
-					path,
-					decodeProposal(body),
-					async (configuration) => ({
-						outcome: await replica.propose(configuration),
-					}),
-				);
-			}
-
-			case '/read': {
-				return {status: 200, body: await readLocally()};
-			}
-
-			case '/report': {
-				return handleDecoded(path, decodeReport(body), handleReport);
-			}
-
-			case '/stream-origin': {
-				return handleDecoded(
-					path,
-					decodeOriginQuery(body),
-					registry.findOrigin,
-				);
-			}
-
-			case '/configuration': {
-				const {configuration} = replica.readState();
-				return configuration === undefined
-					? {status: 404}
-					: {status: 200, body: configuration};
-			}
-
-			case '/gossip': {
-				return handleDecoded(path, decodeGossip(body), handleGossip);
-			}
-
-			default: {
-				return {status: 404};
-			}
-		}
-	};
-
+	const handleCall = createInstanceCalls({
+		log,
+		metrics,
+		replica,
+		registry,
+		quarantine,
+		readStatus: groupJoiner.readStatus,
+		readVersion,
+		readLocally,
+		listControls,
+	});
 	const server = createJsonServer(
 		async ({path, text}: JsonRequest) =>
 			parseJson(text === '' ? '{}' : text).match(
@@ -407,7 +304,7 @@
 		},
 	);
 
-	void restoreDepartures();
+	inBackground(restoreDepartures);
 	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.removeExpired();
