Decode what control instances answer about a stream

An answer of which any part can't be read counts as silence now, and a fault in the look-up ends the request that waits for it.

The time for which an origin is kept is bounded where it is recorded: one caller's huge deadline made the other entries refuse the message that holds it with all others.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -60,6 +60,7 @@
 } from './backend-notices.js';
 export {addLoad, NO_LOAD, subtractLoad} from './load.js';
 export type {BackendLoad} from './load.js';
+export {decodeOriginAnswer} from './origin-decoder.js';
 export {readOwn} from './own-property.js';
 export {chooseBackend} from './placement.js';
 export type {Candidate, PlacementRequest} from './placement.js';
@@ -129,7 +130,7 @@
 	ProofWait,
 	ProofWaitDecision,
 } from './incarnation-proof.js';
-export {parseOriginReports} from './origin-telling.js';
+export {MAX_ORIGIN_KEEP_MS, parseOriginReports} from './origin-telling.js';
 export {
 	decideResume,
 	decideUnplaced,
--- a/packages/lovage-dispatch/src/origin-telling.ts
+++ b/packages/lovage-dispatch/src/origin-telling.ts
@@ -3,8 +3,8 @@
 /** Limit of the origins in one message. */
 const MAX_ORIGINS = 400;
 const MAX_TEXT_LENGTH = 256;
-/** Longest time for which an origin is kept. */
-const MAX_KEEP_MS = 900_000;
+/** Longest time for which an origin is kept, in milliseconds. */
+export const MAX_ORIGIN_KEEP_MS = 900_000;
 
 function isText(value: unknown): value is string {
 	return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH;
@@ -27,7 +27,7 @@
 		isText(service) &&
 		isText(softwareVersion) &&
 		isDuration(keepMs) &&
-		keepMs <= MAX_KEEP_MS &&
+		keepMs <= MAX_ORIGIN_KEEP_MS &&
 		(incarnation === undefined || isText(incarnation)) &&
 		(ageMs === undefined || isDuration(ageMs))
 	);
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -2,9 +2,9 @@
 	type AgesRequest,
 	type ControlReport,
 	decodeControlReport,
+	decodeOriginAnswer,
 	type EntryReport,
 	type KnownRevision,
-	type OriginAnswer,
 	type SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
@@ -373,14 +373,14 @@
 		},
 		lookUpOrigin: async (query) =>
 			lookUpOrigin(listAddresses(), query, async (address, body, timeoutMs) => {
-				const response = await client.call<OriginAnswer>(
+				const response = await client.call<unknown>(
 					address,
 					'/stream-origin',
 					body,
 					timeoutMs,
 				);
 				return response.match(
-					(answer) => answer,
+					(answer) => decodeOriginAnswer(answer) ?? 'silent',
 					(reason) =>
 						reason === 'ECONNREFUSED' || !servedLately(address)
 							? 'ended'
--- a/packages/lovage-gateway/src/origin-lookup.ts
+++ b/packages/lovage-gateway/src/origin-lookup.ts
@@ -38,32 +38,28 @@
 ): Promise<OriginLookup> {
 	const answers: OriginAnswer[] = [];
 	let silentControls = 0;
-	return new Promise((resolve) => {
-		const settle = (): void => {
-			resolve({controls: controls.length, silentControls, answers});
-		};
+	let settle: () => void = () => undefined;
+	const found = new Promise<void>((resolve) => {
+		settle = resolve;
+	});
 
-		const askOne = async (address: string): Promise<void> => {
-			const first = await ask(address, query, LOOKUP_TIMEOUT_MS);
-			const answer =
-				first === 'silent'
-					? await ask(address, query, LOOKUP_TIMEOUT_MS)
-					: first;
-			if (answer === 'silent') {
-				silentControls += 1;
-			} else if (answer !== 'ended') {
-				answers.push(answer);
-				if (answer.origin !== undefined) {
-					settle();
-				}
+	const askOne = async (address: string): Promise<void> => {
+		const first = await ask(address, query, LOOKUP_TIMEOUT_MS);
+		const answer =
+			first === 'silent' ? await ask(address, query, LOOKUP_TIMEOUT_MS) : first;
+		if (answer === 'silent') {
+			silentControls += 1;
+		} else if (answer !== 'ended') {
+			answers.push(answer);
+			if (answer.origin !== undefined) {
+				settle();
 			}
-		};
-
-		const askAll = async (): Promise<void> => {
-			await Promise.all(controls.map(async (address) => askOne(address)));
-			settle();
-		};
+		}
+	};
 
-		void askAll();
-	});
+	await Promise.race([
+		found,
+		Promise.all(controls.map(async (address) => askOne(address))),
+	]);
+	return {controls: controls.length, silentControls, answers};
 }
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -1,6 +1,7 @@
 import {
 	decideResume,
 	isOriginDoubtful,
+	MAX_ORIGIN_KEEP_MS,
 	parseIncarnationKey,
 	type ResumeDecision,
 } from '@lovagevalve/dispatch';
@@ -24,7 +25,9 @@
 	metadata,
 	route,
 }: Pick<AcceptedRequest, 'metadata' | 'route'>): number {
-	return Math.max(metadata.waitMs ?? 0, route.timeoutMs) + RESUME_SLACK_MS;
+	const resumableMs =
+		Math.max(metadata.waitMs ?? 0, route.timeoutMs) + RESUME_SLACK_MS;
+	return Math.min(MAX_ORIGIN_KEEP_MS, resumableMs);
 }
 
 /** Whether what this entry recorded about a stream may be of another version. */
