Contain what throws behind the end of a connection, and blame nobody for refused arguments

A request target with a tab or form feed, which the server of Node.js reads and its client refuses, counted as an unreachable backend server at each one in turn: entries avoided sound servers for 1.5 s. Such a target is answered with 400, and an argument that the client refuses blames nobody (isBlameless, which was isUnproved).

The end of an answer that ends with its connection is decided a turn later, outside of the request's guard; what it threw there ended the process. It is an event of the response now, which the guard runs. Commands, proofs of incarnations, the telling of origins and the deadline of large answers run under a guard too.

--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -6,8 +6,8 @@
 	| Readonly<{
 			kind: 'not-sent';
 			reason: string;
-			/** The backend server answers, but doesn't show which incarnation it is. */
-			isUnproved?: true;
+			/** The cause says nothing about whether the backend server accepts connections. */
+			isBlameless?: true;
 	  }>
 	/** The backend server reported that it did not run the request. */
 	| Readonly<{kind: 'rejected'; reason: string}>
--- a/packages/lovage-gateway/src/__tests__/integration/escaped-faults.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/escaped-faults.test.ts
@@ -7,6 +7,7 @@
 	createStream,
 	formatEvents,
 	OK,
+	OPEN_END,
 	STREAM,
 	type Answer,
 } from './faulty-answers.js';
@@ -101,6 +102,40 @@
 		});
 	});
 
+	it('ends its own request only: behind an answer that ends with its connection', async () => {
+		let sent = 0;
+		const codec: HeaderCodec = {
+			...testCodec,
+			createBackendHeaders(rawHeaders, metadata) {
+				sent += 1;
+				if (sent > 1) {
+					throw new TypeError('poison');
+				}
+
+				return testCodec.createBackendHeaders(rawHeaders, metadata);
+			},
+		};
+		const backends = await Promise.all(
+			[1, 2].map(async () =>
+				startRawBackend((socket) => {
+					socket.end(OPEN_END, 'latin1');
+				}),
+			),
+		);
+		const harness = await startHarness(configuration, undefined, [], codec);
+		harness.setBackends(backends.map(({port}) => port));
+		cleanups.push(harness.close, () => {
+			backends.forEach(({server}) => {
+				server.close();
+			});
+		});
+		const response = await call(harness.port, '/stream/open', {
+			'Last-Event-Id': '2',
+		});
+		expect(response).toMatchObject({status: 500, isWhole: true});
+		expect(sent).toBe(2);
+	});
+
 	it('releases the load that its request had reserved', async () => {
 		const port = await startGateway(
 			{'/once/bad': createAnswer(OK + poisoned, 'text')},
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -23,7 +23,7 @@
 } from '@lovagevalve/routing';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import {createAnswerTimes} from '../../answer-times.js';
-import {createBackendView} from '../../backend-view.js';
+import {type BackendView, createBackendView} from '../../backend-view.js';
 import {
 	createBrittleBackends,
 	type BrittleBackends,
@@ -180,6 +180,7 @@
 /** A gateway in front of fake backend servers. */
 export type Harness = Readonly<{
 	gateway: Gateway;
+	view: BackendView;
 	port: number;
 	crashes: readonly Crash[];
 	/** Registers one backend server per port; a later call changes their states. */
@@ -282,6 +283,7 @@
 	const port = await listen(gateway.server);
 	return {
 		gateway,
+		view,
 		port,
 		crashes,
 		setBackends(ports, states = []) {
--- a/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
@@ -2,6 +2,7 @@
 import {createServer, request, type RequestListener} from 'node:http';
 import {createPeerClient} from '@lovagevalve/runtime';
 import {expect, it, vi} from 'vitest';
+import {createTaskGuard} from '../../guard.js';
 import {
 	isOriginsMessage,
 	receiveOrigins,
@@ -54,6 +55,7 @@
 			origins,
 			controlClient: {readConfirmedOrigin: () => confirmed},
 			peers: {listOthers: () => others},
+			guard: createTaskGuard({log: silentLogger, metrics: silentMetrics}),
 		},
 		client,
 	);
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -7,6 +7,9 @@
 import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
 import {toTimerMs} from './timer-range.js';
 
+/** Characters of a request target that Node.js accepts and doesn't send on. */
+const UNSENDABLE_CHARACTER = /[^\u0021-\u00FF]/;
+
 /** Size of a request's headers as it was sent, in bytes. */
 export function countHeaderBytes(req: IncomingMessage): number {
 	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -46,6 +49,10 @@
 ): AcceptedRequest | ProblemResponse {
 	const path = req.url ?? '/';
 	const method = req.method ?? 'GET';
+	if (UNSENDABLE_CHARACTER.test(path)) {
+		return {status: 400, reason: 'the request target is malformed'};
+	}
+
 	const metadata = ctx.codec.readRequest(req.headers);
 	const route = routeTable.findRoute(req.headers.host ?? '', path);
 	if (route === undefined) {
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -1,9 +1,12 @@
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {describeError} from '@lovagevalve/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {findAnswerFailure} from './answer-reader.js';
 import {createClientRequest, parseAddress} from './backend-exchange.js';
 import type {GatewayContext} from './context.js';
+import {createGuard} from './guard.js';
 import type {BackendCommand} from './protocol.js';
 
 /** Copies of typical size complete within milliseconds. */
@@ -70,13 +73,16 @@
 			resolve(err(reason));
 		};
 
+		const guard = createGuard((error) => {
+			fail(describeError(error));
+		});
 		const timer = setTimeout(() => {
 			fail('timeout');
 		}, timeoutMs);
 		req.on('error', (error: NodeJS.ErrnoException) => {
 			fail(error.code ?? error.message);
 		});
-		req.on('response', (response) => {
+		const readResponse = (response: IncomingMessage): void => {
 			// Only the answers to callers' requests show that a limit is over.
 			const sentAt = Number.NEGATIVE_INFINITY;
 			const failure = findAnswerFailure(
@@ -108,7 +114,9 @@
 						: err(`status ${response.statusCode ?? 0}`),
 				);
 			});
-		});
+		};
+
+		req.on('response', guard.wrap(readResponse));
 		req.end(body);
 	});
 }
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -51,6 +51,7 @@
  */
 const CONNECTION_OPTIONS = {allowHalfOpen: true};
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
+const SETTLED_EVENT = 'settled';
 
 /**
  * Responses whose connection failed, including failures seen after the `end`
@@ -101,7 +102,9 @@
 	response.on('error', onTruncated);
 	response.on('end', () => {
 		if (isCloseDelimited(response.rawHeaders)) {
-			setImmediate(settle);
+			// An event of the response, as its listeners run under the request's guard.
+			response.once(SETTLED_EVENT, settle);
+			setImmediate(() => response.emit(SETTLED_EVENT));
 		} else {
 			settle();
 		}
@@ -138,7 +141,7 @@
 	{onFailure}: ExchangeListener,
 ): Exchange {
 	const timer = setImmediate(() => {
-		onFailure({kind: 'not-sent', reason});
+		onFailure({kind: 'not-sent', reason, isBlameless: true});
 	});
 	return {
 		cancel() {
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -261,7 +261,13 @@
 	const report = tasks.wrap(controlClient.report);
 	const timer = setInterval(report, REPORT_INTERVAL_MS);
 	report();
-	const telling = {...dependencies, origins, controlClient, peers};
+	const telling = {
+		...dependencies,
+		origins,
+		controlClient,
+		peers,
+		guard: tasks,
+	};
 	const peerOrigins = startPeerOrigins(telling, createPeerClient());
 	metrics.registerGauge(
 		'configuration_version',
--- a/packages/lovage-gateway/src/incarnation-check.ts
+++ b/packages/lovage-gateway/src/incarnation-check.ts
@@ -13,12 +13,13 @@
 } from './backend-exchange.js';
 import {hasOtherBegun} from './beginning-check.js';
 import type {GatewayContext} from './context.js';
+import type {Guard} from './guard.js';
 
 const POLL_MS = 50;
 const DOUBTFUL: AttemptFailure = {
 	kind: 'not-sent',
 	reason: 'the software version that began the stream is in doubt',
-	isUnproved: true,
+	isBlameless: true,
 };
 
 /**
@@ -28,6 +29,7 @@
 async function awaitProof(
 	{clock, incarnations}: GatewayContext,
 	backend: BackendRecord,
+	guard: Guard,
 ): Promise<IncarnationProof | undefined> {
 	const askedAt = clock.now();
 	let isOtherProved = false;
@@ -43,7 +45,7 @@
 			resolve(proof);
 		};
 
-		const timer = setInterval(() => {
+		const check = (): void => {
 			const waitedMs = clock.now() - askedAt;
 			switch (decideProofWait({waitedMs, isOtherProved})) {
 				case 'wait': {
@@ -54,7 +56,7 @@
 					if (!areOthersAsked) {
 						areOthersAsked = true;
 						incarnations.chooseOthers(backend).forEach((other) => {
-							void askOther(other);
+							void guard.settle(askOther(other));
 						});
 					}
 
@@ -66,23 +68,24 @@
 					break;
 				}
 			}
-		}, POLL_MS);
+		};
+
+		const timer = setInterval(guard.wrap(check), POLL_MS);
 		const ask = async (): Promise<void> => {
 			settle(await incarnations.ask(backend));
 		};
 
-		void ask();
+		void guard.settle(ask());
 	});
 }
 
 /** Why a request that goes on can't be sent to a backend server; undefined if it can. */
 async function checkIncarnation(
 	ctx: GatewayContext,
-	backend: BackendRecord,
-	requestId: string,
+	{backend, requestId, guard}: CheckedRun,
 ): Promise<AttemptFailure | undefined> {
 	const askedAt = ctx.clock.now();
-	const proof = (await awaitProof(ctx, backend)) ?? {
+	const proof = (await awaitProof(ctx, backend, guard)) ?? {
 		kind: 'unproved',
 		reason: 'it has not answered in time',
 	};
@@ -119,7 +122,7 @@
 			return {
 				kind: 'not-sent',
 				reason: `its incarnation is unproved: ${proof.reason}`,
-				isUnproved: true,
+				isBlameless: true,
 			};
 		}
 	}
@@ -129,6 +132,8 @@
 export type CheckedRun = Readonly<{
 	backend: BackendRecord;
 	requestId: string;
+	/** Guard of the request. */
+	guard: Guard;
 	/** Absent if this entry doesn't know it. */
 	beginning: StreamBeginning | undefined;
 	/** Called if the version that began the stream is in doubt. */
@@ -138,15 +143,16 @@
 /** Sends a request to a backend server if it is proved to be the incarnation that registered. */
 export function openCheckedExchange(
 	ctx: GatewayContext,
-	{backend, requestId, beginning, onDoubt}: CheckedRun,
+	run: CheckedRun,
 	request: ExchangeRequest,
 	listener: ExchangeListener,
 ): Exchange {
+	const {requestId, guard, beginning, onDoubt} = run;
 	let isCancelled = false;
 	let exchange: Exchange | undefined;
 	const open = async (): Promise<void> => {
 		const [unproved, isDoubtful] = await Promise.all([
-			checkIncarnation(ctx, backend, requestId),
+			checkIncarnation(ctx, run),
 			beginning !== undefined && hasOtherBegun(ctx, beginning, requestId),
 		]);
 		if (isCancelled) {
@@ -166,7 +172,7 @@
 		}
 	};
 
-	void open();
+	void guard.settle(open());
 	return {
 		cancel() {
 			isCancelled = true;
--- a/packages/lovage-gateway/src/peer-origins.ts
+++ b/packages/lovage-gateway/src/peer-origins.ts
@@ -4,6 +4,7 @@
 import type {GatewayContext} from './context.js';
 import type {ControlClient} from './control-client.js';
 import type {EntryPeers} from './entry-peers.js';
+import type {Guard} from './guard.js';
 import {readBody} from './read-body.js';
 import type {StreamOrigins} from './stream-origins.js';
 
@@ -18,6 +19,7 @@
 	origins: Pick<StreamOrigins, 'createTelling'>;
 	controlClient: Pick<ControlClient, 'readConfirmedOrigin'>;
 	peers: Pick<EntryPeers, 'listOthers'>;
+	guard: Guard;
 }>;
 
 /** Path of the message; its host is an address, which no route has. */
@@ -33,7 +35,15 @@
 
 /** Starts to tell other entries the origins that control instances don't confirm. */
 export function startPeerOrigins(
-	{clock, log, random, origins, controlClient, peers}: PeerOriginsOptions,
+	{
+		clock,
+		log,
+		random,
+		origins,
+		controlClient,
+		peers,
+		guard,
+	}: PeerOriginsOptions,
 	client: Pick<PeerClient, 'call'>,
 ): PeerOrigins {
 	let toldSequence = 0;
@@ -68,8 +78,13 @@
 		}
 
 		isBusy = true;
-		const isTold = await tell(others, update.origins);
-		isBusy = false;
+		let isTold = false;
+		try {
+			isTold = await tell(others, update.origins);
+		} finally {
+			isBusy = false;
+		}
+
 		if (isTold) {
 			toldSequence = update.sequence;
 		}
@@ -85,7 +100,7 @@
 	};
 
 	const timer = setInterval(() => {
-		void run();
+		void guard.settle(run());
 	}, INTERVAL_MS);
 	return {
 		stop() {
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -96,7 +96,7 @@
 			switch (failure.kind) {
 				case 'not-sent': {
 					sentTo.delete(backend.id);
-					if (failure.isUnproved !== true) {
+					if (failure.isBlameless !== true) {
 						ctx.view.reportHealth(backend, 'unreachable');
 					}
 
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -186,6 +186,7 @@
 						{
 							backend: run.backend,
 							requestId: metadata.id,
+							guard: req.guard,
 							beginning: ctx.origins.find(key)?.beginning,
 							onDoubt() {
 								doubtedAt = ctx.clock.now();
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -42,7 +42,10 @@
 ): Promise<boolean> {
 	switch (failure.kind) {
 		case 'not-sent': {
-			ctx.view.reportHealth(backend, 'unreachable');
+			if (failure.isBlameless !== true) {
+				ctx.view.reportHealth(backend, 'unreachable');
+			}
+
 			return false;
 		}
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -37,13 +37,13 @@
 	const {res} = req;
 	// A backend server may send bytes without end.
 	const timer = setTimeout(
-		() => {
+		req.guard.wrap(() => {
 			ctx.log.warn('A large response did not end in time.', {
 				request: req.metadata.id,
 			});
 			response.destroy();
 			breakOff(res);
-		},
+		}),
 		Math.max(1, readRemainingMs(ctx, req)),
 	);
 	res.writeHead(
