--- a/packages/lovage-entry/src/__tests__/unit/odd-addresses.test.ts
+++ b/packages/lovage-entry/src/__tests__/unit/odd-addresses.test.ts
@@ -1,6 +1,7 @@
 import {announcementSchema} from '@lovagevalve/wire';
 import {describe, expect, it} from 'vitest';
 import {exchangeCall} from '../../call-exchange.js';
+import {cancelAttempt, probeAttempt} from '../../engine-exchange.js';
 import {openEngineStream} from '../../engine-stream.js';
 
 const REFUSED_BY_CLIENT = [
@@ -68,3 +69,21 @@
 		expect(parsed.success).toBe(true);
 	});
 });
+
+// Peers name generations; one that no URL can hold ended the entry.
+describe('a generation with half of a surrogate pair', () => {
+	const attempt = {
+		address: 'http://127.0.0.1:9',
+		generation: '\uD800',
+		attempt: 1,
+	};
+
+	it('is not found by a probe', async () => {
+		const probed = await probeAttempt(attempt, 500);
+		expect(probed.isErr()).toBe(true);
+	});
+
+	it('is cancelled in vain', async () => {
+		await expect(cancelAttempt(attempt, 0)).resolves.toBeUndefined();
+	});
+});
--- a/packages/lovage-entry/src/engine-exchange.ts
+++ b/packages/lovage-entry/src/engine-exchange.ts
@@ -43,9 +43,9 @@
 	{address, generation, attempt}: AttemptAddress,
 	timeoutMs: number,
 ): ResultAsync<ProbeResult, ExchangeError> {
-	const path = `/v1/generations/${encodeURIComponent(generation)}`;
-	const sendProbe = async (): Promise<ProbeResult> =>
-		exchange(address, timeoutMs, async (client, signal) => {
+	const sendProbe = async (): Promise<ProbeResult> => {
+		const path = `/v1/generations/${encodeURIComponent(generation)}`;
+		return exchange(address, timeoutMs, async (client, signal) => {
 			const res = await client.request({method: 'GET', path, signal});
 			if (res.statusCode === 404) {
 				return {held: false, length: 0};
@@ -54,15 +54,17 @@
 			const status = engineStatusSchema.parse(await res.body.json());
 			return {held: status.attempt === attempt, length: status.length};
 		});
+	};
+
 	return ResultAsync.fromPromise(sendProbe(), () => ({
 		kind: 'exchange-failed',
 	}));
 }
 
 async function sendCancel(attempt: AttemptAddress): Promise<boolean> {
-	const id = encodeURIComponent(attempt.generation);
-	const path = `/v1/generations/${id}?attempt=${attempt.attempt}`;
 	try {
+		const id = encodeURIComponent(attempt.generation);
+		const path = `/v1/generations/${id}?attempt=${attempt.attempt}`;
 		return await exchange(
 			attempt.address,
 			CANCEL_TIMEOUT_MS,
