Wait until the removal of a voter that stops is committed

An instance that stops asks every 60 ms, for 2 s at most, until the leader says that the removal is committed.

--- a/packages/lovage-consensus/src/index.ts
+++ b/packages/lovage-consensus/src/index.ts
@@ -19,6 +19,7 @@
 } from './messages.js';
 export {createRaft, stepRaft} from './raft.js';
 export type {RaftOptions} from './raft.js';
+export {readMembersAt} from './log.js';
 export {needsJoin, readMembers} from './members.js';
 export {findLeader} from './step.js';
 export {readLastIndex} from './log.js';
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -23,7 +23,7 @@
 import {createCrashQuarantine} from './crash-quarantine.js';
 import {createDepartureFile, createDepartureStore} from './departure-store.js';
 import {
-	decodeAcknowledgement,
+	decodeDepartureOutcome,
 	decodeDeparture,
 	decodeGossip,
 	decodeJoiningMember,
@@ -126,6 +126,9 @@
 const FORWARD_TIMEOUT_MS = 950;
 /** Time for a successor to take over leadership before this replica stops. */
 const LEADERSHIP_TRANSFER_MS = 300;
+/** Time for a new leader to be elected and for a change of the members. */
+const MAX_LEAVE_MS = 2000;
+const LEAVE_POLL_MS = 60;
 const DEFAULT_TOLERATED = 1;
 
 /** Creates a control instance and starts opening its data folder. */
@@ -265,6 +268,24 @@
 		return outcome ?? 'unknown';
 	};
 
+	/** Leaves the group if it has more voters than it needs; the next one may be lost at once. */
+	const leaveGroup = async (): Promise<void> => {
+		const endAt = clock.now() + MAX_LEAVE_MS;
+		const departure = {replica: replica.readRaft()?.replica};
+		let isRemoved = false;
+		while (!isRemoved && replica.isSpareVoter() && clock.now() < endAt) {
+			/* eslint-disable no-await-in-loop -- polls until the removal is committed */
+			const outcome = await callLeader(
+				'/leave',
+				departure,
+				decodeDepartureOutcome,
+			);
+			isRemoved = outcome ?? false;
+			await sleep(isRemoved ? 0 : LEAVE_POLL_MS);
+			/* eslint-enable no-await-in-loop */
+		}
+	};
+
 	const readLocally = async (): Promise<ReadOutcome> => {
 		if (!(await replica.confirmRead())) {
 			return {kind: 'unavailable'};
@@ -400,11 +421,7 @@
 		async stop() {
 			replica.transferLeadership();
 			await sleep(LEADERSHIP_TRANSFER_MS);
-			const departure = replica.readRaft()?.replica;
-			if (departure !== undefined && replica.isSpareVoter()) {
-				await callLeader('/leave', {replica: departure}, decodeAcknowledgement);
-			}
-
+			await leaveGroup();
 			timers.forEach((timer) => {
 				clearInterval(timer);
 			});
--- a/packages/lovage-coordinator/src/decode-messages.ts
+++ b/packages/lovage-coordinator/src/decode-messages.ts
@@ -85,9 +85,13 @@
 		: err('malformed departure');
 }
 
-/** An answer of which only the status counts. */
-export function decodeAcknowledgement(): Result<void, string> {
-	return ok();
+/** Checks the leader's answer to a departure: whether it is committed. */
+export function decodeDepartureOutcome(
+	value: unknown,
+): Result<boolean, string> {
+	return isJsonObject(value) && typeof value.isRemoved === 'boolean'
+		? ok(value.isRemoved)
+		: err('malformed outcome');
 }
 
 /** Checks a proposed configuration. */
--- a/packages/lovage-coordinator/src/instance-calls.ts
+++ b/packages/lovage-coordinator/src/instance-calls.ts
@@ -120,7 +120,9 @@
 			}
 
 			case '/leave': {
-				return handleDecoded(path, decodeDeparture(body), replica.leave);
+				return handleDecoded(path, decodeDeparture(body), (departure) => ({
+					isRemoved: replica.leave(departure),
+				}));
 			}
 
 			case '/propose': {
--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -12,6 +12,7 @@
 	type RaftState,
 	type ReplicaId,
 	readMembers,
+	readMembersAt,
 	stepRaft,
 } from '@lovagevalve/consensus';
 import {createStore, type Store} from '@lovagevalve/core';
@@ -72,8 +73,11 @@
 	receive: (address: string, messages: readonly RaftMessage[]) => void;
 	initialise: (group: string, members: readonly JoiningMember[]) => void;
 	join: (member: JoiningMember) => void;
-	/** Removes a voter that stops, if this replica leads and the group can spare it. */
-	leave: (replica: ReplicaId) => void;
+	/**
+	 * Removes a voter that stops, if this replica leads and the group can spare it;
+	 * whether its removal is committed.
+	 */
+	leave: (replica: ReplicaId) => boolean;
 	/** Whether this replica is a voter that the group can spare. */
 	isSpareVoter: () => boolean;
 	needsJoin: () => boolean;
@@ -372,12 +376,18 @@
 			dispatch({kind: 'join-requested', member});
 		},
 		leave(replica) {
-			if (
-				store?.read().role.kind === 'leader' &&
-				hasSpareVoter(listMembers(), options.tolerated)
-			) {
+			const raft = store?.read();
+			if (raft?.role.kind !== 'leader') {
+				return false;
+			}
+
+			if (hasSpareVoter(listMembers(), options.tolerated)) {
 				leaving.add(replica);
 			}
+
+			return readMembersAt(raft.log, raft.commitIndex).every(
+				(member) => member.replica !== replica,
+			);
 		},
 		isSpareVoter() {
 			const own = store?.read().replica;
