--- a/packages/lovage-dispatch/src/stream-origin.ts
+++ b/packages/lovage-dispatch/src/stream-origin.ts
@@ -116,7 +116,7 @@
 /**
  * Whether another incarnation than the one that was asked may have written the first
  * event: its backend server says that it has started again by then, and may be of
- * another software version. `bornAt` is its own word, absent if it says nothing.
+ * another software version. `bornAt` is the start that it reports; absent if none.
  */
 export function isBeginningReplaced(
 	beginning: StreamBeginning,
--- a/packages/lovage-gateway/src/beginning-check.ts
+++ b/packages/lovage-gateway/src/beginning-check.ts
@@ -58,7 +58,7 @@
 
 /**
  * Whether a backend server of a service serves that has not registered yet. It may be
- * of a version that nobody knows, and have begun any stream of unknown origin.
+ * of an unknown version, and have begun any stream of unknown origin.
  */
 export async function hasUnregistered(
 	ctx: GatewayContext,
--- a/packages/lovage-gateway/src/guard.ts
+++ b/packages/lovage-gateway/src/guard.ts
@@ -11,11 +11,11 @@
  */
 export type Guard = Readonly<{
 	run: (action: () => void) => void;
-	/** Wraps a callback whose result nobody reads. */
+	/** Wraps a callback without a return value. */
 	wrap: <Values extends readonly unknown[]>(
 		callback: (...args: Values) => void,
 	) => (...args: Values) => void;
-	/** Awaits work that nobody else waits for; resolves in any case. */
+	/** Awaits a promise that is not awaited elsewhere; always resolves. */
 	settle: (work: Promise<unknown>) => Promise<void>;
 	/** Runs the listeners of an emitter, also those that are added later. */
 	watch: (emitter: EventEmitter) => void;
--- a/packages/lovage-gateway/src/peer-origins.ts
+++ b/packages/lovage-gateway/src/peer-origins.ts
@@ -29,7 +29,7 @@
 /** Control instances confirm an origin within a report interval, unless one is away. */
 const UNCONFIRMED_MS = 400;
 const TELL_TIMEOUT_MS = 300;
-/** Entries that are told, so that the end of one loses nothing. */
+/** Number of entries that receive the message, so that one may fail. */
 const TOLD_ENTRIES = 2;
 const MAX_BODY_BYTES = 131_072;
 
--- a/packages/lovage-runtime/src/address.ts
+++ b/packages/lovage-runtime/src/address.ts
@@ -6,7 +6,7 @@
 const HOST_PORT = /^([\w.-]{1,253}|\[[\da-f:.]{2,45}]):(\d{1,5})$/i;
 const MAX_PORT = 65_535;
 
-/** Whether a value is a port; 0 stands for a free one and is none to connect to. */
+/** Whether a value is a port that can be connected to, which excludes 0. */
 export function isPort(value: unknown): value is number {
 	return (
 		Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_PORT
