Take no sound server for dead because this instance is late

Cause: a process that is short of processor time runs its timers before it sees what has arrived, so a connection that was established in time counted as none; and on a busy machine a connection takes longer than the 120 ms of a probe. Each lost run was then reported as a crash, and three convict a request. Now startDeadline handles what arrived first, for connections, probes, commands, attempts and calls between instances. A crash is reported only if the server accepts no connection for a second; one that has ended refuses it at once, and retries don't wait.

--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {describeError} from '@lovagevalve/runtime';
+import {describeError, startDeadline} from '@lovagevalve/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {findAnswerFailure} from './answer-reader.js';
@@ -68,7 +68,7 @@
 
 		const req = created.value;
 		const fail = (reason: string): void => {
-			clearTimeout(timer);
+			cancelDeadline();
 			req.destroy();
 			resolve(err(reason));
 		};
@@ -76,9 +76,9 @@
 		const guard = createGuard((error) => {
 			fail(describeError(error));
 		});
-		const timer = setTimeout(() => {
+		const cancelDeadline = startDeadline(timeoutMs, () => {
 			fail('timeout');
-		}, timeoutMs);
+		});
 		req.on('error', (error: NodeJS.ErrnoException) => {
 			fail(error.code ?? error.message);
 		});
@@ -107,7 +107,7 @@
 				fail(error.message);
 			});
 			response.on('end', () => {
-				clearTimeout(timer);
+				cancelDeadline();
 				resolve(
 					response.statusCode === HTTP_OK
 						? ok(text)
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -8,6 +8,7 @@
 import {connect} from 'node:net';
 import {fromThrowable} from 'neverthrow';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
+import {startDeadline} from '@lovagevalve/runtime';
 import {findHeadFault, isCloseDelimited} from './answer-head.js';
 
 /** A request to a single backend server. */
@@ -22,10 +23,12 @@
 }>;
 
 /**
- * Callbacks of an exchange; exactly one of them is called, once, unless the
- * exchange is cancelled.
+ * Callbacks of an exchange; exactly one of `onResponse` and `onFailure` is called,
+ * once, unless the exchange is cancelled.
  */
 export type ExchangeListener = Readonly<{
+	/** The connection is established. */
+	onConnect?: () => void;
 	/** The status line and headers have arrived. */
 	onResponse: (response: IncomingMessage) => void;
 	/** The exchange failed before a response arrived. */
@@ -188,14 +191,17 @@
 	}
 
 	const req = created.value;
-	const connectTimer = setTimeout(() => {
+	const cancelConnectDeadline = startDeadline(CONNECT_TIMEOUT_MS, () => {
 		settleFailure({kind: 'not-sent', reason: 'connect timeout'});
 		req.destroy();
-	}, CONNECT_TIMEOUT_MS);
+	});
 	req.on('socket', (socket) => {
 		socket.once('connect', () => {
 			isConnected = true;
-			clearTimeout(connectTimer);
+			cancelConnectDeadline();
+			if (!isSettled) {
+				listener.onConnect?.();
+			}
 		});
 	});
 	req.on('response', (response) => {
@@ -217,7 +223,7 @@
 		onResponse(response);
 	});
 	req.on('error', (error: NodeJS.ErrnoException) => {
-		clearTimeout(connectTimer);
+		cancelConnectDeadline();
 		if (receivedResponse !== undefined && hasEnded(receivedResponse)) {
 			// The bytes behind a whole response belong to no request.
 			return;
@@ -233,7 +239,7 @@
 		settleFailure({kind: isConnected ? 'lost' : 'not-sent', reason});
 	});
 	req.on('close', () => {
-		clearTimeout(connectTimer);
+		cancelConnectDeadline();
 		settleFailure({kind: isConnected ? 'lost' : 'not-sent', reason: 'closed'});
 	});
 	req.end(body);
@@ -241,7 +247,7 @@
 	return {
 		cancel() {
 			isSettled = true;
-			clearTimeout(connectTimer);
+			cancelConnectDeadline();
 			req.destroy();
 		},
 	};
@@ -276,14 +282,14 @@
 
 		const socket = opened.value;
 		const settle = (isAlive: boolean): void => {
-			clearTimeout(timer);
+			cancelDeadline();
 			socket.destroy();
 			resolve(isAlive);
 		};
 
-		const timer = setTimeout(() => {
+		const cancelDeadline = startDeadline(timeoutMs, () => {
 			settle(false);
-		}, timeoutMs);
+		});
 		socket.once('connect', () => {
 			settle(true);
 		});
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -7,6 +7,7 @@
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import {probeAddress, type Exchange} from './backend-exchange.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
+import {reportConfirmedCrash} from './crash-confirmation.js';
 import type {KvCopy, KvBackup} from './kv-backup.js';
 import type {LoadReservation} from './load-reservations.js';
 
@@ -113,12 +114,11 @@
 		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
 	const isAlive = probe !== 'dead' && (await probeAddress(address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
-	const isSuspected = !isAlive && isInStartWindow(runningMs);
-	if (isSuspected) {
-		ctx.crashes.reportCrash(req, backend);
-	}
-
-	return isSuspected;
+	return (
+		!isAlive &&
+		isInStartWindow(runningMs) &&
+		reportConfirmedCrash(ctx, req, backend)
+	);
 }
 
 /**
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -5,6 +5,7 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
+import {startDeadline} from '@lovagevalve/runtime';
 import {
 	describeAsked,
 	describeAskedPeer,
@@ -216,7 +217,7 @@
 			}
 
 			isSettled = true;
-			clearTimeout(timer);
+			cancelDeadline();
 			req.res.off('close', onCallerClosed);
 			resolve(outcome);
 		};
@@ -226,12 +227,12 @@
 			exchange.cancel();
 		};
 
-		const timer = setTimeout(
+		const cancelDeadline = startDeadline(
+			timeoutMs,
 			guard.wrap(() => {
 				settle(timeoutOutcome);
 				exchange.cancel();
 			}),
-			timeoutMs,
 		);
 		guard.addCleanup(onCallerClosed);
 		req.res.once('close', onCallerClosed);
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -10,6 +10,7 @@
 	recordCompletion,
 } from './responses.js';
 import {probeAddress} from './backend-exchange.js';
+import {reportConfirmedCrash} from './crash-confirmation.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
@@ -63,7 +64,8 @@
 			const isAlive = await probeAddress(ctx.resolveAddress(backend));
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
-				ctx.crashes.reportCrash(req, backend);
+				// The retry doesn't wait for it.
+				void req.guard.settle(reportConfirmedCrash(ctx, req, backend));
 			}
 
 			return !isAlive;
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -1,5 +1,6 @@
 export type {Clock} from './clock.js';
 export {createClock} from './clock.js';
+export {startDeadline} from './deadline.js';
 export type {DaemonSpec, RunningDaemon} from './daemon.js';
 export {runDaemon} from './daemon.js';
 export type {HttpServer, ListenError} from './http-server.js';
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -3,6 +3,7 @@
 import {err, ok, Result} from 'neverthrow';
 import {type HostPort, parseHostPort} from './address.js';
 import {BODY_ENCODING, decodeBody, MAX_DECODED_BYTES} from './body-encoding.js';
+import {startDeadline} from './deadline.js';
 import {parseJson, serializeJson} from './json.js';
 
 /** HTTP client for requests to other instances of the system. */
@@ -60,25 +61,23 @@
 ): Promise<Result<string, string>> {
 	return new Promise((resolve) => {
 		const fail = (reason: string): void => {
-			clearTimeout(timer);
-			clearTimeout(connectTimer);
+			cancelDeadline();
+			cancelConnectDeadline();
 			req.destroy();
 			resolve(err(reason));
 		};
 
-		const timer = setTimeout(() => {
+		const cancelDeadline = startDeadline(timeoutMs, () => {
 			fail('timeout');
-		}, timeoutMs);
-		const connectTimer = setTimeout(() => {
+		});
+		const cancelConnectDeadline = startDeadline(CONNECT_TIMEOUT_MS, () => {
 			fail('connect timeout');
-		}, CONNECT_TIMEOUT_MS);
+		});
 		req.on('socket', (socket) => {
 			if (socket.connecting) {
-				socket.once('connect', () => {
-					clearTimeout(connectTimer);
-				});
+				socket.once('connect', cancelConnectDeadline);
 			} else {
-				clearTimeout(connectTimer);
+				cancelConnectDeadline();
 			}
 		});
 		req.on('error', (error: NodeJS.ErrnoException) => {
@@ -99,7 +98,7 @@
 				fail(error.message);
 			});
 			res.on('end', () => {
-				clearTimeout(timer);
+				cancelDeadline();
 				resolve(
 					res.statusCode === STATUS_OK
 						? decodeText(Buffer.concat(chunks), res.headers['content-encoding'])
