Send a stream that moves at once, and hold its answer until the server is proved

Expected: the wait for the word costs the time, not the search for the origin. Now the request is sent first, and the server is asked on a connection that opens after it, while it reads the prompt. Events are held until then (decideHeldRun). The engine that begins a stream is asked right after the first event, which proves the beginning for good: later moves and take-ups need not ask. A run that delivered nothing leaves no copy that is used, as it may be of another version.

--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -13,8 +13,13 @@
 	| Readonly<{kind: 'rejected'; reason: string}>
 	/** The request was written and may have run. */
 	| Readonly<{kind: 'lost'; reason: string}>
-	/** The backend server ran the request and reported a failure. */
-	| Readonly<{kind: 'failed'; reason: string}>;
+	/** The backend server ran the request and reported a failure, or its answer can't be used. */
+	| Readonly<{
+			kind: 'failed';
+			reason: string;
+			/** The cause is no fault of the backend server. */
+			isBlameless?: true;
+	  }>;
 
 /** State of a request after a failed attempt. */
 export type RetryInputs = Readonly<{
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -118,17 +118,16 @@
 	RetryCounts,
 } from './retry-budget.js';
 export {
-	decideProofWait,
-	MAX_PROOF_WAIT_MS,
-	MAX_QUESTION_PAUSE_MS,
+	decideHeldRun,
+	MAX_HOLD_MS,
 	proveIncarnation,
 } from './incarnation-proof.js';
 export type {
+	HeldRun,
+	HeldRunDecision,
 	IncarnationEvidence,
 	IncarnationProof,
 	IncarnationWord,
-	ProofWait,
-	ProofWaitDecision,
 } from './incarnation-proof.js';
 export {MAX_ORIGIN_KEEP_MS, parseOriginReports} from './origin-telling.js';
 export {
--- a/packages/lovage-gateway/src/beginning-check.ts
+++ b/packages/lovage-gateway/src/beginning-check.ts
@@ -24,6 +24,21 @@
 	return proof?.kind === 'replaced' ? proof.bornAt : undefined;
 }
 
+/**
+ * Proves which incarnation began a stream while it is still there to answer: the word
+ * that follows an event can't be that of an earlier one. A later move need not ask.
+ */
+export async function proveBeginning(
+	ctx: Pick<GatewayContext, 'clock' | 'incarnations' | 'origins'>,
+	backend: BackendRecord,
+	key: string,
+): Promise<void> {
+	const proof = await ctx.incarnations.ask(backend, ctx.clock.now());
+	if (proof.kind === 'proved') {
+		ctx.origins.confirmBeginning(key);
+	}
+}
+
 /**
  * Asks the backend server that began a stream whether it had started again by then,
  * which its registration may not show yet. One that has ended can't say it.
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -36,7 +36,10 @@
 	/** Routes of the newest configuration; undefined until one is known. */
 	readRouteTable: () => RouteTable | undefined;
 	/** Origins of the streams that this entry has delivered events of. */
-	origins: Pick<StreamOrigins, 'record' | 'recordTold' | 'find'>;
+	origins: Pick<
+		StreamOrigins,
+		'record' | 'recordTold' | 'confirmBeginning' | 'find'
+	>;
 	/** Address at which this instance connects to a backend server. */
 	resolveAddress: (backend: Pick<BackendRecord, 'address'>) => string;
 	/** Asks the control instances for the origin of a resumed stream. */
--- a/packages/lovage-gateway/src/incarnation-questions.ts
+++ b/packages/lovage-gateway/src/incarnation-questions.ts
@@ -4,62 +4,43 @@
 	type IncarnationProof,
 	type IncarnationWord,
 	proveIncarnation,
-	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
 import {askBackend} from './backend-command.js';
 import type {GatewayContext} from './context.js';
 
 /** Questions to backend servers about which incarnation they are. */
 export type IncarnationQuestions = Readonly<{
-	/** Asks a backend server, or joins the question that is open. */
-	ask: (backend: BackendRecord) => Promise<IncarnationProof>;
+	/**
+	 * Asks a backend server, or joins a question that is open if it was asked at
+	 * `since` or later, in monotonic milliseconds.
+	 */
+	ask: (backend: BackendRecord, since?: number) => Promise<IncarnationProof>;
 	/** Whether it left the last question without a word in time, a short while ago. */
 	wasSilent: (backend: BackendRecord) => boolean;
-	/** Usable backend servers of the same service and software version, in part. */
-	chooseOthers: (backend: BackendRecord) => readonly BackendRecord[];
 }>;
 
 /** Parts of the context that questions need. */
 export type QuestionsContext = Pick<
 	GatewayContext,
-	'clock' | 'codec' | 'view' | 'log' | 'resolveAddress' | 'random'
+	'clock' | 'codec' | 'view' | 'log' | 'resolveAddress'
 >;
 
+type Question = Readonly<{askedAt: number; proof: Promise<IncarnationProof>}>;
+
 /** Longer than a request waits, so that one that comes back may find the answer. */
 const QUESTION_TIMEOUT_MS = 2500;
-/** A gap between two ticks shows that the process stood still. */
-const TICK_MS = 50;
 /** Word later than this is too late for most requests. */
 const SLOW_MS = 600;
 /** Time for which a silent backend server is chosen last. */
 const SILENT_MEMORY_MS = 2000;
-const MAX_OTHERS = 3;
-
-/** Measures the longest gap between ticks until it is stopped. */
-function watchPauses(clock: GatewayContext['clock']): () => number {
-	let tickedAt = clock.now();
-	let pauseMs = 0;
-	const tick = (): void => {
-		const now = clock.now();
-		pauseMs = Math.max(pauseMs, now - tickedAt);
-		tickedAt = now;
-	};
-
-	const timer = setInterval(tick, TICK_MS);
-	return () => {
-		clearInterval(timer);
-		tick();
-		return pauseMs;
-	};
-}
 
 /** Creates the questions of an entry that has asked none. */
 export function createIncarnationQuestions(
 	ctx: QuestionsContext,
 ): IncarnationQuestions {
 	const {clock, codec, view} = ctx;
-	/** By incarnation. */
-	const open = new Map<string, Promise<IncarnationProof>>();
+	/** The newest question that is open, by incarnation. */
+	const open = new Map<string, Question>();
 	const silentAt = new Map<string, number>();
 
 	const listServing = (service: string): readonly BackendRecord[] =>
@@ -95,15 +76,17 @@
 	const runQuestion = async (
 		key: string,
 		backend: BackendRecord,
+		askedAt: number,
 	): Promise<IncarnationProof> => {
 		const slowTimer = setTimeout(() => {
 			silentAt.set(key, clock.now());
 		}, SLOW_MS);
-		const stopWatching = watchPauses(clock);
 		const word = await readWord(backend);
-		const pauseMs = stopWatching();
 		clearTimeout(slowTimer);
-		open.delete(key);
+		if (open.get(key)?.askedAt === askedAt) {
+			open.delete(key);
+		}
+
 		removeOld();
 		const proof = proveIncarnation({
 			registeredBornAt: backend.bornAt,
@@ -111,7 +94,6 @@
 				({bornAt}) => bornAt > 0,
 			),
 			word,
-			pauseMs,
 		});
 		if (proof.kind === 'unproved') {
 			silentAt.set(key, clock.now());
@@ -121,28 +103,21 @@
 	};
 
 	return {
-		async ask(backend) {
+		async ask(backend, since = Number.NEGATIVE_INFINITY) {
 			const key = createIncarnationKey(backend);
-			const question = open.get(key) ?? runQuestion(key, backend);
-			open.set(key, question);
-			return question;
+			const known = open.get(key);
+			if (known !== undefined && known.askedAt >= since) {
+				return known.proof;
+			}
+
+			const askedAt = clock.now();
+			const proof = runQuestion(key, backend, askedAt);
+			open.set(key, {askedAt, proof});
+			return proof;
 		},
 		wasSilent(backend) {
 			const at = silentAt.get(createIncarnationKey(backend));
 			return at !== undefined && clock.now() - at < SILENT_MEMORY_MS;
 		},
-		chooseOthers(backend) {
-			const others = listServing(backend.service).filter(
-				(other) =>
-					other.id !== backend.id &&
-					readSoftwareVersion(other) === readSoftwareVersion(backend) &&
-					view.readAvailability(other.id) === 'usable',
-			);
-			const start = Math.floor(ctx.random() * others.length);
-			return [...others.slice(start), ...others.slice(0, start)].slice(
-				0,
-				MAX_OTHERS,
-			);
-		},
 	};
 }
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -110,7 +110,10 @@
 
 				case 'failed': {
 					hasRun = true;
-					ctx.view.reportHealth(backend, 'failed');
+					if (failure.isBlameless !== true) {
+						ctx.view.reportHealth(backend, 'failed');
+					}
+
 					break;
 				}
 
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -401,8 +401,11 @@
 			});
 		}
 
-		// A run that did not start has left no copy.
-		const hasLeftCopy = failure.kind === 'lost' || failure.kind === 'failed';
+		// A run that did not start has left no copy, and one whose answer was held back
+		// may have left that of another version.
+		const hasLeftCopy =
+			(failure.kind === 'lost' || failure.kind === 'failed') &&
+			(failed.startedAt !== undefined || !placement.isBound());
 		switch (decision.kind) {
 			case 'retry': {
 				start({
--- a/packages/lovage-gateway/src/stream-origins.ts
+++ b/packages/lovage-gateway/src/stream-origins.ts
@@ -23,6 +23,8 @@
 		keepMs: number,
 		beginning: StreamBeginning | undefined,
 	) => void;
+	/** Records that the registered incarnation wrote the first event, which ends any doubt. */
+	confirmBeginning: (key: string) => void;
 	find: (key: string) => KnownOrigin | undefined;
 	/** Describes the origins recorded after a sequence number, the oldest first. */
 	createReport: (after: number) => OriginsUpdate;
@@ -40,7 +42,7 @@
 /** Origin of a stream as this entry knows it. */
 export type KnownOrigin = Readonly<{
 	origin: StreamOrigin;
-	/** Absent if another entry delivered the first event. */
+	/** Absent if it is proved, or if another entry delivered the first event. */
 	beginning?: StreamBeginning;
 	/** Another entry named another origin. */
 	isAmbiguous?: boolean;
@@ -154,6 +156,12 @@
 				recorded.set(key, {...known, isAmbiguous: true});
 			}
 		},
+		confirmBeginning(key) {
+			const known = recorded.get(key);
+			if (known !== undefined) {
+				recorded.set(key, {...known, beginning: undefined});
+			}
+		},
 		find: (key) => recorded.get(key),
 		createReport: (after) => describe([...recorded], after),
 		createTelling: (after, recordedBefore) =>
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -13,14 +13,15 @@
 	type ExchangeRequest,
 	openExchange,
 } from './backend-exchange.js';
+import {proveBeginning} from './beginning-check.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
 	type GatewayContext,
 } from './context.js';
-import {openCheckedExchange} from './incarnation-check.js';
 import type {KvCopy} from './kv-backup.js';
 import {choosePeer, chooseRelayPeer} from './peer-relay.js';
+import {openProvedExchange} from './proved-exchange.js';
 import {isDoubtful, readResumableMs} from './resume-location.js';
 import type {StreamAttempts} from './stream-attempts.js';
 import {createStreamKey} from './stream-origins.js';
@@ -54,8 +55,8 @@
 		hasEvents: boolean,
 	) => StreamTarget;
 	/**
-	 * Sends a run's request; that of a stream that is bound to a version only to the
-	 * incarnation that registered.
+	 * Sends a run's request; of a stream that is bound to a version, only the answer
+	 * of the incarnation that registered is used.
 	 */
 	openExchange: (
 		run: Run,
@@ -145,6 +146,9 @@
 				incarnation: createIncarnationKey(run.backend),
 				at: ctx.clock.wall(),
 			});
+			if (origin.softwareVersion !== '') {
+				void req.guard.settle(proveBeginning(ctx, run.backend, key));
+			}
 		},
 		isBound: () => origin !== undefined,
 		choose(previous, hasEvents) {
@@ -181,7 +185,7 @@
 				run.isRelayed || (origin?.softwareVersion ?? '') === '';
 			return isUnchecked
 				? openExchange(request, listener)
-				: openCheckedExchange(
+				: openProvedExchange(
 						ctx,
 						{
 							backend: run.backend,
