Open the circle of imports in lovage-gateway

Cause: context.ts names the parts that the context holds, and ten (by now eleven) files of these parts import the context. DrainGate.close announces an end and closes nothing, so it is announceEnd. No behaviour changes; a script over the imports finds no circle in this package any more (one of 11 files before; three pairs in other packages are older), types and lint pass.

--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -30,7 +30,7 @@
 } from '../../brittle-backends.js';
 import {createGateway, type Gateway} from '../../gateway.js';
 import {createNamedLimits, type NamedLimits} from '../../named-limits.js';
-import type {IncarnationQuestions} from '../../incarnation-questions.js';
+import type {IncarnationQuestions} from '../../context.js';
 import type {HeaderCodec} from '../../protocol.js';
 import {createRetryBudgets} from '../../retry-budgets.js';
 import {createStreamOrigins} from '../../stream-origins.js';
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -3,8 +3,9 @@
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
-import type {RequestGuard} from './request-guard.js';
-import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
+import type {RequestGuard} from './guard.js';
+import type {ProblemResponse} from './problem-response.js';
+import {RETRY_AFTER_MS} from './responses.js';
 import {toTimerMs} from './timer-range.js';
 
 /** Characters of a request target that Node.js accepts and doesn't send on. */
--- a/packages/lovage-gateway/src/answer-reader.ts
+++ b/packages/lovage-gateway/src/answer-reader.ts
@@ -8,7 +8,6 @@
 } from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isCutOffAnswer} from './peer-relay.js';
-import type {Run} from './stream-run.js';
 
 /** Who was asked, for which request. */
 export type AskedServer = Readonly<{
@@ -58,16 +57,6 @@
 	};
 }
 
-/** Describes the request of a run. */
-export function describeRun(
-	req: AcceptedRequest,
-	{isRelayed, address, backend, sentAt}: Run,
-): AskedServer {
-	return isRelayed
-		? describeAskedPeer(req, address)
-		: describeAsked(req, backend, sentAt);
-}
-
 function createFailure(
 	verdict: AnswerVerdict,
 	source: AskedServer['source'],
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import type {
 	BackendRecord,
+	IncarnationProof,
 	PlacementRequest,
 	StreamOrigin,
 } from '@lovagevalve/dispatch';
@@ -10,15 +11,31 @@
 import type {BackendReach} from './backend-reach.js';
 import type {AnswerTimes} from './answer-times.js';
 import type {BackendView} from './backend-view.js';
-import type {DrainGate} from './drain-gate.js';
 import type {CrashWatch} from './crash-watch.js';
-import type {IncarnationQuestions} from './incarnation-questions.js';
+import type {ProblemResponse} from './problem-response.js';
 import type {HeaderCodec, RequestMetadata} from './protocol.js';
-import type {RequestGuard} from './request-guard.js';
+import type {RequestGuard} from './guard.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {StreamOrigins} from './stream-origins.js';
 
+/** Questions to backend servers about which incarnation they are. */
+export type IncarnationQuestions = Readonly<{
+	/**
+	 * Asks a backend server, or joins a question that is open if it was asked at
+	 * `since` or later, in monotonic milliseconds.
+	 */
+	ask: (backend: BackendRecord, since?: number) => Promise<IncarnationProof>;
+	/** Whether it left the last question without a word in time, a short while ago. */
+	wasSilent: (backend: BackendRecord) => boolean;
+}>;
+
+/** Admission of requests while the entry drains. */
+export type DrainCheck = Readonly<{
+	/** Says why a request is refused; undefined if it may run. */
+	check: (req: AcceptedRequest) => ProblemResponse | undefined;
+}>;
+
 /** Dependencies shared by all requests at an entry. */
 export type GatewayContext = Readonly<{
 	clock: Clock;
@@ -29,7 +46,7 @@
 	retryBudgets: RetryBudgets;
 	answerTimes: Pick<AnswerTimes, 'record' | 'begin'>;
 	/** Admission of requests while this entry drains. */
-	drainGate: Pick<DrainGate, 'check'>;
+	drainGate: DrainCheck;
 	/** Returns a random number in [0, 1). */
 	random: () => number;
 	dataCentre: string;
--- a/packages/lovage-gateway/src/drain-gate.ts
+++ b/packages/lovage-gateway/src/drain-gate.ts
@@ -1,17 +1,15 @@
 import {decideDrainAdmission} from '@lovagevalve/dispatch';
 import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
 import type {AnswerTimes} from './answer-times.js';
-import type {AcceptedRequest} from './context.js';
+import type {DrainCheck} from './context.js';
 import {CUT_OFF_HEADER} from './peer-relay.js';
-import type {ProblemResponse} from './responses.js';
 
-/** Admission of requests while the entry drains. */
-export type DrainGate = Readonly<{
-	/** Announces the end of the process, in monotonic milliseconds. */
-	close: (endsAt: number) => void;
-	/** Says why a request is refused; undefined if it may run. */
-	check: (req: AcceptedRequest) => ProblemResponse | undefined;
-}>;
+/** Admission of requests to an entry that stops. */
+export type DrainGate = DrainCheck &
+	Readonly<{
+		/** Announces the end of the process, in monotonic milliseconds. */
+		announceEnd: (endsAt: number) => void;
+	}>;
 
 /** Dependencies of the gate. */
 export type DrainGateDependencies = Readonly<{
@@ -33,7 +31,7 @@
 }: DrainGateDependencies): DrainGate {
 	let endsAt: number | undefined;
 	return {
-		close(at) {
+		announceEnd(at) {
 			endsAt = at;
 		},
 		check({metadata, route, deadlineAt, isRelayed}) {
--- a/packages/lovage-gateway/src/drain.ts
+++ b/packages/lovage-gateway/src/drain.ts
@@ -6,7 +6,7 @@
 /** What is drained, and how much time there is for it. */
 export type DrainOptions = Readonly<{
 	gateway: Gateway;
-	gate: Pick<DrainGate, 'close'>;
+	gate: Pick<DrainGate, 'announceEnd'>;
 	/** Time from the stop signal to the forced end of the process, in milliseconds. */
 	gracePeriodMs: number;
 	/**
@@ -41,7 +41,7 @@
 	const marginMs = Math.min(STOP_MARGIN_MS, gracePeriodMs * STOP_MARGIN_SHARE);
 	const endsAt = stoppedAt + gracePeriodMs - marginMs;
 	const readLeftMs = (): number => Math.round(endsAt - clock.now());
-	gate.close(endsAt);
+	gate.announceEnd(endsAt);
 	gateway.open.disableKeepAlive();
 	log.info('Draining: no longer advertised to callers.', {
 		requests: gateway.countRequests(),
@@ -58,7 +58,7 @@
 	// the server stops listening.
 	await gateway.awaitIdle(readLeftMs());
 	// Requests on open connections can still arrive until the process exits.
-	gate.close(clock.now());
+	gate.announceEnd(clock.now());
 	const cutOff = gateway.open.list();
 	cutOff.slice(0, MAX_LOGGED_REQUESTS).forEach((request) => {
 		log.warn('The end of the process cuts a request.', {
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -6,18 +6,15 @@
 	type ServerResponse,
 } from 'node:http';
 import {acceptRequest, countHeaderBytes} from './accept-request.js';
-import {
-	endWithProblem,
-	RETRY_AFTER_MS,
-	sendProblem,
-	type ProblemResponse,
-} from './responses.js';
+import type {ProblemResponse} from './problem-response.js';
+import {endWithProblem, RETRY_AFTER_MS, sendProblem} from './responses.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
 import {CUT_OFF_HEADER} from './peer-relay.js';
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
-import {createRequestGuard, type RequestGuard} from './request-guard.js';
+import type {RequestGuard} from './guard.js';
+import {createRequestGuard} from './request-guard.js';
 import {isOriginsMessage, receiveOrigins} from './peer-origins.js';
 import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
--- a/packages/lovage-gateway/src/guard.ts
+++ b/packages/lovage-gateway/src/guard.ts
@@ -21,6 +21,13 @@
 	watch: (emitter: EventEmitter) => void;
 }>;
 
+/** Guard of one request of a caller: a fault ends this request only. */
+export type RequestGuard = Guard &
+	Readonly<{
+		/** Adds what releases the resources of the request after a fault. */
+		addCleanup: (cleanup: () => void) => void;
+	}>;
+
 /** Creates a guard; `onFault` receives what was thrown and must not throw itself. */
 export function createGuard(onFault: (error: unknown) => void): Guard {
 	const wrap: Guard['wrap'] =
--- a/packages/lovage-gateway/src/incarnation-questions.ts
+++ b/packages/lovage-gateway/src/incarnation-questions.ts
@@ -6,18 +6,7 @@
 	proveIncarnation,
 } from '@lovagevalve/dispatch';
 import {askBackend} from './backend-command.js';
-import type {GatewayContext} from './context.js';
-
-/** Questions to backend servers about which incarnation they are. */
-export type IncarnationQuestions = Readonly<{
-	/**
-	 * Asks a backend server, or joins a question that is open if it was asked at
-	 * `since` or later, in monotonic milliseconds.
-	 */
-	ask: (backend: BackendRecord, since?: number) => Promise<IncarnationProof>;
-	/** Whether it left the last question without a word in time, a short while ago. */
-	wasSilent: (backend: BackendRecord) => boolean;
-}>;
+import type {GatewayContext, IncarnationQuestions} from './context.js';
 
 /** Parts of the context that questions need. */
 export type QuestionsContext = Pick<
--- a/packages/lovage-gateway/src/request-guard.ts
+++ b/packages/lovage-gateway/src/request-guard.ts
@@ -1,16 +1,9 @@
 import type {ServerResponse} from 'node:http';
 import {describeError} from '@lovagevalve/runtime';
 import type {GatewayContext} from './context.js';
-import {createGuard, type Guard} from './guard.js';
+import {createGuard, type RequestGuard} from './guard.js';
 import {breakOff, sendProblem} from './responses.js';
 
-/** Guard of one request of a caller: a fault ends this request only. */
-export type RequestGuard = Guard &
-	Readonly<{
-		/** Adds what releases the resources of the request after a fault. */
-		addCleanup: (cleanup: () => void) => void;
-	}>;
-
 const FAULT = {status: 500, reason: 'unexpected error'};
 
 /** Answers a request that met a fault, or breaks its answer off. */
--- a/packages/lovage-gateway/src/resume-location.ts
+++ b/packages/lovage-gateway/src/resume-location.ts
@@ -8,7 +8,8 @@
 import {hasOtherBegun, hasUnregistered} from './beginning-check.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {OriginLookup} from './origin-lookup.js';
-import {RETRY_AFTER_MS, type ProblemResponse} from './responses.js';
+import type {ProblemResponse} from './problem-response.js';
+import {RETRY_AFTER_MS} from './responses.js';
 import {createStreamKey, type KnownOrigin} from './stream-origins.js';
 
 /** Longest time between a caller's deadline and its last resume. */
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -9,7 +9,7 @@
 	endWithProblem,
 	recordCompletion,
 } from './responses.js';
-import {describeRun, findAnswerFailure} from './answer-reader.js';
+import {findAnswerFailure} from './answer-reader.js';
 import {
 	type AcceptedRequest,
 	type GatewayContext,
@@ -29,6 +29,7 @@
 import {
 	createNoReservation,
 	createRun,
+	describeRun,
 	evaluateSilence,
 	probeRun,
 	type PreviousRun,
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -5,6 +5,11 @@
 	type StallAction,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
+import {
+	type AskedServer,
+	describeAsked,
+	describeAskedPeer,
+} from './answer-reader.js';
 import {probeAddress, type Exchange} from './backend-exchange.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {reportConfirmedCrash} from './crash-confirmation.js';
@@ -74,6 +79,16 @@
 	};
 }
 
+/** Describes the request of a run. */
+export function describeRun(
+	req: AcceptedRequest,
+	{isRelayed, address, backend, sentAt}: Run,
+): AskedServer {
+	return isRelayed
+		? describeAskedPeer(req, address)
+		: describeAsked(req, backend, sentAt);
+}
+
 /** The load of a run at another entry, which accounts for it. */
 export function createNoReservation(backend: BackendRecord): LoadReservation {
 	return {
