Admit calls to a draining entry by their deadline, not by those before them

What callers saw: in a planned stop, calls that came late in the grace were taken and passed on, and cut at its end without an answer, among them ones that may run once (LOST). Cause: an entry that drains takes what the longest of the latest answers of the route says will be over in time. That says nothing certain of the next call: beside many short ones a long one is cut. Read in the code: the gate is asked after the body was read, and queues, retries and relays end with the deadline; none of these takes longer than it. Now only streams that callers may take up are admitted by that estimate; all else by its own deadline, and refused at once as not run where that may fall behind the end.

--- a/packages/lovage-dispatch/src/drain-admission.ts
+++ b/packages/lovage-dispatch/src/drain-admission.ts
@@ -6,6 +6,8 @@
 	allowedMs: number;
 	/** Longest time that requests of its route took lately; absent if few were seen. */
 	longestMs?: number;
+	/** Whether its caller may take up an answer that is cut. */
+	isResumable: boolean;
 	/** Whether other instances take requests. */
 	hasOthers: boolean;
 }>;
@@ -25,18 +27,20 @@
 /**
  * Decides whether a draining instance takes a request. The end of the process cuts
  * whatever is under way, so it takes only what will be over by then, and refuses the
- * rest before any backend server has seen it.
+ * rest before any backend server has seen it. What other requests took says nothing
+ * certain about the next one, so it counts only where a cut answer can be taken up.
  */
 export function decideDrainAdmission({
 	leftMs,
 	allowedMs,
 	longestMs,
+	isResumable,
 	hasOthers,
 }: DrainInputs): DrainDecision {
-	const neededMs = Math.min(
-		allowedMs,
-		longestMs === undefined ? Infinity : longestMs * NEEDED_SHARE,
-	);
+	const neededMs =
+		isResumable && longestMs !== undefined
+			? Math.min(allowedMs, longestMs * NEEDED_SHARE)
+			: allowedMs;
 	return neededMs < leftMs
 		? {kind: 'accept', neededMs}
 		: {
--- a/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/planned-stop.test.ts
@@ -21,6 +21,10 @@
 const LONG_STREAM_EVENTS = 21;
 const SHORT_STREAM_EVENTS = 4;
 /** Answers that are held in memory and together fill the socket buffers of both sides. */
+/** Time that the callers of plain requests allow. */
+const CALL_DEADLINE_MS = 1500;
+/** Calls are sent each 100 ms, so this one would be cut at the end of the grace. */
+const FIRST_LONG_CALL = 16;
 const LARGE_ANSWERS = 60;
 const LARGE_BODY_BYTES = 250_000;
 const cleanups = createCleanups();
@@ -39,15 +43,24 @@
 }>;
 
 /** Sends a request for a stream; resolves when the answer ends or breaks off. */
-async function send(port: number, id: string, agent: Agent): Promise<Outcome> {
+async function send(
+	port: number,
+	id: string,
+	agent: Agent,
+	path = '/stream',
+): Promise<Outcome> {
 	return new Promise((resolve) => {
 		const req = request({
 			host: '127.0.0.1',
 			port,
-			path: `/stream/${id}`,
+			path: `${path}/${id}`,
 			method: 'POST',
 			agent,
-			headers: {Host: 'test', 'Request-Id': id, 'wait-ms': '15000'},
+			headers: {
+				Host: 'test',
+				'Request-Id': id,
+				'wait-ms': path === '/stream' ? '15000' : String(CALL_DEADLINE_MS),
+			},
 		});
 		req.on('error', () => {
 			resolve({id, status: 0, retryAfter: undefined, isWhole: false});
@@ -90,6 +103,14 @@
 				? Infinity
 				: LONG_STREAM_EVENTS;
 		ran.add(id);
+		if (id.startsWith('call')) {
+			const tookMs = Number(id.split('-').at(-1));
+			setTimeout(() => {
+				res.writeHead(200, {'Request-Id': id}).end('done');
+			}, tookMs);
+			return;
+		}
+
 		res.writeHead(200, {'Request-Id': id});
 		if (id.startsWith('large')) {
 			res.end('x'.repeat(LARGE_BODY_BYTES));
@@ -149,6 +170,37 @@
 		expect(cut).toEqual([]);
 	});
 
+	// Most calls of the route are short, so the long ones that came late were taken.
+	it('cuts no long call among short ones, and says so of what it does not run', async () => {
+		const {port, ran, stop} = await startSystem();
+		const agents = Array.from({length: 22}, createAgent);
+		await Promise.all(
+			agents.map(async (agent, i) =>
+				send(port, `call-before-${i}-20`, agent, '/once'),
+			),
+		);
+		// It keeps the entry from ending early.
+		const last = send(port, 'long-last', createAgent());
+		await sleep(50);
+		const stopped = stop();
+		const outcomes = await Promise.all(
+			agents.map(async (agent, i) => {
+				await sleep(i * 100);
+				const tookMs = i < FIRST_LONG_CALL ? 20 : 1200;
+				return send(port, `call-${i}-${tookMs}`, agent, '/once');
+			}),
+		);
+		await stopped;
+		expect(await last).toMatchObject({isWhole: true});
+		const taken = outcomes.filter(({id}) => ran.has(id));
+		expect(taken.length).toBeGreaterThan(0);
+		expect(taken.filter(({isWhole}) => !isWhole)).toEqual([]);
+		const refused = outcomes.filter(
+			({id, status}) => !ran.has(id) && status !== 0,
+		);
+		expect(refused.map(({status}) => status)).toEqual(refused.map(() => 503));
+	});
+
 	// A response whose head said keep-alive before the stop leaves its connection open.
 	it('refuses a stream on a connection that became free late', async () => {
 		const {port, ran, stop} = await startSystem();
--- a/packages/lovage-gateway/src/drain-gate.ts
+++ b/packages/lovage-gateway/src/drain-gate.ts
@@ -45,6 +45,7 @@
 				leftMs,
 				allowedMs: deadlineAt - now,
 				longestMs: answerTimes.readLongest(route.name),
+				isResumable: route.kind === 'stream' && route.isResumable,
 				hasOthers: hasOthers(),
 			});
 			metrics.count('drain_requests', {decision: decision.kind});
