Acknowledge a departure when enough instances have stored it

What callers saw: a backend server that had said that it leaves got requests until it ended (DRAIN), after the instance that had acknowledged it was killed with all others, and its disk was full, or was lost. Cause: a departure was on one disk at most when it was acknowledged; one that could not be written was acknowledged all the same. Now it needs one copy more than disks may be lost at once: the others store it before they answer gossip, and with too few copies within 0.4 s the answer is 503, so that the backend server asks another instance. A repeated departure is checked as well. Instances of an earlier build answer without saying so; their memory counts.

--- a/packages/lovage-coordinator/src/__tests__/integration/departure-store.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/departure-store.test.ts
@@ -50,7 +50,8 @@
 describe('a departure that was acknowledged', () => {
 	it('is known after a restart, with the time in between', async () => {
 		const folder = await createFolder();
-		await createTestStore(folder, 10_000, [departure]).store();
+		const before = createTestStore(folder, 10_000, [departure]);
+		expect(await before.store()).toBe(true);
 		const {ageMs, ...rest} = departure;
 		expect(await createTestStore(folder, 11_000).load()).toEqual([
 			{...rest, heardAt: 500_000 - 1000 - ageMs},
@@ -73,11 +74,12 @@
 		expect(await createTestStore(folder, 10_000).load()).toHaveLength(2);
 	});
 
-	it('is acknowledged with a line in the log if the disk fails', async () => {
+	it('counts as not stored, with a line in the log, if the disk fails', async () => {
 		const warnings: string[] = [];
 		const file = path.join(await createFolder(), 'no-folder');
 		await writeFile(file, '');
-		await createTestStore(file, 10_000, [departure], warnings).store();
+		const store = createTestStore(file, 10_000, [departure], warnings);
+		expect(await store.store()).toBe(false);
 		expect(warnings).toEqual(['Failed to store which backend servers leave.']);
 	});
 
--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {BackendRecord} from '@lovagevalve/dispatch';
 import type {PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createCoordinator, type Coordinator} from '../../index.js';
@@ -174,6 +175,31 @@
 		await waitUntil(async () => (await readVersion(again[0]!)) === 8);
 	});
 
+	// A departure that only one instance knew was acknowledged, and lost with it.
+	it('acknowledges a departure only while another instance stores it too', async () => {
+		const starts = await startGroup();
+		const group = await Promise.all(starts.map(start));
+		const record: BackendRecord = {
+			id: 'e-1',
+			service: 'model',
+			address: '127.0.0.1:9',
+			dataCentre: 'a',
+			state: 'ready',
+			slots: 4,
+			bornAt: 1000,
+			sequence: 1,
+			heardAt: clock.now(),
+		};
+		const gone: BackendRecord = {...record, state: 'gone', sequence: 2};
+		expect(await group[0]!.register(record)).toBe(true);
+		await Promise.all(group.slice(1).map(stop));
+		expect(await group[0]!.register(gone)).toBe(false);
+		// It is no more acknowledged for being sent again.
+		expect(await group[0]!.register(gone)).toBe(false);
+		await start({...starts[1]!, isFirstStart: false});
+		expect(await group[0]!.register(gone)).toBe(true);
+	});
+
 	// The instance that stopped stayed a voter, so that three of four had to answer.
 	it('survives the loss of a disk right after a replaced instance has stopped', async () => {
 		const starts = await startGroup();
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -2,10 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	type BackendRecord,
-	type ControlReport,
-	type EntryReport,
-	type MergeOutcome,
 	readSoftwareVersion,
+	toAgedRecord,
 } from '@lovagevalve/dispatch';
 import {
 	type Clock,
@@ -22,22 +20,16 @@
 import type {Result} from 'neverthrow';
 import {createCrashQuarantine} from './crash-quarantine.js';
 import {createDepartureFile, createDepartureStore} from './departure-store.js';
+import {createDepartures} from './departures.js';
 import {
 	decodeDepartureOutcome,
-	decodeDeparture,
-	decodeGossip,
-	decodeJoiningMember,
-	decodeOriginQuery,
-	decodeProposal,
+	decodeGossipOutcome,
 	decodeProposeOutcome,
-	decodeRaftDelivery,
 	decodeReadOutcome,
 	type Gossip,
 	type ReadOutcome,
-	type ReceivedGossip,
 } from './decode-messages.js';
-import {decodeReport} from './decode-report.js';
-import {createGroupJoiner, type ReplicaStatus} from './group-joiner.js';
+import {createGroupJoiner} from './group-joiner.js';
 import {createInstanceCalls} from './instance-calls.js';
 import {createQuarantineFile} from './quarantine-file.js';
 import {createRaftTransport} from './raft-transport.js';
@@ -92,8 +84,11 @@
 	 */
 	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
 	readConfiguration: () => Promise<ReadOutcome>;
-	/** Merges a registration; resolves once a departure is stored. */
-	register: (record: BackendRecord) => Promise<MergeOutcome>;
+	/**
+	 * Merges a registration; resolves with whether it may be acknowledged, for a
+	 * departure once enough instances have stored it.
+	 */
+	register: (record: BackendRecord) => Promise<boolean>;
 	find: (id: string) => BackendRecord | undefined;
 	/** Entries that callers may connect to. */
 	listServing: () => readonly KnownEntry[];
@@ -174,7 +169,7 @@
 		{clock, log},
 		createQuarantineFile(settings.dataFolder),
 	);
-	const departures = createDepartureStore({
+	const departureStore = createDepartureStore({
 		clock,
 		log,
 		file: createDepartureFile(settings.dataFolder),
@@ -182,9 +177,9 @@
 			registry.listBackends().filter(({state}) => state !== 'ready'),
 	});
 	const restoreDepartures = async (): Promise<void> => {
-		const records = await departures.load();
+		const records = await departureStore.load();
 		registry.restore(records);
-		sendGossip({backends: registry.takePendingGossip()});
+		void sendGossip({backends: registry.takePendingGossip()});
 	};
 
 	let loggedVersion = 0;
@@ -297,12 +292,21 @@
 			: {kind: 'found', configuration};
 	};
 
+	const departures = createDepartures({
+		log,
+		store: departureStore,
+		tolerated: settings.tolerated ?? DEFAULT_TOLERATED,
+		find: registry.find,
+		tellOthers: (record) =>
+			sendGossip({backends: [toAgedRecord(record, clock.now())]}),
+	});
 	const handleCall = createInstanceCalls({
 		log,
 		metrics,
 		replica,
 		registry,
 		quarantine,
+		keepDepartures: departures.keep,
 		readStatus: groupJoiner.readStatus,
 		readVersion,
 		readLocally,
@@ -329,27 +333,34 @@
 	let gossipRound = 0;
 	const gossip = (): void => {
 		registry.removeExpired();
+		departures.removeExpired();
 		inBackground(quarantine.maintain);
 		inBackground(versions.maintain);
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
 		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
 		if (isFull) {
-			sendGossip({
+			void sendGossip({
 				backends: registry.listBackends(),
 				convictedMs: quarantine.listConvictions(),
 			});
 		} else if (pendingGossip.length > 0) {
-			sendGossip({backends: pendingGossip});
+			void sendGossip({backends: pendingGossip});
 		}
 	};
 
-	const sendGossip = (message: Gossip): void => {
-		listPeers().forEach((peer) => {
+	/** Each resolves with whether the departures of the message are stored there. */
+	const sendGossip = (message: Gossip): ReadonlyArray<Promise<boolean>> =>
+		listPeers().map(async (peer) => {
 			// Failures are not logged: the next full round sends the same records.
-			void client.call(peer, '/gossip', message, GOSSIP_TIMEOUT_MS);
+			const answer = await client.call<unknown>(
+				peer,
+				'/gossip',
+				message,
+				GOSSIP_TIMEOUT_MS,
+			);
+			return answer.andThen(decodeGossipOutcome).unwrapOr(false);
 		});
-	};
 
 	const timers = [
 		setInterval(() => {
@@ -399,22 +410,17 @@
 			const isNewVersion =
 				!versions.isKnown(record.service, version) ||
 				(previous !== undefined && readSoftwareVersion(previous) !== version);
-			const outcome = registry.register(record);
-			const isDeparture =
-				(outcome === 'changed' || outcome === 'added') &&
-				record.state !== 'ready';
-			if (isDeparture || isNewVersion) {
-				// A departure must reach every entry while the backend server still
-				// serves requests, and a version all control instances before it begins
-				// streams.
-				sendGossip({backends: registry.takePendingGossip()});
+			registry.register(record);
+			if (isNewVersion) {
+				// All control instances must know a version before it begins streams.
+				void sendGossip({backends: registry.takePendingGossip()});
 			}
 
-			if (isDeparture) {
-				await departures.store();
-			}
-
-			return outcome;
+			const known = registry.find(record.id);
+			const isOutdated = known?.bornAt !== record.bornAt;
+			return (
+				record.state === 'ready' || isOutdated || departures.confirm(known)
+			);
 		},
 		find: registry.find,
 		listServing: registry.listServing,
--- a/packages/lovage-coordinator/src/decode-messages.ts
+++ b/packages/lovage-coordinator/src/decode-messages.ts
@@ -140,6 +140,17 @@
 	});
 }
 
+/**
+ * Checks the answer to gossip: whether the departures in it are stored there. An
+ * instance of an earlier build doesn't say, and has them in memory.
+ */
+export function decodeGossipOutcome(value: unknown): Result<boolean, string> {
+	const {isStored = true} = isJsonObject(value) ? value : {};
+	return typeof isStored === 'boolean'
+		? ok(isStored)
+		: err('malformed outcome');
+}
+
 /** Checks the leader's answer to a proposal. */
 export function decodeProposeOutcome(
 	value: unknown,
--- a/packages/lovage-coordinator/src/departure-store.ts
+++ b/packages/lovage-coordinator/src/departure-store.ts
@@ -19,8 +19,8 @@
 export type DepartureStore = Readonly<{
 	/** Reads the departures that were known before a restart. */
 	load: () => Promise<readonly BackendRecord[]>;
-	/** Resolves when the current departures are durable, or the disk takes too long. */
-	store: () => Promise<void>;
+	/** Resolves with whether the current departures are durable; false also if the disk takes too long. */
+	store: () => Promise<boolean>;
 }>;
 
 /** Dependencies of a store. */
@@ -74,10 +74,10 @@
 	listDepartures,
 }: DepartureStoreOptions): DepartureStore {
 	/** The write under way, and the one that follows it. */
-	let running: Promise<void> | undefined;
-	let next: Promise<void> | undefined;
+	let running: Promise<boolean> | undefined;
+	let next: Promise<boolean> | undefined;
 
-	const save = async (): Promise<void> => {
+	const save = async (): Promise<boolean> => {
 		const saved = await file.save({
 			at: clock.wall(),
 			records: listDepartures(),
@@ -87,19 +87,24 @@
 				reason: saved.error,
 			});
 		}
+
+		return saved.isOk();
 	};
 
-	const saveAfter = async (previous: Promise<void>): Promise<void> => {
+	const saveAfter = async (
+		previous: Promise<boolean> | undefined,
+	): Promise<boolean> => {
 		await previous;
 		next = undefined;
 		running = save();
-		await running;
+		const isSaved = await running;
 		running = undefined;
+		return isSaved;
 	};
 
-	const saveSoon = async (): Promise<void> => {
-		next ??= saveAfter(running ?? Promise.resolve());
-		await next;
+	const saveSoon = async (): Promise<boolean> => {
+		next ??= saveAfter(running);
+		return next;
 	};
 
 	return {
@@ -126,10 +131,11 @@
 			const outcome = await Promise.race([saveSoon(), limit]);
 			clearTimeout(timer);
 			if (outcome === 'late') {
-				log.warn('A departure was acknowledged before it is durable.', {
-					afterMs: MAX_STORE_MS,
-				});
+				log.warn('A departure is not durable yet.', {afterMs: MAX_STORE_MS});
+				return false;
 			}
+
+			return outcome;
 		},
 	};
 }
--- a/packages/lovage-coordinator/src/instance-calls.ts
+++ b/packages/lovage-coordinator/src/instance-calls.ts
@@ -1,4 +1,8 @@
-import type {ControlReport, EntryReport} from '@lovagevalve/dispatch';
+import type {
+	BackendRecord,
+	ControlReport,
+	EntryReport,
+} from '@lovagevalve/dispatch';
 import type {
 	JsonResponse,
 	Logger,
@@ -28,6 +32,8 @@
 	replica: Replica;
 	registry: Registry;
 	quarantine: CrashQuarantine;
+	/** Stores departures; resolves with whether all are durable here. */
+	keepDepartures: (records: readonly BackendRecord[]) => Promise<boolean>;
 	readStatus: () => ReplicaStatus;
 	/** Version of the newest configuration that is known here. */
 	readVersion: () => number;
@@ -50,6 +56,7 @@
 	replica,
 	registry,
 	quarantine,
+	keepDepartures,
 	readStatus,
 	readVersion,
 	readLocally,
@@ -84,11 +91,11 @@
 		return {status: 200, body: await handle(message.value)};
 	};
 
-	const handleGossip = ({
+	const handleGossip = async ({
 		backends,
 		convictedMs,
 		unusable,
-	}: ReceivedGossip): void => {
+	}: ReceivedGossip): Promise<Readonly<{isStored: boolean}>> => {
 		if (unusable > 0) {
 			log.warn('Left out backend servers that no request can be sent to.', {
 				unusable,
@@ -97,6 +104,12 @@
 
 		registry.merge(backends);
 		quarantine.mergeConvictions(convictedMs);
+		// A newer incarnation may be known here by now.
+		const departing = backends.flatMap(({id, bornAt, state}) => {
+			const known = registry.find(id);
+			return state !== 'ready' && known?.bornAt === bornAt ? [known] : [];
+		});
+		return {isStored: await keepDepartures(departing)};
 	};
 
 	return async (path, body) => {
