Leave no file open when a disk refuses a write

Node.js closes such handles when it collects them, with a warning, and at an unknown time. Found by reading for the report on full disks; that it explains the report is not shown.

--- a/packages/lovage-storage/src/disk-store.ts
+++ b/packages/lovage-storage/src/disk-store.ts
@@ -12,7 +12,7 @@
 import {joinPath, getGenerationFiles} from './file-names.js';
 import {toError} from './store-error.js';
 import {encodeRecord} from './record.js';
-import {createFileAtomically} from './atomic-file.js';
+import {closeQuietly, createFileAtomically} from './atomic-file.js';
 
 /** Callbacks of a store. */
 export type StoreListener = Readonly<{
@@ -145,6 +145,8 @@
 			// After a failed sync the content on disk is unknown, so the write must not be retried.
 			isStopped = true;
 			queue = [];
+			// A disk that stays full for long must not use up the descriptors.
+			await closeQuietly(file);
 			listener.onFailure(toError(error));
 		}
 
@@ -162,8 +164,10 @@
 		},
 		async close() {
 			await writeLoop;
-			isStopped = true;
-			await file.close();
+			if (!isStopped) {
+				isStopped = true;
+				await file.close();
+			}
 		},
 	};
 }
