--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -21,6 +21,7 @@
 	createPeerRecord,
 	createRelayHeaders,
 } from './peer-relay.js';
+import {createRunWatch} from './run-watch.js';
 import {createStreamAttempts} from './stream-attempts.js';
 import {createStreamDelivery} from './stream-delivery.js';
 import {createEventRelay} from './stream-events.js';
@@ -30,8 +31,6 @@
 	createNoReservation,
 	createRun,
 	describeRun,
-	evaluateSilence,
-	probeRun,
 	type PreviousRun,
 	type Run,
 } from './stream-run.js';
@@ -369,9 +368,6 @@
 		decideNextRun(current, failure);
 	};
 
-	const isPossiblyAlive = ({probe, backend}: Run): boolean =>
-		probe !== 'dead' && ctx.view.readAvailability(backend.id) !== 'unreachable';
-
 	/** Starts the next run after a failed one, waits for the budget, or gives up. */
 	const decideNextRun = (
 		failed: Run,
@@ -447,56 +443,13 @@
 		}
 	};
 
-	const probe = async (current: Run): Promise<void> => {
-		await probeRun(ctx, current);
-		tick();
-	};
-
-	const tick = (): void => {
-		const current = run;
-		if (
-			isEnded ||
-			delivery.isPaused() ||
-			!canRepeat ||
-			current === undefined ||
-			current.isClosed
-		) {
-			return;
-		}
-
-		const hasEvents = delivery.readLastEventId() !== undefined;
-		const silentMs = ctx.clock.now() - current.lastEventAt;
-		const decision = evaluateSilence(ctx, req, current, hasEvents);
-		switch (decision) {
-			case 'wait': {
-				if (current.startedAt !== undefined) {
-					current.kvBackup.refresh();
-				}
-
-				if (current.probe === 'alive' && silentMs < route.gapTargetMs / 2) {
-					current.probe = 'none';
-				}
-
-				break;
-			}
-
-			case 'probe': {
-				void guard.settle(probe(current));
-				break;
-			}
-
-			case 'move': {
-				// A slow run is better than none.
-				if (isPossiblyAlive(current) && !attempts.canReplaceRun()) {
-					break;
-				}
-
-				const reason = `silent for ${Math.round(silentMs)} ms, probe ${current.probe}`;
-				handleRunFailure(current, {kind: 'lost', reason});
-				break;
-			}
-		}
-	};
+	const watch = createRunWatch(ctx, req, {
+		delivery,
+		attempts,
+		onSilent(current, reason) {
+			handleRunFailure(current, {kind: 'lost', reason});
+		},
+	});
 
 	const deadlineTimer = setTimeout(
 		guard.wrap(() => {
@@ -515,6 +468,10 @@
 		start: guard.wrap(() => {
 			start();
 		}),
-		tick: guard.wrap(tick),
+		tick: guard.wrap(() => {
+			if (run !== undefined) {
+				watch.check(run);
+			}
+		}),
 	};
 }
