Open one probe at a time to a backend server

Cause: each silent run probes its server by itself, each 0.4 s. 240 streams that wait for their first event open hundreds of connections a second to servers that accept slowly, so the queues of connections fill up and nobody connects: probes are what brings the servers down. Now an entry has one probe open to an address, which all of its runs join; a question about the incarnation that has to follow the open one is asked once for all who wait. In calm both take a millisecond, so nothing is shared there and nothing is found later.

--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -33,6 +33,7 @@
 import type {IncarnationQuestions} from '../../context.js';
 import type {HeaderCodec} from '../../protocol.js';
 import {createRetryBudgets} from '../../retry-budgets.js';
+import {createSharedProbes} from '../../shared-probes.js';
 import {createStreamOrigins} from '../../stream-origins.js';
 
 const noop = (): undefined => undefined;
@@ -274,6 +275,7 @@
 		readRouteTable: () => routeTable,
 		resolveAddress: ({address}) => address,
 		incarnations,
+		probe: createSharedProbes(),
 		reach: {isCutOff: () => isCutOff, confirm: async () => isCutOff},
 		listRelays: () => peers,
 		origins: createStreamOrigins(clock),
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -17,6 +17,7 @@
 import type {RequestGuard} from './guard.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
+import type {Probe} from './shared-probes.js';
 import type {StreamOrigins} from './stream-origins.js';
 
 /** Questions to backend servers about which incarnation they are. */
@@ -62,6 +63,8 @@
 	/** Asks the control instances for the origin of a resumed stream. */
 	lookUpOrigin: (query: OriginQuery) => Promise<OriginLookup>;
 	incarnations: IncarnationQuestions;
+	/** Checks whether a backend server accepts a new connection. */
+	probe: Probe;
 	reach: Pick<BackendReach, 'isCutOff' | 'confirm'>;
 	/** Addresses of entries that can take over requests, the nearest first. */
 	listRelays: () => readonly string[];
--- a/packages/lovage-gateway/src/crash-confirmation.ts
+++ b/packages/lovage-gateway/src/crash-confirmation.ts
@@ -1,5 +1,4 @@
 import type {BackendRecord} from '@lovagevalve/dispatch';
-import {probeAddress} from './backend-exchange.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 
 /**
@@ -13,11 +12,11 @@
  * only late with accepting a connection; resolves with whether it crashed.
  */
 export async function reportConfirmedCrash(
-	ctx: Pick<GatewayContext, 'crashes' | 'resolveAddress'>,
+	ctx: Pick<GatewayContext, 'crashes' | 'probe' | 'resolveAddress'>,
 	req: AcceptedRequest,
 	backend: BackendRecord,
 ): Promise<boolean> {
-	const isAlive = await probeAddress(
+	const isAlive = await ctx.probe(
 		ctx.resolveAddress(backend),
 		CONFIRMATION_TIMEOUT_MS,
 	);
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -34,6 +34,7 @@
 import {createEntryPeers} from './entry-peers.js';
 import {startPeerOrigins} from './peer-origins.js';
 import {createRetryBudgets} from './retry-budgets.js';
+import {createSharedProbes} from './shared-probes.js';
 import {createStreamOrigins} from './stream-origins.js';
 
 /** Settings of an entry instance. */
@@ -187,6 +188,7 @@
 		origins,
 		resolveAddress,
 		incarnations,
+		probe: createSharedProbes(),
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
 	};
 	const gateway = createGateway(ctx);
--- a/packages/lovage-gateway/src/incarnation-questions.ts
+++ b/packages/lovage-gateway/src/incarnation-questions.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	type BackendRecord,
 	createIncarnationKey,
@@ -14,12 +15,19 @@
 	'clock' | 'codec' | 'view' | 'log' | 'resolveAddress'
 >;
 
-type Question = Readonly<{askedAt: number; proof: Promise<IncarnationProof>}>;
+type Question = {
+	readonly askedAt: number;
+	readonly proof: Promise<IncarnationProof>;
+	/** The question that follows it, for those who need a later one. */
+	next?: Promise<IncarnationProof>;
+};
 
 /** Longer than a request waits, so that one that comes back may find the answer. */
 const QUESTION_TIMEOUT_MS = 2500;
 /** Word later than this is too late for most requests. */
 const SLOW_MS = 600;
+/** A question whose connection has fallen silent doesn't hold the next one up for longer. */
+const MAX_TURN_MS = 250;
 /** Time for which a silent backend server is chosen last. */
 const SILENT_MEMORY_MS = 2000;
 
@@ -91,18 +99,40 @@
 		return proof;
 	};
 
+	const start = async (
+		key: string,
+		backend: BackendRecord,
+	): Promise<IncarnationProof> => {
+		const askedAt = clock.now();
+		const proof = runQuestion(key, backend, askedAt);
+		open.set(key, {askedAt, proof});
+		return proof;
+	};
+
+	const startAfter = async (
+		{proof}: Question,
+		key: string,
+		backend: BackendRecord,
+	): Promise<IncarnationProof> => {
+		await Promise.race([proof, sleep(MAX_TURN_MS)]);
+		return start(key, backend);
+	};
+
 	return {
 		async ask(backend, since = Number.NEGATIVE_INFINITY) {
 			const key = createIncarnationKey(backend);
 			const known = open.get(key);
-			if (known !== undefined && known.askedAt >= since) {
+			if (known === undefined) {
+				return start(key, backend);
+			}
+
+			if (known.askedAt >= since) {
 				return known.proof;
 			}
 
-			const askedAt = clock.now();
-			const proof = runQuestion(key, backend, askedAt);
-			open.set(key, {askedAt, proof});
-			return proof;
+			// A server that answers slowly is asked once for all who wait.
+			known.next ??= startAfter(known, key, backend);
+			return known.next;
 		},
 		wasSilent(backend) {
 			const at = silentAt.get(createIncarnationKey(backend));
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -10,7 +10,7 @@
 	describeAsked,
 	describeAskedPeer,
 } from './answer-reader.js';
-import {probeAddress, type Exchange} from './backend-exchange.js';
+import type {Exchange} from './backend-exchange.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {reportConfirmedCrash} from './crash-confirmation.js';
 import type {KvCopy, KvBackup} from './kv-backup.js';
@@ -104,7 +104,7 @@
 /** Probes whether the backend server of a silent run accepts connections. */
 export async function probeRun(ctx: GatewayContext, run: Run): Promise<void> {
 	run.probe = 'pending';
-	const isAlive = await probeAddress(run.address);
+	const isAlive = await ctx.probe(run.address);
 	run.probe = isAlive ? 'alive' : 'dead';
 	run.probedAt = ctx.clock.now();
 	if (!isAlive) {
@@ -127,7 +127,7 @@
 
 	const runningMs =
 		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
-	const isAlive = probe !== 'dead' && (await probeAddress(address));
+	const isAlive = probe !== 'dead' && (await ctx.probe(address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 	return (
 		!isAlive &&
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -9,7 +9,6 @@
 	endWithProblem,
 	recordCompletion,
 } from './responses.js';
-import {probeAddress} from './backend-exchange.js';
 import {reportConfirmedCrash} from './crash-confirmation.js';
 import {
 	type AcceptedRequest,
@@ -61,7 +60,7 @@
 		}
 
 		case 'lost': {
-			const isAlive = await probeAddress(ctx.resolveAddress(backend));
+			const isAlive = await ctx.probe(ctx.resolveAddress(backend));
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
 				// The retry doesn't wait for it.
