--- a/packages/lovage-coordinator/src/__tests__/unit/departure-copies.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/departure-copies.test.ts
@@ -12,7 +12,7 @@
 	[1, 2, 2],
 	[2, 4, 3],
 	[0, 2, 1],
-	// A group of one has nobody else to ask.
+	// A group of one has no other instance.
 	[1, 0, 1],
 ])(
 	'with %i disks that may be lost and %i others, %i copies are required',
