--- a/packages/lovage-gateway/src/proved-exchange.ts
+++ b/packages/lovage-gateway/src/proved-exchange.ts
@@ -40,7 +40,7 @@
 };
 
 /** Logs and counts that a backend server's answer is not used. */
-function recordLeft(
+function recordUnusedAnswer(
 	{log, metrics}: GatewayContext,
 	{backend, requestId}: ProvedRun,
 	proof: IncarnationProof | undefined,
@@ -123,7 +123,7 @@
 			}
 
 			case 'leave': {
-				recordLeft(ctx, run, proof, clock.now() - sentAt);
+				recordUnusedAnswer(ctx, run, proof, clock.now() - sentAt);
 				const {reason, isReplaced} = decision;
 				leave(
 					isReplaced
