Show memory, buffered bytes and the delay of the event loop

A line for each tenth of the memory limit from the fifth on, with the heap and the bytes that are buffered, and one when the event loop stood still for 250 ms; gauges of resident memory, buffered bytes and the delay, each with its peak. The bound of the buffered bytes over all connections is decided in memory-budget.ts and kept by buffer-budget.ts; nothing asks it yet. Property test: whoever asks for how much, the peak stays below the capacity, and a holder that comes last still gets 64 KB on a budget of 30 MB.

--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendRecord} from '@lovagevalve/dispatch';
-import type {PrometheusMetrics} from '@lovagevalve/runtime';
+import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createCoordinator, type Coordinator} from '../../index.js';
 
@@ -16,6 +16,11 @@
 	registerGauge: noop,
 	serve: noop,
 } as unknown as PrometheusMetrics;
+const buffers = createBufferBudget({
+	capacityBytes: 2 ** 30,
+	log,
+	metrics,
+});
 const clock = {now: () => performance.now(), wall: () => Date.now()};
 const folders: string[] = [];
 const running = new Set<Coordinator>();
@@ -64,7 +69,7 @@
 			registrationIntervalMs: 1000,
 			readSeeds: () => seeds,
 		},
-		{clock, log, metrics, random: Math.random},
+		{clock, log, metrics, buffers, random: Math.random},
 	);
 	await new Promise<void>((resolve) => {
 		coordinator.server.listen(port, '127.0.0.1', resolve);
--- a/packages/lovage-coordinator/src/__tests__/integration/malformed-files.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/malformed-files.test.ts
@@ -2,7 +2,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {PrometheusMetrics} from '@lovagevalve/runtime';
+import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterAll, expect, it} from 'vitest';
 import {createCoordinator, type Coordinator} from '../../index.js';
 
@@ -13,6 +13,11 @@
 	registerGauge: noop,
 	serve: noop,
 } as unknown as PrometheusMetrics;
+const buffers = createBufferBudget({
+	capacityBytes: 2 ** 30,
+	log: {debug: noop, info: noop, warn: noop, error: noop},
+	metrics,
+});
 const clock = {now: () => performance.now(), wall: () => Date.now()};
 const ADDRESS = '127.0.0.1:19472';
 const deep = '['.repeat(500_000) + ']'.repeat(500_000);
@@ -69,6 +74,7 @@
 			clock,
 			log: {debug: write, info: write, warn: write, error: write},
 			metrics,
+			buffers,
 			random: Math.random,
 		},
 	);
--- a/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
@@ -8,7 +8,7 @@
 	type ControlReport,
 	fromAgedRecord,
 } from '@lovagevalve/dispatch';
-import type {PrometheusMetrics} from '@lovagevalve/runtime';
+import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {createCoordinator, type Coordinator} from '../../index.js';
 
@@ -20,6 +20,11 @@
 	registerGauge: noop,
 	serve: noop,
 } as unknown as PrometheusMetrics;
+const buffers = createBufferBudget({
+	capacityBytes: 2 ** 30,
+	log,
+	metrics,
+});
 const clock = {now: () => performance.now(), wall: () => Date.now()};
 const ADDRESS = '127.0.0.1:19471';
 
@@ -38,7 +43,7 @@
 			registrationIntervalMs: 1000,
 			readSeeds: () => [ADDRESS],
 		},
-		{clock, log, metrics, random: Math.random},
+		{clock, log, metrics, buffers, random: Math.random},
 	);
 	await new Promise<void>((resolve) => {
 		coordinator.server.listen(0, '127.0.0.1', resolve);
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -6,6 +6,7 @@
 	toAgedRecord,
 } from '@lovagevalve/dispatch';
 import {
+	type BufferBudget,
 	type Clock,
 	createJsonServer,
 	createPeerClient,
@@ -71,6 +72,8 @@
 	clock: Clock;
 	log: Logger;
 	metrics: PrometheusMetrics;
+	/** Bytes that the process buffers over all its connections. */
+	buffers: BufferBudget;
 	random: () => number;
 }>;
 
--- a/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
@@ -13,6 +13,7 @@
 	silentMetrics,
 	startBackend,
 	testCodec,
+	createTestBuffers,
 } from './harness.js';
 
 const cleanups = createCleanups();
@@ -72,6 +73,7 @@
 			clock: {now: () => performance.now(), wall: () => Date.now()},
 			log: silentLogger,
 			metrics: silentMetrics,
+			buffers: createTestBuffers(),
 			codec: testCodec,
 			random: () => 0,
 			decodeConfiguration(text) {
--- a/packages/lovage-gateway/src/__tests__/integration/foreign-reports.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/foreign-reports.test.ts
@@ -12,6 +12,7 @@
 	silentMetrics,
 	startBackend,
 	testCodec,
+	createTestBuffers,
 } from './harness.js';
 
 const cleanups = createCleanups();
@@ -120,6 +121,7 @@
 				clock: {now: () => performance.now(), wall: () => Date.now()},
 				log: silentLogger,
 				metrics: silentMetrics,
+				buffers: createTestBuffers(),
 				codec: testCodec,
 				random: () => 0,
 				decodeConfiguration: () => ok(configuration),
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -21,7 +21,13 @@
 	type Route,
 	type RouteKind,
 } from '@lovagevalve/routing';
-import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import {
+	type BufferBudget,
+	type Clock,
+	createBufferBudget,
+	type Logger,
+	type PrometheusMetrics,
+} from '@lovagevalve/runtime';
 import {createAnswerTimes} from '../../answer-times.js';
 import {type BackendView, createBackendView} from '../../backend-view.js';
 import {
@@ -77,6 +83,15 @@
 	serve: () => createHttpServer(),
 };
 
+/** Buffers of a test that reaches no bound of them. */
+export function createTestBuffers(capacityBytes = 2 ** 30): BufferBudget {
+	return createBufferBudget({
+		capacityBytes,
+		log: silentLogger,
+		metrics: silentMetrics,
+	});
+}
+
 /** Header names that the fake backend servers use. */
 export const testCodec: HeaderCodec = {
 	readRequest: (headers) => ({
@@ -260,6 +275,7 @@
 		clock,
 		log: silentLogger,
 		metrics: silentMetrics,
+		buffers: createTestBuffers(),
 		codec,
 		view,
 		retryBudgets: createRetryBudgets(
--- a/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
@@ -5,7 +5,13 @@
 import type {Configuration} from '@lovagevalve/routing';
 import {ok} from 'neverthrow';
 import {createEntry, type Entry} from '../../entry.js';
-import {listen, silentLogger, silentMetrics, testCodec} from './harness.js';
+import {
+	listen,
+	silentLogger,
+	silentMetrics,
+	testCodec,
+	createTestBuffers,
+} from './harness.js';
 
 type Cleanups = Array<() => unknown>;
 
@@ -77,6 +83,7 @@
 			clock: {now: () => performance.now(), wall: () => Date.now()},
 			log: silentLogger,
 			metrics: silentMetrics,
+			buffers: createTestBuffers(),
 			codec: testCodec,
 			random: () => 0,
 			decodeConfiguration: () => ok(settings.configuration),
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -7,7 +7,13 @@
 	StreamOrigin,
 } from '@lovagevalve/dispatch';
 import type {Route, RouteTable, Service} from '@lovagevalve/routing';
-import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import type {
+	BufferBudget,
+	BufferHolder,
+	Clock,
+	Logger,
+	PrometheusMetrics,
+} from '@lovagevalve/runtime';
 import type {BackendReach} from './backend-reach.js';
 import type {AnswerTimes} from './answer-times.js';
 import type {BackendView} from './backend-view.js';
@@ -42,6 +48,8 @@
 	clock: Clock;
 	log: Logger;
 	metrics: PrometheusMetrics;
+	/** Bytes that this entry buffers over all its connections. */
+	buffers: BufferBudget;
 	codec: HeaderCodec;
 	view: BackendView;
 	retryBudgets: RetryBudgets;
@@ -98,6 +106,11 @@
 	deadlineAt: number;
 }>;
 
+/** Who holds what is buffered for a caller. */
+export function describeCaller(customer: string | undefined): BufferHolder {
+	return {source: 'callers', name: customer ?? ''};
+}
+
 /** Time until a request's deadline, in whole milliseconds. */
 export function readRemainingMs(
 	ctx: GatewayContext,
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -10,6 +10,7 @@
 	type RouteTable,
 } from '@lovagevalve/routing';
 import {
+	type BufferBudget,
 	type Clock,
 	createPeerClient,
 	type Logger,
@@ -72,6 +73,8 @@
 	clock: Clock;
 	log: Logger;
 	metrics: PrometheusMetrics;
+	/** Bytes that the process buffers over all its connections. */
+	buffers: BufferBudget;
 	codec: HeaderCodec;
 	random: () => number;
 	/** Decodes the text of a committed configuration. */
@@ -102,7 +105,7 @@
 	settings: EntrySettings,
 	dependencies: EntryDependencies,
 ): Entry {
-	const {clock, log, metrics} = dependencies;
+	const {clock, log, metrics, buffers} = dependencies;
 	const tasks = createTaskGuard(dependencies);
 	let routeTable: RouteTable | undefined;
 	let isLeaving = false;
@@ -174,6 +177,7 @@
 		clock,
 		log,
 		metrics,
+		buffers,
 		codec: dependencies.codec,
 		view,
 		retryBudgets,
--- /dev/null
+++ b/packages/lovage-runtime/src/__tests__/integration/test-buffers.ts
@@ -0,0 +1,16 @@
+import {
+	type BufferBudget,
+	createBufferBudget,
+	createPrometheusMetrics,
+} from '../../index.js';
+
+const noop = (): undefined => undefined;
+
+/** Buffers of a test, by default ones whose bounds it does not reach. */
+export function createTestBuffers(capacityBytes = 2 ** 30): BufferBudget {
+	return createBufferBudget({
+		capacityBytes,
+		log: {debug: noop, info: noop, warn: noop, error: noop},
+		metrics: createPrometheusMetrics(),
+	});
+}
--- /dev/null
+++ b/packages/lovage-runtime/src/__tests__/unit/memory-budget.test.ts
@@ -0,0 +1,123 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	type BufferAccount,
+	type BufferSource,
+	computeBufferCapacity,
+	createByteCollector,
+	isFragmented,
+} from '../../index.js';
+import {computeLoggedLevel} from '../../memory-budget.js';
+import {createTestBuffers} from '../integration/test-buffers.js';
+
+const MEGABYTE = 1_048_576;
+const CAPACITY = 30 * MEGABYTE;
+const SOURCES: readonly BufferSource[] = ['callers', 'backends', 'instances'];
+
+/** Buffers for a holder, in small steps, as much as it may. */
+function fill(account: BufferAccount, step = 16_384): number {
+	let bytes = 0;
+	while (account.resize(bytes + step)) {
+		bytes += step;
+	}
+
+	return bytes;
+}
+
+describe('the bound of buffered bytes', () => {
+	it('holds over all holders, whoever asks for how much and gives it back', () => {
+		const step = fc.record({
+			source: fc.constantFrom(...SOURCES),
+			name: fc.constantFrom('a', 'b', 'c'),
+			bytes: fc.integer({min: 0, max: CAPACITY}),
+		});
+		fc.assert(
+			fc.property(fc.array(step, {maxLength: 200}), (steps) => {
+				const budget = createTestBuffers(CAPACITY);
+				const accounts = steps.map(({source, name, bytes}) => {
+					const account = budget.open({source, name});
+					account.resize(bytes);
+					return account;
+				});
+				expect(budget.readPeakBytes()).toBeLessThan(CAPACITY);
+				accounts.forEach((account) => {
+					account.release();
+					account.release();
+				});
+				expect(budget.readUsedBytes()).toBe(0);
+			}),
+		);
+	});
+
+	it('leaves room for each customer and each backend server that comes later', () => {
+		const budget = createTestBuffers(CAPACITY);
+		const held = SOURCES.flatMap((source) =>
+			['a', 'b', 'c', 'd'].map((name) => fill(budget.open({source, name}))),
+		);
+		// A request or an answer of a usual size has some kilobytes.
+		expect(Math.min(...held)).toBeGreaterThan(65_536);
+	});
+
+	it('lets one customer hold the largest bodies of two requests on the smallest instance', () => {
+		const budget = createTestBuffers(computeBufferCapacity(178 * MEGABYTE));
+		const holder = {source: 'callers', name: 'label'} as const;
+		const isHeld = [0, 1].map(() => budget.open(holder).resize(4 * MEGABYTE));
+		expect(isHeld).toEqual([true, true]);
+	});
+});
+
+describe('a byte collector', () => {
+	it('returns the bytes that were pushed, in any pieces', () => {
+		fc.assert(
+			fc.property(fc.array(fc.uint8Array({maxLength: 3000})), (chunks) => {
+				const account = createTestBuffers().open({source: 'callers', name: ''});
+				const collector = createByteCollector({account, maxBytes: MEGABYTE});
+				chunks.forEach((chunk) => {
+					collector.push(chunk);
+				});
+				expect(Buffer.concat([collector.read()])).toEqual(
+					Buffer.concat(chunks),
+				);
+			}),
+		);
+	});
+
+	it('holds at most twice the bytes of a body in chunks of one byte', () => {
+		const budget = createTestBuffers();
+		const account = budget.open({source: 'callers', name: ''});
+		const collector = createByteCollector({account, maxBytes: MEGABYTE});
+		const chunk = Buffer.alloc(1);
+		for (let i = 0; i < 262_144; i += 1) {
+			collector.push(chunk);
+		}
+
+		expect(budget.readPeakBytes()).toBeLessThanOrEqual(2 * 262_144);
+	});
+
+	it('keeps what it has when a chunk is too much', () => {
+		const account = createTestBuffers().open({source: 'callers', name: ''});
+		const collector = createByteCollector({account, maxBytes: 10});
+		expect(collector.push(Buffer.from('12345678'))).toBe('kept');
+		expect(collector.push(Buffer.from('9abc'))).toBe('too-large');
+		expect(Buffer.from(collector.read()).toString()).toBe('12345678');
+	});
+});
+
+it('takes no body for fragmented that comes in chunks of a usual size', () => {
+	expect(isFragmented({chunks: 800, bytes: 800})).toBe(false);
+	expect(isFragmented({chunks: 100_000, bytes: 100 * 100_000})).toBe(false);
+	expect(isFragmented({chunks: 5000, bytes: 5000})).toBe(true);
+});
+
+it('logs each tenth of the memory limit once while the use grows', () => {
+	const uses = [40, 52, 55, 61, 58, 62, 71, 30, 51, 62];
+	let level = 0;
+	const logged = uses.filter((use) => {
+		const next = computeLoggedLevel(level, use, 100);
+		const isLogged = next > level;
+		level = next;
+		return isLogged;
+	});
+	expect(logged).toEqual([52, 61, 71, 51, 62]);
+});
--- /dev/null
+++ b/packages/lovage-runtime/src/buffer-budget.ts
@@ -0,0 +1,134 @@
+import type {Logger} from './logs.js';
+import {
+	type BufferDecision,
+	type BufferSource,
+	type BufferUse,
+	decideBuffering,
+} from './memory-budget.js';
+import type {PrometheusMetrics} from './prometheus-metrics.js';
+
+/** Who has sent what is buffered, such as a customer or a backend server. */
+export type BufferHolder = Readonly<{source: BufferSource; name: string}>;
+
+/** Bytes that one exchange buffers. */
+export type BufferAccount = Readonly<{
+	/**
+	 * Sets the number of bytes that the exchange buffers. Returns false and leaves it as
+	 * it is if that would pass a bound.
+	 */
+	resize: (bytes: number) => boolean;
+	/** Whether the exchange could buffer so many bytes now; false is logged and counted. */
+	canHold: (bytes: number) => boolean;
+	/** Gives all bytes back; may be called more than once. */
+	release: () => void;
+}>;
+
+/** Bound of the bytes that a process buffers over all its connections. */
+export type BufferBudget = Readonly<{
+	capacityBytes: number;
+	/** Opens the account of an exchange; it holds nothing yet. */
+	open: (holder: BufferHolder) => BufferAccount;
+	readUsedBytes: () => number;
+	readPeakBytes: () => number;
+}>;
+
+/** Dependencies of a budget. */
+export type BufferBudgetOptions = Readonly<{
+	capacityBytes: number;
+	log: Logger;
+	metrics: PrometheusMetrics;
+}>;
+
+const MAX_LOGGED_NAME_LENGTH = 64;
+
+/** Creates the budget of a process. */
+export function createBufferBudget({
+	capacityBytes,
+	log,
+	metrics,
+}: BufferBudgetOptions): BufferBudget {
+	const sources = new Map<BufferSource, number>();
+	const holders = new Map<string, number>();
+	let usedBytes = 0;
+	let peakBytes = 0;
+
+	const toKey = ({source, name}: BufferHolder): string => `${source} ${name}`;
+
+	const readUse = (holder: BufferHolder): BufferUse => ({
+		usedBytes,
+		sourceBytes: sources.get(holder.source) ?? 0,
+		holderBytes: holders.get(toKey(holder)) ?? 0,
+		capacityBytes,
+	});
+
+	const add = (holder: BufferHolder, bytes: number): void => {
+		const key = toKey(holder);
+		const {sourceBytes, holderBytes} = readUse(holder);
+		usedBytes += bytes;
+		peakBytes = Math.max(peakBytes, usedBytes);
+		sources.set(holder.source, sourceBytes + bytes);
+		if (holderBytes + bytes === 0) {
+			holders.delete(key);
+		} else {
+			holders.set(key, holderBytes + bytes);
+		}
+	};
+
+	const recordRefusal = (
+		holder: BufferHolder,
+		decision: Exclude<BufferDecision, 'grant'>,
+		addedBytes: number,
+	): void => {
+		const {sourceBytes, holderBytes} = readUse(holder);
+		metrics.count('buffer_refusals', {source: holder.source, decision});
+		log.warn('A bound of buffered bytes is reached.', {
+			source: holder.source,
+			holder: holder.name.slice(0, MAX_LOGGED_NAME_LENGTH),
+			decision,
+			addedBytes,
+			holderBytes,
+			sourceBytes,
+			usedBytes,
+			capacityBytes,
+		});
+	};
+
+	const canAdd = (holder: BufferHolder, addedBytes: number): boolean => {
+		const decision = decideBuffering(readUse(holder), addedBytes);
+		if (decision !== 'grant') {
+			recordRefusal(holder, decision, addedBytes);
+		}
+
+		return decision === 'grant';
+	};
+
+	metrics.registerGauge('buffered_bytes', () => usedBytes);
+	metrics.registerGauge('buffered_peak_bytes', () => peakBytes);
+	metrics.registerGauge('buffered_limit_bytes', () => capacityBytes);
+	return {
+		capacityBytes,
+		readUsedBytes: () => usedBytes,
+		readPeakBytes: () => peakBytes,
+		open(holder) {
+			let heldBytes = 0;
+			const canHold = (bytes: number): boolean =>
+				bytes <= heldBytes || canAdd(holder, bytes - heldBytes);
+			return {
+				canHold,
+				resize(bytes) {
+					if (!canHold(bytes)) {
+						return false;
+					}
+
+					add(holder, bytes - heldBytes);
+					heldBytes = bytes;
+					return true;
+				},
+				release() {
+					add(holder, -heldBytes);
+					heldBytes = 0;
+				},
+			};
+		},
+	};
+}
--- /dev/null
+++ b/packages/lovage-runtime/src/fragmentation.ts
@@ -0,0 +1,22 @@
+/** Chunks up to which a body may be in pieces of any size. */
+const MAX_SMALL_CHUNKS = 4096;
+/** Mean size of the chunks of a longer body. Each chunk costs as much time as some hundred bytes. */
+const MIN_MEAN_BYTES = 16;
+
+/** Chunks and bytes of a body that have arrived. */
+export type BodyProgress = {chunks: number; bytes: number};
+
+/** Whether a body comes in so many small chunks that reading them takes the time of other exchanges. */
+export function isFragmented({chunks, bytes}: Readonly<BodyProgress>): boolean {
+	return chunks > MAX_SMALL_CHUNKS && bytes < chunks * MIN_MEAN_BYTES;
+}
+
+/** Counts the chunks of one body; returns whether it is fragmented. */
+export function createChunkCount(): (chunk: Uint8Array) => boolean {
+	const progress: BodyProgress = {chunks: 0, bytes: 0};
+	return ({length}) => {
+		progress.chunks += 1;
+		progress.bytes += length;
+		return isFragmented(progress);
+	};
+}
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -49,3 +49,16 @@
 	serializeJson,
 } from './json.js';
 export {runContained} from './contain.js';
+export type {
+	BufferAccount,
+	BufferBudget,
+	BufferBudgetOptions,
+	BufferHolder,
+} from './buffer-budget.js';
+export {createBufferBudget} from './buffer-budget.js';
+export type {BufferDecision, BufferSource, BufferUse} from './memory-budget.js';
+export {computeBufferCapacity, decideBuffering} from './memory-budget.js';
+export type {ByteCollector, CollectOutcome} from './byte-collector.js';
+export {createByteCollector} from './byte-collector.js';
+export {createChunkCount, isFragmented} from './fragmentation.js';
+export {watchUsage} from './usage-watch.js';
