--- a/packages/lovage-dispatch/src/attempts.ts
+++ b/packages/lovage-dispatch/src/attempts.ts
@@ -12,7 +12,12 @@
 	/** The backend server reported that it did not run the request. */
 	| Readonly<{kind: 'rejected'; reason: string}>
 	/** The request was written and may have run. */
-	| Readonly<{kind: 'lost'; reason: string}>
+	| Readonly<{
+			kind: 'lost';
+			reason: string;
+			/** The backend server sent more than an answer can hold; it has not crashed. */
+			isFlood?: true;
+	  }>
 	/** The backend server ran the request and reported a failure, or its answer can't be used. */
 	| Readonly<{
 			kind: 'failed';
--- a/packages/lovage-dispatch/src/backend-health.ts
+++ b/packages/lovage-dispatch/src/backend-health.ts
@@ -3,6 +3,8 @@
 	| 'answered'
 	/** The backend server failed to process the request, or its answer was lost. */
 	| 'failed'
+	/** The backend server sent more than an answer can hold. */
+	| 'flooded'
 	/** No connection could be made. */
 	| 'unreachable';
 
@@ -40,6 +42,8 @@
 const UNREACHABLE_AVOID_MS = 1500;
 /** Time for which a failing backend server is avoided. */
 const FAILING_AVOID_MS = 2000;
+/** Time for which a flooding backend server is avoided. Each further answer costs as much as many sound ones. */
+const FLOODING_AVOID_MS = 10_000;
 
 /** Updates the health with the outcome of one exchange. */
 export function recordExchange(
@@ -55,6 +59,14 @@
 		};
 	}
 
+	if (outcome === 'flooded') {
+		return {
+			...health,
+			avoidedUntil: now + FLOODING_AVOID_MS,
+			avoidReason: 'failing',
+		};
+	}
+
 	const weight = Math.min(MAX_WEIGHT, health.weight + 1);
 	const sample = outcome === 'failed' ? 1 : 0;
 	const failureShare =
--- a/packages/lovage-gateway/src/stream-attempts.ts
+++ b/packages/lovage-gateway/src/stream-attempts.ts
@@ -119,6 +119,11 @@
 
 				case 'lost': {
 					hasRun = true;
+					if (failure.isFlood === true) {
+						ctx.view.reportHealth(backend, 'flooded');
+						break;
+					}
+
 					void req.guard.settle(countDeath(run));
 					break;
 				}
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -1,6 +1,10 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import type {AcceptedRequest, GatewayContext} from './context.js';
+import {
+	type AcceptedRequest,
+	describeCaller,
+	type GatewayContext,
+} from './context.js';
 import {breakOff} from './responses.js';
 import type {StreamEvent} from './event-splitter.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
@@ -8,8 +12,8 @@
 /** Delivery of an event stream to its caller. */
 export type StreamDelivery = Readonly<{
 	/**
-	 * Writes an event that the caller does not have, or a comment; calls `onDrained`
-	 * when a slow caller can receive more.
+	 * Writes an event that the caller does not have, or a comment. A slow caller then
+	 * pauses the delivery; `onDrained` is called when it can receive more.
 	 */
 	deliver: (
 		response: IncomingMessage,
@@ -48,8 +52,10 @@
  */
 export function createStreamDelivery(
 	ctx: GatewayContext,
-	{res, metadata, route, startedAt}: AcceptedRequest,
+	{res, metadata, route, customer, startedAt}: AcceptedRequest,
 ): StreamDelivery {
+	const backlog = ctx.buffers.open(describeCaller(customer));
+	res.once('close', backlog.release);
 	let {lastEventId} = metadata;
 	let hasBegun = false;
 	let isPaused = false;
@@ -84,15 +90,21 @@
 			recordTimings();
 			sendHead(response);
 			lastEventId = id ?? lastEventId;
-			if (!res.write(bytes)) {
-				isPaused = true;
-				response.pause();
-				res.once('drain', () => {
-					isPaused = false;
-					onDrained();
-					response.resume();
-				});
+			if (res.write(bytes) || isPaused) {
+				return;
 			}
+
+			isPaused = true;
+			if (!backlog.resize(res.writableLength)) {
+				breakOff(res);
+				return;
+			}
+
+			res.once('drain', () => {
+				isPaused = false;
+				backlog.release();
+				onDrained();
+			});
 		},
 		complete(response) {
 			sendHead(response);
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -5,14 +5,17 @@
 	chooseResumeId,
 	classifyPart,
 	decideStreamEnd,
+	findStreamFlood,
 	isStreamAnswer,
+	NO_PROGRESS,
+	type StreamProgress,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {StreamEvent} from './event-splitter.js';
 import type {StreamDelivery} from './stream-delivery.js';
-import {readEvents} from './stream-reader.js';
-import type {Run} from './stream-run.js';
+import {type EventReader, readEvents} from './stream-reader.js';
+import {describeRunHolder, type Run} from './stream-run.js';
 
 /** What becomes of a run whose answer is relayed. */
 export type EventRelayListener = Readonly<{
@@ -44,6 +47,8 @@
 	/** Last event of the caller when a run ended without a new one. */
 	let quietBehind: string | undefined;
 	const knownIds = new Set<string>();
+	let progress: StreamProgress = NO_PROGRESS;
+	let reader: EventReader | undefined;
 
 	const readResumeId = (): string | undefined => {
 		const lastEventId = delivery.readLastEventId();
@@ -85,10 +90,27 @@
 	): void => {
 		delivery.deliver(response, event, () => {
 			run.lastEventAt = ctx.clock.now();
+			reader?.advance();
 		});
 		onDelivered(run);
 	};
 
+	const recordIdle = ({bytes}: StreamEvent): void => {
+		progress = {
+			...progress,
+			idleParts: progress.idleParts + 1,
+			idleBytes: progress.idleBytes + bytes.length,
+		};
+	};
+
+	/** Leaves a run that sends more than an answer can hold. */
+	const leaveFlood = (run: Run): void => {
+		const reason = findStreamFlood(progress, req.metadata.outputTokens);
+		if (reason !== undefined && !run.isClosed) {
+			onFailure(run, {kind: 'lost', reason, isFlood: true});
+		}
+	};
+
 	const handleEvent = (
 		run: Run,
 		response: IncomingMessage,
@@ -96,6 +118,7 @@
 	): void => {
 		switch (classifyPart(event, delivery.readLastEventId())) {
 			case 'next': {
+				progress = {...progress, newEvents: progress.newEvents + 1};
 				deliver(run, response, event);
 				recordProgress(run);
 				break;
@@ -103,11 +126,13 @@
 
 			// A stalled engine may go on sending comments or repeat what it has sent.
 			case 'comment': {
+				recordIdle(event);
 				deliver(run, response, event);
 				break;
 			}
 
 			case 'known': {
+				recordIdle(event);
 				knownIds.add(event.id!);
 				break;
 			}
@@ -160,24 +185,33 @@
 		readResumeId,
 		relay(run, response) {
 			knownIds.clear();
+			progress = NO_PROGRESS;
 			const contentType = response.headers['content-type'];
 			if (!isStreamAnswer({status: response.statusCode ?? 0, contentType})) {
 				leaveForeign(run, 'the answer is no event stream', contentType ?? '');
 				return;
 			}
 
-			readEvents(response, {
-				isClosed: () => run.isClosed,
-				onEvent(event) {
-					handleEvent(run, response, event);
-				},
-				onComplete() {
-					handleEnd(run, response);
+			const account = ctx.buffers.open(describeRunHolder(run));
+			response.once('close', account.release);
+			reader = readEvents(
+				response,
+				{
+					isClosed: () => run.isClosed,
+					isPaused: delivery.isPaused,
+					onEvent(event) {
+						handleEvent(run, response, event);
+						leaveFlood(run);
+					},
+					onComplete() {
+						handleEnd(run, response);
+					},
+					onLost(failure) {
+						onFailure(run, failure);
+					},
 				},
-				onLost(reason) {
-					onFailure(run, {kind: 'lost', reason});
-				},
-			});
+				account,
+			);
 		},
 	};
 }
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -26,11 +26,12 @@
 import {createStreamDelivery} from './stream-delivery.js';
 import {createEventRelay} from './stream-events.js';
 import {createStreamPlacement, type StreamTarget} from './stream-placement.js';
-import {readErrorBody} from './stream-reader.js';
+import {type BodyListener, readErrorBody} from './stream-reader.js';
 import {
 	createNoReservation,
 	createRun,
 	describeRun,
+	describeRunHolder,
 	type PreviousRun,
 	type Run,
 } from './stream-run.js';
@@ -137,7 +138,9 @@
 
 	/** Forwards an error response of the backend server. */
 	const forwardError = (current: Run, response: IncomingMessage): void => {
-		readErrorBody(response, {
+		const account = ctx.buffers.open(describeRunHolder(current));
+		res.once('close', account.release);
+		const listener: BodyListener = {
 			onComplete(body) {
 				if (!current.isClosed && !isEnded) {
 					record(response.statusCode ?? 0, 'backend server');
@@ -145,10 +148,11 @@
 					finish();
 				}
 			},
-			onLost(reason) {
-				handleRunFailure(current, {kind: 'lost', reason});
+			onLost(failure) {
+				handleRunFailure(current, failure);
 			},
-		});
+		};
+		readErrorBody(response, listener, account);
 	};
 
 	const handleResponse = (current: Run, response: IncomingMessage): void => {
--- a/packages/lovage-gateway/src/stream-reader.ts
+++ b/packages/lovage-gateway/src/stream-reader.ts
@@ -1,92 +1,184 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import type {AttemptFailure} from '@lovagevalve/dispatch';
+import {
+	type BufferAccount,
+	createByteCollector,
+	createChunkCount,
+} from '@lovagevalve/runtime';
 import {watchResponseEnd} from './backend-exchange.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 
+/** The part of a failure that a reader of a body finds. */
+export type BodyFailure = Extract<AttemptFailure, {kind: 'lost'}>;
+
 /** Callbacks for the events of a response; none is called after the run is closed. */
 export type EventListener = Readonly<{
 	isClosed: () => boolean;
+	/** Whether the caller can't receive more at the moment. */
+	isPaused: () => boolean;
 	onEvent: (event: StreamEvent) => void;
 	/** The response ended after a whole event. */
 	onComplete: () => void;
 	/** The response broke off or is malformed. */
-	onLost: (reason: string) => void;
+	onLost: (failure: BodyFailure) => void;
+}>;
+
+/** Reader of the events of a response. */
+export type EventReader = Readonly<{
+	/** Goes on after a pause of the caller. */
+	advance: () => void;
 }>;
 
 /** Callbacks for a response that is no stream; exactly one is called. */
 export type BodyListener = Readonly<{
 	onComplete: (body: Uint8Array) => void;
-	onLost: (reason: string) => void;
+	onLost: (failure: BodyFailure) => void;
 }>;
 
 /** Longest error response that is forwarded. */
 const MAX_ERROR_BYTES = 262_144;
+/** Events that are handled before other exchanges get a turn. */
+const MAX_EVENTS_PER_TURN = 64;
+const TURN_EVENT = 'turn';
+const TRUNCATED: BodyFailure = {kind: 'lost', reason: 'the answer broke off'};
+
+/** Describes an answer that is left because of what it consists of. */
+export function createFlood(reason: string): BodyFailure {
+	return {kind: 'lost', reason: `flood: ${reason}`, isFlood: true};
+}
 
-/** Splits a response into events as they arrive. */
+/**
+ * Splits a response into events as they arrive. Many events that arrive together are
+ * handled over several turns of the event loop, and nothing is read meanwhile.
+ */
 export function readEvents(
 	response: IncomingMessage,
-	{isClosed, onEvent, onComplete, onLost}: EventListener,
-): void {
-	const splitter = createEventSplitter();
-	const onTruncated = (): void => {
-		onLost('the stream broke off');
-	};
+	listener: EventListener,
+	account: BufferAccount,
+): EventReader {
+	const {isClosed, isPaused, onEvent, onComplete, onLost} = listener;
+	const splitter = createEventSplitter(account);
+	const isFragmentedBy = createChunkCount();
+	let onEnd: (() => void) | undefined;
+	let isTurnDue = false;
 
-	response.on('data', (chunk: Uint8Array) => {
-		if (isClosed()) {
-			return;
+	/** Hands on the end of the response, or reads on. */
+	const settle = (): void => {
+		if (splitter.isTooLong()) {
+			onLost(createFlood('an event is too long'));
+		} else if (onEnd === undefined) {
+			response.resume();
+		} else {
+			onEnd();
 		}
+	};
 
-		for (const event of splitter.push(chunk)) {
-			if (isClosed()) {
+	const advance = (): void => {
+		for (let count = 0; count < MAX_EVENTS_PER_TURN; count += 1) {
+			// A slow caller holds up what follows, but not the end of the response.
+			if (isClosed() || (isPaused() && onEnd === undefined)) {
+				break;
+			}
+
+			const event = splitter.next();
+			if (event === undefined) {
+				settle();
 				return;
 			}
 
 			onEvent(event);
 		}
 
-		if (splitter.isTooLong()) {
-			onLost('an event is too long');
+		response.pause();
+		if (!isClosed() && !(isPaused() && onEnd === undefined) && !isTurnDue) {
+			isTurnDue = true;
+			// An event of the response, as its listeners run under the request's guard.
+			setImmediate(() => response.emit(TURN_EVENT));
 		}
+	};
+
+	response.on(TURN_EVENT, () => {
+		isTurnDue = false;
+		advance();
 	});
+	response.on('data', (chunk: Uint8Array) => {
+		if (isClosed()) {
+			return;
+		}
+
+		if (isFragmentedBy(chunk)) {
+			onLost(createFlood('an event stream in too many small chunks'));
+		} else if (!splitter.push(chunk)) {
+			onLost({kind: 'lost', reason: 'too many bytes are buffered'});
+		} else if (!isTurnDue) {
+			advance();
+		}
+	});
+	const end = (handle: () => void): void => {
+		if (onEnd === undefined) {
+			onEnd = handle;
+			if (!isTurnDue) {
+				advance();
+			}
+		}
+	};
+
 	watchResponseEnd(
 		response,
 		() => {
-			if (isClosed()) {
-				return;
-			}
-
-			if (splitter.hasPartialEvent()) {
-				onTruncated();
-			} else {
-				onComplete();
-			}
+			end(() => {
+				if (splitter.hasPartialEvent()) {
+					onLost({kind: 'lost', reason: 'the stream broke off'});
+				} else {
+					onComplete();
+				}
+			});
+		},
+		() => {
+			end(() => {
+				onLost({kind: 'lost', reason: 'the stream broke off'});
+			});
 		},
-		onTruncated,
 	);
+	return {advance};
 }
 
 /** Buffers an error response. */
 export function readErrorBody(
 	response: IncomingMessage,
 	{onComplete, onLost}: BodyListener,
+	account: BufferAccount,
 ): void {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const collector = createByteCollector({account, maxBytes: MAX_ERROR_BYTES});
+	const isFragmentedBy = createChunkCount();
 	response.on('data', (chunk: Uint8Array) => {
-		chunks.push(chunk);
-		size += chunk.length;
-		if (size > MAX_ERROR_BYTES) {
-			onLost('the error response is too long');
+		const outcome = isFragmentedBy(chunk)
+			? 'fragmented'
+			: collector.push(chunk);
+		switch (outcome) {
+			case 'kept': {
+				break;
+			}
+
+			case 'no-room': {
+				onLost({kind: 'lost', reason: 'too many bytes are buffered'});
+				break;
+			}
+
+			case 'too-large':
+			case 'fragmented': {
+				onLost(createFlood(`an error response that is ${outcome}`));
+				break;
+			}
 		}
 	});
 	watchResponseEnd(
 		response,
 		() => {
-			onComplete(Buffer.concat(chunks));
+			onComplete(collector.read());
 		},
 		() => {
-			onLost('the answer broke off');
+			onLost(TRUNCATED);
 		},
 	);
 }
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -5,6 +5,7 @@
 	type StallAction,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
+import type {BufferHolder} from '@lovagevalve/runtime';
 import {
 	type AskedServer,
 	describeAsked,
@@ -79,6 +80,14 @@
 	};
 }
 
+/** Who holds what is buffered of the answer of a run. */
+export function describeRunHolder({
+	isRelayed,
+	backend: {id},
+}: Run): BufferHolder {
+	return {source: isRelayed ? 'instances' : 'backends', name: id};
+}
+
 /** Describes the request of a run. */
 export function describeRun(
 	req: AcceptedRequest,
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -60,6 +60,11 @@
 		}
 
 		case 'lost': {
+			if (failure.isFlood === true) {
+				ctx.view.reportHealth(backend, 'flooded');
+				return false;
+			}
+
 			const isAlive = await ctx.probe(ctx.resolveAddress(backend));
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
