Leave backend servers that flood an entry with small chunks or interim answers

Entries grew by up to 230 MB and answered nothing for seconds while one backend server sent chunks of one byte, or 100 Continue, without end; idempotent calls got 504 beside a sound backend server. Cause: bounds counted bytes, but each chunk is an object and a view that keeps its read alive, and nothing bounded what precedes a head.

Bodies are collected in one buffer that doubles and is accounted in the budget of the process (unary answers, error answers, commands, calls between instances). What may not be buffered is passed on as the caller reads.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -134,9 +134,9 @@
 	settings: CoordinatorSettings,
 	dependencies: CoordinatorDependencies,
 ): Coordinator {
-	const {clock, log, metrics} = dependencies;
+	const {clock, log, metrics, buffers} = dependencies;
 	const {name, address, readSeeds} = settings;
-	const client = createPeerClient();
+	const client = createPeerClient(buffers);
 	const inBackground = (task: () => Promise<void>): void => {
 		runContained(task, (error) => {
 			metrics.count('failed_tasks');
--- a/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/backend-command.test.ts
@@ -12,6 +12,7 @@
 	silentLogger,
 	silentMetrics,
 	testCodec,
+	createTestBuffers,
 } from './harness.js';
 
 const cleanups = createCleanups();
@@ -61,6 +62,7 @@
 async function sendCopyCommand(view: BackendView, backend: BackendRecord) {
 	return sendBackendCommand(
 		{
+			buffers: createTestBuffers(),
 			codec: testCodec,
 			view,
 			log: silentLogger,
--- a/packages/lovage-gateway/src/__tests__/integration/busy-instance.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/busy-instance.test.ts
@@ -5,7 +5,12 @@
 import {createPeerClient} from '@lovagevalve/runtime';
 import {expect, it} from 'vitest';
 import {openExchange, probeAddress} from '../../backend-exchange.js';
-import {createCleanups, listen, startBackend} from './harness.js';
+import {
+	createCleanups,
+	listen,
+	startBackend,
+	createTestBuffers,
+} from './harness.js';
 
 const cleanups = createCleanups();
 /** Longer than connections to backend servers and instances may take. */
@@ -70,7 +75,7 @@
 
 it('a call to another instance succeeds that connects while this process is busy', async () => {
 	const address = await startSoundServer();
-	const client = createPeerClient();
+	const client = createPeerClient(createTestBuffers());
 	cleanups.push(client.close);
 	const call = client.call(address, '/report', {}, 5000);
 	setImmediate(block);
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -233,6 +233,7 @@
 export type HarnessParts = Readonly<{
 	codec?: HeaderCodec;
 	incarnations?: IncarnationQuestions;
+	buffers?: BufferBudget;
 }>;
 
 /** Creates a list of cleanups that run after each test of the file. */
@@ -252,7 +253,11 @@
 	initialConfiguration: Configuration | undefined,
 	retryPolicy: RetryBudgetPolicy = AMPLE_RETRIES,
 	peers: readonly string[] = [],
-	{codec = testCodec, incarnations = ALL_PROVED}: HarnessParts = {},
+	{
+		codec = testCodec,
+		incarnations = ALL_PROVED,
+		buffers = createTestBuffers(),
+	}: HarnessParts = {},
 ): Promise<Harness> {
 	const isCutOff = peers.length > 0;
 	const clock = {now: () => performance.now(), wall: () => Date.now()};
@@ -275,7 +280,7 @@
 		clock,
 		log: silentLogger,
 		metrics: silentMetrics,
-		buffers: createTestBuffers(),
+		buffers,
 		codec,
 		view,
 		retryBudgets: createRetryBudgets(
--- a/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
@@ -14,6 +14,7 @@
 	listen,
 	silentLogger,
 	silentMetrics,
+	createTestBuffers,
 } from './harness.js';
 
 const cleanups = createCleanups();
@@ -46,7 +47,7 @@
 function startTeller(others: readonly string[], confirmed: number): void {
 	const origins = createStreamOrigins(clock);
 	origins.record('key', origin, 30_000, beginning);
-	const client = createPeerClient();
+	const client = createPeerClient(createTestBuffers());
 	const {stop} = startPeerOrigins(
 		{
 			clock,
--- a/packages/lovage-gateway/src/__tests__/unit/incarnation-questions.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/incarnation-questions.test.ts
@@ -13,6 +13,7 @@
 	silentLogger,
 	silentMetrics,
 	testCodec,
+	createTestBuffers,
 } from '../integration/harness.js';
 
 const ANSWER_MS = 60;
@@ -59,6 +60,7 @@
 		onUnreachable: () => undefined,
 	});
 	const questions = createIncarnationQuestions({
+		buffers: createTestBuffers(),
 		clock,
 		log: silentLogger,
 		codec: {...testCodec, readBornAt: Number},
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -1,6 +1,12 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {describeError, startDeadline} from '@lovagevalve/runtime';
+import {
+	boundAnswerHead,
+	createByteCollector,
+	createChunkCount,
+	describeError,
+	startDeadline,
+} from '@lovagevalve/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {findAnswerFailure} from './answer-reader.js';
@@ -11,7 +17,7 @@
 
 /** Copies of typical size complete within milliseconds. */
 const COMMAND_TIMEOUT_MS = 1000;
-const MAX_ANSWER_LENGTH = 65_536;
+const MAX_ANSWER_BYTES = 65_536;
 const HTTP_OK = 200;
 
 /** A run that a command is about. */
@@ -23,7 +29,7 @@
 
 type CommandContext = Pick<
 	GatewayContext,
-	'codec' | 'view' | 'log' | 'resolveAddress'
+	'buffers' | 'codec' | 'view' | 'log' | 'resolveAddress'
 >;
 
 /**
@@ -67,6 +73,8 @@
 		}
 
 		const req = created.value;
+		const account = ctx.buffers.open({source: 'backends', name: backend.id});
+		req.once('close', account.release);
 		const fail = (reason: string): void => {
 			cancelDeadline();
 			req.destroy();
@@ -95,12 +103,17 @@
 				return;
 			}
 
-			let text = '';
-			response.setEncoding('utf8');
-			response.on('data', (chunk: string) => {
-				text += chunk;
-				if (text.length > MAX_ANSWER_LENGTH) {
-					fail('the answer is too long');
+			const collector = createByteCollector({
+				account,
+				maxBytes: MAX_ANSWER_BYTES,
+			});
+			const isFragmentedBy = createChunkCount();
+			response.on('data', (chunk: Uint8Array) => {
+				const outcome = isFragmentedBy(chunk)
+					? 'fragmented'
+					: collector.push(chunk);
+				if (outcome !== 'kept') {
+					fail(`the answer can't be buffered: ${outcome}`);
 				}
 			});
 			response.on('error', (error) => {
@@ -110,12 +123,13 @@
 				cancelDeadline();
 				resolve(
 					response.statusCode === HTTP_OK
-						? ok(text)
+						? ok(Buffer.from(collector.read()).toString('utf8'))
 						: err(`status ${response.statusCode ?? 0}`),
 				);
 			});
 		};
 
+		boundAnswerHead(req, fail);
 		req.on('response', guard.wrap(readResponse));
 		req.end(body);
 	});
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -8,7 +8,7 @@
 import {connect} from 'node:net';
 import {fromThrowable} from 'neverthrow';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
-import {startDeadline} from '@lovagevalve/runtime';
+import {boundAnswerHead, startDeadline} from '@lovagevalve/runtime';
 import {findHeadFault, isCloseDelimited} from './answer-head.js';
 
 /** A request to a single backend server. */
@@ -195,6 +195,10 @@
 		settleFailure({kind: 'not-sent', reason: 'connect timeout'});
 		req.destroy();
 	});
+	boundAnswerHead(req, (reason) => {
+		settleFailure({kind: 'lost', reason, isFlood: true});
+		req.destroy();
+	});
 	req.on('socket', (socket) => {
 		socket.once('connect', () => {
 			isConnected = true;
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -238,7 +238,7 @@
 	const controlClient = createControlClient({
 		clock,
 		log,
-		client: createPeerClient(),
+		client: createPeerClient(buffers),
 		readSeeds: settings.readSeeds,
 		createReport,
 		createOriginsUpdate: origins.createReport,
@@ -274,7 +274,7 @@
 		peers,
 		guard: tasks,
 	};
-	const peerOrigins = startPeerOrigins(telling, createPeerClient());
+	const peerOrigins = startPeerOrigins(telling, createPeerClient(buffers));
 	metrics.registerGauge(
 		'configuration_version',
 		() => routeTable?.configuration.version ?? 0,
--- a/packages/lovage-gateway/src/incarnation-questions.ts
+++ b/packages/lovage-gateway/src/incarnation-questions.ts
@@ -12,7 +12,7 @@
 /** Parts of the context that questions need. */
 export type QuestionsContext = Pick<
 	GatewayContext,
-	'clock' | 'codec' | 'view' | 'log' | 'resolveAddress'
+	'buffers' | 'clock' | 'codec' | 'view' | 'log' | 'resolveAddress'
 >;
 
 type Question = {
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -1,11 +1,15 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
 	type AttemptFailure,
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
-import {startDeadline} from '@lovagevalve/runtime';
+import {
+	type BufferHolder,
+	createByteCollector,
+	createChunkCount,
+	startDeadline,
+} from '@lovagevalve/runtime';
 import {
 	describeAsked,
 	describeAskedPeer,
@@ -22,6 +26,7 @@
 	readRemainingMs,
 } from './context.js';
 import {createRelayHeaders} from './peer-relay.js';
+import {createFlood} from './stream-reader.js';
 
 /** A response that is fully buffered before any of it is sent to the caller. */
 export type BufferedResponse = Readonly<{
@@ -84,6 +89,19 @@
 	response: IncomingMessage;
 }>;
 
+/** Who holds what is buffered of an answer. */
+function describeHolder(target: AttemptTarget): BufferHolder {
+	switch (target.kind) {
+		case 'backend': {
+			return {source: 'backends', name: target.backend.id};
+		}
+
+		case 'peer': {
+			return {source: 'instances', name: target.address};
+		}
+	}
+}
+
 /** Finds out from its head that a response is none for the caller. */
 function findHeadFailure(
 	ctx: GatewayContext,
@@ -121,15 +139,24 @@
 		return;
 	}
 
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const account = ctx.buffers.open(describeHolder(target));
+	req.res.once('close', account.release);
+	const collector = createByteCollector({
+		account,
+		maxBytes: MAX_BUFFERED_BYTES,
+	});
+	const isFragmentedBy = createChunkCount();
 	const onData = (chunk: Uint8Array): void => {
-		chunks.push(chunk);
-		size += chunk.length;
-		if (size > MAX_BUFFERED_BYTES) {
+		if (isFragmentedBy(chunk)) {
+			const failure = createFlood('a body in too many small chunks');
+			settle({kind: 'failure', failure});
+			account.release();
+			response.destroy();
+		} else if (collector.push(chunk) !== 'kept') {
+			// What can't be buffered is passed on as fast as the caller reads.
 			response.off('data', onData);
 			response.pause();
-			settle({kind: 'large', response, head: chunks});
+			settle({kind: 'large', response, head: [collector.read(), chunk]});
 		}
 	};
 
@@ -141,7 +168,7 @@
 				kind: 'answer',
 				status,
 				rawHeaders: response.rawHeaders,
-				body: Buffer.concat(chunks),
+				body: collector.read(),
 			};
 			const failure: AttemptFailure = {kind: 'failed', reason: String(status)};
 			settle(
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -1,3 +1,4 @@
+import {createChunkCount} from '@lovagevalve/runtime';
 import {
 	type AcceptedRequest,
 	type GatewayContext,
@@ -74,5 +75,15 @@
 			breakOff(res);
 		},
 	);
+	const isFragmentedBy = createChunkCount();
+	response.on('data', (chunk: Uint8Array) => {
+		if (isFragmentedBy(chunk)) {
+			ctx.log.warn('A large response comes in too many small chunks.', {
+				request: req.metadata.id,
+			});
+			response.destroy();
+			breakOff(res);
+		}
+	});
 	response.pipe(res, {end: false});
 }
--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -4,8 +4,9 @@
 import {Socket, type AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createJsonServer, createPeerClient} from '../../index.js';
+import {createTestBuffers} from './test-buffers.js';
 
-const client = createPeerClient();
+const client = createPeerClient(createTestBuffers());
 const cleanups: Array<() => unknown> = [];
 
 afterEach(() => {
@@ -31,7 +32,7 @@
 				return socket;
 			}
 		}
-		const cutOff = createPeerClient(new UnansweredAgent());
+		const cutOff = createPeerClient(createTestBuffers(), new UnansweredAgent());
 		const answer = await cutOff.call('127.0.0.1:9', '/report', {}, 60_000);
 		expect(answer._unsafeUnwrapErr()).toBe('connect timeout');
 	});
@@ -89,7 +90,7 @@
 		const connected = once(server, 'connection') as Promise<[Socket]>;
 		const address = await listen(server);
 		const agent = new Agent({keepAlive: false});
-		const answer = await createPeerClient(agent).call(
+		const answer = await createPeerClient(createTestBuffers(), agent).call(
 			address,
 			'/loads',
 			{},
--- a/packages/lovage-runtime/src/body-encoding.ts
+++ b/packages/lovage-runtime/src/body-encoding.ts
@@ -6,8 +6,8 @@
 
 /** Compressing smaller bodies costs more processor time than it saves on the links. */
 const MIN_ENCODED_BYTES = 1024;
-/** Limit of a body from another instance. */
-export const MAX_DECODED_BYTES = 67_108_864;
+/** Limit of a body from another instance: a configuration as a text in JSON takes up to twice its size. */
+export const MAX_DECODED_BYTES = 33_554_432;
 const FASTEST_LEVEL = 1;
 
 /** Body as it is sent, with the headers that describe it. */
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -62,3 +62,4 @@
 export {createByteCollector} from './byte-collector.js';
 export {createChunkCount, isFragmented} from './fragmentation.js';
 export {watchUsage} from './usage-watch.js';
+export {boundAnswerHead} from './answer-head-bounds.js';
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -2,8 +2,12 @@
 import {Agent, type ClientRequest, request} from 'node:http';
 import {err, ok, Result} from 'neverthrow';
 import {type HostPort, parseHostPort} from './address.js';
+import {boundAnswerHead} from './answer-head-bounds.js';
 import {BODY_ENCODING, decodeBody, MAX_DECODED_BYTES} from './body-encoding.js';
+import type {BufferAccount, BufferBudget} from './buffer-budget.js';
+import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
+import {createChunkCount} from './fragmentation.js';
 import {parseJson, serializeJson} from './json.js';
 
 /** HTTP client for requests to other instances of the system. */
@@ -28,6 +32,11 @@
 const CONNECT_TIMEOUT_MS = 150;
 const IDLE_TIMEOUT_MS = 10_000;
 const STATUS_OK = 200;
+const UNREADABLE_REASONS = {
+	'too-large': 'the response is too large',
+	'no-room': 'too many bytes are buffered',
+	fragmented: 'the response comes in too many small chunks',
+} as const;
 
 const openRequest = Result.fromThrowable(
 	(
@@ -57,6 +66,7 @@
 async function exchange(
 	req: ClientRequest,
 	payload: Uint8Array,
+	account: BufferAccount,
 	timeoutMs: number,
 ): Promise<Result<string, string>> {
 	return new Promise((resolve) => {
@@ -83,15 +93,23 @@
 		req.on('error', (error: NodeJS.ErrnoException) => {
 			fail(error.code ?? error.message);
 		});
+		boundAnswerHead(req, fail);
 		req.on('response', (res) => {
-			const chunks: Uint8Array[] = [];
-			let size = 0;
+			const collector = createByteCollector({
+				account,
+				maxBytes: MAX_DECODED_BYTES,
+			});
+			const isFragmentedBy = createChunkCount();
 			res.on('data', (chunk: Uint8Array) => {
-				size += chunk.length;
-				if (size > MAX_DECODED_BYTES) {
-					fail('the response is too large');
-				} else {
-					chunks.push(chunk);
+				if (req.destroyed) {
+					return;
+				}
+
+				const outcome = isFragmentedBy(chunk)
+					? 'fragmented'
+					: collector.push(chunk);
+				if (outcome !== 'kept') {
+					fail(UNREADABLE_REASONS[outcome]);
 				}
 			});
 			res.on('error', (error) => {
@@ -101,7 +119,7 @@
 				cancelDeadline();
 				resolve(
 					res.statusCode === STATUS_OK
-						? decodeText(Buffer.concat(chunks), res.headers['content-encoding'])
+						? decodeText(collector.read(), res.headers['content-encoding'])
 						: err(`status ${res.statusCode ?? 0}`),
 				);
 			});
@@ -115,6 +133,7 @@
  * that times out is closed, as the peer may never respond on it again.
  */
 export function createPeerClient(
+	buffers: BufferBudget,
 	agent = new Agent({keepAlive: true, timeout: IDLE_TIMEOUT_MS}),
 ): PeerClient {
 	return {
@@ -138,8 +157,13 @@
 			}
 
 			const {req, content} = opened.value;
-			const text = await exchange(req, content, timeoutMs);
-			return text.andThen((found) => parseJson(found) as Result<T, string>);
+			const account = buffers.open({source: 'instances', name: address});
+			const text = await exchange(req, content, account, timeoutMs);
+			const parsed = text.andThen(
+				(found) => parseJson(found) as Result<T, string>,
+			);
+			account.release();
+			return parsed;
 		},
 		close() {
 			agent.destroy();
