Bound the bodies of all connections of a process

Cause: each body had a bound, and all together had none; a directory, which needs no body, took 16 MB; no body had a time.

Bodies are read in one place (request-body.ts), accounted to the customer or the remote address. What doesn't fit is refused at once as not run, with when to come back, and the rest is read for a second so that the refusal arrives. A body ends after the time that its caller waits (408), or if it comes in too many small chunks (400). Responses of the JSON listeners are accounted until they are received.

held-bodies.test.ts: 40 bodies of 1 MB on a budget of 8 MB, the peak stays below it, over half are refused with 503 and a small call beside them is served.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -315,8 +315,8 @@
 		readLocally,
 		listControls,
 	});
-	const server = createJsonServer(
-		async ({path, text}: JsonRequest) =>
+	const server = createJsonServer({
+		handler: async ({path, text}: JsonRequest) =>
 			parseJson(text === '' ? '{}' : text).match(
 				async (body) => handleCall(path, body),
 				async (reason): Promise<JsonResponse> => ({
@@ -324,13 +324,15 @@
 					body: {error: reason},
 				}),
 			),
-		(error) => {
+		onError(error) {
 			metrics.count('failed_calls', {listener: 'instances'});
 			log.error('A call from another instance failed.', {
 				reason: describeError(error),
 			});
 		},
-	);
+		buffers,
+		source: 'instances',
+	});
 
 	inBackground(restoreDepartures);
 	let gossipRound = 0;
--- a/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/entry-restart.test.ts
@@ -37,16 +37,18 @@
 		overview: {serving: [], loads: {}, retries: {}},
 		convicted: [],
 	};
-	const server = createJsonServer(
-		async ({path}) => {
+	const server = createJsonServer({
+		async handler({path}) {
 			await sleep(delayMs);
 			return {
 				status: 200,
 				body: path === '/report' ? report : {text: String(version)},
 			};
 		},
-		() => undefined,
-	);
+		onError: () => undefined,
+		buffers: createTestBuffers(),
+		source: 'instances',
+	});
 	cleanups.push(() => {
 		server.closeAllConnections();
 		server.close();
--- a/packages/lovage-gateway/src/__tests__/integration/flooding-backends.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/flooding-backends.test.ts
@@ -104,7 +104,7 @@
 		},
 	);
 
-	it.each(FORMS.filter(([, , , path]) => path === '/plain/1'))(
+	it.each(FORMS.filter((form) => form[3] === '/plain/1'))(
 		'costs a request that may run once a true answer: %s',
 		async (_, head, text) => {
 			const {harness} = await startFlood(head, text);
--- a/packages/lovage-gateway/src/__tests__/integration/foreign-reports.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/foreign-reports.test.ts
@@ -22,10 +22,12 @@
 async function startControl(
 	answers: Readonly<Record<string, string>>,
 ): Promise<string> {
-	const server = createJsonServer(
-		async ({path}) => ({status: 200, body: answers[path] ?? 'null'}),
-		() => undefined,
-	);
+	const server = createJsonServer({
+		handler: async ({path}) => ({status: 200, body: answers[path] ?? 'null'}),
+		onError: () => undefined,
+		buffers: createTestBuffers(),
+		source: 'instances',
+	});
 	cleanups.push(() => {
 		server.closeAllConnections();
 		server.close();
--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/held-bodies.test.ts
@@ -0,0 +1,114 @@
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {
+	call,
+	configuration,
+	createCleanups,
+	createTestBuffers,
+	exchangeRaw,
+	type Harness,
+	startBackend,
+	startHarness,
+} from './harness.js';
+
+const cleanups = createCleanups();
+const CAPACITY = 8_388_608;
+const BODY_BYTES = 1_048_576;
+const CONNECTIONS = 40;
+const PART = 'x'.repeat(65_536);
+/** A body that can't be taken is refused at once. */
+const AT_ONCE_MS = 500;
+
+async function startBounded(): Promise<
+	Readonly<{harness: Harness; readPeakBytes: () => number; isRunBy: string[]}>
+> {
+	const isRunBy: string[] = [];
+	const backend = await startBackend((req, res) => {
+		isRunBy.push(String(req.headers['request-id']));
+		req.resume();
+		res.writeHead(200, {'Request-Id': String(req.headers['request-id'])});
+		res.end('sound');
+	});
+	const buffers = createTestBuffers(CAPACITY);
+	const limits = {...configuration.limits, maxBodyBytes: 4 * BODY_BYTES};
+	const harness = await startHarness(
+		{...configuration, limits},
+		undefined,
+		[],
+		{buffers},
+	);
+	harness.setBackends([backend.port]);
+	cleanups.push(harness.close, () => backend.server.close());
+	return {harness, readPeakBytes: buffers.readPeakBytes, isRunBy};
+}
+
+/** Sends all of a body but its last byte; returns what was answered so far. */
+function holdBody(port: number, framing: string, body: string): () => string {
+	const socket: Socket = connect({port, host: '127.0.0.1'});
+	let answer = '';
+	socket.setEncoding('latin1');
+	socket.on('error', () => undefined);
+	socket.on('data', (text: string) => {
+		answer += text;
+	});
+	socket.write(
+		`POST /once/held HTTP/1.1\r\nHost: test\r\nRequest-Id: held\r\nWait-Ms: 9000\r\n${framing}\r\n\r\n${body}`,
+	);
+	cleanups.push(() => socket.destroy());
+	return () => answer;
+}
+
+describe('bodies whose last byte is held back', () => {
+	it.each([
+		[
+			'with a length',
+			`Content-Length: ${BODY_BYTES}`,
+			PART.repeat(16).slice(1),
+		],
+		[
+			'in chunks',
+			'Transfer-Encoding: chunked',
+			`10000\r\n${PART}\r\n`.repeat(16),
+		],
+	])(
+		'take a bounded part of the memory, and others are served: %s',
+		async (_, framing, body) => {
+			const {harness, readPeakBytes, isRunBy} = await startBounded();
+			const held = Array.from({length: CONNECTIONS}, () =>
+				holdBody(harness.port, framing, body),
+			);
+			await sleep(AT_ONCE_MS);
+			const answers = held.map((read) => read());
+			const refused = answers.filter((text) => text !== '');
+			expect(refused.length).toBeGreaterThan(CONNECTIONS / 2);
+			expect(refused.every((text) => text.startsWith('HTTP/1.1 503'))).toBe(
+				true,
+			);
+			expect(refused.every((text) => /Retry-After: \d/.test(text))).toBe(true);
+			expect(readPeakBytes()).toBeLessThan(CAPACITY);
+			const answer = await call(harness.port, '/once/1', {}, 'small');
+			expect(answer.status).toBe(200);
+			expect(isRunBy).toEqual(['r-1']);
+		},
+	);
+
+	it('end with their time, and their memory is free again', async () => {
+		const {harness} = await startBounded();
+		const answer = await exchangeRaw(
+			harness.port,
+			'POST /once/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: r\r\nWait-Ms: 100\r\nContent-Length: 9\r\n\r\n12345678',
+		);
+		expect(answer.text).toMatch(/^HTTP\/1.1 408/);
+	});
+
+	it('are refused if they come in too many small chunks', async () => {
+		const {harness, isRunBy} = await startBounded();
+		const answer = await exchangeRaw(
+			harness.port,
+			`POST /once/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(6000)}`,
+		);
+		expect(answer.text).toMatch(/^HTTP\/1.1 400/);
+		expect(isRunBy).toEqual([]);
+	});
+});
--- a/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/peer-origins.test.ts
@@ -35,7 +35,16 @@
 	const origins = createStreamOrigins(clock);
 	const address = await startServer((req, res) => {
 		if (isOriginsMessage(req)) {
-			void receiveOrigins({clock, metrics: silentMetrics, origins}, req, res);
+			void receiveOrigins(
+				{
+					buffers: createTestBuffers(),
+					clock,
+					metrics: silentMetrics,
+					origins,
+				},
+				req,
+				res,
+			);
 		} else {
 			res.writeHead(404).end();
 		}
--- a/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/started-entry.ts
@@ -42,13 +42,15 @@
 		overview: {serving: ['127.0.0.1:2'], loads: {}, retries: {}},
 		convicted: [],
 	};
-	const server = createJsonServer(
-		async ({path}) =>
+	const server = createJsonServer({
+		handler: async ({path}) =>
 			path === '/report'
 				? {status: 200, body: report}
 				: {status: 200, body: {text: 'one'}},
-		() => undefined,
-	);
+		onError: () => undefined,
+		buffers: createTestBuffers(),
+		source: 'instances',
+	});
 	cleanups.push(() => {
 		server.closeAllConnections();
 		server.close();
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -5,10 +5,15 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import {type BodyRefusal, readRequestBody} from '@lovagevalve/runtime';
 import {acceptRequest, countHeaderBytes} from './accept-request.js';
 import type {ProblemResponse} from './problem-response.js';
 import {endWithProblem, RETRY_AFTER_MS, sendProblem} from './responses.js';
-import type {AcceptedRequest, GatewayContext} from './context.js';
+import {
+	type AcceptedRequest,
+	describeCaller,
+	type GatewayContext,
+} from './context.js';
 import {describeQuarantine} from './crash-watch.js';
 import {forwardUnary} from './unary-forwarder.js';
 import {CUT_OFF_HEADER} from './peer-relay.js';
@@ -16,7 +21,6 @@
 import type {RequestGuard} from './guard.js';
 import {createRequestGuard} from './request-guard.js';
 import {isOriginsMessage, receiveOrigins} from './peer-origins.js';
-import {readBody} from './read-body.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
 import {toTimerMs} from './timer-range.js';
@@ -42,6 +46,21 @@
 	headerTimeoutMs: 5000,
 	idleTimeoutMs: 15_000,
 };
+/** Longest time for the body of a request. */
+const MAX_BODY_MS = 30_000;
+const BODY_REFUSALS: Readonly<Record<BodyRefusal, ProblemResponse>> = {
+	'too-large': {status: 413, reason: 'the body is too large'},
+	'no-room': {
+		status: 503,
+		reason: 'too many bytes are buffered',
+		retryAfterMs: RETRY_AFTER_MS,
+	},
+	late: {status: 408, reason: 'the body did not end in time'},
+	fragmented: {
+		status: 400,
+		reason: 'the body comes in too many small chunks',
+	},
+};
 /** Concurrent requests held in memory; further ones are rejected. */
 const MAX_REQUESTS = 2000;
 /**
@@ -153,14 +172,21 @@
 			return;
 		}
 
-		const bodyOutcome = await readBody(req, maxBodyBytes);
-		if (bodyOutcome.kind === 'aborted') {
+		const {key = '', waitMs = MAX_BODY_MS} = ctx.codec.readRequest(req.headers);
+		const holder = describeCaller(routeTable.findCustomer(key)?.name);
+		const account = ctx.buffers.open(holder);
+		res.once('close', account.release);
+		const content = await readRequestBody(req, {
+			account,
+			maxBytes: maxBodyBytes,
+			limitMs: toTimerMs(Math.min(waitMs, MAX_BODY_MS)),
+		});
+		if (content.kind === 'closed') {
 			return;
 		}
 
-		if (bodyOutcome.kind === 'too-large') {
-			res.shouldKeepAlive = false;
-			reject(req, res, {status: 413, reason: 'the body is too large'});
+		if (content.kind === 'refused') {
+			reject(req, res, BODY_REFUSALS[content.reason]);
 			return;
 		}
 
@@ -175,7 +201,7 @@
 			res,
 			guard,
 			routeTable: ctx.readRouteTable() ?? routeTable,
-			body: bodyOutcome.body,
+			body: content.body,
 			startedAt,
 		});
 		if ('status' in accepted) {
--- a/packages/lovage-gateway/src/peer-origins.ts
+++ b/packages/lovage-gateway/src/peer-origins.ts
@@ -1,11 +1,15 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {parseOriginReports, type OriginReport} from '@lovagevalve/dispatch';
-import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
+import {
+	type Clock,
+	type Logger,
+	type PeerClient,
+	readRequestBody,
+} from '@lovagevalve/runtime';
 import type {GatewayContext} from './context.js';
 import type {ControlClient} from './control-client.js';
 import type {EntryPeers} from './entry-peers.js';
 import type {Guard} from './guard.js';
-import {readBody} from './read-body.js';
 import type {StreamOrigins} from './stream-origins.js';
 
 /** Tells other entries where streams began that no control instance has heard of. */
@@ -124,11 +128,20 @@
 
 /** Takes over the origins that another entry tells; they are reported as this one's are. */
 export async function receiveOrigins(
-	ctx: Pick<GatewayContext, 'clock' | 'metrics' | 'origins'>,
+	ctx: Pick<GatewayContext, 'buffers' | 'clock' | 'metrics' | 'origins'>,
 	req: IncomingMessage,
 	res: ServerResponse,
 ): Promise<void> {
-	const outcome = await readBody(req, MAX_BODY_BYTES);
+	const account = ctx.buffers.open({
+		source: 'instances',
+		name: req.socket.remoteAddress ?? '',
+	});
+	res.once('close', account.release);
+	const outcome = await readRequestBody(req, {
+		account,
+		maxBytes: MAX_BODY_BYTES,
+		limitMs: TELL_TIMEOUT_MS,
+	});
 	const reports =
 		outcome.kind === 'read' && outcome.body !== undefined
 			? parseOriginReports(new TextDecoder().decode(outcome.body))
--- a/packages/lovage-runtime/src/__tests__/integration/json-server.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/json-server.test.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {createJsonServer, type JsonRequest} from '../../json-server.js';
+import {createTestBuffers} from './test-buffers.js';
 
 const errors: unknown[] = [];
 const cyclic: Record<string, unknown> = {};
@@ -33,8 +34,13 @@
 	}
 }
 
-const server = createJsonServer(handle, (error) => {
-	errors.push(error);
+const server = createJsonServer({
+	handler: handle,
+	onError(error) {
+		errors.push(error);
+	},
+	buffers: createTestBuffers(),
+	source: 'callers',
 });
 
 beforeEach(async () => {
--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -83,10 +83,15 @@
 			Array.from({length: 500}, (_, i) => [`backend-${i}`, [i % 12, i, 9 * i]]),
 		);
 		const plainBytes = JSON.stringify(loads).length;
-		const server = createJsonServer(
-			async ({path}) => ({status: 200, body: path === '/loads' ? loads : {}}),
-			() => undefined,
-		);
+		const server = createJsonServer({
+			handler: async ({path}) => ({
+				status: 200,
+				body: path === '/loads' ? loads : {},
+			}),
+			onError: () => undefined,
+			buffers: createTestBuffers(),
+			source: 'instances',
+		});
 		const connected = once(server, 'connection') as Promise<[Socket]>;
 		const address = await listen(server);
 		const agent = new Agent({keepAlive: false});
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -27,8 +27,13 @@
 export {createPrometheusMetrics} from './prometheus-metrics.js';
 export {createRateLimitedLogger, installStdoutLogWriter} from './stdout-log.js';
 export type {StdoutLogWriter} from './stdout-log.js';
-export type {JsonResponse, JsonRequest, JsonHandler} from './json-server.js';
-export {createJsonServer} from './json-server.js';
+export type {
+	JsonResponse,
+	JsonRequest,
+	JsonHandler,
+	JsonServerOptions,
+} from './json-server.js';
+export {createJsonServer, MAX_CONFIGURATION_BYTES} from './json-server.js';
 export type {PeerClient} from './peer-client.js';
 export {createPeerClient} from './peer-client.js';
 export {decodePathSegment, parseRequestTarget} from './request-target.js';
@@ -61,5 +66,7 @@
 export type {ByteCollector, CollectOutcome} from './byte-collector.js';
 export {createByteCollector} from './byte-collector.js';
 export {createChunkCount, isFragmented} from './fragmentation.js';
-export {watchUsage} from './usage-watch.js';
+export type {BodyRefusal, RequestBody} from './request-body.js';
+export {readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
+export {watchUsage} from './usage-watch.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -6,6 +5,9 @@
 	type ServerResponse,
 } from 'node:http';
 import {encodeBody} from './body-encoding.js';
+import type {BufferAccount, BufferBudget} from './buffer-budget.js';
+import type {BufferSource} from './memory-budget.js';
+import {type BodyRefusal, readRequestBody} from './request-body.js';
 import {parseRequestTarget} from './request-target.js';
 
 /** Response of a handler. */
@@ -27,78 +29,97 @@
 /** Handles one request. */
 export type JsonHandler = (call: JsonRequest) => Promise<JsonResponse>;
 
-const MAX_BODY_BYTES = 16_777_216;
+/** Handler and bounds of a server. */
+export type JsonServerOptions = Readonly<{
+	handler: JsonHandler;
+	/** Receives errors of handlers. */
+	onError: (error: unknown) => void;
+	/** Budget of the process; each remote address is a holder. */
+	buffers: BufferBudget;
+	source: BufferSource;
+	/** Longest body, by the request's method and target. */
+	readMaxBodyBytes?: (method: string, target: string) => number;
+}>;
+
+/** Longest body of a configuration, or of a message that holds one. */
+export const MAX_CONFIGURATION_BYTES = 16_777_216;
+/** Time for the body of a request; the largest take some seconds on a slow link. */
+const BODY_LIMIT_MS = 30_000;
 const IDLE_TIMEOUT_MS = 15_000;
 const INTERNAL_ERROR: JsonResponse = {
 	status: 500,
 	body: {error: 'internal error'},
 };
+const MIN_ERROR_STATUS = 400;
+const NO_ROOM: JsonResponse = {
+	status: 503,
+	body: {error: 'too many bytes are buffered'},
+	headers: {'Retry-After': '1'},
+};
 
-/** Body of a request, or why there is none. */
-type ReadBody =
-	| Readonly<{kind: 'read'; text: string}>
-	| Readonly<{kind: 'too-large' | 'unreadable' | 'closed'}>;
-
-function decodeText(content: Uint8Array): ReadBody {
+function decodeText(content: Uint8Array): string | undefined {
 	try {
 		// A replaced character would make another text of it.
 		const decoder = new TextDecoder('utf8', {fatal: true, ignoreBOM: true});
-		return {kind: 'read', text: decoder.decode(content)};
+		return decoder.decode(content);
 	} catch {
-		return {kind: 'unreadable'};
+		return undefined;
 	}
 }
 
-async function readBody(req: IncomingMessage): Promise<ReadBody> {
-	return new Promise((resolve) => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		req.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size <= MAX_BODY_BYTES) {
-				chunks.push(chunk);
-			}
-		});
-		req.on('end', () => {
-			resolve(
-				size <= MAX_BODY_BYTES
-					? decodeText(Buffer.concat(chunks))
-					: {kind: 'too-large'},
-			);
-		});
-		req.on('close', () => {
-			resolve({kind: 'closed'});
-		});
-	});
+function createRefusal(reason: BodyRefusal): JsonResponse {
+	switch (reason) {
+		case 'too-large': {
+			return {status: 413, body: {error: 'the body is too large'}};
+		}
+
+		case 'no-room': {
+			return NO_ROOM;
+		}
+
+		case 'late': {
+			return {status: 408, body: {error: 'the body did not end in time'}};
+		}
+
+		case 'fragmented': {
+			return {
+				status: 400,
+				body: {error: 'the body comes in too many small chunks'},
+			};
+		}
+	}
 }
 
 async function answer(
 	req: IncomingMessage,
-	handler: JsonHandler,
+	account: BufferAccount,
+	{handler, readMaxBodyBytes}: JsonServerOptions,
 ): Promise<JsonResponse | undefined> {
-	const body = await readBody(req);
-	switch (body.kind) {
+	const {method = 'GET', url = '/'} = req;
+	const content = await readRequestBody(req, {
+		account,
+		maxBytes: readMaxBodyBytes?.(method, url) ?? MAX_CONFIGURATION_BYTES,
+		limitMs: BODY_LIMIT_MS,
+	});
+	switch (content.kind) {
 		case 'closed': {
 			return undefined;
 		}
 
-		case 'too-large': {
-			return {status: 413, body: {error: 'the body is too large'}};
-		}
-
-		case 'unreadable': {
-			return {status: 400, body: {error: 'the body is no UTF-8'}};
+		case 'refused': {
+			return createRefusal(content.reason);
 		}
 
 		case 'read': {
-			const target = parseRequestTarget(req.url ?? '/');
+			const text = decodeText(content.body ?? new Uint8Array());
+			if (text === undefined) {
+				return {status: 400, body: {error: 'the body is no UTF-8'}};
+			}
+
+			const target = parseRequestTarget(url);
 			return target.isErr()
 				? {status: 400, body: {error: target.error}}
-				: handler({
-						method: req.method ?? 'GET',
-						...target.value,
-						text: body.text,
-					});
+				: handler({method, ...target.value, text});
 		}
 	}
 }
@@ -106,10 +127,17 @@
 function send(
 	req: IncomingMessage,
 	res: ServerResponse,
+	account: BufferAccount,
 	{status, body, headers = {}}: JsonResponse,
 ): void {
 	const payload = typeof body === 'string' ? body : JSON.stringify(body ?? {});
 	const encoded = encodeBody(payload, req.headers['accept-encoding']);
+	// The response is buffered until its reader has received it.
+	if (status < MIN_ERROR_STATUS && !account.resize(encoded.content.length)) {
+		send(req, res, account, NO_ROOM);
+		return;
+	}
+
 	res.writeHead(status, {
 		'Content-Type': 'application/json',
 		...encoded.headers,
@@ -122,24 +150,27 @@
  * Creates an HTTP server for JSON requests. An error of one, in the handler or
  * around it, is answered with 500 and reported to `onError`.
  */
-export function createJsonServer(
-	handler: JsonHandler,
-	onError: (error: unknown) => void,
-): Server {
+export function createJsonServer(options: JsonServerOptions): Server {
+	const {onError, buffers, source} = options;
 	const server = createServer(async (req, res) => {
 		req.on('error', () => undefined);
 		res.on('error', () => undefined);
+		const account = buffers.open({
+			source,
+			name: req.socket.remoteAddress ?? '',
+		});
+		res.once('close', account.release);
 		try {
-			const response = await answer(req, handler);
+			const response = await answer(req, account, options);
 			if (response !== undefined) {
-				send(req, res, response);
+				send(req, res, account, response);
 			}
 		} catch (error) {
 			onError(error);
 			if (res.headersSent) {
 				res.destroy();
 			} else {
-				send(req, res, INTERNAL_ERROR);
+				send(req, res, account, INTERNAL_ERROR);
 			}
 		}
 	});
