Say how much of what a flooding backend server sent

The log line of a flood named its form only; on-call engineers need how many bytes came, of what. The reason of the failed attempt now holds chunks and bytes, or the bound that was passed.

--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -107,11 +107,12 @@
 				account,
 				maxBytes: MAX_ANSWER_BYTES,
 			});
-			const isFragmentedBy = createChunkCount();
+			const findFragmentation = createChunkCount();
 			response.on('data', (chunk: Uint8Array) => {
-				const outcome = isFragmentedBy(chunk)
-					? 'fragmented'
-					: collector.push(chunk);
+				const outcome =
+					findFragmentation(chunk) === undefined
+						? collector.push(chunk)
+						: 'fragmented';
 				if (outcome !== 'kept') {
 					fail(`the answer can't be buffered: ${outcome}`);
 				}
--- a/packages/lovage-gateway/src/event-splitter.ts
+++ b/packages/lovage-gateway/src/event-splitter.ts
@@ -17,8 +17,8 @@
 	isTooLong: () => boolean;
 }>;
 
-/** Generations send events of a few tokens. */
-const MAX_EVENT_BYTES = 131_072;
+/** Longest event; generations send events of a few tokens. */
+export const MAX_EVENT_BYTES = 131_072;
 const INITIAL_BYTES = 1024;
 const LF = 0x0a;
 const CR = 0x0d;
--- a/packages/lovage-gateway/src/stream-reader.ts
+++ b/packages/lovage-gateway/src/stream-reader.ts
@@ -6,7 +6,11 @@
 	createChunkCount,
 } from '@lovagevalve/runtime';
 import {watchResponseEnd} from './backend-exchange.js';
-import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {
+	createEventSplitter,
+	MAX_EVENT_BYTES,
+	type StreamEvent,
+} from './event-splitter.js';
 
 /** The part of a failure that a reader of a body finds. */
 export type BodyFailure = Extract<AttemptFailure, {kind: 'lost'}>;
@@ -58,14 +62,14 @@
 ): EventReader {
 	const {isClosed, isPaused, onEvent, onComplete, onLost} = listener;
 	const splitter = createEventSplitter(account);
-	const isFragmentedBy = createChunkCount();
+	const findFragmentation = createChunkCount();
 	let onEnd: (() => void) | undefined;
 	let isTurnDue = false;
 
 	/** Hands on the end of the response, or reads on. */
 	const settle = (): void => {
 		if (splitter.isTooLong()) {
-			onLost(createFlood('an event is too long'));
+			onLost(createFlood(`an event of more than ${MAX_EVENT_BYTES} bytes`));
 		} else if (onEnd === undefined) {
 			response.resume();
 		} else {
@@ -106,8 +110,9 @@
 			return;
 		}
 
-		if (isFragmentedBy(chunk)) {
-			onLost(createFlood('an event stream in too many small chunks'));
+		const reason = findFragmentation(chunk);
+		if (reason !== undefined) {
+			onLost(createFlood(reason));
 		} else if (!splitter.push(chunk)) {
 			onLost({kind: 'lost', reason: 'too many bytes are buffered'});
 		} else if (!isTurnDue) {
@@ -150,12 +155,15 @@
 	account: BufferAccount,
 ): void {
 	const collector = createByteCollector({account, maxBytes: MAX_ERROR_BYTES});
-	const isFragmentedBy = createChunkCount();
+	const findFragmentation = createChunkCount();
 	response.on('data', (chunk: Uint8Array) => {
-		const outcome = isFragmentedBy(chunk)
-			? 'fragmented'
-			: collector.push(chunk);
-		switch (outcome) {
+		const reason = findFragmentation(chunk);
+		if (reason !== undefined) {
+			onLost(createFlood(reason));
+			return;
+		}
+
+		switch (collector.push(chunk)) {
 			case 'kept': {
 				break;
 			}
@@ -165,9 +173,9 @@
 				break;
 			}
 
-			case 'too-large':
-			case 'fragmented': {
-				onLost(createFlood(`an error response that is ${outcome}`));
+			case 'too-large': {
+				const found = `an error response of more than ${MAX_ERROR_BYTES} bytes`;
+				onLost(createFlood(found));
 				break;
 			}
 		}
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -145,11 +145,11 @@
 		account,
 		maxBytes: MAX_BUFFERED_BYTES,
 	});
-	const isFragmentedBy = createChunkCount();
+	const findFragmentation = createChunkCount();
 	const onData = (chunk: Uint8Array): void => {
-		if (isFragmentedBy(chunk)) {
-			const failure = createFlood('a body in too many small chunks');
-			settle({kind: 'failure', failure});
+		const reason = findFragmentation(chunk);
+		if (reason !== undefined) {
+			settle({kind: 'failure', failure: createFlood(reason)});
 			account.release();
 			response.destroy();
 		} else if (collector.push(chunk) !== 'kept') {
@@ -178,6 +178,7 @@
 			);
 		},
 		() => {
+			account.release();
 			const reason = 'the answer broke off';
 			settle({kind: 'failure', failure: {kind: 'lost', reason}});
 		},
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -75,11 +75,13 @@
 			breakOff(res);
 		},
 	);
-	const isFragmentedBy = createChunkCount();
+	const findFragmentation = createChunkCount();
 	response.on('data', (chunk: Uint8Array) => {
-		if (isFragmentedBy(chunk)) {
+		const reason = findFragmentation(chunk);
+		if (reason !== undefined) {
 			ctx.log.warn('A large response comes in too many small chunks.', {
 				request: req.metadata.id,
+				reason,
 			});
 			response.destroy();
 			breakOff(res);
--- a/packages/lovage-runtime/src/fragmentation.ts
+++ b/packages/lovage-runtime/src/fragmentation.ts
@@ -11,12 +11,14 @@
 	return chunks > MAX_SMALL_CHUNKS && bytes < chunks * MIN_MEAN_BYTES;
 }
 
-/** Counts the chunks of one body; returns whether it is fragmented. */
-export function createChunkCount(): (chunk: Uint8Array) => boolean {
+/** Counts the chunks of one body; returns why it is fragmented, or undefined. */
+export function createChunkCount(): (chunk: Uint8Array) => string | undefined {
 	const progress: BodyProgress = {chunks: 0, bytes: 0};
 	return ({length}) => {
 		progress.chunks += 1;
 		progress.bytes += length;
-		return isFragmented(progress);
+		return isFragmented(progress)
+			? `${progress.chunks} chunks of ${progress.bytes} bytes`
+			: undefined;
 	};
 }
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -99,15 +99,16 @@
 				account,
 				maxBytes: MAX_DECODED_BYTES,
 			});
-			const isFragmentedBy = createChunkCount();
+			const findFragmentation = createChunkCount();
 			res.on('data', (chunk: Uint8Array) => {
 				if (req.destroyed) {
 					return;
 				}
 
-				const outcome = isFragmentedBy(chunk)
-					? 'fragmented'
-					: collector.push(chunk);
+				const outcome =
+					findFragmentation(chunk) === undefined
+						? collector.push(chunk)
+						: 'fragmented';
 				if (outcome !== 'kept') {
 					fail(UNREADABLE_REASONS[outcome]);
 				}
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -72,7 +72,7 @@
 			maxBytes,
 			...(length === undefined ? {} : {expectedBytes: announcedBytes}),
 		});
-		const isFragmentedBy = createChunkCount();
+		const findFragmentation = createChunkCount();
 		let isOver = false;
 		const settle = (outcome: RequestBody): void => {
 			isOver = true;
@@ -96,9 +96,10 @@
 				return;
 			}
 
-			const outcome = isFragmentedBy(chunk)
-				? 'fragmented'
-				: collector.push(chunk);
+			const outcome =
+				findFragmentation(chunk) === undefined
+					? collector.push(chunk)
+					: 'fragmented';
 			if (outcome !== 'kept') {
 				refuse(outcome);
 			}
