Keep control instances alive when another answers early and closes the connection

Control instances ended by themselves: "The process ends: nothing caught an error", write EPIPE or write ECONNRESET, exit status 1. Callers of the group lost every change that was under way.

Cause: an instance that may not buffer a message answers 503 before it has read all of it, and closes the connection a second later. The client's socket is kept alive, so Node.js removes its error listener once the answer has arrived and the request has emitted "finish". It emits that also when the write has just failed, and the error of that write follows on a socket without a listener. The stack of the trial names a socket of a ClientRequest with the listeners close, end, free, timeout and agentRemove only.

The peer client adds a listener of its own, once a socket. The request still reports the failure.

--- a/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/peer-client.test.ts
@@ -1,7 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {Agent, createServer, type Server} from 'node:http';
-import {Socket, type AddressInfo} from 'node:net';
+import {Agent, createServer} from 'node:http';
+import {
+	createServer as createTcpServer,
+	Socket,
+	type AddressInfo,
+	type Server,
+} from 'node:net';
+import process from 'node:process';
 import {afterEach, describe, expect, it} from 'vitest';
 import {createJsonServer, createPeerClient} from '../../index.js';
 import {createTestBuffers} from './test-buffers.js';
@@ -22,7 +28,49 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+/** Answers a request while its body is still being sent, and closes the connection. */
+function answerEarly(socket: Socket, closeAfterMs: number): void {
+	socket.on('error', () => undefined);
+	socket.once('data', () => {
+		socket.pause();
+		socket.write('HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\n{}');
+		setTimeout(() => {
+			socket.destroy();
+		}, closeAfterMs);
+	});
+}
+
 describe('createPeerClient', () => {
+	// An instance that refuses a large body answers before it has read all of it. The
+	// error of the write that breaks off had no listener, which ended the process.
+	it('lives on when an instance answers early and closes the connection', async () => {
+		const uncaught: string[] = [];
+		const record = (error: Error): void => {
+			uncaught.push(error.message);
+		};
+
+		process.on('uncaughtException', record);
+		cleanups.push(() => process.off('uncaughtException', record));
+		let exchanges = 0;
+		const server = createTcpServer((socket) => {
+			exchanges += 1;
+			answerEarly(socket, exchanges % 8);
+		});
+		const address = await listen(server);
+		cleanups.push(() => server.close());
+		const body = {text: 'x'.repeat(12_582_912)};
+		const answers = await Promise.all(
+			Array.from({length: 24}, async () =>
+				client.call(address, '/raft', body, 2000),
+			),
+		);
+		expect(answers.every((answer) => answer.isErr())).toBe(true);
+		await new Promise((resolve) => {
+			setTimeout(resolve, 100);
+		});
+		expect(uncaught).toEqual([]);
+	});
+
 	it('times out early when an instance does not accept the connection', async () => {
 		// A powered-off instance answers no packet: the socket keeps connecting.
 		class UnansweredAgent extends Agent {
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -69,4 +69,5 @@
 export type {BodyRefusal, RequestBody} from './request-body.js';
 export {readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
+export {guardSocket} from './guard-socket.js';
 export {watchUsage} from './usage-watch.js';
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -8,6 +8,7 @@
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
 import {createChunkCount} from './fragmentation.js';
+import {guardSocket} from './guard-socket.js';
 import {parseJson, serializeJson} from './json.js';
 
 /** HTTP client for requests to other instances of the system. */
@@ -84,6 +85,7 @@
 			fail('connect timeout');
 		});
 		req.on('socket', (socket) => {
+			guardSocket(socket);
 			if (socket.connecting) {
 				socket.once('connect', cancelConnectDeadline);
 			} else {
