Keep descriptors for backend servers while connections are held open

What callers saw: while one caller held 250 idle connections at any listener of an entry with 150 descriptors, all sound calls ended without an answer, or with 503 as the entry could not connect to a backend server. At a control instance neither reads nor changes of the configuration were answered.

Cause: no listener had a bound, so connections without a request took each descriptor of the process.

Fix: each listener has a part of `max-fds`; that for callers has what is left beside the others and a part for control instances, probes and files, and a request under way counts twice, for its connection to a backend server. At the bound the connection that has been idle longest is closed; one with a request under way never is. A new one is closed at once only if all others have requests under way. The decision is pure (connection-budget.ts); both outcomes are logged and counted.

--- /dev/null
+++ b/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
@@ -0,0 +1,134 @@
+// Guards against connections with a request under way that are closed for others, and
+// against closing those first that have been idle for the shortest time.
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, expect, it} from 'vitest';
+import {
+	computeDescriptorLimit,
+	createListenerConnections,
+	createPrometheusMetrics,
+	type ListenerName,
+} from '../../index.js';
+
+const MAX_DESCRIPTORS = 128;
+/** Longer than the server needs to see a connection, or its end. */
+const SETTLE_MS = 50;
+const noop = (): undefined => undefined;
+const servers: Server[] = [];
+const sockets: Socket[] = [];
+
+afterEach(() => {
+	sockets.splice(0).forEach((socket) => {
+		socket.destroy();
+	});
+	servers.splice(0).forEach((server) => {
+		server.close();
+	});
+});
+
+async function start(listener: ListenerName) {
+	const held: ServerResponse[] = [];
+	const server = createServer((req, res) => {
+		if (req.url === '/held') {
+			held.push(res);
+		} else {
+			res.end('served');
+		}
+	});
+	const connections = createListenerConnections({
+		clock: {now: () => performance.now()},
+		log: {debug: noop, info: noop, warn: noop, error: noop},
+		metrics: createPrometheusMetrics(),
+		maxDescriptors: MAX_DESCRIPTORS,
+	});
+	connections.attach(server, listener);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	servers.push(server);
+	const {port} = server.address() as AddressInfo;
+	return {
+		held,
+		async open(): Promise<Socket> {
+			const socket = connect(port, '127.0.0.1');
+			socket.on('error', noop);
+			socket.resume();
+			sockets.push(socket);
+			await once(socket, 'connect');
+			return socket;
+		},
+	};
+}
+
+async function send(socket: Socket, path: string): Promise<void> {
+	socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`);
+	await sleep(SETTLE_MS);
+}
+
+/** Opens connections one after the other. */
+async function openAll(
+	count: number,
+	open: () => Promise<Socket>,
+): Promise<readonly Socket[]> {
+	const opened: Socket[] = [];
+	while (opened.length < count) {
+		// eslint-disable-next-line no-await-in-loop -- their order counts
+		opened.push(await open());
+	}
+
+	await sleep(SETTLE_MS);
+	return opened;
+}
+
+const readClosed = (all: readonly Socket[]): readonly boolean[] =>
+	all.map(({closed}) => closed);
+
+it('closes the connection that has been idle longest, and none with a request under way', async () => {
+	const limit = computeDescriptorLimit('metrics', MAX_DESCRIPTORS);
+	const {open, held} = await start('metrics');
+	const [busy, first, second, ...others] = await openAll(limit, open);
+	await send(busy!, '/held');
+	await send(first!, '/');
+	await open();
+	await sleep(SETTLE_MS);
+	expect(readClosed([busy!, first!, second!, ...others])).toEqual([
+		false,
+		false,
+		true,
+		...others.map(() => false),
+	]);
+	// Its response has ended, so that it is idle now, but not for long.
+	held[0]!.end();
+	await sleep(SETTLE_MS);
+	await openAll(others.length, open);
+	expect(readClosed([busy!, first!, ...others])).toEqual([
+		false,
+		false,
+		...others.map(() => true),
+	]);
+});
+
+it('closes a new connection at once while all others have requests under way', async () => {
+	const limit = computeDescriptorLimit('metrics', MAX_DESCRIPTORS);
+	const {open, held} = await start('metrics');
+	const busy = await openAll(limit, open);
+	await Promise.all(busy.map(async (socket) => send(socket, '/held')));
+	const [late] = await openAll(1, open);
+	expect(late!.closed).toBe(true);
+	expect(readClosed(busy)).toEqual(busy.map(() => false));
+	held[0]!.end();
+	await sleep(SETTLE_MS);
+	const [later] = await openAll(1, open);
+	expect(readClosed([busy[0]!, later!])).toEqual([true, false]);
+});
+
+it('closes idle connections of callers as requests need descriptors for backend servers', async () => {
+	const limit = computeDescriptorLimit('callers', MAX_DESCRIPTORS);
+	const {open} = await start('callers');
+	const all = await openAll(limit, open);
+	expect(readClosed(all)).toEqual(all.map(() => false));
+	await send(all.at(-1)!, '/held');
+	await send(all.at(-2)!, '/held');
+	expect(readClosed(all)).toEqual(all.map((_, i) => i < 2));
+});
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -69,4 +69,19 @@
 export type {BodyRefusal, RequestBody} from './request-body.js';
 export {readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
+export type {
+	ConnectionDecision,
+	ConnectionUse,
+	ListenerName,
+} from './connection-budget.js';
+export {
+	computeDescriptorLimit,
+	countSurplusIdle,
+	decideConnection,
+} from './connection-budget.js';
+export type {
+	ListenerConnections,
+	ListenerConnectionsOptions,
+} from './listener-connections.js';
+export {createListenerConnections} from './listener-connections.js';
 export {watchUsage} from './usage-watch.js';
