--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -5,6 +5,7 @@
 	createByteCollector,
 	createChunkCount,
 	describeError,
+	guardSocket,
 	startDeadline,
 } from '@lovagevalve/runtime';
 import {err, ok, type Result} from 'neverthrow';
@@ -131,6 +132,7 @@
 		};
 
 		boundAnswerHead(req, fail);
+		req.on('socket', guardSocket);
 		req.on('response', guard.wrap(readResponse));
 		req.end(body);
 	});
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -8,7 +8,11 @@
 import {connect} from 'node:net';
 import {fromThrowable} from 'neverthrow';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
-import {boundAnswerHead, startDeadline} from '@lovagevalve/runtime';
+import {
+	boundAnswerHead,
+	guardSocket,
+	startDeadline,
+} from '@lovagevalve/runtime';
 import {findHeadFault, isCloseDelimited} from './answer-head.js';
 
 /** A request to a single backend server. */
@@ -200,6 +204,7 @@
 		req.destroy();
 	});
 	req.on('socket', (socket) => {
+		guardSocket(socket);
 		socket.once('connect', () => {
 			isConnected = true;
 			cancelConnectDeadline();
