End exchanges that last for as long as their caller likes

What callers saw: nothing at first; a caller kept a connection to the metrics or the readiness listener with a body or a head without end, and a response of a JSON listener or of the gateway, with its bytes, by not reading it. Such connections count as in use, so their descriptors were never given back, and the bytes stayed in the budget of buffered bytes, up to 503 for others.

Cause: the listeners had the times of Node.js (60 s for a head, 300 s for a request, both looked at each 30 s), and none for a response that nobody reads.

Fix: createTimedServer has times for the head, the request and for taking a complete response; listeners without bodies end the connection of a request that has one. The gateway has the last of them.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -5,7 +5,11 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {type BodyRefusal, readRequestBody} from '@lovagevalve/runtime';
+import {
+	type BodyRefusal,
+	boundUnreadResponses,
+	readRequestBody,
+} from '@lovagevalve/runtime';
 import {acceptRequest, countHeaderBytes} from './accept-request.js';
 import type {ProblemResponse} from './problem-response.js';
 import {endWithProblem, RETRY_AFTER_MS, sendProblem} from './responses.js';
@@ -253,6 +257,7 @@
 		},
 	);
 	server.requestTimeout = 0;
+	boundUnreadResponses(server);
 	server.on('connection', open.addConnection);
 	const timer = setInterval(() => {
 		relays.forEach((relay) => {
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -84,4 +84,11 @@
 	ListenerConnectionsOptions,
 } from './listener-connections.js';
 export {createListenerConnections} from './listener-connections.js';
+export type {ExchangeTimes} from './exchange-times.js';
+export {
+	boundUnreadResponses,
+	createBodilessServer,
+	createTimedServer,
+	DEFAULT_EXCHANGE_TIMES,
+} from './exchange-times.js';
 export {watchUsage} from './usage-watch.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -1,11 +1,7 @@
-import {
-	createServer,
-	type IncomingMessage,
-	type Server,
-	type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {encodeBody} from './body-encoding.js';
 import type {BufferAccount, BufferBudget} from './buffer-budget.js';
+import {createTimedServer, type ExchangeTimes} from './exchange-times.js';
 import type {BufferSource} from './memory-budget.js';
 import {type BodyRefusal, readRequestBody} from './request-body.js';
 import {parseRequestTarget} from './request-target.js';
@@ -39,6 +35,7 @@
 	source: BufferSource;
 	/** Longest body, by the request's method and target. */
 	readMaxBodyBytes?: (method: string, target: string) => number;
+	times?: ExchangeTimes;
 }>;
 
 /** Longest body of a configuration, or of a message that holds one. */
@@ -151,8 +148,8 @@
  * around it, is answered with 500 and reported to `onError`.
  */
 export function createJsonServer(options: JsonServerOptions): Server {
-	const {onError, buffers, source} = options;
-	const server = createServer(async (req, res) => {
+	const {onError, buffers, source, times} = options;
+	const server = createTimedServer(async (req, res) => {
 		req.on('error', () => undefined);
 		res.on('error', () => undefined);
 		const account = buffers.open({
@@ -173,7 +170,7 @@
 				send(req, res, account, INTERNAL_ERROR);
 			}
 		}
-	});
+	}, times);
 	server.keepAliveTimeout = IDLE_TIMEOUT_MS;
 	return server;
 }
--- a/packages/lovage-runtime/src/prometheus-metrics.ts
+++ b/packages/lovage-runtime/src/prometheus-metrics.ts
@@ -1,5 +1,6 @@
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {createBodilessServer} from './exchange-times.js';
 
 /** Upper bounds of the latency histograms, in seconds. */
 const LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4.5, 10, 25];
@@ -64,7 +65,7 @@
 			});
 		},
 		serve(ip, port) {
-			const server = createServer(async (req, res) => {
+			const server = createBodilessServer(async (_req, res) => {
 				try {
 					const text = await registry.metrics();
 					res.setHeader('Content-Type', registry.contentType);
