Count servers that end at the same moment once against a request

Cause: each death struck the digests on it. The rule on related deaths only spares digests that ran on one of the servers, and one of another data centre isn't related at all. One body on three servers got three strikes at once.

Expected before: the deaths alone don't tell a lost rack from a request that goes from one server to the next, but the time at which the runs were sent does. Entries now report it, and the time of the loss instead of the time at which it was confirmed. A death within a second of another one counts against a digest only if the run on it was sent after the other server's end, and 20 ms passed in between. Where the times of runs are not known (older builds, the product's own interface) deaths less than 20 ms apart are one event.

Control writes one line for each judged event: servers, suspect, events that count against it, and why they convict or don't.

--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -10,6 +10,7 @@
 	createPartKey,
 	createQuarantine,
 	DEFAULT_QUARANTINE_OPTIONS,
+	listJudgedEvents,
 	type QuarantineEvent,
 	type QuarantineOptions,
 	type QuarantineState,
@@ -44,6 +45,8 @@
 	...DEFAULT_QUARANTINE_OPTIONS,
 	// Entries report the age of a crash, so that the deaths of a rack are seen at the same time.
 	windowMs: 300,
+	// Entries notice a silent server up to a second after each other.
+	eventMs: 1000,
 	deathRetentionMs: 120_000,
 	uncertainStrikes: 5,
 	// A run is past its start after a second; entries learn the suspects and report by then.
@@ -55,6 +58,11 @@
 const SUSPECT_LISTING_MS = 30_000;
 /** Limit of suspects in a response. */
 const MAX_LISTED_SUSPECTS = 64;
+/** Limit of the events in the log for one report, and of the servers of one. */
+const MAX_LOGGED_EVENTS = 4;
+const MAX_LOGGED_SERVERS = 16;
+/** Difference in the age of a run by which repeated reports may differ. */
+const AGE_JITTER_MS = 20;
 
 /**
  * Creates the quarantine of a control instance. It is empty until the stored state
@@ -113,6 +121,27 @@
 			});
 	};
 
+	const logJudged = (before: QuarantineState, after: QuarantineState): void => {
+		listJudgedEvents(before, after)
+			.slice(-MAX_LOGGED_EVENTS)
+			.forEach(({deaths, startedAt, spanMs, suspect = '', ...verdict}) => {
+				log.info('Judged an event in which backend servers died.', {
+					event: Math.round(startedAt),
+					ageMs: Math.round(after.now - startedAt),
+					spanMs: Math.round(spanMs),
+					died: deaths.length,
+					backends: deaths
+						.slice(0, MAX_LOGGED_SERVERS)
+						.map(({backend, incarnation}) =>
+							createIncarnationKey({id: backend, bornAt: incarnation}),
+						)
+						.join(' '),
+					suspect,
+					...verdict,
+				});
+			});
+	};
+
 	const store = async (): Promise<void> => {
 		if (state === undefined || isStoring) {
 			return;
@@ -143,7 +172,9 @@
 		}
 
 		const before = summary.convicted;
-		state = stepQuarantine(state, event).state;
+		const next = stepQuarantine(state, event).state;
+		logJudged(state, next);
+		state = next;
 		summary = summarizeQuarantine(state);
 		logChanges(before, state);
 		if (summary.convicted.some((key) => !before.includes(key))) {
@@ -195,8 +226,10 @@
 					findBackend(parseIncarnationKey(crash.backend).id)?.dataCentre ?? '',
 				ageMs: 0,
 				parts: [],
+				sentAgeMs: undefined,
 			}));
-		return detailed.map(({backend, dataCentre, ageMs, digest, parts}) => {
+		return detailed.map((crash) => {
+			const {backend, dataCentre, ageMs, digest, parts, sentAgeMs} = crash;
 			const {id, bornAt} = parseIncarnationKey(backend);
 			return {
 				backend: id,
@@ -207,6 +240,9 @@
 					parts.map((part) => [createPartKey(part), [digest]]),
 				),
 				at: now - ageMs,
+				...(sentAgeMs === undefined
+					? {}
+					: {sentAt: {[digest]: now - sentAgeMs}}),
 			};
 		});
 	};
@@ -215,12 +251,18 @@
 		backend,
 		incarnation,
 		digests,
+		sentAt = {},
 	}: ReportedDeath): boolean =>
 		state?.deaths.some(
 			(known) =>
 				known.backend === backend &&
 				known.incarnation === incarnation &&
-				digests.every((digest) => known.digests.includes(digest)),
+				digests.every(
+					(digest) =>
+						known.digests.includes(digest) &&
+						(sentAt[digest] ?? Number.POSITIVE_INFINITY) + AGE_JITTER_MS >=
+							(known.sentAt?.[digest] ?? Number.NEGATIVE_INFINITY),
+				),
 		) === false;
 
 	/** Whether a sound run clears strikes or a verdict, or is the first that is known. */
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -90,11 +90,13 @@
 }
 
 function isCrashReport(value: unknown): value is CrashReport {
-	const {dataCentre, ageMs, parts} = (value ?? {}) as Partial<CrashReport>;
+	const {dataCentre, ageMs, sentAgeMs, parts} = (value ??
+		{}) as Partial<CrashReport>;
 	return (
 		isCrash(value) &&
 		isText(dataCentre) &&
 		isFigure(ageMs) &&
+		isFigureOrAbsent(sentAgeMs) &&
 		isListOf(parts, isText)
 	);
 }
--- a/packages/lovage-coordinator/src/quarantine-file.ts
+++ b/packages/lovage-coordinator/src/quarantine-file.ts
@@ -34,6 +34,7 @@
 		isTextList(value.digests) &&
 		(value.parts === undefined || isRecordOf(value.parts, isTextList)) &&
 		isFigure(value.reportedAt) &&
+		(value.sentAt === undefined || isRecordOf(value.sentAt, isFigure)) &&
 		(value.verdict === 'pending' ||
 			value.verdict === 'struck' ||
 			value.verdict === 'forgiven')
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -16,6 +16,8 @@
 		dataCentre: string;
 		/** Time since the crash, in milliseconds. */
 		ageMs: number;
+		/** Time since the run that ended with it was sent, in milliseconds; older builds leave it out. */
+		sentAgeMs?: number;
 		/** Parts of the request's prompt that other requests may share. */
 		parts: readonly string[];
 	}>;
--- a/packages/lovage-gateway/src/crash-confirmation.ts
+++ b/packages/lovage-gateway/src/crash-confirmation.ts
@@ -1,5 +1,6 @@
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
+import type {RunTimes} from './crash-watch.js';
 
 /**
  * A crash counts against the request that ran, so this is longer than a connection
@@ -15,13 +16,14 @@
 	ctx: Pick<GatewayContext, 'crashes' | 'probe' | 'resolveAddress'>,
 	req: AcceptedRequest,
 	backend: BackendRecord,
+	times: RunTimes,
 ): Promise<boolean> {
 	const isAlive = await ctx.probe(
 		ctx.resolveAddress(backend),
 		CONFIRMATION_TIMEOUT_MS,
 	);
 	if (!isAlive) {
-		ctx.crashes.reportCrash(req, backend);
+		ctx.crashes.reportCrash(req, backend, times);
 	}
 
 	return !isAlive;
--- a/packages/lovage-gateway/src/crash-watch.ts
+++ b/packages/lovage-gateway/src/crash-watch.ts
@@ -16,6 +16,9 @@
 	metadata: Pick<RequestMetadata, 'id' | 'sharedParts'>;
 }>;
 
+/** When a run that ended with its backend server was sent, and when it was lost, in monotonic milliseconds. */
+export type RunTimes = Readonly<{sentAt: number; lostAt: number}>;
+
 /** What this entry knows of requests and parts of prompts that crash backend servers. */
 export type CrashWatch = Readonly<{
 	/** Key of the request or of a part of its prompt that is quarantined. */
@@ -23,7 +26,11 @@
 	/**
 	 * Records that a backend server crashed while it was processing a request.
 	 */
-	reportCrash: (req: SuspectRequest, backend: BackendRecord) => void;
+	reportCrash: (
+		req: SuspectRequest,
+		backend: BackendRecord,
+		times: RunTimes,
+	) => void;
 	/** Records that a run of a request got past its start. */
 	recordSound: (req: SuspectRequest) => void;
 	/** Applies the lists of a control instance. */
@@ -76,7 +83,12 @@
 	const suspects = new Map<string, readonly string[]>();
 	const soundAt = new Map<string, number>();
 	let crashes: ReadonlyArray<
-		Readonly<{crash: Omit<CrashReport, 'ageMs'>; at: number}>
+		Readonly<{
+			crash: Omit<CrashReport, 'ageMs' | 'sentAgeMs'>;
+			times: RunTimes;
+			/** Time at which it was confirmed. */
+			at: number;
+		}>
 	> = [];
 
 	const updateQuarantined = (keys: readonly string[]): void => {
@@ -111,7 +123,7 @@
 	return {
 		findQuarantined: (req) =>
 			listKeys(req).find((key) => quarantinedAt.has(key)),
-		reportCrash(req, backend) {
+		reportCrash(req, backend, times) {
 			const {digest, metadata} = req;
 			const {dataCentre} = backend;
 			const crash: Crash = {digest, backend: createIncarnationKey(backend)};
@@ -121,10 +133,12 @@
 				...crash,
 				request: metadata.id,
 				parts: parts.join(' '),
+				ranMs: Math.round(times.lostAt - times.sentAt),
+				lostMs: Math.round(clock.now() - times.lostAt),
 			});
 			crashes = [
 				...crashes,
-				{crash: {...crash, dataCentre, parts}, at: clock.now()},
+				{crash: {...crash, dataCentre, parts}, times, at: clock.now()},
 			].slice(-MAX_REPORTED_CRASHES);
 		},
 		recordSound(req) {
@@ -151,9 +165,10 @@
 					digest,
 					backend,
 				})),
-				crashReports: crashes.map(({crash, at}) => ({
+				crashReports: crashes.map(({crash, times}) => ({
 					...crash,
-					ageMs: now - at,
+					ageMs: now - times.lostAt,
+					sentAgeMs: now - times.sentAt,
 				})),
 				...(Object.keys(soundMs).length === 0 ? {} : {soundMs}),
 			};
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -128,20 +128,20 @@
 export async function recordLoss(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{backend, address, isRelayed, probe, startedAt}: Run,
+	{backend, address, isRelayed, probe, sentAt, startedAt}: Run,
 ): Promise<boolean> {
 	if (isRelayed) {
 		return false;
 	}
 
-	const runningMs =
-		startedAt === undefined ? undefined : ctx.clock.now() - startedAt;
+	const lostAt = ctx.clock.now();
+	const runningMs = startedAt === undefined ? undefined : lostAt - startedAt;
 	const isAlive = probe !== 'dead' && (await ctx.probe(address));
 	ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 	return (
 		!isAlive &&
 		isInStartWindow(runningMs) &&
-		reportConfirmedCrash(ctx, req, backend)
+		reportConfirmedCrash(ctx, req, backend, {sentAt, lostAt})
 	);
 }
 
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -37,9 +37,9 @@
 async function recordFailure(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	backend: BackendRecord,
-	failure: AttemptFailure,
+	{backend, failure, sentAt}: Omit<FailedAttempt, 'response'>,
 ): Promise<boolean> {
+	const lostAt = ctx.clock.now();
 	switch (failure.kind) {
 		case 'not-sent': {
 			if (failure.isBlameless !== true) {
@@ -69,7 +69,8 @@
 			ctx.view.reportHealth(backend, isAlive ? 'failed' : 'unreachable');
 			if (!isAlive) {
 				// The retry doesn't wait for it.
-				void req.guard.settle(reportConfirmedCrash(ctx, req, backend));
+				const times = {sentAt, lostAt};
+				void req.guard.settle(reportConfirmedCrash(ctx, req, backend, times));
 			}
 
 			return !isAlive;
@@ -124,7 +125,7 @@
 }
 
 type FailedAttempt = Extract<AttemptOutcome, {kind: 'failure'}> &
-	Readonly<{backend: BackendRecord}>;
+	Readonly<{backend: BackendRecord; sentAt: number}>;
 
 /**
  * Handles a failed attempt: resolves with the progress for the next one, or
@@ -134,10 +135,15 @@
 	ctx: GatewayContext,
 	req: AcceptedRequest,
 	progress: Progress,
-	{backend, failure, response}: FailedAttempt,
+	{backend, failure, response, sentAt}: FailedAttempt,
 ): Promise<Progress | undefined> {
 	const {route, service, res} = req;
-	const hasCrashed = await recordFailure(ctx, req, backend, failure);
+	const hasCrashed = await recordFailure(ctx, req, {
+		kind: 'failure',
+		backend,
+		failure,
+		sentAt,
+	});
 	const isNotSent = failure.kind === 'not-sent';
 	const next: Progress = {
 		excluded: [...progress.excluded, backend.id],
@@ -311,6 +317,7 @@
 	req.guard.addCleanup(reservation.release);
 	const sent = progress.sent + 1;
 	const plan = planAttempt(ctx, req, {kind: 'backend', backend}, progress.sent);
+	const sentAt = ctx.clock.now();
 	const outcome = await runAttempt(ctx, req, plan);
 	reservation.release();
 	switch (outcome.kind) {
@@ -338,7 +345,7 @@
 		}
 
 		case 'failure': {
-			return handleFailure(ctx, req, progress, {...outcome, backend});
+			return handleFailure(ctx, req, progress, {...outcome, backend, sentAt});
 		}
 	}
 }
--- a/packages/lovage-quarantine/src/deaths.ts
+++ b/packages/lovage-quarantine/src/deaths.ts
@@ -15,6 +15,19 @@
 	return {...left, ...Object.fromEntries(added)};
 }
 
+function mergeSentAt(
+	left: Death['sentAt'] = {},
+	right: Death['sentAt'] = {},
+): Death['sentAt'] {
+	const earliest = Object.entries(right).map(
+		([digest, sentAt]): [string, number] => [
+			digest,
+			Math.min(left[digest] ?? sentAt, sentAt),
+		],
+	);
+	return {...left, ...Object.fromEntries(earliest)};
+}
+
 function createDeath({at, ...report}: ReportedDeath, now: number): Death {
 	return {...report, reportedAt: at ?? now, verdict: 'pending'};
 }
@@ -30,6 +43,7 @@
 	return {
 		...known,
 		digests,
+		sentAt: mergeSentAt(known.sentAt, report.sentAt),
 		parts: mergeParts(known.parts, report.parts ?? {}),
 		verdict: isUnchanged ? known.verdict : 'pending',
 	};
@@ -53,7 +67,10 @@
 			};
 }
 
-function isSameDeath(death: Death, report: ReportedDeath): boolean {
+function isSameDeath(
+	death: Death,
+	report: Pick<Death, 'backend' | 'incarnation'>,
+): boolean {
 	return (
 		death.backend === report.backend && death.incarnation === report.incarnation
 	);
@@ -76,6 +93,55 @@
 	return left.dataCentre === right.dataCentre;
 }
 
+/**
+ * Least time between two deaths of which a request caused the second after the first:
+ * its entry notices the first, sends the request on, and the next server runs it.
+ */
+const MIN_STEP_MS = 20;
+
+/**
+ * Whether the deaths of two servers under the same digest are one event. Servers that
+ * end at the same moment have a common cause, even if the same request runs on all of
+ * them. A request that moves from one to the next is sent to the second one after
+ * the first one's end.
+ */
+export function isSameEvent(
+	{options}: QuarantineState,
+	digest: string,
+	left: Death,
+	right: Death,
+): boolean {
+	const [first, second] =
+		left.reportedAt <= right.reportedAt ? [left, right] : [right, left];
+	const gapMs = second.reportedAt - first.reportedAt;
+	const sentAt = second.sentAt?.[digest];
+	const isSentOn = sentAt === undefined || sentAt >= first.reportedAt;
+	return (
+		!isSameDeath(left, right) &&
+		gapMs < (isSentOn ? MIN_STEP_MS : options.eventMs)
+	);
+}
+
+/** Whether a death, or another one of its event, counts against a digest already. */
+function isCounted(
+	state: QuarantineState,
+	digest: string,
+	death: Death,
+): boolean {
+	const {deathTimes = []} = state.records[digest] ?? {};
+	return (
+		(death.parts !== undefined && deathTimes.includes(death.reportedAt)) ||
+		(state.options.guards.countEvents &&
+			state.deaths.some(
+				(other) =>
+					other !== death &&
+					other.digests.includes(digest) &&
+					deathTimes.includes(other.reportedAt) &&
+					isSameEvent(state, digest, other, death),
+			))
+	);
+}
+
 /**
  * Lists the digests that a death counts against. Related deaths probably have a
  * common cause, such as a lost rack. They only count against a digest that ran on
@@ -86,7 +152,7 @@
 	death: Death,
 ): readonly string[] {
 	const uncounted = death.digests.filter(
-		(digest) => !state.records[digest]?.deathTimes?.includes(death.reportedAt),
+		(digest) => !isCounted(state, digest, death),
 	);
 	const related = listRelatedDeaths(state, death);
 	if (related.length === 0 || !state.options.guards.relatedDeaths) {
--- a/packages/lovage-quarantine/src/evaluate.ts
+++ b/packages/lovage-quarantine/src/evaluate.ts
@@ -11,6 +11,8 @@
 const NO_STRIKES: StrikeRecord = {strikes: 0, lastAt: 0};
 /** Different requests that must have crashed backend servers before a part is to blame. */
 const MIN_REQUESTS = 2;
+/** Limit of the times that tell which deaths are one event, where parts are not reported. */
+const MAX_DEATH_TIMES = 8;
 /** Strikes from which on a narrower part may account for deaths under a broader one. */
 const MIN_NARROWER_STRIKES = 2;
 /** Difference in breadth that doesn't come about by chance at a few deaths. */
@@ -49,16 +51,17 @@
 	{parts, reportedAt}: Death,
 ): StrikeRecord {
 	const record = state.records[key] ?? NO_STRIKES;
+	const deathTimes = [...(record.deathTimes ?? []), reportedAt];
 	const counted = {strikes: record.strikes + 1, lastAt: state.now};
 	if (parts === undefined) {
-		return counted;
+		return {...counted, deathTimes: deathTimes.slice(-MAX_DEATH_TIMES)};
 	}
 
 	const requests = new Set([...(record.requests ?? []), ...(parts[key] ?? [])]);
 	return {
 		...record,
 		...counted,
-		deathTimes: [...(record.deathTimes ?? []), reportedAt],
+		deathTimes,
 		...(isPartKey(key) ? {requests: [...requests].slice(0, MIN_REQUESTS)} : {}),
 	};
 }
@@ -125,6 +128,53 @@
 	);
 }
 
+/** Why deaths convict a suspect, or don't. */
+export type VerdictReason =
+	| 'no suspect'
+	| 'convicted'
+	| 'convicted before'
+	| 'too few events'
+	| 'too few events for what has run soundly'
+	| 'too few requests with the part'
+	| 'others may be to blame';
+
+function findVerdictReason(
+	before: QuarantineState,
+	after: QuarantineState,
+	key: string,
+): VerdictReason {
+	const isIn = ({convicted, uncertain = {}}: QuarantineState): boolean =>
+		convicted[key] !== undefined || uncertain[key] !== undefined;
+	if (isIn(after)) {
+		return isIn(before) ? 'convicted before' : 'convicted';
+	}
+
+	if (countStrikes(after, key) < readRequiredStrikes(after, key)) {
+		return wasSound(after, key)
+			? 'too few events for what has run soundly'
+			: 'too few events';
+	}
+
+	return hasEnoughRequests(after, key)
+		? 'others may be to blame'
+		: 'too few requests with the part';
+}
+
+/** Describes what a step has made of a suspect. */
+export function describeVerdict(
+	before: QuarantineState,
+	after: QuarantineState,
+	key: string | undefined,
+): Readonly<{strikes: number; required: number; reason: VerdictReason}> {
+	return key === undefined
+		? {strikes: 0, required: after.options.strikes, reason: 'no suspect'}
+		: {
+				strikes: countStrikes(after, key),
+				required: readRequiredStrikes(after, key),
+				reason: findVerdictReason(before, after, key),
+			};
+}
+
 /** Whether another part accounts for a death under a part as well as this one does. */
 function isAlternative(
 	state: QuarantineState,
--- a/packages/lovage-quarantine/src/index.ts
+++ b/packages/lovage-quarantine/src/index.ts
@@ -1,4 +1,5 @@
 export {createPartKey, isPartKey} from './part-key.js';
+export {listJudgedEvents, type JudgedEvent} from './explain.js';
 export {isInStartWindow} from './run-window.js';
 export {DEFAULT_QUARANTINE_OPTIONS, createQuarantine} from './state.js';
 export {stepQuarantine} from './step.js';
--- a/packages/lovage-quarantine/src/state.ts
+++ b/packages/lovage-quarantine/src/state.ts
@@ -3,6 +3,7 @@
 /** Options of deployments without their own. */
 export const DEFAULT_QUARANTINE_OPTIONS: QuarantineOptions = {
 	windowMs: 8000,
+	eventMs: 300,
 	strikes: 3,
 	lead: 2,
 	suspectRetentionMs: 3_600_000,
@@ -12,6 +13,7 @@
 		relatedDeaths: true,
 		standsOut: true,
 		mergeReports: true,
+		countEvents: true,
 		clearCompleted: true,
 	},
 };
--- a/packages/lovage-quarantine/src/types.ts
+++ b/packages/lovage-quarantine/src/types.ts
@@ -10,6 +10,8 @@
 	parts?: PartDigests;
 	/** Time of the death, if it is known better than by its report. */
 	at?: number;
+	/** Time at which the first run of a digest that ended with it was sent, by digest. */
+	sentAt?: Readonly<Record<string, number>>;
 }>;
 
 /** Digests of the requests that have a part in their prompts, by the part's key. */
@@ -46,6 +48,8 @@
 	digests: readonly string[];
 	parts?: PartDigests;
 	reportedAt: number;
+	/** Time at which the first run of a digest that ended with it was sent, by digest. */
+	sentAt?: Readonly<Record<string, number>>;
 	/** `pending` until the window for related deaths has passed. */
 	verdict: 'pending' | 'struck' | 'forgiven';
 }>;
@@ -55,7 +59,7 @@
 	/** Number of deaths that count against it. */
 	strikes: number;
 	lastAt: number;
-	/** Times of these deaths; kept where parts are reported. */
+	/** Times of these deaths. */
 	deathTimes?: readonly number[];
 	/** Up to two different requests with a part on these deaths. */
 	requests?: readonly string[];
@@ -71,6 +75,8 @@
 	standsOut: boolean;
 	/** Several reports of the same death count once. */
 	mergeReports: boolean;
+	/** Deaths at the same moment count once against a digest that ran on all of them. */
+	countEvents: boolean;
 	/** A suspect that completes loses its strikes. */
 	clearCompleted: boolean;
 }>;
@@ -79,6 +85,11 @@
 export type QuarantineOptions = Readonly<{
 	/** Time within which deaths in one data centre are related. */
 	windowMs: number;
+	/**
+	 * Time within which deaths count once against a digest that runs on all of them,
+	 * unless it was sent on from one to the next.
+	 */
+	eventMs: number;
 	/** Number of strikes for a conviction. */
 	strikes: number;
 	/** Number of strikes by which a convicted digest must exceed all others of its deaths. */
