Send large entries of the log apart from each other

Configurations of some megabytes in quick succession could not be replicated to an instance that was behind: all messages that waited for it, up to 64, were sent as one body, which it refuses as too large. Raft sends the same messages again, so that the group would never confirm them.

Cause: a batch was bounded in messages, and each of them in characters, but not their sum. A batch now ends before it passes 524,288 characters; a single longer entry travels alone.

--- a/packages/lovage-coordinator/src/raft-transport.ts
+++ b/packages/lovage-coordinator/src/raft-transport.ts
@@ -13,9 +13,33 @@
 /** Messages queued per peer; beyond that the oldest are dropped. */
 const MAX_QUEUED_MESSAGES = 512;
 const MAX_BATCH_MESSAGES = 64;
+/** A message is longer only if a single entry is; such a one travels alone. */
+const MAX_BATCH_CHARACTERS = 524_288;
 
 type PeerQueue = {queue: RaftMessage[]; isSending: boolean};
 
+function countCharacters(message: RaftMessage): number {
+	if (message.kind === 'snapshot') {
+		return message.data.length;
+	}
+
+	const entries = message.kind === 'append' ? message.entries : [];
+	return entries.reduce(
+		(sum, entry) => sum + (entry.kind === 'command' ? entry.data.length : 0),
+		0,
+	);
+}
+
+/** Counts the messages at the front of a queue that are sent together, at least one. */
+export function countBatch(queue: readonly RaftMessage[]): number {
+	let characters = 0;
+	const end = queue.slice(0, MAX_BATCH_MESSAGES).findIndex((message, i) => {
+		characters += countCharacters(message);
+		return i > 0 && characters > MAX_BATCH_CHARACTERS;
+	});
+	return end === -1 ? Math.min(queue.length, MAX_BATCH_MESSAGES) : end;
+}
+
 /** Creates the transport; `ownAddress` lets the recipients reply. */
 export function createRaftTransport(
 	client: PeerClient,
@@ -30,7 +54,7 @@
 
 		peer.isSending = true;
 		while (peer.queue.length > 0) {
-			const messages = peer.queue.splice(0, MAX_BATCH_MESSAGES);
+			const messages = peer.queue.splice(0, countBatch(peer.queue));
 			// Failures are not logged: Raft detects the missing response.
 			// eslint-disable-next-line no-await-in-loop
 			await client.call(
