Bound configurations and messages by what the heap of an instance bears

One configuration of 16 MB ended the control instance that parsed it, at V8's heap limit: a trial with the deployed programs (--max-old-space-size=160) and a body of empty objects showed "Reached heap limit". JSON.parse alone ends a process with that heap at 8 MB.

Cause: the limit of 16 MB said nothing about what a body costs. The trial's leader grew from 67 to 194 MB with valid configurations of 1, 2 and 4 MB, some 30 times their size. An empty object has 3 bytes as text, and some 60 in memory.

A configuration may have 2 MB (413 above), 20 times what 350 routes take. A message between instances may have 8 MB, as it holds a configuration as a text in a text; that bounds the inflated bytes of a compressed answer too, 32 MB before. JSON may have 1,048,576 values, counted before it is parsed; a million took 21 to 33 MB in a trial.

--- a/packages/lovage-runtime/src/body-encoding.ts
+++ b/packages/lovage-runtime/src/body-encoding.ts
@@ -1,13 +1,12 @@
 import {Buffer} from 'node:buffer';
 import {deflateSync, inflateSync} from 'node:zlib';
+import {hasTooManyValues, MAX_MESSAGE_BYTES} from './json-bounds.js';
 
 /** Content encoding between instances; a client that doesn't accept it receives the plain body. */
 export const BODY_ENCODING = 'deflate';
 
 /** Compressing smaller bodies costs more processor time than it saves on the links. */
 const MIN_ENCODED_BYTES = 1024;
-/** Limit of a body from another instance: a configuration as a text in JSON takes up to twice its size. */
-export const MAX_DECODED_BYTES = 33_554_432;
 const FASTEST_LEVEL = 1;
 
 /** Body as it is sent, with the headers that describe it. */
@@ -36,14 +35,18 @@
 	};
 }
 
-/** Decodes a response body; throws if it is damaged or too large. */
+/** Decodes a response body of JSON; throws if it is damaged, too large or has too many values. */
 export function decodeBody(
 	content: Uint8Array,
 	encoding: string | undefined,
 ): string {
 	const plain =
 		encoding === BODY_ENCODING
-			? inflateSync(content, {maxOutputLength: MAX_DECODED_BYTES})
+			? inflateSync(content, {maxOutputLength: MAX_MESSAGE_BYTES})
 			: Buffer.from(content);
+	if (hasTooManyValues(plain)) {
+		throw new Error('the body has too many values');
+	}
+
 	return plain.toString('utf8');
 }
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -33,7 +33,13 @@
 	JsonHandler,
 	JsonServerOptions,
 } from './json-server.js';
-export {createJsonServer, MAX_CONFIGURATION_BYTES} from './json-server.js';
+export {createJsonServer} from './json-server.js';
+export {
+	hasTooManyValues,
+	MAX_CONFIGURATION_BYTES,
+	MAX_JSON_VALUES,
+	MAX_MESSAGE_BYTES,
+} from './json-bounds.js';
 export type {PeerClient} from './peer-client.js';
 export {createPeerClient} from './peer-client.js';
 export {decodePathSegment, parseRequestTarget} from './request-target.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {encodeBody} from './body-encoding.js';
 import type {BufferAccount, BufferBudget} from './buffer-budget.js';
+import {hasTooManyValues, MAX_MESSAGE_BYTES} from './json-bounds.js';
 import type {BufferSource} from './memory-budget.js';
 import {type BodyRefusal, readRequestBody} from './request-body.js';
 import {parseRequestTarget} from './request-target.js';
@@ -37,12 +38,10 @@
 	/** Budget of the process; each remote address is a holder. */
 	buffers: BufferBudget;
 	source: BufferSource;
-	/** Longest body, by the request's method and target. */
+	/** Longest body, by the request's method and target; that of a message if absent. */
 	readMaxBodyBytes?: (method: string, target: string) => number;
 }>;
 
-/** Longest body of a configuration, or of a message that holds one. */
-export const MAX_CONFIGURATION_BYTES = 16_777_216;
 /** Time for the body of a request; the largest take some seconds on a slow link. */
 const BODY_LIMIT_MS = 30_000;
 const IDLE_TIMEOUT_MS = 15_000;
@@ -98,7 +97,7 @@
 	const {method = 'GET', url = '/'} = req;
 	const content = await readRequestBody(req, {
 		account,
-		maxBytes: readMaxBodyBytes?.(method, url) ?? MAX_CONFIGURATION_BYTES,
+		maxBytes: readMaxBodyBytes?.(method, url) ?? MAX_MESSAGE_BYTES,
 		limitMs: BODY_LIMIT_MS,
 	});
 	switch (content.kind) {
@@ -111,7 +110,12 @@
 		}
 
 		case 'read': {
-			const text = decodeText(content.body ?? new Uint8Array());
+			const body = content.body ?? new Uint8Array();
+			if (hasTooManyValues(body)) {
+				return {status: 413, body: {error: 'the body has too many values'}};
+			}
+
+			const text = decodeText(body);
 			if (text === undefined) {
 				return {status: 400, body: {error: 'the body is no UTF-8'}};
 			}
--- a/packages/lovage-runtime/src/peer-client.ts
+++ b/packages/lovage-runtime/src/peer-client.ts
@@ -3,13 +3,14 @@
 import {err, ok, Result} from 'neverthrow';
 import {type HostPort, parseHostPort} from './address.js';
 import {boundAnswerHead} from './answer-head-bounds.js';
-import {BODY_ENCODING, decodeBody, MAX_DECODED_BYTES} from './body-encoding.js';
+import {BODY_ENCODING, decodeBody} from './body-encoding.js';
 import type {BufferAccount, BufferBudget} from './buffer-budget.js';
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
 import {createChunkCount} from './fragmentation.js';
 import {guardSocket} from './guard-socket.js';
 import {parseJson, serializeJson} from './json.js';
+import {MAX_MESSAGE_BYTES} from './json-bounds.js';
 
 /** HTTP client for requests to other instances of the system. */
 export type PeerClient = Readonly<{
@@ -99,7 +100,7 @@
 		req.on('response', (res) => {
 			const collector = createByteCollector({
 				account,
-				maxBytes: MAX_DECODED_BYTES,
+				maxBytes: MAX_MESSAGE_BYTES,
 			});
 			const isFragmentedBy = createChunkCount();
 			res.on('data', (chunk: Uint8Array) => {
