Let operators read the refusal of a large body

An operator whose configuration was too large read ECONNRESET instead of 413, also at one byte above the limit, and would send it again.

Cause: the rest of a refused body was read for a second, but the response ended at once. For a request with "Connection: close" Node.js then closes the connection at once, and bytes that were not read reset it. At 4 MB of rest it was closed as well.

The response is sent at once and ends when the rest is read or given up, after a second or 32 MB, which are not kept.

Callers at the entries' own listener still end their responses the old way.

--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -8,7 +8,11 @@
 import type {BufferAccount, BufferBudget} from './buffer-budget.js';
 import {hasTooManyValues, MAX_MESSAGE_BYTES} from './json-bounds.js';
 import type {BufferSource} from './memory-budget.js';
-import {type BodyRefusal, readRequestBody} from './request-body.js';
+import {
+	type BodyRefusal,
+	endWhenRead,
+	readRequestBody,
+} from './request-body.js';
 import {parseRequestTarget} from './request-target.js';
 
 /** Response of a handler. */
@@ -147,7 +151,7 @@
 		...encoded.headers,
 		...headers,
 	});
-	res.end(encoded.content);
+	endWhenRead(req, res, encoded.content);
 }
 
 /**
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BufferAccount} from './buffer-budget.js';
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
@@ -32,7 +32,7 @@
 }>;
 
 /** Bytes and time for which the rest of a refused body is read, so that the refusal arrives. */
-const MAX_DISCARDED_BYTES = 4_194_304;
+const MAX_DISCARDED_BYTES = 33_554_432;
 const DISCARD_MS = 1000;
 
 /**
@@ -54,6 +54,29 @@
 	req.once('close', cancelDeadline);
 }
 
+/**
+ * Sends the content of a response whose head names its length, and ends it when the body
+ * of the request is read or given up. A response that ends before closes a connection
+ * that is not kept alive, which resets it before the sender has read the response.
+ */
+export function endWhenRead(
+	req: IncomingMessage,
+	res: ServerResponse,
+	content: Uint8Array,
+): void {
+	if (req.complete || req.destroyed) {
+		res.end(content);
+		return;
+	}
+
+	res.write(content);
+	['end', 'close'].forEach((event) => {
+		req.once(event, () => {
+			res.end();
+		});
+	});
+}
+
 /** Reads the body of a request within its bounds; a refusal is known at once. */
 export async function readRequestBody(
 	req: IncomingMessage,
