Give buffered bytes back when the connection of their exchange has ended

A caller that left with requests behind another one on its connection, or before its answer was ready at a JSON listener, left their bytes in the budget for good; after some of them sound calls got 503. A refused body behind a running request ended the connection after a second, and with it the answer of a request that may run once.

Accounts are closed with the response or the connection, and grant nothing afterwards (exchange-accounts.ts). The rest of a refused body is not read, and the connection not closed, while a response before it is under way. Responses of up to 16 KB are sent whatever else is buffered, as their call was carried out.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import {
 	type BodyRefusal,
 	boundUnreadResponses,
+	openExchangeAccount,
 	readRequestBody,
 } from '@lovagevalve/runtime';
 import {acceptRequest, countHeaderBytes} from './accept-request.js';
@@ -178,10 +179,9 @@
 
 		const {key = '', waitMs = MAX_BODY_MS} = ctx.codec.readRequest(req.headers);
 		const holder = describeCaller(routeTable.findCustomer(key)?.name);
-		const account = ctx.buffers.open(holder);
-		res.once('close', account.release);
 		const content = await readRequestBody(req, {
-			account,
+			res,
+			account: openExchangeAccount(ctx.buffers, holder, res),
 			maxBytes: maxBodyBytes,
 			limitMs: toTimerMs(Math.min(waitMs, MAX_BODY_MS)),
 		});
--- a/packages/lovage-gateway/src/peer-origins.ts
+++ b/packages/lovage-gateway/src/peer-origins.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {parseOriginReports, type OriginReport} from '@lovagevalve/dispatch';
 import {
+	type BufferHolder,
 	type Clock,
 	type Logger,
+	openExchangeAccount,
 	type PeerClient,
 	readRequestBody,
 } from '@lovagevalve/runtime';
@@ -132,13 +134,13 @@
 	req: IncomingMessage,
 	res: ServerResponse,
 ): Promise<void> {
-	const account = ctx.buffers.open({
+	const holder: BufferHolder = {
 		source: 'instances',
 		name: req.socket.remoteAddress ?? '',
-	});
-	res.once('close', account.release);
+	};
 	const outcome = await readRequestBody(req, {
-		account,
+		res,
+		account: openExchangeAccount(ctx.buffers, holder, res),
 		maxBytes: MAX_BODY_BYTES,
 		limitMs: TELL_TIMEOUT_MS,
 	});
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {openExchangeAccount} from '@lovagevalve/runtime';
 import {
 	type AcceptedRequest,
 	describeCaller,
@@ -54,8 +55,8 @@
 	ctx: GatewayContext,
 	{res, metadata, route, customer, startedAt}: AcceptedRequest,
 ): StreamDelivery {
-	const backlog = ctx.buffers.open(describeCaller(customer));
-	res.once('close', backlog.release);
+	const holder = describeCaller(customer);
+	const backlog = openExchangeAccount(ctx.buffers, holder, res);
 	let {lastEventId} = metadata;
 	let hasBegun = false;
 	let isPaused = false;
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -4,6 +4,7 @@
 	type BackendRecord,
 	isRepeatable,
 } from '@lovagevalve/dispatch';
+import {openExchangeAccount} from '@lovagevalve/runtime';
 import {
 	chooseRetryAfterMs,
 	endWithProblem,
@@ -138,8 +139,8 @@
 
 	/** Forwards an error response of the backend server. */
 	const forwardError = (current: Run, response: IncomingMessage): void => {
-		const account = ctx.buffers.open(describeRunHolder(current));
-		res.once('close', account.release);
+		const holder = describeRunHolder(current);
+		const account = openExchangeAccount(ctx.buffers, holder, res);
 		const listener: BodyListener = {
 			onComplete(body) {
 				if (!current.isClosed && !isEnded) {
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -8,6 +8,7 @@
 	type BufferHolder,
 	createByteCollector,
 	createChunkCount,
+	openExchangeAccount,
 	startDeadline,
 } from '@lovagevalve/runtime';
 import {
@@ -139,8 +140,8 @@
 		return;
 	}
 
-	const account = ctx.buffers.open(describeHolder(target));
-	req.res.once('close', account.release);
+	const holder = describeHolder(target);
+	const account = openExchangeAccount(ctx.buffers, holder, req.res);
 	const collector = createByteCollector({
 		account,
 		maxBytes: MAX_BUFFERED_BYTES,
--- a/packages/lovage-runtime/src/__tests__/integration/slow-callers.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/slow-callers.test.ts
@@ -183,3 +183,24 @@
 	expect(received).toBeGreaterThanOrEqual(LARGE_BYTES);
 	expect(performance.now() - startedAt).toBeGreaterThan(TIMES.unreadMs);
 });
+
+it('a response that is ready after its caller left keeps no bytes', async () => {
+	const buffers = createTestBuffers();
+	let answered = 0;
+	const server = createJsonServer({
+		async handler() {
+			await sleep(10 * CHUNK_INTERVAL_MS);
+			answered += 1;
+			return {status: 200, body: 'x'.repeat(LARGE_BYTES / 10)};
+		},
+		onError: noop,
+		buffers,
+		source: 'callers',
+	});
+	const socket = await open(server);
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	await sleep(CHUNK_INTERVAL_MS);
+	socket.destroy();
+	await expect.poll(() => answered, {timeout: LIMIT_MS}).toBe(1);
+	expect(buffers.readUsedBytes()).toBe(0);
+});
--- a/packages/lovage-runtime/src/buffer-budget.ts
+++ b/packages/lovage-runtime/src/buffer-budget.ts
@@ -21,6 +21,8 @@
 	canHold: (bytes: number) => boolean;
 	/** Gives all bytes back; may be called more than once. */
 	release: () => void;
+	/** Gives all bytes back; nothing is granted any more. */
+	close: () => void;
 }>;
 
 /** Bound of the bytes that a process buffers over all its connections. */
@@ -111,8 +113,14 @@
 		readPeakBytes: () => peakBytes,
 		open(holder) {
 			let heldBytes = 0;
+			let isClosed = false;
 			const canHold = (bytes: number): boolean =>
-				bytes <= heldBytes || canAdd(holder, bytes - heldBytes);
+				bytes <= heldBytes || (!isClosed && canAdd(holder, bytes - heldBytes));
+			const release = (): void => {
+				add(holder, -heldBytes);
+				heldBytes = 0;
+			};
+
 			return {
 				canHold,
 				resize(bytes) {
@@ -124,9 +132,10 @@
 					heldBytes = bytes;
 					return true;
 				},
-				release() {
-					add(holder, -heldBytes);
-					heldBytes = 0;
+				release,
+				close() {
+					isClosed = true;
+					release();
 				},
 			};
 		},
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -67,6 +67,7 @@
 	BufferHolder,
 } from './buffer-budget.js';
 export {createBufferBudget} from './buffer-budget.js';
+export {openExchangeAccount} from './exchange-accounts.js';
 export type {BufferDecision, BufferSource, BufferUse} from './memory-budget.js';
 export {computeBufferCapacity, decideBuffering} from './memory-budget.js';
 export type {ByteCollector, CollectOutcome} from './byte-collector.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {encodeBody} from './body-encoding.js';
 import type {BufferAccount, BufferBudget} from './buffer-budget.js';
+import {openExchangeAccount} from './exchange-accounts.js';
 import {createTimedServer, type ExchangeTimes} from './exchange-times.js';
 import {hasTooManyValues, MAX_MESSAGE_BYTES} from './json-bounds.js';
 import type {BufferSource} from './memory-budget.js';
@@ -50,7 +51,8 @@
 	status: 500,
 	body: {error: 'internal error'},
 };
-const MIN_ERROR_STATUS = 400;
+/** Longest response that is sent whatever else is buffered; the call was carried out. */
+const MAX_SMALL_BYTES = 16_384;
 const NO_ROOM: JsonResponse = {
 	status: 503,
 	body: {error: 'too many bytes are buffered'},
@@ -92,11 +94,13 @@
 
 async function answer(
 	req: IncomingMessage,
+	res: ServerResponse,
 	account: BufferAccount,
 	{handler, readMaxBodyBytes}: JsonServerOptions,
 ): Promise<JsonResponse | undefined> {
 	const {method = 'GET', url = '/'} = req;
 	const content = await readRequestBody(req, {
+		res,
 		account,
 		maxBytes: readMaxBodyBytes?.(method, url) ?? MAX_MESSAGE_BYTES,
 		limitMs: BODY_LIMIT_MS,
@@ -137,8 +141,9 @@
 ): void {
 	const payload = typeof body === 'string' ? body : JSON.stringify(body ?? {});
 	const encoded = encodeBody(payload, req.headers['accept-encoding']);
-	// The response is buffered until its reader has received it.
-	if (status < MIN_ERROR_STATUS && !account.resize(encoded.content.length)) {
+	// A large response is buffered until its reader has received it.
+	const {length} = encoded.content;
+	if (length > MAX_SMALL_BYTES && !account.resize(length)) {
 		send(req, res, account, NO_ROOM);
 		return;
 	}
@@ -160,13 +165,10 @@
 	const server = createTimedServer(async (req, res) => {
 		req.on('error', () => undefined);
 		res.on('error', () => undefined);
-		const account = buffers.open({
-			source,
-			name: req.socket.remoteAddress ?? '',
-		});
-		res.once('close', account.release);
+		const holder = {source, name: req.socket.remoteAddress ?? ''};
+		const account = openExchangeAccount(buffers, holder, res);
 		try {
-			const response = await answer(req, account, options);
+			const response = await answer(req, res, account, options);
 			if (response !== undefined) {
 				send(req, res, account, response);
 			}
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -24,6 +24,8 @@
 
 /** Bounds of a body. */
 export type RequestBodyOptions = Readonly<{
+	/** Response of the request. */
+	res: ServerResponse;
 	/** Account of the request; the caller releases it when the body is not needed any more. */
 	account: BufferAccount;
 	maxBytes: number;
@@ -39,19 +41,31 @@
  * Reads the rest of a refused body without keeping it, and closes the connection if
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
  */
-function discardRest(req: IncomingMessage): void {
+function discardRest(req: IncomingMessage, res: ServerResponse): void {
 	let discardedBytes = 0;
-	const cancelDeadline = startDeadline(DISCARD_MS, () => {
-		req.socket.destroy();
-	});
+	const giveUp = (): void => {
+		cancelDeadline();
+		const isBehindAnother = res.socket === null && !res.writableFinished;
+		if (isBehindAnother && !req.socket.destroyed) {
+			req.pause();
+			cancelDeadline = startDeadline(DISCARD_MS, giveUp);
+		} else {
+			req.socket.destroy();
+		}
+	};
+
+	let cancelDeadline = startDeadline(DISCARD_MS, giveUp);
 	req.on('data', ({length}: Uint8Array) => {
 		discardedBytes += length;
 		if (discardedBytes > MAX_DISCARDED_BYTES) {
-			req.socket.destroy();
+			giveUp();
 		}
 	});
-	req.once('end', cancelDeadline);
-	req.once('close', cancelDeadline);
+	['end', 'close'].forEach((event) => {
+		req.once(event, () => {
+			cancelDeadline();
+		});
+	});
 }
 
 /**
@@ -80,7 +94,7 @@
 /** Reads the body of a request within its bounds; a refusal is known at once. */
 export async function readRequestBody(
 	req: IncomingMessage,
-	{account, maxBytes, limitMs}: RequestBodyOptions,
+	{res, account, maxBytes, limitMs}: RequestBodyOptions,
 ): Promise<RequestBody> {
 	const {'content-length': length, 'transfer-encoding': coding} = req.headers;
 	if (length === undefined && coding === undefined) {
@@ -107,7 +121,7 @@
 			if (!isOver) {
 				settle({kind: 'refused', reason});
 				collector.release();
-				discardRest(req);
+				discardRest(req, res);
 			}
 		};
 
