Pass a sound answer on when there is no room to buffer it, and blame floods

While the part of a backend server was full, whole answers of 5 and 2,000 bytes reached their callers as a closed connection, though the request had run: the answer had ended before the pipe was set up, and was taken for a failed one. An event stream without room counted against its backend server. A body without end that was passed on left its backend server in use, so that each later call went there again.

An answer that has ended is judged by whether it is whole. The entry's own lack of room blames nobody. A large answer that does not end in time, though its caller keeps up, or comes in small chunks, is a flood; its server is avoided.

--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -89,6 +89,11 @@
 	}
 }
 
+/** Whether a response that has ended is whole; known a turn of the event loop after its end. */
+export function isWhole(response: IncomingMessage): boolean {
+	return response.complete && !failedResponses.has(response);
+}
+
 /**
  * Calls `onComplete` if the whole response has arrived and `onTruncated` if the
  * connection failed before that.
@@ -99,7 +104,7 @@
 	onTruncated: () => void,
 ): void {
 	const settle = (): void => {
-		if (response.complete && !failedResponses.has(response)) {
+		if (isWhole(response)) {
 			onComplete();
 		} else {
 			onTruncated();
--- a/packages/lovage-gateway/src/stream-reader.ts
+++ b/packages/lovage-gateway/src/stream-reader.ts
@@ -13,7 +13,7 @@
 } from './event-splitter.js';
 
 /** The part of a failure that a reader of a body finds. */
-export type BodyFailure = Extract<AttemptFailure, {kind: 'lost'}>;
+export type BodyFailure = Extract<AttemptFailure, {kind: 'lost' | 'failed'}>;
 
 /** Callbacks for the events of a response; none is called after the run is closed. */
 export type EventListener = Readonly<{
@@ -45,6 +45,12 @@
 const MAX_EVENTS_PER_TURN = 64;
 const TURN_EVENT = 'turn';
 const TRUNCATED: BodyFailure = {kind: 'lost', reason: 'the answer broke off'};
+/** The backend server has no part in it. */
+const NO_ROOM: BodyFailure = {
+	kind: 'failed',
+	reason: 'too many bytes are buffered',
+	isBlameless: true,
+};
 
 /** Describes an answer that is left because of what it consists of. */
 export function createFlood(reason: string): BodyFailure {
@@ -114,7 +120,7 @@
 		if (reason !== undefined) {
 			onLost(createFlood(reason));
 		} else if (!splitter.push(chunk)) {
-			onLost({kind: 'lost', reason: 'too many bytes are buffered'});
+			onLost(NO_ROOM);
 		} else if (!isTurnDue) {
 			advance();
 		}
@@ -169,7 +175,7 @@
 			}
 
 			case 'no-room': {
-				onLost({kind: 'lost', reason: 'too many bytes are buffered'});
+				onLost(NO_ROOM);
 				break;
 			}
 
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -330,7 +330,9 @@
 
 		case 'large': {
 			ctx.view.reportHealth(backend, 'answered');
-			pipeLargeResponse(ctx, req, outcome);
+			pipeLargeResponse(ctx, req, outcome, () => {
+				ctx.view.reportHealth(backend, 'flooded');
+			});
 			return undefined;
 		}
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -4,7 +4,7 @@
 	type GatewayContext,
 	readRemainingMs,
 } from './context.js';
-import {watchResponseEnd} from './backend-exchange.js';
+import {isWhole, watchResponseEnd} from './backend-exchange.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
 import {breakOff} from './responses.js';
 import type {BufferedResponse, LargeResponse} from './unary-attempt.js';
@@ -29,33 +29,66 @@
 	req.res.end(hasNoBody ? undefined : body);
 }
 
-/** Sends the buffered head of a large response and pipes the rest. */
+/** Bytes from which on a response that does not end is taken for a flood. */
+const MIN_FLOOD_BYTES = 4_194_304;
+
+/**
+ * Sends the buffered head of a large response and pipes the rest; `onFlood` is called if
+ * it is left for what it consists of.
+ */
 export function pipeLargeResponse(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
 	{response, head}: LargeResponse,
+	onFlood: () => void = () => undefined,
 ): void {
 	const {res} = req;
+	let bytes = head.reduce((sum, {length}) => sum + length, 0);
+	const leave = (reason: string): void => {
+		ctx.log.warn('A large response was left.', {
+			request: req.metadata.id,
+			reason,
+			bytes,
+		});
+		response.destroy();
+		breakOff(res);
+	};
+
 	// A backend server may send bytes without end.
 	const timer = setTimeout(
 		req.guard.wrap(() => {
-			ctx.log.warn('A large response did not end in time.', {
-				request: req.metadata.id,
-			});
-			response.destroy();
-			breakOff(res);
+			// The time was the caller's if it reads slowly.
+			if (bytes > MIN_FLOOD_BYTES && !res.writableNeedDrain) {
+				onFlood();
+			}
+
+			leave('it did not end in time');
 		}),
 		Math.max(1, readRemainingMs(ctx, req)),
 	);
+	const complete = (): void => {
+		const tookMs = ctx.clock.now() - req.startedAt;
+		ctx.answerTimes.record(req.route.name, tookMs);
+		res.end();
+	};
+
 	res.writeHead(
 		response.statusCode ?? 0,
 		removeHeaders(response.rawHeaders, new Set()),
 	);
 	head.forEach((chunk) => res.write(chunk));
-	if (response.destroyed) {
-		// It failed before anyone listened.
+	if (response.destroyed || response.readableEnded) {
+		// It ended before anyone listened.
 		clearTimeout(timer);
-		breakOff(res);
+		setImmediate(
+			req.guard.wrap(() => {
+				if (isWhole(response)) {
+					complete();
+				} else {
+					breakOff(res);
+				}
+			}),
+		);
 		return;
 	}
 
@@ -63,28 +96,17 @@
 		clearTimeout(timer);
 		response.destroy();
 	});
-	watchResponseEnd(
-		response,
-		() => {
-			const tookMs = ctx.clock.now() - req.startedAt;
-			ctx.answerTimes.record(req.route.name, tookMs);
-			res.end();
-		},
-		() => {
-			// The caller must not take a truncated response for a complete one.
-			breakOff(res);
-		},
-	);
+	watchResponseEnd(response, complete, () => {
+		// The caller must not take a truncated response for a complete one.
+		breakOff(res);
+	});
 	const findFragmentation = createChunkCount();
 	response.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
 		const reason = findFragmentation(chunk);
 		if (reason !== undefined) {
-			ctx.log.warn('A large response comes in too many small chunks.', {
-				request: req.metadata.id,
-				reason,
-			});
-			response.destroy();
-			breakOff(res);
+			onFlood();
+			leave(reason);
 		}
 	});
 	response.pipe(res, {end: false});
