Leave engines that flood the product's entry

An engine that sends comments, one event again, an event without an end or interim answers was read for as long as it sent, beside other callers' streams; probes read an answer of any size, and calls kept an object for each chunk of up to a million of one byte. lovagectl did the same up to 32 MB; answers of other instances had no bound but their time.

Cause: streams had no bound at all, and the others counted bytes only. The parser of events searches its rest again for each line of a chunk that has a carriage return.

A stream is left after 262,144 bytes or 4096 chunks without new tokens, at an event of 131,072 characters, and after 16 interim answers; line breaks are made line feeds before they are parsed. Answers to calls, to probes (64 KB) and to lovagectl are collected in one buffer and left if they come in small chunks; answers between instances have 32 MB at most.

--- /dev/null
+++ b/packages/lovage-entry/src/__tests__/integration/flooding-engines.test.ts
@@ -0,0 +1,189 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {exchangeCall} from '../../call-exchange.js';
+import {probeAttempt} from '../../engine-exchange.js';
+import {openEngineStream} from '../../engine-stream.js';
+
+// An engine sends bytes without end that are no part of a generation: the entry reads
+// them for as long as they come, in time that other callers need, or keeps them.
+
+const cleanups: Array<() => unknown> = [];
+
+afterEach(() => {
+	cleanups.splice(0).forEach((cleanup) => cleanup());
+});
+
+/** An engine is left long before it has sent as much. */
+const MAX_SENT_BYTES = 33_554_432;
+const GIVE_UP_MS = 60_000;
+const STREAM_GIVE_UP_MS = 10_000;
+
+function withResolvers<T>(): Readonly<{
+	promise: Promise<T>;
+	resolve: (value: T) => void;
+}> {
+	let settle: (value: T) => void = () => undefined;
+	const promise = new Promise<T>((resolve) => {
+		settle = resolve;
+	});
+	return {promise, resolve: settle};
+}
+
+type Flood = Readonly<{
+	address: string;
+	/** Resolves when the connection is gone, with the bytes that were written. */
+	left: Promise<number>;
+}>;
+
+/** Starts a server that answers with a beginning, and then with a part again and again. */
+async function flood(beginning: string, part: string): Promise<Flood> {
+	const {promise, resolve} = withResolvers<number>();
+	const bytes = Buffer.from(part);
+	const send = (socket: Socket): void => {
+		let isWritable = true;
+		while (isWritable && socket.writable) {
+			isWritable = socket.write(bytes) && socket.bytesWritten < MAX_SENT_BYTES;
+		}
+	};
+
+	const server = createServer((socket) => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write(beginning);
+			send(socket);
+		});
+		socket.on('drain', () => {
+			if (socket.bytesWritten < MAX_SENT_BYTES) {
+				send(socket);
+			}
+		});
+		socket.on('close', () => {
+			resolve(socket.bytesWritten);
+		});
+	});
+	cleanups.push(() => server.close());
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	return {address: `http://127.0.0.1:${port}`, left: promise};
+}
+
+const STREAM_HEAD =
+	'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n';
+const CHUNKED_HEAD =
+	'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const INTERIM = 'HTTP/1.1 100 Continue\r\n\r\n';
+const CHUNK = {generation: 'g', attempt: 1, offset: 0, tokens: ['a']};
+const TOKENS = `event: tokens\ndata: ${JSON.stringify(CHUNK)}\n\n`;
+const KILOBYTE = 1024;
+
+describe('an engine that floods a stream', () => {
+	it.each([
+		['blank lines', STREAM_HEAD, '\n'.repeat(64 * KILOBYTE)],
+		[
+			'blank lines of two kinds',
+			STREAM_HEAD,
+			'\n'.repeat(64 * KILOBYTE) + '\r',
+		],
+		['comments', STREAM_HEAD, ':\n'.repeat(KILOBYTE)],
+		['one event again and again', STREAM_HEAD, TOKENS.repeat(64)],
+		['other events', STREAM_HEAD, 'event: x\ndata: y\n\n'.repeat(64)],
+		['a line without an end', STREAM_HEAD, 'x'.repeat(64 * KILOBYTE)],
+		['an event without an end', STREAM_HEAD, 'data: x\n'.repeat(KILOBYTE)],
+		['chunks of one byte', CHUNKED_HEAD, '1\r\n:\r\n'.repeat(KILOBYTE)],
+		['interim answers', INTERIM, INTERIM.repeat(KILOBYTE)],
+	])('is left: %s', async (_, beginning, part) => {
+		const {address, left} = await flood(beginning, part);
+		const {promise: lost, resolve} = withResolvers<string>();
+		cleanups.push(
+			openEngineStream(
+				{kind: 'resume', address, generation: 'g', attempt: 1, offset: 0},
+				{
+					onOpen: () => undefined,
+					onChunk: () => undefined,
+					onEnd: () => undefined,
+					onLost() {
+						resolve('lost');
+					},
+					onRefused() {
+						resolve('refused');
+					},
+				},
+			),
+		);
+		const timer = setTimeout(() => {
+			resolve('still read');
+		}, STREAM_GIVE_UP_MS);
+		expect(await lost).toBe('lost');
+		clearTimeout(timer);
+		expect(await left).toBeLessThan(MAX_SENT_BYTES);
+	});
+
+	it('is read on with new tokens and comments between them', async () => {
+		const events = Array.from({length: 6000}, (_, offset) => {
+			const data = JSON.stringify({...CHUNK, offset});
+			return `: wait\r\n\r\nevent: tokens\r\ndata: ${data}\r\n\r\n`;
+		});
+		const done = `event: done\ndata: {"generation":"g","attempt":1,"total":6000}\n\n`;
+		const {address} = await flood(
+			STREAM_HEAD + events.join('') + done,
+			':\n'.repeat(KILOBYTE),
+		);
+		let tokens = 0;
+		const end = await new Promise((resolve) => {
+			const close = openEngineStream(
+				{kind: 'resume', address, generation: 'g', attempt: 1, offset: 0},
+				{
+					onOpen: () => undefined,
+					onChunk(chunk) {
+						tokens += chunk.tokens.length;
+					},
+					onEnd({total}) {
+						close();
+						resolve(total);
+					},
+					onLost() {
+						resolve('lost');
+					},
+					onRefused: () => undefined,
+				},
+			);
+		});
+		expect([tokens, end]).toEqual([6000, 6000]);
+	});
+});
+
+describe('a backend server that floods a call', () => {
+	const FORMS = [
+		['chunks of one byte', CHUNKED_HEAD, '1\r\n \r\n'.repeat(KILOBYTE)],
+		['bytes', STREAM_HEAD, ' '.repeat(64 * KILOBYTE)],
+		['interim answers', INTERIM, INTERIM.repeat(KILOBYTE)],
+	] as const;
+
+	it.each(FORMS)('is left: %s', async (_, beginning, part) => {
+		const {address, left} = await flood(beginning, part);
+		const outcome = await exchangeCall({
+			address,
+			body: {requestId: 'r', customer: 'c', operation: 'grant', body: {}},
+			timeoutMs: GIVE_UP_MS,
+			mayWrite: () => true,
+		});
+		expect(outcome).toEqual({kind: 'lost'});
+		expect(await left).toBeLessThan(MAX_SENT_BYTES);
+	});
+
+	it.each(FORMS.slice(0, 2))(
+		'is left in a probe: %s',
+		async (_, beginning, part) => {
+			const {address, left} = await flood(beginning, part);
+			const probe = await probeAttempt(
+				{address, generation: 'g', attempt: 1},
+				GIVE_UP_MS,
+			);
+			expect(probe.isErr()).toBe(true);
+			expect(await left).toBeLessThan(MAX_SENT_BYTES);
+		},
+	);
+});
--- a/packages/lovage-entry/src/call-exchange.ts
+++ b/packages/lovage-entry/src/call-exchange.ts
@@ -1,6 +1,8 @@
 import type {CallResult} from '@lovagevalve/entry-role';
+import {readBounded} from '@lovagevalve/runtime';
 import {createDeadline, type BackendCall} from '@lovagevalve/wire';
 import {buildConnector, Client} from 'undici';
+import {createInterimBound} from './answer-bounds.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_ANSWER_BYTES = 1_048_576;
@@ -76,8 +78,12 @@
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(call.body),
 			signal: createDeadline(call.timeoutMs),
+			onInfo: createInterimBound(() => {
+				void client?.destroy();
+			}),
 		});
-		const text = await res.body.text();
+		const answer = await readBounded(res.body, MAX_ANSWER_BYTES);
+		const text = new TextDecoder().decode(answer);
 		return {kind: 'answered', result: readResult(res.statusCode, text)};
 	} catch {
 		return isPermissionRequested ? {kind: 'lost'} : {kind: 'not-sent'};
--- a/packages/lovage-entry/src/engine-exchange.ts
+++ b/packages/lovage-entry/src/engine-exchange.ts
@@ -1,10 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {readBounded} from '@lovagevalve/runtime';
 import {createDeadline, engineStatusSchema} from '@lovagevalve/wire';
 import {ResultAsync} from 'neverthrow';
 import {Client} from 'undici';
 
 const CANCEL_TIMEOUT_MS = 1000;
 const CANCEL_RETRY_MS = 1000;
+const MAX_STATUS_BYTES = 65_536;
 
 /** Identifies an attempt and the engine that runs it. */
 export type AttemptAddress = Readonly<{
@@ -51,7 +53,10 @@
 				return {held: false, length: 0};
 			}
 
-			const status = engineStatusSchema.parse(await res.body.json());
+			const answer = await readBounded(res.body, MAX_STATUS_BYTES);
+			const status = engineStatusSchema.parse(
+				JSON.parse(new TextDecoder().decode(answer)),
+			);
 			return {held: status.attempt === attempt, length: status.length};
 		});
 	};
--- a/packages/lovage-entry/src/engine-stream.ts
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -5,8 +5,15 @@
 } from '@lovagevalve/wire';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {Client, type Dispatcher} from 'undici';
+import {
+	createIdleBound,
+	createInterimBound,
+	createLineBreakNormaliser,
+} from './answer-bounds.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
+/** Engines send events of a few tokens. */
+const MAX_EVENT_CHARACTERS = 131_072;
 const TRANSIENT_STATUSES: ReadonlySet<number> = new Set([
 	404, 408, 409, 429, 500, 502, 503, 504,
 ]);
@@ -50,6 +57,9 @@
 	req: EngineRequest,
 	signal: AbortSignal,
 ): Promise<Dispatcher.ResponseData> {
+	const onInfo = createInterimBound(() => {
+		void client.destroy();
+	});
 	if (req.kind === 'start') {
 		return client.request({
 			method: 'POST',
@@ -57,6 +67,7 @@
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(req.body),
 			signal,
+			onInfo,
 		});
 	}
 
@@ -66,6 +77,7 @@
 		method: 'GET',
 		path: `/v1/generations/${id}/stream?attempt=${attempt}&from=${offset}`,
 		signal,
+		onInfo,
 	});
 }
 
@@ -111,16 +123,34 @@
 	signal: AbortSignal,
 ): Promise<void> {
 	let isValid = true;
+	const bound = createIdleBound();
 	const parser = createParser({
+		maxBufferSize: MAX_EVENT_CHARACTERS,
 		onEvent(event) {
 			if (isValid && !signal.aborted) {
-				isValid = handleEvent(event, listener);
+				isValid = handleEvent(event, {
+					...listener,
+					onChunk(chunk) {
+						bound.addTokens(chunk);
+						listener.onChunk(chunk);
+					},
+				});
 			}
 		},
+		onError({type}) {
+			isValid &&= type !== 'max-buffer-size-exceeded';
+		},
 	});
 	const decoder = new TextDecoder();
-	for await (const bytes of res.body) {
-		parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+	// With a carriage return in a chunk, the parser searches its rest again for each line.
+	const normalise = createLineBreakNormaliser();
+	for await (const chunk of res.body) {
+		const bytes = chunk as Uint8Array;
+		isValid &&= bound.addBytes(bytes.length);
+		if (isValid) {
+			parser.feed(normalise(decoder.decode(bytes, {stream: true})));
+		}
+
 		if (!isValid || signal.aborted) {
 			return;
 		}
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -76,4 +76,5 @@
 export {readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
 export {guardSocket} from './guard-socket.js';
+export {readBounded} from './read-bounded.js';
 export {watchUsage} from './usage-watch.js';
--- a/packages/lovage-wire/src/client.ts
+++ b/packages/lovage-wire/src/client.ts
@@ -20,6 +20,9 @@
 	code?: string;
 }>;
 
+/** A configuration as a text in JSON takes up to twice its size. */
+const MAX_ANSWER_BYTES = 33_554_432;
+
 /** Connection pool for RPCs, shared by all clients of a program. */
 export type RpcPool = Readonly<{
 	agent: Agent;
@@ -37,6 +40,7 @@
 		pipelining: 1,
 		connections: 16,
 		connect: {timeout: 1000},
+		maxResponseSize: MAX_ANSWER_BYTES,
 	});
 	return {agent, close: async () => agent.destroy()};
 }
--- a/packages/lovagectl/src/entry-client.ts
+++ b/packages/lovagectl/src/entry-client.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {readBounded} from '@lovagevalve/runtime';
 import {isProblem, type EntryInfo} from '@lovagevalve/wire';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {request, type Agent} from 'undici';
@@ -24,18 +24,8 @@
 type EntryResponse = Readonly<{status: number; body: unknown}>;
 
 async function readBody(body: AsyncIterable<Uint8Array>): Promise<unknown> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of body) {
-		size += chunk.byteLength;
-		if (size > MAX_BODY_BYTES) {
-			throw new Error(`the response exceeds ${MAX_BODY_BYTES} bytes`);
-		}
-
-		chunks.push(chunk);
-	}
-
-	const text = Buffer.concat(chunks).toString('utf8');
+	const content = await readBounded(body, MAX_BODY_BYTES);
+	const text = new TextDecoder().decode(content);
 	return text === '' ? undefined : (JSON.parse(text) as unknown);
 }
 
