--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -99,4 +99,5 @@
 	createTimedServer,
 	DEFAULT_EXCHANGE_TIMES,
 } from './exchange-times.js';
+export {readBounded} from './read-bounded.js';
 export {watchUsage} from './usage-watch.js';
