--- a/packages/lovage-runtime/src/__tests__/integration/json-server.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/json-server.test.ts
@@ -1,11 +1,13 @@
 import {once} from 'node:events';
 import {request} from 'node:http';
-import {type AddressInfo, connect} from 'node:net';
+import {type AddressInfo, connect, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {createJsonServer, type JsonRequest} from '../../json-server.js';
 import {createTestBuffers} from './test-buffers.js';
 
+/** Wire bytes of chunks of one byte whose cost is that of a rest of 4 MB, and of one read. */
+const MAX_FRAGMENTED_BYTES = 262_144;
 const errors: unknown[] = [];
 const cyclic: Record<string, unknown> = {};
 cyclic.self = cyclic;
@@ -120,3 +122,36 @@
 	const answer = await call('/', Buffer.alloc(17_000_000));
 	expect(answer.status).toBe(413);
 });
+
+// Each chunk took time of other requests until 4 MB of payload had come, one byte at a time.
+it('closes a connection that goes on in chunks of one byte behind the refusal', async () => {
+	const sockets: Socket[] = [];
+	const record = (socket: Socket): void => {
+		sockets.push(socket);
+	};
+
+	server.on('connection', record);
+	const {port} = server.address() as AddressInfo;
+	const sender = connect({host: '127.0.0.1', port});
+	const block = '1\r\nx\r\n'.repeat(10_000);
+	const send = (): void => {
+		if (!sender.destroyed) {
+			sender.write(block, () => {
+				setImmediate(send);
+			});
+		}
+	};
+
+	sender.on('error', () => undefined);
+	sender.resume();
+	sender.write(
+		'PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n',
+	);
+	send();
+	await new Promise((resolve) => {
+		sender.once('close', resolve);
+	});
+	server.off('connection', record);
+	expect(sockets).toHaveLength(1);
+	expect(sockets[0]!.bytesRead).toBeLessThan(MAX_FRAGMENTED_BYTES);
+});
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -33,6 +33,8 @@
 
 /** Bytes and time for which the rest of a refused body is read, so that the refusal arrives. */
 const MAX_DISCARDED_BYTES = 4_194_304;
+/** A chunk takes the time of so many bytes, however small it is. */
+const CHUNK_COST_BYTES = 1024;
 const DISCARD_MS = 1000;
 
 /**
@@ -40,13 +42,13 @@
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
  */
 function discardRest(req: IncomingMessage): void {
-	let discardedBytes = 0;
+	let costBytes = 0;
 	const cancelDeadline = startDeadline(DISCARD_MS, () => {
 		req.socket.destroy();
 	});
 	req.on('data', ({length}: Uint8Array) => {
-		discardedBytes += length;
-		if (discardedBytes > MAX_DISCARDED_BYTES) {
+		costBytes += length + CHUNK_COST_BYTES;
+		if (costBytes > MAX_DISCARDED_BYTES && !req.socket.destroyed) {
 			req.socket.destroy();
 		}
 	});
