--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -35,6 +35,8 @@
 
 /** Bytes and time for which the rest of a refused body is read, so that the refusal arrives. */
 const MAX_DISCARDED_BYTES = 33_554_432;
+/** A chunk takes the time of so many bytes, however small it is. */
+const CHUNK_COST_BYTES = 8192;
 const DISCARD_MS = 1000;
 
 /**
@@ -42,9 +44,10 @@
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
  */
 function discardRest(req: IncomingMessage, res: ServerResponse): void {
-	let discardedBytes = 0;
+	let costBytes = 0;
 	const giveUp = (): void => {
 		cancelDeadline();
+		// A response before this one is still under way on the connection.
 		const isBehindAnother = res.socket === null && !res.writableFinished;
 		if (isBehindAnother && !req.socket.destroyed) {
 			req.pause();
@@ -56,8 +59,8 @@
 
 	let cancelDeadline = startDeadline(DISCARD_MS, giveUp);
 	req.on('data', ({length}: Uint8Array) => {
-		discardedBytes += length;
-		if (discardedBytes > MAX_DISCARDED_BYTES) {
+		costBytes += length + CHUNK_COST_BYTES;
+		if (costBytes > MAX_DISCARDED_BYTES) {
 			giveUp();
 		}
 	});
