Keep repeated reports from bringing back what a sound run has cleared

A run that gets past its start clears its request and parts of the deaths before it. Entries repeat a crash for 3 s, and a repeated report named them again: the death was judged once more, and callers were refused again until the next report of the sound run.

Reports now leave out what has run soundly after the death.

--- a/packages/lovage-coordinator/src/__tests__/unit/crash-quarantine.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/crash-quarantine.test.ts
@@ -9,7 +9,15 @@
 import type {QuarantineFile} from '../../quarantine-file.js';
 
 const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
+const lines: Array<Readonly<{message: string; facts: unknown}>> = [];
+const log = {
+	debug: noop,
+	info(message: string, facts?: unknown) {
+		lines.push({message, facts});
+	},
+	warn: noop,
+	error: noop,
+};
 const findNone = (): undefined => undefined;
 
 /** A data folder in memory. */
@@ -165,6 +173,26 @@
 		expect(reportEach(started, crashes)).toEqual(['d']);
 	});
 
+	it('finds a request that is sent on from one server to the next within milliseconds', async () => {
+		const {quarantine, time} = await start();
+		lines.length = 0;
+		['e-1', 'e-2', 'e-3'].forEach((backend, i) => {
+			time.now += 60;
+			report(
+				quarantine,
+				{crashReports: [crash(backend, 'd', [], {sentAgeMs: 40})]},
+				`entry-${i}`,
+			);
+		});
+		time.now += 1000;
+		expect(quarantine.describe().convicted).toEqual(['d']);
+		const judged = lines.filter(({message}) => message.includes('Judged'));
+		expect(judged.at(-1)?.facts).toMatchObject({
+			suspect: 'd',
+			reason: 'convicted',
+		});
+	});
+
 	it('counts sound runs only against crashes before them', async () => {
 		const started = await start();
 		report(started.quarantine, {soundMs: {'part:bad': 1000}});
@@ -193,6 +221,69 @@
 });
 
 describe('what no request has caused', () => {
+	const rack = ['r-1', 'r-2', 'r-3', 'r-4', 'r-5'].map((backend, i) =>
+		crash(backend, 'same', [], {
+			dataCentre: ['a', 'b'][i % 2]!,
+			ageMs: 5 - i,
+			sentAgeMs: 300 + i,
+		}),
+	);
+
+	// Each entry knows of some of the runs, and confirms a loss up to a second later.
+	it.each([0, 100, 300, 600, 1000])(
+		'blames no request that is on all servers of a rack when its last reports come %d ms late',
+		async (delayMs) => {
+			const {quarantine, time} = await start();
+			report(quarantine, {crashReports: rack.slice(0, 2)}, 'entry-1');
+			time.now += delayMs;
+			const late = rack.slice(2).map((one) => ({
+				...one,
+				ageMs: one.ageMs + delayMs,
+				sentAgeMs: one.sentAgeMs! + delayMs,
+			}));
+			report(quarantine, {crashReports: late}, 'entry-2');
+			time.now += 1000;
+			expect(quarantine.describe().convicted).toEqual([]);
+		},
+	);
+
+	it('blames no request when two control instances hear different reports, and tell each other', async () => {
+		const [first, second] = [await start(), await start()];
+		report(first.quarantine, {crashReports: rack.slice(0, 4)});
+		report(second.quarantine, {crashReports: rack.slice(1)});
+		[first, second].forEach(({quarantine, time}) => {
+			time.now += 1000;
+			expect(quarantine.describe().convicted).toEqual([]);
+		});
+		second.quarantine.mergeConvictions(first.quarantine.listConvictions());
+		report(second.quarantine, {
+			crashReports: rack.map((one) => ({...one, ageMs: one.ageMs + 1000})),
+		});
+		second.time.now += 1000;
+		expect(second.quarantine.describe().convicted).toEqual([]);
+	});
+
+	it('logs one line for an event, with its servers, the suspect and the reason', async () => {
+		const {quarantine, time} = await start();
+		lines.length = 0;
+		report(quarantine, {crashReports: rack});
+		time.now += 1000;
+		await quarantine.maintain();
+		await quarantine.maintain();
+		const judged = lines.filter(({message}) => message.includes('Judged'));
+		expect(judged.map(({facts}) => facts)).toMatchObject([
+			{
+				backends: 'r-1/1 r-2/1 r-3/1 r-4/1 r-5/1',
+				died: 5,
+				suspect: 'same',
+				present: 5,
+				strikes: 1,
+				required: 3,
+				reason: 'too few events',
+			},
+		]);
+	});
+
 	it('blames nothing when a data centre or all of them end at once', async () => {
 		const {quarantine, time} = await start();
 		const lost = Array.from({length: 24}, (_, i) =>
@@ -260,6 +351,27 @@
 });
 
 describe('ends of a verdict', () => {
+	// Entries repeat a crash for three seconds, and most runs are past their start by then.
+	it('is not brought back by repeated reports of crashes before a sound run', async () => {
+		const {quarantine, time} = await start();
+		const crashReports = ['e-1', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6'].map(
+			(backend, i) => crash(backend, 'd', [], {ageMs: 1500 * (6 - i)}),
+		);
+		report(quarantine, {crashReports});
+		time.now += 500;
+		expect(quarantine.describe().convicted).toEqual(['d']);
+		time.now += 500;
+		report(quarantine, {soundMs: {d: 100}});
+		expect(quarantine.describe().convicted).toEqual([]);
+		const repeated = crashReports.map((one) => ({
+			...one,
+			ageMs: one.ageMs + 1000,
+		}));
+		report(quarantine, {crashReports: repeated}, 'entry-2');
+		time.now += 500;
+		expect(quarantine.describe().convicted).toEqual([]);
+	});
+
 	it('ends when a run that was under way at the verdict proves sound', async () => {
 		const started = await start();
 		const crashes = threeUnderOnePart.map((one) => ({...one, parts: ['bad']}));
--- a/packages/lovage-quarantine/src/deaths.ts
+++ b/packages/lovage-quarantine/src/deaths.ts
@@ -49,11 +49,34 @@
 	};
 }
 
+/** Leaves out what was seen to run soundly after the death. */
+function dropSound(
+	{records}: QuarantineState,
+	report: ReportedDeath,
+): ReportedDeath {
+	const {at, digests, parts} = report;
+	const isSuspected = (key: string): boolean =>
+		at === undefined ||
+		at > (records[key]?.soundAt ?? Number.NEGATIVE_INFINITY);
+	return {
+		...report,
+		digests: digests.filter((digest) => isSuspected(digest)),
+		...(parts === undefined
+			? {}
+			: {
+					parts: Object.fromEntries(
+						Object.entries(parts).filter(([key]) => isSuspected(key)),
+					),
+				}),
+	};
+}
+
 /** Adds a reported death; reports of the same death are merged. */
 export function mergeDeath(
 	state: QuarantineState,
-	report: ReportedDeath,
+	reported: ReportedDeath,
 ): QuarantineState {
+	const report = dropSound(state, reported);
 	const known = state.deaths.find(
 		(death) => state.options.guards.mergeReports && isSameDeath(death, report),
 	);
