--- /dev/null
+++ b/packages/lovage-gateway/src/__tests__/integration/flood-evidence.test.ts
@@ -0,0 +1,100 @@
+import {expect, it} from 'vitest';
+import {
+	call,
+	configuration,
+	createCleanups,
+	startBackend,
+	startHarness,
+	startRawBackend,
+} from './harness.js';
+
+const cleanups = createCleanups();
+const BLOCK_BYTES = 65_536;
+const FLOODING_COUNT = 3;
+const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n';
+
+const patient = {
+	...configuration,
+	routes: configuration.routes.map((route) => ({
+		...route,
+		maxAttempts: FLOODING_COUNT + 1,
+	})),
+};
+
+/** Starts a backend server that answers without end; one that is closed accepts no connection beside. */
+async function startFlooding(
+	head: string,
+	text: string,
+	isClosed: boolean,
+): Promise<number> {
+	const block = text.repeat(Math.ceil(BLOCK_BYTES / text.length));
+	const {port, server} = await startRawBackend((socket) => {
+		if (isClosed) {
+			server.close();
+		}
+
+		const write = (): void => {
+			if (!socket.destroyed && socket.write(block)) {
+				setImmediate(write);
+			}
+		};
+
+		socket.on('drain', write);
+		socket.write(head);
+		write();
+	});
+	cleanups.push(() => server.close());
+	return port;
+}
+
+const FORMS = [
+	{
+		path: '/plain/1',
+		head: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+		text: '1\r\nx\r\n',
+	},
+	{
+		path: '/stream/1',
+		head: `${HEAD}Content-Type: text/event-stream\r\n\r\n`,
+		text: ':\n\n',
+	},
+].flatMap((form) => [
+	{...form, listeners: 'open', isClosed: false},
+	{...form, listeners: 'closed', isClosed: true},
+]);
+
+// A probe finds a server whose listener is closed as dead as one that has crashed.
+it.each(FORMS)(
+	'a request that met three flooding backend servers is not reported as crashing them: $path, listeners $listeners',
+	async ({path, head, text, isClosed}) => {
+		const ports = await Promise.all(
+			Array.from({length: FLOODING_COUNT}, async () =>
+				startFlooding(head, text, isClosed),
+			),
+		);
+		const harness = await startHarness(patient);
+		cleanups.push(harness.close);
+		harness.setBackends(ports);
+		const answer = await call(harness.port, path);
+		// A stream has its head by then.
+		expect(answer.status === 200 && answer.isWhole).toBe(false);
+		expect(harness.crashes).toEqual([]);
+		const met = ports.map((_, i) => harness.view.readAvailability(`e-${i}`));
+		expect(met).toEqual(['failing', 'failing', 'failing']);
+		const sound = await startBackend((req, res) => {
+			req.resume();
+			const isStream = req.url?.startsWith('/stream') ?? false;
+			res.writeHead(200, {
+				'Request-Id': String(req.headers['request-id'] ?? ''),
+				...(isStream ? {'Content-Type': 'text/event-stream'} : {}),
+			});
+			res.end(isStream ? 'id: 1\ndata: a\n\n' : 'sound');
+		});
+		cleanups.push(() => sound.server.close());
+		harness.setBackends([...ports, sound.port]);
+		const second = await call(harness.port, path);
+		expect(second.isWhole).toBe(true);
+		expect(second.status).toBe(200);
+		expect(harness.crashes).toEqual([]);
+	},
+);
