Leave backend servers whose large answer has no end

Callers saw: calls whose answer was passed on were cut at their deadline, and so were all later ones, as the next calls went to the same backend server: in the test 4 of 4 calls, 8 to 9 s. Streams and sound calls beside them were late, as the entry spent its time on passing the bytes on.

Cause: an answer longer than the buffer counted as "answered" as soon as it was passed on. Nothing was learnt from its end, and an answer without a length had no bound but the deadline.

An answer that announces no length is now left after 16 MB and its backend server is avoided as flooding; one that does not end in time counts as failed. The log line names the backend server, the bytes and why it was left. A caller that has received the beginning still sees a broken answer, never a whole one.

--- a/packages/lovage-gateway/src/__tests__/integration/flooding-backends.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/flooding-backends.test.ts
@@ -113,4 +113,25 @@
 			expect(answer.isWhole).toBe(true);
 		},
 	);
+
+	it.each(['/plain/1', '/once/1'])(
+		'is left and avoided while its body has no end: %s',
+		async (path) => {
+			const {harness, sockets} = await startFlood(`${HEAD}\r\n`, 'x');
+			const startedAt = performance.now();
+			const answers = [];
+			for (let i = 0; i < 4; i += 1) {
+				// eslint-disable-next-line no-await-in-loop -- the second one finds what the first one learnt
+				answers.push(await call(harness.port, path));
+			}
+
+			// What its caller has received of the body can't be taken back.
+			expect(answers.filter(({isWhole}) => !isWhole).length).toBe(1);
+			expect(answers.at(-1)!.body).toBe('sound');
+			expect(performance.now() - startedAt).toBeLessThan(LEFT_MS);
+			expect(sockets.length).toBe(1);
+			expect(harness.view.readAvailability('e-0')).toBe(AVOIDED);
+			expect(harness.crashes).toEqual([]);
+		},
+	);
 });
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -43,6 +43,8 @@
 	kind: 'large';
 	response: IncomingMessage;
 	head: readonly Uint8Array[];
+	/** Absent if another entry has sent it. */
+	backend: BackendRecord | undefined;
 }>;
 /** Result of one attempt at a backend server. */
 export type AttemptOutcome =
@@ -156,7 +158,12 @@
 			// What can't be buffered is passed on as fast as the caller reads.
 			response.off('data', onData);
 			response.pause();
-			settle({kind: 'large', response, head: [collector.read(), chunk]});
+			settle({
+				kind: 'large',
+				response,
+				head: [collector.read(), chunk],
+				backend: target.kind === 'backend' ? target.backend : undefined,
+			});
 		}
 	};
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import {createChunkCount} from '@lovagevalve/runtime';
 import {
 	type AcceptedRequest,
@@ -29,21 +30,52 @@
 	req.res.end(hasNoBody ? undefined : body);
 }
 
+/** Longest response whose end nothing announces. */
+const MAX_OPEN_ENDED_BYTES = 16_777_216;
+
+/** Why a large response is none that ends; undefined if it may be one. */
+function createFloodWatch(
+	response: IncomingMessage,
+): (chunk: Uint8Array) => string | undefined {
+	const isOpenEnded = response.headers['content-length'] === undefined;
+	const isFragmentedBy = createChunkCount();
+	let bytes = 0;
+	return (chunk) => {
+		bytes += chunk.length;
+		if (isFragmentedBy(chunk)) {
+			return `flood: ${bytes} bytes in too many small chunks`;
+		}
+
+		return isOpenEnded && bytes > MAX_OPEN_ENDED_BYTES
+			? `flood: ${bytes} bytes without an end`
+			: undefined;
+	};
+}
+
 /** Sends the buffered head of a large response and pipes the rest. */
 export function pipeLargeResponse(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{response, head}: LargeResponse,
+	{response, head, backend}: LargeResponse,
 ): void {
 	const {res} = req;
-	// A backend server may send bytes without end.
+	const leave = (reason: string, outcome: 'failed' | 'flooded'): void => {
+		ctx.log.warn('A large response was left.', {
+			request: req.metadata.id,
+			backend: backend?.id ?? '',
+			reason,
+		});
+		if (backend !== undefined) {
+			ctx.view.reportHealth(backend, outcome);
+		}
+
+		response.destroy();
+		breakOff(res);
+	};
+
 	const timer = setTimeout(
 		req.guard.wrap(() => {
-			ctx.log.warn('A large response did not end in time.', {
-				request: req.metadata.id,
-			});
-			response.destroy();
-			breakOff(res);
+			leave('it did not end in time', 'failed');
 		}),
 		Math.max(1, readRemainingMs(ctx, req)),
 	);
@@ -75,14 +107,11 @@
 			breakOff(res);
 		},
 	);
-	const isFragmentedBy = createChunkCount();
+	const findFlood = createFloodWatch(response);
 	response.on('data', (chunk: Uint8Array) => {
-		if (isFragmentedBy(chunk)) {
-			ctx.log.warn('A large response comes in too many small chunks.', {
-				request: req.metadata.id,
-			});
-			response.destroy();
-			breakOff(res);
+		const reason = findFlood(chunk);
+		if (reason !== undefined && !response.destroyed) {
+			leave(reason, 'flooded');
 		}
 	});
 	response.pipe(res, {end: false});
