--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -330,9 +330,7 @@
 
 		case 'large': {
 			ctx.view.reportHealth(backend, 'answered');
-			pipeLargeResponse(ctx, req, outcome, () => {
-				ctx.view.reportHealth(backend, 'flooded');
-			});
+			pipeLargeResponse(ctx, req, outcome);
 			return undefined;
 		}
 
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import {createChunkCount} from '@lovagevalve/runtime';
 import {
 	type AcceptedRequest,
@@ -29,40 +30,52 @@
 	req.res.end(hasNoBody ? undefined : body);
 }
 
-/** Bytes from which on a response that does not end is taken for a flood. */
-const MIN_FLOOD_BYTES = 4_194_304;
+/** Longest response whose end nothing announces. */
+const MAX_OPEN_ENDED_BYTES = 16_777_216;
 
-/**
- * Sends the buffered head of a large response and pipes the rest; `onFlood` is called if
- * it is left for what it consists of.
- */
+/** Says why a large response is none that ends; undefined if it may be one. */
+function createFloodWatch(
+	response: IncomingMessage,
+): (chunk: Uint8Array) => string | undefined {
+	const isOpenEnded = response.headers['content-length'] === undefined;
+	const findFragmentation = createChunkCount();
+	let bytes = 0;
+	return (chunk) => {
+		bytes += chunk.length;
+		const reason =
+			isOpenEnded && bytes > MAX_OPEN_ENDED_BYTES
+				? `${bytes} bytes without an end`
+				: findFragmentation(chunk);
+		return reason === undefined ? undefined : `flood: ${reason}`;
+	};
+}
+
+/** Sends the buffered head of a large response and pipes the rest. */
 export function pipeLargeResponse(
 	ctx: GatewayContext,
 	req: AcceptedRequest,
-	{response, head}: LargeResponse,
-	onFlood: () => void = () => undefined,
+	{response, head, backend}: LargeResponse,
 ): void {
 	const {res} = req;
-	let bytes = head.reduce((sum, {length}) => sum + length, 0);
-	const leave = (reason: string): void => {
+	const leave = (reason: string, outcome?: 'failed' | 'flooded'): void => {
 		ctx.log.warn('A large response was left.', {
 			request: req.metadata.id,
+			backend: backend?.id ?? '',
 			reason,
-			bytes,
 		});
+		if (backend !== undefined && outcome !== undefined) {
+			ctx.view.reportHealth(backend, outcome);
+		}
+
 		response.destroy();
 		breakOff(res);
 	};
 
-	// A backend server may send bytes without end.
 	const timer = setTimeout(
 		req.guard.wrap(() => {
 			// The time was the caller's if it reads slowly.
-			if (bytes > MIN_FLOOD_BYTES && !res.writableNeedDrain) {
-				onFlood();
-			}
-
-			leave('it did not end in time');
+			const outcome = res.writableNeedDrain ? undefined : 'failed';
+			leave('it did not end in time', outcome);
 		}),
 		Math.max(1, readRemainingMs(ctx, req)),
 	);
@@ -100,13 +113,11 @@
 		// The caller must not take a truncated response for a complete one.
 		breakOff(res);
 	});
-	const findFragmentation = createChunkCount();
+	const findFlood = createFloodWatch(response);
 	response.on('data', (chunk: Uint8Array) => {
-		bytes += chunk.length;
-		const reason = findFragmentation(chunk);
-		if (reason !== undefined) {
-			onFlood();
-			leave(reason);
+		const reason = findFlood(chunk);
+		if (reason !== undefined && !response.destroyed) {
+			leave(reason, 'flooded');
 		}
 	});
 	response.pipe(res, {end: false});
--- a/packages/lovage-runtime/src/read-bounded.ts
+++ b/packages/lovage-runtime/src/read-bounded.ts
@@ -5,6 +5,7 @@
 	resize: () => true,
 	canHold: () => true,
 	release: () => undefined,
+	close: () => undefined,
 } as const;
 
 /**
@@ -16,10 +17,10 @@
 	maxBytes: number,
 ): Promise<Uint8Array> {
 	const collector = createByteCollector({account: UNBOUNDED_ACCOUNT, maxBytes});
-	const isFragmentedBy = createChunkCount();
+	const findFragmentation = createChunkCount();
 	for await (const chunk of body) {
 		const bytes = chunk as Uint8Array;
-		if (isFragmentedBy(bytes)) {
+		if (findFragmentation(bytes) !== undefined) {
 			throw new Error('the body comes in too many small chunks');
 		}
 
