--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import {
 	type BodyRefusal,
 	boundUnreadResponses,
+	discardRest,
 	openExchangeAccount,
 	readRequestBody,
 } from '@lovagevalve/runtime';
@@ -167,12 +168,14 @@
 		const routeTable = ctx.readRouteTable();
 		if (routeTable === undefined) {
 			const reason = 'no configuration is known yet';
+			discardRest(req, res);
 			reject(req, res, {status: 503, reason, retryAfterMs: RETRY_AFTER_MS});
 			return;
 		}
 
 		const {maxHeaderBytes, maxBodyBytes} = routeTable.configuration.limits;
 		if (countHeaderBytes(req) > maxHeaderBytes) {
+			discardRest(req, res);
 			reject(req, res, {status: 431, reason: 'the headers are too large'});
 			return;
 		}
--- a/packages/lovage-runtime/src/exchange-times.ts
+++ b/packages/lovage-runtime/src/exchange-times.ts
@@ -6,6 +6,7 @@
 	type ServerResponse,
 } from 'node:http';
 import {startDeadline} from './deadline.js';
+import {discardRest} from './request-body.js';
 
 /** Times that a caller has for the parts of an exchange, in milliseconds. */
 export type ExchangeTimes = Readonly<{
@@ -85,6 +86,7 @@
 			req.headers;
 		if (length !== '0' || coding !== undefined) {
 			res.shouldKeepAlive = false;
+			discardRest(req, res);
 		}
 
 		handler(req, res);
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -43,7 +43,7 @@
  * Reads the rest of a refused body without keeping it, and closes the connection if
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
  */
-function discardRest(req: IncomingMessage, res: ServerResponse): void {
+export function discardRest(req: IncomingMessage, res: ServerResponse): void {
 	let costBytes = 0;
 	const giveUp = (): void => {
 		cancelDeadline();
