--- a/packages/lovage-dispatch/src/answer-flood.ts
+++ b/packages/lovage-dispatch/src/answer-flood.ts
@@ -20,24 +20,15 @@
 /** Idle parts and bytes for each new event of a longer stream. */
 const IDLE_PARTS_PER_EVENT = 8;
 const IDLE_BYTES_PER_EVENT = 1024;
-/** Events beyond the tokens that were asked for, such as one that ends the stream. */
-const EXTRA_EVENTS = 16;
-
-/**
- * Says why the answer of a backend server is a flood; undefined if it is not. Each
- * event holds one token or more, so `maxTokens` bounds their number; 0 if unknown.
- */
-export function findStreamFlood(
-	{newEvents, idleParts, idleBytes}: StreamProgress,
-	maxTokens: number,
-): string | undefined {
+/** Says why the answer of a backend server is a flood; undefined if it is not. */
+export function findStreamFlood({
+	newEvents,
+	idleParts,
+	idleBytes,
+}: StreamProgress): string | undefined {
 	const maxIdleParts = MAX_IDLE_PARTS + newEvents * IDLE_PARTS_PER_EVENT;
 	const maxIdleBytes = MAX_IDLE_BYTES + newEvents * IDLE_BYTES_PER_EVENT;
-	if (idleParts > maxIdleParts || idleBytes > maxIdleBytes) {
-		return `flood: ${idleParts} parts of ${idleBytes} bytes without a new event`;
-	}
-
-	return maxTokens > 0 && newEvents > maxTokens + EXTRA_EVENTS
-		? `flood: ${newEvents} events, ${maxTokens} tokens were asked for`
+	return idleParts > maxIdleParts || idleBytes > maxIdleBytes
+		? `flood: ${idleParts} parts of ${idleBytes} bytes without a new event`
 		: undefined;
 }
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -105,7 +105,7 @@
 
 	/** Leaves a run that sends more than an answer can hold. */
 	const leaveFlood = (run: Run): void => {
-		const reason = findStreamFlood(progress, req.metadata.outputTokens);
+		const reason = findStreamFlood(progress);
 		if (reason !== undefined && !run.isClosed) {
 			onFailure(run, {kind: 'lost', reason, isFlood: true});
 		}
