Take a stream for a flood by the pace of its events

Change: new events may come at one a millisecond behind a burst of 1,024, or of the tokens that the caller asked for; an engine takes milliseconds for a token. The tokens only widen the burst, as callers may name too few.

--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -177,5 +177,5 @@
 } from './backend-health.js';
 export {decideDrainAdmission} from './drain-admission.js';
 export type {DrainDecision, DrainInputs} from './drain-admission.js';
-export type {StreamProgress} from './answer-flood.js';
+export type {EventAllowance, StreamProgress} from './answer-flood.js';
 export {findStreamFlood, NO_PROGRESS} from './answer-flood.js';
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -105,7 +105,10 @@
 
 	/** Leaves a run that sends more than an answer can hold. */
 	const leaveFlood = (run: Run): void => {
-		const reason = findStreamFlood(progress);
+		const reason = findStreamFlood(progress, {
+			maxTokens: req.metadata.outputTokens,
+			elapsedMs: ctx.clock.now() - run.sentAt,
+		});
 		if (reason !== undefined && !run.isClosed) {
 			onFailure(run, {kind: 'lost', reason, isFlood: true});
 		}
