Don't take a run that goes on sending for silent

Cause: a stream without a new event was probed as silent although bytes of it came; where its backend server accepted no other connection the probe was dead, the server counted as unreachable and the loss as a crash (three of them convict a request). Change: bytes that came in the second half of the silence show that the server runs (isStillSending): its probe is not dead, and a run that is moved has failed, not crashed.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -5,6 +5,7 @@
 	EMPTY_BUDGET,
 	isAvoided,
 	decideStallAction,
+	isStillSending,
 	recordExchange,
 	type RetryCounts,
 	type RetryInputs,
@@ -125,6 +126,18 @@
 	});
 });
 
+describe('isStillSending', () => {
+	it('tells comments that go on from the rest of the last event', () => {
+		expect(isStillSending({idleMs: 300, quietMs: 20})).toBe(true);
+		expect(isStillSending({idleMs: 300, quietMs: 290})).toBe(false);
+		expect(isStillSending({idleMs: 300, quietMs: 300})).toBe(false);
+	});
+
+	it('says so no more once as much time has passed without bytes as with them', () => {
+		expect(isStillSending({idleMs: 400, quietMs: 200})).toBe(false);
+	});
+});
+
 describe('decideStallAction', () => {
 	const inputs: StallInputs = {
 		idleMs: 0,
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -162,8 +162,13 @@
 	StreamEndDecision,
 	StreamPart,
 } from './stream-answer.js';
-export {decideStallAction} from './stalled-stream.js';
-export type {ProbeState, StallAction, StallInputs} from './stalled-stream.js';
+export {decideStallAction, isStillSending} from './stalled-stream.js';
+export type {
+	ProbeState,
+	StallAction,
+	StallInputs,
+	StreamSilence,
+} from './stalled-stream.js';
 export {
 	isAvoided,
 	getAvoidReason,
--- a/packages/lovage-dispatch/src/stalled-stream.ts
+++ b/packages/lovage-dispatch/src/stalled-stream.ts
@@ -36,6 +36,23 @@
 /** Share of the latency target after which a stream without a first event is moved. It exceeds 1 because a live engine is still processing prompts, and another engine would start from the beginning. */
 const FIRST_EVENT_LATENCY_SHARE = 1.2;
 
+/** How long a stream has been without what it is to bring. */
+export type StreamSilence = Readonly<{
+	/** Time since the last new event, or since the request was sent. */
+	idleMs: number;
+	/** Time since any byte of its body. */
+	quietMs: number;
+}>;
+
+/**
+ * Whether a stream without new events goes on sending, such as comments: its backend
+ * server runs then, whether or not it accepts connections. Bytes soon after the last
+ * event are a rest of it.
+ */
+export function isStillSending({idleMs, quietMs}: StreamSilence): boolean {
+	return quietMs < idleMs / 2;
+}
+
 /**
  * Decides what to do about a stalled stream. When a data centre loses its
  * engines at once, some connections end without a reset. Healthy engines that
--- a/packages/lovage-gateway/src/run-watch.ts
+++ b/packages/lovage-gateway/src/run-watch.ts
@@ -1,8 +1,13 @@
-import {isRepeatable} from '@lovagevalve/dispatch';
+import {type AttemptFailure, isRepeatable} from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {StreamAttempts} from './stream-attempts.js';
 import type {StreamDelivery} from './stream-delivery.js';
-import {evaluateSilence, probeRun, type Run} from './stream-run.js';
+import {
+	evaluateSilence,
+	isRunSending,
+	probeRun,
+	type Run,
+} from './stream-run.js';
 
 /** Watches the runs of one stream for silence. */
 export type RunWatch = Readonly<{
@@ -15,7 +20,7 @@
 	delivery: Pick<StreamDelivery, 'isPaused' | 'readLastEventId'>;
 	attempts: Pick<StreamAttempts, 'canReplaceRun'>;
 	/** The run is silent for too long and is to be replaced. */
-	onSilent: (run: Run, reason: string) => void;
+	onSilent: (run: Run, failure: AttemptFailure) => void;
 }>;
 
 /** Creates the watch of a stream. */
@@ -63,10 +68,10 @@
 			case 'move': {
 				// A slow run is better than none.
 				if (!isPossiblyAlive(run) || attempts.canReplaceRun()) {
-					onSilent(
-						run,
-						`silent for ${Math.round(silentMs)} ms, probe ${run.probe}`,
-					);
+					const reason = `silent for ${Math.round(silentMs)} ms, probe ${run.probe}`;
+					// What goes on sending has not crashed.
+					const kind = isRunSending(ctx, run) ? 'failed' : 'lost';
+					onSilent(run, {kind, reason});
 				}
 
 				break;
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -197,6 +197,9 @@
 
 			const account = ctx.buffers.open(describeRunHolder(run));
 			response.once('close', account.release);
+			response.on('data', () => {
+				run.lastBytesAt = ctx.clock.now();
+			});
 			reader = readEvents(
 				response,
 				{
--- a/packages/lovage-gateway/src/stream-forwarder.ts
+++ b/packages/lovage-gateway/src/stream-forwarder.ts
@@ -451,9 +451,7 @@
 	const watch = createRunWatch(ctx, req, {
 		delivery,
 		attempts,
-		onSilent(current, reason) {
-			handleRunFailure(current, {kind: 'lost', reason});
-		},
+		onSilent: handleRunFailure,
 	});
 
 	const deadlineTimer = setTimeout(
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -1,6 +1,7 @@
 import {
 	type BackendRecord,
 	decideStallAction,
+	isStillSending,
 	type ProbeState,
 	type StallAction,
 } from '@lovagevalve/dispatch';
@@ -39,6 +40,8 @@
 	 * milliseconds.
 	 */
 	lastEventAt: number;
+	/** Time of the last bytes of its body, likewise. */
+	lastBytesAt: number;
 	probe: ProbeState;
 	probedAt: number;
 	isClosed: boolean;
@@ -73,6 +76,7 @@
 		sentAt: now,
 		startedAt: undefined,
 		lastEventAt: now,
+		lastBytesAt: now,
 		probe: 'none',
 		probedAt: 0,
 		isClosed: false,
@@ -110,10 +114,22 @@
 /** Silence after which the entry that runs a stream is probed. */
 const RELAY_PROBE_MS = 700;
 
-/** Probes whether the backend server of a silent run accepts connections. */
+/** Whether a run without new events goes on sending. */
+export function isRunSending(
+	{clock}: Pick<GatewayContext, 'clock'>,
+	{lastEventAt, lastBytesAt}: Pick<Run, 'lastEventAt' | 'lastBytesAt'>,
+): boolean {
+	const now = clock.now();
+	return isStillSending({
+		idleMs: now - lastEventAt,
+		quietMs: now - lastBytesAt,
+	});
+}
+
+/** Probes whether the backend server of a silent run lives. */
 export async function probeRun(ctx: GatewayContext, run: Run): Promise<void> {
 	run.probe = 'pending';
-	const isAlive = await ctx.probe(run.address);
+	const isAlive = (await ctx.probe(run.address)) || isRunSending(ctx, run);
 	run.probe = isAlive ? 'alive' : 'dead';
 	run.probedAt = ctx.clock.now();
 	if (!isAlive) {
@@ -168,7 +184,8 @@
 		hasFirstEvent: run.startedAt !== undefined,
 		probe: run.probe,
 		isKnownUnreachable:
-			ctx.view.readAvailability(run.backend.id) === 'unreachable',
+			ctx.view.readAvailability(run.backend.id) === 'unreachable' &&
+			!isRunSending(ctx, run),
 		msSinceProbe: now - run.probedAt,
 		hasCopy: hasEvents && run.kvBackup.findCopy() !== undefined,
 		gapTargetMs: route.gapTargetMs,
