--- a/packages/lovage-gateway/src/responses.ts
+++ b/packages/lovage-gateway/src/responses.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {LogContext} from '@lovagevalve/runtime';
+import {endWhenRead, type LogContext} from '@lovagevalve/runtime';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {ProblemResponse} from './problem-response.js';
 
@@ -33,16 +33,16 @@
 		return;
 	}
 
-	const body = JSON.stringify({title: reason, status});
+	const body = Buffer.from(JSON.stringify({title: reason, status}));
 	res.writeHead(status, {
 		...headers,
 		'Content-Type': 'application/problem+json',
-		'Content-Length': Buffer.byteLength(body),
+		'Content-Length': body.length,
 		...(retryAfterMs === undefined
 			? {}
 			: {'Retry-After': (retryAfterMs / 1000).toFixed(2)}),
 	});
-	res.end(body);
+	endWhenRead(res.req, res, body);
 }
 
 /**
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -74,7 +74,7 @@
 export {createByteCollector} from './byte-collector.js';
 export {createChunkCount, isFragmented} from './fragmentation.js';
 export type {BodyRefusal, RequestBody} from './request-body.js';
-export {discardRest, readRequestBody} from './request-body.js';
+export {discardRest, endWhenRead, readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
 export {guardSocket} from './guard-socket.js';
 export type {
