Let bytes that go on count against a crash only, not against a dead probe

A dead probe moves the run as before. Only what is learned of the server changes: while it goes on sending (bytes or parts of the last 500 ms) it is failing, neither unreachable nor crashed.

--- a/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/decisions.test.ts
@@ -136,6 +136,11 @@
 	it('says so no more once as much time has passed without bytes as with them', () => {
 		expect(isStillSending({idleMs: 400, quietMs: 200})).toBe(false);
 	});
+
+	it('says so no more half a second after the last bytes', () => {
+		expect(isStillSending({idleMs: 10_000, quietMs: 499})).toBe(true);
+		expect(isStillSending({idleMs: 10_000, quietMs: 500})).toBe(false);
+	});
 });
 
 describe('decideStallAction', () => {
--- a/packages/lovage-dispatch/src/stalled-stream.ts
+++ b/packages/lovage-dispatch/src/stalled-stream.ts
@@ -44,13 +44,16 @@
 	quietMs: number;
 }>;
 
+/** A backend server that has sent nothing for longer may have gone silent meanwhile. */
+const MAX_QUIET_MS = 500;
+
 /**
  * Whether a stream without new events goes on sending, such as comments: its backend
- * server runs then, whether or not it accepts connections. Bytes soon after the last
- * event are a rest of it.
+ * server has not crashed then, whether or not it accepts connections. Bytes soon after
+ * the last event are a rest of it.
  */
 export function isStillSending({idleMs, quietMs}: StreamSilence): boolean {
-	return quietMs < idleMs / 2;
+	return quietMs < Math.min(idleMs / 2, MAX_QUIET_MS);
 }
 
 /**
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -206,6 +206,8 @@
 					isClosed: () => run.isClosed,
 					isPaused: delivery.isPaused,
 					onEvent(event) {
+						// What waits for its turn has arrived, too, and nothing is read meanwhile.
+						run.lastBytesAt = ctx.clock.now();
 						handleEvent(run, response, event);
 						leaveFlood(run);
 					},
--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -126,13 +126,13 @@
 	});
 }
 
-/** Probes whether the backend server of a silent run lives. */
+/** Probes whether the backend server of a silent run accepts connections. */
 export async function probeRun(ctx: GatewayContext, run: Run): Promise<void> {
 	run.probe = 'pending';
-	const isAlive = (await ctx.probe(run.address)) || isRunSending(ctx, run);
+	const isAlive = await ctx.probe(run.address);
 	run.probe = isAlive ? 'alive' : 'dead';
 	run.probedAt = ctx.clock.now();
-	if (!isAlive) {
+	if (!isAlive && !isRunSending(ctx, run)) {
 		ctx.view.reportHealth(run.backend, 'unreachable');
 	}
 }
@@ -184,8 +184,7 @@
 		hasFirstEvent: run.startedAt !== undefined,
 		probe: run.probe,
 		isKnownUnreachable:
-			ctx.view.readAvailability(run.backend.id) === 'unreachable' &&
-			!isRunSending(ctx, run),
+			ctx.view.readAvailability(run.backend.id) === 'unreachable',
 		msSinceProbe: now - run.probedAt,
 		hasCopy: hasEvents && run.kvBackup.findCopy() !== undefined,
 		gapTargetMs: route.gapTargetMs,
