Probe the entry that runs a relayed stream again

A stream that another entry runs hung until its deadline (10 s in the test) if that entry went dark after its only probe had been answered: a relayed run was probed once, and its own entry moves it while it lives. It is probed each 700 ms while it is silent.

dark-servers.test.ts asks streams to go on within their gap target after their server went dark, with and without comments before.

--- a/packages/lovage-gateway/src/stream-run.ts
+++ b/packages/lovage-gateway/src/stream-run.ts
@@ -111,7 +111,7 @@
 	};
 }
 
-/** Silence after which the entry that runs a stream is probed. */
+/** Silence after which the entry that runs a stream is probed, and time between probes. */
 const RELAY_PROBE_MS = 700;
 
 /** Whether a run without new events goes on sending. */
@@ -173,8 +173,9 @@
 ): StallAction {
 	const now = ctx.clock.now();
 	if (run.isRelayed && run.probe !== 'dead') {
-		// The other entry moves the stream itself.
-		return run.probe === 'none' && now - run.lastEventAt > RELAY_PROBE_MS
+		// The other entry moves the stream itself, but may end after it was probed.
+		const since = run.probe === 'alive' ? run.probedAt : run.lastEventAt;
+		return run.probe !== 'pending' && now - since > RELAY_PROBE_MS
 			? 'probe'
 			: 'wait';
 	}
