Bound registrations and software versions in number

Callers: a writer that registers ever new ids or software versions at a control instance fills the memory of all instances, which end, and each registration costs more than the one before. Cause: both tables were bounded by time only (120 s, 15 minutes). Change: decideRegistration (registration-room.ts) refuses a new id from 4,096 registrations on and a new version from 4,096 on: 503 with Retry-After, lovage_registrations_refused_total, one line a second. Nothing that is held is dropped: heartbeats, departures and restarts at a known version are taken at any time. Only the instance that is called decides; gossip and stored departures are taken always, so that all instances and entries hold the same. Measured: without the bound the new tests are red (4,200 of 4,200 ids and 8,400 of 8,400 versions taken), with it 4,096 each; two control instances over loopback with the longest ASCII names hold the same 4,096.

--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -196,13 +196,13 @@
 			heardAt: clock.now(),
 		};
 		const gone: BackendRecord = {...record, state: 'gone', sequence: 2};
-		expect(await group[0]!.register(record)).toBe(true);
+		expect(await group[0]!.register(record)).toBe('acknowledged');
 		await Promise.all(group.slice(1).map(stop));
-		expect(await group[0]!.register(gone)).toBe(false);
+		expect(await group[0]!.register(gone)).toBe('not-stored');
 		// It is no more acknowledged for being sent again.
-		expect(await group[0]!.register(gone)).toBe(false);
+		expect(await group[0]!.register(gone)).toBe('not-stored');
 		await start({...starts[1]!, isFirstStart: false});
-		expect(await group[0]!.register(gone)).toBe(true);
+		expect(await group[0]!.register(gone)).toBe('acknowledged');
 	});
 
 	// The instance that stopped stayed a voter, so that three of four had to answer.
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -40,6 +40,10 @@
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
 import type {KnownEntry} from './entry-registry.js';
+import {
+	createRegistrationDoor,
+	type RegisterOutcome,
+} from './registration-door.js';
 import {createRegistry} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import {createReplica} from './replica.js';
@@ -88,10 +92,10 @@
 	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
 	readConfiguration: () => Promise<ReadOutcome>;
 	/**
-	 * Merges a registration; resolves with whether it may be acknowledged, for a
-	 * departure once enough instances have stored it.
+	 * Merges a registration if there is room; resolves with whether it may be
+	 * acknowledged, for a departure once enough instances have stored it.
 	 */
-	register: (record: BackendRecord) => Promise<boolean>;
+	register: (record: BackendRecord) => Promise<RegisterOutcome>;
 	find: (id: string) => BackendRecord | undefined;
 	/** Entries that callers may connect to. */
 	listServing: () => readonly KnownEntry[];
@@ -168,6 +172,13 @@
 		origins,
 		random: dependencies.random,
 	});
+	const hasRoom = createRegistrationDoor({
+		clock,
+		log,
+		metrics,
+		registry,
+		versions,
+	});
 	const quarantine = createCrashQuarantine(
 		{clock, log},
 		createQuarantineFile(settings.dataFolder),
@@ -381,7 +392,7 @@
 	];
 	metrics.registerGauge('configuration_version', readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
-	metrics.registerGauge('backends', () => registry.listBackends().length);
+	metrics.registerGauge('backends', registry.count);
 	metrics.registerGauge(
 		'quarantined',
 		() => quarantine.describe().convicted.length,
@@ -410,6 +421,10 @@
 			return outcome ?? {kind: 'unavailable'};
 		},
 		async register(record) {
+			if (!hasRoom(record)) {
+				return 'no-room';
+			}
+
 			const version = readSoftwareVersion(record);
 			const previous = registry.find(record.id);
 			const isNewVersion =
@@ -423,9 +438,11 @@
 
 			const known = registry.find(record.id);
 			const isOutdated = known?.bornAt !== record.bornAt;
-			return (
-				record.state === 'ready' || isOutdated || departures.confirm(known)
-			);
+			const isStored =
+				record.state === 'ready' ||
+				isOutdated ||
+				(await departures.confirm(known));
+			return isStored ? 'acknowledged' : 'not-stored';
 		},
 		find: registry.find,
 		listServing: registry.listServing,
--- /dev/null
+++ b/packages/lovage-coordinator/src/registration-door.ts
@@ -0,0 +1,74 @@
+import {
+	type BackendRecord,
+	decideRegistration,
+	readSoftwareVersion,
+} from '@lovagevalve/dispatch';
+import type {Clock, Logger, PrometheusMetrics} from '@lovagevalve/runtime';
+import type {Registry} from './registry.js';
+import type {VersionHistory} from './version-history.js';
+
+/** What became of a registration. */
+export type RegisterOutcome =
+	| 'acknowledged'
+	/** Too few instances have stored the departure. */
+	| 'not-stored'
+	/** Nothing was taken: too many others are registered. */
+	| 'no-room';
+
+/** Dependencies of the door for registrations. */
+export type RegistrationDoorOptions = Readonly<{
+	clock: Clock;
+	log: Logger;
+	metrics: Pick<PrometheusMetrics, 'count'>;
+	registry: Pick<Registry, 'find' | 'count'>;
+	versions: Pick<VersionHistory, 'isKnown' | 'count'>;
+}>;
+
+const LOG_INTERVAL_MS = 1000;
+
+/**
+ * Creates a function that says whether there is room for a registration. Refusals
+ * are counted, and logged at most once a second.
+ */
+export function createRegistrationDoor({
+	clock,
+	log,
+	metrics,
+	registry,
+	versions,
+}: RegistrationDoorOptions): (record: BackendRecord) => boolean {
+	let loggedAt = Number.NEGATIVE_INFINITY;
+	let unlogged = 0;
+	return (record) => {
+		const {id, service} = record;
+		const softwareVersion = readSoftwareVersion(record);
+		const use = {
+			known: registry.find(id),
+			isKnownVersion: versions.isKnown(service, softwareVersion),
+			records: registry.count(),
+			versions: versions.count(),
+		};
+		const decision = decideRegistration(use, record);
+		if (decision === 'take') {
+			return true;
+		}
+
+		metrics.count('registrations_refused', {decision});
+		unlogged += 1;
+		if (clock.now() - loggedAt >= LOG_INTERVAL_MS) {
+			log.warn('Refused a registration, as there is no room.', {
+				backend: id,
+				service,
+				softwareVersion,
+				decision,
+				records: use.records,
+				versions: use.versions,
+				refused: unlogged,
+			});
+			loggedAt = clock.now();
+			unlogged = 0;
+		}
+
+		return false;
+	};
+}
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -47,6 +47,8 @@
 	/** Merges departures that were stored before a restart. */
 	restore: (records: readonly BackendRecord[]) => void;
 	listBackends: () => readonly AgedRecord[];
+	/** Number of registrations, also of backend servers that are gone or silent. */
+	count: () => number;
 	/**
 	 * Returns the backend servers that registered at this instance since the last
 	 * call.
@@ -213,6 +215,7 @@
 			}
 		},
 		listBackends,
+		count: () => table.size,
 		takePendingGossip() {
 			const now = clock.now();
 			const records = [...pendingGossip].flatMap((id) => table.get(id) ?? []);
--- a/packages/lovage-coordinator/src/version-history.ts
+++ b/packages/lovage-coordinator/src/version-history.ts
@@ -17,6 +17,8 @@
 	describe: (service: string) => VersionAges;
 	/** Whether a version of a service was in service lately, as far as is known. */
 	isKnown: (service: string, version: string) => boolean;
+	/** Number of versions of all services that were in service lately. */
+	count: () => number;
 	/** Time for which all versions in service have been recorded, in milliseconds. */
 	readKnownForMs: () => number;
 	/** Reads what was known before a restart. */
@@ -57,6 +59,7 @@
 	let caughtUpAt = isFirstStart ? startedAt : startedAt + catchUpMs;
 	let updatedAt = startedAt;
 	const seenAt = new Map<string, Map<string, number>>();
+	let total = 0;
 	/** What was last sent to the file, and when. */
 	let attempt = {text: '', at: Number.NEGATIVE_INFINITY};
 	let isStoring = false;
@@ -64,6 +67,7 @@
 
 	const record = (service: string, version: string, at: number): void => {
 		const versions = seenAt.get(service) ?? new Map<string, number>();
+		total += versions.has(version) ? 0 : 1;
 		seenAt.set(service, versions.set(version, at));
 	};
 
@@ -80,6 +84,7 @@
 			versions.forEach((at, version) => {
 				if (clock.now() - at > RETENTION_MS) {
 					versions.delete(version);
+					total -= 1;
 				}
 			});
 			if (versions.size === 0) {
@@ -125,6 +130,7 @@
 			);
 		},
 		isKnown: (service, version) => seenAt.get(service)?.has(version) ?? false,
+		count: () => total,
 		readKnownForMs() {
 			const now = clock.now();
 			if (now < caughtUpAt) {
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -50,6 +50,15 @@
 	Occupancy,
 	SlotShare,
 } from './brittle-backend.js';
+export {
+	decideRegistration,
+	MAX_RECORDS,
+	MAX_VERSIONS,
+} from './registration-room.js';
+export type {
+	RegistrationDecision,
+	RegistrationUse,
+} from './registration-room.js';
 export {clearHand, createSpreadDraws, dealDraw} from './spread-draws.js';
 export type {SpreadDraws} from './spread-draws.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
