Merge registrations at a cost in proportion to what arrives

Callers: a control instance that many backend servers register at answers others late, the later the more are registered. Cause: each registration, heartbeats too, copied the table of all, looked for what had changed in the copy, and searched it for the address; departures that an entry names were searched for once for each backend server. Change: createBackendStore merges in place, with the ids at each address beside it, and says what has changed; mergeRecords (entries, once a report) uses it on a copy. Departures are looked up in a set.

--- /dev/null
+++ b/packages/lovage-coordinator/src/__tests__/unit/registration-cost.test.ts
@@ -0,0 +1,158 @@
+import process from 'node:process';
+import {type BackendRecord, mergeRecords} from '@lovagevalve/dispatch';
+import {ok} from 'neverthrow';
+import {expect, it} from 'vitest';
+import {
+	createOriginRegistry,
+	createRegistry,
+	createVersionHistory,
+	type Registry,
+} from '../../index.js';
+
+// Each registration copied and searched the whole table, so that N of them cost N squared
+// and held up the exchanges of all other callers.
+
+const noop = (): undefined => undefined;
+const log = {debug: noop, info: noop, warn: noop, error: noop};
+const clock = {now: () => 0, wall: () => 0};
+const SMALL = 512;
+const FACTOR = 8;
+/** A cost in proportion gives 8, one that grows with the square 64; the rest is noise. */
+const MAX_GROWTH = 20;
+/** Shorter times say more of the machine than of the code. */
+const MIN_MS = 0.5;
+const REPEATS = 5;
+const US_PER_MS = 1000;
+
+function createRecords(count: number): readonly BackendRecord[] {
+	return Array.from({length: count}, (_, i) => ({
+		id: `e-${i}`,
+		service: 'model',
+		address: `10.0.${Math.floor(i / 256)}.${i % 256}:80`,
+		dataCentre: 'a',
+		state: 'ready',
+		slots: 8,
+		softwareVersion: 'v1',
+		bornAt: 1,
+		sequence: 1,
+		heardAt: 0,
+	}));
+}
+
+function createEmptyRegistry(): Registry {
+	return createRegistry(clock, log, {
+		epoch: 1,
+		versions: createVersionHistory({
+			clock,
+			log,
+			file: {load: async () => ok(undefined), save: async () => ok()},
+			isFirstStart: true,
+			catchUpMs: 0,
+		}),
+		origins: createOriginRegistry(clock),
+		random: () => 0,
+	});
+}
+
+/** Work of a number of records, as a function that does it again each time. */
+const WORK: ReadonlyArray<
+	readonly [name: string, prepare: (count: number) => () => unknown]
+> = [
+	[
+		'registrations of new backend servers, one by one',
+		(count) => {
+			const records = createRecords(count);
+			return () => {
+				const registry = createEmptyRegistry();
+				records.forEach((record) => registry.register(record));
+			};
+		},
+	],
+	[
+		'heartbeats',
+		(count) => {
+			const records = createRecords(count);
+			const registry = createEmptyRegistry();
+			registry.restore(records);
+			return () => {
+				records.forEach((record) => registry.register(record));
+			};
+		},
+	],
+	[
+		'restarts at the addresses of others',
+		(count) => {
+			const records = createRecords(count);
+			const successors = records.map((record) => ({
+				...record,
+				id: `f-${record.id}`,
+				bornAt: 2,
+			}));
+			return () => {
+				const registry = createEmptyRegistry();
+				registry.restore(records);
+				successors.forEach((record) => registry.register(record));
+			};
+		},
+	],
+	[
+		'registrations that another control instance tells',
+		(count) => {
+			const records = createRecords(count).map(({heardAt, ...rest}) => ({
+				...rest,
+				ageMs: heardAt,
+			}));
+			return () => {
+				createEmptyRegistry().merge(records);
+			};
+		},
+	],
+	[
+		'departures that an entry tells',
+		(count) => {
+			const records = createRecords(count);
+			const leaving = records.map(({id, bornAt}) => `${id}/${bornAt + 1}`);
+			const registry = createEmptyRegistry();
+			registry.restore(records);
+			return () => {
+				registry.applyReport({
+					entry: 'entry-1',
+					address: 'entry-1:80',
+					dataCentre: 'a',
+					standing: 'ready',
+					version: 1,
+					loads: {},
+					retries: {},
+					crashes: [],
+					leaving,
+					wantsOverview: false,
+					wantsAges: false,
+				});
+			};
+		},
+	],
+	[
+		'records that a control instance tells an entry',
+		(count) => {
+			const records = createRecords(count);
+			return () => mergeRecords(new Map(), records);
+		},
+	],
+];
+
+function measureMs(work: () => unknown): number {
+	const times = Array.from({length: REPEATS}, () => {
+		// Processor time: a busy machine interrupts long work more often than short work.
+		const startedAt = process.cpuUsage();
+		work();
+		const {user, system} = process.cpuUsage(startedAt);
+		return (user + system) / US_PER_MS;
+	});
+	return times.toSorted((a, b) => a - b)[Math.floor(REPEATS / 2)]!;
+}
+
+it.each(WORK)('takes %s at a cost in proportion', (_, prepare) => {
+	const small = Math.max(MIN_MS, measureMs(prepare(SMALL)));
+	const large = measureMs(prepare(SMALL * FACTOR));
+	expect(large / small).toBeLessThan(MAX_GROWTH);
+});
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -1,19 +1,15 @@
 import {
 	type AgedRecord,
 	type BackendRecord,
-	type BackendTable,
+	createBackendStore,
 	createIncarnationKey,
 	type ClusterOverview,
 	type ControlReport,
-	dropOldRecords,
 	type EntryReport,
 	fromAgedRecord,
 	fromCompactLoads,
-	isSameRegistration,
-	mergeRecords,
 	type OriginAnswer,
 	type MergeOutcome,
-	type MergeResult,
 	toAgedRecord,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
@@ -75,10 +71,6 @@
 	removeExpired: () => void;
 }>;
 
-function isChange(outcome: MergeOutcome): boolean {
-	return outcome === 'added' || outcome === 'changed';
-}
-
 /** Settings of a registry. */
 export type RegistryOptions = Readonly<{
 	/** Distinguishes this start of the instance from others. */
@@ -96,7 +88,8 @@
 	{epoch, versions, origins, random}: RegistryOptions,
 ): Registry {
 	const entries = createEntryRegistry({clock, log, epoch, random});
-	let table: BackendTable = new Map();
+	const store = createBackendStore(new Map());
+	const {table} = store;
 	let revision = 1;
 	/** Revision of the last change of each backend server, in ascending order. */
 	const changedRevisions = new Map<string, number>();
@@ -133,38 +126,26 @@
 	const listBackends = (): readonly AgedRecord[] =>
 		[...table.values()].map((record) => toAgedRecord(record, clock.now()));
 
-	const applyMerge = (merged: MergeResult): void => {
-		const previous = table;
-		table = merged.table;
-		if (merged.outcomes.every((outcome) => !isChange(outcome))) {
-			return;
-		}
-
-		[...table.values()]
-			.filter((record) => {
-				const known = previous.get(record.id);
-				return known === undefined || !isSameRegistration(known, record);
-			})
-			.forEach(({id}) => {
-				revision += 1;
-				changedRevisions.delete(id);
-				changedRevisions.set(id, revision);
-			});
+	const merge = (
+		records: readonly BackendRecord[],
+	): readonly MergeOutcome[] => {
+		const {outcomes, changedIds} = store.merge(records);
+		changedIds.forEach((id) => {
+			revision += 1;
+			changedRevisions.delete(id);
+			changedRevisions.set(id, revision);
+		});
+		return outcomes;
 	};
 
 	/** Marks backend servers as draining whose answers to an entry announced their shutdown. */
 	const applyDepartures = (leaving: readonly string[]): void => {
+		const keys = new Set(leaving);
 		const departing = [...table.values()].filter(
-			({id, bornAt, state}) =>
-				state === 'ready' &&
-				leaving.includes(createIncarnationKey({id, bornAt})),
-		);
-		applyMerge(
-			mergeRecords(
-				table,
-				departing.map((record) => ({...record, state: 'draining'})),
-			),
+			(record) =>
+				record.state === 'ready' && keys.has(createIncarnationKey(record)),
 		);
+		merge(departing.map((record) => ({...record, state: 'draining'})));
 		departing.forEach(({id, service, bornAt}) => {
 			pendingGossip.add(id);
 			log.info('An entry reported that a backend server leaves.', {
@@ -177,10 +158,8 @@
 
 	return {
 		register(record) {
-			const merged = mergeRecords(table, [record]);
-			applyMerge(merged);
+			const [outcome = 'ignored'] = merge([record]);
 			pendingGossip.add(record.id);
-			const [outcome = 'ignored'] = merged.outcomes;
 			if (outcome !== 'refreshed') {
 				const {id, service, address, state, bornAt, sequence} = record;
 				const {softwareVersion = ''} = record;
@@ -201,10 +180,10 @@
 		merge(records) {
 			const now = clock.now();
 			const received = records.map((record) => fromAgedRecord(record, now));
-			applyMerge(mergeRecords(table, received));
+			merge(received);
 		},
 		restore(records) {
-			applyMerge(mergeRecords(table, records));
+			merge(records);
 			records.forEach(({id}) => {
 				pendingGossip.add(id);
 			});
@@ -279,7 +258,7 @@
 		listServing: entries.listServing,
 		removeExpired() {
 			versions.update(table.values());
-			table = dropOldRecords(table, clock.now());
+			store.dropOld(clock.now());
 			limits.removeEnded((id) => table.get(id));
 			brittle.removeEnded((id) => table.get(id));
 			[...changedRevisions.keys()]
--- a/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
@@ -1,8 +1,11 @@
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
 	type BackendRecord,
 	type BackendTable,
+	createBackendStore,
 	dropOldRecords,
+	isSameRegistration,
 	mergeRecords,
 } from '../../index.js';
 
@@ -101,6 +104,59 @@
 	});
 });
 
+function listChanged(
+	before: BackendTable,
+	after: BackendTable,
+): readonly string[] {
+	return [...after.values()]
+		.filter((record) => {
+			const known = before.get(record.id);
+			return known === undefined || !isSameRegistration(known, record);
+		})
+		.map(({id}) => id)
+		.toSorted();
+}
+
+describe('createBackendStore', () => {
+	const records = fc.record({
+		id: fc.constantFrom('e-1', 'e-2', 'e-3', 'e-4'),
+		address: fc.constantFrom('10.0.0.1:80', '10.0.0.2:80', '10.0.0.3:80'),
+		state: fc.constantFrom('ready', 'draining', 'gone'),
+		bornAt: fc.nat(4),
+		sequence: fc.nat(4),
+		heardAt: fc.constantFrom(0, 50_000, 100_000),
+	});
+
+	// The addresses that it keeps are found anew in each copy of the table.
+	it('holds the same as copies of the table, merge by merge', () => {
+		fc.assert(
+			fc.property(
+				fc.array(fc.tuple(records, fc.constantFrom(0, 130_000, 200_000)), {
+					maxLength: 40,
+				}),
+				(steps) => {
+					const store = createBackendStore(new Map());
+					steps.reduce<BackendTable>((table, [change, now]) => {
+						const next = {...record, ...change};
+						const merged = mergeRecords(table, [next]);
+						const {outcomes, changedIds} = store.merge([next]);
+						expect(outcomes).toEqual(merged.outcomes);
+						expect([...store.table]).toEqual([...merged.table]);
+						expect([...changedIds].toSorted()).toEqual(
+							listChanged(table, merged.table),
+						);
+						store.dropOld(now);
+						const kept = dropOldRecords(merged.table, now);
+						expect([...store.table]).toEqual([...kept]);
+						return kept;
+					}, new Map());
+				},
+			),
+			{numRuns: 2000},
+		);
+	});
+});
+
 describe('dropOldRecords', () => {
 	it('drops records without recent registrations', () => {
 		const table = mergeAll(record, {
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -78,22 +78,50 @@
 	return isSameRegistration(known, record) ? 'refreshed' : 'changed';
 }
 
+/** Table that is merged into in place. */
+type IndexedTable = Readonly<{
+	records: Map<string, BackendRecord>;
+	/** Ids of the backend servers at each address that are not gone. */
+	idsByAddress: Map<string, readonly string[]>;
+}>;
+
+function leaveAddress(
+	{idsByAddress}: IndexedTable,
+	{id, address}: BackendRecord,
+): void {
+	const others = (idsByAddress.get(address) ?? []).filter(
+		(other) => other !== id,
+	);
+	if (others.length === 0) {
+		idsByAddress.delete(address);
+	} else {
+		idsByAddress.set(address, others);
+	}
+}
+
+function putRecord(table: IndexedTable, record: BackendRecord): void {
+	const {records, idsByAddress} = table;
+	const {id, address, state} = record;
+	const known = records.get(id);
+	records.set(id, record);
+	if (known !== undefined && (known.address !== address || state === 'gone')) {
+		leaveAddress(table, known);
+	}
+
+	const ids = idsByAddress.get(address) ?? [];
+	if (state !== 'gone' && !ids.includes(id)) {
+		idsByAddress.set(address, [...ids, id]);
+	}
+}
+
 /** Lists the other backend servers at a record's address that are not gone. */
 function listAddressOwners(
-	table: BackendTable,
-	record: BackendRecord,
+	{records, idsByAddress}: IndexedTable,
+	{id, address}: BackendRecord,
 ): readonly BackendRecord[] {
-	const owners: BackendRecord[] = [];
-	table.forEach((other) => {
-		if (
-			other.address === record.address &&
-			other.id !== record.id &&
-			other.state !== 'gone'
-		) {
-			owners.push(other);
-		}
-	});
-	return owners;
+	return (idsByAddress.get(address) ?? [])
+		.filter((other) => other !== id)
+		.map((other) => records.get(other)!);
 }
 
 /** Draining is final for an incarnation, whatever it registers as later. */
@@ -120,11 +148,13 @@
 		: record;
 }
 
+/** Merges one record; adds the ids of the backend servers that it changes. */
 function mergeOne(
-	table: Map<string, BackendRecord>,
+	table: IndexedTable,
 	received: BackendRecord,
+	changedIds: Set<string>,
 ): MergeOutcome {
-	const known = table.get(received.id);
+	const known = table.records.get(received.id);
 	const record = keepVersion(known, keepDraining(known, received));
 	const outcome = classifyRegistration(known, record);
 	switch (outcome) {
@@ -134,7 +164,7 @@
 
 		case 'refreshed': {
 			const heardAt = Math.max(known!.heardAt, record.heardAt);
-			table.set(record.id, {...record, heardAt});
+			putRecord(table, {...record, heardAt});
 			return outcome;
 		}
 
@@ -145,24 +175,73 @@
 			const isReused = owners.some(({bornAt}) => bornAt > record.bornAt);
 			if (!isReused) {
 				owners.forEach((previous) => {
-					table.set(previous.id, {...previous, state: 'gone'});
+					putRecord(table, {...previous, state: 'gone'});
+					changedIds.add(previous.id);
 				});
 			}
 
-			table.set(record.id, isReused ? {...record, state: 'gone'} : record);
+			putRecord(table, isReused ? {...record, state: 'gone'} : record);
+			changedIds.add(record.id);
 			return outcome;
 		}
 	}
 }
 
-/** Merges registrations into the table; outdated ones are ignored. */
+/** Backend servers that are merged into in place, at a cost in proportion to what arrives. */
+export type BackendStore = Readonly<{
+	/** Shows each later merge. */
+	table: BackendTable;
+	/** Merges registrations; outdated ones are ignored. */
+	merge: (records: readonly BackendRecord[]) => StoreMerge;
+	/** Drops records whose last contact is before the retention time. */
+	dropOld: (now: number) => void;
+}>;
+
+/** Outcome of each record, and the ids of all backend servers that changed. */
+export type StoreMerge = Readonly<{
+	outcomes: readonly MergeOutcome[];
+	changedIds: ReadonlySet<string>;
+}>;
+
+function isKept({heardAt}: BackendRecord, now: number): boolean {
+	return now - heardAt < RECORD_RETENTION_MS;
+}
+
+/** Creates a store that holds a copy of a table. */
+export function createBackendStore(initial: BackendTable): BackendStore {
+	const records = new Map(initial);
+	const table: IndexedTable = {records, idsByAddress: new Map()};
+	records.forEach((record) => {
+		putRecord(table, record);
+	});
+	return {
+		table: records,
+		merge(received) {
+			const changedIds = new Set<string>();
+			const outcomes = received.map((record) =>
+				mergeOne(table, record, changedIds),
+			);
+			return {outcomes, changedIds};
+		},
+		dropOld(now) {
+			records.forEach((record) => {
+				if (!isKept(record, now)) {
+					leaveAddress(table, record);
+					records.delete(record.id);
+				}
+			});
+		},
+	};
+}
+
+/** Merges registrations into a copy of the table; outdated ones are ignored. */
 export function mergeRecords(
 	table: BackendTable,
 	records: readonly BackendRecord[],
 ): MergeResult {
-	const next = new Map(table);
-	const outcomes = records.map((record) => mergeOne(next, record));
-	return {table: next, outcomes};
+	const store = createBackendStore(table);
+	const {outcomes} = store.merge(records);
+	return {table: store.table, outcomes};
 }
 
 /** Number of backend servers in service. */
@@ -172,11 +251,9 @@
 
 /** Drops records whose last contact is before the retention time. */
 export function dropOldRecords(table: BackendTable, now: number): BackendTable {
-	const isKept = ({heardAt}: BackendRecord): boolean =>
-		now - heardAt < RECORD_RETENTION_MS;
-	return [...table.values()].every(isKept)
+	return [...table.values()].every((record) => isKept(record, now))
 		? table
-		: new Map([...table].filter(([, record]) => isKept(record)));
+		: new Map([...table].filter(([, record]) => isKept(record, now)));
 }
 
 /**
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -11,6 +11,7 @@
 export type {SocketAddress} from './backend-address.js';
 export {
 	countReady,
+	createBackendStore,
 	dropOldRecords,
 	isSameRegistration,
 	mergeRecords,
@@ -20,9 +21,11 @@
 export type {
 	BackendRecord,
 	BackendState,
+	BackendStore,
 	BackendTable,
 	MergeOutcome,
 	MergeResult,
+	StoreMerge,
 } from './backend-table.js';
 export {
 	createIncarnationKey,
