Tell other control instances of many registrations in parts

Control instances that had been cut off from each other, or a full table of odd names: a full round was one message beyond the 8 MB that an instance takes (13.5 MB for three times 4,096 longest ASCII records, 17.6 MB for 4,096 of control characters), so it was refused as a whole and instances that had missed the registrations never held the same. Not played: the 13.5 MB over real links.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -30,6 +30,7 @@
 	type Gossip,
 	type ReadOutcome,
 } from './decode-messages.js';
+import {selectGossipPart} from './gossip-parts.js';
 import {createGroupJoiner} from './group-joiner.js';
 import {createInstanceCalls} from './instance-calls.js';
 import {createQuarantineFile} from './quarantine-file.js';
@@ -113,7 +114,8 @@
 /** Less than the interval at which entries report. */
 const ORIGIN_STORE_INTERVAL_MS = 100;
 /**
- * Every n-th round sends all records, for instances that missed earlier rounds.
+ * Within so many rounds all records are sent, for instances that missed earlier
+ * rounds; few enough of them in one.
  */
 const FULL_GOSSIP_PERIOD = 6;
 /**
@@ -354,14 +356,21 @@
 		inBackground(versions.maintain);
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
-		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
-		if (isFull) {
+		const all = registry.listBackends();
+		const part = selectGossipPart(all, {
+			round: gossipRound,
+			period: FULL_GOSSIP_PERIOD,
+		});
+		const isFirstPart = gossipRound % FULL_GOSSIP_PERIOD === 0;
+		const backends =
+			part.length === all.length ? part : [...pendingGossip, ...part];
+		if (isFirstPart) {
 			void sendGossip({
-				backends: registry.listBackends(),
+				backends,
 				convictedMs: quarantine.listConvictions(),
 			});
-		} else if (pendingGossip.length > 0) {
-			void sendGossip({backends: pendingGossip});
+		} else if (backends.length > 0) {
+			void sendGossip({backends});
 		}
 	};
 
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -5,6 +5,8 @@
 	CoordinatorSettings,
 } from './coordinator.js';
 export type {ReadOutcome} from './decode-messages.js';
+export {selectGossipPart} from './gossip-parts.js';
+export type {GossipRound} from './gossip-parts.js';
 export {findFailedVoter} from './membership.js';
 export type {KnownEntry} from './entry-registry.js';
 export {createOriginLog} from './origin-log.js';
