--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -30,6 +30,7 @@
 	type Gossip,
 	type ReadOutcome,
 } from './decode-messages.js';
+import {selectGossipPart} from './gossip-parts.js';
 import {createGroupJoiner} from './group-joiner.js';
 import {createInstanceCalls} from './instance-calls.js';
 import {createQuarantineFile} from './quarantine-file.js';
@@ -40,6 +41,10 @@
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
 import type {KnownEntry} from './entry-registry.js';
+import {
+	createRegistrationDoor,
+	type RegisterOutcome,
+} from './registration-door.js';
 import {createRegistry} from './registry.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import {createReplica} from './replica.js';
@@ -88,10 +93,10 @@
 	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
 	readConfiguration: () => Promise<ReadOutcome>;
 	/**
-	 * Merges a registration; resolves with whether it may be acknowledged, for a
-	 * departure once enough instances have stored it.
+	 * Merges a registration if there is room; resolves with whether it may be
+	 * acknowledged, for a departure once enough instances have stored it.
 	 */
-	register: (record: BackendRecord) => Promise<boolean>;
+	register: (record: BackendRecord) => Promise<RegisterOutcome>;
 	find: (id: string) => BackendRecord | undefined;
 	/** Entries that callers may connect to. */
 	listServing: () => readonly KnownEntry[];
@@ -109,7 +114,8 @@
 /** Less than the interval at which entries report. */
 const ORIGIN_STORE_INTERVAL_MS = 100;
 /**
- * Every n-th round sends all records, for instances that missed earlier rounds.
+ * Within so many rounds all records are sent, for instances that missed earlier
+ * rounds; few enough of them in one.
  */
 const FULL_GOSSIP_PERIOD = 6;
 /**
@@ -168,6 +174,13 @@
 		origins,
 		random: dependencies.random,
 	});
+	const hasRoom = createRegistrationDoor({
+		clock,
+		log,
+		metrics,
+		registry,
+		versions,
+	});
 	const quarantine = createCrashQuarantine(
 		{clock, log},
 		createQuarantineFile(settings.dataFolder),
@@ -343,14 +356,21 @@
 		inBackground(versions.maintain);
 		gossipRound += 1;
 		const pendingGossip = registry.takePendingGossip();
-		const isFull = gossipRound % FULL_GOSSIP_PERIOD === 0;
-		if (isFull) {
+		const all = registry.listBackends();
+		const part = selectGossipPart(all, {
+			round: gossipRound,
+			period: FULL_GOSSIP_PERIOD,
+		});
+		const isFirstPart = gossipRound % FULL_GOSSIP_PERIOD === 0;
+		const backends =
+			part.length === all.length ? part : [...pendingGossip, ...part];
+		if (isFirstPart) {
 			void sendGossip({
-				backends: registry.listBackends(),
+				backends,
 				convictedMs: quarantine.listConvictions(),
 			});
-		} else if (pendingGossip.length > 0) {
-			void sendGossip({backends: pendingGossip});
+		} else if (backends.length > 0) {
+			void sendGossip({backends});
 		}
 	};
 
@@ -381,7 +401,7 @@
 	];
 	metrics.registerGauge('configuration_version', readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
-	metrics.registerGauge('backends', () => registry.listBackends().length);
+	metrics.registerGauge('backends', registry.count);
 	metrics.registerGauge(
 		'quarantined',
 		() => quarantine.describe().convicted.length,
@@ -410,6 +430,10 @@
 			return outcome ?? {kind: 'unavailable'};
 		},
 		async register(record) {
+			if (!hasRoom(record)) {
+				return 'no-room';
+			}
+
 			const version = readSoftwareVersion(record);
 			const previous = registry.find(record.id);
 			const isNewVersion =
@@ -423,9 +447,11 @@
 
 			const known = registry.find(record.id);
 			const isOutdated = known?.bornAt !== record.bornAt;
-			return (
-				record.state === 'ready' || isOutdated || departures.confirm(known)
-			);
+			const isStored =
+				record.state === 'ready' ||
+				isOutdated ||
+				(await departures.confirm(known));
+			return isStored ? 'acknowledged' : 'not-stored';
 		},
 		find: registry.find,
 		listServing: registry.listServing,
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -5,12 +5,19 @@
 	CoordinatorSettings,
 } from './coordinator.js';
 export type {ReadOutcome} from './decode-messages.js';
+export {selectGossipPart} from './gossip-parts.js';
+export type {GossipRound} from './gossip-parts.js';
 export {findFailedVoter} from './membership.js';
 export type {KnownEntry} from './entry-registry.js';
 export {createOriginLog} from './origin-log.js';
 export type {OriginLog, StoredOrigin} from './origin-log.js';
 export {createOriginRegistry} from './origin-registry.js';
 export type {OriginRegistry} from './origin-registry.js';
+export {createRegistrationDoor} from './registration-door.js';
+export type {
+	RegisterOutcome,
+	RegistrationDoorOptions,
+} from './registration-door.js';
 export {createRegistry} from './registry.js';
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -11,6 +11,7 @@
 export type {SocketAddress} from './backend-address.js';
 export {
 	countReady,
+	createBackendStore,
 	dropOldRecords,
 	isSameRegistration,
 	mergeRecords,
@@ -20,9 +21,11 @@
 export type {
 	BackendRecord,
 	BackendState,
+	BackendStore,
 	BackendTable,
 	MergeOutcome,
 	MergeResult,
+	StoreMerge,
 } from './backend-table.js';
 export {
 	createIncarnationKey,
@@ -50,6 +53,15 @@
 	Occupancy,
 	SlotShare,
 } from './brittle-backend.js';
+export {
+	decideRegistration,
+	MAX_RECORDS,
+	MAX_VERSIONS,
+} from './registration-room.js';
+export type {
+	RegistrationDecision,
+	RegistrationUse,
+} from './registration-room.js';
 export {clearHand, createSpreadDraws, dealDraw} from './spread-draws.js';
 export type {SpreadDraws} from './spread-draws.js';
 export {findClosedReason, recordNotice} from './backend-notices.js';
