Tell the other entries of a flooding backend server

Cause: the outcome "flooded" stayed in the health table of the entry that met it. Its reports said nothing of it.

What is told can't be checked, so it counts for half of the servers of a service that are open and were heard of recently, less those that the entry avoids itself, and is a preference as before. Deaths and quarantine don't see it.

Older builds read the fields that they know. An absent or unreadable value counts as no floods, and the rest of the report is used.

--- a/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/malformed-messages.test.ts
@@ -202,6 +202,27 @@
 	['/stream-origin', 'services', '{"services":"desk"}'],
 ];
 
+// A later build may tell of floods in another way.
+describe('a control instance that receives floods that it can not read', () => {
+	it.each(['all', 7, null, [], [null], {'i-1/1': 'x'}, {'i-1/1': {}}])(
+		'accepts the rest of the report: %j',
+		async (floods) => {
+			const {status} = await send(
+				'/report',
+				JSON.stringify({...report, entry: 'entry-floods', floods}),
+			);
+			expect(status).toBe(200);
+			const {text} = await send(
+				'/report',
+				JSON.stringify({...report, entry: 'entry-2', loads: {}}),
+			);
+			const {overview} = JSON.parse(text) as ControlReport;
+			expect(overview?.loads['i-1']).toBeDefined();
+			expect(overview?.floods).toEqual({});
+		},
+	);
+});
+
 // Fields of the messages were read as if each peer sent what this build sends.
 describe('a control instance that receives a malformed message', () => {
 	it.each(malformed)('refuses all of it: %s, %s', async (call, _, body) => {
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -124,6 +124,22 @@
 		expect(overview?.loads).toEqual({'e-2': load});
 	});
 
+	it('tells an entry of the flooding backend servers that others met', () => {
+		const {time, registry} = createTestRegistry();
+		registry.register(record);
+		const floods = {'e-1/1': 20, 'e-1/2': 20, 'e-2/1': 20};
+		registry.applyReport(createReport('entry-1', {floods}));
+		registry.applyReport(createReport('entry-2'));
+		time.now = 100;
+		const readFloods = (entry: string) =>
+			registry.createReportResponse({...reportRequest, entry}).overview?.floods;
+		expect(readFloods('entry-1')).toEqual({});
+		expect(readFloods('entry-2')).toEqual({'e-1/1': 120});
+		registry.register({...record, bornAt: 2});
+		registry.applyReport(createReport('entry-2'));
+		expect(readFloods('entry-2')).toEqual({});
+	});
+
 	it('leaves the requests in progress unknown while one entry does not report them', () => {
 		const {registry} = createTestRegistry();
 		const retries = {s: {requests: 5, retries: 1}};
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -2,6 +2,7 @@
 	type CompactLoads,
 	type Crash,
 	type CrashReport,
+	decodeFloods,
 	type EntryReport,
 	type EntryStatus,
 	type KnownRevision,
@@ -152,7 +153,10 @@
 	knownServing: isRevision,
 };
 
-/** Checks a report of an entry as a whole; nothing of it is copied. */
+/**
+ * Checks a report of an entry as a whole; nothing of it is copied but the floods,
+ * of which what can't be read is left out.
+ */
 export function decodeReport(value: unknown): Result<EntryReport, string> {
 	if (!isJsonObject(value)) {
 		return err('the report is no object');
@@ -165,6 +169,6 @@
 		),
 	];
 	return malformed.length === 0
-		? ok(value as EntryReport)
+		? ok({...(value as EntryReport), floods: decodeFloods(value.floods)})
 		: err(`malformed: ${malformed.join(' ')}`);
 }
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -27,6 +27,7 @@
 } from './arithmetic.js';
 import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
 import {createEntrySums} from './entry-sums.js';
+import {createFloodRegistry} from './flood-registry.js';
 import {createLimitRegistry} from './limit-registry.js';
 import type {OriginRegistry} from './origin-registry.js';
 import type {VersionHistory} from './version-history.js';
@@ -108,6 +109,7 @@
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
 	const brittle = createLimitRegistry(clock);
+	const floods = createFloodRegistry({clock, log}, (id) => table.get(id));
 
 	const removeFromSums = (entry: string): void => {
 		loads.remove(entry);
@@ -118,13 +120,17 @@
 
 	const describeOthers = (
 		entry: string,
-	): Pick<ClusterOverview, 'loads' | 'retries' | 'limits' | 'brittle'> => {
+	): Pick<
+		ClusterOverview,
+		'loads' | 'retries' | 'limits' | 'brittle' | 'floods'
+	> => {
 		entries.listSilent().forEach(removeFromSums);
 		return {
 			loads: toCompactLoads(loads.sumOthers(entry)),
 			retries: mapValues(retries.sumOthers(entry), fromCountsSum),
 			limits: limits.describe(entry),
 			brittle: brittle.describe(entry),
+			floods: floods.describe(entry),
 		};
 	};
 
@@ -243,6 +249,7 @@
 			retries.set(report.entry, mapValues(report.retries, toCountsSum));
 			limits.applyReport(report.entry, report.limits ?? {});
 			brittle.applyReport(report.entry, report.brittle ?? {});
+			floods.applyReport(report.entry, report.floods ?? {});
 			origins.applyReport(report.origins ?? []);
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
--- a/packages/lovage-dispatch/src/backend-health.ts
+++ b/packages/lovage-dispatch/src/backend-health.ts
@@ -43,7 +43,7 @@
 /** Time for which a failing backend server is avoided. */
 const FAILING_AVOID_MS = 2000;
 /** Time for which a flooding backend server is avoided. Each further answer costs as much as many sound ones. */
-const FLOODING_AVOID_MS = 10_000;
+export const FLOODING_AVOID_MS = 10_000;
 
 /** Updates the health with the outcome of one exchange. */
 export function recordExchange(
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -184,3 +184,13 @@
 export type {DrainDecision, DrainInputs} from './drain-admission.js';
 export type {EventAllowance, StreamProgress} from './answer-flood.js';
 export {findStreamFlood, NO_PROGRESS} from './answer-flood.js';
+export {
+	applyTelling,
+	decodeFloods,
+	describeMetFloods,
+	describeTold,
+	hearFloods,
+	listAvoidedAsTold,
+	recordFlood,
+} from './flood-telling.js';
+export type {FloodReports, FloodTimes, ToldFloods} from './flood-telling.js';
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -1,4 +1,5 @@
 import {isSocketAddress} from './backend-address.js';
+import {decodeFloods} from './flood-telling.js';
 import {isCount} from './record-decoder.js';
 import type {
 	ClusterOverview,
@@ -103,8 +104,7 @@
 		return undefined;
 	}
 
-	const {serving, servingRevision, loads, retries, limits, brittle, relays} =
-		value;
+	const {serving, servingRevision, loads, retries, limits, brittle} = value;
 	return {
 		...keepOptional('serving', keepAddresses(serving)),
 		...(isRevision(servingRevision) ? {servingRevision} : {}),
@@ -112,7 +112,8 @@
 		retries: keepFields(retries, isRetryCounts),
 		...keepOptional('limits', keepLimits(limits)),
 		...keepOptional('brittle', keepLimits(brittle)),
-		...keepOptional('relays', keepAddresses(relays)),
+		...keepOptional('floods', decodeFloods(value.floods)),
+		...keepOptional('relays', keepAddresses(value.relays)),
 	};
 }
 
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -1,4 +1,5 @@
 import type {BackendRecord} from './backend-table.js';
+import type {FloodReports} from './flood-telling.js';
 import type {BackendLoad} from './load.js';
 import type {RetryCounts} from './retry-budget.js';
 
@@ -98,6 +99,8 @@
 	 * that they allow. Older entries don't send it.
 	 */
 	brittle?: LimitReports;
+	/** Flooding backend servers that this entry met itself; older entries don't send it. */
+	floods?: FloodReports;
 	/** Whether the entry reaches no backend server; older entries don't send it. */
 	isCutOff?: boolean;
 	/** Origins of streams that this control instance has not confirmed yet. */
@@ -142,6 +145,8 @@
 	limits?: LimitReports;
 	/** Brittle backend servers; older control instances don't send it. */
 	brittle?: LimitReports;
+	/** Flooding backend servers that other entries met; older control instances don't send it. */
+	floods?: FloodReports;
 	/** Addresses of entries that take over requests, for one that is cut off. */
 	relays?: readonly string[];
 }>;
--- a/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/backend-view.test.ts
@@ -134,3 +134,106 @@
 		expect(view.readAvailability('e-1')).toBe('silent');
 	});
 });
+
+describe('flooding backend servers that other entries met', () => {
+	const request = {
+		dataCentre: 'a',
+		promptTokens: 0,
+		memoryTokens: 0,
+		excluded: [],
+		failedDataCentres: [],
+	};
+	const overview = {loads: {}, retries: {}};
+
+	function createFloodedView(count: number) {
+		const test = createTestView();
+		const {view} = test;
+		view.applyReport(
+			createReport({
+				backends: Array.from({length: count}, (_, i) => createRecord(i)),
+				...createAges({}, count),
+			}),
+		);
+		const hear = (floods: Record<string, number>): void => {
+			view.applyReport(createReport({overview: {...overview, floods}}));
+		};
+
+		const listChosen = (): readonly string[] => [
+			...new Set(
+				Array.from(
+					{length: 20},
+					(_, i) => view.choose('s', request, i / 20)?.id ?? 'none',
+				),
+			),
+		];
+		return {...test, hear, listChosen};
+	}
+
+	it('get no requests for as long as the entry that met them avoids them', () => {
+		const {time, view, hear, listChosen} = createFloodedView(4);
+		hear({'e-0/1': 500, 'e-1/2': 0});
+		expect(listChosen()).toEqual(['e-1', 'e-2', 'e-3']);
+		// An older control instance says nothing of them.
+		view.applyReport(createReport({overview}));
+		expect(listChosen()).toEqual(['e-1', 'e-2', 'e-3']);
+		time.now += 9500;
+		expect(listChosen()).toContain('e-0');
+	});
+
+	it('are used again when no entry tells of them any more', () => {
+		const {hear, listChosen} = createFloodedView(4);
+		hear({'e-0/1': 500});
+		hear({});
+		expect(listChosen()).toContain('e-0');
+	});
+
+	it('are not told of by those who only heard of them', () => {
+		const {view, hear} = createFloodedView(4);
+		hear({'e-0/1': 0});
+		expect(view.createFloodReport()).toEqual({});
+		view.reportHealth(view.find('e-1')!, 'flooded');
+		expect(view.createFloodReport()).toEqual({'e-1/1': 0});
+	});
+
+	it('are used while they are all that a service has', () => {
+		const {hear, listChosen} = createFloodedView(1);
+		hear({'e-0/1': 0});
+		expect(listChosen()).toEqual(['e-0']);
+	});
+
+	// A faulty entry names all of them.
+	it('keep half of a service in use, and more while this entry avoids some itself', () => {
+		const {view, hear, listChosen} = createFloodedView(4);
+		hear({'e-0/1': 1, 'e-1/1': 2, 'e-2/1': 3, 'e-3/1': 4});
+		expect(listChosen()).toEqual(['e-2', 'e-3']);
+		view.reportHealth(view.find('e-3')!, 'flooded');
+		expect(listChosen()).toEqual(['e-1', 'e-2']);
+	});
+
+	// Otherwise requests would go to servers that are perhaps gone.
+	it('are believed as a share of those that were heard of recently', () => {
+		const {time, view, hear, listChosen} = createFloodedView(4);
+		time.now += 9000;
+		view.applyReport(createReport(createAges({'e-2': 9000, 'e-3': 9000}, 4)));
+		hear({'e-0/1': 1, 'e-1/1': 2});
+		expect(listChosen()).toEqual(['e-1']);
+	});
+
+	it('bring a backend server with a limit no requests, unless it is the only one', () => {
+		const {view, hear} = createFloodedView(2);
+		[0, 1].forEach((index) => {
+			view.recordNotice(
+				view.find(`e-${index}`)!,
+				{isLeaving: false, limit: {kind: 'named', perSecond: 100}},
+				0,
+			);
+		});
+		hear({'e-0/1': 0});
+		const chosen = Array.from(
+			{length: 20},
+			() => view.choose('s', request, 0)?.id,
+		);
+		expect(chosen).toContain('e-1');
+		expect(chosen).not.toContain('e-0');
+	});
+});
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -16,6 +16,7 @@
 	fromAgedRecord,
 	fromCompactLoads,
 	type ExchangeOutcome,
+	type FloodReports,
 	isAvoided,
 	mergeRecords,
 	NO_LOAD,
@@ -42,6 +43,7 @@
 	createReportedAges,
 	mergeAges,
 } from './reported-ages.js';
+import {createToldFloods} from './told-floods.js';
 
 /** Dependencies and settings of a backend view. */
 export type BackendViewOptions = Readonly<{
@@ -129,6 +131,8 @@
 	readPushbackMs: (service: string) => number | undefined;
 	/** Whether requests for a service wait a moment for room at brittle backend servers. */
 	hasBrittle: (service: string) => boolean;
+	/** Flooding backend servers that this entry met, for the control instances. */
+	createFloodReport: () => FloodReports;
 	/** Requests the ages of registrations, if they are due. */
 	createAgesRequest: () => AgesRequest;
 	readOwnLoads: () => Readonly<Record<string, BackendLoad>>;
@@ -176,7 +180,13 @@
 	const readOthersLoad = (id: string): BackendLoad =>
 		readOwn(remoteLoads, id) ?? NO_LOAD;
 
-	const toCandidate = (record: BackendRecord): Candidate => ({
+	const isAvoidedHere = (id: string): boolean =>
+		isAvoided(readHealth(id), clock.now());
+
+	const toCandidate = (
+		record: BackendRecord,
+		avoidedAsTold: ReadonlySet<string>,
+	): Candidate => ({
 		id: record.id,
 		address: record.address,
 		dataCentre: record.dataCentre,
@@ -184,7 +194,7 @@
 		ownLoad: ownLoads.read(record.id),
 		othersLoad: readOthersLoad(record.id),
 		isResponsive: hasRecentContact(record),
-		isAvoided: isAvoided(readHealth(record.id), clock.now()),
+		isAvoided: isAvoidedHere(record.id) || avoidedAsTold.has(record.id),
 	});
 
 	const listOpen = (
@@ -206,22 +216,29 @@
 		readRank: options.readRank,
 	});
 
+	const floods = createToldFloods({
+		clock,
+		log,
+		find: (id) => table.get(id),
+		listInUse: (service) => listOpen(service).filter(hasRecentContact),
+		isAvoided: isAvoidedHere,
+	});
+
 	const isUsable = (id: string): boolean => {
 		const record = table.get(id);
 		return (
-			record !== undefined &&
-			hasRecentContact(record) &&
-			!isAvoided(readHealth(id), clock.now())
+			record !== undefined && hasRecentContact(record) && !isAvoidedHere(id)
 		);
 	};
 
 	const chooseAmong = (
 		records: readonly BackendRecord[],
+		avoidedAsTold: ReadonlySet<string>,
 		request: PlacementRequest,
 		random: number,
 	): BackendRecord | undefined => {
 		const chosen = chooseBackend(
-			records.map((record) => toCandidate(record)),
+			records.map((record) => toCandidate(record, avoidedAsTold)),
 			request,
 			random,
 		);
@@ -275,6 +292,7 @@
 					noticesById.delete(id);
 				});
 			limits.removeEnded((id) => table.get(id));
+			floods.applyReport(overview?.floods);
 			room.applyReport(records, overview?.brittle, (id) => table.get(id));
 			if (overview?.limits !== undefined) {
 				limits.applyReport(overview.limits);
@@ -292,8 +310,12 @@
 			);
 			const unlimited = open.filter((record) => !limits.isLimited(record));
 			const limited = open.filter((record) => limits.isLimited(record));
+			const avoidedAsTold = floods.listAvoided(service);
 			const eligible = limited.filter(
-				({id}) => !request.excluded.includes(id) && isUsable(id),
+				({id}) =>
+					!request.excluded.includes(id) &&
+					!avoidedAsTold.has(id) &&
+					isUsable(id),
 			);
 			const unlimitedSlots = unlimited.reduce(
 				(sum, {slots}) => sum + Math.max(1, slots),
@@ -301,7 +323,7 @@
 			);
 			return (
 				limits.draw(service, eligible, unlimitedSlots) ??
-				chooseAmong(unlimited, request, random)
+				chooseAmong(unlimited, avoidedAsTold, request, random)
 			);
 		},
 		chooseCopyTarget: (service, request, random) =>
@@ -310,6 +332,7 @@
 					(record) =>
 						!limits.isLimited(record) && room.hasRoom(record, request),
 				),
+				floods.listAvoided(service),
 				request,
 				random,
 			),
@@ -366,6 +389,7 @@
 			const before = readHealth(id);
 			const after = recordExchange(before, outcome, clock.now());
 			health.set(id, after);
+			floods.record(backend, outcome);
 			if (after.avoidedUntil > clock.now()) {
 				log.warn('Temporarily avoiding a backend server.', {
 					backend: id,
@@ -443,6 +467,7 @@
 		},
 		readOwnLoads: ownLoads.readAll,
 		hasBrittle: (service) => listOpen(service).some(brittle.isBrittle),
+		createFloodReport: floods.createReport,
 		createAgesRequest: () => createAgesRequest(ages, clock.now()),
 		countReady: () => countReady(table),
 	};
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -232,6 +232,7 @@
 		leaving: view.listLeaving(),
 		limits: limits.createReport(),
 		brittle: brittle.createReport(),
+		floods: view.createFloodReport(),
 		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
 
