Take small messages from an address that holds large bodies back

Senders of Raft messages, reports and heartbeats got 503.

Cause: the holder of what instances send is an address.

An address may now hold three quarters of what the others leave for messages of up to 16 KB, and half for larger ones as before, so large bodies leave a quarter to small messages; the other quarter stays for other addresses. Customers and backend servers are holders of their own; their bounds are as before.

Format, lint and types pass.

--- a/packages/lovage-runtime/src/__tests__/unit/memory-budget.test.ts
+++ b/packages/lovage-runtime/src/__tests__/unit/memory-budget.test.ts
@@ -59,6 +59,27 @@
 		expect(Math.min(...held)).toBeGreaterThan(65_536);
 	});
 
+	// One full holder refused Raft messages and heartbeats of others at its address.
+	it('takes a small message from an address whose large ones are at their bound', () => {
+		const budget = createTestBuffers(CAPACITY);
+		const holder = {source: 'instances', name: 'shared'} as const;
+		fill(budget.open(holder), 64);
+		expect(budget.open(holder).resize(2657)).toBe(true);
+		expect(budget.open(holder).resize(65_536)).toBe(false);
+	});
+
+	it('leaves room for another holder beside an address with any number of small messages', () => {
+		const budget = createTestBuffers(CAPACITY);
+		const flood = {source: 'instances', name: 'flood'} as const;
+		fill(budget.open(flood));
+		Array.from({length: 5000}).forEach(() => {
+			budget.open(flood).resize(16_384);
+		});
+		expect(
+			fill(budget.open({source: 'instances', name: 'other'})),
+		).toBeGreaterThan(MEGABYTE);
+	});
+
 	it('lets one customer hold the largest bodies of two requests on the smallest instance', () => {
 		const budget = createTestBuffers(computeBufferCapacity(178 * MEGABYTE));
 		const holder = {source: 'callers', name: 'label'} as const;
--- a/packages/lovage-runtime/src/buffer-budget.ts
+++ b/packages/lovage-runtime/src/buffer-budget.ts
@@ -56,7 +56,8 @@
 
 	const toKey = ({source, name}: BufferHolder): string => `${source} ${name}`;
 
-	const readUse = (holder: BufferHolder): BufferUse => ({
+	const readUse = (holder: BufferHolder): Omit<BufferUse, 'exchangeBytes'> => ({
+		source: holder.source,
 		usedBytes,
 		sourceBytes: sources.get(holder.source) ?? 0,
 		holderBytes: holders.get(toKey(holder)) ?? 0,
@@ -95,8 +96,13 @@
 		});
 	};
 
-	const canAdd = (holder: BufferHolder, addedBytes: number): boolean => {
-		const decision = decideBuffering(readUse(holder), addedBytes);
+	const canAdd = (
+		holder: BufferHolder,
+		exchangeBytes: number,
+		addedBytes: number,
+	): boolean => {
+		const use = {...readUse(holder), exchangeBytes};
+		const decision = decideBuffering(use, addedBytes);
 		if (decision !== 'grant') {
 			recordRefusal(holder, decision, addedBytes);
 		}
@@ -115,7 +121,8 @@
 			let heldBytes = 0;
 			let isClosed = false;
 			const canHold = (bytes: number): boolean =>
-				bytes <= heldBytes || (!isClosed && canAdd(holder, bytes - heldBytes));
+				bytes <= heldBytes ||
+				(!isClosed && canAdd(holder, heldBytes, bytes - heldBytes));
 			const release = (): void => {
 				add(holder, -heldBytes);
 				heldBytes = 0;
--- a/packages/lovage-runtime/src/memory-budget.ts
+++ b/packages/lovage-runtime/src/memory-budget.ts
@@ -3,12 +3,15 @@
 
 /** Bytes that are buffered when a holder asks for more. */
 export type BufferUse = Readonly<{
+	source: BufferSource;
 	/** Bytes of all holders. */
 	usedBytes: number;
 	/** Bytes of all holders of the same source. */
 	sourceBytes: number;
 	/** Bytes of the holder in all its exchanges. */
 	holderBytes: number;
+	/** Bytes of the exchange that asks. */
+	exchangeBytes: number;
 	capacityBytes: number;
 }>;
 
@@ -19,6 +22,10 @@
 const SOURCE_SHARE = 2 / 3;
 /** Part of what the other holders of a source leave that one holder may use. */
 const HOLDER_SHARE = 1 / 2;
+/** The same part for small messages of instances: several senders may share an address. */
+const SMALL_MESSAGE_SHARE = 3 / 4;
+/** Raft messages, reports and heartbeats have less, unless a configuration is in them. */
+const MAX_SMALL_BYTES = 16_384;
 
 /**
  * Decides whether a holder may buffer more bytes. The bounds shrink as others use
@@ -26,7 +33,14 @@
  * below the capacity.
  */
 export function decideBuffering(
-	{usedBytes, sourceBytes, holderBytes, capacityBytes}: BufferUse,
+	{
+		source,
+		usedBytes,
+		sourceBytes,
+		holderBytes,
+		exchangeBytes,
+		capacityBytes,
+	}: BufferUse,
 	addedBytes: number,
 ): BufferDecision {
 	const sourceLimit =
@@ -35,8 +49,10 @@
 		return 'source-full';
 	}
 
-	const holderLimit =
-		(sourceLimit - (sourceBytes - holderBytes)) * HOLDER_SHARE;
+	const isSmallMessage =
+		source === 'instances' && exchangeBytes + addedBytes <= MAX_SMALL_BYTES;
+	const share = isSmallMessage ? SMALL_MESSAGE_SHARE : HOLDER_SHARE;
+	const holderLimit = (sourceLimit - (sourceBytes - holderBytes)) * share;
 	return holderBytes + addedBytes > holderLimit ? 'holder-full' : 'grant';
 }
 
