--- a/packages/lovage-dispatch/src/answer-flood.ts
+++ b/packages/lovage-dispatch/src/answer-flood.ts
@@ -7,14 +7,6 @@
 	idleBytes: number;
 }>;
 
-/** What bounds the events of a stream. */
-export type EventAllowance = Readonly<{
-	/** Tokens that the caller asked for; 0 if unknown. */
-	maxTokens: number;
-	/** Time since the request was sent to the backend server. */
-	elapsedMs: number;
-}>;
-
 /** Progress of an answer of which nothing has arrived. */
 export const NO_PROGRESS: StreamProgress = {
 	newEvents: 0,
@@ -29,17 +21,50 @@
 const IDLE_PARTS_PER_EVENT = 8;
 const IDLE_BYTES_PER_EVENT = 1024;
 /** New events that may arrive at once, as of an answer that was kept or held up on its way. */
-const MAX_EVENT_BURST = 1024;
+const MAX_EVENT_BURST = 4096;
+/** The same where the caller says nothing of its size. */
+const MAX_UNKNOWN_BURST = 16_384;
 /** An engine takes milliseconds for the tokens of an event. */
-const MAX_EVENTS_PER_MS = 1;
+const EVENTS_PER_MS = 1;
+
+/** New events that may still arrive at once. */
+export type EventCredit = Readonly<{
+	events: number;
+	/** Time at which that was so, in monotonic milliseconds. */
+	at: number;
+}>;
+
+/**
+ * Credit of a stream that begins. A caller may name fewer tokens than it is sent, so
+ * they only allow more.
+ */
+export function createEventCredit(maxTokens: number, now: number): EventCredit {
+	return {events: computeBurst(maxTokens), at: now};
+}
+
+function computeBurst(maxTokens: number): number {
+	return maxTokens > 0
+		? Math.max(MAX_EVENT_BURST, maxTokens)
+		: MAX_UNKNOWN_BURST;
+}
 
 /**
- * Says why the answer of a backend server is a flood; undefined if it is not. A
- * caller may name fewer tokens than it is sent, so they only allow a larger burst.
+ * Takes one new event from the credit, which grows at the pace of an engine, up to the
+ * burst: what a stream did not use long ago is no licence to flood.
  */
+export function spendEvent(
+	{events, at}: EventCredit,
+	maxTokens: number,
+	now: number,
+): EventCredit {
+	const earned = events + Math.max(0, now - at) * EVENTS_PER_MS;
+	return {events: Math.min(computeBurst(maxTokens), earned) - 1, at: now};
+}
+
+/** Says why the answer of a backend server is a flood; undefined if it is not. */
 export function findStreamFlood(
 	{newEvents, idleParts, idleBytes}: StreamProgress,
-	{maxTokens, elapsedMs}: EventAllowance,
+	{events}: EventCredit,
 ): string | undefined {
 	const maxIdleParts = MAX_IDLE_PARTS + newEvents * IDLE_PARTS_PER_EVENT;
 	const maxIdleBytes = MAX_IDLE_BYTES + newEvents * IDLE_BYTES_PER_EVENT;
@@ -47,8 +72,7 @@
 		return `flood: ${idleParts} parts of ${idleBytes} bytes without a new event`;
 	}
 
-	const burst = Math.max(MAX_EVENT_BURST, maxTokens);
-	return newEvents > burst + elapsedMs * MAX_EVENTS_PER_MS
-		? `flood: ${newEvents} events in ${Math.round(elapsedMs)} ms`
+	return events < 0
+		? `flood: ${newEvents} events, more than one a millisecond`
 		: undefined;
 }
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -194,8 +194,13 @@
 } from './backend-health.js';
 export {decideDrainAdmission} from './drain-admission.js';
 export type {DrainDecision, DrainInputs} from './drain-admission.js';
-export type {EventAllowance, StreamProgress} from './answer-flood.js';
-export {findStreamFlood, NO_PROGRESS} from './answer-flood.js';
+export type {EventCredit, StreamProgress} from './answer-flood.js';
+export {
+	createEventCredit,
+	findStreamFlood,
+	NO_PROGRESS,
+	spendEvent,
+} from './answer-flood.js';
 export {
 	applyTelling,
 	decodeFloods,
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -4,10 +4,12 @@
 	type AttemptFailure,
 	chooseResumeId,
 	classifyPart,
+	createEventCredit,
 	decideStreamEnd,
 	findStreamFlood,
 	isStreamAnswer,
 	NO_PROGRESS,
+	spendEvent,
 	type StreamProgress,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
@@ -47,7 +49,9 @@
 	/** Last event of the caller when a run ended without a new one. */
 	let quietBehind: string | undefined;
 	const knownIds = new Set<string>();
+	const {outputTokens} = req.metadata;
 	let progress: StreamProgress = NO_PROGRESS;
+	let credit = createEventCredit(outputTokens, ctx.clock.now());
 	let reader: EventReader | undefined;
 
 	const readResumeId = (): string | undefined => {
@@ -105,10 +109,7 @@
 
 	/** Leaves a run that sends more than an answer can hold. */
 	const leaveFlood = (run: Run): void => {
-		const reason = findStreamFlood(progress, {
-			maxTokens: req.metadata.outputTokens,
-			elapsedMs: ctx.clock.now() - run.sentAt,
-		});
+		const reason = findStreamFlood(progress, credit);
 		if (reason !== undefined && !run.isClosed) {
 			onFailure(run, {kind: 'lost', reason, isFlood: true});
 		}
@@ -122,6 +123,7 @@
 		switch (classifyPart(event, delivery.readLastEventId())) {
 			case 'next': {
 				progress = {...progress, newEvents: progress.newEvents + 1};
+				credit = spendEvent(credit, outputTokens, ctx.clock.now());
 				deliver(run, response, event);
 				recordProgress(run);
 				break;
@@ -189,6 +191,7 @@
 		relay(run, response) {
 			knownIds.clear();
 			progress = NO_PROGRESS;
+			credit = createEventCredit(outputTokens, ctx.clock.now());
 			const contentType = response.headers['content-type'];
 			if (!isStreamAnswer({status: response.statusCode ?? 0, contentType})) {
 				leaveForeign(run, 'the answer is no event stream', contentType ?? '');
