Take an event whose id has more than 20 digits for none of its stream

Callers lost their stream: a server sent a first event with an id of 20,000 digits and reset. The id went into Last-Event-Id, the head no longer fitted, and each sound server that was asked next counted as failed.

Cause: an id was any number of digits. Change: an id has at most 20, as a number of 64 bits does; an event with a longer one is foreign, so its server is left before the id is taken over. Streams whose caller names a last id of more than 20 characters, which no stream can have given it, are refused with 400 and not run; so ids in log lines are bounded, too.

--- a/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
@@ -48,6 +48,9 @@
 		['no id', 'data: c\n\n', 'foreign'],
 		['no number as id', 'id: c\ndata: c\n\n', 'foreign'],
 		['no data', 'id: 3\n\n', 'foreign'],
+		['an id of 20 digits', `id: ${'9'.repeat(20)}\ndata: c\n\n`, 'next'],
+		['an id of 21 digits', `id: ${'9'.repeat(21)}\ndata: c\n\n`, 'foreign'],
+		['a padded id', `id: ${'3'.padStart(21, '0')}\ndata: c\n\n`, 'foreign'],
 		['two ids', 'id: 3\nid: 3\ndata: c\n\n', 'foreign'],
 		['text', 'Internal error\n\n', 'foreign'],
 		['JSON', '{"title":"Internal error"}\n\n', 'foreign'],
@@ -123,6 +126,8 @@
 		[undefined, true, undefined],
 		// No number: the event before it is unknown.
 		['of another system', true, 'of another system'],
+		['1'.padEnd(20, '0'), true, '9'.repeat(19)],
+		['1'.padEnd(21, '0'), true, '1'.padEnd(21, '0')],
 	])('behind %s, after a quiet end: %s, is %s', (last, isQuiet, expected) => {
 		expect(chooseResumeId(last, isQuiet)).toBe(expected);
 	});
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -152,6 +152,7 @@
 	classifyPart,
 	chooseResumeId,
 	decideStreamEnd,
+	hasEventIdLength,
 	isStreamAnswer,
 	parseStreamPart,
 } from './stream-answer.js';
--- a/packages/lovage-dispatch/src/stream-answer.ts
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -45,8 +45,20 @@
 const COMMENT_OR_FIELD = /^(?::|(?:data|event|id|retry)(?::|$))/;
 /** A header that changes in the middle of a stream, in lower case, before the fields. */
 const LEADING_LINE = /^[a-z][a-z\d-]*: ?\S*$/;
+/** Characters of the longest id, a number of 64 bits. */
+const MAX_EVENT_ID_LENGTH = 20;
 const WHOLE_NUMBER = /^\d+$/;
 
+/** Whether a text, in characters, is no longer than the id of an event can be. */
+export function hasEventIdLength(text: string): boolean {
+	return text.length <= MAX_EVENT_ID_LENGTH;
+}
+
+/** Whether a text is the id of an event, which goes into heads and log lines. */
+function isEventId(text: string): boolean {
+	return hasEventIdLength(text) && WHOLE_NUMBER.test(text);
+}
+
 /** Whether the body of an answer can hold events of a stream. */
 export function isStreamAnswer({
 	status,
@@ -92,7 +104,7 @@
 		return 'comment';
 	}
 
-	if (id === undefined || !hasData || !WHOLE_NUMBER.test(id)) {
+	if (id === undefined || !hasData || !isEventId(id)) {
 		return 'foreign';
 	}
 
@@ -114,7 +126,7 @@
 		return lastEventId;
 	}
 
-	if (!WHOLE_NUMBER.test(lastEventId)) {
+	if (!isEventId(lastEventId)) {
 		return lastEventId;
 	}
 
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {hasEventIdLength} from '@lovagevalve/dispatch';
 import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
@@ -60,6 +61,13 @@
 		return {status: 404, reason: 'no route matches'};
 	}
 
+	if (
+		route.kind === 'stream' &&
+		!hasEventIdLength(metadata.lastEventId ?? '')
+	) {
+		return {status: 400, reason: 'the id of the last event is too long'};
+	}
+
 	const customer =
 		metadata.key === undefined
 			? undefined
