--- a/packages/lovage-entry/src/answer-bounds.ts
+++ b/packages/lovage-entry/src/answer-bounds.ts
@@ -1,22 +1,9 @@
 import type {EngineChunk} from './engine-stream.js';
 
-/** An engine sends one or two while it prepares an answer. */
-const MAX_INTERIM_ANSWERS = 16;
 /** Chunks and bytes without new tokens; a comment keeps a connection open for seconds. */
 const MAX_IDLE_CHUNKS = 4096;
 const MAX_IDLE_BYTES = 262_144;
 
-/** Counts interim answers; `onExceeded` is to close the connection. */
-export function createInterimBound(onExceeded: () => void): () => void {
-	let answers = 0;
-	return () => {
-		answers += 1;
-		if (answers > MAX_INTERIM_ANSWERS) {
-			onExceeded();
-		}
-	};
-}
-
 /** Bounds what an engine sends without new tokens. */
 export type IdleBound = Readonly<{
 	/** Counts a chunk of the answer; whether it is within the bounds. */
--- a/packages/lovage-entry/src/call-exchange.ts
+++ b/packages/lovage-entry/src/call-exchange.ts
@@ -1,8 +1,7 @@
 import type {CallResult} from '@lovagevalve/entry-role';
-import {readBounded} from '@lovagevalve/runtime';
+import {createInterimBound, readBounded} from '@lovagevalve/runtime';
 import {createDeadline, type BackendCall} from '@lovagevalve/wire';
 import {buildConnector, Client} from 'undici';
-import {createInterimBound} from './answer-bounds.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_ANSWER_BYTES = 1_048_576;
--- a/packages/lovage-entry/src/engine-stream.ts
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -1,3 +1,4 @@
+import {createInterimBound} from '@lovagevalve/runtime';
 import {
 	engineDoneSchema,
 	engineTokensSchema,
@@ -5,11 +6,7 @@
 } from '@lovagevalve/wire';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import {Client, type Dispatcher} from 'undici';
-import {
-	createIdleBound,
-	createInterimBound,
-	createLineBreakNormaliser,
-} from './answer-bounds.js';
+import {createIdleBound, createLineBreakNormaliser} from './answer-bounds.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 /** Engines send events of a few tokens. */
--- a/packages/lovage-runtime/src/answer-head-bounds.ts
+++ b/packages/lovage-runtime/src/answer-head-bounds.ts
@@ -1,9 +1,8 @@
 import type {ClientRequest} from 'node:http';
+import {MAX_INTERIM_ANSWERS} from './interim-bound.js';
 
 /** Bytes before the end of an answer's head, interim answers and line breaks included. */
 const MAX_HEAD_BYTES = 131_072;
-/** A server sends one or two while it prepares an answer. */
-const MAX_INTERIM_ANSWERS = 16;
 
 /**
  * Bounds what may arrive before the head of an answer is complete. The HTTP parser
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -99,5 +99,6 @@
 	createTimedServer,
 	DEFAULT_EXCHANGE_TIMES,
 } from './exchange-times.js';
+export {createInterimBound} from './interim-bound.js';
 export {readBounded} from './read-bounded.js';
 export {watchUsage} from './usage-watch.js';
