Don't keep the ids of events that a run repeats

Change: decideStreamEnd asks only whether the last event was repeated, and nothing else; so addRepeated folds the ids into 'none', 'last' or 'others' as they come. No decision changes: the last event of the caller stays the same while a run brings nothing new, and a run that brings something is complete at its proper end anyway.

The rows of decideStreamEnd get their ids through addRepeated, with the same ends, and two rows more.

--- a/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-answer.test.ts
@@ -1,10 +1,12 @@
 import {describe, expect, it} from 'vitest';
 import {
+	addRepeated,
 	chooseResumeId,
 	classifyPart,
 	decideStreamEnd,
 	isStreamAnswer,
 	parseStreamPart,
+	type RepeatedEvents,
 } from '../../stream-answer.js';
 
 // An error's text is taken for events when any answer with status 200 passes for a
@@ -85,22 +87,28 @@
 		hasNewEvent: false,
 		lastEventId: '3',
 		resumeId: '3',
-		knownIds: new Set<string>(),
+		ids: [] as string[],
 	};
 	const askedAgain = {...quiet, resumeId: '2'};
 
 	it.each([
 		['a new event', {...quiet, hasNewEvent: true}, 'complete'],
 		['nothing', quiet, 'ask-another'],
-		['the last event unasked', {...quiet, knownIds: ['3']}, 'ask-another'],
+		['the last event unasked', {...quiet, ids: ['3']}, 'ask-another'],
 		['nothing, asked again', askedAgain, 'ask-another'],
-		['the last event', {...askedAgain, knownIds: ['3']}, 'complete'],
-		['the same twice', {...askedAgain, knownIds: ['3', '03']}, 'complete'],
-		['an earlier event', {...askedAgain, knownIds: ['2']}, 'ask-another'],
-		['both', {...askedAgain, knownIds: ['2', '3']}, 'ask-another'],
+		['the last event', {...askedAgain, ids: ['3']}, 'complete'],
+		['the same twice', {...askedAgain, ids: ['3', '03']}, 'complete'],
+		['an earlier event', {...askedAgain, ids: ['2']}, 'ask-another'],
+		['both', {...askedAgain, ids: ['2', '3']}, 'ask-another'],
+		['both, the last first', {...askedAgain, ids: ['3', '2']}, 'ask-another'],
+		[
+			'the last, others between',
+			{...askedAgain, ids: ['3', '2', '3']},
+			'ask-another',
+		],
 		[
 			'the only event',
-			{...quiet, lastEventId: '0', resumeId: undefined, knownIds: ['0']},
+			{...quiet, lastEventId: '0', resumeId: undefined, ids: ['0']},
 			'complete',
 		],
 		[
@@ -108,9 +116,12 @@
 			{...quiet, lastEventId: undefined, resumeId: undefined},
 			'ask-another',
 		],
-	])('after a run that brought %s', (_, end, expected) => {
-		const knownIds = new Set(end.knownIds);
-		expect(decideStreamEnd({...end, knownIds})).toBe(expected);
+	])('after a run that brought %s', (_, {ids, ...end}, expected) => {
+		const repeated = ids.reduce<RepeatedEvents>(
+			(known, id) => addRepeated(known, id, end.lastEventId),
+			'none',
+		);
+		expect(decideStreamEnd({...end, repeated})).toBe(expected);
 	});
 });
 
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -149,6 +149,7 @@
 	VersionAges,
 } from './stream-origin.js';
 export {
+	addRepeated,
 	classifyPart,
 	chooseResumeId,
 	decideStreamEnd,
@@ -158,6 +159,7 @@
 } from './stream-answer.js';
 export type {
 	PartKind,
+	RepeatedEvents,
 	RunEnd,
 	StreamAnswerHead,
 	StreamEndDecision,
--- a/packages/lovage-dispatch/src/stream-answer.ts
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -25,6 +25,9 @@
 	/** It doesn't belong to the stream, nor does what follows. */
 	| 'foreign';
 
+/** Events that a run brought and the caller had. */
+export type RepeatedEvents = 'none' | 'last' | 'others';
+
 /** The proper end of a run. */
 export type RunEnd = Readonly<{
 	/** Whether the run brought an event that the caller did not have. */
@@ -33,8 +36,7 @@
 	lastEventId: string | undefined;
 	/** The event behind which the run was to begin. */
 	resumeId: string | undefined;
-	/** Events that the run brought and the caller had. */
-	knownIds: ReadonlySet<string>;
+	repeated: RepeatedEvents;
 }>;
 
 /** Whether a stream is complete after the proper end of a run. */
@@ -134,13 +136,20 @@
 	return id === 0n ? undefined : String(id - 1n);
 }
 
+/** Adds an event that the caller has to those that a run brought. */
+export function addRepeated(
+	repeated: RepeatedEvents,
+	id: string,
+	lastEventId: string | undefined,
+): RepeatedEvents {
+	return repeated !== 'others' && Number(id) === Number(lastEventId)
+		? 'last'
+		: 'others';
+}
+
 /** Whether a run was asked for the last event again and brought that one alone. */
-function hasRepeatedLast({lastEventId, resumeId, knownIds}: RunEnd): boolean {
-	return (
-		resumeId !== lastEventId &&
-		knownIds.size > 0 &&
-		[...knownIds].every((id) => Number(id) === Number(lastEventId))
-	);
+function hasRepeatedLast({lastEventId, resumeId, repeated}: RunEnd): boolean {
+	return resumeId !== lastEventId && repeated === 'last';
 }
 
 /**
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
+	addRepeated,
 	type AttemptFailure,
 	chooseResumeId,
 	classifyPart,
@@ -8,6 +9,7 @@
 	findStreamFlood,
 	isStreamAnswer,
 	NO_PROGRESS,
+	type RepeatedEvents,
 	type StreamProgress,
 } from '@lovagevalve/dispatch';
 import {isInStartWindow} from '@lovagevalve/quarantine';
@@ -46,7 +48,7 @@
 ): EventRelay {
 	/** Last event of the caller when a run ended without a new one. */
 	let quietBehind: string | undefined;
-	const knownIds = new Set<string>();
+	let repeated: RepeatedEvents = 'none';
 	let progress: StreamProgress = NO_PROGRESS;
 	let reader: EventReader | undefined;
 
@@ -136,7 +138,7 @@
 
 			case 'known': {
 				recordIdle(event);
-				knownIds.add(event.id!);
+				repeated = addRepeated(repeated, event.id!, delivery.readLastEventId());
 				break;
 			}
 
@@ -156,7 +158,7 @@
 			hasNewEvent,
 			lastEventId,
 			resumeId,
-			knownIds,
+			repeated,
 		});
 		if (!hasNewEvent) {
 			ctx.metrics.count('quiet_stream_ends', {decision});
@@ -187,7 +189,7 @@
 	return {
 		readResumeId,
 		relay(run, response) {
-			knownIds.clear();
+			repeated = 'none';
 			progress = NO_PROGRESS;
 			const contentType = response.headers['content-type'];
 			if (!isStreamAnswer({status: response.statusCode ?? 0, contentType})) {
