--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -161,14 +161,17 @@
 	VersionAges,
 } from './stream-origin.js';
 export {
+	addRepeated,
 	classifyPart,
 	chooseResumeId,
 	decideStreamEnd,
+	hasEventIdLength,
 	isStreamAnswer,
 	parseStreamPart,
 } from './stream-answer.js';
 export type {
 	PartKind,
+	RepeatedEvents,
 	RunEnd,
 	StreamAnswerHead,
 	StreamEndDecision,
--- a/packages/lovage-dispatch/src/stream-answer.ts
+++ b/packages/lovage-dispatch/src/stream-answer.ts
@@ -25,6 +25,9 @@
 	/** It doesn't belong to the stream, nor does what follows. */
 	| 'foreign';
 
+/** Events that a run brought and the caller had. */
+export type RepeatedEvents = 'none' | 'last' | 'others';
+
 /** The proper end of a run. */
 export type RunEnd = Readonly<{
 	/** Whether the run brought an event that the caller did not have. */
@@ -33,8 +36,7 @@
 	lastEventId: string | undefined;
 	/** The event behind which the run was to begin. */
 	resumeId: string | undefined;
-	/** Events that the run brought and the caller had. */
-	knownIds: ReadonlySet<string>;
+	repeated: RepeatedEvents;
 }>;
 
 /** Whether a stream is complete after the proper end of a run. */
@@ -45,8 +47,20 @@
 const COMMENT_OR_FIELD = /^(?::|(?:data|event|id|retry)(?::|$))/;
 /** A header that changes in the middle of a stream, in lower case, before the fields. */
 const LEADING_LINE = /^[a-z][a-z\d-]*: ?\S*$/;
+/** Characters of the longest id, a number of 64 bits. */
+const MAX_EVENT_ID_LENGTH = 20;
 const WHOLE_NUMBER = /^\d+$/;
 
+/** Whether a text, in characters, is no longer than the id of an event can be. */
+export function hasEventIdLength(text: string): boolean {
+	return text.length <= MAX_EVENT_ID_LENGTH;
+}
+
+/** Whether a text is the id of an event, which goes into heads and log lines. */
+function isEventId(text: string): boolean {
+	return hasEventIdLength(text) && WHOLE_NUMBER.test(text);
+}
+
 /** Whether the body of an answer can hold events of a stream. */
 export function isStreamAnswer({
 	status,
@@ -92,7 +106,7 @@
 		return 'comment';
 	}
 
-	if (id === undefined || !hasData || !WHOLE_NUMBER.test(id)) {
+	if (id === undefined || !hasData || !isEventId(id)) {
 		return 'foreign';
 	}
 
@@ -114,7 +128,7 @@
 		return lastEventId;
 	}
 
-	if (!WHOLE_NUMBER.test(lastEventId)) {
+	if (!isEventId(lastEventId)) {
 		return lastEventId;
 	}
 
@@ -122,13 +136,20 @@
 	return id === 0n ? undefined : String(id - 1n);
 }
 
+/** Adds an event that the caller has to those that a run brought. */
+export function addRepeated(
+	repeated: RepeatedEvents,
+	id: string,
+	lastEventId: string | undefined,
+): RepeatedEvents {
+	return repeated !== 'others' && Number(id) === Number(lastEventId)
+		? 'last'
+		: 'others';
+}
+
 /** Whether a run was asked for the last event again and brought that one alone. */
-function hasRepeatedLast({lastEventId, resumeId, knownIds}: RunEnd): boolean {
-	return (
-		resumeId !== lastEventId &&
-		knownIds.size > 0 &&
-		[...knownIds].every((id) => Number(id) === Number(lastEventId))
-	);
+function hasRepeatedLast({lastEventId, resumeId, repeated}: RunEnd): boolean {
+	return resumeId !== lastEventId && repeated === 'last';
 }
 
 /**
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
+	addRepeated,
 	type AttemptFailure,
 	chooseResumeId,
 	classifyPart,
@@ -9,6 +10,7 @@
 	findStreamFlood,
 	isStreamAnswer,
 	NO_PROGRESS,
+	type RepeatedEvents,
 	spendEvent,
 	type StreamProgress,
 } from '@lovagevalve/dispatch';
@@ -48,8 +50,8 @@
 ): EventRelay {
 	/** Last event of the caller when a run ended without a new one. */
 	let quietBehind: string | undefined;
-	const knownIds = new Set<string>();
 	const {outputTokens} = req.metadata;
+	let repeated: RepeatedEvents = 'none';
 	let progress: StreamProgress = NO_PROGRESS;
 	let credit = createEventCredit(outputTokens, ctx.clock.now());
 	let reader: EventReader | undefined;
@@ -138,7 +140,7 @@
 
 			case 'known': {
 				recordIdle(event);
-				knownIds.add(event.id!);
+				repeated = addRepeated(repeated, event.id!, delivery.readLastEventId());
 				break;
 			}
 
@@ -158,7 +160,7 @@
 			hasNewEvent,
 			lastEventId,
 			resumeId,
-			knownIds,
+			repeated,
 		});
 		if (!hasNewEvent) {
 			ctx.metrics.count('quiet_stream_ends', {decision});
@@ -189,7 +191,7 @@
 	return {
 		readResumeId,
 		relay(run, response) {
-			knownIds.clear();
+			repeated = 'none';
 			progress = NO_PROGRESS;
 			credit = createEventCredit(outputTokens, ctx.clock.now());
 			const contentType = response.headers['content-type'];
