Refuse a body without end at /rpc of lovage-entry and lovage-control

Seen: one chunked POST to /rpc was read for as long as it came, and kept. Over the programs as processes: 300 MB sent to an entry, resident memory +301 MB; 300 MB to a control instance, +281 MB; a declared length of 600 MB was taken, too. Cause: trpcServer reads the whole body, and nothing before it bounds one. Change: addRpcRoutes mounts the routers of both programs behind hono's body limit, which counts chunked bodies as they arrive. A body may have MAX_RPC_BYTES (32 MB, the bound of answers) in messages between control instances, and half of that elsewhere, as a change becomes a log entry: a text in JSON, which takes up to twice its size. Still open: no time for a body, and no bound over all bodies.

--- a/packages/lovage-control/src/program.ts
+++ b/packages/lovage-control/src/program.ts
@@ -1,6 +1,5 @@
 import {randomInt} from 'node:crypto';
 import {setTimeout as wait} from 'node:timers/promises';
-import {trpcServer} from '@hono/trpc-server';
 import {createControl} from '@lovagevalve/control-role';
 import {
 	type ChildSpec,
@@ -14,7 +13,11 @@
 	createTimerChild,
 	startSupervisor,
 } from '@lovagevalve/runtime';
-import {createControlRouter, createRpcPool, RPC_PATH} from '@lovagevalve/wire';
+import {
+	addRpcRoutes,
+	createControlRouter,
+	createRpcPool,
+} from '@lovagevalve/wire';
 import {Hono} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
 import {openDataFolder} from './data-folder.js';
@@ -69,7 +72,7 @@
 	router: ReturnType<typeof createControlRouter>,
 ): Hono {
 	const app = new Hono();
-	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
+	addRpcRoutes(app, router);
 	app.get('/health', (ctx) => {
 		const {role, group} = createStatus(cfg.name, host);
 		return ctx.json({kind: 'ok', role, group});
--- a/packages/lovage-entry/src/program.ts
+++ b/packages/lovage-entry/src/program.ts
@@ -1,6 +1,5 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {trpcServer} from '@hono/trpc-server';
 import {
 	createClock,
 	createLogger,
@@ -14,9 +13,9 @@
 	type Supervisor,
 } from '@lovagevalve/runtime';
 import {
+	addRpcRoutes,
 	createEntryPeerRouter,
 	createRpcPool,
-	RPC_PATH,
 } from '@lovagevalve/wire';
 import {Hono} from 'hono';
 import {ok} from 'neverthrow';
@@ -110,8 +109,7 @@
 	};
 
 	const app = new Hono();
-	const router = createEntryPeerRouter(createPeerHandlers(host, clock));
-	app.use(`${RPC_PATH}/*`, trpcServer({router, endpoint: RPC_PATH}));
+	addRpcRoutes(app, createEntryPeerRouter(createPeerHandlers(host, clock)));
 	app.route(
 		'/',
 		createOperatorApp(host, {
--- a/packages/lovage-wire/src/client.ts
+++ b/packages/lovage-wire/src/client.ts
@@ -20,8 +20,11 @@
 	code?: string;
 }>;
 
-/** A configuration as a text in JSON takes up to twice its size. */
-const MAX_ANSWER_BYTES = 33_554_432;
+/**
+ * Size of the largest RPC or answer, in bytes: a configuration as a text in JSON takes up
+ * to twice its size. Other appends and pieces of snapshots have up to 262,144 characters.
+ */
+export const MAX_RPC_BYTES = 33_554_432;
 
 /** Connection pool for RPCs, shared by all clients of a program. */
 export type RpcPool = Readonly<{
@@ -40,7 +43,7 @@
 		pipelining: 1,
 		connections: 16,
 		connect: {timeout: 1000},
-		maxResponseSize: MAX_ANSWER_BYTES,
+		maxResponseSize: MAX_RPC_BYTES,
 	});
 	return {agent, close: async () => agent.destroy()};
 }
--- a/packages/lovage-wire/src/index.ts
+++ b/packages/lovage-wire/src/index.ts
@@ -75,3 +75,4 @@
 export type {Outcome, Problem, ProblemType} from './problem.js';
 export {createProblem, isProblem, PROBLEM_CONTENT_TYPE} from './problem.js';
 export type {Redirect} from './redirect.js';
+export {addRpcRoutes} from './rpc-routes.js';
