Leave an engine that sends more tokens than were asked for

Seen: tokens of an engine that went on with new ones were kept without end: 405,609 tokens, one an event, in 10 s for a generation of 1,000, and 10.9 million empty ones. Cause: the bound of what brings nothing starts anew with each new token, and maxTokens went to the engine only. Change: isWithinTokens, beside the other bounds, takes no event that ends behind maxTokens (the length of the whole answer, with tokens of earlier attempts), or has more than 32,768 tokens: in 131,072 characters those are under one character each. The stream is lost as with any other faulty answer: the engine is probed and resumed, and left as stalled, which is no crash, for another one. Tests that resume a stream name maxTokens now, as the request needs it: the number of their tokens, or more.

--- a/packages/lovage-entry/src/__tests__/integration/engine-stream.test.ts
+++ b/packages/lovage-entry/src/__tests__/integration/engine-stream.test.ts
@@ -47,6 +47,7 @@
 				generation: 'g',
 				attempt: 1,
 				offset: 0,
+				maxTokens: 2,
 			},
 			{
 				onOpen: () => undefined,
--- a/packages/lovage-entry/src/__tests__/integration/flooding-engines.test.ts
+++ b/packages/lovage-entry/src/__tests__/integration/flooding-engines.test.ts
@@ -36,14 +36,19 @@
 	left: Promise<number>;
 }>;
 
-/** Starts a server that answers with a beginning, and then with a part again and again. */
-async function flood(beginning: string, part: string): Promise<Flood> {
+/** Starts a server that answers with a beginning, and then with parts without end. */
+async function flood(
+	beginning: string,
+	part: string | (() => string),
+): Promise<Flood> {
 	const {promise, resolve} = withResolvers<number>();
-	const bytes = Buffer.from(part);
+	const bytes = typeof part === 'string' ? Buffer.from(part) : undefined;
+	const readPart = (): Uint8Array | string => bytes ?? (part as () => string)();
 	const send = (socket: Socket): void => {
 		let isWritable = true;
 		while (isWritable && socket.writable) {
-			isWritable = socket.write(bytes) && socket.bytesWritten < MAX_SENT_BYTES;
+			isWritable =
+				socket.write(readPart()) && socket.bytesWritten < MAX_SENT_BYTES;
 		}
 	};
 
@@ -75,7 +80,8 @@
 const CHUNKED_HEAD =
 	'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 const INTERIM = 'HTTP/1.1 100 Continue\r\n\r\n';
-const CHUNK = {generation: 'g', attempt: 1, offset: 0, tokens: ['a']};
+const ATTEMPT = {generation: 'g', attempt: 1, offset: 0} as const;
+const CHUNK = {...ATTEMPT, tokens: ['a']};
 const TOKENS = `event: tokens\ndata: ${JSON.stringify(CHUNK)}\n\n`;
 const KILOBYTE = 1024;
 
@@ -99,7 +105,7 @@
 		const {promise: lost, resolve} = withResolvers<string>();
 		cleanups.push(
 			openEngineStream(
-				{kind: 'resume', address, generation: 'g', attempt: 1, offset: 0},
+				{kind: 'resume', address, ...ATTEMPT, maxTokens: 6000},
 				{
 					onOpen: () => undefined,
 					onChunk: () => undefined,
@@ -121,6 +127,52 @@
 		expect(await left).toBeLessThan(MAX_SENT_BYTES);
 	});
 
+	it.each([
+		['one token an event', ['a'], 1000, 1000],
+		['empty tokens', Array.from({length: 1000}, () => ''), 32_768, 32_000],
+		[
+			'more empty tokens an event than any engine sends',
+			Array.from({length: 40_000}, () => ''),
+			1_000_000,
+			0,
+		],
+	])(
+		'is left with more tokens than were asked for: %s',
+		async (_, tokens, maxTokens, taken) => {
+			let offset = 0;
+			const {address, left} = await flood(STREAM_HEAD, () => {
+				const data = JSON.stringify({...ATTEMPT, offset, tokens});
+				offset += tokens.length;
+				return `event: tokens\ndata: ${data}\n\n`;
+			});
+			let received = 0;
+			const outcome = await new Promise((resolve) => {
+				const timer = setTimeout(resolve, STREAM_GIVE_UP_MS, 'still read');
+				cleanups.push(
+					() => {
+						clearTimeout(timer);
+					},
+					openEngineStream(
+						{kind: 'resume', address, ...ATTEMPT, maxTokens},
+						{
+							onOpen: () => undefined,
+							onChunk(chunk) {
+								received += chunk.tokens.length;
+							},
+							onEnd: () => undefined,
+							onLost() {
+								resolve('lost');
+							},
+							onRefused: () => undefined,
+						},
+					),
+				);
+			});
+			expect([outcome, received]).toEqual(['lost', taken]);
+			expect(await left).toBeLessThan(MAX_SENT_BYTES);
+		},
+	);
+
 	it('is read on with new tokens and comments between them', async () => {
 		const events = Array.from({length: 6000}, (_, offset) => {
 			const data = JSON.stringify({...CHUNK, offset});
@@ -134,7 +186,7 @@
 		let tokens = 0;
 		const end = await new Promise((resolve) => {
 			const close = openEngineStream(
-				{kind: 'resume', address, generation: 'g', attempt: 1, offset: 0},
+				{kind: 'resume', address, ...ATTEMPT, maxTokens: 6000},
 				{
 					onOpen: () => undefined,
 					onChunk(chunk) {
--- a/packages/lovage-entry/src/__tests__/unit/odd-addresses.test.ts
+++ b/packages/lovage-entry/src/__tests__/unit/odd-addresses.test.ts
@@ -35,7 +35,14 @@
 	it('loses the stream that is sent to it, as unreached', async () => {
 		const isUnreached = await new Promise<boolean>((resolve) => {
 			openEngineStream(
-				{kind: 'resume', address, generation: 'g', attempt: 1, offset: 0},
+				{
+					kind: 'resume',
+					address,
+					generation: 'g',
+					attempt: 1,
+					offset: 0,
+					maxTokens: 100,
+				},
 				{
 					onOpen: () => undefined,
 					onChunk: () => undefined,
--- a/packages/lovage-entry/src/answer-bounds.ts
+++ b/packages/lovage-entry/src/answer-bounds.ts
@@ -5,6 +5,8 @@
 /** Chunks and bytes without new tokens; a comment keeps a connection open for seconds. */
 const MAX_IDLE_CHUNKS = 4096;
 const MAX_IDLE_BYTES = 262_144;
+/** In an event of the largest size, more would have under one character each. */
+const MAX_CHUNK_TOKENS = 32_768;
 
 /** Counts interim answers; `onExceeded` is to close the connection. */
 export function createInterimBound(onExceeded: () => void): () => void {
@@ -46,6 +48,19 @@
 	};
 }
 
+/**
+ * Whether an engine may have made these tokens; `maxTokens` is the length of the whole
+ * answer, with the tokens of earlier attempts.
+ */
+export function isWithinTokens(
+	{offset, tokens}: EngineChunk,
+	maxTokens: number,
+): boolean {
+	return (
+		tokens.length <= MAX_CHUNK_TOKENS && offset + tokens.length <= maxTokens
+	);
+}
+
 /** Replaces each line break by a line feed, also one that two chunks share. */
 export function createLineBreakNormaliser(): (text: string) => string {
 	let endsWithReturn = false;
--- a/packages/lovage-entry/src/engine-host.ts
+++ b/packages/lovage-entry/src/engine-host.ts
@@ -31,7 +31,7 @@
 /** Manages the connections to engines, probes and cancellations. */
 export type EngineHost = Readonly<{
 	start: (effect: StartEffect, body: AttemptBody) => void;
-	resume: (effect: ResumeEffect) => void;
+	resume: (effect: ResumeEffect, maxTokens: number) => void;
 	close: (stream: string, connection: number) => void;
 	closeAll: (stream: string) => void;
 	probe: (effect: ProbeEffect) => void;
@@ -101,13 +101,15 @@
 				body: {generation, attempt, model, priority, ...body},
 			});
 		},
-		resume({stream, connection, address, generation, attempt, offset}) {
+		resume(effect, maxTokens) {
+			const {stream, connection, address, generation, attempt, offset} = effect;
 			connect(stream, connection, {
 				kind: 'resume',
 				address,
 				generation,
 				attempt,
 				offset,
+				maxTokens,
 			});
 		},
 		close(stream, connection) {
--- a/packages/lovage-entry/src/engine-stream.ts
+++ b/packages/lovage-entry/src/engine-stream.ts
@@ -9,6 +9,7 @@
 	createIdleBound,
 	createInterimBound,
 	createLineBreakNormaliser,
+	isWithinTokens,
 } from './answer-bounds.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -50,6 +51,8 @@
 			generation: string;
 			attempt: number;
 			offset: number;
+			/** Maximum number of tokens in total. */
+			maxTokens: number;
 	  };
 
 async function dispatch(
@@ -90,19 +93,22 @@
 }
 
 /**
- * Forwards an event to the listener; returns false if its data is malformed.
+ * Forwards an event to the listener; returns false if its data is malformed, or beyond
+ * the tokens that were asked for.
  */
 function handleEvent(
 	event: EventSourceMessage,
 	listener: EngineListener,
+	maxTokens: number,
 ): boolean {
 	if (event.event === 'tokens') {
 		const chunk = engineTokensSchema.safeParse(parseData(event));
-		if (chunk.success) {
+		const isValid = chunk.success && isWithinTokens(chunk.data, maxTokens);
+		if (isValid) {
 			listener.onChunk(chunk.data);
 		}
 
-		return chunk.success;
+		return isValid;
 	}
 
 	if (event.event === 'done') {
@@ -117,10 +123,12 @@
 	return true;
 }
 
+type ReadOptions = Readonly<{maxTokens: number; signal: AbortSignal}>;
+
 async function readBody(
 	res: Dispatcher.ResponseData,
 	listener: EngineListener,
-	signal: AbortSignal,
+	{maxTokens, signal}: ReadOptions,
 ): Promise<void> {
 	let isValid = true;
 	const bound = createIdleBound();
@@ -128,13 +136,14 @@
 		maxBufferSize: MAX_EVENT_CHARACTERS,
 		onEvent(event) {
 			if (isValid && !signal.aborted) {
-				isValid = handleEvent(event, {
+				const counted: EngineListener = {
 					...listener,
 					onChunk(chunk) {
 						bound.addTokens(chunk);
 						listener.onChunk(chunk);
 					},
-				});
+				};
+				isValid = handleEvent(event, counted, maxTokens);
 			}
 		},
 		onError({type}) {
@@ -185,7 +194,8 @@
 		}
 
 		listener.onOpen();
-		await readBody(res, listener, signal);
+		const {maxTokens} = req.kind === 'start' ? req.body : req;
+		await readBody(res, listener, {maxTokens, signal});
 	} catch {
 		// Reported below, like a connection that closed early.
 	} finally {
--- a/packages/lovage-entry/src/stream-host.ts
+++ b/packages/lovage-entry/src/stream-host.ts
@@ -194,7 +194,11 @@
 				}
 
 				case 'resume-attempt': {
-					engines.resume(effect);
+					const stream = hostedStreams.get(effect.stream);
+					if (stream) {
+						engines.resume(effect, stream.req.maxTokens);
+					}
+
 					return;
 				}
 
