Split the end of a response, addresses and probes from exchanges with backend servers

Cause: backend-exchange.ts (314 lines) held four concepts, and a probe or an address could only be had with the whole exchange. Change: response-end.ts (what is known of a response's end), backend-address.ts, backend-probe.ts; backend-exchange.ts has 192 lines. The set of failed responses is written by markBrokenOff only. Two tests: import paths only.

--- a/packages/lovage-gateway/src/__tests__/integration/busy-instance.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/busy-instance.test.ts
@@ -4,7 +4,8 @@
 import {createServer} from 'node:net';
 import {createPeerClient} from '@lovagevalve/runtime';
 import {expect, it} from 'vitest';
-import {openExchange, probeAddress} from '../../backend-exchange.js';
+import {openExchange} from '../../backend-exchange.js';
+import {probeAddress} from '../../backend-probe.js';
 import {
 	createCleanups,
 	listen,
--- a/packages/lovage-gateway/src/__tests__/integration/escaped-faults.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/escaped-faults.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
-import {openExchange, probeAddress} from '../../backend-exchange.js';
+import {openExchange} from '../../backend-exchange.js';
+import {probeAddress} from '../../backend-probe.js';
 import type {HeaderCodec} from '../../protocol.js';
 import {
 	createAnswer,
--- a/packages/lovage-gateway/src/backend-command.ts
+++ b/packages/lovage-gateway/src/backend-command.ts
@@ -11,7 +11,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {BackendRecord} from '@lovagevalve/dispatch';
 import {findAnswerFailure} from './answer-reader.js';
-import {createClientRequest, parseAddress} from './backend-exchange.js';
+import {parseAddress} from './backend-address.js';
+import {createClientRequest} from './backend-exchange.js';
 import type {GatewayContext} from './context.js';
 import {createGuard} from './guard.js';
 import type {BackendCommand} from './protocol.js';
--- a/packages/lovage-gateway/src/backend-exchange.ts
+++ b/packages/lovage-gateway/src/backend-exchange.ts
@@ -5,7 +5,6 @@
 	type IncomingMessage,
 	type RequestOptions,
 } from 'node:http';
-import {connect} from 'node:net';
 import {fromThrowable} from 'neverthrow';
 import type {AttemptFailure} from '@lovagevalve/dispatch';
 import {
@@ -13,7 +12,11 @@
 	guardSocket,
 	startDeadline,
 } from '@lovagevalve/runtime';
-import {findHeadFault, isCloseDelimited} from './answer-head.js';
+import {findHeadFault} from './answer-head.js';
+import {parseAddress} from './backend-address.js';
+import {detectResetAtEnd, hasEnded, markBrokenOff} from './response-end.js';
+
+export {watchResponseEnd} from './response-end.js';
 
 /** A request to a single backend server. */
 export type ExchangeRequest = Readonly<{
@@ -46,82 +49,16 @@
 }>;
 
 /**
- * Data centres are milliseconds apart; a lost packet is retransmitted after 200
- * ms.
+ * Time within which a connection is established. Data centres are milliseconds
+ * apart; a lost packet is retransmitted after 200 ms.
  */
-const CONNECT_TIMEOUT_MS = 300;
-/** A live process accepts connections within a few round trips. */
-const PROBE_TIMEOUT_MS = 120;
+export const CONNECT_TIMEOUT_MS = 300;
 /**
  * Keeps the socket writable after the peer's FIN. The types of `http.request`
  * lack this option of `net.connect`.
  */
 const CONNECTION_OPTIONS = {allowHalfOpen: true};
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
-const SETTLED_EVENT = 'settled';
-
-/**
- * Responses whose connection failed, including failures seen after the `end`
- * event.
- */
-const failedResponses = new WeakSet<IncomingMessage>();
-
-/** Whether a response has arrived whole, by its length or its last chunk. */
-function hasEnded(response: IncomingMessage): boolean {
-	return response.complete && !isCloseDelimited(response.rawHeaders);
-}
-
-/**
- * Detects a reset at the end of a close-delimited response. When the last bytes
- * and the RST arrive together, Node.js reports an orderly end of the stream,
- * and only a write surfaces the error. A peer that closed properly ignores the
- * extra line break, as HTTP recommends.
- */
-function detectResetAtEnd(response: IncomingMessage): void {
-	if (isCloseDelimited(response.rawHeaders)) {
-		response.socket.prependOnceListener('end', () => {
-			response.socket.write('\r\n', (error) => {
-				if (error) {
-					failedResponses.add(response);
-				}
-			});
-		});
-	}
-}
-
-/** Whether a response that has ended is whole; known a turn of the event loop after its end. */
-export function isWhole(response: IncomingMessage): boolean {
-	return response.complete && !failedResponses.has(response);
-}
-
-/**
- * Calls `onComplete` if the whole response has arrived and `onTruncated` if the
- * connection failed before that.
- */
-export function watchResponseEnd(
-	response: IncomingMessage,
-	onComplete: () => void,
-	onTruncated: () => void,
-): void {
-	const settle = (): void => {
-		if (isWhole(response)) {
-			onComplete();
-		} else {
-			onTruncated();
-		}
-	};
-
-	response.on('error', onTruncated);
-	response.on('end', () => {
-		if (isCloseDelimited(response.rawHeaders)) {
-			// An event of the response, as its listeners run under the request's guard.
-			response.once(SETTLED_EVENT, settle);
-			setImmediate(() => response.emit(SETTLED_EVENT));
-		} else {
-			settle();
-		}
-	});
-}
 
 function describeRefusal(error: unknown): string {
 	const {code, message} = error as NodeJS.ErrnoException;
@@ -133,19 +70,6 @@
 	(options: RequestOptions): ClientRequest => request(options),
 	describeRefusal,
 );
-const openSocket = fromThrowable(
-	(address: string) => connect(parseAddress(address)),
-	describeRefusal,
-);
-
-/** Parses `host:port`. */
-export function parseAddress(address: string): {host: string; port: number} {
-	const colon = address.lastIndexOf(':');
-	return {
-		host: address.slice(0, colon),
-		port: Number(address.slice(colon + 1)),
-	};
-}
 
 /** An exchange that can't begin; it fails as any other, after this returns. */
 function createFailedExchange(
@@ -245,7 +169,7 @@
 
 		// Node.js treats a reset as the end of a close-delimited response.
 		if (receivedResponse !== undefined) {
-			failedResponses.add(receivedResponse);
+			markBrokenOff(receivedResponse);
 			receivedResponse.destroy(error);
 		}
 
@@ -266,49 +190,3 @@
 		},
 	};
 }
-
-/** Creates the lookup of the address at which backend servers are connected to. */
-export function createAddressResolver(
-	backendHost: string | undefined,
-): (backend: Readonly<{address: string}>) => string {
-	return ({address}) =>
-		backendHost === undefined
-			? address
-			: `${backendHost}:${parseAddress(address).port}`;
-}
-
-/** Checks whether a backend server accepts a connection, lost packets included. */
-export async function checkReach(address: string): Promise<boolean> {
-	return probeAddress(address, CONNECT_TIMEOUT_MS);
-}
-
-/** Checks whether a backend server accepts a new connection. */
-export async function probeAddress(
-	address: string,
-	timeoutMs = PROBE_TIMEOUT_MS,
-): Promise<boolean> {
-	return new Promise((resolve) => {
-		const opened = openSocket(address);
-		if (opened.isErr()) {
-			resolve(false);
-			return;
-		}
-
-		const socket = opened.value;
-		const settle = (isAlive: boolean): void => {
-			cancelDeadline();
-			socket.destroy();
-			resolve(isAlive);
-		};
-
-		const cancelDeadline = startDeadline(timeoutMs, () => {
-			settle(false);
-		});
-		socket.once('connect', () => {
-			settle(true);
-		});
-		socket.once('error', () => {
-			settle(false);
-		});
-	});
-}
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -17,7 +17,8 @@
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
 import type {Result} from 'neverthrow';
-import {checkReach, createAddressResolver} from './backend-exchange.js';
+import {createAddressResolver} from './backend-address.js';
+import {checkReach} from './backend-probe.js';
 import {createBackendReach} from './backend-reach.js';
 import {createBackendView} from './backend-view.js';
 import type {GatewayContext} from './context.js';
--- a/packages/lovage-gateway/src/index.ts
+++ b/packages/lovage-gateway/src/index.ts
@@ -1,4 +1,6 @@
-export {openExchange, probeAddress, parseAddress} from './backend-exchange.js';
+export {parseAddress} from './backend-address.js';
+export {openExchange} from './backend-exchange.js';
+export {probeAddress} from './backend-probe.js';
 export type {
 	Exchange,
 	ExchangeListener,
--- a/packages/lovage-gateway/src/shared-probes.ts
+++ b/packages/lovage-gateway/src/shared-probes.ts
@@ -1,4 +1,4 @@
-import {probeAddress} from './backend-exchange.js';
+import {probeAddress} from './backend-probe.js';
 
 /** Checks whether a backend server accepts a new connection within a time limit. */
 export type Probe = (address: string, timeoutMs?: number) => Promise<boolean>;
--- a/packages/lovage-gateway/src/unary-attempt.ts
+++ b/packages/lovage-gateway/src/unary-attempt.ts
@@ -16,17 +16,14 @@
 	describeAskedPeer,
 	findAnswerFailure,
 } from './answer-reader.js';
-import {
-	watchResponseEnd,
-	openExchange,
-	type ExchangeRequest,
-} from './backend-exchange.js';
+import {openExchange, type ExchangeRequest} from './backend-exchange.js';
 import {
 	type AcceptedRequest,
 	type GatewayContext,
 	readRemainingMs,
 } from './context.js';
 import {createRelayHeaders} from './peer-relay.js';
+import {watchResponseEnd} from './response-end.js';
 import {createFlood} from './stream-reader.js';
 
 /** A response that is fully buffered before any of it is sent to the caller. */
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -5,7 +5,7 @@
 	type GatewayContext,
 	readRemainingMs,
 } from './context.js';
-import {isWhole, watchResponseEnd} from './backend-exchange.js';
+import {isWhole, watchResponseEnd} from './response-end.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
 import {breakOff} from './responses.js';
 import type {BufferedResponse, LargeResponse} from './unary-attempt.js';
