--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -10,6 +10,7 @@
 	recordCompletion,
 } from './responses.js';
 import {reportConfirmedCrash} from './crash-confirmation.js';
+import type {BufferedResponse} from './collected-response.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
@@ -19,12 +20,7 @@
 import {canRelayAgain, chooseRelayPeer} from './peer-relay.js';
 import {pipeLargeResponse, sendBufferedResponse} from './unary-response.js';
 import {decideWithinBudget} from './retry-budgets.js';
-import {
-	planAttempt,
-	runAttempt,
-	type BufferedResponse,
-	type AttemptOutcome,
-} from './unary-attempt.js';
+import {planAttempt, runAttempt, type AttemptOutcome} from './unary-attempt.js';
 
 /** Part of the latency target for which a request waits for room. */
 const ROOM_WAIT_SHARE = 0.4;
--- a/packages/lovage-gateway/src/unary-response.ts
+++ b/packages/lovage-gateway/src/unary-response.ts
@@ -8,7 +8,7 @@
 import {isWhole, watchResponseEnd} from './response-end.js';
 import {removeHeaders} from './hop-by-hop-headers.js';
 import {breakOff} from './responses.js';
-import type {BufferedResponse, LargeResponse} from './unary-attempt.js';
+import type {BufferedResponse, LargeResponse} from './collected-response.js';
 
 const BODY_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
