--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -4,15 +4,12 @@
 	decodeControlReport,
 	decodeOriginAnswer,
 	type EntryReport,
-	type KnownRevision,
 	type SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger, PeerClient} from '@lovagevalve/runtime';
-import {
-	callControl,
-	MALFORMED_ANSWER,
-	readConfigurationText,
-} from './control-call.js';
+import {createConfigurationFetch} from './configuration-fetch.js';
+import {callControl} from './control-call.js';
+import {createControlPeers} from './control-peers.js';
 import type {Guard} from './guard.js';
 import {
 	lookUpOrigin,
@@ -61,44 +58,16 @@
 	readConfirmedOrigin: () => number;
 }>;
 
-type Peer = {
-	isBusy: boolean;
-	answeredAt: number | undefined;
-	isUnreachable: boolean;
-	/** Version of the newest configuration that this peer knows. */
-	version: number;
-	/** Last revision of the backend servers received from this peer. */
-	knownRevision: KnownRevision | undefined;
-	/** Revision of the advertised entries received from this peer. */
-	knownServing: KnownRevision | undefined;
-	/** Sequence number of the last origin of a stream that this peer received. */
-	originSequence: number;
-};
-
 /**
  * A control instance responds within milliseconds; one that takes longer is
  * stalled.
  */
 const REPORT_TIMEOUT_MS = 800;
-/** Allows a configuration with hundreds of routes to cross a slow link. */
-const CONFIGURATION_TIMEOUT_MS = 1500;
-/** A control instance that no other one lists is removed after this time. */
-const PEER_RETENTION_MS = 30_000;
 /**
  * Every n-th round goes to all control instances, not only to the primary one.
  * They gossip departures of backend servers to each other immediately.
  */
 const FULL_ROUND_PERIOD = 3;
-/**
- * Time for which an entry without a configuration waits for all control
- * instances, since the first that answers may not have the newest one. More than
- * the time until a connection to an instance that is down fails.
- */
-const FIRST_CONFIGURATION_WAIT_MS = 400;
-const MAX_PEERS = 16;
-const REACHABLE_WINDOW_MS = 1500;
-/** A control instance that is silent for longer is taken for lost, not for cut off. */
-const MAX_CUT_OFF_MS = 15_000;
 
 /**
  * Creates a client that reports to every control instance, so that the loss of
@@ -109,193 +78,14 @@
 export function createControlClient(
 	options: ControlClientOptions,
 ): ControlClient {
-	const {
-		clock,
-		log,
-		client,
-		readSeeds,
-		createReport,
-		createAgesRequest,
-		guard,
-	} = options;
-	const peers = new Map<string, Peer>();
-	const advertisedAt = new Map<string, number>();
-	let isFetching = false;
+	const {client, createReport, createAgesRequest, onReport, guard} = options;
+	const peers = createControlPeers(options);
+	const fetchNewest = createConfigurationFetch({...options, peers});
 	let primaryPeer: string | undefined;
 	let round = 0;
-	let firstVersionAt: number | undefined;
-
-	const readPeer = (address: string): Peer => {
-		const peer = peers.get(address) ?? {
-			isBusy: false,
-			answeredAt: undefined,
-			isUnreachable: false,
-			version: 0,
-			knownRevision: undefined,
-			knownServing: undefined,
-			originSequence: 0,
-		};
-		peers.set(address, peer);
-		return peer;
-	};
-
-	const removeStalePeers = (): void => {
-		const seeds = readSeeds();
-		[...advertisedAt]
-			.filter(([, at]) => clock.now() - at > PEER_RETENTION_MS)
-			.forEach(([address]) => {
-				advertisedAt.delete(address);
-			});
-		[...peers.keys()]
-			.filter(
-				(address) => !advertisedAt.has(address) && !seeds.includes(address),
-			)
-			.forEach((address) => {
-				peers.delete(address);
-			});
-	};
-
-	const listAddresses = (): readonly string[] =>
-		[...new Set([...advertisedAt.keys(), ...readSeeds()])].slice(0, MAX_PEERS);
-
-	const fetchConfiguration = async (
-		address: string,
-		version: number,
-		ownVersion: number,
-	): Promise<void> => {
-		if (isFetching) {
-			return;
-		}
-
-		isFetching = true;
-		const response = await callControl(
-			client,
-			{
-				address,
-				path: '/configuration',
-				body: {version},
-				timeoutMs: CONFIGURATION_TIMEOUT_MS,
-			},
-			readConfigurationText,
-		);
-		isFetching = false;
-		response.match(
-			(text) => {
-				options.onConfiguration(text);
-			},
-			(reason) => {
-				log.warn('Failed to fetch a configuration.', {
-					control: address,
-					version,
-					reason,
-				});
-				if (reason === MALFORMED_ANSWER) {
-					// Until its next report, another one is asked.
-					readPeer(address).version = 0;
-					fetchNewest(ownVersion);
-				}
-			},
-		);
-	};
-
-	/** Chooses the control instance to fetch a configuration from, if one is due. */
-	const chooseConfigurationSource = (
-		ownVersion: number,
-	): Readonly<{address: string; version: number}> | undefined => {
-		const now = clock.now();
-		const known = listAddresses().map((address) => {
-			const {version, isUnreachable, answeredAt} = readPeer(address);
-			const hasSettled = isUnreachable || answeredAt !== undefined;
-			return {address, version, isUnreachable, hasSettled};
-		});
-		const newest = known
-			.filter(({isUnreachable}) => !isUnreachable)
-			.toSorted((a, b) => b.version - a.version)
-			.at(0);
-		if (newest === undefined || newest.version <= ownVersion) {
-			return undefined;
-		}
-
-		firstVersionAt ??= now;
-		const isDue =
-			ownVersion > 0 ||
-			known.every(({hasSettled}) => hasSettled) ||
-			now - firstVersionAt >= FIRST_CONFIGURATION_WAIT_MS;
-		return isDue ? newest : undefined;
-	};
-
-	const fetchNewest = (ownVersion: number): void => {
-		const source = chooseConfigurationSource(ownVersion);
-		if (source !== undefined) {
-			void guard.settle(
-				fetchConfiguration(source.address, source.version, ownVersion),
-			);
-		}
-	};
-
-	const markUnreachable = (
-		address: string,
-		peer: Peer,
-		reason: string,
-	): void => {
-		if (!peer.isUnreachable) {
-			peer.isUnreachable = true;
-			log.warn('Control instance is unreachable.', {control: address, reason});
-		}
-	};
-
-	const applyReport = (
-		address: string,
-		peer: Peer,
-		report: ControlReport,
-		ownVersion: number,
-	): void => {
-		const now = clock.now();
-		if (peer.isUnreachable || peer.answeredAt === undefined) {
-			log.info('Control instance is reachable.', {
-				control: address,
-				version: report.version,
-			});
-		}
-
-		peer.isUnreachable = false;
-		peer.answeredAt = now;
-		peer.version = report.version;
-		if (peer.knownRevision?.epoch !== report.known.epoch) {
-			// It has started again, and holds no origin that was sent before.
-			peer.originSequence = 0;
-		}
-
-		peer.knownRevision = report.known;
-		if (report.overview !== undefined) {
-			// The list in use is that of the last primary control instance.
-			peers.forEach((other) => {
-				other.knownServing = undefined;
-			});
-			peer.knownServing = report.overview.servingRevision;
-		}
-
-		report.controls.forEach((control) => advertisedAt.set(control, now));
-		options.onReport(address, report);
-		fetchNewest(ownVersion);
-	};
-
-	/**
-	 * All entries pick the same instance, which then has the most complete view
-	 * of their load.
-	 */
-	const choosePrimaryPeer = (
-		addresses: readonly string[],
-	): string | undefined =>
-		addresses
-			.filter((address) => {
-				const {isBusy, isUnreachable} = readPeer(address);
-				return !isBusy && !isUnreachable;
-			})
-			.toSorted()[0];
 
 	const sendReport = async (address: string): Promise<void> => {
-		const peer = readPeer(address);
+		const peer = peers.read(address);
 		if (peer.isBusy) {
 			return;
 		}
@@ -328,72 +118,66 @@
 					peer.originSequence = update.sequence;
 				}
 
-				applyReport(address, peer, found, report.version);
+				peers.recordReport(address, peer, found);
+				onReport(address, found);
+				fetchNewest(report.version);
 				if (found.hasMore === true && address === primaryPeer) {
 					void guard.settle(sendReport(address));
 				}
 			},
 			(reason) => {
-				markUnreachable(address, peer, reason);
+				peers.recordFailure(address, peer, reason);
 				fetchNewest(report.version);
 			},
 		);
 	};
 
-	const servedLately = (address: string): boolean => {
-		const {answeredAt} = readPeer(address);
-		return (
-			answeredAt !== undefined && clock.now() - answeredAt < MAX_CUT_OFF_MS
-		);
-	};
-
 	return {
 		report() {
-			removeStalePeers();
-			const addresses = listAddresses();
-			primaryPeer = choosePrimaryPeer(addresses);
+			peers.removeStale();
+			primaryPeer = peers.choosePrimary();
 			round += 1;
 			const isFullRound = round % FULL_ROUND_PERIOD === 0;
-			const targets = addresses.filter(
-				(address) =>
-					isFullRound ||
-					address === primaryPeer ||
-					readPeer(address).knownRevision === undefined,
-			);
+			const targets = peers
+				.listAddresses()
+				.filter(
+					(address) =>
+						isFullRound ||
+						address === primaryPeer ||
+						peers.read(address).knownRevision === undefined,
+				);
 			targets.forEach((address) => {
 				void guard.settle(sendReport(address));
 			});
 		},
 		async reportToAll() {
 			await Promise.all(
-				listAddresses().map(async (address) =>
-					guard.settle(sendReport(address)),
-				),
+				peers
+					.listAddresses()
+					.map(async (address) => guard.settle(sendReport(address))),
 			);
 		},
 		lookUpOrigin: async (query) =>
-			lookUpOrigin(listAddresses(), query, async (address, body, timeoutMs) => {
-				const response = await client.call<unknown>(
-					address,
-					'/stream-origin',
-					body,
-					timeoutMs,
-				);
-				return response.match(
-					(answer) => decodeOriginAnswer(answer) ?? 'silent',
-					(reason) =>
-						reason === 'ECONNREFUSED' || !servedLately(address)
-							? 'ended'
-							: 'silent',
-				);
-			}),
-		readConfirmedOrigin: () =>
-			Math.max(0, ...[...peers.values()].map((peer) => peer.originSequence)),
-		countReachable: () =>
-			[...peers.values()].filter(
-				({answeredAt}) =>
-					answeredAt !== undefined &&
-					clock.now() - answeredAt < REACHABLE_WINDOW_MS,
-			).length,
+			lookUpOrigin(
+				peers.listAddresses(),
+				query,
+				async (address, body, timeoutMs) => {
+					const response = await client.call<unknown>(
+						address,
+						'/stream-origin',
+						body,
+						timeoutMs,
+					);
+					return response.match(
+						(answer) => decodeOriginAnswer(answer) ?? 'silent',
+						(reason) =>
+							reason === 'ECONNREFUSED' || !peers.servedLately(address)
+								? 'ended'
+								: 'silent',
+					);
+				},
+			),
+		readConfirmedOrigin: peers.readConfirmedOrigin,
+		countReachable: peers.countReachable,
 	};
 }
