--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -1,14 +1,9 @@
 import {
 	type EntryStatus,
 	type SharedEntryReport,
-	type RetryBudgetPolicy,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
-import {
-	type Configuration,
-	createRouteTable,
-	type RouteTable,
-} from '@lovagevalve/routing';
+import type {Configuration} from '@lovagevalve/routing';
 import {
 	type BufferBudget,
 	type Clock,
@@ -21,6 +16,7 @@
 import {checkReach} from './backend-probe.js';
 import {createBackendReach} from './backend-reach.js';
 import {createBackendView} from './backend-view.js';
+import {createConfigurationInForce} from './configuration-in-force.js';
 import type {GatewayContext} from './context.js';
 import {createBrittleBackends} from './brittle-backends.js';
 import {createAnswerTimes} from './answer-times.js';
@@ -34,41 +30,12 @@
 import {createTaskGuard} from './guard.js';
 import type {HeaderCodec} from './protocol.js';
 import {createEntryPeers} from './entry-peers.js';
+import type {EntrySettings} from './entry-settings.js';
 import {startPeerOrigins} from './peer-origins.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {createSharedProbes} from './shared-probes.js';
 import {createStreamOrigins} from './stream-origins.js';
 
-/** Settings of an entry instance. */
-export type EntrySettings = Readonly<{
-	name: string;
-	/** Address that callers connect to. */
-	address: string;
-	dataCentre: string;
-	/**
-	 * Returns the current addresses of control instances for traffic between
-	 * instances.
-	 */
-	readSeeds: () => readonly string[];
-	registrationIntervalMs: number;
-	retryBudget: RetryBudgetPolicy;
-	/**
-	 * Time between the stop signal and the forced end of the process, in
-	 * milliseconds.
-	 */
-	gracePeriodMs: number;
-	/**
-	 * Longest time for which callers use an address that is no longer advertised,
-	 * in milliseconds.
-	 */
-	addressLifetimeMs: number;
-	/**
-	 * Host through which this instance connects to backend servers, on networks with
-	 * address translation; absent to use their registered ones.
-	 */
-	backendHost?: string;
-}>;
-
 /** Dependencies of an entry. */
 export type EntryDependencies = Readonly<{
 	clock: Clock;
@@ -101,6 +68,7 @@
  * become active.
  */
 const REPORT_INTERVAL_MS = 200;
+
 /** Creates an entry and starts reporting to the control instances. */
 export function createEntry(
 	settings: EntrySettings,
@@ -108,11 +76,16 @@
 ): Entry {
 	const {clock, log, metrics, buffers} = dependencies;
 	const tasks = createTaskGuard(dependencies);
-	let routeTable: RouteTable | undefined;
 	let isLeaving = false;
 	const peers = createEntryPeers(clock, settings.address);
 	const crashes = createCrashWatch({clock, log, metrics});
 	const origins = createStreamOrigins(clock);
+	const configuration = createConfigurationInForce({
+		...dependencies,
+		onChange() {
+			gateway.applyLimits();
+		},
+	});
 
 	const limits = createNamedLimits({
 		clock,
@@ -157,7 +130,7 @@
 			return 'leaving';
 		}
 
-		return routeTable === undefined ? 'starting' : 'ready';
+		return configuration.readRouteTable() === undefined ? 'starting' : 'ready';
 	};
 
 	const retryBudgets = createRetryBudgets(
@@ -186,7 +159,7 @@
 		drainGate,
 		random: dependencies.random,
 		dataCentre: settings.dataCentre,
-		readRouteTable: () => routeTable,
+		readRouteTable: configuration.readRouteTable,
 		crashes,
 		reach,
 		listRelays: peers.listRelays,
@@ -198,35 +171,12 @@
 	};
 	const gateway = createGateway(ctx);
 
-	const applyConfiguration = (text: string): void => {
-		dependencies.decodeConfiguration(text).match(
-			(configuration) => {
-				const {version, routes} = configuration;
-				const previousVersion = routeTable?.configuration.version ?? 0;
-				if (version <= previousVersion) {
-					return;
-				}
-
-				routeTable = createRouteTable(configuration);
-				gateway.applyLimits();
-				log.info('A configuration is in force.', {
-					version,
-					before: previousVersion,
-					routes: routes.length,
-				});
-			},
-			(reason) => {
-				log.error('Failed to decode a configuration.', {reason});
-			},
-		);
-	};
-
 	const createReport = (): SharedEntryReport => ({
 		entry: settings.name,
 		address: settings.address,
 		dataCentre: settings.dataCentre,
 		standing: readStatus(),
-		version: routeTable?.configuration.version ?? 0,
+		version: configuration.readVersion(),
 		loads: toCompactLoads(view.readOwnLoads()),
 		retries: retryBudgets.readCounts(),
 		...crashes.createReport(),
@@ -263,7 +213,7 @@
 				view.applyReport(report);
 			});
 		},
-		onConfiguration: applyConfiguration,
+		onConfiguration: configuration.apply,
 		guard: tasks,
 	});
 	const report = tasks.wrap(controlClient.report);
@@ -277,10 +227,7 @@
 		guard: tasks,
 	};
 	const peerOrigins = startPeerOrigins(telling, createPeerClient(buffers));
-	metrics.registerGauge(
-		'configuration_version',
-		() => routeTable?.configuration.version ?? 0,
-	);
+	metrics.registerGauge('configuration_version', configuration.readVersion);
 	metrics.registerGauge('requests_under_way', () => gateway.countRequests());
 	metrics.registerGauge('backends_ready', () => view.countReady());
 	metrics.registerGauge('backends_limited', () => limits.countLimited());
