--- /dev/null
+++ b/packages/lovage-gateway/src/backend-choice.ts
@@ -0,0 +1,118 @@
+import {
+	type BackendLoad,
+	type BackendRecord,
+	type Candidate,
+	chooseBackend,
+	type PlacementRequest,
+} from '@lovagevalve/dispatch';
+import type {BrittleRoom} from './brittle-room.js';
+import type {NamedLimits} from './named-limits.js';
+
+/** What an entry knows of the backend servers among which it chooses. */
+export type ChoiceSources = Readonly<{
+	/** Backend servers of a service that may get requests, of one software version if named. */
+	listOpen: (
+		service: string,
+		softwareVersion?: string,
+	) => readonly BackendRecord[];
+	/** Whether a backend server registered or responded recently. */
+	hasRecentContact: (backend: BackendRecord) => boolean;
+	/** Whether this entry avoids a backend server for what it met itself. */
+	isAvoidedHere: (id: string) => boolean;
+	/** Ids of the backend servers of a service that are avoided for what others met. */
+	listAvoidedAsTold: (service: string) => ReadonlySet<string>;
+	readOwnLoad: (id: string) => BackendLoad;
+	readOthersLoad: (id: string) => BackendLoad;
+	limits: NamedLimits;
+	room: BrittleRoom;
+}>;
+
+/** Chooses a backend server of a service for a request; undefined if none can take it. */
+export type ChooseBackend = (
+	service: string,
+	request: PlacementRequest,
+	random: number,
+) => BackendRecord | undefined;
+
+/** The choice of backend servers for requests. */
+export type BackendChoice = Readonly<{
+	choose: ChooseBackend;
+	/** Chooses a backend server that only keeps a copy of another one's run. */
+	chooseCopyTarget: ChooseBackend;
+}>;
+
+/** Creates the choice among the backend servers that an entry knows. */
+export function createBackendChoice({
+	listOpen,
+	hasRecentContact,
+	isAvoidedHere,
+	listAvoidedAsTold,
+	readOwnLoad,
+	readOthersLoad,
+	limits,
+	room,
+}: ChoiceSources): BackendChoice {
+	const toCandidate = (
+		record: BackendRecord,
+		avoidedAsTold: ReadonlySet<string>,
+	): Candidate => ({
+		id: record.id,
+		address: record.address,
+		dataCentre: record.dataCentre,
+		slots: record.slots,
+		ownLoad: readOwnLoad(record.id),
+		othersLoad: readOthersLoad(record.id),
+		isResponsive: hasRecentContact(record),
+		isAvoided: isAvoidedHere(record.id) || avoidedAsTold.has(record.id),
+	});
+
+	const chooseAmong = (
+		records: readonly BackendRecord[],
+		avoidedAsTold: ReadonlySet<string>,
+		request: PlacementRequest,
+		random: number,
+	): BackendRecord | undefined => {
+		const chosen = chooseBackend(
+			records.map((record) => toCandidate(record, avoidedAsTold)),
+			request,
+			random,
+		);
+		return records.find(({id}) => id === chosen?.id);
+	};
+
+	return {
+		choose(service, request, random) {
+			const open = listOpen(service, request.softwareVersion).filter((record) =>
+				room.hasRoom(record, request),
+			);
+			const unlimited = open.filter((record) => !limits.isLimited(record));
+			const limited = open.filter((record) => limits.isLimited(record));
+			const avoidedAsTold = listAvoidedAsTold(service);
+			const eligible = limited.filter(
+				(record) =>
+					!request.excluded.includes(record.id) &&
+					!avoidedAsTold.has(record.id) &&
+					hasRecentContact(record) &&
+					!isAvoidedHere(record.id),
+			);
+			const unlimitedSlots = unlimited.reduce(
+				(sum, {slots}) => sum + Math.max(1, slots),
+				0,
+			);
+			return (
+				limits.draw(service, eligible, unlimitedSlots) ??
+				chooseAmong(unlimited, avoidedAsTold, request, random)
+			);
+		},
+		chooseCopyTarget: (service, request, random) =>
+			chooseAmong(
+				listOpen(service, request.softwareVersion).filter(
+					(record) =>
+						!limits.isLimited(record) && room.hasRoom(record, request),
+				),
+				listAvoidedAsTold(service),
+				request,
+				random,
+			),
+	};
+}
