--- a/packages/lovage-coordinator/src/crash-quarantine.ts
+++ b/packages/lovage-coordinator/src/crash-quarantine.ts
@@ -1,20 +1,14 @@
 import {
 	type BackendRecord,
 	type ControlReport,
-	createIncarnationKey,
-	type EntryReport,
-	parseIncarnationKey,
 	readOwn,
 } from '@lovagevalve/dispatch';
 import {
-	createPartKey,
 	createQuarantine,
 	DEFAULT_QUARANTINE_OPTIONS,
-	listJudgedEvents,
 	type QuarantineEvent,
 	type QuarantineOptions,
 	type QuarantineState,
-	type ReportedDeath,
 	stepQuarantine,
 	summarizeQuarantine,
 } from '@lovagevalve/quarantine';
@@ -24,12 +18,18 @@
 	type Logger,
 	runContained,
 } from '@lovagevalve/runtime';
+import {type CrashReport, selectNewEvidence} from './crash-evidence.js';
 import type {QuarantineFile} from './quarantine-file.js';
+import {
+	logConvictions,
+	logJudgedEvents,
+	logReportedDeaths,
+} from './quarantine-log.js';
 
 /** Requests and parts of prompts that crash backend servers, from the reports of the entries. */
 export type CrashQuarantine = Readonly<{
 	applyReport: (
-		report: Pick<EntryReport, 'entry' | 'crashes' | 'crashReports' | 'soundMs'>,
+		report: CrashReport,
 		findBackend: (id: string) => BackendRecord | undefined,
 	) => void;
 	/** The quarantine's part of the response to a report. */
@@ -58,11 +58,6 @@
 const SUSPECT_LISTING_MS = 30_000;
 /** Limit of suspects in a response. */
 const MAX_LISTED_SUSPECTS = 64;
-/** Limit of the events in the log for one report, and of the servers of one. */
-const MAX_LOGGED_EVENTS = 4;
-const MAX_LOGGED_SERVERS = 16;
-/** Difference in the age of a run by which repeated reports may differ. */
-const AGE_JITTER_MS = 20;
 
 /**
  * Creates the quarantine of a control instance. It is empty until the stored state
@@ -82,66 +77,6 @@
 
 	const readNow = (): number => offsetMs + clock.now() - startedAt;
 
-	const describeCause = (
-		{deaths}: QuarantineState,
-		key: string,
-	): Readonly<{crashes: number; backends: string}> => {
-		const guilty = deaths.filter(
-			({digests, parts = {}}) =>
-				digests.includes(key) || Object.hasOwn(parts, key),
-		);
-		return {
-			crashes: guilty.length,
-			backends: guilty
-				.map(({backend, incarnation}) =>
-					createIncarnationKey({id: backend, bornAt: incarnation}),
-				)
-				.join(' '),
-		};
-	};
-
-	const logChanges = (
-		before: readonly string[],
-		current: QuarantineState,
-	): void => {
-		const {convicted} = summary;
-		convicted
-			.filter((key) => !before.includes(key))
-			.forEach((key) => {
-				log.warn('Quarantined a cause of crashes.', {
-					cause: key,
-					hasLead: readOwn(current.convicted, key) !== undefined,
-					...describeCause(current, key),
-				});
-			});
-		before
-			.filter((key) => !convicted.includes(key))
-			.forEach((key) => {
-				log.info('A quarantine ended.', {cause: key});
-			});
-	};
-
-	const logJudged = (before: QuarantineState, after: QuarantineState): void => {
-		listJudgedEvents(before, after)
-			.slice(-MAX_LOGGED_EVENTS)
-			.forEach(({deaths, startedAt, spanMs, suspect = '', ...verdict}) => {
-				log.info('Judged an event in which backend servers died.', {
-					event: Math.round(startedAt),
-					ageMs: Math.round(after.now - startedAt),
-					spanMs: Math.round(spanMs),
-					died: deaths.length,
-					backends: deaths
-						.slice(0, MAX_LOGGED_SERVERS)
-						.map(({backend, incarnation}) =>
-							createIncarnationKey({id: backend, bornAt: incarnation}),
-						)
-						.join(' '),
-					suspect,
-					...verdict,
-				});
-			});
-	};
-
 	const store = async (): Promise<void> => {
 		if (state === undefined || isStoring) {
 			return;
@@ -173,10 +108,10 @@
 
 		const before = summary.convicted;
 		const next = stepQuarantine(state, event).state;
-		logJudged(state, next);
+		logJudgedEvents(log, state, next);
 		state = next;
 		summary = summarizeQuarantine(state);
-		logChanges(before, state);
+		logConvictions(log, state, {before, after: summary.convicted});
 		if (summary.convicted.some((key) => !before.includes(key))) {
 			// All instances may be killed before the next maintenance.
 			runContained(store, (error) => {
@@ -210,75 +145,6 @@
 	const isDue = ({deaths, now}: QuarantineState): boolean =>
 		deaths.some(({verdict}) => verdict === 'pending') && readNow() > now;
 
-	const listDeaths = (
-		{
-			crashes,
-			crashReports,
-		}: Pick<EntryReport, 'crashes' | 'crashReports' | 'entry'>,
-		findBackend: (id: string) => BackendRecord | undefined,
-		now: number,
-	): readonly ReportedDeath[] => {
-		const detailed =
-			crashReports ??
-			crashes.map((crash) => ({
-				...crash,
-				dataCentre:
-					findBackend(parseIncarnationKey(crash.backend).id)?.dataCentre ?? '',
-				ageMs: 0,
-				parts: [],
-				sentAgeMs: undefined,
-			}));
-		return detailed.map((crash) => {
-			const {backend, dataCentre, ageMs, digest, parts, sentAgeMs} = crash;
-			const {id, bornAt} = parseIncarnationKey(backend);
-			return {
-				backend: id,
-				incarnation: bornAt,
-				dataCentre,
-				digests: [digest],
-				parts: Object.fromEntries(
-					parts.map((part) => [createPartKey(part), [digest]]),
-				),
-				at: now - ageMs,
-				...(sentAgeMs === undefined
-					? {}
-					: {sentAt: {[digest]: now - sentAgeMs}}),
-			};
-		});
-	};
-
-	const isNewDeath = ({
-		backend,
-		incarnation,
-		digests,
-		sentAt = {},
-	}: ReportedDeath): boolean =>
-		state?.deaths.some(
-			(known) =>
-				known.backend === backend &&
-				known.incarnation === incarnation &&
-				digests.every(
-					(digest) =>
-						known.digests.includes(digest) &&
-						(sentAt[digest] ?? Number.POSITIVE_INFINITY) + AGE_JITTER_MS >=
-							(known.sentAt?.[digest] ?? Number.NEGATIVE_INFINITY),
-				),
-		) === false;
-
-	/** Whether a sound run clears strikes or a verdict, or is the first that is known. */
-	const isNewSound = (key: string, soundAt: number): boolean => {
-		const {records = {}, convicted = {}, uncertain = {}} = state ?? {};
-		const record = readOwn(records, key);
-		const convictedAt =
-			readOwn(convicted, key) ?? readOwn(uncertain, key)?.lastAt;
-		return (
-			(convictedAt !== undefined && convictedAt <= soundAt) ||
-			(record !== undefined &&
-				(record.soundAt === undefined ||
-					(record.deathTimes ?? []).some((time) => time <= soundAt)))
-		);
-	};
-
 	runContained(load, (error) => {
 		log.error('Failed to read the quarantine.', {
 			reason: describeError(error),
@@ -286,34 +152,23 @@
 	});
 	return {
 		applyReport(report, findBackend) {
+			if (state === undefined) {
+				return;
+			}
+
 			const now = readNow();
-			// Entries repeat their reports, most of which say nothing new.
-			const deaths = listDeaths(report, findBackend, now).filter((death) =>
-				isNewDeath(death),
+			const {deaths, sound} = selectNewEvidence(
+				state,
+				report,
+				findBackend,
+				now,
 			);
-			const sound = Object.entries(report.soundMs ?? {})
-				.map(([key, ageMs]): [string, number] => [key, now - ageMs])
-				.filter(([key, soundAt]) => isNewSound(key, soundAt));
-			if (deaths.length === 0 && sound.length === 0) {
+			if (deaths.length === 0 && Object.keys(sound).length === 0) {
 				return;
 			}
 
-			deaths.forEach(({backend, incarnation, digests, parts = {}}) => {
-				log.warn('An entry reported a crash.', {
-					entry: report.entry,
-					backend,
-					bornAt: incarnation,
-					digest: digests.join(' '),
-					parts: Object.keys(parts).join(' '),
-				});
-			});
-			apply({
-				kind: 'deaths-reported',
-				deaths,
-				completed: [],
-				sound: Object.fromEntries(sound),
-				now,
-			});
+			logReportedDeaths(log, report.entry, deaths);
+			apply({kind: 'deaths-reported', deaths, completed: [], sound, now});
 		},
 		describe() {
 			if (state !== undefined && isDue(state)) {
