Leave only the wiring of a control instance in coordinator.ts

Cause: coordinator.ts (471 lines) wired the parts and was itself six of them.

Change: gossip.ts sends rounds and what is due at once; leader-client.ts calls the leader; replicated-configuration.ts reads and proposes configurations; registration.ts handles a backend server's registration; group-leave.ts hands over leadership and leaves the group; instance-server.ts is the server for traffic between instances. coordinator.ts (298 lines) wires them. Paths, messages, timeouts, log lines and the order of the effects are as before.

--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -14,10 +14,8 @@
 export {createOriginRegistry} from './origin-registry.js';
 export type {OriginRegistry} from './origin-registry.js';
 export {createRegistrationDoor} from './registration-door.js';
-export type {
-	RegisterOutcome,
-	RegistrationDoorOptions,
-} from './registration-door.js';
+export type {RegistrationDoorOptions} from './registration-door.js';
+export type {RegisterOutcome} from './registration.js';
 export {createRegistry} from './registry.js';
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
--- a/packages/lovage-coordinator/src/registration-door.ts
+++ b/packages/lovage-coordinator/src/registration-door.ts
@@ -7,14 +7,6 @@
 import type {Registry} from './registry.js';
 import type {VersionHistory} from './version-history.js';
 
-/** What became of a registration. */
-export type RegisterOutcome =
-	| 'acknowledged'
-	/** Too few instances have stored the departure. */
-	| 'not-stored'
-	/** Nothing was taken: too many others are registered. */
-	| 'no-room';
-
 /** Dependencies of the door for registrations. */
 export type RegistrationDoorOptions = Readonly<{
 	clock: Clock;
