Split the replica's state, effects, folder and voters into files

Cause: replica.ts (439 lines) held the lifecycle of a replica and five parts of it.

No change of behaviour, wire, storage or log.

--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -1,4 +1,3 @@
-import process from 'node:process';
 import {
 	createRaft,
 	defaultSettings,
@@ -12,32 +11,22 @@
 	type RaftState,
 	type ReplicaId,
 	readMembers,
-	readMembersAt,
 	stepRaft,
 } from '@lovagevalve/consensus';
 import {createStore, type Store} from '@lovagevalve/core';
 import type {Clock, Logger} from '@lovagevalve/runtime';
-import {
-	describeStoreError,
-	openStore,
-	archiveDamagedStore,
-	type DiskStore,
-	type OpenedStore,
-} from '@lovagevalve/storage';
-import {findFailedVoter, hasSpareVoter} from './membership.js';
+import type {DiskStore} from '@lovagevalve/storage';
+import {createAppliedState} from './applied-state.js';
 import type {RaftTransport} from './raft-transport.js';
 import {
 	createPendingRequests,
 	type ProposeOutcome,
 } from './pending-requests.js';
-import {
-	applyEntry,
-	decodeState,
-	EMPTY_GROUP_STATE,
-	encodeState,
-	type GroupState,
-	type StoredConfiguration,
-} from './state-machine.js';
+import {createEffectRunner} from './raft-effects.js';
+import {openReplicaFolder} from './replica-folder.js';
+import {createSenderAddresses} from './sender-addresses.js';
+import type {GroupState, StoredConfiguration} from './state-machine.js';
+import {createVoterRemoval} from './voter-removal.js';
 
 /** Dependencies and settings of a replica. */
 export type ReplicaOptions = Readonly<{
@@ -108,25 +97,15 @@
  * is full.
  */
 const REOPEN_INTERVAL_MS = 500;
-/** Limit of remembered addresses of message senders. */
-const MAX_LEARNED_ADDRESSES = 32;
 const SEED_LIMIT = 2 ** 31;
 
-// The platform ends the previous process of a folder before it starts the next
-// one.
-const SINGLE_PROCESS_CHECK = {
-	nameSelf: async () => String(process.pid),
-	isRunning: async () => false,
-};
-
 /** Creates a replica and starts opening its data folder. */
 export function createReplica(options: ReplicaOptions): Replica {
 	const {clock, log, transport, folder} = options;
 	const pending = createPendingRequests();
-	const learnedAddresses = new Map<string, string>();
-	const leaving = new Set<ReplicaId>();
-	let state: GroupState = EMPTY_GROUP_STATE;
-	let snapshotVersion = 0;
+	const senders = createSenderAddresses();
+	const removal = createVoterRemoval(log, options.tolerated);
+	const applied = createAppliedState();
 	let disk: DiskStore | undefined;
 	let store: Store<RaftState, RaftEvent> | undefined;
 	let isStopped = false;
@@ -137,100 +116,25 @@
 
 	const send = (message: RaftMessage): void => {
 		const member = listMembers().find(({replica}) => replica === message.to);
-		const address = member?.address ?? learnedAddresses.get(message.to);
+		const address = member?.address ?? senders.find(message.to);
 		if (address !== undefined) {
 			transport.send(address, message);
 		}
 	};
 
-	const takeSnapshot = (): void => {
-		// The snapshot tells a restarted replica what is committed, so that it can
-		// serve entries before a leader is elected.
-		const version = state.configuration?.version ?? 0;
-		if (version > snapshotVersion) {
-			snapshotVersion = version;
-			const index = state.appliedIndex;
-			const data = encodeState(state);
-			// Deferred because an effect must not change the state that produced it.
-			queueMicrotask(() => {
-				dispatch({kind: 'snapshot-taken', index, data});
-			});
-		}
-	};
-
-	const runEffect = (effect: RaftEffect): void => {
-		switch (effect.kind) {
-			case 'send': {
-				send(effect.message);
-				break;
-			}
-
-			case 'persist':
-			case 'persist-snapshot': {
-				disk?.write(effect);
-				break;
-			}
-
-			case 'apply': {
-				effect.entries.forEach((entry) => {
-					state = applyEntry(state, entry);
-					pending.settleApplied(entry.index, entry.term);
-				});
-				options.onApplied(state);
-				takeSnapshot();
-				break;
-			}
-
-			case 'install-snapshot': {
-				state = decodeState(effect.snapshot);
-				snapshotVersion = state.configuration?.version ?? 0;
-				options.onApplied(state);
-				break;
-			}
-
-			case 'proposal-accepted': {
-				pending.accept(effect.proposal, effect.firstIndex, effect.term);
-				break;
-			}
-
-			case 'proposal-refused': {
-				pending.refuse(effect.proposal);
-				break;
-			}
-
-			case 'read-confirmed':
-			case 'read-refused': {
-				pending.settleRead(effect.read, effect.kind === 'read-confirmed');
-				break;
-			}
-
-			case 'became-leader': {
-				log.info('This instance leads the group.', {term: effect.term});
-				break;
-			}
-
-			case 'stepped-down': {
-				log.info('This instance no longer leads the group.', {
-					term: effect.term,
-				});
-				pending.abandonAll();
-				break;
-			}
-
-			case 'initialise-answered': {
-				log.info('Group bootstrap finished.', {outcome: effect.outcome});
-				break;
-			}
-
-			case 'membership-answered': {
-				log.info('A membership change was requested.', {
-					replica: effect.replica,
-					outcome: effect.outcome,
-				});
-				break;
-			}
-		}
-	};
+	const runEffect = createEffectRunner({
+		log,
+		applied,
+		pending,
+		send,
+		persist(effect) {
+			disk?.write(effect);
+		},
+		onApplied: options.onApplied,
+		onSnapshot(snapshot) {
+			dispatch({kind: 'snapshot-taken', ...snapshot});
+		},
+	});
 
 	const listMembers = (): readonly Member[] =>
 		store === undefined ? [] : readMembers(store.read());
@@ -251,42 +155,17 @@
 		scheduleReopen();
 	};
 
-	const openFolder = async (): Promise<OpenedStore | undefined> => {
-		const storeOptions = {
-			folder,
-			processes: SINGLE_PROCESS_CHECK,
-			listener: {
-				onSynced(sequence: number) {
-					dispatch({kind: 'synced', sequence});
-				},
-				onFailure,
-			},
-		};
-		const opened = await openStore(storeOptions);
-		if (opened.isOk()) {
-			return opened.value;
-		}
-
-		const {error} = opened;
-		log.error('Failed to open the data folder.', {
-			folder,
-			reason: describeStoreError(error),
-		});
-		if (error.kind === 'damaged') {
-			// A damaged folder is treated as a lost disk: the replica restarts with a
-			// new identity.
-			await archiveDamagedStore(storeOptions);
-		}
-
-		return undefined;
-	};
-
 	const open = async (): Promise<void> => {
 		if (isStopped) {
 			return;
 		}
 
-		const opened = await openFolder();
+		const opened = await openReplicaFolder(folder, log, {
+			onSynced(sequence) {
+				dispatch({kind: 'synced', sequence});
+			},
+			onFailure,
+		});
 		if (opened === undefined) {
 			scheduleReopen();
 			return;
@@ -294,13 +173,7 @@
 
 		const {recovered, isNew, cutBytes} = opened;
 		disk = opened.store;
-		const {snapshot} = recovered;
-		// Entries after the snapshot are applied again; the highest version wins.
-		state =
-			snapshot === undefined
-				? {...state, appliedIndex: 0}
-				: keepNewerConfiguration(state, decodeState(snapshot));
-		snapshotVersion = state.configuration?.version ?? 0;
+		applied.recover(recovered.snapshot);
 		const initial = createRaft({
 			recovered,
 			settings: {
@@ -317,19 +190,19 @@
 			initial,
 			runEffect,
 		);
-		options.onApplied(state);
+		options.onApplied(applied.read());
 		log.info('The data folder is open.', {
 			folder,
 			isNew,
 			cutBytes,
 			replica: recovered.replica,
-			version: state.configuration?.version ?? 0,
+			version: applied.readVersion(),
 		});
 	};
 
 	void open();
 	return {
-		readState: () => state,
+		readState: applied.read,
 		readRaft: () => store?.read(),
 		listMembers,
 		findLeaderAddress() {
@@ -358,63 +231,31 @@
 		},
 		receive(address, messages) {
 			messages.forEach((message) => {
-				learnedAddresses.delete(message.from);
-				learnedAddresses.set(message.from, address);
+				senders.learn(message.from, address);
 				dispatch({kind: 'received', message});
 			});
-			[...learnedAddresses.keys()]
-				.slice(0, Math.max(0, learnedAddresses.size - MAX_LEARNED_ADDRESSES))
-				.forEach((replica) => {
-					learnedAddresses.delete(replica);
-				});
+			senders.dropOldest();
 		},
 		initialise(group, members) {
 			dispatch({kind: 'initialised', group, members});
 		},
 		join(member) {
-			leaving.delete(member.replica);
+			removal.noteJoin(member.replica);
 			dispatch({kind: 'join-requested', member});
 		},
-		leave(replica) {
-			const raft = store?.read();
-			if (raft?.role.kind !== 'leader') {
-				return false;
-			}
-
-			if (hasSpareVoter(listMembers(), options.tolerated)) {
-				leaving.add(replica);
-			}
-
-			return readMembersAt(raft.log, raft.commitIndex).every(
-				(member) => member.replica !== replica,
-			);
-		},
-		isSpareVoter() {
-			const own = store?.read().replica;
-			return (
-				hasSpareVoter(listMembers(), options.tolerated) &&
-				listMembers().some(({replica, voter}) => voter && replica === own)
-			);
-		},
+		leave: (replica) => removal.noteLeave(store?.read(), replica),
+		isSpareVoter: () =>
+			store !== undefined && removal.isSpareVoter(store.read()),
 		needsJoin: () =>
 			store !== undefined && needsJoin(store.read(), clock.now()),
 		tick() {
 			dispatch({kind: 'ticked'});
-			const failedVoter =
+			const replica =
 				store === undefined
 					? undefined
-					: findFailedVoter(store.read(), {
-							members: listMembers(),
-							tolerated: options.tolerated,
-							leaving,
-							now: clock.now(),
-						});
-			if (failedVoter !== undefined) {
-				log.info('Removing a voter that is silent or stops.', {
-					replica: failedVoter,
-					isLeaving: leaving.has(failedVoter),
-				});
-				dispatch({kind: 'removal-requested', replica: failedVoter});
+					: removal.findNext(store.read(), clock.now());
+			if (replica !== undefined) {
+				dispatch({kind: 'removal-requested', replica});
 			}
 		},
 		transferLeadership() {
@@ -427,13 +268,3 @@
 		},
 	};
 }
-
-function keepNewerConfiguration(
-	current: GroupState,
-	loaded: GroupState,
-): GroupState {
-	const isOlder =
-		(loaded.configuration?.version ?? 0) <
-		(current.configuration?.version ?? 0);
-	return isOlder ? {...loaded, configuration: current.configuration} : loaded;
-}
