Name the admission of registrations, and say plainly how tables merge

Cause: a "door" for registrations is no term of the field, and comments of the gossip's parts, the registry, the registration limits and the backend table had to be read twice.

Change: registration-door.ts is registration-admission.ts, its function isAdmitted decides; index.ts keeps the public names. gossip.ts counts a period in rounds. In backend-table.ts one condition says when a registration is outdated instead of two; the index by address has plain names. Comments are rewritten. No change of behaviour, wire or log; no test was touched.

--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -31,7 +31,7 @@
 	createRegistrationHandler,
 	type RegisterOutcome,
 } from './registration.js';
-import {createRegistrationDoor} from './registration-door.js';
+import {createRegistrationAdmission} from './registration-admission.js';
 import {createRegistry} from './registry.js';
 import {createReplica} from './replica.js';
 import {createReplicatedConfiguration} from './replicated-configuration.js';
@@ -149,7 +149,7 @@
 		origins,
 		random,
 	});
-	const hasRoom = createRegistrationDoor({
+	const isAdmitted = createRegistrationAdmission({
 		clock,
 		log,
 		metrics,
@@ -224,7 +224,7 @@
 		tellOthers: gossiper.sendRecord,
 	});
 	const register = createRegistrationHandler({
-		hasRoom,
+		isAdmitted,
 		registry,
 		versions,
 		departures,
--- a/packages/lovage-coordinator/src/gossip.ts
+++ b/packages/lovage-coordinator/src/gossip.ts
@@ -26,10 +26,10 @@
 }>;
 
 /**
- * Within so many rounds all records are sent, for instances that missed earlier
- * rounds; few enough of them in one.
+ * Number of rounds that together send all records, for instances that missed earlier
+ * messages.
  */
-const FULL_GOSSIP_PERIOD = 6;
+const PERIOD_ROUNDS = 6;
 const GOSSIP_TIMEOUT_MS = 400;
 
 /** Creates the gossip of an instance, before its first round. */
@@ -45,7 +45,7 @@
 	/** Each resolves with whether the departures of the message are stored there. */
 	const send = (message: Gossip): ReadonlyArray<Promise<boolean>> =>
 		listPeers().map(async (peer) => {
-			// Failures are not logged: the next full round sends the same records.
+			// Failures are not logged: the next period sends the same records.
 			const answer = await client.call<unknown>(
 				peer,
 				'/gossip',
@@ -65,10 +65,10 @@
 			round += 1;
 			const pending = registry.takePendingGossip();
 			const all = registry.listBackends();
-			const part = selectGossipPart(all, {round, period: FULL_GOSSIP_PERIOD});
+			const part = selectGossipPart(all, {round, period: PERIOD_ROUNDS});
 			const backends =
 				part.length === all.length ? part : [...pending, ...part];
-			const isFirstPart = round % FULL_GOSSIP_PERIOD === 0;
+			const isFirstPart = round % PERIOD_ROUNDS === 0;
 			if (isFirstPart) {
 				void send({backends, convictedMs: quarantine.listConvictions()});
 			} else if (backends.length > 0) {
--- a/packages/lovage-coordinator/src/registration-door.ts
+++ b/packages/lovage-coordinator/src/registration-admission.ts
@@ -7,8 +7,8 @@
 import type {Registry} from './registry.js';
 import type {VersionHistory} from './version-history.js';
 
-/** Dependencies of the door for registrations. */
-export type RegistrationDoorOptions = Readonly<{
+/** Dependencies of the admission of registrations. */
+export type RegistrationAdmissionOptions = Readonly<{
 	clock: Clock;
 	log: Logger;
 	metrics: Pick<PrometheusMetrics, 'count'>;
@@ -19,18 +19,18 @@
 const LOG_INTERVAL_MS = 1000;
 
 /**
- * Creates a function that says whether there is room for a registration. Refusals
- * are counted, and logged at most once a second.
+ * Creates a function that decides whether a registration is admitted. Refusals are
+ * counted, and logged at most once a second.
  */
-export function createRegistrationDoor({
+export function createRegistrationAdmission({
 	clock,
 	log,
 	metrics,
 	registry,
 	versions,
-}: RegistrationDoorOptions): (record: BackendRecord) => boolean {
+}: RegistrationAdmissionOptions): (record: BackendRecord) => boolean {
 	let loggedAt = Number.NEGATIVE_INFINITY;
-	let unlogged = 0;
+	let refusedSinceLog = 0;
 	return (record) => {
 		const {id, service} = record;
 		const softwareVersion = readSoftwareVersion(record);
@@ -46,7 +46,7 @@
 		}
 
 		metrics.count('registrations_refused', {decision});
-		unlogged += 1;
+		refusedSinceLog += 1;
 		if (clock.now() - loggedAt >= LOG_INTERVAL_MS) {
 			log.warn('Refused a registration, as there is no room.', {
 				backend: id,
@@ -55,10 +55,10 @@
 				decision,
 				records: use.records,
 				versions: use.versions,
-				refused: unlogged,
+				refused: refusedSinceLog,
 			});
 			loggedAt = clock.now();
-			unlogged = 0;
+			refusedSinceLog = 0;
 		}
 
 		return false;
--- a/packages/lovage-coordinator/src/registration.ts
+++ b/packages/lovage-coordinator/src/registration.ts
@@ -9,13 +9,13 @@
 	| 'acknowledged'
 	/** Too few instances have stored the departure. */
 	| 'not-stored'
-	/** Nothing was taken: too many others are registered. */
+	/** Refused: too many backend servers or software versions are registered. */
 	| 'no-room';
 
 /** Dependencies of the handler of registrations. */
 export type RegistrationOptions = Readonly<{
-	/** Whether there is room for a registration. */
-	hasRoom: (record: BackendRecord) => boolean;
+	/** Whether a registration is admitted. */
+	isAdmitted: (record: BackendRecord) => boolean;
 	registry: Pick<Registry, 'find' | 'register'>;
 	versions: Pick<VersionHistory, 'isKnown'>;
 	departures: Pick<Departures, 'confirm'>;
@@ -27,14 +27,14 @@
  * instance. A departure is acknowledged once enough instances have stored it.
  */
 export function createRegistrationHandler({
-	hasRoom,
+	isAdmitted,
 	registry,
 	versions,
 	departures,
 	gossiper,
 }: RegistrationOptions): (record: BackendRecord) => Promise<RegisterOutcome> {
 	return async (record) => {
-		if (!hasRoom(record)) {
+		if (!isAdmitted(record)) {
 			return 'no-room';
 		}
 
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -44,7 +44,7 @@
 	/** Merges departures that were stored before a restart. */
 	restore: (records: readonly BackendRecord[]) => void;
 	listBackends: () => readonly AgedRecord[];
-	/** Number of registrations, also of backend servers that are gone or silent. */
+	/** Number of backend servers on record, including those that are gone or silent. */
 	count: () => number;
 	/**
 	 * Returns the backend servers that registered at this instance since the last
@@ -103,6 +103,7 @@
 	const loads = createEntrySums(LOAD_ARITHMETIC);
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
+	/** Entries report brittle backend servers in the form of limits. */
 	const brittle = createLimitRegistry(clock);
 	const floods = createFloodRegistry({clock, log}, (id) => table.get(id));
 
@@ -113,6 +114,7 @@
 		brittle.removeEntry(entry);
 	};
 
+	/** Describes what the entries reported; the sums leave out the entry that is told. */
 	const describeOthers = (
 		entry: string,
 	): Pick<
@@ -144,9 +146,9 @@
 		return outcomes;
 	};
 
-	/** Marks backend servers as draining whose answers to an entry announced their shutdown. */
-	const applyDepartures = (leaving: readonly string[]): void => {
-		const keys = new Set(leaving);
+	/** Marks backend servers as draining that announced their shutdown to an entry. */
+	const applyDepartures = (incarnationKeys: readonly string[]): void => {
+		const keys = new Set(incarnationKeys);
 		const departing = [...table.values()].filter(
 			(record) =>
 				record.state === 'ready' && keys.has(createIncarnationKey(record)),
@@ -167,16 +169,14 @@
 			const [outcome = 'ignored'] = merge([record]);
 			pendingGossip.add(record.id);
 			if (outcome !== 'refreshed') {
-				const {id, service, address, state, bornAt, sequence} = record;
-				const {softwareVersion = ''} = record;
 				log.info('A backend server registered.', {
-					backend: id,
-					service,
-					address,
-					softwareVersion,
-					state,
-					bornAt,
-					sequence,
+					backend: record.id,
+					service: record.service,
+					address: record.address,
+					softwareVersion: record.softwareVersion ?? '',
+					state: record.state,
+					bornAt: record.bornAt,
+					sequence: record.sequence,
 					outcome,
 				});
 			}
@@ -185,8 +185,7 @@
 		},
 		merge(records) {
 			const now = clock.now();
-			const received = records.map((record) => fromAgedRecord(record, now));
-			merge(received);
+			merge(records.map((record) => fromAgedRecord(record, now)));
 		},
 		restore(records) {
 			merge(records);
--- a/packages/lovage-dispatch/src/backend-table.ts
+++ b/packages/lovage-dispatch/src/backend-table.ts
@@ -67,25 +67,26 @@
 
 	// `gone` is final for an incarnation: delayed registrations don't revive it.
 	const isEnded = known.state === 'gone' && known.bornAt === record.bornAt;
-	if (isEnded || (record.state !== 'gone' && isOlder(record, known))) {
-		return 'ignored';
-	}
-
-	if (record.state === 'gone' && record.bornAt < known.bornAt) {
+	// `gone` ends an incarnation whatever its sequence.
+	const isOutdated =
+		record.state === 'gone'
+			? record.bornAt < known.bornAt
+			: isOlder(record, known);
+	if (isEnded || isOutdated) {
 		return 'ignored';
 	}
 
 	return isSameRegistration(known, record) ? 'refreshed' : 'changed';
 }
 
-/** Table that is merged into in place. */
+/** Mutable table with an index by address. */
 type IndexedTable = Readonly<{
 	records: Map<string, BackendRecord>;
-	/** Ids of the backend servers at each address that are not gone. */
+	/** Ids of the backend servers that are not gone, by address. */
 	idsByAddress: Map<string, readonly string[]>;
 }>;
 
-function leaveAddress(
+function removeFromAddress(
 	{idsByAddress}: IndexedTable,
 	{id, address}: BackendRecord,
 ): void {
@@ -105,7 +106,7 @@
 	const known = records.get(id);
 	records.set(id, record);
 	if (known !== undefined && (known.address !== address || state === 'gone')) {
-		leaveAddress(table, known);
+		removeFromAddress(table, known);
 	}
 
 	const ids = idsByAddress.get(address) ?? [];
@@ -124,7 +125,7 @@
 		.map((other) => records.get(other)!);
 }
 
-/** Draining is final for an incarnation, whatever it registers as later. */
+/** Keeps an incarnation draining, even if it registers as ready later. */
 function keepDraining(
 	known: BackendRecord | undefined,
 	record: BackendRecord,
@@ -136,7 +137,7 @@
 		: record;
 }
 
-/** Instances of an earlier build leave the software version out. */
+/** Keeps the software version of an incarnation, which instances of earlier builds omit. */
 function keepVersion(
 	known: BackendRecord | undefined,
 	record: BackendRecord,
@@ -148,7 +149,7 @@
 		: record;
 }
 
-/** Merges one record; adds the ids of the backend servers that it changes. */
+/** Merges one record and adds the ids of the backend servers that change to `changedIds`. */
 function mergeOne(
 	table: IndexedTable,
 	received: BackendRecord,
@@ -170,30 +171,33 @@
 
 		case 'added':
 		case 'changed': {
-			// A delayed registration whose address a newer incarnation uses by now.
 			const owners = listAddressOwners(table, record);
-			const isReused = owners.some(({bornAt}) => bornAt > record.bornAt);
-			if (!isReused) {
+			// A delayed registration: a newer incarnation has its address by now.
+			const isAddressTaken = owners.some(({bornAt}) => bornAt > record.bornAt);
+			if (!isAddressTaken) {
 				owners.forEach((previous) => {
 					putRecord(table, {...previous, state: 'gone'});
 					changedIds.add(previous.id);
 				});
 			}
 
-			putRecord(table, isReused ? {...record, state: 'gone'} : record);
+			putRecord(table, isAddressTaken ? {...record, state: 'gone'} : record);
 			changedIds.add(record.id);
 			return outcome;
 		}
 	}
 }
 
-/** Backend servers that are merged into in place, at a cost in proportion to what arrives. */
+/**
+ * Table that is updated in place. The cost of a merge is in proportion to the records
+ * merged, not to the size of the table.
+ */
 export type BackendStore = Readonly<{
-	/** Shows each later merge. */
+	/** Live view of the store, which later merges change. */
 	table: BackendTable;
 	/** Merges registrations; outdated ones are ignored. */
 	merge: (records: readonly BackendRecord[]) => StoreMerge;
-	/** Drops records whose last contact is before the retention time. */
+	/** Drops records whose last registration is older than the retention time. */
 	dropOld: (now: number) => void;
 }>;
 
@@ -207,7 +211,7 @@
 	return now - heardAt < RECORD_RETENTION_MS;
 }
 
-/** Creates a store that holds a copy of a table. */
+/** Creates a store with a copy of a table. */
 export function createBackendStore(initial: BackendTable): BackendStore {
 	const records = new Map(initial);
 	const table: IndexedTable = {records, idsByAddress: new Map()};
@@ -226,7 +230,7 @@
 		dropOld(now) {
 			records.forEach((record) => {
 				if (!isKept(record, now)) {
-					leaveAddress(table, record);
+					removeFromAddress(table, record);
 					records.delete(record.id);
 				}
 			});
@@ -249,7 +253,7 @@
 	return [...table.values()].filter(({state}) => state === 'ready').length;
 }
 
-/** Drops records whose last contact is before the retention time. */
+/** Drops records whose last registration is older than the retention time. */
 export function dropOldRecords(table: BackendTable, now: number): BackendTable {
 	return [...table.values()].every((record) => isKept(record, now))
 		? table
@@ -257,9 +261,9 @@
 }
 
 /**
- * Updates `heardAt` from the ages that another instance reports, where those are
- * more recent. Without `restMs`, ready backend servers that it leaves out keep
- * their `heardAt`; otherwise their age is at most `restMs`.
+ * Updates `heardAt` from the ages by id that another instance reports, where those
+ * are more recent. Ready backend servers that are missing there have at most the age
+ * `restMs`, or keep their `heardAt` if that is undefined. All in milliseconds.
  */
 export function applyReportedAges(
 	table: BackendTable,
--- a/packages/lovage-dispatch/src/registration-room.ts
+++ b/packages/lovage-dispatch/src/registration-room.ts
@@ -3,32 +3,36 @@
 
 /** What a control instance holds when a backend server registers at it. */
 export type RegistrationUse = Readonly<{
-	/** Registration that it holds under the same id. */
+	/** Record that it holds under the same id. */
 	known: BackendRecord | undefined;
-	/** Whether the software version was in service lately. */
+	/** Whether the service's software version was in service lately. */
 	isKnownVersion: boolean;
-	/** Registrations held, also of backend servers that are gone or silent. */
+	/** Number of records held, including those of backend servers that are gone or silent. */
 	records: number;
-	/** Software versions of all services that were in service lately. */
+	/** Number of software versions, of all services, that were in service lately. */
 	versions: number;
 }>;
 
-/** Whether a registration is taken, or what is full. */
+/** Whether a registration is taken, or which limit refuses it. */
 export type RegistrationDecision = 'take' | 'records-full' | 'versions-full';
 
 /**
- * Registrations from which on no further id is taken: ten times 400 backend servers,
- * as ids of ended ones are held for two minutes.
+ * Limit of the records held; at the limit, new ids are refused. Ten times 400 backend
+ * servers, as records of ended ones are kept for two minutes.
  */
 export const MAX_RECORDS = 4096;
 /**
- * Software versions from which on no further one is taken: each id may have its own.
- * They are counted twice a second, so that as many may come as there are ids.
+ * Limit of the software versions; at the limit, new ones are refused. As high as the
+ * limit of ids, each of which may have its own version. The count is updated twice a
+ * second, so that up to one version per id may exceed the limit meanwhile.
  */
 export const MAX_VERSIONS = 4096;
 
-/** A heartbeat may leave the version of its incarnation out. */
-function isVersionOf(
+/**
+ * Whether a registration has the version of the known record. Renewals of the same
+ * incarnation may omit it.
+ */
+function hasSameVersion(
 	known: BackendRecord | undefined,
 	record: BackendRecord,
 ): boolean {
@@ -40,10 +44,10 @@
 }
 
 /**
- * Decides whether a registration is taken that a backend server sends. Nothing that
- * is held makes room for something new: whoever is registered stays so, whatever
- * number of others comes. What another control instance has taken is not asked
- * about: all of them hold the same.
+ * Decides whether a control instance takes a registration that a backend server sends
+ * to it. New registrations never evict known ones, so that a flood of them can't push
+ * out backend servers in service. Records from other control instances are not
+ * checked, so that all instances hold the same ones.
  */
 export function decideRegistration(
 	{known, isKnownVersion, records, versions}: RegistrationUse,
@@ -53,6 +57,6 @@
 		return 'records-full';
 	}
 
-	const isNewVersion = !isKnownVersion && !isVersionOf(known, record);
+	const isNewVersion = !isKnownVersion && !hasSameVersion(known, record);
 	return isNewVersion && versions >= MAX_VERSIONS ? 'versions-full' : 'take';
 }
