--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -13,11 +13,9 @@
 export type {OriginLog, StoredOrigin} from './origin-log.js';
 export {createOriginRegistry} from './origin-registry.js';
 export type {OriginRegistry} from './origin-registry.js';
-export {createRegistrationDoor} from './registration-door.js';
-export type {
-	RegisterOutcome,
-	RegistrationDoorOptions,
-} from './registration-door.js';
+export {createRegistrationAdmission as createRegistrationDoor} from './registration-admission.js';
+export type {RegistrationAdmissionOptions as RegistrationDoorOptions} from './registration-admission.js';
+export type {RegisterOutcome} from './registration.js';
 export {createRegistry} from './registry.js';
 export type {Registry} from './registry.js';
 export {applyEntry, EMPTY_GROUP_STATE} from './state-machine.js';
