Share the connections of listener-connections and slow-callers

Both kept lists of servers and sockets and ended them after each test. createConnector does it, as createCleanups does in the gateway's tests; it also closes the connections of a server, which only one of them did.

--- a/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
@@ -1,34 +1,24 @@
 // Guards against connections with a request under way that are closed for others, and
 // against closing those first that have been idle for the shortest time.
-import {once} from 'node:events';
-import {createServer, type Server, type ServerResponse} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import {createServer, type ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {afterEach, expect, it} from 'vitest';
+import {expect, it} from 'vitest';
 import {
 	computeDescriptorLimit,
 	createListenerConnections,
 	createPrometheusMetrics,
 	type ListenerName,
 } from '../../index.js';
+import {createConnector} from './test-connections.js';
 
 const MAX_DESCRIPTORS = 128;
 /** Longer than the server needs to see a connection, or its end. */
 const SETTLE_MS = 50;
 const noop = (): undefined => undefined;
-const servers: Server[] = [];
-const sockets: Socket[] = [];
+const connect = createConnector();
 
-afterEach(() => {
-	sockets.splice(0).forEach((socket) => {
-		socket.destroy();
-	});
-	servers.splice(0).forEach((server) => {
-		server.close();
-	});
-});
-
-async function start(listener: ListenerName) {
+function start(listener: ListenerName) {
 	const held: ServerResponse[] = [];
 	const server = createServer((req, res) => {
 		if (req.url === '/held') {
@@ -44,19 +34,11 @@
 		maxDescriptors: MAX_DESCRIPTORS,
 	});
 	connections.attach(server, listener);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	servers.push(server);
-	const {port} = server.address() as AddressInfo;
 	return {
 		held,
 		async open(): Promise<Socket> {
-			const socket = connect(port, '127.0.0.1');
-			socket.on('error', noop);
-			socket.resume();
-			sockets.push(socket);
-			await once(socket, 'connect');
-			return socket;
+			const socket = await connect(server);
+			return socket.resume();
 		},
 	};
 }
@@ -86,7 +68,7 @@
 
 it('closes the connection that has been idle longest, and none with a request under way', async () => {
 	const limit = computeDescriptorLimit('metrics', MAX_DESCRIPTORS);
-	const {open, held} = await start('metrics');
+	const {open, held} = start('metrics');
 	const [busy, first, second, ...others] = await openAll(limit, open);
 	await send(busy!, '/held');
 	await send(first!, '/');
@@ -111,7 +93,7 @@
 
 it('closes a new connection at once while all others have requests under way', async () => {
 	const limit = computeDescriptorLimit('metrics', MAX_DESCRIPTORS);
-	const {open, held} = await start('metrics');
+	const {open, held} = start('metrics');
 	const busy = await openAll(limit, open);
 	await Promise.all(busy.map(async (socket) => send(socket, '/held')));
 	const [late] = await openAll(1, open);
@@ -125,7 +107,7 @@
 
 it('closes idle connections of callers as requests need descriptors for backend servers', async () => {
 	const limit = computeDescriptorLimit('callers', MAX_DESCRIPTORS);
-	const {open} = await start('callers');
+	const {open} = start('callers');
 	const all = await openAll(limit, open);
 	expect(readClosed(all)).toEqual(all.map(() => false));
 	await send(all.at(-1)!, '/held');
--- a/packages/lovage-runtime/src/__tests__/integration/slow-callers.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/slow-callers.test.ts
@@ -1,11 +1,10 @@
 // Guards against connections and responses that are kept for as long as a caller likes:
 // it sends a body or a head without end, or doesn't take its response.
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import type {Server} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {afterEach, expect, it} from 'vitest';
+import {expect, it} from 'vitest';
 import {
 	createBodilessServer,
 	createJsonServer,
@@ -13,6 +12,7 @@
 	DEFAULT_EXCHANGE_TIMES,
 } from '../../index.js';
 import {createTestBuffers} from './test-buffers.js';
+import {createConnector} from './test-connections.js';
 
 const TIMES = {
 	headMs: 300,
@@ -27,32 +27,7 @@
 /** More than the buffers of a connection hold. */
 const LARGE_BYTES = 12_000_000;
 const noop = (): undefined => undefined;
-const servers: Server[] = [];
-const sockets: Socket[] = [];
-
-afterEach(() => {
-	sockets.splice(0).forEach((socket) => {
-		socket.destroy();
-	});
-	servers.splice(0).forEach((server) => {
-		server.closeAllConnections();
-		server.close();
-	});
-});
-
-async function open(server: Server): Promise<Socket> {
-	servers.push(server);
-	if (!server.listening) {
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-	}
-
-	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
-	socket.on('error', noop);
-	sockets.push(socket);
-	await once(socket, 'connect');
-	return socket;
-}
+const open = createConnector();
 
 async function countConnections(server: Server): Promise<number> {
 	return new Promise((resolve) => {
