Use one record of a ready backend server in the tests of dispatch

Three files had the same record; what differs is named where it does. The coordinator's tests have one of their own, as tests of a package don't import those of another one.

--- a/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/backend-table.test.ts
@@ -8,18 +8,7 @@
 	isSameRegistration,
 	mergeRecords,
 } from '../../index.js';
-
-const record: BackendRecord = {
-	id: 'e-1',
-	service: 'model',
-	address: '10.0.0.1:80',
-	dataCentre: 'a',
-	state: 'ready',
-	slots: 8,
-	bornAt: 1000,
-	sequence: 4,
-	heardAt: 10,
-};
+import {READY_RECORD as record} from './ready-record.js';
 
 function mergeAll(...records: readonly BackendRecord[]): BackendTable {
 	return records.reduce<BackendTable>(
--- a/packages/lovage-dispatch/src/__tests__/unit/registration-room.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/registration-room.test.ts
@@ -1,25 +1,13 @@
 import {describe, expect, it} from 'vitest';
 import {
-	type BackendRecord,
 	decideRegistration,
 	MAX_RECORDS,
 	MAX_VERSIONS,
 	type RegistrationUse,
 } from '../../index.js';
+import {READY_RECORD} from './ready-record.js';
 
-const record: BackendRecord = {
-	id: 'e-1',
-	service: 'model',
-	address: '10.0.0.1:80',
-	dataCentre: 'a',
-	state: 'ready',
-	slots: 8,
-	softwareVersion: 'v1',
-	bornAt: 1000,
-	sequence: 4,
-	heardAt: 10,
-};
-const {softwareVersion: _, ...unversioned} = record;
+const record = {...READY_RECORD, softwareVersion: 'v1'};
 const full: RegistrationUse = {
 	known: undefined,
 	isKnownVersion: true,
@@ -62,8 +50,8 @@
 	] as const)('takes %s of whoever is registered', (_name, change) => {
 		const use = {...full, known: record, isKnownVersion: false};
 		expect(decideRegistration(use, {...record, ...change})).toBe('take');
-		expect(decideRegistration({...use, known: unversioned}, unversioned)).toBe(
-			'take',
-		);
+		expect(
+			decideRegistration({...use, known: READY_RECORD}, READY_RECORD),
+		).toBe('take');
 	});
 });
--- a/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/stream-origin.test.ts
@@ -8,6 +8,7 @@
 	type OriginAnswer,
 	type OriginEvidence,
 } from '../../index.js';
+import {READY_RECORD} from './ready-record.js';
 
 const ALL_ALONG = Number.MAX_SAFE_INTEGER;
 const origin = {service: 'model', softwareVersion: 'v1'};
@@ -131,12 +132,7 @@
 	const begunAt = 1_000_000;
 	const beginning = {incarnation: 'e-1/5000', at: begunAt};
 	const reborn: BackendRecord = {
-		id: 'e-1',
-		service: 'model',
-		address: '10.0.0.1:80',
-		dataCentre: 'a',
-		state: 'ready',
-		slots: 8,
+		...READY_RECORD,
 		softwareVersion: 'v2',
 		bornAt: begunAt,
 		sequence: 1,
