Shorten the tests of told floods

What a control instance keeps once an entry has told was spelled out in up to six lines at seven places; tell does it.

--- a/packages/lovage-dispatch/src/__tests__/unit/flood-telling.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/flood-telling.test.ts
@@ -57,6 +57,14 @@
 	maxKeys: 100,
 });
 
+/** What a control instance keeps once an entry has told of floods. */
+const tell = (
+	teller: string,
+	told: Readonly<Record<string, number>>,
+	now: number,
+	before: ToldFloods = new Map(),
+): ToldFloods => applyTelling(before, {teller, floods: told}, find, now);
+
 /** Checks what a control instance keeps, and what it tells one of the tellers. */
 function expectBounded(told: ToldFloods, entry: string, now: number): void {
 	expect(told.size).toBeLessThanOrEqual(MAX_TOLD);
@@ -98,30 +106,22 @@
 		const newest = Object.fromEntries(
 			Array.from({length: 30}, (_, i) => [`e-${i + 1}/1`, 30 - i]),
 		);
-		const told = applyTelling(
-			new Map(),
-			{teller: 'entry-1', floods: newest},
-			find,
-			1000,
-		);
+		const told = tell('entry-1', newest, 1000);
 		expect([...told.keys()]).toEqual(
 			Array.from({length: MAX_TOLD_BY_ONE}, (_, i) => `e-${30 - i}/1`),
 		);
 		const all = Array.from({length: 8}).reduce<ToldFloods>(
 			(before, _, teller) =>
-				applyTelling(
-					before,
-					{
-						teller: `entry-${teller}`,
-						floods: Object.fromEntries(
-							Array.from({length: MAX_TOLD_BY_ONE}, (__, i) => [
-								`e-${teller * MAX_TOLD_BY_ONE + i + 1}/1`,
-								teller,
-							]),
-						),
-					},
-					find,
+				tell(
+					`entry-${teller}`,
+					Object.fromEntries(
+						Array.from({length: MAX_TOLD_BY_ONE}, (__, i) => [
+							`e-${teller * MAX_TOLD_BY_ONE + i + 1}/1`,
+							teller,
+						]),
+					),
 					1000,
+					before,
 				),
 			new Map(),
 		);
@@ -148,10 +148,9 @@
 				delays,
 				(tellAt, tellingMs, answerAt, answeringMs) => {
 					const met = recordFlood(new Map(), 'e-1/1', 'flooded', 0);
-					const told = applyTelling(
-						new Map(),
-						{teller: 'entry-1', floods: describeMetFloods(met, tellAt)},
-						find,
+					const told = tell(
+						'entry-1',
+						describeMetFloods(met, tellAt),
 						tellAt + tellingMs,
 					);
 					const describedAt = Math.max(tellAt + tellingMs, answerAt);
@@ -183,35 +182,15 @@
 		expect(recordFlood(met, 'e-2/1', 'answered', 100)).toBe(met);
 		const answered = recordFlood(met, 'e-1/1', 'answered', 100);
 		expect(describeMetFloods(answered, 100)).toEqual({});
-		const told = applyTelling(
-			new Map(),
-			{teller: 'entry-1', floods: describeMetFloods(met, 100)},
-			find,
-			100,
-		);
+		const told = tell('entry-1', describeMetFloods(met, 100), 100);
 		expect(describeTold(told, 'entry-2', 100)).toEqual({'e-1/1': 100});
-		const later = applyTelling(
-			told,
-			{teller: 'entry-1', floods: {}},
-			find,
-			300,
-		);
+		const later = tell('entry-1', {}, 300, told);
 		expect(describeTold(later, 'entry-2', 300)).toEqual({});
 	});
 
 	it('goes on for an entry that tells nothing any more because it has ended', () => {
-		const told = applyTelling(
-			new Map(),
-			{teller: 'entry-1', floods: {'e-1/1': 0}},
-			find,
-			0,
-		);
-		const later = applyTelling(
-			told,
-			{teller: 'entry-2', floods: {}},
-			find,
-			5000,
-		);
+		const told = tell('entry-1', {'e-1/1': 0}, 0);
+		const later = tell('entry-2', {}, 5000, told);
 		expect(describeTold(later, 'entry-2', 5000)).toEqual({'e-1/1': 5000});
 	});
 });
