Share the registry of the coordinator's unit tests

registration-flood, registration-cost and registry built the same registry with a history of versions that is not stored, and with version-history the same record; the report of an entry stood twice. test-registry.ts has them.

The bound is as it was.

--- a/packages/lovage-coordinator/src/__tests__/unit/registration-cost.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registration-cost.test.ts
@@ -1,19 +1,16 @@
 import process from 'node:process';
 import {type BackendRecord, mergeRecords} from '@lovagevalve/dispatch';
-import {ok} from 'neverthrow';
 import {expect, it} from 'vitest';
+import type {Registry} from '../../index.js';
 import {
-	createOriginRegistry,
-	createRegistry,
-	createVersionHistory,
-	type Registry,
-} from '../../index.js';
+	createReport,
+	createTestRegistry,
+	READY_RECORD,
+} from './test-registry.js';
 
 // Each registration copied and searched the whole table, so that N of them cost N squared
 // and held up the exchanges of all other callers.
 
-const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
 const clock = {now: () => 0, wall: () => 0};
 const SMALL = 512;
 const FACTOR = 8;
@@ -26,33 +23,14 @@
 
 function createRecords(count: number): readonly BackendRecord[] {
 	return Array.from({length: count}, (_, i) => ({
+		...READY_RECORD,
 		id: `e-${i}`,
-		service: 'model',
 		address: `10.0.${Math.floor(i / 256)}.${i % 256}:80`,
-		dataCentre: 'a',
-		state: 'ready',
-		slots: 8,
 		softwareVersion: 'v1',
-		bornAt: 1,
-		sequence: 1,
-		heardAt: 0,
 	}));
 }
 
-function createEmptyRegistry(): Registry {
-	return createRegistry(clock, log, {
-		epoch: 1,
-		versions: createVersionHistory({
-			clock,
-			log,
-			file: {load: async () => ok(undefined), save: async () => ok()},
-			isFirstStart: true,
-			catchUpMs: 0,
-		}),
-		origins: createOriginRegistry(clock),
-		random: () => 0,
-	});
-}
+const createEmptyRegistry = (): Registry => createTestRegistry(clock).registry;
 
 /** Work of a number of records, as a function that does it again each time. */
 const WORK: ReadonlyArray<
@@ -115,19 +93,9 @@
 			const registry = createEmptyRegistry();
 			registry.restore(records);
 			return () => {
-				registry.applyReport({
-					entry: 'entry-1',
-					address: 'entry-1:80',
-					dataCentre: 'a',
-					standing: 'ready',
-					version: 1,
-					loads: {},
-					retries: {},
-					crashes: [],
-					leaving,
-					wantsOverview: false,
-					wantsAges: false,
-				});
+				registry.applyReport(
+					createReport('entry-1', {leaving, wantsOverview: false}),
+				);
 			};
 		},
 	],
--- a/packages/lovage-coordinator/src/__tests__/unit/registration-flood.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registration-flood.test.ts
@@ -1,35 +1,21 @@
 import {type BackendRecord, fromAgedRecord} from '@lovagevalve/dispatch';
-import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
+import {createRegistrationDoor, type Registry} from '../../index.js';
 import {
-	createOriginRegistry,
-	createRegistrationDoor,
-	createRegistry,
-	createVersionHistory,
-	type Registry,
-} from '../../index.js';
+	createTestRegistry,
+	READY_RECORD,
+	silentLogger,
+} from './test-registry.js';
 
 // A writer that registered ever new ids or versions filled the memory of all instances.
 
-const noop = (): undefined => undefined;
 /** More than the bound of registrations, and of versions. */
 const FLOOD = 4200;
 const MAX = 4096;
 const CHECK_INTERVAL_MS = 500;
 const RECORD_RETENTION_MS = 120_000;
 
-const record: BackendRecord = {
-	id: 'e-1',
-	service: 'model',
-	address: '10.0.0.1:80',
-	dataCentre: 'a',
-	state: 'ready',
-	slots: 8,
-	softwareVersion: 'v1',
-	bornAt: 1,
-	sequence: 1,
-	heardAt: 0,
-};
+const record: BackendRecord = {...READY_RECORD, softwareVersion: 'v1'};
 
 /** A control instance at whose door registrations arrive. */
 function createInstance(time: {now: number}) {
@@ -37,26 +23,12 @@
 	const lines: unknown[] = [];
 	const refusals: unknown[] = [];
 	const log = {
-		debug: noop,
-		info: noop,
-		error: noop,
+		...silentLogger,
 		warn(message: string, context: unknown) {
 			lines.push([message, context]);
 		},
 	};
-	const versions = createVersionHistory({
-		clock,
-		log,
-		file: {load: async () => ok(undefined), save: async () => ok()},
-		isFirstStart: true,
-		catchUpMs: 0,
-	});
-	const registry = createRegistry(clock, log, {
-		epoch: 1,
-		versions,
-		origins: createOriginRegistry(clock),
-		random: () => 0,
-	});
+	const {registry, versions} = createTestRegistry(clock, log);
 	const hasRoom = createRegistrationDoor({
 		clock,
 		log,
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -1,70 +1,16 @@
-import type {
-	BackendRecord,
-	EntryReport,
-	KnownRevision,
-} from '@lovagevalve/dispatch';
+import type {KnownRevision} from '@lovagevalve/dispatch';
 import {describe, expect, it} from 'vitest';
-import {ok} from 'neverthrow';
+import {applyEntry, EMPTY_GROUP_STATE, type Registry} from '../../index.js';
 import {
-	applyEntry,
-	createOriginRegistry,
-	createRegistry,
-	createVersionHistory,
-	EMPTY_GROUP_STATE,
-} from '../../index.js';
-
-const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
+	createReport,
+	createTestRegistry as createTestRegistryAt,
+	READY_RECORD as record,
+} from './test-registry.js';
 
 function createTestRegistry(isFirstStart = true) {
 	const time = {now: 0};
 	const clock = {now: () => time.now, wall: () => time.now};
-	return {
-		time,
-		registry: createRegistry(clock, log, {
-			epoch: 1,
-			versions: createVersionHistory({
-				clock,
-				log,
-				file: {load: async () => ok(undefined), save: async () => ok()},
-				isFirstStart,
-				catchUpMs: 0,
-			}),
-			origins: createOriginRegistry(clock),
-			random: () => 0,
-		}),
-	};
-}
-
-const record: BackendRecord = {
-	id: 'e-1',
-	service: 'model',
-	address: '10.0.0.1:80',
-	dataCentre: 'a',
-	state: 'ready',
-	slots: 8,
-	bornAt: 1,
-	sequence: 1,
-	heardAt: 0,
-};
-
-function createReport(
-	entry: string,
-	change: Partial<EntryReport> = {},
-): EntryReport {
-	return {
-		entry,
-		address: `${entry}:80`,
-		dataCentre: 'a',
-		standing: 'ready',
-		version: 1,
-		loads: {},
-		retries: {},
-		crashes: [],
-		wantsOverview: true,
-		wantsAges: false,
-		...change,
-	};
+	return {time, ...createTestRegistryAt(clock, undefined, isFirstStart)};
 }
 
 const reportRequest = {entry: 'entry-9', wantsOverview: true, wantsAges: false};
@@ -210,10 +156,7 @@
 		expect(measureAnswer(400) / measureAnswer(100)).toBeLessThan(1.1);
 	});
 
-	const registerMany = (
-		registry: ReturnType<typeof createRegistry>,
-		count: number,
-	): void => {
+	const registerMany = (registry: Registry, count: number): void => {
 		for (let i = 0; i < count; i += 1) {
 			registry.register({
 				...record,
--- a/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/version-history.test.ts
@@ -1,4 +1,3 @@
-import type {BackendRecord} from '@lovagevalve/dispatch';
 import {err, ok, type Result} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 import {
@@ -6,25 +5,12 @@
 	type StoredVersions,
 	type VersionFile,
 } from '../../index.js';
-
-const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
+import {READY_RECORD, silentLogger as log} from './test-registry.js';
 
 /** All backend servers that serve have registered once in this time. */
 const CATCH_UP_MS = 1000;
 
-const record: BackendRecord = {
-	id: 'e-1',
-	service: 'model',
-	address: '10.0.0.1:80',
-	dataCentre: 'a',
-	softwareVersion: 'v1',
-	state: 'ready',
-	slots: 8,
-	bornAt: 1,
-	sequence: 1,
-	heardAt: 0,
-};
+const record = {...READY_RECORD, softwareVersion: 'v1'};
 
 /** A file in memory, and processes that are started on it one after the other. */
 function createDisk() {
