Share the control instance of group and registration-flood

Both found a free port, started a coordinator in the process and ended it in the same lines. Each instance of group has its own buffers now, of the same size, which no test there fills.

--- a/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/group.test.ts
@@ -1,27 +1,18 @@
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendRecord} from '@lovagevalve/dispatch';
-import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterEach, describe, expect, it} from 'vitest';
-import {createCoordinator, type Coordinator} from '../../index.js';
-
-const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
-const metrics = {
-	count: noop,
-	time: noop,
-	registerGauge: noop,
-	serve: noop,
-} as unknown as PrometheusMetrics;
-const buffers = createBufferBudget({
-	capacityBytes: 2 ** 30,
-	log,
-	metrics,
-});
-const clock = {now: () => performance.now(), wall: () => Date.now()};
+import type {Coordinator} from '../../index.js';
+import {
+	clock,
+	type CoordinatorOptions,
+	findFreePort,
+	startCoordinator,
+	stopCoordinator,
+} from './test-coordinator.js';
+
 const folders: string[] = [];
 const running = new Set<Coordinator>();
 
@@ -32,57 +23,21 @@
 	);
 });
 
-async function findFreePort(): Promise<number> {
-	const server = createServer();
-	return new Promise((resolve) => {
-		server.listen(0, '127.0.0.1', () => {
-			const {port} = server.address() as AddressInfo;
-			server.close(() => {
-				resolve(port);
-			});
-		});
-	});
-}
-
 async function createFolder(): Promise<string> {
 	const folder = await mkdtemp(path.join(tmpdir(), 'lovage-group-'));
 	folders.push(folder);
 	return folder;
 }
 
-type StartOptions = Readonly<{
-	name: string;
-	port: number;
-	folder: string;
-	seeds: readonly string[];
-	isFirstStart: boolean;
-}>;
-
-async function start(options: StartOptions): Promise<Coordinator> {
-	const {name, port, folder, seeds, isFirstStart} = options;
-	const coordinator = createCoordinator(
-		{
-			name,
-			address: `127.0.0.1:${port}`,
-			dataFolder: folder,
-			isFirstStart,
-			registrationIntervalMs: 1000,
-			readSeeds: () => seeds,
-		},
-		{clock, log, metrics, buffers, random: Math.random},
-	);
-	await new Promise<void>((resolve) => {
-		coordinator.server.listen(port, '127.0.0.1', resolve);
-	});
+async function start(options: CoordinatorOptions): Promise<Coordinator> {
+	const coordinator = await startCoordinator(options);
 	running.add(coordinator);
 	return coordinator;
 }
 
 async function stop(coordinator: Coordinator): Promise<void> {
 	running.delete(coordinator);
-	coordinator.server.closeAllConnections();
-	coordinator.server.close();
-	await coordinator.stop();
+	await stopCoordinator(coordinator);
 }
 
 const POLL_INTERVAL_MS = 50;
@@ -133,7 +88,7 @@
 	return outcome.kind === 'found' ? outcome.configuration.version : 0;
 }
 
-async function startGroup(): Promise<readonly StartOptions[]> {
+async function startGroup(): Promise<readonly CoordinatorOptions[]> {
 	const ports = await Promise.all([0, 1, 2].map(findFreePort));
 	const seeds = ports.map((port) => `127.0.0.1:${port}`);
 	return Promise.all(
--- a/packages/lovage-coordinator/src/__tests__/integration/registration-flood.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/registration-flood.test.ts
@@ -1,18 +1,19 @@
 import {mkdtemp, rm} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendRecord} from '@lovagevalve/dispatch';
-import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
 import {afterAll, beforeAll, expect, it} from 'vitest';
-import {createCoordinator, type Coordinator} from '../../index.js';
+import type {Coordinator} from '../../index.js';
+import {
+	clock,
+	findFreePort,
+	startCoordinator,
+	stopCoordinator,
+} from './test-coordinator.js';
 
 // A writer that registered ever new ids filled the memory of all control instances.
 
-const noop = (): undefined => undefined;
-const log = {debug: noop, info: noop, warn: noop, error: noop};
-const clock = {now: () => performance.now(), wall: () => Date.now()};
 /** More than the bound of registrations. */
 const FLOOD = 4200;
 const MAX = 4096;
@@ -30,56 +31,23 @@
 const folders: string[] = [];
 const instances: Instance[] = [];
 
-async function findFreePort(): Promise<number> {
-	const server = createServer();
-	return new Promise((resolve) => {
-		server.listen(0, '127.0.0.1', () => {
-			const {port} = server.address() as AddressInfo;
-			server.close(() => {
-				resolve(port);
-			});
-		});
-	});
-}
-
 async function start(
 	port: number,
 	seeds: readonly string[],
 ): Promise<Instance> {
 	const gauges = new Map<string, () => number>();
-	const metrics = {
-		count: noop,
-		time: noop,
+	const folder = await mkdtemp(path.join(tmpdir(), 'lovage-flood-'));
+	folders.push(folder);
+	const coordinator = await startCoordinator({
+		name: `control-${port}`,
+		port,
+		folder,
+		seeds,
+		isFirstStart: true,
+		capacityBytes: CAPACITY_BYTES,
 		registerGauge(name: string, read: () => number) {
 			gauges.set(name, read);
 		},
-		serve: noop,
-	} as unknown as PrometheusMetrics;
-	const dataFolder = await mkdtemp(path.join(tmpdir(), 'lovage-flood-'));
-	folders.push(dataFolder);
-	const coordinator = createCoordinator(
-		{
-			name: `control-${port}`,
-			address: `127.0.0.1:${port}`,
-			dataFolder,
-			isFirstStart: true,
-			registrationIntervalMs: 1000,
-			readSeeds: () => seeds,
-		},
-		{
-			clock,
-			log,
-			metrics,
-			buffers: createBufferBudget({
-				capacityBytes: CAPACITY_BYTES,
-				log,
-				metrics,
-			}),
-			random: Math.random,
-		},
-	);
-	await new Promise<void>((resolve) => {
-		coordinator.server.listen(port, '127.0.0.1', resolve);
 	});
 	return {coordinator, countBackends: () => gauges.get('backends')!()};
 }
@@ -110,11 +78,7 @@
 
 afterAll(async () => {
 	await Promise.all(
-		instances.map(async ({coordinator}) => {
-			coordinator.server.closeAllConnections();
-			coordinator.server.close();
-			await coordinator.stop();
-		}),
+		instances.map(async ({coordinator}) => stopCoordinator(coordinator)),
 	);
 	await Promise.all(
 		folders.map(async (folder) => rm(folder, {recursive: true})),
