Read streams in one way in the tests of flooding engines

Three tests opened a stream with handlers of their own; readStream does it and tells how the stream ended. The bytes that were written need no promise that is resolved elsewhere.

--- a/packages/lovage-entry/src/__tests__/integration/flooding-engines.test.ts
+++ b/packages/lovage-entry/src/__tests__/integration/flooding-engines.test.ts
@@ -19,17 +19,6 @@
 const GIVE_UP_MS = 60_000;
 const STREAM_GIVE_UP_MS = 10_000;
 
-function withResolvers<T>(): Readonly<{
-	promise: Promise<T>;
-	resolve: (value: T) => void;
-}> {
-	let settle: (value: T) => void = () => undefined;
-	const promise = new Promise<T>((resolve) => {
-		settle = resolve;
-	});
-	return {promise, resolve: settle};
-}
-
 type Flood = Readonly<{
 	address: string;
 	/** Resolves when the connection is gone, with the bytes that were written. */
@@ -41,7 +30,6 @@
 	beginning: string,
 	part: string | (() => string),
 ): Promise<Flood> {
-	const {promise, resolve} = withResolvers<number>();
 	const bytes = typeof part === 'string' ? Buffer.from(part) : undefined;
 	const readPart = (): Uint8Array | string => bytes ?? (part as () => string)();
 	const send = (socket: Socket): void => {
@@ -63,8 +51,12 @@
 				send(socket);
 			}
 		});
-		socket.on('close', () => {
-			resolve(socket.bytesWritten);
+	});
+	const left = new Promise<number>((resolve) => {
+		server.on('connection', (socket) => {
+			socket.on('close', () => {
+				resolve(socket.bytesWritten);
+			});
 		});
 	});
 	cleanups.push(() => server.close());
@@ -72,7 +64,40 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const {port} = server.address() as AddressInfo;
-	return {address: `http://127.0.0.1:${port}`, left: promise};
+	return {address: `http://127.0.0.1:${port}`, left};
+}
+
+/** Reads a stream until it ends, with its total, or is lost; `tokens` are those that came. */
+async function readStream(
+	address: string,
+	maxTokens: number,
+): Promise<Readonly<{end: unknown; tokens: number}>> {
+	let tokens = 0;
+	const end = await new Promise((resolve) => {
+		const timer = setTimeout(resolve, STREAM_GIVE_UP_MS, 'still read');
+		const close = openEngineStream(
+			{kind: 'resume', address, ...ATTEMPT, maxTokens},
+			{
+				onOpen: () => undefined,
+				onChunk(chunk) {
+					tokens += chunk.tokens.length;
+				},
+				onEnd({total}) {
+					resolve(total);
+				},
+				onLost() {
+					resolve('lost');
+				},
+				onRefused() {
+					resolve('refused');
+				},
+			},
+		);
+		cleanups.push(close, () => {
+			clearTimeout(timer);
+		});
+	});
+	return {end, tokens};
 }
 
 const STREAM_HEAD =
@@ -102,28 +127,8 @@
 		['interim answers', INTERIM, INTERIM.repeat(KILOBYTE)],
 	])('is left: %s', async (_, beginning, part) => {
 		const {address, left} = await flood(beginning, part);
-		const {promise: lost, resolve} = withResolvers<string>();
-		cleanups.push(
-			openEngineStream(
-				{kind: 'resume', address, ...ATTEMPT, maxTokens: 6000},
-				{
-					onOpen: () => undefined,
-					onChunk: () => undefined,
-					onEnd: () => undefined,
-					onLost() {
-						resolve('lost');
-					},
-					onRefused() {
-						resolve('refused');
-					},
-				},
-			),
-		);
-		const timer = setTimeout(() => {
-			resolve('still read');
-		}, STREAM_GIVE_UP_MS);
-		expect(await lost).toBe('lost');
-		clearTimeout(timer);
+		const {end} = await readStream(address, 6000);
+		expect(end).toBe('lost');
 		expect(await left).toBeLessThan(MAX_SENT_BYTES);
 	});
 
@@ -145,30 +150,8 @@
 				offset += tokens.length;
 				return `event: tokens\ndata: ${data}\n\n`;
 			});
-			let received = 0;
-			const outcome = await new Promise((resolve) => {
-				const timer = setTimeout(resolve, STREAM_GIVE_UP_MS, 'still read');
-				cleanups.push(
-					() => {
-						clearTimeout(timer);
-					},
-					openEngineStream(
-						{kind: 'resume', address, ...ATTEMPT, maxTokens},
-						{
-							onOpen: () => undefined,
-							onChunk(chunk) {
-								received += chunk.tokens.length;
-							},
-							onEnd: () => undefined,
-							onLost() {
-								resolve('lost');
-							},
-							onRefused: () => undefined,
-						},
-					),
-				);
-			});
-			expect([outcome, received]).toEqual(['lost', taken]);
+			const {end, tokens: received} = await readStream(address, maxTokens);
+			expect([end, received]).toEqual(['lost', taken]);
 			expect(await left).toBeLessThan(MAX_SENT_BYTES);
 		},
 	);
@@ -183,26 +166,7 @@
 			STREAM_HEAD + events.join('') + done,
 			':\n'.repeat(KILOBYTE),
 		);
-		let tokens = 0;
-		const end = await new Promise((resolve) => {
-			const close = openEngineStream(
-				{kind: 'resume', address, ...ATTEMPT, maxTokens: 6000},
-				{
-					onOpen: () => undefined,
-					onChunk(chunk) {
-						tokens += chunk.tokens.length;
-					},
-					onEnd({total}) {
-						close();
-						resolve(total);
-					},
-					onLost() {
-						resolve('lost');
-					},
-					onRefused: () => undefined,
-				},
-			);
-		});
+		const {tokens, end} = await readStream(address, 6000);
 		expect([tokens, end]).toEqual([6000, 6000]);
 	});
 });
