Share the backend servers that flood or answer whole in the gateway's tests

flood-evidence and flooding-backends wrote without end in the same way, and five tests had a sound server of their own; dark-servers and flood-evidence sent comments alike. started-backends.ts has them. adaptConfiguration changes all routes and engines at once, which four tests spelled out. The budget of retries that dark-servers named is the default of the harness.

Same names, cases and bounds.

--- a/packages/lovage-gateway/src/__tests__/integration/dark-servers.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/dark-servers.test.ts
@@ -1,16 +1,15 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
-import type {Configuration} from '@lovagevalve/routing';
 import {
+	adaptConfiguration,
 	call,
 	type CallerResponse,
-	configuration,
 	createCleanups,
 	formatEvent,
-	startBackend,
 	startHarness,
 	startRawBackend,
 } from './harness.js';
+import {sendComments, startSoundBackend} from './started-backends.js';
 
 const cleanups = createCleanups();
 const HEAD =
@@ -18,23 +17,16 @@
 const COMMENT_INTERVAL_MS = 20;
 const PATIENCE_MS = 10_000;
 const GAP_TARGET_MS = 1000;
-/** Retries are not what is tested. */
-const AMPLE = {windowMs: 10_000, ratio: 1, extra: 100};
 
-const patient: Configuration = {
-	...configuration,
-	routes: configuration.routes.map((route) => ({
-		...route,
+const patient = adaptConfiguration(
+	{
 		timeoutMs: PATIENCE_MS,
 		latencyTargetMs: 5000,
 		gapTargetMs: GAP_TARGET_MS,
 		maxAttempts: 5,
-	})),
-	services: configuration.services.map((service) => ({
-		...service,
-		engine: {...service.engine!, canBackUp: false, canCopy: false},
-	})),
-};
+	},
+	{canBackUp: false, canCopy: false},
+);
 
 type DarkServer = Readonly<{port: number; readDarkAt: () => number}>;
 
@@ -47,19 +39,14 @@
 	let darkAt = 0;
 	const {port, server} = await startRawBackend((socket) => {
 		socket.write(HEAD + begin);
-		const timer = setInterval(() => {
-			if (sendsComments) {
-				socket.write(':\n\n');
-			}
-		}, COMMENT_INTERVAL_MS);
+		const stop = sendsComments
+			? sendComments(socket, COMMENT_INTERVAL_MS)
+			: undefined;
 		setTimeout(() => {
-			clearInterval(timer);
+			stop?.();
 			server.close();
 			darkAt = performance.now();
 		}, darkAfterMs);
-		socket.on('close', () => {
-			clearInterval(timer);
-		});
 	});
 	cleanups.push(() => server.close());
 	return {port, readDarkAt: () => darkAt};
@@ -69,16 +56,10 @@
 
 async function startSound(): Promise<SoundServer> {
 	let askedAt = 0;
-	const {port, server} = await startBackend((req, res) => {
+	const port = await startSoundBackend(cleanups, () => {
 		askedAt ||= performance.now();
-		req.resume();
-		res.writeHead(200, {
-			'Request-Id': String(req.headers['request-id'] ?? ''),
-			'Content-Type': 'text/event-stream',
-		});
-		res.end(formatEvent(1) + formatEvent(2));
+		return formatEvent(1) + formatEvent(2);
 	});
-	cleanups.push(() => server.close());
 	return {port, readAskedAt: () => askedAt};
 }
 
@@ -95,7 +76,7 @@
 	])('%s', async (_, begin, darkAfterMs, sendsComments) => {
 		const dark = await startDark(begin, darkAfterMs, sendsComments);
 		const sound = await startSound();
-		const harness = await startHarness(patient, AMPLE);
+		const harness = await startHarness(patient);
 		cleanups.push(harness.close);
 		harness.setBackends([dark.port]);
 		const answer = callPatiently(harness.port);
@@ -116,7 +97,7 @@
 		const dark = await startDark(formatEvent(1), darkAfterMs, sendsComments);
 		const sound = await startSound();
 		const peers = [dark.port, sound.port].map((port) => `127.0.0.1:${port}`);
-		const harness = await startHarness(patient, AMPLE, peers);
+		const harness = await startHarness(patient, undefined, peers);
 		cleanups.push(harness.close);
 		const {isWhole} = await callPatiently(harness.port);
 		expect(isWhole).toBe(true);
--- a/packages/lovage-gateway/src/__tests__/integration/flood-evidence.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/flood-evidence.test.ts
@@ -1,59 +1,26 @@
 import {expect, it} from 'vitest';
 import type {ExchangeOutcome} from '@lovagevalve/dispatch';
 import {
+	adaptConfiguration,
 	call,
-	configuration,
 	createCleanups,
-	startBackend,
 	startHarness,
 	type Harness,
 	startRawBackend,
 } from './harness.js';
+import {
+	sendComments,
+	startFloodingBackend,
+	startSoundBackend,
+} from './started-backends.js';
 
 const cleanups = createCleanups();
-const BLOCK_BYTES = 65_536;
 const FLOODING_COUNT = 3;
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n';
 
-const patient = {
-	...configuration,
-	routes: configuration.routes.map((route) => ({
-		...route,
-		maxAttempts: FLOODING_COUNT + 1,
-	})),
-};
-
+const patient = {maxAttempts: FLOODING_COUNT + 1};
 /** Moves a stream well before its caller gives up. */
-const prompt = {
-	...patient,
-	routes: patient.routes.map((route) => ({...route, latencyTargetMs: 400})),
-};
-
-/** Starts a backend server that answers without end; one that is closed accepts no connection beside. */
-async function startFlooding(
-	head: string,
-	text: string,
-	isClosed: boolean,
-): Promise<number> {
-	const block = text.repeat(Math.ceil(BLOCK_BYTES / text.length));
-	const {port, server} = await startRawBackend((socket) => {
-		if (isClosed) {
-			server.close();
-		}
-
-		const write = (): void => {
-			if (!socket.destroyed && socket.write(block)) {
-				setImmediate(write);
-			}
-		};
-
-		socket.on('drain', write);
-		socket.write(head);
-		write();
-	});
-	cleanups.push(() => server.close());
-	return port;
-}
+const prompt = {...patient, latencyTargetMs: 400};
 
 /** Records what becomes known of each backend server. */
 function watchHealth({view}: Harness): (id: string) => ExchangeOutcome[] {
@@ -91,12 +58,13 @@
 it.each(FORMS)(
 	'a request that met three flooding backend servers is not reported as crashing them: $path, listeners $listeners',
 	async ({path, head, text, isClosed}) => {
-		const ports = await Promise.all(
+		const flooding = await Promise.all(
 			Array.from({length: FLOODING_COUNT}, async () =>
-				startFlooding(head, text, isClosed),
+				startFloodingBackend(cleanups, head, text, isClosed),
 			),
 		);
-		const harness = await startHarness(patient);
+		const ports = flooding.map(({port}) => port);
+		const harness = await startHarness(adaptConfiguration(patient));
 		cleanups.push(harness.close);
 		const readOutcomes = watchHealth(harness);
 		harness.setBackends(ports);
@@ -112,17 +80,8 @@
 		const isAllowed = (outcome: ExchangeOutcome): boolean =>
 			FAILING.has(outcome) || (isClosed && outcome === 'unreachable');
 		expect(met.flat().filter((outcome) => !isAllowed(outcome))).toEqual([]);
-		const sound = await startBackend((req, res) => {
-			req.resume();
-			const isStream = req.url?.startsWith('/stream') ?? false;
-			res.writeHead(200, {
-				'Request-Id': String(req.headers['request-id'] ?? ''),
-				...(isStream ? {'Content-Type': 'text/event-stream'} : {}),
-			});
-			res.end(isStream ? 'id: 1\ndata: a\n\n' : 'sound');
-		});
-		cleanups.push(() => sound.server.close());
-		harness.setBackends([...ports, sound.port]);
+		const sound = await startSoundBackend(cleanups);
+		harness.setBackends([...ports, sound]);
 		const second = await call(harness.port, path);
 		expect(second.isWhole).toBe(true);
 		expect(second.status).toBe(200);
@@ -137,31 +96,18 @@
 	const {port, server} = await startRawBackend((socket) => {
 		server.close();
 		socket.write(`${HEAD}Content-Type: text/event-stream\r\n\r\n`);
-		const timer = setInterval(() => {
-			socket.write(':\n\n');
-		}, COMMENT_INTERVAL_MS);
-		socket.on('close', () => {
-			clearInterval(timer);
-		});
+		sendComments(socket, COMMENT_INTERVAL_MS);
 	});
 	cleanups.push(() => server.close());
-	const harness = await startHarness(prompt);
+	const harness = await startHarness(adaptConfiguration(prompt));
 	cleanups.push(harness.close);
 	const readOutcomes = watchHealth(harness);
 	harness.setBackends([port]);
 	const answer = call(harness.port, '/stream/1');
 	await expect.poll(() => readOutcomes('e-0'), {timeout: 5000}).not.toEqual([]);
 	expect(readOutcomes('e-0')[0]).toBe('failed');
-	const sound = await startBackend((req, res) => {
-		req.resume();
-		res.writeHead(200, {
-			'Request-Id': String(req.headers['request-id'] ?? ''),
-			'Content-Type': 'text/event-stream',
-		});
-		res.end('id: 1\ndata: a\n\n');
-	});
-	cleanups.push(() => sound.server.close());
-	harness.setBackends([port, sound.port]);
+	const sound = await startSoundBackend(cleanups);
+	harness.setBackends([port, sound]);
 	const {isWhole} = await answer;
 	expect(isWhole).toBe(true);
 	expect(harness.crashes).toEqual([]);
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -18,6 +18,7 @@
 import {
 	createRouteTable,
 	type Configuration,
+	type EngineLimits,
 	type Route,
 	type RouteKind,
 } from '@lovagevalve/routing';
@@ -194,6 +195,21 @@
 	},
 };
 
+/** Changes each route and engine of the configuration. */
+export function adaptConfiguration(
+	route: Partial<Route>,
+	engine: Partial<EngineLimits> = {},
+): Configuration {
+	return {
+		...configuration,
+		routes: configuration.routes.map((known) => ({...known, ...route})),
+		services: configuration.services.map((service) => ({
+			...service,
+			engine: {...service.engine!, ...engine},
+		})),
+	};
+}
+
 /** A gateway in front of fake backend servers. */
 export type Harness = Readonly<{
 	gateway: Gateway;
--- a/packages/lovage-gateway/src/__tests__/integration/kept-answers.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/kept-answers.test.ts
@@ -4,9 +4,9 @@
 	configuration,
 	createCleanups,
 	formatEvent,
-	startBackend,
 	startHarness,
 } from './harness.js';
+import {startSoundBackend} from './started-backends.js';
 
 const cleanups = createCleanups();
 
@@ -17,15 +17,7 @@
 		const text = Array.from({length: count}, (_, i) => formatEvent(i + 1)).join(
 			'',
 		);
-		const {port, server} = await startBackend((req, res) => {
-			req.resume();
-			res.writeHead(200, {
-				'Request-Id': String(req.headers['request-id'] ?? ''),
-				'Content-Type': 'text/event-stream',
-			});
-			res.end(text);
-		});
-		cleanups.push(() => server.close());
+		const port = await startSoundBackend(cleanups, () => text);
 		const harness = await startHarness(configuration);
 		cleanups.push(harness.close);
 		harness.setBackends([port]);
--- a/packages/lovage-gateway/src/__tests__/integration/short-silence.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/short-silence.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect, it} from 'vitest';
 import {
+	adaptConfiguration,
 	call,
 	configuration,
 	createCleanups,
@@ -44,22 +45,12 @@
 
 async function start(canKeepCopies: boolean) {
 	const engines = [await startSilentEngine(), await startSilentEngine()];
-	const harness = await startHarness({
-		...configuration,
-		routes: configuration.routes.map((route) => ({
-			...route,
-			timeoutMs: 8000,
-			maxAttempts: 5,
-		})),
-		services: configuration.services.map((service) => ({
-			...service,
-			engine: {
-				...service.engine!,
-				canBackUp: canKeepCopies,
-				canCopy: canKeepCopies,
-			},
-		})),
-	});
+	const harness = await startHarness(
+		adaptConfiguration(
+			{timeoutMs: 8000, maxAttempts: 5},
+			{canBackUp: canKeepCopies, canCopy: canKeepCopies},
+		),
+	);
 	harness.setBackends(engines.map(({port}) => port));
 	cleanups.push(harness.close);
 	return {engines, harness};
