Share the gateway with few buffers between held-bodies and returned-bytes

Both started the same gateway, with 8 MB of buffers and bodies of up to 4 MB, and sent raw bytes on connections that stay open: bounded-gateway.ts and sendRaw in the harness do. Same names, cases and bounds.

--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -476,6 +476,31 @@
 	});
 }
 
+/** A connection on which bytes were sent. */
+export type RawConnection = Readonly<{
+	socket: Socket;
+	/** What was answered so far. */
+	read: () => string;
+}>;
+
+/** Sends raw bytes on a new connection, which stays open until the test ends. */
+export function sendRaw(
+	cleanups: Array<() => unknown>,
+	port: number,
+	text: string,
+): RawConnection {
+	const socket = connect(port, '127.0.0.1');
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('error', () => undefined);
+	socket.on('data', (chunk: string) => {
+		received += chunk;
+	});
+	socket.write(text);
+	cleanups.push(() => socket.destroy());
+	return {socket, read: () => received};
+}
+
 /** Formats a server-sent event. */
 export function formatEvent(id: number): string {
 	return `id: ${id}\ndata: piece ${id}\n\n`;
--- a/packages/lovage-gateway/src/__tests__/integration/held-bodies.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/held-bodies.test.ts
@@ -1,61 +1,27 @@
-import {connect, type Socket} from 'node:net';
 import {describe, expect, it} from 'vitest';
-import {
-	call,
-	configuration,
-	createCleanups,
-	createTestBuffers,
-	exchangeRaw,
-	type Harness,
-	startBackend,
-	startHarness,
-} from './harness.js';
+import {CAPACITY_BYTES, startBoundedGateway} from './bounded-gateway.js';
+import {call, createCleanups, exchangeRaw, sendRaw} from './harness.js';
 
 const cleanups = createCleanups();
-const CAPACITY = 8_388_608;
 const BODY_BYTES = 1_048_576;
 const CONNECTIONS = 40;
 const PART = 'x'.repeat(65_536);
 /** A body that can't be taken is refused long before its caller gives up, which is after 9 s. */
 const REFUSED_MS = 3000;
 
-async function startBounded(): Promise<
-	Readonly<{harness: Harness; readPeakBytes: () => number; isRunBy: string[]}>
-> {
+async function startBounded() {
 	const isRunBy: string[] = [];
-	const backend = await startBackend((req, res) => {
+	const {harness, buffers} = await startBoundedGateway(cleanups, (req) => {
 		isRunBy.push(String(req.headers['request-id']));
-		req.resume();
-		res.writeHead(200, {'Request-Id': String(req.headers['request-id'])});
-		res.end('sound');
+		return 'sound';
 	});
-	const buffers = createTestBuffers(CAPACITY);
-	const limits = {...configuration.limits, maxBodyBytes: 4 * BODY_BYTES};
-	const harness = await startHarness(
-		{...configuration, limits},
-		undefined,
-		[],
-		{buffers},
-	);
-	harness.setBackends([backend.port]);
-	cleanups.push(harness.close, () => backend.server.close());
 	return {harness, readPeakBytes: buffers.readPeakBytes, isRunBy};
 }
 
 /** Sends all of a body but its last byte; returns what was answered so far. */
 function holdBody(port: number, framing: string, body: string): () => string {
-	const socket: Socket = connect({port, host: '127.0.0.1'});
-	let answer = '';
-	socket.setEncoding('latin1');
-	socket.on('error', () => undefined);
-	socket.on('data', (text: string) => {
-		answer += text;
-	});
-	socket.write(
-		`POST /once/held HTTP/1.1\r\nHost: test\r\nRequest-Id: held\r\nWait-Ms: 9000\r\n${framing}\r\n\r\n${body}`,
-	);
-	cleanups.push(() => socket.destroy());
-	return () => answer;
+	const head = `POST /once/held HTTP/1.1\r\nHost: test\r\nRequest-Id: held\r\nWait-Ms: 9000\r\n${framing}\r\n\r\n`;
+	return sendRaw(cleanups, port, head + body).read;
 }
 
 describe('bodies whose last byte is held back', () => {
@@ -87,7 +53,7 @@
 				true,
 			);
 			expect(refused.every((text) => /Retry-After: \d/.test(text))).toBe(true);
-			expect(readPeakBytes()).toBeLessThan(CAPACITY);
+			expect(readPeakBytes()).toBeLessThan(CAPACITY_BYTES);
 			const answer = await call(harness.port, '/once/1', {}, 'small');
 			expect(answer.status).toBe(200);
 			expect(isRunBy).toEqual(['r-1']);
