Share the measuring of the heap between kept-ids and repeated-events

Both collected garbage and read the heap in the same lines, now in heap-bytes.ts; repeated-events waits for events with expect.poll on sendRaw, so that an event that does not come fails the test with what came, after 25 s of its 30 s.

--- a/packages/lovage-gateway/src/__tests__/integration/repeated-events.test.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/repeated-events.test.ts
@@ -1,16 +1,14 @@
-import {connect} from 'node:net';
-import process from 'node:process';
-import v8 from 'node:v8';
-import vm from 'node:vm';
 import {expect, it} from 'vitest';
 import {OPEN_END} from './faulty-answers.js';
 import {
-	configuration,
+	adaptConfiguration,
 	createCleanups,
 	formatEvent,
+	sendRaw,
 	startHarness,
 	startRawBackend,
 } from './harness.js';
+import {readHeapBytes} from './heap-bytes.js';
 
 // Events that the caller has are not delivered, so nobody sees whether they are kept.
 
@@ -20,53 +18,27 @@
 /** One that is kept takes its id and a place in a table, 50 bytes and more. */
 const MAX_BYTES_PER_EVENT = 20;
 const PATIENT_MS = 60_000;
+/** Less than the time that the test has. */
+const WAIT_MS = 25_000;
 
-const config = {
-	...configuration,
-	routes: configuration.routes.map((route) => ({
-		...route,
+const config = adaptConfiguration(
+	{
 		timeoutMs: PATIENT_MS,
 		latencyTargetMs: PATIENT_MS,
 		gapTargetMs: PATIENT_MS,
-	})),
-	services: configuration.services.map((service) => ({
-		...service,
-		engine: {...service.engine!, canBackUp: false, canCopy: false},
-	})),
-};
+	},
+	{canBackUp: false, canCopy: false},
+);
 
-v8.setFlagsFromString('--expose-gc');
-const collectGarbage = vm.runInNewContext('gc') as () => void;
-
-function readHeapBytes(): number {
-	collectGarbage();
-	return process.memoryUsage().heapUsed;
-}
-
-/** Calls a stream; returns a function that waits for an event, and leaves it open. */
+/** Calls a stream and leaves it open; returns a function that waits for an event. */
 function callOpen(port: number, id: string): (event: string) => Promise<void> {
-	const socket = connect(port, '127.0.0.1');
-	cleanups.push(() => socket.destroy());
-	let text = '';
-	let check = (): void => undefined;
-	socket.setEncoding('latin1');
-	socket.on('data', (chunk: string) => {
-		text += chunk;
-		check();
-	});
-	socket.write(
+	const {read} = sendRaw(
+		cleanups,
+		port,
 		`POST /stream/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: ${id}\r\nWait-Ms: ${PATIENT_MS}\r\nContent-Length: 0\r\n\r\n`,
 	);
 	return async (event) =>
-		new Promise((resolve) => {
-			check = () => {
-				if (text.includes(event)) {
-					resolve();
-				}
-			};
-
-			check();
-		});
+		expect.poll(read, {timeout: WAIT_MS}).toContain(event);
 }
 
 it('events that streams repeat are not kept', async () => {
--- a/packages/lovage-gateway/src/__tests__/unit/kept-ids.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/kept-ids.test.ts
@@ -1,10 +1,8 @@
 import {Buffer} from 'node:buffer';
-import process from 'node:process';
-import v8 from 'node:v8';
-import vm from 'node:vm';
 import {expect, it} from 'vitest';
 import {createEventSplitter} from '../../event-splitter.js';
 import {createTestBuffers} from '../integration/harness.js';
+import {readHeapBytes} from '../integration/heap-bytes.js';
 
 // A part of a text keeps the whole text: the id of the last event is kept while a stream
 // waits for the next one, and no account counts its event then.
@@ -13,14 +11,6 @@
 const EVENT_BYTES = 100_000;
 const MAX_BYTES_PER_ID = 2000;
 
-v8.setFlagsFromString('--expose-gc');
-const collectGarbage = vm.runInNewContext('gc') as () => void;
-
-function readHeapBytes(): number {
-	collectGarbage();
-	return process.memoryUsage().heapUsed;
-}
-
 it('an id does not keep the text of its event', () => {
 	const account = createTestBuffers().open({source: 'backends', name: 'b'});
 	const before = readHeapBytes();
