--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -18,6 +18,7 @@
 import {
 	createRouteTable,
 	type Configuration,
+	type EngineLimits,
 	type Route,
 	type RouteKind,
 } from '@lovagevalve/routing';
@@ -194,6 +195,21 @@
 	},
 };
 
+/** Changes each route and engine of the configuration. */
+export function adaptConfiguration(
+	route: Partial<Route>,
+	engine: Partial<EngineLimits> = {},
+): Configuration {
+	return {
+		...configuration,
+		routes: configuration.routes.map((known) => ({...known, ...route})),
+		services: configuration.services.map((service) => ({
+			...service,
+			engine: {...service.engine!, ...engine},
+		})),
+	};
+}
+
 /** A gateway in front of fake backend servers. */
 export type Harness = Readonly<{
 	gateway: Gateway;
@@ -460,6 +476,31 @@
 	});
 }
 
+/** A connection on which bytes were sent. */
+export type RawConnection = Readonly<{
+	socket: Socket;
+	/** What was answered so far. */
+	read: () => string;
+}>;
+
+/** Sends raw bytes on a new connection, which stays open until the test ends. */
+export function sendRaw(
+	cleanups: Array<() => unknown>,
+	port: number,
+	text: string,
+): RawConnection {
+	const socket = connect(port, '127.0.0.1');
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('error', () => undefined);
+	socket.on('data', (chunk: string) => {
+		received += chunk;
+	});
+	socket.write(text);
+	cleanups.push(() => socket.destroy());
+	return {socket, read: () => received};
+}
+
 /** Formats a server-sent event. */
 export function formatEvent(id: number): string {
 	return `id: ${id}\ndata: piece ${id}\n\n`;
