Close connections that send too many requests ahead of their responses

Change: a connection with more than 64 requests without their response is closed, and so is one that sends ahead while all connections of the process have sent 1,024 ahead. The parser takes no more requests of it. Requests of a closed connection count until its close event, as they stay in memory until then. Applies to all listeners of the programs.

--- a/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
@@ -20,7 +20,9 @@
 
 function start(listener: ListenerName) {
 	const held: ServerResponse[] = [];
+	let handled = 0;
 	const server = createServer((req, res) => {
+		handled += 1;
 		if (req.url === '/held') {
 			held.push(res);
 		} else {
@@ -36,6 +38,7 @@
 	connections.attach(server, listener);
 	return {
 		held,
+		countHandled: () => handled,
 		async open(): Promise<Socket> {
 			const socket = await connect(server);
 			return socket.resume();
@@ -114,3 +117,55 @@
 	await send(all.at(-2)!, '/held');
 	expect(readClosed(all)).toEqual(all.map((_, i) => i < 2));
 });
+
+it('serves a connection that sends some requests ahead', async () => {
+	const {open} = start('callers');
+	const [socket] = await openAll(1, open);
+	let text = '';
+	socket!.on('data', (chunk) => {
+		text += String(chunk);
+	});
+	await send(socket!, '/ HTTP/1.1\r\nHost: a\r\n\r\nGET /'.repeat(31));
+	expect(text.match(/served/g)).toHaveLength(32);
+	expect(socket!.closed).toBe(false);
+});
+
+// Node.js parses all that has arrived, and held thousands of requests of each connection.
+it('closes a connection that sends too many requests ahead, and parses no more of them', async () => {
+	const {open, countHandled} = start('callers');
+	const [flooding, other] = await openAll(2, open);
+	await send(
+		flooding!,
+		'/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(999),
+	);
+	expect(flooding!.closed).toBe(true);
+	expect(countHandled()).toBeLessThan(100);
+	let text = '';
+	other!.on('data', (chunk) => {
+		text += String(chunk);
+	});
+	await send(other!, '/');
+	expect(text).toContain('served');
+});
+
+it('bounds the requests that all connections send ahead, not those that they wait for', async () => {
+	const {open, countHandled} = start('callers');
+	const waiting = await openAll(30, open);
+	await Promise.all(
+		waiting.map(async (socket) =>
+			send(socket, '/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(49)),
+		),
+	);
+	expect(countHandled()).toBeLessThan(1200);
+	expect(waiting.some(({closed}) => closed)).toBe(true);
+	const [ordinary] = await openAll(1, open);
+	await send(ordinary!, '/held');
+	expect(ordinary!.closed).toBe(false);
+	// What was sent ahead counts until its connection is closed, and no longer.
+	waiting.forEach((socket) => {
+		socket.destroy();
+	});
+	const [later] = await openAll(1, open);
+	await send(later!, '/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(49));
+	expect(later!.closed).toBe(false);
+});
--- a/packages/lovage-runtime/src/connection-budget.ts
+++ b/packages/lovage-runtime/src/connection-budget.ts
@@ -79,3 +79,32 @@
 		? {kind: 'reject'}
 		: {kind: 'admit', closedIdle};
 }
+
+/**
+ * Requests of one connection that may be without their response. Ordinary callers wait
+ * for each response, and pipelining ones in use send less than ten ahead.
+ */
+const MAX_UNANSWERED = 64;
+/**
+ * The same behind the first of each connection, over all connections of a process. At
+ * about 10 KB for each they take a tenth of the heap of an entry (96 MB).
+ */
+const MAX_ALL_PIPELINED = 1024;
+
+/** Requests without their response. */
+export type UnansweredRequests = Readonly<{
+	ofConnection: number;
+	/** Behind the first one of each connection, over all connections. */
+	allPipelined: number;
+}>;
+
+/** Whether a connection is closed for the requests that it has sent ahead. */
+export function hasTooManyUnanswered({
+	ofConnection,
+	allPipelined,
+}: UnansweredRequests): boolean {
+	return (
+		ofConnection > MAX_UNANSWERED ||
+		(ofConnection > 1 && allPipelined > MAX_ALL_PIPELINED)
+	);
+}
--- a/packages/lovage-runtime/src/listener-connections.ts
+++ b/packages/lovage-runtime/src/listener-connections.ts
@@ -6,10 +6,12 @@
 	type ConnectionUse,
 	countSurplusIdle,
 	decideConnection,
+	hasTooManyUnanswered,
 	type ListenerName,
 } from './connection-budget.js';
 import type {Logger} from './logs.js';
 import type {PrometheusMetrics} from './prometheus-metrics.js';
+import {stopParsing} from './stop-parsing.js';
 
 /** Bounds the connections that the listeners of a process keep open. */
 export type ListenerConnections = Readonly<{
@@ -26,6 +28,22 @@
 	maxDescriptors: number;
 }>;
 
+type CloseDecision = 'idle-closed' | 'rejected' | 'pipelined';
+
+const REASONS: Readonly<Record<CloseDecision, string>> = {
+	'idle-closed': 'Closed a connection at the bound of descriptors.',
+	rejected: 'Closed a connection at the bound of descriptors.',
+	pipelined: 'Closed a connection with too many unanswered requests.',
+};
+
+function whenClosed(socket: Socket, run: () => void): void {
+	if (socket.closed) {
+		run();
+	} else {
+		socket.once('close', run);
+	}
+}
+
 /** Creates the bounds of a process. */
 export function createListenerConnections({
 	clock,
@@ -35,6 +53,9 @@
 }: ListenerConnectionsOptions): ListenerConnections {
 	let allOpen = 0;
 	let peakOpen = 0;
+	/** Requests without their response, behind the first one of each connection. */
+	let allPipelined = 0;
+	metrics.registerGauge('requests_pipelined', () => allPipelined);
 	metrics.registerGauge('connections_open', () => allOpen);
 	metrics.registerGauge('connections_open_peak', () => peakOpen);
 	metrics.registerGauge('descriptors_limit', () => maxDescriptors);
@@ -55,20 +76,22 @@
 			});
 
 			const forget = (socket: Socket): void => {
+				const pipelined = Math.max(0, (requests.get(socket) ?? 0) - 1);
 				if (requests.delete(socket)) {
 					idleSince.delete(socket);
 					allOpen -= 1;
+					// Its requests stay in memory until then.
+					whenClosed(socket, () => {
+						allPipelined -= pipelined;
+					});
 				}
 			};
 
-			const close = (
-				socket: Socket,
-				decision: 'idle-closed' | 'rejected',
-			): void => {
+			const close = (socket: Socket, decision: CloseDecision): void => {
 				const {open, busy} = readUse();
 				const now = clock.now();
 				metrics.count('connections_closed', {listener, decision});
-				log.warn('Closed a connection at the bound of descriptors.', {
+				log.warn(REASONS[decision], {
 					listener,
 					decision,
 					remote: socket.remoteAddress ?? '',
@@ -89,8 +112,16 @@
 			};
 
 			const begin = (socket: Socket): void => {
-				requests.set(socket, requests.get(socket)! + 1);
+				const ofConnection = requests.get(socket)! + 1;
+				requests.set(socket, ofConnection);
 				idleSince.delete(socket);
+				allPipelined += ofConnection > 1 ? 1 : 0;
+				if (hasTooManyUnanswered({ofConnection, allPipelined})) {
+					close(socket, 'pipelined');
+					stopParsing(socket);
+					return;
+				}
+
 				closeLongestIdle(countSurplusIdle(readUse(), limit));
 			};
 
@@ -98,6 +129,7 @@
 				const left = (requests.get(socket) ?? 0) - 1;
 				if (left >= 0) {
 					requests.set(socket, left);
+					allPipelined -= left > 0 ? 1 : 0;
 				}
 
 				if (left === 0) {
