Serve bodies in small chunks, and bound such chunks for the process

Cause: a body of more than 4,096 chunks with less than 16 bytes on average was answered 400, though it was valid; and nothing bounded what many bodies of fewer chunks cost together.

Of a refused body 8,192 instead of 4,096 chunks are read, so that its sender receives the refusal. Answers of backend servers are bounded as before.

--- a/packages/lovage-gateway/src/__tests__/integration/bounded-gateway.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/bounded-gateway.ts
@@ -9,6 +9,8 @@
 
 /** What the gateway may buffer. */
 export const CAPACITY_BYTES = 8_388_608;
+/** Small chunks that it may read at once. */
+export const MAX_SMALL_CHUNKS = 16_384;
 export const MAX_BODY_BYTES = 4_194_304;
 
 /** A gateway that may buffer little. */
@@ -23,7 +25,7 @@
 	createBody: CreateBody,
 ): Promise<BoundedGateway> {
 	const port = await startSoundBackend(cleanups, createBody);
-	const buffers = createTestBuffers(CAPACITY_BYTES);
+	const buffers = createTestBuffers(CAPACITY_BYTES, MAX_SMALL_CHUNKS);
 	const limits = {...configuration.limits, maxBodyBytes: MAX_BODY_BYTES};
 	const harness = await startHarness(
 		{...configuration, limits},
--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -63,8 +63,9 @@
 	},
 	late: {status: 408, reason: 'the body did not end in time'},
 	fragmented: {
-		status: 400,
-		reason: 'the body comes in too many small chunks',
+		status: 503,
+		reason: 'too many small chunks are being read',
+		retryAfterMs: RETRY_AFTER_MS,
 	},
 };
 /** Concurrent requests held in memory; further ones are rejected. */
--- a/packages/lovage-runtime/src/__tests__/unit/memory-budget.test.ts
+++ b/packages/lovage-runtime/src/__tests__/unit/memory-budget.test.ts
@@ -6,7 +6,10 @@
 	type BufferSource,
 	computeBufferCapacity,
 	createByteCollector,
+	createChunkLease,
 	isFragmented,
+	takeSmallChunks,
+	type ChunkBudget,
 } from '../../index.js';
 import {computeLoggedLevel} from '../../memory-budget.js';
 import {createTestBuffers} from '../integration/test-buffers.js';
@@ -142,3 +145,41 @@
 	});
 	expect(logged).toEqual([52, 61, 71, 51, 62]);
 });
+
+describe('the budget of small chunks', () => {
+	it('bounds what bodies of any number take in a time', () => {
+		const options = {wanted: 256, maxChunks: 4096};
+		let budget: ChunkBudget = {chunks: 4096, atMs: 0};
+		let taken = 0;
+		for (let nowMs = 0; nowMs < 10_000; nowMs += 1) {
+			const next = takeSmallChunks(budget, {...options, nowMs});
+			taken += next === undefined ? 0 : 256;
+			budget = next ?? budget;
+		}
+
+		expect(taken).toBeGreaterThan(4096);
+		expect(taken).toBeLessThanOrEqual(4096 + 10 * 1024);
+	});
+
+	it('is not taken by bodies in few chunks, or in chunks of a usual size', () => {
+		let taken = 0;
+		const take = (chunks: number): boolean => {
+			taken += chunks;
+			return true;
+		};
+
+		const isTaken = (size: number, count: number): boolean => {
+			const mayRead = createChunkLease(take);
+			const before = taken;
+			for (let i = 0; i < count; i += 1) {
+				mayRead(Buffer.alloc(size));
+			}
+
+			return taken > before;
+		};
+
+		expect(isTaken(1, 256)).toBe(false);
+		expect(isTaken(100, 5000)).toBe(false);
+		expect(isTaken(1, 257)).toBe(true);
+	});
+});
--- a/packages/lovage-runtime/src/buffer-budget.ts
+++ b/packages/lovage-runtime/src/buffer-budget.ts
@@ -1,3 +1,9 @@
+import {
+	type ChunkBudget,
+	MAX_SMALL_CHUNKS,
+	takeSmallChunks,
+} from './chunk-budget.js';
+import type {Clock} from './clock.js';
 import type {Logger} from './logs.js';
 import {
 	type BufferDecision,
@@ -19,6 +25,8 @@
 	resize: (bytes: number) => boolean;
 	/** Whether the exchange could buffer so many bytes now; false is logged and counted. */
 	canHold: (bytes: number) => boolean;
+	/** Whether so many small chunks may be read now; false is logged and counted. */
+	takeSmallChunks: (chunks: number) => boolean;
 	/** Gives all bytes back; may be called more than once. */
 	release: () => void;
 	/** Gives all bytes back; nothing is granted any more. */
@@ -39,6 +47,9 @@
 	capacityBytes: number;
 	log: Logger;
 	metrics: PrometheusMetrics;
+	clock?: Pick<Clock, 'now'>;
+	/** Small chunks that the process reads at once. */
+	maxSmallChunks?: number;
 }>;
 
 const MAX_LOGGED_NAME_LENGTH = 64;
@@ -48,7 +59,10 @@
 	capacityBytes,
 	log,
 	metrics,
+	clock = performance,
+	maxSmallChunks = MAX_SMALL_CHUNKS,
 }: BufferBudgetOptions): BufferBudget {
+	let chunkBudget: ChunkBudget = {chunks: maxSmallChunks, atMs: clock.now()};
 	const sources = new Map<BufferSource, number>();
 	const holders = new Map<string, number>();
 	let usedBytes = 0;
@@ -110,6 +124,31 @@
 		return decision === 'grant';
 	};
 
+	const takeChunks = (
+		{source, name}: BufferHolder,
+		wanted: number,
+	): boolean => {
+		const left = takeSmallChunks(chunkBudget, {
+			wanted,
+			nowMs: clock.now(),
+			maxChunks: maxSmallChunks,
+		});
+		if (left === undefined) {
+			const decision = 'chunks-full';
+			metrics.count('buffer_refusals', {source, decision});
+			log.warn('A bound of small chunks is reached.', {
+				source,
+				holder: name.slice(0, MAX_LOGGED_NAME_LENGTH),
+				decision,
+				wanted,
+				maxSmallChunks,
+			});
+		}
+
+		chunkBudget = left ?? chunkBudget;
+		return left !== undefined;
+	};
+
 	metrics.registerGauge('buffered_bytes', () => usedBytes);
 	metrics.registerGauge('buffered_peak_bytes', () => peakBytes);
 	metrics.registerGauge('buffered_limit_bytes', () => capacityBytes);
@@ -139,6 +178,7 @@
 					heldBytes = bytes;
 					return true;
 				},
+				takeSmallChunks: (chunks) => takeChunks(holder, chunks),
 				release,
 				close() {
 					isClosed = true;
--- a/packages/lovage-runtime/src/fragmentation.ts
+++ b/packages/lovage-runtime/src/fragmentation.ts
@@ -22,3 +22,28 @@
 			: undefined;
 	};
 }
+
+/** Chunks that are taken of a budget at once; a body in fewer chunks needs none. */
+const CHUNKS_PER_LEASE = 256;
+
+/**
+ * Counts the chunks of one body, and takes those of a body in small chunks from the
+ * budget of the process; returns whether a chunk may be read.
+ */
+export function createChunkLease(
+	take: (chunks: number) => boolean,
+): (chunk: Uint8Array) => boolean {
+	let chunks = 0;
+	let bytes = 0;
+	let leased = CHUNKS_PER_LEASE;
+	return ({length}) => {
+		chunks += 1;
+		bytes += length;
+		if (chunks <= leased || bytes >= chunks * MIN_MEAN_BYTES) {
+			return true;
+		}
+
+		leased = chunks + CHUNKS_PER_LEASE;
+		return take(CHUNKS_PER_LEASE);
+	};
+}
--- a/packages/lovage-runtime/src/index.ts
+++ b/packages/lovage-runtime/src/index.ts
@@ -72,7 +72,12 @@
 export {computeBufferCapacity, decideBuffering} from './memory-budget.js';
 export type {ByteCollector, CollectOutcome} from './byte-collector.js';
 export {createByteCollector} from './byte-collector.js';
-export {createChunkCount, isFragmented} from './fragmentation.js';
+export {type ChunkBudget, takeSmallChunks} from './chunk-budget.js';
+export {
+	createChunkCount,
+	createChunkLease,
+	isFragmented,
+} from './fragmentation.js';
 export type {BodyRefusal, RequestBody} from './request-body.js';
 export {discardRest, endWhenRead, readRequestBody} from './request-body.js';
 export {boundAnswerHead} from './answer-head-bounds.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -85,8 +85,9 @@
 
 		case 'fragmented': {
 			return {
-				status: 400,
-				body: {error: 'the body comes in too many small chunks'},
+				status: 503,
+				body: {error: 'too many small chunks are being read'},
+				headers: NO_ROOM.headers!,
 			};
 		}
 	}
--- a/packages/lovage-runtime/src/read-bounded.ts
+++ b/packages/lovage-runtime/src/read-bounded.ts
@@ -4,6 +4,7 @@
 const UNBOUNDED_ACCOUNT = {
 	resize: () => true,
 	canHold: () => true,
+	takeSmallChunks: () => true,
 	release: () => undefined,
 	close: () => undefined,
 } as const;
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -2,7 +2,7 @@
 import type {BufferAccount} from './buffer-budget.js';
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
-import {createChunkCount} from './fragmentation.js';
+import {createChunkLease} from './fragmentation.js';
 
 /** Why a body is not read to its end. */
 export type BodyRefusal =
@@ -11,7 +11,7 @@
 	| 'no-room'
 	/** It was not complete in time. */
 	| 'late'
-	/** It comes in too many small chunks. */
+	/** It comes in small chunks, of which the process reads too many now. */
 	| 'fragmented';
 
 /** Result of reading the body of a request. */
@@ -35,8 +35,11 @@
 
 /** Bytes and time for which the rest of a refused body is read, so that the refusal arrives. */
 const MAX_DISCARDED_BYTES = 33_554_432;
-/** A chunk takes the time of so many bytes, however small it is. */
-const CHUNK_COST_BYTES = 8192;
+/**
+ * A chunk takes the time of so many bytes, however small it is. The rest of a body of
+ * 24 KB in chunks of four bytes is read.
+ */
+const CHUNK_COST_BYTES = 4096;
 const DISCARD_MS = 1000;
 
 /**
@@ -112,7 +115,7 @@
 			maxBytes,
 			...(length === undefined ? {} : {expectedBytes: announcedBytes}),
 		});
-		const findFragmentation = createChunkCount();
+		const mayReadChunk = createChunkLease(account.takeSmallChunks);
 		let isOver = false;
 		const settle = (outcome: RequestBody): void => {
 			isOver = true;
@@ -136,10 +139,9 @@
 				return;
 			}
 
-			const outcome =
-				findFragmentation(chunk) === undefined
-					? collector.push(chunk)
-					: 'fragmented';
+			const outcome = mayReadChunk(chunk)
+				? collector.push(chunk)
+				: 'fragmented';
 			if (outcome !== 'kept') {
 				refuse(outcome);
 			}
