Close connections on which blank lines come instead of a request

Cause: Node.js starts its limit for heads with the first byte of a head, and each byte restarts its limit for idle connections. Blank lines behind a response kept a connection for ever at every listener, and those before the first request up to 30 s at callers, as Node.js checks that often.

Change: an idle connection on which bytes have come that have not become a request within the server's headersTimeout (header-timeout-ms at callers) is closed; checked four times a second. Silent connections are idle as before.

--- a/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
@@ -18,7 +18,7 @@
 const noop = (): undefined => undefined;
 const connect = createConnector();
 
-function start(listener: ListenerName) {
+function start(listener: ListenerName, headersTimeout = 60_000) {
 	const held: ServerResponse[] = [];
 	let handled = 0;
 	const server = createServer((req, res) => {
@@ -29,6 +29,7 @@
 			res.end('served');
 		}
 	});
+	server.headersTimeout = headersTimeout;
 	const connections = createListenerConnections({
 		clock: {now: () => performance.now()},
 		log: {debug: noop, info: noop, warn: noop, error: noop},
@@ -169,3 +170,19 @@
 	await send(later!, '/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(49));
 	expect(later!.closed).toBe(false);
 });
+
+it('closes a connection on which blank lines come without end, and no idle one', async () => {
+	const {open} = start('callers', 600);
+	const [blank, silent, kept] = await openAll(3, open);
+	await send(blank!, '/');
+	await send(kept!, '/');
+	const timer = setInterval(() => {
+		blank!.write('\r\n');
+	}, SETTLE_MS);
+	await expect.poll(() => blank!.closed, {timeout: 5000}).toBe(true);
+	clearInterval(timer);
+	expect(readClosed([silent!, kept!])).toEqual([false, false]);
+	await send(silent!, '/');
+	await send(kept!, '/');
+	expect(readClosed([silent!, kept!])).toEqual([false, false]);
+});
--- a/packages/lovage-runtime/src/connection-budget.ts
+++ b/packages/lovage-runtime/src/connection-budget.ts
@@ -108,3 +108,35 @@
 		(ofConnection > 1 && allPipelined > MAX_ALL_PIPELINED)
 	);
 }
+
+/** An open connection without a request under way. */
+export type IdleConnection = Readonly<{
+	sinceMs: number;
+	/** Bytes received when it became idle. */
+	bytesBefore: number;
+	/** When bytes were first seen that have not become a request. */
+	inputMs?: number;
+}>;
+
+/** Notes whether bytes have come on an idle connection. */
+export function noteInput(
+	idle: IdleConnection,
+	bytesRead: number,
+	nowMs: number,
+): IdleConnection {
+	return idle.inputMs === undefined && bytesRead > idle.bytesBefore
+		? {...idle, inputMs: nowMs}
+		: idle;
+}
+
+/**
+ * Whether the head of a request has taken too long. The limits of Node.js start with the
+ * first byte of a head; blank lines before it restart the limit of idle connections.
+ */
+export function isHeadLate(
+	{inputMs}: IdleConnection,
+	limitMs: number,
+	nowMs: number,
+): boolean {
+	return limitMs > 0 && inputMs !== undefined && nowMs - inputMs >= limitMs;
+}
--- a/packages/lovage-runtime/src/listener-connections.ts
+++ b/packages/lovage-runtime/src/listener-connections.ts
@@ -7,7 +7,10 @@
 	countSurplusIdle,
 	decideConnection,
 	hasTooManyUnanswered,
+	type IdleConnection,
+	isHeadLate,
 	type ListenerName,
+	noteInput,
 } from './connection-budget.js';
 import type {Logger} from './logs.js';
 import type {PrometheusMetrics} from './prometheus-metrics.js';
@@ -28,13 +31,16 @@
 	maxDescriptors: number;
 }>;
 
-type CloseDecision = 'idle-closed' | 'rejected' | 'pipelined';
+type CloseDecision = 'idle-closed' | 'rejected' | 'pipelined' | 'head-late';
 
 const REASONS: Readonly<Record<CloseDecision, string>> = {
 	'idle-closed': 'Closed a connection at the bound of descriptors.',
 	rejected: 'Closed a connection at the bound of descriptors.',
 	pipelined: 'Closed a connection with too many unanswered requests.',
+	'head-late': 'Closed a connection whose request did not begin in time.',
 };
+/** Interval of the check for late heads: a twelfth of the time for them at callers. */
+const CHECK_INTERVAL_MS = 250;
 
 function whenClosed(socket: Socket, run: () => void): void {
 	if (socket.closed) {
@@ -65,20 +71,20 @@
 			const limit = computeDescriptorLimit(listener, maxDescriptors);
 			/** Open connections with their number of requests under way. */
 			const requests = new Map<Socket, number>();
-			/** Idle connections with the time since when, the longest idle one first. */
-			const idleSince = new Map<Socket, number>();
+			/** Idle connections, the longest idle one first. */
+			const idleConnections = new Map<Socket, IdleConnection>();
 
 			const readUse = (): ConnectionUse => ({
 				listener,
 				open: requests.size,
-				idle: idleSince.size,
-				busy: requests.size - idleSince.size,
+				idle: idleConnections.size,
+				busy: requests.size - idleConnections.size,
 			});
 
 			const forget = (socket: Socket): void => {
 				const pipelined = Math.max(0, (requests.get(socket) ?? 0) - 1);
 				if (requests.delete(socket)) {
-					idleSince.delete(socket);
+					idleConnections.delete(socket);
 					allOpen -= 1;
 					// Its requests stay in memory until then.
 					whenClosed(socket, () => {
@@ -95,7 +101,9 @@
 					listener,
 					decision,
 					remote: socket.remoteAddress ?? '',
-					idleMs: Math.round(now - (idleSince.get(socket) ?? now)),
+					idleMs: Math.round(
+						now - (idleConnections.get(socket)?.sinceMs ?? now),
+					),
 					open,
 					busy,
 					limit,
@@ -106,15 +114,22 @@
 
 			const closeLongestIdle = (count: number): void => {
 				for (let left = count; left > 0; left -= 1) {
-					const [socket] = idleSince.keys();
+					const [socket] = idleConnections.keys();
 					close(socket!, 'idle-closed');
 				}
 			};
 
+			const setIdle = (socket: Socket): void => {
+				idleConnections.set(socket, {
+					sinceMs: clock.now(),
+					bytesBefore: socket.bytesRead,
+				});
+			};
+
 			const begin = (socket: Socket): void => {
 				const ofConnection = requests.get(socket)! + 1;
 				requests.set(socket, ofConnection);
-				idleSince.delete(socket);
+				idleConnections.delete(socket);
 				allPipelined += ofConnection > 1 ? 1 : 0;
 				if (hasTooManyUnanswered({ofConnection, allPipelined})) {
 					close(socket, 'pipelined');
@@ -133,10 +148,30 @@
 				}
 
 				if (left === 0) {
-					idleSince.set(socket, clock.now());
+					setIdle(socket);
 				}
 			};
 
+			const closeLateHeads = (): void => {
+				const now = clock.now();
+				[...idleConnections].forEach(([socket, before]) => {
+					const idle = noteInput(before, socket.bytesRead, now);
+					idleConnections.set(socket, idle);
+					if (isHeadLate(idle, server.headersTimeout, now)) {
+						close(socket, 'head-late');
+					}
+				});
+			};
+
+			const timer = setInterval(() => {
+				// What arrived while the process stood still is read first.
+				setImmediate(closeLateHeads);
+			}, CHECK_INTERVAL_MS);
+			timer.unref();
+			server.once('close', () => {
+				clearInterval(timer);
+			});
+
 			server.on('connection', (socket: Socket) => {
 				const use = readUse();
 				const decision = decideConnection(
@@ -149,7 +184,7 @@
 				}
 
 				requests.set(socket, 0);
-				idleSince.set(socket, clock.now());
+				setIdle(socket);
 				allOpen += 1;
 				peakOpen = Math.max(peakOpen, allOpen);
 				socket.once('close', () => {
