Name entries to callers in proportion to their capacity

Cause: the directory names the first 64 entries of its list, so with 79, 87 or 195 entries the rest get no callers, and capacities of machines don't count. Change: with more than 64 entries, or capacities that differ by more than a fifth, each caller gets a stable subset by its address (Pareto order sampling), weighted by capacity and preferring its data centre. Entries report their capacity; control instances send data centres and capacities with the list of entries only where this takes effect. Otherwise the answer is as before.

--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -135,6 +135,25 @@
 		expect(readOverview(changed.servingRevision).serving).toBeUndefined();
 	});
 
+	it('sends the machines of entries only where callers get different entries', () => {
+		const {registry} = createTestRegistry();
+		const readOverview = (knownServing?: KnownRevision) =>
+			registry.createReportResponse({...reportRequest, knownServing}).overview!;
+		registry.applyReport(createReport('entry-1', {capacity: 1}));
+		registry.applyReport(createReport('entry-2', {capacity: 1.1}));
+		const alike = readOverview();
+		expect(alike).toHaveProperty('serving');
+		expect(alike).not.toHaveProperty('servingMachines');
+		registry.applyReport(createReport('entry-2', {capacity: 2}));
+		const changed = readOverview(alike.servingRevision);
+		expect(changed.servingMachines).toEqual([
+			['a', 1],
+			['a', 2],
+		]);
+		const known = readOverview(changed.servingRevision);
+		expect(known).not.toHaveProperty('servingMachines');
+	});
+
 	// Each entry receives five answers a second from the same control instance.
 	it('answers entries in steady state with the same number of bytes, however many there are', () => {
 		const measureAnswer = (entries: number): number => {
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -139,6 +139,7 @@
 /** Fields that some builds leave out. */
 const OPTIONAL: Readonly<Record<string, (value: unknown) => boolean>> = {
 	version: isFigure,
+	capacity: isFigure,
 	crashReports: (value) => isListOf(value, isCrashReport),
 	soundMs: (value) => isRecordOf(value, isFigure),
 	leaving: (value) => isListOf(value, isText),
--- a/packages/lovage-coordinator/src/entry-registry.ts
+++ b/packages/lovage-coordinator/src/entry-registry.ts
@@ -1,8 +1,11 @@
 import {
 	chooseRelays,
 	type ClusterOverview,
+	describeMachines,
 	type EntryReport,
 	type EntryStatus,
+	isSameServing,
+	isSelective,
 	type KnownRevision,
 } from '@lovagevalve/dispatch';
 import type {Clock, Logger} from '@lovagevalve/runtime';
@@ -12,6 +15,8 @@
 	entry: string;
 	address: string;
 	dataCentre: string;
+	/** In cores, if the entry reports it. */
+	capacity?: number;
 	standing: EntryStatus;
 	/** It reaches no backend server. */
 	isCutOff: boolean;
@@ -29,7 +34,7 @@
 	/** Describes the entries to advertise, unless they are known. */
 	describeServing: (
 		knownServing: KnownRevision | undefined,
-	) => Pick<ClusterOverview, 'serving' | 'servingRevision'>;
+	) => Pick<ClusterOverview, 'serving' | 'servingMachines' | 'servingRevision'>;
 	/** Describes entries that take over requests of one that is cut off. */
 	describeRelays: (entry: string) => Pick<ClusterOverview, 'relays'>;
 	/** Forgets entries that have ended and returns their names. */
@@ -62,7 +67,7 @@
 }: EntryRegistryOptions): EntryRegistry {
 	const entries = new Map<string, KnownEntry>();
 	/** Advertised entries as last described, and the number of changes of them. */
-	let lastServing: readonly string[] = [];
+	let lastServing: readonly KnownEntry[] = [];
 	let servingCount = 0;
 
 	const isAlive = ({heardAt}: KnownEntry): boolean =>
@@ -82,21 +87,30 @@
 
 	return {
 		record(report) {
-			const {entry, address, dataCentre, standing, isCutOff = false} = report;
+			const {entry, address, dataCentre, capacity} = report;
+			const {standing, isCutOff = false} = report;
 			const known = entries.get(entry);
 			if (
 				known?.standing !== standing ||
 				known.address !== address ||
 				known.isCutOff !== isCutOff ||
+				known.capacity !== capacity ||
 				!isAlive(known)
 			) {
-				log.info('An entry changed.', {entry, address, standing, isCutOff});
+				log.info('An entry changed.', {
+					entry,
+					address,
+					standing,
+					isCutOff,
+					capacity: capacity ?? 0,
+				});
 			}
 
 			entries.set(entry, {
 				entry,
 				address,
 				dataCentre,
+				...(capacity === undefined ? {} : {capacity}),
 				standing,
 				isCutOff,
 				heardAt: clock.now(),
@@ -113,19 +127,26 @@
 		 * so it is sent only after a change.
 		 */
 		describeServing(knownServing) {
-			const serving = listServing().map(({address}) => address);
-			const isChanged =
-				serving.length !== lastServing.length ||
-				serving.some((address, i) => address !== lastServing[i]);
-			if (isChanged) {
-				lastServing = serving;
+			const entriesServing = listServing();
+			if (!isSameServing(entriesServing, lastServing)) {
+				lastServing = entriesServing;
 				servingCount += 1;
 			}
 
 			const servingRevision = {epoch, revision: servingCount};
 			const isKnown =
 				knownServing?.epoch === epoch && knownServing.revision === servingCount;
-			return isKnown ? {servingRevision} : {servingRevision, serving};
+			if (isKnown) {
+				return {servingRevision};
+			}
+
+			return {
+				servingRevision,
+				serving: entriesServing.map(({address}) => address),
+				...(isSelective(entriesServing)
+					? {servingMachines: describeMachines(entriesServing)}
+					: {}),
+			};
 		},
 		describeRelays(entry) {
 			const known = entries.get(entry);
--- a/packages/lovage-dispatch/src/__tests__/unit/report-decoder.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/report-decoder.test.ts
@@ -16,6 +16,7 @@
 	readyCount: 1,
 	overview: {
 		serving: ['10.0.1.1:80'],
+		servingMachines: [['a', 0.324]],
 		servingRevision: revision,
 		loads: {'e-1': [1, 20, 30]},
 		retries: {s: {requests: 5, retries: 1, active: 2, recent: 3}},
@@ -86,6 +87,7 @@
 			{
 				overview: {
 					serving: [null, '10.0.1.1:80'],
+					servingMachines: [['a', 1], ['b']],
 					servingRevision: {},
 					loads: {a: [1, 2, 3], b: null, c: [1, 2], d: ['1', 2, 3]},
 					retries: {s: {requests: 1, retries: 0}, t: {}, u: null},
--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -1,3 +1,19 @@
+export {
+	computeCapacity,
+	countSelected,
+	describeMachines,
+	isSameServing,
+	isSelective,
+	joinMachines,
+	planSelection,
+	selectAddresses,
+} from './address-selection.js';
+export type {
+	AddressQuestion,
+	SelectionPlan,
+	ServingEntry,
+	ServingMachine,
+} from './address-selection.js';
 export {judgeAnswer} from './answer-verdict.js';
 export type {
 	AnswerHead,
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -1,3 +1,4 @@
+import type {ServingMachine} from './address-selection.js';
 import {isSocketAddress} from './backend-address.js';
 import {decodeFloods} from './flood-telling.js';
 import {isCount} from './record-decoder.js';
@@ -99,6 +100,22 @@
 	return Array.isArray(value) ? keepItems(value, isSocketAddress) : undefined;
 }
 
+function isServingMachine(value: unknown): value is ServingMachine {
+	return (
+		Array.isArray(value) &&
+		value.length === 2 &&
+		isText(value[0]) &&
+		isAmount(value[1])
+	);
+}
+
+/** The items belong to those of another list, so one that can't be read makes all unusable. */
+function keepMachines(value: unknown): readonly ServingMachine[] | undefined {
+	return Array.isArray(value) && value.every((item) => isServingMachine(item))
+		? value
+		: undefined;
+}
+
 function decodeOverview(value: unknown): ClusterOverview | undefined {
 	if (!isObject(value)) {
 		return undefined;
@@ -107,6 +124,7 @@
 	const {serving, servingRevision, loads, retries, limits, brittle} = value;
 	return {
 		...keepOptional('serving', keepAddresses(serving)),
+		...keepOptional('servingMachines', keepMachines(value.servingMachines)),
 		...(isRevision(servingRevision) ? {servingRevision} : {}),
 		loads: keepFields(loads, isLoad),
 		retries: keepFields(retries, isRetryCounts),
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -1,3 +1,4 @@
+import type {ServingMachine} from './address-selection.js';
 import type {BackendRecord} from './backend-table.js';
 import type {FloodReports} from './flood-telling.js';
 import type {BackendLoad} from './load.js';
@@ -76,6 +77,8 @@
 	/** Address for callers. */
 	address: string;
 	dataCentre: string;
+	/** In cores; entries of unknown capacity and older ones don't send it. */
+	capacity?: number;
 	standing: EntryStatus;
 	/** Version of the configuration in force; 0 for none. */
 	version: number;
@@ -135,6 +138,8 @@
 export type ClusterOverview = Readonly<{
 	/** Caller addresses of the entries that accept requests; absent if they are as the entry knows them. */
 	serving?: readonly string[];
+	/** Machines of the entries in `serving`, in its order; sent with it if callers get different entries. */
+	servingMachines?: readonly ServingMachine[];
 	/** Older control instances don't send it. */
 	servingRevision?: KnownRevision;
 	/** Load from the other entries. */
--- a/packages/lovage-gateway/src/entry-peers.ts
+++ b/packages/lovage-gateway/src/entry-peers.ts
@@ -1,4 +1,8 @@
-import type {ControlReport} from '@lovagevalve/dispatch';
+import {
+	type ControlReport,
+	joinMachines,
+	type ServingEntry,
+} from '@lovagevalve/dispatch';
 import type {Clock} from '@lovagevalve/runtime';
 
 /** The other entries, as control instances report them. */
@@ -6,8 +10,8 @@
 	applyReport: (control: string, report: ControlReport) => void;
 	/** Number of entries in service. */
 	count: () => number;
-	/** Addresses of the entries that are advertised; empty until they are known. */
-	listServing: () => readonly string[];
+	/** Entries that are advertised; empty until they are known. */
+	listServing: () => readonly ServingEntry[];
 	/** Addresses of the advertised entries but this one. */
 	listOthers: () => readonly string[];
 	/** Entries that take over requests while this one is cut off. */
@@ -24,19 +28,22 @@
 
 /** Creates the peers of the entry at `address`, none of which is known yet. */
 export function createEntryPeers(clock: Clock, address: string): EntryPeers {
-	let serving: readonly string[] = [];
+	let serving: readonly ServingEntry[] = [];
 	let relays: readonly string[] = [];
 	/** Number of entries, by the control instance that reported it. */
 	const counts = new Map<string, Readonly<{count: number; at: number}>>();
 
 	const listOthers = (): readonly string[] =>
-		serving.filter((other) => other !== address);
+		serving.map((other) => other.address).filter((other) => other !== address);
 
 	return {
 		applyReport(control, {entries, overview}) {
 			counts.set(control, {count: entries, at: clock.now()});
 			if (overview !== undefined) {
-				serving = overview.serving ?? serving;
+				serving =
+					overview.serving === undefined
+						? serving
+						: joinMachines(overview.serving, overview.servingMachines);
 				relays = overview.relays ?? [];
 			}
 		},
@@ -52,7 +59,7 @@
 		listOthers,
 		listRelays: () => (relays.length > 0 ? relays : listOthers()),
 		readRank() {
-			const sorted = serving.toSorted();
+			const sorted = serving.map((other) => other.address).toSorted();
 			const rank = sorted.indexOf(address);
 			return rank === -1
 				? {rank: sorted.length, instances: sorted.length + 1}
--- a/packages/lovage-gateway/src/entry-settings.ts
+++ b/packages/lovage-gateway/src/entry-settings.ts
@@ -6,6 +6,8 @@
 	/** Address that callers connect to. */
 	address: string;
 	dataCentre: string;
+	/** In cores; absent if it is not known. */
+	capacity?: number;
 	/**
 	 * Returns the current addresses of control instances for traffic between
 	 * instances.
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -1,5 +1,6 @@
 import {
 	type EntryStatus,
+	type ServingEntry,
 	type SharedEntryReport,
 	toCompactLoads,
 } from '@lovagevalve/dispatch';
@@ -54,8 +55,8 @@
 	/** Server for callers; the owner calls `listen`. */
 	gateway: Gateway;
 	isReady: () => boolean;
-	/** Addresses that callers may connect to; empty until they are known. */
-	listServing: () => readonly string[];
+	/** Entries that callers may connect to; empty until they are known. */
+	listServing: () => readonly ServingEntry[];
 	/**
 	 * Stops advertising this entry, serves the remaining requests and resolves
 	 * when the process may exit.
@@ -77,6 +78,9 @@
 	const {clock, log, metrics, buffers} = dependencies;
 	const tasks = createTaskGuard(dependencies);
 	let isLeaving = false;
+	const {address, dataCentre, capacity} = settings;
+	const known = capacity === undefined ? {} : {capacity};
+	const self = {address, dataCentre, ...known};
 	const peers = createEntryPeers(clock, settings.address);
 	const crashes = createCrashWatch({clock, log, metrics});
 	const origins = createStreamOrigins(clock);
@@ -173,8 +177,7 @@
 
 	const createReport = (): SharedEntryReport => ({
 		entry: settings.name,
-		address: settings.address,
-		dataCentre: settings.dataCentre,
+		...self,
 		standing: readStatus(),
 		version: configuration.readVersion(),
 		loads: toCompactLoads(view.readOwnLoads()),
@@ -247,8 +250,8 @@
 				return serving;
 			}
 
-			const others = peers.listOthers();
-			return readStatus() === 'ready' ? [settings.address, ...others] : others;
+			const others = serving.filter((other) => other.address !== address);
+			return readStatus() === 'ready' ? [self, ...others] : others;
 		},
 		async drain() {
 			isLeaving = true;
--- a/packages/lovage-gateway/src/index.ts
+++ b/packages/lovage-gateway/src/index.ts
@@ -11,6 +11,8 @@
 export type {LoadReservation} from './load-reservations.js';
 export {createEntry} from './entry.js';
 export type {Entry, EntryDependencies} from './entry.js';
+export {createEntryPeers} from './entry-peers.js';
+export type {EntryPeers} from './entry-peers.js';
 export type {EntrySettings} from './entry-settings.js';
 export {createEventSplitter} from './event-splitter.js';
 export type {EventSplitter, StreamEvent} from './event-splitter.js';
--- a/packages/lovage-runtime/src/json-server.ts
+++ b/packages/lovage-runtime/src/json-server.ts
@@ -26,6 +26,8 @@
 	path: string;
 	query: URLSearchParams;
 	text: string;
+	/** IP address of the other end of the connection; absent once it is closed. */
+	remoteAddress?: string;
 }>;
 
 /** Handles one request. */
@@ -128,7 +130,12 @@
 			const target = parseRequestTarget(url);
 			return target.isErr()
 				? {status: 400, body: {error: target.error}}
-				: handler({method, ...target.value, text});
+				: handler({
+						method,
+						...target.value,
+						text,
+						remoteAddress: req.socket.remoteAddress,
+					});
 		}
 	}
 }
