Queue streams at their entry until a model engine has room

Cause: entries sent each stream at once to the engine with the least load. Under bursts engines rejected or preempted what did not fit, streams of all priorities waited alike, and requests were accepted that could not be on time.

Change: where `contracts` names `pressure`, a stream waits at its entry. A pure decision in lovage-admission (`starts`, which doesn't load `immutable`) starts, refuses or keeps what waits: resumed streams first, then by priority, customers' shares and latest start; slots and memory bound the starts over all entries; free room that several entries see belongs to one of them by rank. Engines get the priority in `X-Request-Priority`. Entries report the prompt tokens that wait, by service and priority, and control instances return the sum of the others.

--- a/packages/lovage-admission/src/queue.ts
+++ b/packages/lovage-admission/src/queue.ts
@@ -1,3 +1,5 @@
+import {chargeWork, enterQueue} from './fair-share.js';
+import {compareOrdered} from './order.js';
 import {
 	getShare,
 	type AdmissionState,
@@ -7,14 +9,6 @@
 
 const EMPTY_QUEUE: CustomerQueue = {virtualTime: 0, requests: []};
 
-/** Compares requests of one customer by priority, then deadline, then arrival. */
-function compareRequests(left: QueuedRequest, right: QueuedRequest): number {
-	const priority = right.priority - left.priority;
-	const deadline =
-		(left.deadline ?? Number.MAX_VALUE) - (right.deadline ?? Number.MAX_VALUE);
-	return priority || deadline || left.order - right.order;
-}
-
 /** Returns the queue of a customer, empty if it has none. */
 export function getQueue(
 	state: AdmissionState,
@@ -36,12 +30,12 @@
 	const {customer, id} = request;
 	const queue = getQueue(state, customer);
 	const position = queue.requests.findIndex(
-		(other) => compareRequests(request, other) < 0,
+		(other) => compareOrdered(request, other) < 0,
 	);
 	const index = position === -1 ? queue.requests.length : position;
 	const virtualTime =
 		queue.requests.length === 0
-			? Math.max(queue.virtualTime, state.virtualTime)
+			? enterQueue(queue.virtualTime, state.virtualTime)
 			: queue.virtualTime;
 	const requests = queue.requests.toSpliced(index, 0, request);
 	return {
@@ -77,7 +71,11 @@
 ): AdmissionState {
 	const {customer, cost} = request;
 	const queue = getQueue(state, customer);
-	const virtualTime = queue.virtualTime + cost / getShare(state, customer);
+	const virtualTime = chargeWork(
+		queue.virtualTime,
+		cost,
+		getShare(state, customer),
+	);
 	return {
 		...state,
 		virtualTime: Math.max(state.virtualTime, queue.virtualTime),
--- a/packages/lovage-admission/src/select.ts
+++ b/packages/lovage-admission/src/select.ts
@@ -1,3 +1,4 @@
+import {isOldestTurn} from './order.js';
 import {countWaiting, getQueue} from './queue.js';
 import {
 	getShare,
@@ -17,11 +18,10 @@
 
 /** Selects the new request to start next. */
 export function selectNext(state: AdmissionState): QueuedRequest | undefined {
-	const isOldestTurn =
-		state.guards.oldestFirst &&
-		state.startCount % state.options.oldestEvery ===
-			state.options.oldestEvery - 1;
-	return isOldestTurn ? selectOldest(state) : selectByShare(state);
+	return state.guards.oldestFirst &&
+		isOldestTurn(state.startCount, state.options.oldestEvery)
+		? selectOldest(state)
+		: selectByShare(state);
 }
 
 function selectOldest(state: AdmissionState): QueuedRequest | undefined {
--- /dev/null
+++ b/packages/lovage-admission/src/starts.ts
@@ -0,0 +1,10 @@
+export {decideStarts, recordArrival} from './start-decision.js';
+export {
+	NO_STARTS,
+	type StartDecision,
+	type StartEngine,
+	type StartInput,
+	type StartRefusal,
+	type StartRequest,
+	type StartState,
+} from './start-types.js';
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -144,6 +144,7 @@
 	leaving: (value) => isListOf(value, isText),
 	limits: (value) => isRecordOf(value, isLimitReport),
 	brittle: (value) => isRecordOf(value, isLimitReport),
+	waiting: (value) => isRecordOf(value, isFigure),
 	isCutOff: (value) => typeof value === 'boolean',
 	origins: (value) => isListOf(value, isOriginReport),
 	known: isRevision,
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -19,6 +19,7 @@
 	fromCountsSum,
 	LOAD_ARITHMETIC,
 	mapValues,
+	NUMBER_ARITHMETIC,
 	toCountsSum,
 } from './arithmetic.js';
 import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
@@ -102,6 +103,8 @@
 
 	const loads = createEntrySums(LOAD_ARITHMETIC);
 	const retries = createEntrySums(COUNTS_ARITHMETIC);
+	/** Prompt tokens that wait, by service and priority. */
+	const waiting = createEntrySums(NUMBER_ARITHMETIC);
 	const limits = createLimitRegistry(clock);
 	/** Entries report brittle backend servers in the form of limits. */
 	const brittle = createLimitRegistry(clock);
@@ -110,6 +113,7 @@
 	const removeFromSums = (entry: string): void => {
 		loads.remove(entry);
 		retries.remove(entry);
+		waiting.remove(entry);
 		limits.removeEntry(entry);
 		brittle.removeEntry(entry);
 	};
@@ -119,12 +123,16 @@
 		entry: string,
 	): Pick<
 		ClusterOverview,
-		'loads' | 'retries' | 'limits' | 'brittle' | 'floods'
+		'loads' | 'retries' | 'waiting' | 'limits' | 'brittle' | 'floods'
 	> => {
 		entries.listSilent().forEach(removeFromSums);
+		const waitingElsewhere = waiting.sumOthers(entry);
 		return {
 			loads: toCompactLoads(loads.sumOthers(entry)),
 			retries: mapValues(retries.sumOthers(entry), fromCountsSum),
+			...(Object.keys(waitingElsewhere).length === 0
+				? {}
+				: {waiting: waitingElsewhere}),
 			limits: limits.describe(entry),
 			brittle: brittle.describe(entry),
 			floods: floods.describe(entry),
@@ -228,6 +236,7 @@
 			entries.record(report);
 			loads.set(report.entry, fromCompactLoads(report.loads));
 			retries.set(report.entry, mapValues(report.retries, toCountsSum));
+			waiting.set(report.entry, report.waiting ?? {});
 			limits.applyReport(report.entry, report.limits ?? {});
 			brittle.applyReport(report.entry, report.brittle ?? {});
 			floods.applyReport(report.entry, report.floods ?? {});
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -113,6 +113,9 @@
 		...keepOptional('limits', keepLimits(limits)),
 		...keepOptional('brittle', keepLimits(brittle)),
 		...keepOptional('floods', decodeFloods(value.floods)),
+		...(isObject(value.waiting)
+			? {waiting: keepFields(value.waiting, isAmount)}
+			: {}),
 		...keepOptional('relays', keepAddresses(value.relays)),
 	};
 }
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -101,6 +101,8 @@
 	brittle?: LimitReports;
 	/** Flooding backend servers that this entry met itself; older entries don't send it. */
 	floods?: FloodReports;
+	/** Prompt tokens that wait for engines, as `service/priority`; absent if none do. */
+	waiting?: Readonly<Record<string, number>>;
 	/** Whether the entry reaches no backend server; older entries don't send it. */
 	isCutOff?: boolean;
 	/** Origins of streams that this control instance has not confirmed yet. */
@@ -147,6 +149,8 @@
 	brittle?: LimitReports;
 	/** Flooding backend servers that other entries met; older control instances don't send it. */
 	floods?: FloodReports;
+	/** Prompt tokens that wait for engines at the other entries, as `service/priority`. */
+	waiting?: Readonly<Record<string, number>>;
 	/** Addresses of entries that take over requests, for one that is cut off. */
 	relays?: readonly string[];
 }>;
--- a/packages/lovage-gateway/src/__tests__/integration/harness.ts
+++ b/packages/lovage-gateway/src/__tests__/integration/harness.ts
@@ -29,6 +29,7 @@
 	type Logger,
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
+import {createAdmission} from '../../admission.js';
 import {createAnswerTimes} from '../../answer-times.js';
 import {type BackendView, createBackendView} from '../../backend-view.js';
 import {
@@ -250,6 +251,8 @@
 	codec?: HeaderCodec;
 	incarnations?: IncarnationQuestions;
 	buffers?: BufferBudget;
+	/** Streams wait for room at the engines. */
+	hasAdmission?: boolean;
 }>;
 
 /** Creates a list of cleanups that run after each test of the file. */
@@ -273,6 +276,7 @@
 		codec = testCodec,
 		incarnations = ALL_PROVED,
 		buffers = createTestBuffers(),
+		hasAdmission = false,
 	}: HarnessParts = {},
 ): Promise<Harness> {
 	const isCutOff = peers.length > 0;
@@ -292,7 +296,20 @@
 		initialConfiguration === undefined
 			? undefined
 			: createRouteTable(initialConfiguration);
+	const admission = hasAdmission
+		? createAdmission({
+				clock,
+				log: silentLogger,
+				metrics: silentMetrics,
+				random: () => 0,
+				dataCentre: 'a',
+				readRank: () => ({rank: 0, instances: 1}),
+				readTokensPerMs: () => undefined,
+				view,
+			})
+		: undefined;
 	const gateway = createGateway({
+		admission,
 		clock,
 		log: silentLogger,
 		metrics: silentMetrics,
--- a/packages/lovage-gateway/src/accept-request.ts
+++ b/packages/lovage-gateway/src/accept-request.ts
@@ -1,7 +1,13 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {hasEventIdLength} from '@lovagevalve/dispatch';
-import {chooseTarget, type RouteTable} from '@lovagevalve/routing';
+import {
+	chooseTarget,
+	type Customer,
+	type Route,
+	type RouteTable,
+} from '@lovagevalve/routing';
+import {MAX_PRIORITY} from './admission.js';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import {isRelayed, removeRelayHeaders} from './peer-relay.js';
 import type {RequestGuard} from './guard.js';
@@ -12,6 +18,12 @@
 /** Characters of a request target that Node.js accepts and doesn't send on. */
 const UNSENDABLE_CHARACTER = /[^\u0021-\u00FF]/;
 
+/** Priority of a customer, or of the route. */
+function readPriority(route: Route, customer: Customer | undefined): number {
+	const priority = customer?.priority ?? route.priority;
+	return Math.min(MAX_PRIORITY, Math.max(0, Math.round(priority)));
+}
+
 /** Size of a request's headers as it was sent, in bytes. */
 export function countHeaderBytes(req: IncomingMessage): number {
 	return req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -93,6 +105,7 @@
 		route,
 		service,
 		customer: customer?.name,
+		priority: readPriority(route, customer),
 		digest: digestRequest(method, path, customer?.name ?? '', body),
 		method,
 		path,
--- a/packages/lovage-gateway/src/backend-choice.ts
+++ b/packages/lovage-gateway/src/backend-choice.ts
@@ -34,11 +34,21 @@
 	random: number,
 ) => BackendRecord | undefined;
 
+/** A backend server that may get requests, with its load. */
+export type EngineCandidate = Readonly<{
+	record: BackendRecord;
+	candidate: Candidate;
+	/** It named a limit in an answer. */
+	isLimited: boolean;
+}>;
+
 /** The choice of backend servers for requests. */
 export type BackendChoice = Readonly<{
 	choose: ChooseBackend;
 	/** Chooses a backend server that only keeps a copy of another one's run. */
 	chooseCopyTarget: ChooseBackend;
+	/** Backend servers of a service that may get requests. */
+	listCandidates: (service: string) => readonly EngineCandidate[];
 }>;
 
 /** Creates the choice among the backend servers that an entry knows. */
@@ -114,5 +124,13 @@
 				request,
 				random,
 			),
+		listCandidates(service) {
+			const avoidedAsTold = listAvoidedAsTold(service);
+			return listOpen(service).map((record) => ({
+				record,
+				candidate: toCandidate(record, avoidedAsTold),
+				isLimited: limits.isLimited(record),
+			}));
+		},
 	};
 }
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -1,4 +1,5 @@
 import {
+	addLoad,
 	type AgesRequest,
 	type AvoidReason,
 	type BackendLoad,
@@ -14,7 +15,11 @@
 	readOwn,
 	readSoftwareVersion,
 } from '@lovagevalve/dispatch';
-import {type ChooseBackend, createBackendChoice} from './backend-choice.js';
+import {
+	type BackendChoice,
+	type ChooseBackend,
+	createBackendChoice,
+} from './backend-choice.js';
 import {createHealthRecords} from './backend-health.js';
 import type {BrittleBackends} from './brittle-backends.js';
 import {createBrittleRoom} from './brittle-room.js';
@@ -62,6 +67,9 @@
 	choose: ChooseBackend;
 	/** Chooses a backend server that only keeps a copy of another one's run. */
 	chooseCopyTarget: ChooseBackend;
+	listCandidates: BackendChoice['listCandidates'];
+	/** Load of a backend server from all entries. */
+	readLoad: (id: string) => BackendLoad;
 	find: (id: string) => BackendRecord | undefined;
 	/** Backend servers in service that registered recently, by service. */
 	listInService: () => ReadonlyMap<string, readonly BackendRecord[]>;
@@ -153,7 +161,7 @@
 		isAvoided: health.isAvoided,
 	});
 
-	const {choose, chooseCopyTarget} = createBackendChoice({
+	const {choose, chooseCopyTarget, listCandidates} = createBackendChoice({
 		listOpen,
 		hasRecentContact,
 		isAvoidedHere: health.isAvoided,
@@ -185,6 +193,8 @@
 		},
 		choose,
 		chooseCopyTarget,
+		listCandidates,
+		readLoad: (id) => addLoad(ownLoads.read(id), readOthersLoad(id)),
 		find: reported.find,
 		listInService() {
 			const services = new Map<string, BackendRecord[]>();
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -14,6 +14,7 @@
 	Logger,
 	PrometheusMetrics,
 } from '@lovagevalve/runtime';
+import type {Admission} from './admission.js';
 import type {BackendReach} from './backend-reach.js';
 import type {AnswerTimes} from './answer-times.js';
 import type {BackendView} from './backend-view.js';
@@ -77,6 +78,8 @@
 	/** Addresses of entries that can take over requests, the nearest first. */
 	listRelays: () => readonly string[];
 	crashes: Pick<CrashWatch, 'findQuarantined' | 'reportCrash' | 'recordSound'>;
+	/** Absent if streams are sent without waiting for room at an engine. */
+	admission?: Pick<Admission, 'isOn' | 'enqueue' | 'reserve'>;
 }>;
 
 /** A request that passed validation and is ready to be forwarded. */
@@ -87,6 +90,8 @@
 	/** Where the stream began that the caller resumes; absent for other requests. */
 	origin?: StreamOrigin;
 	customer: string | undefined;
+	/** Priority of the customer, or of the route; 0 is the highest, 9 the lowest. */
+	priority: number;
 	/** Another entry sent it on, which reaches no backend server. */
 	isRelayed: boolean;
 	/** Digest of method, path, customer and body. */
--- a/packages/lovage-gateway/src/entry-settings.ts
+++ b/packages/lovage-gateway/src/entry-settings.ts
@@ -13,6 +13,8 @@
 	readSeeds: () => readonly string[];
 	registrationIntervalMs: number;
 	retryBudget: RetryBudgetPolicy;
+	/** Whether streams wait here until a model engine has room; absent for no. */
+	admission?: boolean;
 	/**
 	 * Time between the stop signal and the forced end of the process, in
 	 * milliseconds.
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -12,6 +12,7 @@
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
 import type {Result} from 'neverthrow';
+import {createAdmission} from './admission.js';
 import {createAddressResolver} from './backend-address.js';
 import {checkReach} from './backend-probe.js';
 import {createBackendReach} from './backend-reach.js';
@@ -147,6 +148,18 @@
 		answerTimes,
 		hasOthers: () => peers.listOthers().length > 0,
 	});
+	const admission = settings.admission
+		? createAdmission({
+				clock,
+				log,
+				metrics,
+				random: dependencies.random,
+				dataCentre: settings.dataCentre,
+				view,
+				readRank: peers.readRank,
+				readTokensPerMs: () => undefined,
+			})
+		: undefined;
 	const ctx: GatewayContext = {
 		clock,
 		log,
@@ -168,9 +181,15 @@
 		incarnations,
 		probe: createSharedProbes(),
 		lookUpOrigin: async (query) => controlClient.lookUpOrigin(query),
+		admission,
 	};
 	const gateway = createGateway(ctx);
 
+	const describeWaiting = (): Pick<SharedEntryReport, 'waiting'> => {
+		const waiting = admission?.createReport();
+		return waiting === undefined ? {} : {waiting};
+	};
+
 	const createReport = (): SharedEntryReport => ({
 		entry: settings.name,
 		address: settings.address,
@@ -184,6 +203,7 @@
 		limits: limits.createReport(),
 		brittle: brittle.createReport(),
 		floods: view.createFloodReport(),
+		...describeWaiting(),
 		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
 
@@ -212,6 +232,9 @@
 			tasks.run(() => {
 				view.applyReport(report);
 			});
+			tasks.run(() => {
+				admission?.applyReport(overview);
+			});
 		},
 		onConfiguration: configuration.apply,
 		guard: tasks,
@@ -253,6 +276,10 @@
 		async drain() {
 			isLeaving = true;
 			void controlClient.reportToAll();
+			if (peers.listOthers().length > 0) {
+				admission?.drain();
+			}
+
 			await drainGateway({
 				...settings,
 				gateway,
--- a/packages/lovage-gateway/src/protocol.ts
+++ b/packages/lovage-gateway/src/protocol.ts
@@ -43,6 +43,8 @@
 	/** Id of the only backend server that may execute the request. */
 	backend: string;
 	customer?: string;
+	/** Priority at the engine, 0 to 9, 0 first; absent if engines get none. */
+	priority?: number;
 	remainingMs: number;
 	/**
 	 * Address of the backend server that receives a copy of the run's KV cache.
--- a/packages/lovage-gateway/src/run-sender.ts
+++ b/packages/lovage-gateway/src/run-sender.ts
@@ -57,6 +57,8 @@
 ): RunSender {
 	const {route, service, metadata, guard} = req;
 	const canRepeat = isRepeatable(route.kind, route.isResumable);
+	const sendsPriority =
+		ctx.admission !== undefined && service.engine !== undefined;
 	let run: Run | undefined;
 
 	const send = (current: Run, headers: string[]): void => {
@@ -90,6 +92,7 @@
 			const headers = ctx.codec.createBackendHeaders(req.rawHeaders, {
 				backend: backend.id,
 				customer: req.customer,
+				priority: sendsPriority ? req.priority : undefined,
 				remainingMs: readRemainingMs(ctx, req),
 				backupAddress: backupTarget?.address,
 				lastEventId: events.readResumeId(),
@@ -108,7 +111,7 @@
 					chooseBackupTarget: () => placement.chooseBackupTarget(backend),
 				}),
 				hasCopy: kvCopy !== undefined,
-				reservation: ctx.view.reserve(backend, work),
+				reservation: (ctx.admission ?? ctx.view).reserve(backend, work),
 			};
 			send(current, headers);
 			if (previous !== undefined) {
--- a/packages/lovage-gateway/src/run-start.ts
+++ b/packages/lovage-gateway/src/run-start.ts
@@ -4,7 +4,7 @@
 import type {StreamAttempts} from './stream-attempts.js';
 import type {StreamDelivery} from './stream-delivery.js';
 import type {StreamEnding} from './stream-ending.js';
-import type {StreamPlacement} from './stream-placement.js';
+import type {StreamPlacement, StreamTarget} from './stream-placement.js';
 import type {PreviousRun} from './stream-run.js';
 
 /** Starts the runs of one stream, and waits while none can be placed. */
@@ -21,7 +21,10 @@
 
 /** What the start of a run needs of the stream. */
 export type RunStartOptions = Readonly<{
-	delivery: Pick<StreamDelivery, 'hasBegun' | 'readLastEventId'>;
+	delivery: Pick<
+		StreamDelivery,
+		'hasBegun' | 'readLastEventId' | 'readDeliveringMs'
+	>;
 	attempts: Pick<StreamAttempts, 'listExcluded' | 'hasRun' | 'clearExcluded'>;
 	placement: Pick<StreamPlacement, 'choose' | 'isBound' | 'decideUnplaced'>;
 	sender: Pick<RunSender, 'sendToBackend' | 'sendToPeer'>;
@@ -33,6 +36,7 @@
  * available.
  */
 const RESEND_DELAY_MS = 200;
+const NO_BACKEND = 'no backend server is known';
 
 /** Creates the start of the runs of a stream. */
 export function createRunStart(
@@ -42,6 +46,7 @@
 ): RunStart {
 	const {service, guard} = req;
 	let resendTimer: NodeJS.Timeout | undefined;
+	let leaveQueue: (() => void) | undefined;
 
 	const wait = (next: () => void): void => {
 		resendTimer = setTimeout(
@@ -101,22 +106,61 @@
 		});
 	};
 
+	/** Waits for room at an engine, which ends at the latest with the stream. */
+	const enqueue = (
+		{work, place}: Extract<StreamTarget, {kind: 'queue'}>,
+		previous: PreviousRun | undefined,
+	): void => {
+		const mayHaveRun =
+			attempts.hasRun() || delivery.hasBegun() || req.origin !== undefined;
+		leaveQueue = ctx.admission?.enqueue(service, {
+			id: req.metadata.id,
+			priority: req.priority,
+			customer: req.customer ?? '',
+			arrivedAt: req.startedAt,
+			targetAt: req.startedAt + req.route.latencyTargetMs,
+			deadlineAt: req.deadlineAt,
+			...(mayHaveRun ? {resumedAfterMs: delivery.readDeliveringMs()} : {}),
+			placement: work,
+			onStart: guard.wrap((backend) => {
+				follow(place(backend), previous);
+			}),
+			onRefused: guard.wrap((reason, retryAfterMs) => {
+				ending.abort(503, reason, retryAfterMs);
+			}),
+			onUnplaceable: guard.wrap(() => {
+				scheduleResend(NO_BACKEND);
+			}),
+		});
+	};
+
 	const start = (previous?: PreviousRun): void => {
-		const lastEventId = delivery.readLastEventId();
-		const target = placement.choose(previous, lastEventId !== undefined);
+		const hasEvents = delivery.readLastEventId() !== undefined;
+		follow(placement.choose(previous, hasEvents), previous);
+	};
+
+	const follow = (
+		target: StreamTarget,
+		previous: PreviousRun | undefined,
+	): void => {
 		switch (target.kind) {
 			case 'backend': {
 				sender.sendToBackend(target, previous);
 				break;
 			}
 
+			case 'queue': {
+				enqueue(target, previous);
+				break;
+			}
+
 			case 'peer': {
 				sender.sendToPeer(target.address);
 				break;
 			}
 
 			case 'none': {
-				scheduleResend('no backend server is known');
+				scheduleResend(NO_BACKEND);
 				break;
 			}
 
@@ -133,6 +177,7 @@
 		relayOrAbort,
 		cancel() {
 			clearTimeout(resendTimer);
+			leaveQueue?.();
 		},
 	};
 }
--- a/packages/lovage-gateway/src/stream-delivery.ts
+++ b/packages/lovage-gateway/src/stream-delivery.ts
@@ -31,6 +31,8 @@
 	 */
 	abort: () => void;
 	readLastEventId: () => string | undefined;
+	/** Time from the first event to the last one so far, in milliseconds. */
+	readDeliveringMs: () => number;
 	/** The response head was sent. */
 	hasBegun: () => boolean;
 	/** Delivery is paused by backpressure from the caller. */
@@ -131,6 +133,8 @@
 				? now - startedAt > route.latencyTargetMs
 				: now - deliveredAt > route.gapTargetMs;
 		},
+		readDeliveringMs: () =>
+			deliveredAt === 0 ? 0 : deliveredAt - startedAt - firstEventMs,
 		readTimings: () => ({
 			firstEventMs: Math.round(firstEventMs),
 			longestPauseMs: Math.round(longestPauseMs),
--- a/packages/lovage-gateway/src/stream-ending.ts
+++ b/packages/lovage-gateway/src/stream-ending.ts
@@ -17,7 +17,11 @@
 	/** Ends it with an error response of a backend server. */
 	forwardError: (response: IncomingMessage, body: Uint8Array) => void;
 	/** Aborts a stream that cannot be completed. */
-	abort: (status: 502 | 503 | 504, reason: string) => void;
+	abort: (
+		status: 502 | 503 | 504,
+		reason: string,
+		retryAfterMs?: number,
+	) => void;
 	/** Ends a stream whose caller has closed the connection. */
 	leave: () => void;
 	/** Releases what the stream holds, without a record. */
@@ -75,7 +79,7 @@
 			delivery.forwardError(response, body);
 			finish();
 		},
-		abort(status, reason) {
+		abort(status, reason, chosenMs) {
 			if (isEnded) {
 				return;
 			}
@@ -85,7 +89,9 @@
 				delivery.abort();
 			} else {
 				const retryAfterMs =
-					status === 503 ? chooseRetryAfterMs(ctx, req) : undefined;
+					status === 503
+						? (chosenMs ?? chooseRetryAfterMs(ctx, req))
+						: undefined;
 				endWithProblem(
 					ctx,
 					req,
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -37,6 +37,13 @@
 			/** Load that the run adds. */
 			work: PlacementRequest;
 	  }>
+	/** The backend server that has room first. */
+	| Readonly<{
+			kind: 'queue';
+			work: PlacementRequest;
+			/** Where the run starts once a backend server has room. */
+			place: (backend: BackendRecord) => StreamTarget;
+	  }>
 	/** Another entry, as this one reaches no backend server. */
 	| Readonly<{kind: 'peer'; address: string}>
 	/** No backend server takes the stream now. */
@@ -115,6 +122,32 @@
 		],
 	});
 
+	const hasCandidate = ({excluded, softwareVersion}: PlacementRequest) =>
+		ctx.view
+			.listCandidates(service.name)
+			.some(
+				({record}) =>
+					!excluded.includes(record.id) &&
+					(softwareVersion === undefined ||
+						readSoftwareVersion(record) === softwareVersion),
+			);
+
+	/** Waits for room, at `preferred` servers if there are any. */
+	const createQueueTarget = (
+		request: PlacementRequest,
+		preferred: PlacementRequest,
+	): StreamTarget => ({
+		kind: 'queue',
+		work:
+			preferred === request || hasCandidate(preferred) ? preferred : request,
+		place(backend) {
+			unplacedAt = undefined;
+			return isOriginLost()
+				? {kind: 'none'}
+				: {kind: 'backend', backend, kvCopy: undefined, work: request};
+		},
+	});
+
 	const choosePeerTarget = (): StreamTarget | undefined => {
 		const address = isBegunAtPeer
 			? choosePeer(ctx, attempts.listExcluded())
@@ -164,6 +197,11 @@
 			const request = createRequest(origin?.softwareVersion);
 			const first = origin === undefined ? request : excludeSilent(request);
 			const kvCopy = hasEvents ? previous?.kvCopy : undefined;
+			const canWait = kvCopy === undefined && !previous?.shouldRetryWithoutCopy;
+			if (canWait && ctx.admission?.isOn(service)) {
+				return createQueueTarget(request, first);
+			}
+
 			const backend =
 				kvCopy?.backend ??
 				(previous?.shouldRetryWithoutCopy
