Return learned speeds only where they changed

Each answer with learned speeds contained those of all backend servers. Sums decay alike at control instances and entries, so only those are sent for which entries reported samples since the last answer. Times between events alone cause no report.

--- a/packages/lovage-coordinator/src/__tests__/unit/speed-registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/speed-registry.test.ts
@@ -51,6 +51,20 @@
 		expect(ask('b', 'none')).toBeUndefined();
 	});
 
+	// 150 backend servers in each answer would add a third to the control traffic.
+	it('are returned again only where they have changed', () => {
+		const {time, tell, ask} = createTest();
+		tell('a', {[KEY]: [1, 5000, 1000, 0, 0], 'e-2/1': [1, 5000, 1000, 0, 0]});
+		time.now += 1;
+		expect(Object.keys(ask('b') ?? {})).toEqual([KEY, 'e-2/1']);
+		time.now += 1000;
+		tell('a', {'e-2/1': [2, 9000, 2000, 0, 0]});
+		time.now += 1;
+		expect(ask('b')).toEqual({'e-2/1': [2, 9000, 2000, 0, 0]});
+		time.now += 1000;
+		expect(ask('b')).toEqual({});
+	});
+
 	it('decay while no entry reports them anew, also of a single entry', () => {
 		const {time, registry, tell, ask} = createTest();
 		tell('a', {[KEY]: [4, 20_000, 4000, 0, 0]});
--- a/packages/lovage-coordinator/src/speed-registry.ts
+++ b/packages/lovage-coordinator/src/speed-registry.ts
@@ -16,7 +16,10 @@
 export type SpeedRegistry = Readonly<{
 	/** Replaces what an entry measured of the backend servers that it reports; the rest decays. */
 	applyReport: (entry: string, speeds: CompactSpeeds) => void;
-	/** Describes what all entries but one measured. */
+	/**
+	 * Describes what all entries but one measured, of the backend servers for which that
+	 * has changed since it was last described to this entry: the rest decays there alike.
+	 */
 	describe: (entry: string) => CompactSpeeds;
 	removeEntry: (entry: string) => void;
 	/** Forgets incarnations that have ended and sums that have decayed. */
@@ -31,6 +34,8 @@
 	/** Sums over the entries. All decay alike, so a decayed part can be subtracted from a decayed sum. */
 	const totals = new Map<string, TimedSums>();
 
+	const describedAt = new Map<string, number>();
+
 	const read = ({sums, at}: TimedSums): SpeedSums =>
 		decaySpeeds(sums, clock.now() - at);
 
@@ -75,8 +80,11 @@
 		},
 		describe(entry) {
 			const own = byEntry.get(entry);
+			const since = describedAt.get(entry) ?? Number.NEGATIVE_INFINITY;
+			describedAt.set(entry, clock.now());
 			return toCompactSpeeds(
 				[...totals]
+					.filter(([, {at}]) => at >= since)
 					.map(([key, total]) => {
 						const part = own?.get(key);
 						const sums = read(total);
@@ -85,7 +93,7 @@
 							part === undefined ? sums : subtractSpeeds(sums, read(part)),
 						] as const;
 					})
-					.filter(([, sums]) => sums.ms > 0 && !areSpeedsFaded(sums)),
+					.filter(([, {ms}]) => ms > 0),
 			);
 		},
 		removeEntry(entry) {
@@ -93,6 +101,7 @@
 				subtract(key, part);
 			});
 			byEntry.delete(entry);
+			describedAt.delete(entry);
 		},
 		removeEnded(find) {
 			[...totals.keys()]
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -155,7 +155,7 @@
 	brittle?: LimitReports;
 	/** Flooding backend servers that other entries met; older control instances don't send it. */
 	floods?: FloodReports;
-	/** What the other entries measured of backend servers, if the report has its own; older control instances don't send it. */
+	/** What the other entries measured of backend servers, where it changed, if the report has its own; older control instances don't send it. */
 	speeds?: CompactSpeeds;
 	/** Addresses of entries that take over requests, for one that is cut off. */
 	relays?: readonly string[];
--- a/packages/lovage-dispatch/src/speed-reports.ts
+++ b/packages/lovage-dispatch/src/speed-reports.ts
@@ -6,8 +6,8 @@
 /** Sums by incarnation of the backend server, as `id/bornAt`. */
 export type CompactSpeeds = Readonly<Record<string, CompactSpeed>>;
 
-/** Digits of an encoded sum; a relative error of a thousandth doesn't change a choice. */
-const SIGNIFICANT_DIGITS = 4;
+/** Digits of an encoded sum; an error of half a percent is far below the noise of samples. */
+const SIGNIFICANT_DIGITS = 3;
 /** Largest sum that an instance can have measured: more tokens than all engines process within the half-life. */
 const MAX_SUM = 1e12;
 /** More backend servers than any deployment has. */
--- a/packages/lovage-gateway/src/server-speeds.ts
+++ b/packages/lovage-gateway/src/server-speeds.ts
@@ -54,7 +54,7 @@
 	readRelative: (backend: BackendRecord) => RelativeSpeed | undefined;
 	/** What this entry measured since its last report to a control instance; nothing if none is due. */
 	createReport: (control: string) => Readonly<{speeds?: CompactSpeeds}>;
-	/** Replaces what the other entries measured. */
+	/** Replaces what the other entries measured of the backend servers that a report names. */
 	applyReport: (speeds: CompactSpeeds) => void;
 	/** Forgets incarnations that have ended. */
 	removeEnded: (find: (id: string) => BackendRecord | undefined) => void;
@@ -73,14 +73,17 @@
 /** What was known when a request was sent. */
 type Sending = Readonly<{sentAt: number; work: number; isEngine: boolean}>;
 
-/** Own sums of an incarnation. */
-type OwnSums = Readonly<{sums: SpeedSums; at: number}>;
+/** Sums of an incarnation at a time. */
+type TimedSums = Readonly<{sums: SpeedSums; at: number}>;
+
+/** Own sums; the time between events alone is not worth a report. */
+type OwnSums = TimedSums & Readonly<{sampledAt: number}>;
 
 type Assessment = Readonly<{speeds: ServiceSpeeds; at: number}>;
 
 /** Time for which the assessment of a service is kept. A request needs no newer one; it goes through all backend servers of the service. */
 const ASSESSMENT_MS = 200;
-/** Time between reports, less than half of the interval of reports to a control instance. */
+/** Time between reports to a control instance: a second, less half of the 200 ms between reports of any kind, so that each fifth one has them. */
 const REPORT_PERIOD_MS = 900;
 /** Control instances that a report may be due for; more than any group has. */
 const MAX_CONTROLS = 16;
@@ -96,8 +99,7 @@
 	listRegistered,
 }: ServerSpeedsOptions): ServerSpeeds {
 	const own = new Map<string, OwnSums>();
-	let others: ReadonlyMap<string, SpeedSums> = new Map();
-	let othersAt = 0;
+	const others = new Map<string, TimedSums>();
 	const sendings = new WeakMap<LoadReservation, Sending>();
 	const assessments = new Map<string, Assessment>();
 	const reportedAt = new Map<string, number>();
@@ -109,19 +111,16 @@
 	);
 	metrics.registerGauge('backends_measured', () => own.size);
 
-	const readOwn = (key: string): SpeedSums => {
-		const found = own.get(key);
-		return found === undefined
+	const readTimed = (found: TimedSums | undefined): SpeedSums =>
+		found === undefined
 			? NO_SPEED
 			: decaySpeeds(found.sums, clock.now() - found.at);
-	};
+
+	const readOwn = (key: string): SpeedSums => readTimed(own.get(key));
 
 	const readSums = (backend: BackendRecord): SpeedSums => {
 		const key = createIncarnationKey(backend);
-		const told = others.get(key);
-		return told === undefined
-			? readOwn(key)
-			: addSpeeds(readOwn(key), decaySpeeds(told, clock.now() - othersAt));
+		return addSpeeds(readOwn(key), readTimed(others.get(key)));
 	};
 
 	const logChange = (
@@ -169,26 +168,33 @@
 		return speeds;
 	};
 
-	const adjust = (
+	const recordSample = (
 		backend: BackendRecord,
-		add: (sums: SpeedSums) => SpeedSums,
+		sample: Readonly<{work: number; ms: number}>,
 	): void => {
 		const key = createIncarnationKey(backend);
-		own.set(key, {sums: add(readOwn(key)), at: clock.now()});
+		const now = clock.now();
+		const sums = addSpeedSample(readOwn(key), sample);
+		own.set(key, {sums, at: now, sampledAt: now});
+		metrics.count('speed_samples');
+	};
+
+	const recordGap = (backend: BackendRecord, ms: number): void => {
+		const key = createIncarnationKey(backend);
+		own.set(key, {
+			sums: addEventGap(readOwn(key), ms),
+			at: clock.now(),
+			sampledAt: own.get(key)?.sampledAt ?? Number.NEGATIVE_INFINITY,
+		});
 	};
 
 	/** Records the time since a request was sent, once. */
-	const recordSample = (
-		reservation: LoadReservation,
-		isEngine: boolean,
-	): void => {
+	const recordEnd = (reservation: LoadReservation, isEngine: boolean): void => {
 		const sending = sendings.get(reservation);
 		sendings.delete(reservation);
 		if (sending?.isEngine === isEngine && sending.work > 0) {
 			const {work, sentAt} = sending;
-			const ms = clock.now() - sentAt;
-			adjust(reservation.backend, (sums) => addSpeedSample(sums, {work, ms}));
-			metrics.count('speed_samples');
+			recordSample(reservation.backend, {work, ms: clock.now() - sentAt});
 		}
 	};
 
@@ -216,15 +222,14 @@
 			}
 
 			if (startedAt !== undefined) {
-				const ms = clock.now() - lastEventAt;
-				adjust(backend, (sums) => addEventGap(sums, ms));
+				recordGap(backend, clock.now() - lastEventAt);
 			} else if (!hasCopy) {
 				// With a copy of the KV cache, the prompt is not processed.
-				recordSample(reservation, true);
+				recordEnd(reservation, true);
 			}
 		},
 		recordAnswer(reservation) {
-			recordSample(reservation, false);
+			recordEnd(reservation, false);
 		},
 		readTokensPerMs: (backend) =>
 			estimateSpeed(assess(backend.service), readSums(backend)),
@@ -249,26 +254,31 @@
 			return {
 				speeds: toCompactSpeeds(
 					[...own]
-						.filter(([, {at}]) => at >= since)
+						.filter(([, {sampledAt}]) => sampledAt >= since)
 						.map(([key]) => [key, readOwn(key)] as const),
 				),
 			};
 		},
 		applyReport(speeds) {
-			others = fromCompactSpeeds(speeds);
-			othersAt = clock.now();
+			const at = clock.now();
+			[...fromCompactSpeeds(speeds)].forEach(([key, sums]) => {
+				others.set(key, {sums, at});
+			});
 			// Samples are compared over time also while this entry has few requests.
 			new Set([...listAll()].map(({service}) => service)).forEach(assess);
 		},
 		removeEnded(find) {
-			[...own.keys()]
-				.filter(
-					(key) =>
-						!isRunningIncarnation(key, find) || areSpeedsFaded(readOwn(key)),
-				)
-				.forEach((key) => {
-					own.delete(key);
-				});
+			[own, others].forEach((known: Map<string, TimedSums>) => {
+				[...known]
+					.filter(
+						([key, timed]) =>
+							!isRunningIncarnation(key, find) ||
+							areSpeedsFaded(readTimed(timed)),
+					)
+					.forEach(([key]) => {
+						known.delete(key);
+					});
+			});
 		},
 	};
 }
