--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -27,6 +27,7 @@
 import {createFloodRegistry} from './flood-registry.js';
 import {createLimitRegistry} from './limit-registry.js';
 import type {OriginRegistry} from './origin-registry.js';
+import {createSpeedRegistry} from './speed-registry.js';
 import type {VersionHistory} from './version-history.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
@@ -66,6 +67,7 @@
 			| 'wantsOverview'
 			| 'wantsAges'
 			| 'agesAboveMs'
+			| 'speeds'
 		>,
 	) => Omit<ControlReport, 'version' | 'controls' | 'convicted' | 'suspects'>;
 	/** Entries that may be advertised to callers. */
@@ -108,6 +110,7 @@
 	const limits = createLimitRegistry(clock);
 	/** Entries report brittle backend servers in the form of limits. */
 	const brittle = createLimitRegistry(clock);
+	const speeds = createSpeedRegistry(clock);
 	const floods = createFloodRegistry({clock, log}, (id) => table.get(id));
 
 	const removeFromSums = (entry: string): void => {
@@ -116,6 +119,7 @@
 		waiting.remove(entry);
 		limits.removeEntry(entry);
 		brittle.removeEntry(entry);
+		speeds.removeEntry(entry);
 	};
 
 	/** Describes what the entries reported; the sums leave out the entry that is told. */
@@ -240,6 +244,7 @@
 			limits.applyReport(report.entry, report.limits ?? {});
 			brittle.applyReport(report.entry, report.brittle ?? {});
 			floods.applyReport(report.entry, report.floods ?? {});
+			speeds.applyReport(report.entry, report.speeds ?? {});
 			origins.applyReport(report.origins ?? []);
 			if (report.leaving !== undefined && report.leaving.length > 0) {
 				applyDepartures(report.leaving);
@@ -252,6 +257,7 @@
 			wantsOverview,
 			wantsAges,
 			agesAboveMs,
+			speeds: reportedSpeeds,
 		}) => ({
 			entries: entries.countAlive(),
 			...describeChanges(
@@ -265,6 +271,9 @@
 						overview: {
 							...entries.describeServing(knownServing),
 							...describeOthers(entry),
+							...(reportedSpeeds === undefined
+								? {}
+								: {speeds: speeds.describe(entry)}),
 							...entries.describeRelays(entry),
 						},
 					}
@@ -276,6 +285,7 @@
 			store.dropOld(clock.now());
 			limits.removeEnded((id) => table.get(id));
 			brittle.removeEnded((id) => table.get(id));
+			speeds.removeEnded((id) => table.get(id));
 			[...changedRevisions.keys()]
 				.filter((id) => !table.has(id))
 				.forEach((id) => {
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -11,6 +11,7 @@
 	LimitReports,
 } from './report.js';
 import type {RetryCounts} from './retry-budget.js';
+import {decodeSpeeds} from './speed-reports.js';
 
 type Json = Readonly<Record<string, unknown>>;
 
@@ -134,6 +135,7 @@
 		...(isObject(value.waiting)
 			? {waiting: keepFields(value.waiting, isAmount)}
 			: {}),
+		...keepOptional('speeds', decodeSpeeds(value.speeds)),
 		...keepOptional('relays', keepAddresses(value.relays)),
 	};
 }
