Bundle subpath exports of workspace packages

Cause: the entry imports @lovagevalve/admission/starts, which the bundler looked for in a folder of that name, so the programs did not build. Change: the part behind the package name is the source file.

--- a/deploy/build.ts
+++ b/deploy/build.ts
@@ -9,15 +9,16 @@
 const resolveWorkspaceSources: Plugin = {
 	name: 'workspace-sources',
 	setup({onResolve}) {
-		onResolve({filter: /^@lovagevalve\//}, ({path: name}) => ({
-			path: path.join(
-				ROOT_FOLDER,
-				'packages',
-				name.replace('@lovagevalve/', 'lovage-'),
-				'src/index.ts',
-			),
-			sideEffects: false,
-		}));
+		onResolve({filter: /^@lovagevalve\//}, ({path: name}) => {
+			const [, folder = '', subpath = 'index'] = name.split('/');
+			return {
+				path: path.join(
+					ROOT_FOLDER,
+					`packages/lovage-${folder}/src/${subpath}.ts`,
+				),
+				sideEffects: false,
+			};
+		});
 	},
 };
 
