Decide roll-outs by the responses of the same seconds

A service's traffic could not be moved to another software version step by step. The new package holds the orders as the log builds them, the draw of each request's version from an accumulated credit, and the verdict, which compares the new version with the old ones by route, leaving out seconds in which the old ones failed too. Growth is bounded by the exposure that a version may still turn out bad with.

--- /dev/null
+++ b/packages/lovage-rollout/src/index.ts
@@ -0,0 +1,47 @@
+export {
+	addCounts,
+	classifyTime,
+	compareWithTime,
+	countAll,
+	findMedianClass,
+	MAX_TIME_CLASS,
+	NO_COUNTS,
+	type OutcomeCounts,
+	type SecondCounts,
+	subtractCounts,
+	type VersionCounts,
+} from './counts.js';
+export {
+	drawVersion,
+	isVersionAllowed,
+	readShare,
+	type ShareCredits,
+	type VersionDraw,
+} from './share.js';
+export {
+	applyRolloutCommand,
+	decodeRollouts,
+	EMPTY_ROLLOUTS,
+	encodeRollouts,
+	isRolloutCommand,
+	isRolloutDuration,
+	isRolloutName,
+	judgeOrder,
+	LAST_STEP,
+	MAX_DURATION_MS,
+	type OrderOutcome,
+	type RolloutCommand,
+	type RolloutOrder,
+	type RolloutStage,
+	type RolloutState,
+	type ServiceRollout,
+	SHARE_STEPS,
+} from './state.js';
+export {
+	decideRollout,
+	findFault,
+	MIN_STEP_MS,
+	type RolloutBounds,
+	type Verdict,
+	type VerdictInput,
+} from './verdict.js';
