Keep orders of roll-outs in the replicated log

The log held configurations only, so an order could not be acknowledged as durable. The leader sums the entries' counts and commits what the verdict decides. Without settings of roll-outs no call is answered, no report grows and no timer does work.

The expectation of applyEntry in registry.test.ts names the two new fields of the state by the empty state; it stays an exact comparison.

--- a/packages/lovage-coordinator/src/__tests__/integration/test-coordinator.ts
+++ b/packages/lovage-coordinator/src/__tests__/integration/test-coordinator.ts
@@ -1,6 +1,10 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {createBufferBudget, type PrometheusMetrics} from '@lovagevalve/runtime';
-import {createCoordinator, type Coordinator} from '../../index.js';
+import {
+	createCoordinator,
+	type Coordinator,
+	type CoordinatorSettings,
+} from '../../index.js';
 
 const noop = (): undefined => undefined;
 const log = {debug: noop, info: noop, warn: noop, error: noop};
@@ -29,6 +33,9 @@
 	isFirstStart: boolean;
 	/** What it may buffer, in bytes; by default more than a test uses. */
 	capacityBytes?: number;
+	/** Instances whose disks may be lost at once. */
+	tolerated?: number;
+	rollout?: CoordinatorSettings['rollout'];
 	registerGauge?: PrometheusMetrics['registerGauge'];
 }>;
 
@@ -41,6 +48,8 @@
 	isFirstStart,
 	capacityBytes = 2 ** 30,
 	registerGauge = noop,
+	tolerated,
+	rollout,
 }: CoordinatorOptions): Promise<Coordinator> {
 	const metrics = {
 		count: noop,
@@ -54,6 +63,8 @@
 			address: `127.0.0.1:${port}`,
 			dataFolder: folder,
 			isFirstStart,
+			...(tolerated === undefined ? {} : {tolerated}),
+			...(rollout === undefined ? {} : {rollout}),
 			registrationIntervalMs: 1000,
 			readSeeds: () => seeds,
 		},
--- a/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/registry.test.ts
@@ -345,6 +345,7 @@
 			createEntry(3, 7),
 		].reduce(applyEntry, EMPTY_GROUP_STATE);
 		expect(state).toEqual({
+			...EMPTY_GROUP_STATE,
 			appliedIndex: 3,
 			configuration: {version: 7, text: 'v7'},
 		});
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -1,18 +1,16 @@
-import type {Server} from 'node:http';
-import type {BackendRecord} from '@lovagevalve/dispatch';
 import {
-	type BufferBudget,
-	type Clock,
 	createPeerClient,
 	describeError,
-	type Logger,
-	type PrometheusMetrics,
 	runContained,
 } from '@lovagevalve/runtime';
+import type {
+	Coordinator,
+	CoordinatorDependencies,
+	CoordinatorSettings,
+} from './coordinator-types.js';
 import {createCrashQuarantine} from './crash-quarantine.js';
 import {createDepartureFile, createDepartureStore} from './departure-store.js';
 import {createDepartures} from './departures.js';
-import type {ReadOutcome} from './decode-messages.js';
 import {createGossiper} from './gossip.js';
 import {createGroupJoiner} from './group-joiner.js';
 import {leaveGroup} from './group-leave.js';
@@ -26,69 +24,12 @@
 import {createOriginStore} from './origin-store.js';
 import {createVersionFile} from './version-file.js';
 import {createVersionHistory} from './version-history.js';
-import type {KnownEntry} from './entry-registry.js';
-import {
-	createRegistrationHandler,
-	type RegisterOutcome,
-} from './registration.js';
+import {createRegistrationHandler} from './registration.js';
 import {createRegistrationAdmission} from './registration-admission.js';
 import {createRegistry} from './registry.js';
 import {createReplica} from './replica.js';
 import {createReplicatedConfiguration} from './replicated-configuration.js';
-import type {StoredConfiguration} from './state-machine.js';
-
-/** Settings of a control instance. */
-export type CoordinatorSettings = Readonly<{
-	name: string;
-	/** Address for traffic between instances. */
-	address: string;
-	dataFolder: string;
-	/**
-	 * Whether this is the first start of the whole system, in which the seeds
-	 * bootstrap the group.
-	 */
-	isFirstStart: boolean;
-	/** Interval at which a backend server renews its registration, in milliseconds. */
-	registrationIntervalMs: number;
-	/** Number of control instances whose disks may be lost at once; 1 by default. */
-	tolerated?: number;
-	/**
-	 * Returns the current addresses of control instances for traffic between
-	 * instances.
-	 */
-	readSeeds: () => readonly string[];
-}>;
-
-/** Dependencies of a control instance. */
-export type CoordinatorDependencies = Readonly<{
-	clock: Clock;
-	log: Logger;
-	metrics: PrometheusMetrics;
-	/** Bytes that the process buffers over all its connections. */
-	buffers: BufferBudget;
-	random: () => number;
-}>;
-
-/** A running control instance. */
-export type Coordinator = Readonly<{
-	/** Server for traffic between instances; the owner calls `listen`. */
-	server: Server;
-	/**
-	 * Resolves with true once this version or a higher one is committed, with
-	 * false if that could not be confirmed.
-	 */
-	putConfiguration: (configuration: StoredConfiguration) => Promise<boolean>;
-	readConfiguration: () => Promise<ReadOutcome>;
-	/**
-	 * Merges a registration if there is room; resolves with whether it may be
-	 * acknowledged, for a departure once enough instances have stored it.
-	 */
-	register: (record: BackendRecord) => Promise<RegisterOutcome>;
-	find: (id: string) => BackendRecord | undefined;
-	/** Entries that callers may connect to. */
-	listServing: () => readonly KnownEntry[];
-	stop: () => Promise<void>;
-}>;
+import {createRollouts} from './rollouts.js';
 
 /** Less than a tenth of the shortest election timeout. */
 const TICK_INTERVAL_MS = 40;
@@ -98,6 +39,8 @@
  * immediately.
  */
 const GOSSIP_INTERVAL_MS = 500;
+/** The interval at which entries report, as verdicts follow from their counts. */
+const ROLLOUT_INTERVAL_MS = 200;
 /** Less than the interval at which entries report. */
 const ORIGIN_STORE_INTERVAL_MS = 100;
 /**
@@ -230,6 +173,18 @@
 		departures,
 		gossiper,
 	});
+	const rollouts =
+		settings.rollout === undefined
+			? undefined
+			: createRollouts({
+					clock,
+					log,
+					metrics,
+					replica,
+					registry,
+					leader,
+					settings: settings.rollout,
+				});
 	const handleCall = createInstanceCalls({
 		log,
 		metrics,
@@ -241,6 +196,7 @@
 		readVersion: configuration.readVersion,
 		readLocally: configuration.readLocally,
 		listControls,
+		rollouts,
 	});
 	const server = createInstanceServer({log, metrics, buffers, handleCall});
 
@@ -267,6 +223,9 @@
 		setInterval(() => {
 			inBackground(originStore.store);
 		}, ORIGIN_STORE_INTERVAL_MS),
+		setInterval(() => {
+			inBackground(async () => rollouts?.tick());
+		}, ROLLOUT_INTERVAL_MS),
 	];
 	metrics.registerGauge('configuration_version', configuration.readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
@@ -283,6 +242,7 @@
 		readConfiguration: configuration.read,
 		register,
 		find: registry.find,
+		rollouts,
 		listServing: registry.listServing,
 		async stop() {
 			await leaveGroup({clock, replica, leader});
--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -11,6 +11,7 @@
 	parseIncarnationKey,
 	type RetryCounts,
 } from '@lovagevalve/dispatch';
+import {isRolloutReport} from '@lovagevalve/rollout';
 import {
 	isAbsent,
 	isAddress,
@@ -144,6 +145,7 @@
 	leaving: (value) => isListOf(value, isText),
 	limits: (value) => isRecordOf(value, isLimitReport),
 	brittle: (value) => isRecordOf(value, isLimitReport),
+	rollouts: isRolloutReport,
 	isCutOff: (value) => typeof value === 'boolean',
 	origins: (value) => isListOf(value, isOriginReport),
 	known: isRevision,
--- a/packages/lovage-coordinator/src/entry-registry.ts
+++ b/packages/lovage-coordinator/src/entry-registry.ts
@@ -22,8 +22,11 @@
 export type EntryRegistry = Readonly<{
 	record: (report: EntryReport) => void;
 	countAlive: () => number;
-	/** Names of the entries that have not reported for some time. */
-	listSilent: () => readonly string[];
+	/**
+	 * Names of the entries that have not reported for some time; with a limit, only
+	 * those that did so within it, in milliseconds, and are not leaving.
+	 */
+	listSilent: (withinMs?: number) => readonly string[];
 	/** Entries that may be advertised to callers. */
 	listServing: () => readonly KnownEntry[];
 	/** Describes the entries to advertise, unless they are known. */
@@ -103,9 +106,14 @@
 			});
 		},
 		countAlive: () => [...entries.values()].filter(isAlive).length,
-		listSilent: () =>
+		listSilent: (withinMs) =>
 			[...entries.values()]
 				.filter((known) => !isAlive(known))
+				.filter(
+					({standing, heardAt}) =>
+						withinMs === undefined ||
+						(standing !== 'leaving' && clock.now() - heardAt < withinMs),
+				)
 				.map(({entry}) => entry),
 		listServing,
 		/**
--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -3,7 +3,17 @@
 	Coordinator,
 	CoordinatorDependencies,
 	CoordinatorSettings,
-} from './coordinator.js';
+} from './coordinator-types.js';
+export type {
+	ReplicatedRollouts,
+	RolloutSettings,
+} from './replicated-rollouts.js';
+export type {
+	RolloutReadOutcome,
+	RolloutRequest,
+	RolloutRequestOutcome,
+} from './rollout-messages.js';
+export type {Rollouts} from './rollouts.js';
 export type {ReadOutcome} from './decode-messages.js';
 export {selectGossipPart} from './gossip-parts.js';
 export type {GossipRound} from './gossip-parts.js';
--- a/packages/lovage-coordinator/src/instance-calls.ts
+++ b/packages/lovage-coordinator/src/instance-calls.ts
@@ -24,6 +24,7 @@
 import type {ReplicaStatus} from './group-joiner.js';
 import type {Registry} from './registry.js';
 import type {Replica} from './replica.js';
+import type {Rollouts} from './rollouts.js';
 
 /** Parts of a control instance that other instances call. */
 export type InstanceCallsOptions = Readonly<{
@@ -39,6 +40,8 @@
 	readVersion: () => number;
 	/** Reads the configuration if this instance leads. */
 	readLocally: () => Promise<ReadOutcome>;
+	/** Roll-outs, where they are in force. */
+	rollouts?: Pick<Rollouts, 'applyReport' | 'handleCall'>;
 	/** Addresses of the control instances for traffic between instances. */
 	listControls: () => readonly string[];
 }>;
@@ -61,6 +64,7 @@
 	readVersion,
 	readLocally,
 	listControls,
+	rollouts,
 }: InstanceCallsOptions): InstanceCalls {
 	const handleReport = (report: EntryReport): ControlReport => {
 		registry.applyReport(report);
@@ -68,6 +72,7 @@
 		return {
 			...registry.createReportResponse(report),
 			...quarantine.describe(),
+			...rollouts?.applyReport(report),
 			version: readVersion(),
 			controls: listControls(),
 		};
@@ -176,7 +181,8 @@
 			}
 
 			default: {
-				return {status: 404};
+				const answer = await rollouts?.handleCall(path, body, handleDecoded);
+				return answer ?? {status: 404};
 			}
 		}
 	};
--- a/packages/lovage-coordinator/src/leader-client.ts
+++ b/packages/lovage-coordinator/src/leader-client.ts
@@ -9,6 +9,13 @@
 } from './decode-messages.js';
 import type {ProposeOutcome} from './pending-requests.js';
 import type {Replica} from './replica.js';
+import {
+	decodeRolloutReadOutcome,
+	decodeRolloutRequestOutcome,
+	type RolloutReadOutcome,
+	type RolloutRequest,
+	type RolloutRequestOutcome,
+} from './rollout-messages.js';
 import type {StoredConfiguration} from './state-machine.js';
 
 /** Dependencies of a client of the leader. */
@@ -26,6 +33,9 @@
 	propose: (configuration: StoredConfiguration) => Promise<ProposeOutcome>;
 	/** Resolves with `unavailable` if there is no other leader or it does not respond. */
 	read: () => Promise<ReadOutcome>;
+	/** Passes an order on; an older leader, which knows none, leaves it unavailable. */
+	orderRollout: (request: RolloutRequest) => Promise<RolloutRequestOutcome>;
+	readRollout: (service: string) => Promise<RolloutReadOutcome>;
 	/** Asks for the removal of a replica; resolves with whether it is committed. */
 	leave: (replica: ReplicaId | undefined) => Promise<boolean>;
 }>;
@@ -82,6 +92,22 @@
 			const outcome = await call('/read', {}, decodeReadOutcome);
 			return outcome ?? {kind: 'unavailable'};
 		},
+		async orderRollout(request) {
+			const outcome = await call(
+				'/rollout',
+				request,
+				decodeRolloutRequestOutcome,
+			);
+			return outcome ?? 'unavailable';
+		},
+		async readRollout(service) {
+			const outcome = await call(
+				'/rollout-read',
+				{service},
+				decodeRolloutReadOutcome,
+			);
+			return outcome ?? {kind: 'unavailable'};
+		},
 		async leave(leaving) {
 			const isRemoved = await call(
 				'/leave',
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -21,7 +21,11 @@
 	mapValues,
 	toCountsSum,
 } from './arithmetic.js';
-import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
+import {
+	createEntryRegistry,
+	type EntryRegistry,
+	type KnownEntry,
+} from './entry-registry.js';
 import {createEntrySums} from './entry-sums.js';
 import {createFloodRegistry} from './flood-registry.js';
 import {createLimitRegistry} from './limit-registry.js';
@@ -67,6 +71,8 @@
 			| 'agesAboveMs'
 		>,
 	) => Omit<ControlReport, 'version' | 'controls' | 'convicted' | 'suspects'>;
+	/** Entries that are silent, as of the registry of entries. */
+	listSilent: EntryRegistry['listSilent'];
 	/** Entries that may be advertised to callers. */
 	listServing: () => readonly KnownEntry[];
 	removeExpired: () => void;
@@ -261,6 +267,7 @@
 					}
 				: {}),
 		}),
+		listSilent: entries.listSilent,
 		listServing: entries.listServing,
 		removeExpired() {
 			versions.update(table.values());
--- a/packages/lovage-coordinator/src/replica.ts
+++ b/packages/lovage-coordinator/src/replica.ts
@@ -25,7 +25,7 @@
 import {createEffectRunner} from './raft-effects.js';
 import {openReplicaFolder} from './replica-folder.js';
 import {createSenderAddresses} from './sender-addresses.js';
-import type {GroupState, StoredConfiguration} from './state-machine.js';
+import type {GroupCommand, GroupState} from './state-machine.js';
 import {createVoterRemoval} from './voter-removal.js';
 
 /** Dependencies and settings of a replica. */
@@ -53,7 +53,7 @@
 	/** Address of the leader, if known. */
 	findLeaderAddress: () => string | undefined;
 	isLeader: () => boolean;
-	propose: (configuration: StoredConfiguration) => Promise<ProposeOutcome>;
+	propose: (command: GroupCommand) => Promise<ProposeOutcome>;
 	/**
 	 * Resolves with true once the state is confirmed to be up to date, otherwise
 	 * with false.
@@ -210,13 +210,13 @@
 			return listMembers().find(({replica}) => replica === leader)?.address;
 		},
 		isLeader: () => store?.read().role.kind === 'leader',
-		async propose(configuration) {
+		async propose(command) {
 			if (store === undefined) {
 				return 'not-leader';
 			}
 
 			return pending.awaitProposal((proposal) => {
-				const commands = [JSON.stringify(configuration)];
+				const commands = [JSON.stringify(command)];
 				dispatch({kind: 'proposed', proposal, commands});
 			});
 		},
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -1,3 +1,4 @@
+import {decodeDecisions} from '@lovagevalve/rollout';
 import {isSocketAddress} from './backend-address.js';
 import {decodeFloods} from './flood-telling.js';
 import {isCount} from './record-decoder.js';
@@ -141,6 +142,7 @@
 		...(isAmount(agesAboveMs) ? {agesAboveMs} : {}),
 		...(isCount(readyCount) ? {readyCount} : {}),
 		...keepOptional('overview', decodeOverview(value.overview)),
+		...keepOptional('rollouts', decodeDecisions(value.rollouts)),
 		convicted: keepItems(value.convicted, isText),
 		...(Array.isArray(suspects) ? {suspects: keepItems(suspects, isText)} : {}),
 	};
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -1,3 +1,4 @@
+import type {RolloutDecisions, RolloutReport} from '@lovagevalve/rollout';
 import type {BackendRecord} from './backend-table.js';
 import type {FloodReports} from './flood-telling.js';
 import type {BackendLoad} from './load.js';
@@ -101,6 +102,8 @@
 	brittle?: LimitReports;
 	/** Flooding backend servers that this entry met itself; older entries don't send it. */
 	floods?: FloodReports;
+	/** Counts for running orders; absent where roll-outs are not in force. */
+	rollouts?: RolloutReport;
 	/** Whether the entry reaches no backend server; older entries don't send it. */
 	isCutOff?: boolean;
 	/** Origins of streams that this control instance has not confirmed yet. */
@@ -171,6 +174,8 @@
 	/** Number of backend servers in service; older control instances don't send it. */
 	readyCount?: number;
 	overview?: ClusterOverview;
+	/** Decisions on roll-outs, if the entry knows older ones. */
+	rollouts?: RolloutDecisions;
 	/** Digests of requests and keys of prompt parts that are quarantined. */
 	convicted: readonly string[];
 	/** Digests and keys that may have caused crashes; older control instances don't send it. */
--- a/packages/lovage-rollout/src/index.ts
+++ b/packages/lovage-rollout/src/index.ts
@@ -11,6 +11,16 @@
 	subtractCounts,
 	type VersionCounts,
 } from './counts.js';
+export {
+	type CompactCounts,
+	decodeDecisions,
+	fromCompactCounts,
+	isRolloutReport,
+	type RolloutCounts,
+	type RolloutDecisions,
+	type RolloutReport,
+	toCompactCounts,
+} from './report.js';
 export {
 	drawVersion,
 	isVersionAllowed,
--- a/packages/lovage-rollout/src/share.ts
+++ b/packages/lovage-rollout/src/share.ts
@@ -55,6 +55,10 @@
 		...(current === undefined || current === order?.to ? [] : [current]),
 		...others,
 	];
+	if (rest.length === 0 && current === order?.to && current !== undefined) {
+		return {versions: [current], credits};
+	}
+
 	if (order === undefined || order.stage === 'reverted') {
 		return {
 			versions: current === undefined ? rest : [...new Set([current, ...rest])],
--- a/packages/lovage-rollout/src/state.ts
+++ b/packages/lovage-rollout/src/state.ts
@@ -93,6 +93,11 @@
 	);
 }
 
+/** Whether a value can be a version of servers; those that state none have an empty one. */
+function isServedVersion(value: unknown): value is string {
+	return value === '' || isRolloutName(value);
+}
+
 /** Whether a value can be the duration of an order, in milliseconds. */
 export function isRolloutDuration(value: unknown): value is number {
 	return typeof value === 'number' && value > 0 && value <= MAX_DURATION_MS;
@@ -119,7 +124,7 @@
 
 	switch (value.kind) {
 		case 'rollout-first': {
-			return isRolloutName(value.version);
+			return isServedVersion(value.version);
 		}
 
 		case 'rollout-order': {
@@ -240,8 +245,8 @@
 
 	const {current, order} = value;
 	return (
-		value.allowed.every((version) => isRolloutName(version)) &&
-		(current === undefined || isRolloutName(current)) &&
+		value.allowed.every((version) => isServedVersion(version)) &&
+		(current === undefined || isServedVersion(current)) &&
 		(order === undefined ||
 			(isObject(order) &&
 				isRolloutName(order.to) &&
