Choose the software version of requests by roll-outs

An ordered version got requests as soon as its servers registered. Where a contract names roll-outs, an entry now draws the version of each new request by the share that the group decided, counts what it sends and gets by route and version, and reports that to the control instances.

--- a/packages/lovage-dispatch/src/placement.ts
+++ b/packages/lovage-dispatch/src/placement.ts
@@ -31,6 +31,8 @@
 	failedDataCentres: readonly string[];
 	/** The only software version that may run the request; absent if any may. */
 	softwareVersion?: string;
+	/** Versions that may run the request by a roll-out, the preferred one first. */
+	versions?: readonly string[];
 	engine?: EngineLimits;
 }>;
 
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -28,6 +28,7 @@
 	createReportedBackends,
 	type ReportedBackendsOptions,
 } from './reported-backends.js';
+import type {RolloutVersions} from './rollout-versions.js';
 import {createToldFloods} from './told-floods.js';
 
 /** Dependencies and settings of a backend view. */
@@ -35,6 +36,8 @@
 	Readonly<{
 		limits: NamedLimits;
 		brittle: BrittleBackends;
+		/** Absent where roll-outs are not in force. */
+		rollouts?: RolloutVersions;
 		/** Position of this entry among those that serve. */
 		readRank: () => Readonly<{rank: number; instances: number}>;
 		/** Called when a backend server of a service accepted no connection. */
@@ -111,7 +114,7 @@
 
 /** Creates a view without any backend servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-	const {clock, log, limits, brittle} = options;
+	const {clock, log, limits, brittle, rollouts} = options;
 	const reported = createReportedBackends(options);
 	const closed = createClosedBackends(options);
 	const health = createHealthRecords(options);
@@ -183,7 +186,7 @@
 			});
 			reported.logChanges(changed);
 		},
-		choose,
+		choose: rollouts?.limitChoice(choose) ?? choose,
 		chooseCopyTarget,
 		find: reported.find,
 		listInService() {
@@ -211,7 +214,7 @@
 				(hasRecentContact(record) ? 'usable' : 'silent')
 			);
 		},
-		reserve: ownLoads.reserve,
+		reserve: rollouts?.countSent(ownLoads.reserve) ?? ownLoads.reserve,
 		reportHealth(backend, outcome) {
 			const {id, bornAt, service} = backend;
 			// Outcomes of an earlier process do not apply to the one that replaced it.
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -23,6 +23,7 @@
 import type {RequestGuard} from './guard.js';
 import type {OriginLookup, OriginQuery} from './origin-lookup.js';
 import type {RetryBudgets} from './retry-budgets.js';
+import type {RolloutVersions} from './rollout-versions.js';
 import type {Probe} from './shared-probes.js';
 import type {StreamOrigins} from './stream-origins.js';
 
@@ -59,6 +60,8 @@
 	/** Returns a random number in [0, 1). */
 	random: () => number;
 	dataCentre: string;
+	/** Software versions of requests; absent where roll-outs are not in force. */
+	rollouts?: RolloutVersions;
 	/** Routes of the newest configuration; undefined until one is known. */
 	readRouteTable: () => RouteTable | undefined;
 	/** Origins of the streams that this entry has delivered events of. */
@@ -127,6 +130,11 @@
 	failedDataCentres: readonly string[],
 ): PlacementRequest {
 	const {promptTokens, outputTokens} = req.metadata;
+	// A stream that is resumed runs where it began.
+	const versions =
+		req.origin === undefined
+			? ctx.rollouts?.listVersions(req, req.service.name)
+			: undefined;
 	return {
 		dataCentre: ctx.dataCentre,
 		promptTokens,
@@ -134,5 +142,6 @@
 		excluded,
 		failedDataCentres,
 		engine: req.service.engine,
+		...(versions === undefined ? {} : {versions}),
 	};
 }
--- a/packages/lovage-gateway/src/entry-settings.ts
+++ b/packages/lovage-gateway/src/entry-settings.ts
@@ -23,6 +23,8 @@
 	 * in milliseconds.
 	 */
 	addressLifetimeMs: number;
+	/** Present where roll-outs are in force. */
+	rollout?: Readonly<{contactMs: number}>;
 	/**
 	 * Host through which this instance connects to backend servers, on networks with
 	 * address translation; absent to use their registered ones.
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -33,6 +33,7 @@
 import type {EntrySettings} from './entry-settings.js';
 import {startPeerOrigins} from './peer-origins.js';
 import {createRetryBudgets} from './retry-budgets.js';
+import {createRolloutVersions} from './rollout-versions.js';
 import {createSharedProbes} from './shared-probes.js';
 import {createStreamOrigins} from './stream-origins.js';
 
@@ -101,6 +102,14 @@
 		random: dependencies.random,
 		countEntries: peers.count,
 	});
+	const rollouts =
+		settings.rollout === undefined
+			? undefined
+			: createRolloutVersions({
+					log,
+					metrics,
+					initialCredit: dependencies.random(),
+				});
 	const view = createBackendView({
 		clock,
 		log,
@@ -108,6 +117,7 @@
 		registrationIntervalMs: settings.registrationIntervalMs,
 		limits,
 		brittle,
+		...(rollouts === undefined ? {} : {rollouts}),
 		readRank: peers.readRank,
 		onUnreachable(service) {
 			reach.suspect(service);
@@ -154,6 +164,7 @@
 		buffers,
 		codec: dependencies.codec,
 		view,
+		...(rollouts === undefined ? {} : {rollouts}),
 		retryBudgets,
 		answerTimes,
 		drainGate,
@@ -184,6 +195,7 @@
 		limits: limits.createReport(),
 		brittle: brittle.createReport(),
 		floods: view.createFloodReport(),
+		...rollouts?.createReport(),
 		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
 
@@ -209,6 +221,9 @@
 			tasks.run(() => {
 				crashes.applyReport(control, report);
 			});
+			tasks.run(() => {
+				rollouts?.applyReport(report);
+			});
 			tasks.run(() => {
 				view.applyReport(report);
 			});
@@ -232,6 +247,10 @@
 	metrics.registerGauge('backends_ready', () => view.countReady());
 	metrics.registerGauge('backends_limited', () => limits.countLimited());
 	metrics.registerGauge('backends_brittle', () => brittle.countBrittle());
+	if (rollouts !== undefined) {
+		metrics.registerGauge('rollouts_running', rollouts.countRunning);
+	}
+
 	metrics.registerGauge('isolated', () => (reach.isIsolated() ? 1 : 0));
 	metrics.registerGauge('controls_reachable', () =>
 		controlClient.countReachable(),
--- a/packages/lovage-gateway/src/next-run.ts
+++ b/packages/lovage-gateway/src/next-run.ts
@@ -1,5 +1,6 @@
 import type {AttemptFailure} from '@lovagevalve/dispatch';
 import type {AcceptedRequest, GatewayContext} from './context.js';
+import {recordFailedRun} from './rollout-outcomes.js';
 import type {RunSender} from './run-sender.js';
 import type {RunStart} from './run-start.js';
 import type {StreamAttempts} from './stream-attempts.js';
@@ -105,6 +106,7 @@
 			}
 
 			sender.close();
+			recordFailedRun(ctx, req, failed, failure);
 			attempts.recordFailure(failed, failure);
 			decide(failed, failure);
 		},
--- a/packages/lovage-gateway/src/stream-events.ts
+++ b/packages/lovage-gateway/src/stream-events.ts
@@ -17,6 +17,7 @@
 import {isInStartWindow} from '@lovagevalve/quarantine';
 import type {AcceptedRequest, GatewayContext} from './context.js';
 import type {StreamEvent} from './event-splitter.js';
+import {recordFirstEvent} from './rollout-outcomes.js';
 import type {StreamDelivery} from './stream-delivery.js';
 import {type EventReader, readEvents} from './stream-reader.js';
 import {describeRunHolder, type Run} from './stream-run.js';
@@ -79,6 +80,7 @@
 		if (run.startedAt === undefined) {
 			run.startedAt = run.lastEventAt;
 			run.reservation.markPrefilled();
+			recordFirstEvent(ctx, req, run);
 			ctx.view.reportHealth(run.backend, 'answered');
 		} else if (
 			!run.isSound &&
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -89,10 +89,14 @@
 
 	const key = createStreamKey(customer, metadata.id);
 
-	/** Whether the version that began it here has come to be in doubt. */
+	/** Whether the version that began it has come to be in doubt, or is not allowed any more. */
 	const isOriginLost = (): boolean => {
 		const own = ctx.origins.find(key);
-		return own !== undefined && isDoubtful(ctx, own);
+		return (
+			(own !== undefined && isDoubtful(ctx, own)) ||
+			(origin !== undefined &&
+				ctx.rollouts?.isAllowed(service.name, origin.softwareVersion) === false)
+		);
 	};
 
 	const createRequest = (
--- a/packages/lovage-gateway/src/unary-forwarder.ts
+++ b/packages/lovage-gateway/src/unary-forwarder.ts
@@ -19,6 +19,7 @@
 } from './context.js';
 import {canRelayAgain, chooseRelayPeer} from './peer-relay.js';
 import {pipeLargeResponse, sendBufferedResponse} from './unary-response.js';
+import {recordAttempt} from './rollout-outcomes.js';
 import {decideWithinBudget} from './retry-budgets.js';
 import {planAttempt, runAttempt, type AttemptOutcome} from './unary-attempt.js';
 
@@ -316,6 +317,7 @@
 	const sentAt = ctx.clock.now();
 	const outcome = await runAttempt(ctx, req, plan);
 	reservation.release();
+	recordAttempt(ctx, req, {backend, sentAt, outcome});
 	switch (outcome.kind) {
 		case 'answer': {
 			ctx.view.reportHealth(backend, 'answered');
