--- a/packages/lovage-coordinator/src/decode-report.ts
+++ b/packages/lovage-coordinator/src/decode-report.ts
@@ -12,6 +12,7 @@
 	parseIncarnationKey,
 	type RetryCounts,
 } from '@lovagevalve/dispatch';
+import {isRolloutReport} from '@lovagevalve/rollout';
 import {
 	isAbsent,
 	isAddress,
@@ -147,6 +148,7 @@
 	limits: (value) => isRecordOf(value, isLimitReport),
 	brittle: (value) => isRecordOf(value, isLimitReport),
 	waiting: (value) => isRecordOf(value, isFigure),
+	rollouts: isRolloutReport,
 	isCutOff: (value) => typeof value === 'boolean',
 	origins: (value) => isListOf(value, isOriginReport),
 	known: isRevision,
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -22,7 +22,11 @@
 	NUMBER_ARITHMETIC,
 	toCountsSum,
 } from './arithmetic.js';
-import {createEntryRegistry, type KnownEntry} from './entry-registry.js';
+import {
+	createEntryRegistry,
+	type EntryRegistry,
+	type KnownEntry,
+} from './entry-registry.js';
 import {createEntrySums} from './entry-sums.js';
 import {createFloodRegistry} from './flood-registry.js';
 import {createLimitRegistry} from './limit-registry.js';
@@ -70,6 +74,8 @@
 			| 'speeds'
 		>,
 	) => Omit<ControlReport, 'version' | 'controls' | 'convicted' | 'suspects'>;
+	/** Entries that are silent, as of the registry of entries. */
+	listSilent: EntryRegistry['listSilent'];
 	/** Entries that may be advertised to callers. */
 	listServing: () => readonly KnownEntry[];
 	removeExpired: () => void;
@@ -279,6 +285,7 @@
 					}
 				: {}),
 		}),
+		listSilent: entries.listSilent,
 		listServing: entries.listServing,
 		removeExpired() {
 			versions.update(table.values());
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -1,3 +1,4 @@
+import {decodeDecisions} from '@lovagevalve/rollout';
 import type {ServingMachine} from './address-selection.js';
 import {isSocketAddress} from './backend-address.js';
 import {decodeFloods} from './flood-telling.js';
@@ -164,6 +165,7 @@
 		...(isAmount(agesAboveMs) ? {agesAboveMs} : {}),
 		...(isCount(readyCount) ? {readyCount} : {}),
 		...keepOptional('overview', decodeOverview(value.overview)),
+		...keepOptional('rollouts', decodeDecisions(value.rollouts)),
 		convicted: keepItems(value.convicted, isText),
 		...(Array.isArray(suspects) ? {suspects: keepItems(suspects, isText)} : {}),
 	};
--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -34,6 +34,7 @@
 	type ReportedBackendsOptions,
 } from './reported-backends.js';
 import {createServerSpeeds, type ServerSpeeds} from './server-speeds.js';
+import type {RolloutVersions} from './rollout-versions.js';
 import {createToldFloods} from './told-floods.js';
 
 /** Dependencies and settings of a backend view. */
@@ -41,6 +42,8 @@
 	Readonly<{
 		limits: NamedLimits;
 		brittle: BrittleBackends;
+		/** Absent where roll-outs are not in force. */
+		rollouts?: RolloutVersions;
 		/** Position of this entry among those that serve. */
 		readRank: () => Readonly<{rank: number; instances: number}>;
 		/** Called when a backend server of a service accepted no connection. */
@@ -123,7 +126,7 @@
 
 /** Creates a view without any backend servers. */
 export function createBackendView(options: BackendViewOptions): BackendView {
-	const {clock, log, limits, brittle} = options;
+	const {clock, log, limits, brittle, rollouts} = options;
 	const reported = createReportedBackends(options);
 	const closed = createClosedBackends(options);
 	const health = createHealthRecords(options);
@@ -182,6 +185,8 @@
 		room,
 	});
 
+	const reserve = rollouts?.countSent(ownLoads.reserve) ?? ownLoads.reserve;
+
 	return {
 		applyReport(report) {
 			const {overview} = report;
@@ -206,7 +211,7 @@
 
 			reported.logChanges(changed);
 		},
-		choose,
+		choose: rollouts?.limitChoice(choose) ?? choose,
 		chooseCopyTarget,
 		listCandidates,
 		readLoad: (id) => addLoad(ownLoads.read(id), readOthersLoad(id)),
@@ -241,7 +246,7 @@
 		reserve(backend, request) {
 			const {id} = backend;
 			const load = addLoad(ownLoads.read(id), readOthersLoad(id));
-			const reservation = ownLoads.reserve(backend, request);
+			const reservation = reserve(backend, request);
 			speeds.recordSending(reservation, request, load);
 			return reservation;
 		},
--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -96,10 +96,14 @@
 
 	const key = createStreamKey(customer, metadata.id);
 
-	/** Whether the version that began it here has come to be in doubt. */
+	/** Whether the version that began it has come to be in doubt, or is not allowed any more. */
 	const isOriginLost = (): boolean => {
 		const own = ctx.origins.find(key);
-		return own !== undefined && isDoubtful(ctx, own);
+		return (
+			(own !== undefined && isDoubtful(ctx, own)) ||
+			(origin !== undefined &&
+				ctx.rollouts?.isAllowed(service.name, origin.softwareVersion) === false)
+		);
 	};
 
 	const createRequest = (
@@ -132,21 +136,39 @@
 						readSoftwareVersion(record) === softwareVersion),
 			);
 
+	/** Limits a new stream to the first version of its roll-out that has servers. */
+	const limitToVersion = (request: PlacementRequest): PlacementRequest => {
+		const {softwareVersion, versions = []} = request;
+		const first =
+			versions.find((version) =>
+				hasCandidate({...request, softwareVersion: version}),
+			) ?? versions[0];
+		return softwareVersion === undefined && first !== undefined
+			? {...request, softwareVersion: first}
+			: request;
+	};
+
 	/** Waits for room, at `preferred` servers if there are any. */
 	const createQueueTarget = (
 		request: PlacementRequest,
 		preferred: PlacementRequest,
-	): StreamTarget => ({
-		kind: 'queue',
-		work:
-			preferred === request || hasCandidate(preferred) ? preferred : request,
-		place(backend) {
-			unplacedAt = undefined;
-			return isOriginLost()
-				? {kind: 'none'}
-				: {kind: 'backend', backend, kvCopy: undefined, work: request};
-		},
-	});
+	): StreamTarget =>
+		request.softwareVersion === undefined && request.versions?.length === 0
+			? {kind: 'none'}
+			: {
+					kind: 'queue',
+					work: limitToVersion(
+						preferred === request || hasCandidate(preferred)
+							? preferred
+							: request,
+					),
+					place(backend) {
+						unplacedAt = undefined;
+						return isOriginLost()
+							? {kind: 'none'}
+							: {kind: 'backend', backend, kvCopy: undefined, work: request};
+					},
+				};
 
 	const choosePeerTarget = (): StreamTarget | undefined => {
 		const address = isBegunAtPeer
