--- a/packages/lovage-dispatch/src/__tests__/unit/server-speed.test.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/server-speed.test.ts
@@ -116,6 +116,23 @@
 		expect(Math.max(...longestMs)).toBeLessThan(4 * 1040);
 	});
 
+	// By load alone, they get half as many requests as the others, too many for them.
+	it('is lower on plain servers that slow down long before they are full', () => {
+		const simulation = simulate(
+			createService({
+				servers: 6,
+				requestsPerSecond: 200,
+				serviceMs: 100,
+				readSpeed: (server, _, running) =>
+					server % 3 === 0 && running > 2 ? 0.4 : 1,
+			}),
+		);
+		simulation.runUntil(5000);
+		simulation.takeCounts();
+		simulation.runUntil(25_000);
+		expect(compareLoads(simulation.takeCounts(), 0, 1)).toBeLessThan(0.44);
+	});
+
 	it('comes back to a server that was 2.5 times slower for 600 ms', () => {
 		const noisy = 3;
 		const base = createService();
@@ -123,7 +140,7 @@
 			...base,
 			readSpeed(server, now) {
 				const isSlowed = server === noisy && now >= 10_000 && now < 10_600;
-				return base.readSpeed(server, now) / (isSlowed ? 2.5 : 1);
+				return base.readSpeed(server, now, 0) / (isSlowed ? 2.5 : 1);
 			},
 		});
 		simulation.runUntil(12_000);
--- a/packages/lovage-dispatch/src/__tests__/unit/speed-simulation.ts
+++ b/packages/lovage-dispatch/src/__tests__/unit/speed-simulation.ts
@@ -20,7 +20,7 @@
 	entries: number;
 	requestsPerSecond: number;
 	/** Speed of a server as a multiple of the common one. */
-	readSpeed: (server: number, now: number) => number;
+	readSpeed: (server: number, now: number, running: number) => number;
 	/** Milliseconds for which plain servers work on a request; engines if absent. */
 	serviceMs?: number;
 	random: () => number;
@@ -182,9 +182,14 @@
 
 	const work = (server: number): void => {
 		const queue = queues[server]!;
+		const running = entries.reduce(
+			(sum, {ownLoads}) => sum + (ownLoads.get(server)?.running ?? 0),
+			0,
+		);
+		const speed = service.readSpeed(server, now, running);
 		const active = queue.slice(0, isPlain ? slots : 1);
 		active.forEach((one) => {
-			one.left -= STEP_MS * service.readSpeed(server, now);
+			one.left -= STEP_MS * speed;
 		});
 		const done = queue.filter(({left}) => left <= 0);
 		queues[server] = queue.filter(({left}) => left > 0);
