Limit the heads that the parser holds to twice the configured limit

Cause: the HTTP parser of the listener for callers took heads and trailers of up to 128 KB, whatever max-header-bytes was, and holds what has come of an unfinished one for each connection.

Change: the limit of the parser is twice max-header-bytes, 128 KB at most, and follows the configuration. A longer head is answered 431 without a reason, as one over 128 KB was before.

The other listeners were within their memory before.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import {createOpenRequests, type OpenRequests} from './open-requests.js';
 import type {RequestGuard} from './guard.js';
 import {createRequestGuard} from './request-guard.js';
+import {limitParsedHeads} from './parsed-heads.js';
 import {isOriginsMessage, receiveOrigins} from './peer-origins.js';
 import {isResumed, locateResumedStream} from './resume-location.js';
 import {createStreamRelay, type StreamRelay} from './stream-forwarder.js';
@@ -70,11 +71,6 @@
 };
 /** Concurrent requests held in memory; further ones are rejected. */
 const MAX_REQUESTS = 2000;
-/**
- * Limit of the HTTP parser; the configured limit on headers is checked
- * afterwards.
- */
-const MAX_PARSED_HEADER_BYTES = 131_072;
 /**
  * Interval of the check for silent streams: a fifth of the silence that
  * triggers a probe.
@@ -250,16 +246,13 @@
 		activeRequests -= 1;
 	};
 
-	const server = createServer(
-		{maxHeaderSize: MAX_PARSED_HEADER_BYTES},
-		(req, res) => {
-			req.on('error', () => undefined);
-			res.on('error', () => undefined);
-			if (open.add(res)) {
-				void serve(req, res);
-			}
-		},
-	);
+	const server = createServer((req, res) => {
+		req.on('error', () => undefined);
+		res.on('error', () => undefined);
+		if (open.add(res)) {
+			void serve(req, res);
+		}
+	});
 	server.requestTimeout = 0;
 	boundUnreadResponses(server);
 	server.on('connection', open.addConnection);
@@ -273,6 +266,7 @@
 		const limits = ctx.readRouteTable()?.configuration.limits ?? DEFAULT_LIMITS;
 		server.keepAliveTimeout = toTimerMs(limits.idleTimeoutMs);
 		server.headersTimeout = toTimerMs(limits.headerTimeoutMs);
+		limitParsedHeads(server, limits.maxHeaderBytes);
 	};
 
 	applyLimits();
