Judge a share only once all entries know it

Entries report to all control instances in every third round only, so the leader could judge a step of half a second before its counts had arrived, and could report success while an entry still sent by the step before. The instance that judges says so in its answers and gets each report while an order is running; a share grows, and an order succeeds, only if all entries that report know the last change.

--- a/packages/lovage-coordinator/src/__tests__/unit/rollout-leader.test.ts
+++ b/packages/lovage-coordinator/src/__tests__/unit/rollout-leader.test.ts
@@ -87,11 +87,15 @@
 	state = applyEntry(state, {index, term: 1, kind: 'command', data});
 }
 
-function report(entry: string, service: Partial<RolloutCounts>): void {
+function report(
+	entry: string,
+	service: Partial<RolloutCounts>,
+	revision = state.rolloutRevision,
+): void {
 	counts.applyReport({
 		entry,
 		rollouts: {
-			revision: 1,
+			revision,
 			counts: {
 				s: {
 					to: 'v2',
@@ -155,6 +159,20 @@
 	expect(readOrder()?.step).toBeGreaterThan(0);
 });
 
+it('grows no share while an entry does not know the last one', async () => {
+	order();
+	for (let i = 0; i < 100; i += 1) {
+		report('a', {}, 0);
+		// eslint-disable-next-line no-await-in-loop -- ticks follow each other
+		await tick(1);
+	}
+
+	expect(readOrder()?.step).toBe(0);
+	report('a', {});
+	await tick(1);
+	expect(readOrder()?.step).toBe(1);
+});
+
 it('goes on with the age of the order after a change of the leader', async () => {
 	order();
 	await tick(60);
--- a/packages/lovage-coordinator/src/coordinator.ts
+++ b/packages/lovage-coordinator/src/coordinator.ts
@@ -223,9 +223,13 @@
 		setInterval(() => {
 			inBackground(originStore.store);
 		}, ORIGIN_STORE_INTERVAL_MS),
-		setInterval(() => {
-			inBackground(async () => rollouts?.tick());
-		}, ROLLOUT_INTERVAL_MS),
+		...(rollouts === undefined
+			? []
+			: [
+					setInterval(() => {
+						inBackground(rollouts.tick);
+					}, ROLLOUT_INTERVAL_MS),
+				]),
 	];
 	metrics.registerGauge('configuration_version', configuration.readVersion);
 	metrics.registerGauge('is_leader', () => (replica.isLeader() ? 1 : 0));
--- a/packages/lovage-coordinator/src/rollout-counts.ts
+++ b/packages/lovage-coordinator/src/rollout-counts.ts
@@ -1,4 +1,4 @@
-import type {EntryReport} from '@lovagevalve/dispatch';
+import {type EntryReport, readOwn} from '@lovagevalve/dispatch';
 import {
 	addCounts,
 	fromCompactCounts,
@@ -30,6 +30,8 @@
 		to: string,
 		silent: readonly string[],
 	) => OrderCounts;
+	/** Whether all entries that reported lately know the decisions of a revision. */
+	isKnownToAll: (revision: number) => boolean;
 	/** Forgets the counts of orders other than the running ones. */
 	keepOnly: (running: ReadonlyMap<string, string>) => void;
 }>;
@@ -55,6 +57,8 @@
 const MAX_SECONDS = 120;
 /** Seconds over which the rate of requests is taken. */
 const RATE_SECONDS = 3;
+/** Silence after which an entry is no longer waited for here; it counts as out of contact. */
+const ENTRY_TIMEOUT_MS = 1500;
 /** Routes that are counted for an order; further ones are left out. */
 const MAX_ROUTES = 200;
 
@@ -67,6 +71,8 @@
 	clock: Pick<Clock, 'now'>,
 ): RolloutCountsRegistry {
 	const orders = new Map<string, Order>();
+	/** Revision that each entry knew at its last report, and when that was. */
+	const known = new Map<string, {revision: number; at: number}>();
 
 	const openSecond = (order: Order): Second => {
 		const now = clock.now();
@@ -92,7 +98,10 @@
 		order.total += requests;
 		order.exposed += countSince(counts.exposed, known?.exposed ?? 0);
 		Object.entries(counts.routes).forEach(([route, [fresh, old]]) => {
-			const [knownFresh, knownOld] = known?.routes[route] ?? [[], []];
+			const [knownFresh, knownOld] = readOwn(known?.routes ?? {}, route) ?? [
+				[],
+				[],
+			];
 			const sum = second.routes.get(route);
 			if (sum === undefined && second.routes.size >= MAX_ROUTES) {
 				return;
@@ -117,11 +126,15 @@
 
 	return {
 		applyReport({entry, rollouts}) {
+			if (rollouts !== undefined) {
+				known.set(entry, {revision: rollouts.revision, at: clock.now()});
+			}
+
 			Object.entries(rollouts?.counts ?? {}).forEach(([service, counts]) => {
-				const known = orders.get(service);
+				const counted = orders.get(service);
 				const order =
-					known?.to === counts.to
-						? known
+					counted?.to === counts.to
+						? counted
 						: {
 								to: counts.to,
 								seconds: [],
@@ -156,6 +169,14 @@
 					.reduce((sum, [, {oldRunning}]) => sum + oldRunning, 0),
 			};
 		},
+		isKnownToAll(revision) {
+			known.forEach(({at}, entry) => {
+				if (clock.now() - at > ENTRY_TIMEOUT_MS) {
+					known.delete(entry);
+				}
+			});
+			return [...known.values()].every((one) => one.revision >= revision);
+		},
 		keepOnly(running) {
 			orders.forEach(({to}, service) => {
 				if (running.get(service) !== to) {
--- a/packages/lovage-coordinator/src/rollout-leader.ts
+++ b/packages/lovage-coordinator/src/rollout-leader.ts
@@ -33,6 +33,8 @@
 export type RolloutLeader = Readonly<{
 	/** Called several times a second at each instance. */
 	tick: () => Promise<void>;
+	/** Whether this instance leads and an order is running. */
+	isJudging: () => boolean;
 	/** Version of the servers that a service has now; undefined if it has none. */
 	findServedVersion: (service: string) => string | undefined;
 }>;
@@ -141,7 +143,10 @@
 					record.state === 'ready' &&
 					readSoftwareVersion(record) === order.to,
 			).length,
-			isStable: readSinceMs() >= STABLE_MS && missing === 0,
+			isStable:
+				readSinceMs() >= STABLE_MS &&
+				missing === 0 &&
+				counts.isKnownToAll(replica.readState().rolloutRevision),
 			bounds: settings,
 		};
 		const {kind, reason} = decideRollout(input);
@@ -239,6 +244,7 @@
 				isBusy = false;
 			}
 		},
+		isJudging: () => leadsSince !== undefined && noted.size > 0,
 		findServedVersion: (service) =>
 			findMainVersion(registry.listBackends(), service),
 	};
--- a/packages/lovage-coordinator/src/rollouts.ts
+++ b/packages/lovage-coordinator/src/rollouts.ts
@@ -47,7 +47,9 @@
 	/** Called several times a second. */
 	tick: () => Promise<void>;
 	/** Takes an entry's counts; returns the decisions if it knows older ones. */
-	applyReport: (report: EntryReport) => Pick<ControlReport, 'rollouts'>;
+	applyReport: (
+		report: EntryReport,
+	) => Pick<ControlReport, 'rollouts' | 'judgesRollouts'>;
 	/** Handles a call of another instance; undefined if it isn't on roll-outs. */
 	handleCall: (
 		path: string,
@@ -60,7 +62,10 @@
 export function createRollouts(options: RolloutsOptions): Rollouts {
 	const {clock, metrics, replica} = options;
 	const counts = createRolloutCounts(clock);
-	const {tick, findServedVersion} = createRolloutLeader({...options, counts});
+	const {tick, isJudging, findServedVersion} = createRolloutLeader({
+		...options,
+		counts,
+	});
 	const {order, read, orderLocally, readLocally} = createReplicatedRollouts({
 		...options,
 		findServedVersion,
@@ -75,15 +80,21 @@
 		applyReport(report) {
 			counts.applyReport(report);
 			const {rollouts, rolloutRevision} = replica.readState();
-			return report.rollouts !== undefined &&
-				report.rollouts.revision < rolloutRevision
-				? {
-						rollouts: {
-							revision: rolloutRevision,
-							services: encodeRollouts(rollouts),
-						},
-					}
-				: {};
+			if (report.rollouts === undefined) {
+				return {};
+			}
+
+			return {
+				...(isJudging() ? {judgesRollouts: true} : {}),
+				...(report.rollouts.revision < rolloutRevision
+					? {
+							rollouts: {
+								revision: rolloutRevision,
+								services: encodeRollouts(rollouts),
+							},
+						}
+					: {}),
+			};
 		},
 		async handleCall(path, body, handleDecoded) {
 			switch (path) {
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -142,6 +142,7 @@
 		...(isAmount(agesAboveMs) ? {agesAboveMs} : {}),
 		...(isCount(readyCount) ? {readyCount} : {}),
 		...keepOptional('overview', decodeOverview(value.overview)),
+		...(value.judgesRollouts === true ? {judgesRollouts: true} : {}),
 		...keepOptional('rollouts', decodeDecisions(value.rollouts)),
 		convicted: keepItems(value.convicted, isText),
 		...(Array.isArray(suspects) ? {suspects: keepItems(suspects, isText)} : {}),
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -176,6 +176,8 @@
 	overview?: ClusterOverview;
 	/** Decisions on roll-outs, if the entry knows older ones. */
 	rollouts?: RolloutDecisions;
+	/** It judges running orders, and wants each report. */
+	judgesRollouts?: boolean;
 	/** Digests of requests and keys of prompt parts that are quarantined. */
 	convicted: readonly string[];
 	/** Digests and keys that may have caused crashes; older control instances don't send it. */
--- a/packages/lovage-gateway/src/__tests__/unit/rollout-versions.test.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/rollout-versions.test.ts
@@ -56,7 +56,7 @@
 });
 
 function decide(revision: number, rollout: ServiceRollout): void {
-	versions.applyReport({rollouts: {revision, services: [['s', rollout]]}});
+	versions.applyReport('c', {rollouts: {revision, services: [['s', rollout]]}});
 }
 
 function place(req: WeakKey = {}): string | undefined {
--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -32,6 +32,8 @@
 	createOriginsUpdate: (after: number) => OriginsUpdate;
 	/** Ages of registrations to request from the primary control instance. */
 	createAgesRequest: () => AgesRequest;
+	/** Control instance that gets each report, as it judges roll-outs by them. */
+	readJudge?: () => string | undefined;
 	onReport: (control: string, report: ControlReport) => void;
 	/** Receives the text of a configuration that is newer than the active one. */
 	onConfiguration: (text: string) => void;
@@ -138,12 +140,14 @@
 			primaryPeer = peers.choosePrimary();
 			round += 1;
 			const isFullRound = round % FULL_ROUND_PERIOD === 0;
+			const judge = options.readJudge?.();
 			const targets = peers
 				.listAddresses()
 				.filter(
 					(address) =>
 						isFullRound ||
 						address === primaryPeer ||
+						address === judge ||
 						peers.read(address).knownRevision === undefined,
 				);
 			targets.forEach((address) => {
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -207,6 +207,7 @@
 		createReport,
 		createOriginsUpdate: origins.createReport,
 		createAgesRequest: view.createAgesRequest,
+		readJudge: () => rollouts?.readJudge(),
 		onReport(control, report) {
 			const {overview} = report;
 			// One part that can't be applied leaves the others in force.
@@ -222,7 +223,7 @@
 				crashes.applyReport(control, report);
 			});
 			tasks.run(() => {
-				rollouts?.applyReport(report);
+				rollouts?.applyReport(control, report);
 			});
 			tasks.run(() => {
 				view.applyReport(report);
--- a/packages/lovage-gateway/src/rollout-versions.ts
+++ b/packages/lovage-gateway/src/rollout-versions.ts
@@ -42,7 +42,12 @@
 /** Software versions of requests, where roll-outs are in force. */
 export type RolloutVersions = Readonly<{
 	/** Applies the decisions in a report of a control instance, if they are newer. */
-	applyReport: (report: Pick<ControlReport, 'rollouts'>) => void;
+	applyReport: (
+		control: string,
+		report: Pick<ControlReport, 'rollouts' | 'judgesRollouts'>,
+	) => void;
+	/** Control instance that judges running orders; undefined if none said so. */
+	readJudge: () => string | undefined;
 	createReport: () => Readonly<{rollouts: RolloutReport}>;
 	/**
 	 * Versions that may get a request, the preferred one first; drawn once for each
@@ -102,6 +107,7 @@
 	initialCredit,
 }: RolloutVersionsOptions): RolloutVersions {
 	let revision = 0;
+	let judge: string | undefined;
 	let decisions: RolloutState = new Map();
 	let credits: ShareCredits = new Map();
 	const drawn = new WeakMap<WeakKey, readonly string[]>();
@@ -173,7 +179,12 @@
 	};
 
 	return {
-		applyReport({rollouts}) {
+		readJudge: () => judge,
+		applyReport(control, {rollouts, judgesRollouts = false}) {
+			if (judgesRollouts || judge === control) {
+				judge = judgesRollouts ? control : undefined;
+			}
+
 			if (rollouts === undefined || rollouts.revision <= revision) {
 				return;
 			}
--- a/packages/lovage-rollout/src/index.ts
+++ b/packages/lovage-rollout/src/index.ts
@@ -47,9 +47,9 @@
 	type ServiceRollout,
 	SHARE_STEPS,
 } from './state.js';
+export {findFault} from './fault.js';
 export {
 	decideRollout,
-	findFault,
 	MIN_STEP_MS,
 	type RolloutBounds,
 	type Verdict,
