--- a/packages/lovage-gateway/src/control-client.ts
+++ b/packages/lovage-gateway/src/control-client.ts
@@ -34,6 +34,8 @@
 	createSpeedsUpdate: (control: string) => Pick<EntryReport, 'speeds'>;
 	/** Ages of registrations to request from the primary control instance. */
 	createAgesRequest: () => AgesRequest;
+	/** Control instance that gets each report, as it judges roll-outs by them. */
+	readJudge?: () => string | undefined;
 	onReport: (control: string, report: ControlReport) => void;
 	/** Receives the text of a configuration that is newer than the active one. */
 	onConfiguration: (text: string) => void;
@@ -141,12 +143,14 @@
 			primaryPeer = peers.choosePrimary();
 			round += 1;
 			const isFullRound = round % FULL_ROUND_PERIOD === 0;
+			const judge = options.readJudge?.();
 			const targets = peers
 				.listAddresses()
 				.filter(
 					(address) =>
 						isFullRound ||
 						address === primaryPeer ||
+						address === judge ||
 						peers.read(address).knownRevision === undefined,
 				);
 			targets.forEach((address) => {
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -231,6 +231,7 @@
 		createOriginsUpdate: origins.createReport,
 		createAgesRequest: view.createAgesRequest,
 		createSpeedsUpdate: view.speeds.createReport,
+		readJudge: () => rollouts?.readJudge(),
 		onReport(control, report) {
 			const {overview} = report;
 			// One part that can't be applied leaves the others in force.
@@ -246,7 +247,7 @@
 				crashes.applyReport(control, report);
 			});
 			tasks.run(() => {
-				rollouts?.applyReport(report);
+				rollouts?.applyReport(control, report);
 			});
 			tasks.run(() => {
 				view.applyReport(report);
