List engines of the queue without relative speeds

Cause: the merged choice reads the speeds of a service once, and the queue's list of engines did not name a reader, so the tree did not compile. Change: the queue reads tokens per millisecond by itself and passes none. Measured: the tree compiles.

--- a/packages/lovage-gateway/src/backend-choice.ts
+++ b/packages/lovage-gateway/src/backend-choice.ts
@@ -138,7 +138,7 @@
 			const avoidedAsTold = listAvoidedAsTold(service);
 			return listOpen(service).map((record) => ({
 				record,
-				candidate: toCandidate(record, avoidedAsTold),
+				candidate: toCandidate(record, avoidedAsTold, undefined),
 				isLimited: limits.isLimited(record),
 			}));
 		},
