Bound the small chunks of refused bodies for the process

Cause: since bodies in small chunks are served, up to 8,192 chunks of each refused one were read, and behind that every chunk of the block that had arrived closed the connection again. 1,500 connections with 20,000 chunks of one byte each kept an entry and a control instance from answering for over 20 s after they had left.

Change: chunks of refused bodies have a budget of the process of their own, as large as that of kept ones; once it is spent, connections are closed at once. What was parsed of a body that is given up is not handed on.

--- a/packages/lovage-runtime/src/buffer-budget.ts
+++ b/packages/lovage-runtime/src/buffer-budget.ts
@@ -27,6 +27,8 @@
 	canHold: (bytes: number) => boolean;
 	/** Whether so many small chunks may be read now; false is logged and counted. */
 	takeSmallChunks: (chunks: number) => boolean;
+	/** Whether so many small chunks of a refused body may be read now. */
+	takeDiscardedChunks: (chunks: number) => boolean;
 	/** Gives all bytes back; may be called more than once. */
 	release: () => void;
 	/** Gives all bytes back; nothing is granted any more. */
@@ -62,7 +64,11 @@
 	clock = performance,
 	maxSmallChunks = MAX_SMALL_CHUNKS,
 }: BufferBudgetOptions): BufferBudget {
-	let chunkBudget: ChunkBudget = {chunks: maxSmallChunks, atMs: clock.now()};
+	const fullChunks = {chunks: maxSmallChunks, atMs: clock.now()};
+	const chunkBudgets: Record<'kept' | 'discarded', ChunkBudget> = {
+		kept: fullChunks,
+		discarded: fullChunks,
+	};
 	const sources = new Map<BufferSource, number>();
 	const holders = new Map<string, number>();
 	let usedBytes = 0;
@@ -126,15 +132,16 @@
 
 	const takeChunks = (
 		{source, name}: BufferHolder,
+		use: keyof typeof chunkBudgets,
 		wanted: number,
 	): boolean => {
-		const left = takeSmallChunks(chunkBudget, {
+		const left = takeSmallChunks(chunkBudgets[use], {
 			wanted,
 			nowMs: clock.now(),
 			maxChunks: maxSmallChunks,
 		});
 		if (left === undefined) {
-			const decision = 'chunks-full';
+			const decision = `${use}-chunks-full`;
 			metrics.count('buffer_refusals', {source, decision});
 			log.warn('A bound of small chunks is reached.', {
 				source,
@@ -143,9 +150,10 @@
 				wanted,
 				maxSmallChunks,
 			});
+		} else {
+			chunkBudgets[use] = left;
 		}
 
-		chunkBudget = left ?? chunkBudget;
 		return left !== undefined;
 	};
 
@@ -178,7 +186,9 @@
 					heldBytes = bytes;
 					return true;
 				},
-				takeSmallChunks: (chunks) => takeChunks(holder, chunks),
+				takeSmallChunks: (chunks) => takeChunks(holder, 'kept', chunks),
+				takeDiscardedChunks: (chunks) =>
+					takeChunks(holder, 'discarded', chunks),
 				release,
 				close() {
 					isClosed = true;
--- a/packages/lovage-runtime/src/read-bounded.ts
+++ b/packages/lovage-runtime/src/read-bounded.ts
@@ -5,6 +5,7 @@
 	resize: () => true,
 	canHold: () => true,
 	takeSmallChunks: () => true,
+	takeDiscardedChunks: () => true,
 	release: () => undefined,
 	close: () => undefined,
 } as const;
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -46,7 +46,11 @@
  * Reads the rest of a refused body without keeping it, and closes the connection if
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
  */
-export function discardRest(req: IncomingMessage, res: ServerResponse): void {
+export function discardRest(
+	req: IncomingMessage,
+	res: ServerResponse,
+	mayReadChunk: (chunk: Uint8Array) => boolean = () => true,
+): void {
 	let costBytes = 0;
 	const giveUp = (): void => {
 		cancelDeadline();
@@ -56,14 +60,16 @@
 			req.pause();
 			cancelDeadline = startDeadline(DISCARD_MS, giveUp);
 		} else {
+			// What was parsed of the body already is not handed on any more.
+			req.destroy();
 			req.socket.destroy();
 		}
 	};
 
 	let cancelDeadline = startDeadline(DISCARD_MS, giveUp);
-	req.on('data', ({length}: Uint8Array) => {
-		costBytes += length + CHUNK_COST_BYTES;
-		if (costBytes > MAX_DISCARDED_BYTES) {
+	req.on('data', (chunk: Uint8Array) => {
+		costBytes += chunk.length + CHUNK_COST_BYTES;
+		if (costBytes > MAX_DISCARDED_BYTES || !mayReadChunk(chunk)) {
 			giveUp();
 		}
 	});
@@ -127,7 +133,7 @@
 			if (!isOver) {
 				settle({kind: 'refused', reason});
 				collector.release();
-				discardRest(req, res);
+				discardRest(req, res, createChunkLease(account.takeDiscardedChunks));
 			}
 		};
 
