Start streams despite low speed estimates and old ranks

Cause: if the measured speed of engines was too low, the room kept for an urgent prompt forbade each patient start, so that nothing corrected the estimate. An entry that heard of no control instance kept the ranks of its last overview, in which it might be missing, and used no contested slot any more.

Change: an engine without prompts ahead takes a patient one. Ranks hold for one second after the last overview; then all entries count as waiting.

--- a/packages/lovage-admission/src/__tests__/unit/start-decision.test.ts
+++ b/packages/lovage-admission/src/__tests__/unit/start-decision.test.ts
@@ -165,6 +165,32 @@
 	expect(listStarts(createInput([urgent], [busy]), state)).toEqual(['urgent']);
 });
 
+// With nothing started, an estimate that is too low would never be corrected.
+it('starts a patient prompt at an idle engine, however slow it is thought to be', () => {
+	const state = recordArrival(NO_STARTS, createRequest('urgent'));
+	const patient = createRequest('patient', {priority: 2, targetAt: 10_000});
+	const idle = createEngine('1', {tokensPerMs: 1});
+	expect(listStarts(createInput([patient], [idle]), state)).toEqual([
+		'patient',
+	]);
+});
+
+// Entries that see the same free slot must not all use it, nor leave it for ever, also
+// while no control instance says at which entries work waits.
+it('gives the last free slot to one entry, and later to the next', () => {
+	const waiting = [createRequest('1')];
+	const listTakers = (fields: Partial<StartInput>, unchangedMs = 0) =>
+		[0, 1, 2, 3].filter((rank) => {
+			const engine = createEngine('1', {...ONE_SLOT, unchangedMs});
+			const input = {rank, instances: 4, ...fields};
+			return listStarts(createInput(waiting, [engine], input)).length > 0;
+		});
+	expect(listTakers({})).toHaveLength(1);
+	expect(listTakers({}, 700)).toHaveLength(2);
+	expect(listTakers({waitingRanks: [0, 2]})).toHaveLength(1);
+	expect(listTakers({waitingRanks: [2]})).toEqual([2]);
+});
+
 it('refuses at arrival what the work ahead makes late, and keeps the rest', () => {
 	const waiting = Array.from({length: 10}, (_, i) => createRequest(`${i}`));
 	const input = createInput(waiting, [createEngine('1', FULL)]);
--- a/packages/lovage-admission/src/start-rule.ts
+++ b/packages/lovage-admission/src/start-rule.ts
@@ -73,6 +73,11 @@
 		return false;
 	}
 
+	// Without a start, an estimate that is too low would stay.
+	if (load.prefillTokens <= 0) {
+		return true;
+	}
+
 	const afterMs = computeFirstEventMs(
 		load,
 		request.promptTokens + urgent.promptTokens,
--- a/packages/lovage-gateway/src/admission.ts
+++ b/packages/lovage-gateway/src/admission.ts
@@ -21,6 +21,12 @@
 
 /** Answers that name this entry until each other one has had one as well. */
 const MIN_TOLD_REPORTS = 2;
+/**
+ * Time without an overview after which all entries count as waiting, in milliseconds:
+ * five reports, after which another control instance is asked. The others could never
+ * hear of what waits here.
+ */
+const RANKS_VALID_MS = 1000;
 
 /** Prompt tokens that wait for engines, by service and priority as `service/priority`. */
 export type WaitingTokens = Readonly<Record<string, number>>;
@@ -78,6 +84,8 @@
 	const served = new Map<string, boolean>();
 	/** Answers in a row that name this entry among those at which work waits. */
 	let toldReports = 0;
+	/** When the last overview came. */
+	let toldAt = Number.NEGATIVE_INFINITY;
 	let waitingRanks: readonly number[] | undefined;
 	let othersWaiting: WaitingTokens = {};
 
@@ -97,7 +105,8 @@
 			readEngine: () => engines.get(service),
 			listCandidates: view.listCandidates,
 			listRegistered: view.listRegistered,
-			readWaitingRanks: () => waitingRanks,
+			readWaitingRanks: () =>
+				clock.now() - toldAt < RANKS_VALID_MS ? waitingRanks : undefined,
 			readOthersWaiting: () =>
 				Array.from(
 					{length: MAX_PRIORITY + 1},
@@ -181,6 +190,7 @@
 			// Without an overview, the last values stay.
 			othersWaiting =
 				overview === undefined ? othersWaiting : (overview.waiting ?? {});
+			toldAt = overview === undefined ? toldAt : clock.now();
 			waitingRanks =
 				overview === undefined
 					? waitingRanks
