--- a/packages/lovage-dispatch/src/index.ts
+++ b/packages/lovage-dispatch/src/index.ts
@@ -14,6 +14,7 @@
 	ServingEntry,
 	ServingMachine,
 } from './address-selection.js';
+export {decodeRanks, encodeRanks, isRankSet} from './rank-set.js';
 export {judgeAnswer} from './answer-verdict.js';
 export type {
 	AnswerHead,
--- a/packages/lovage-dispatch/src/report-decoder.ts
+++ b/packages/lovage-dispatch/src/report-decoder.ts
@@ -2,6 +2,7 @@
 import type {ServingMachine} from './address-selection.js';
 import {isSocketAddress} from './backend-address.js';
 import {decodeFloods} from './flood-telling.js';
+import {isRankSet} from './rank-set.js';
 import {isCount} from './record-decoder.js';
 import type {
 	ClusterOverview,
@@ -137,6 +138,9 @@
 			? {waiting: keepFields(value.waiting, isAmount)}
 			: {}),
 		...keepOptional('speeds', decodeSpeeds(value.speeds)),
+		...(isRankSet(value.waitingRanks)
+			? {waitingRanks: value.waitingRanks}
+			: {}),
 		...keepOptional('relays', keepAddresses(value.relays)),
 	};
 }
--- a/packages/lovage-dispatch/src/report.ts
+++ b/packages/lovage-dispatch/src/report.ts
@@ -169,6 +169,8 @@
 	waiting?: Readonly<Record<string, number>>;
 	/** What the other entries measured of backend servers, where it changed, if the report has its own; older control instances don't send it. */
 	speeds?: CompactSpeeds;
+	/** Entries at which work waits, by their position in the sorted addresses of those that serve; see `encodeRanks`. */
+	waitingRanks?: string;
 	/** Addresses of entries that take over requests, for one that is cut off. */
 	relays?: readonly string[];
 }>;
--- a/packages/lovage-gateway/src/context.ts
+++ b/packages/lovage-gateway/src/context.ts
@@ -93,7 +93,7 @@
 	/** Where the stream began that the caller resumes; absent for other requests. */
 	origin?: StreamOrigin;
 	customer: string | undefined;
-	/** Priority of the customer, or of the route; 0 is the highest, 9 the lowest. */
+	/** Priority of the customer, then of the route; 0 is the highest. */
 	priority: number;
 	/** Another entry sent it on, which reaches no backend server. */
 	isRelayed: boolean;
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -171,7 +171,7 @@
 				dataCentre: settings.dataCentre,
 				view,
 				readRank: peers.readRank,
-				readTokensPerMs: () => undefined,
+				readTokensPerMs: view.readTokensPerMs,
 			})
 		: undefined;
 	const ctx: GatewayContext = {
