Split gauges, report handling and options from the entry and the registry

Change: the entry's gauges, the handling of control reports and the registry's options have files of their own.

--- a/packages/lovage-coordinator/src/decode-messages.ts
+++ b/packages/lovage-coordinator/src/decode-messages.ts
@@ -19,7 +19,7 @@
 import {isDigest} from './decode-report.js';
 import type {ReplicaStatus} from './group-joiner.js';
 import type {ProposeOutcome} from './pending-requests.js';
-import type {OriginQuery} from './registry.js';
+import type {OriginQuery} from './origin-query.js';
 import {
 	isStoredConfiguration,
 	type StoredConfiguration,
--- a/packages/lovage-coordinator/src/registry.ts
+++ b/packages/lovage-coordinator/src/registry.ts
@@ -29,18 +29,12 @@
 import {createEntrySums} from './entry-sums.js';
 import {createFloodRegistry} from './flood-registry.js';
 import {createLimitRegistry} from './limit-registry.js';
-import type {OriginRegistry} from './origin-registry.js';
+import type {OriginQuery} from './origin-query.js';
+import type {RegistryOptions} from './registry-options.js';
 import {createSpeedRegistry} from './speed-registry.js';
-import type {VersionHistory} from './version-history.js';
 import {createWaitingRegistry} from './waiting-registry.js';
 import {describeAges, describeChanges} from './report-parts.js';
 
-/** Identity of a resumed stream and the services that may run it. */
-export type OriginQuery = Readonly<{
-	key?: string;
-	services: readonly string[];
-}>;
-
 /** Soft state of a control instance: backend servers and entries. */
 export type Registry = Readonly<{
 	/** Merges a registration sent to this instance. */
@@ -81,16 +75,6 @@
 	removeExpired: () => void;
 }>;
 
-/** Settings of a registry. */
-export type RegistryOptions = Readonly<{
-	/** Distinguishes this start of the instance from others. */
-	epoch: number;
-	versions: VersionHistory;
-	origins: OriginRegistry;
-	/** Returns a random number in [0, 1). */
-	random: () => number;
-}>;
-
 /** Creates an empty registry. */
 export function createRegistry(
 	clock: Clock,
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -31,9 +31,11 @@
 import {createNamedLimits} from './named-limits.js';
 import {createTaskGuard} from './guard.js';
 import type {HeaderCodec} from './protocol.js';
+import {registerEntryGauges} from './entry-gauges.js';
 import {createEntryPeers} from './entry-peers.js';
 import type {EntrySettings} from './entry-settings.js';
 import {startPeerOrigins} from './peer-origins.js';
+import {createReportHandler} from './report-handler.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {createRolloutVersions} from './rollout-versions.js';
 import {createSharedProbes} from './shared-probes.js';
@@ -232,30 +234,15 @@
 		createAgesRequest: view.createAgesRequest,
 		createSpeedsUpdate: view.speeds.createReport,
 		readJudge: () => rollouts?.readJudge(),
-		onReport(control, report) {
-			const {overview} = report;
-			// One part that can't be applied leaves the others in force.
-			tasks.run(() => {
-				peers.applyReport(control, report);
-			});
-			tasks.run(() => {
-				if (overview !== undefined) {
-					retryBudgets.updateRemoteCounts(overview.retries);
-				}
-			});
-			tasks.run(() => {
-				crashes.applyReport(control, report);
-			});
-			tasks.run(() => {
-				rollouts?.applyReport(control, report);
-			});
-			tasks.run(() => {
-				view.applyReport(report);
-			});
-			tasks.run(() => {
-				admission?.applyReport(overview);
-			});
-		},
+		onReport: createReportHandler({
+			tasks,
+			peers,
+			retryBudgets,
+			crashes,
+			rollouts,
+			view,
+			admission,
+		}),
 		onConfiguration: configuration.apply,
 		guard: tasks,
 	});
@@ -270,19 +257,16 @@
 		guard: tasks,
 	};
 	const peerOrigins = startPeerOrigins(telling, createPeerClient(buffers));
-	metrics.registerGauge('configuration_version', configuration.readVersion);
-	metrics.registerGauge('requests_under_way', () => gateway.countRequests());
-	metrics.registerGauge('backends_ready', () => view.countReady());
-	metrics.registerGauge('backends_limited', () => limits.countLimited());
-	metrics.registerGauge('backends_brittle', () => brittle.countBrittle());
-	if (rollouts !== undefined) {
-		metrics.registerGauge('rollouts_running', rollouts.countRunning);
-	}
-
-	metrics.registerGauge('isolated', () => (reach.isIsolated() ? 1 : 0));
-	metrics.registerGauge('controls_reachable', () =>
-		controlClient.countReachable(),
-	);
+	registerEntryGauges(metrics, {
+		readVersion: configuration.readVersion,
+		countRequests: gateway.countRequests,
+		view,
+		limits,
+		brittle,
+		rollouts,
+		reach,
+		countReachableControls: controlClient.countReachable,
+	});
 
 	return {
 		gateway,
