--- a/packages/lovage-gateway/src/admission.ts
+++ b/packages/lovage-gateway/src/admission.ts
@@ -4,6 +4,7 @@
 	decodeRanks,
 	type PlacementRequest,
 	readOwn,
+	type SharedEntryReport,
 } from '@lovagevalve/dispatch';
 import type {Service} from '@lovagevalve/routing';
 import {
@@ -207,3 +208,11 @@
 		},
 	};
 }
+
+/** Describes what waits for a report; nothing where no stream does. */
+export function describeWaiting(
+	admission: Pick<Admission, 'createReport'> | undefined,
+): Pick<SharedEntryReport, 'waiting'> {
+	const waiting = admission?.createReport();
+	return waiting === undefined ? {} : {waiting};
+}
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -13,7 +13,7 @@
 	type PrometheusMetrics,
 } from '@lovagevalve/runtime';
 import type {Result} from 'neverthrow';
-import {createAdmission} from './admission.js';
+import {createAdmission, describeWaiting} from './admission.js';
 import {createAddressResolver} from './backend-address.js';
 import {checkReach} from './backend-probe.js';
 import {createBackendReach} from './backend-reach.js';
@@ -202,11 +202,6 @@
 	};
 	const gateway = createGateway(ctx);
 
-	const describeWaiting = (): Pick<SharedEntryReport, 'waiting'> => {
-		const waiting = admission?.createReport();
-		return waiting === undefined ? {} : {waiting};
-	};
-
 	const createReport = (): SharedEntryReport => ({
 		entry: settings.name,
 		...self,
@@ -219,7 +214,7 @@
 		limits: limits.createReport(),
 		brittle: brittle.createReport(),
 		floods: view.createFloodReport(),
-		...describeWaiting(),
+		...describeWaiting(admission),
 		...rollouts?.createReport(),
 		...(reach.isIsolated() ? {isCutOff: true} : {}),
 	});
