--- a/packages/lovage-admission/src/start-order.ts
+++ b/packages/lovage-admission/src/start-order.ts
@@ -7,7 +7,7 @@
  * of a higher priority leaves the others a part; 6% less for the highest.
  */
 const OLDEST_EVERY = 16;
-/** Customers whose virtual time is kept at most; those of the others start anew. */
+/** Customers whose virtual time is kept at most; others begin at the time of the queue again. */
 const MAX_CUSTOMERS = 1000;
 
 /** Place of a request in the queue at one moment. */
--- a/packages/lovage-admission/src/start-wait.ts
+++ b/packages/lovage-admission/src/start-wait.ts
@@ -5,7 +5,7 @@
 
 /** Part of a caller's remaining time that it spends on a wait at most. */
 const MAX_RETRY_SHARE = 1 / 3;
-/** Shortest `Retry-After`, in milliseconds: an entry hears of new room after a report. */
+/** Shortest `Retry-After`, in milliseconds: an entry learns of free room with a report. */
 const MIN_RETRY_AFTER_MS = 200;
 /** Bounds of the random factor that spreads retries of requests refused together. */
 const RETRY_SPREAD = [0.75, 1.25] as const;
--- a/packages/lovage-dispatch/src/server-speed.ts
+++ b/packages/lovage-dispatch/src/server-speed.ts
@@ -154,7 +154,7 @@
 /**
  * Estimates the work per millisecond of a backend server. It is the median of its
  * service while nothing is known of it, and becomes so again when it is silent:
- * then a slow one gets requests again, and its speed is measured anew.
+ * then a slow one gets requests again, and its speed is measured again.
  */
 export function estimateSpeed(
 	{medianSpeed, sampleMs}: ServiceSpeeds,
--- a/packages/lovage-gateway/src/engine-loads.ts
+++ b/packages/lovage-gateway/src/engine-loads.ts
@@ -19,7 +19,7 @@
 		) => LoadReservation;
 		/** Starts that the other entries may not know of yet. */
 		countRecentStarts: (id: string) => number;
-		/** Ends that no report has told the other entries of. */
+		/** Ended runs that no report has contained yet. */
 		countUnreportedEnds: (id: string) => number;
 		/** Time for which the load has been the same as the other entries see it. */
 		readUnchangedMs: (
