Stop handing on chunks of a connection that is closed

Requests refused for their head, and servers without bodies, read up to 8,192 chunks of each connection outside of the budget of the process. Change: a closed connection's parser loses its handler of bodies for the rest of the turn of the event loop; rests of refused bodies take from a chunk budget everywhere.

--- a/packages/lovage-gateway/src/gateway.ts
+++ b/packages/lovage-gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import {
 	type BodyRefusal,
 	boundUnreadResponses,
+	createChunkLease,
 	discardRest,
 	openExchangeAccount,
 	readRequestBody,
@@ -156,6 +157,13 @@
 		});
 	};
 
+	/** Reads the body of a request that is refused for its head. */
+	const discardBody = (req: IncomingMessage, res: ServerResponse): void => {
+		const holder = describeCaller(undefined);
+		const {takeDiscardedChunks} = ctx.buffers.open(holder);
+		discardRest(req, res, createChunkLease(takeDiscardedChunks));
+	};
+
 	const handle = async (
 		req: IncomingMessage,
 		res: ServerResponse,
@@ -165,14 +173,14 @@
 		const routeTable = ctx.readRouteTable();
 		if (routeTable === undefined) {
 			const reason = 'no configuration is known yet';
-			discardRest(req, res);
+			discardBody(req, res);
 			reject(req, res, {status: 503, reason, retryAfterMs: RETRY_AFTER_MS});
 			return;
 		}
 
 		const {maxHeaderBytes, maxBodyBytes} = routeTable.configuration.limits;
 		if (countHeaderBytes(req) > maxHeaderBytes) {
-			discardRest(req, res);
+			discardBody(req, res);
 			reject(req, res, {status: 431, reason: 'the headers are too large'});
 			return;
 		}
--- a/packages/lovage-runtime/src/exchange-times.ts
+++ b/packages/lovage-runtime/src/exchange-times.ts
@@ -6,6 +6,12 @@
 	type ServerResponse,
 } from 'node:http';
 import {startDeadline} from './deadline.js';
+import {
+	type ChunkBudget,
+	MAX_SMALL_CHUNKS,
+	takeSmallChunks,
+} from './chunk-budget.js';
+import {createChunkLease} from './fragmentation.js';
 import {discardRest} from './request-body.js';
 
 /** Times that a caller has for the parts of an exchange, in milliseconds. */
@@ -79,6 +85,20 @@
 	handler: RequestListener,
 	times = DEFAULT_EXCHANGE_TIMES,
 ): Server {
+	let budget: ChunkBudget = {
+		chunks: MAX_SMALL_CHUNKS,
+		atMs: performance.now(),
+	};
+	const takeChunks = (wanted: number): boolean => {
+		const left = takeSmallChunks(budget, {
+			wanted,
+			nowMs: performance.now(),
+			maxChunks: MAX_SMALL_CHUNKS,
+		});
+		budget = left ?? budget;
+		return left !== undefined;
+	};
+
 	return createTimedServer((req, res) => {
 		req.on('error', () => undefined);
 		res.on('error', () => undefined);
@@ -86,7 +106,7 @@
 			req.headers;
 		if (length !== '0' || coding !== undefined) {
 			res.shouldKeepAlive = false;
-			discardRest(req, res);
+			discardRest(req, res, createChunkLease(takeChunks));
 		}
 
 		handler(req, res);
--- a/packages/lovage-runtime/src/listener-connections.ts
+++ b/packages/lovage-runtime/src/listener-connections.ts
@@ -109,6 +109,7 @@
 					limit,
 				});
 				forget(socket);
+				stopParsing(socket);
 				socket.destroy();
 			};
 
@@ -133,7 +134,6 @@
 				allPipelined += ofConnection > 1 ? 1 : 0;
 				if (hasTooManyUnanswered({ofConnection, allPipelined})) {
 					close(socket, 'pipelined');
-					stopParsing(socket);
 					return;
 				}
 
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -3,6 +3,7 @@
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
 import {createChunkLease} from './fragmentation.js';
+import {stopParsing} from './stop-parsing.js';
 
 /** Why a body is not read to its end. */
 export type BodyRefusal =
@@ -49,7 +50,7 @@
 export function discardRest(
 	req: IncomingMessage,
 	res: ServerResponse,
-	mayReadChunk: (chunk: Uint8Array) => boolean = () => true,
+	mayReadChunk: (chunk: Uint8Array) => boolean,
 ): void {
 	let costBytes = 0;
 	const giveUp = (): void => {
@@ -62,6 +63,7 @@
 		} else {
 			// What was parsed of the body already is not handed on any more.
 			req.destroy();
+			stopParsing(req.socket);
 			req.socket.destroy();
 		}
 	};
