--- a/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
+++ b/packages/lovage-runtime/src/__tests__/integration/listener-connections.test.ts
@@ -3,6 +3,7 @@
 import {createServer, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {promisify} from 'node:util';
 import {expect, it} from 'vitest';
 import {
 	computeDescriptorLimit,
@@ -40,6 +41,8 @@
 	return {
 		held,
 		countHandled: () => handled,
+		countConnections: async () =>
+			promisify(server.getConnections.bind(server))(),
 		async open(): Promise<Socket> {
 			const socket = await connect(server);
 			return socket.resume();
@@ -150,15 +153,15 @@
 });
 
 it('bounds the requests that all connections send ahead, not those that they wait for', async () => {
-	const {open, countHandled} = start('callers');
+	const {open, countHandled, countConnections} = start('callers');
 	const waiting = await openAll(30, open);
 	await Promise.all(
 		waiting.map(async (socket) =>
 			send(socket, '/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(49)),
 		),
 	);
+	await expect.poll(() => waiting.some(({closed}) => closed)).toBe(true);
 	expect(countHandled()).toBeLessThan(1200);
-	expect(waiting.some(({closed}) => closed)).toBe(true);
 	const [ordinary] = await openAll(1, open);
 	await send(ordinary!, '/held');
 	expect(ordinary!.closed).toBe(false);
@@ -166,6 +169,7 @@
 	waiting.forEach((socket) => {
 		socket.destroy();
 	});
+	await expect.poll(countConnections).toBe(1);
 	const [later] = await openAll(1, open);
 	await send(later!, '/held HTTP/1.1\r\nHost: a\r\n\r\nGET /held'.repeat(49));
 	expect(later!.closed).toBe(false);
--- a/packages/lovage-runtime/src/request-body.ts
+++ b/packages/lovage-runtime/src/request-body.ts
@@ -3,7 +3,7 @@
 import {createByteCollector} from './byte-collector.js';
 import {startDeadline} from './deadline.js';
 import {createChunkLease} from './fragmentation.js';
-import {stopParsing} from './stop-parsing.js';
+import {stopParsing, stopReading} from './stop-parsing.js';
 
 /** Why a body is not read to its end. */
 export type BodyRefusal =
@@ -46,6 +46,7 @@
 /**
  * Reads the rest of a refused body without keeping it, and closes the connection if
  * that doesn't end soon. Closing it at once would reset it before the refusal is read.
+ * A body that costs too much is read no further meanwhile.
  */
 export function discardRest(
 	req: IncomingMessage,
@@ -69,10 +70,15 @@
 	};
 
 	let cancelDeadline = startDeadline(DISCARD_MS, giveUp);
+	let isReading = true;
 	req.on('data', (chunk: Uint8Array) => {
 		costBytes += chunk.length + CHUNK_COST_BYTES;
-		if (costBytes > MAX_DISCARDED_BYTES || !mayReadChunk(chunk)) {
+		if (!isReading) {
 			giveUp();
+		} else if (costBytes > MAX_DISCARDED_BYTES || !mayReadChunk(chunk)) {
+			// Stays open until the deadline: closed now, it would be reset before the refusal is read.
+			isReading = false;
+			stopReading(req.socket);
 		}
 	});
 	['end', 'close'].forEach((event) => {
--- a/packages/lovage-runtime/src/stop-parsing.ts
+++ b/packages/lovage-runtime/src/stop-parsing.ts
@@ -4,11 +4,9 @@
 const SKIP_REST = 2;
 
 type Parser = {
-	onIncoming: () => number;
-	/** Handlers by the numbers that the constructor names. */
-	[handler: number]: unknown;
 	constructor: Readonly<{kOnBody?: number}>;
-};
+	onIncoming: () => number;
+} & Record<number, unknown>;
 
 /**
  * Parsers without their handler of bodies. Node.js uses a parser again for another
@@ -30,7 +28,7 @@
  * are closed, and a chunk takes over 1 us as long as it is handed on.
  */
 export function stopParsing(socket: Socket): void {
-	const {parser} = socket as Socket & {parser?: Parser | null};
+	const {parser} = socket as Socket & {parser?: Parser};
 	if (!parser) {
 		return;
 	}
@@ -47,3 +45,11 @@
 		parser[kOnBody] = undefined;
 	}
 }
+
+/** Reads no more of a connection that stays open until its response is delivered. */
+export function stopReading(socket: Socket): void {
+	stopParsing(socket);
+	// Without this mark the HTTP server resumes the socket as it hands on a body.
+	Object.assign(socket, {_paused: true});
+	socket.pause();
+}
