Start urgent streams ahead of what engines hold

Cause: an urgent stream started only where the prompts ahead and its own fit into its target, and where this entry owned a free slot, as if engines served by arrival. Engines admit the more urgent first. With 79 entries, 105 engines at 5 tokens a ms and 259 prompts a second (101 fit), 40 of 55 urgent streams were refused after a wait, and engines idled. Change: a request that comes before most of the recent prompts counts no prompts ahead, and may start at an engine with one request more than fits, if a slot nearly always becomes free there within its target. Others leave no prompt time for it, only its kept room. The simulated engines of the load test admit by priority.

--- a/packages/lovage-admission/src/start-decision.ts
+++ b/packages/lovage-admission/src/start-decision.ts
@@ -7,10 +7,12 @@
 import {
 	addStart,
 	countFree,
+	countStartable,
 	countUnseen,
 	countUnits,
 	createLoads,
 	type EngineLoad,
+	overtakes,
 } from './start-room.js';
 import {chooseEngine, chooseKept, mayRun} from './start-rule.js';
 import type {
@@ -33,11 +35,6 @@
  * hundreds of engines; further ones could not be on time.
  */
 const MAX_WAITING = 256;
-/**
- * Time for which the kind with the highest priority keeps room for its next request, in
- * milliseconds: several times the longest usual pause between two.
- */
-const URGENT_RETENTION_MS = 30_000;
 /**
  * Part of the time until its target after which memory is kept for a request that only
  * lacks memory: smaller ones would take what becomes free for ever.
@@ -50,40 +47,6 @@
 	return (random + index * DRAW_STEP) % 1;
 }
 
-/** Records the arrival of a request, which may be of the most urgent kind. */
-export function recordArrival(
-	state: StartState,
-	request: Pick<
-		StartRequest,
-		'priority' | 'promptTokens' | 'memoryTokens' | 'arrivedAt' | 'targetAt'
-	>,
-): StartState {
-	const {priority, promptTokens, memoryTokens, arrivedAt, targetAt} = request;
-	const {urgent} = state;
-	const known = urgent?.priority === priority ? urgent : undefined;
-	const isMostUrgent =
-		urgent === undefined ||
-		priority <= urgent.priority ||
-		arrivedAt - urgent.seenAt > URGENT_RETENTION_MS;
-	if (urgent !== undefined && priority > urgent.priority && !isMostUrgent) {
-		return {...state, urgent: {...urgent, isAlone: false}};
-	}
-
-	return isMostUrgent
-		? {
-				...state,
-				urgent: {
-					priority,
-					promptTokens: Math.max(promptTokens, known?.promptTokens ?? 0),
-					memoryTokens: Math.max(memoryTokens, known?.memoryTokens ?? 0),
-					latencyTargetMs: targetAt - arrivedAt,
-					seenAt: arrivedAt,
-					isAlone: known?.isAlone ?? urgent === undefined,
-				},
-			}
-		: state;
-}
-
 /** Whether a request has waited for long, and smaller ones would take the memory that it lacks. */
 function shouldKeep(
 	request: StartRequest,
@@ -184,10 +147,18 @@
 	return {state, starts, stuck};
 }
 
-/** Loads of the engines with room for the smallest request: few, when something waits. */
-function listOpen({engines, waiting}: StartInput): readonly EngineLoad[] {
+/** Loads of the engines that may get a waiting request: few, when something waits. */
+function listOpen(
+	state: StartState,
+	{engines, waiting}: StartInput,
+): readonly EngineLoad[] {
 	const smallest = Math.min(...waiting.map(({memoryTokens}) => memoryTokens));
-	return createLoads(engines).filter((load) => countFree(load, smallest) > 0);
+	const overtaking = waiting.filter((request) => overtakes(request, state));
+	return createLoads(engines).filter(
+		(load) =>
+			countFree(load, smallest) > 0 ||
+			overtaking.some((request) => countStartable(load, request, state) > 0),
+	);
 }
 
 /** Whether the memory of an empty engine is too small, whichever may run it. */
@@ -254,7 +225,7 @@
 	const started = startQueued(
 		state,
 		placeable.filter((request) => !tooLarge.includes(request)),
-		listOpen(input),
+		listOpen(state, input),
 		input,
 	);
 	return {
--- a/packages/lovage-admission/src/start-room.ts
+++ b/packages/lovage-admission/src/start-room.ts
@@ -26,6 +26,15 @@
 /** Time until an entry sees the starts of others: their report and its next answer, 200 ms each, and as much for a slow machine. */
 const UNSEEN_MS = 500;
 
+/**
+ * Requests beyond its room that an engine may hold for those that overtake: the first of its
+ * queue starts when the next request ends there. Further ones would preempt others.
+ */
+const OVERTAKING_ROOM = 1;
+
+/** Part of the prompt tokens that must be less urgent than a request that overtakes. */
+const OVERTAKEN_SHARE = 0.5;
+
 /** An engine with the starts that are decided so far. */
 export type EngineLoad = {
 	readonly engine: StartEngine;
@@ -145,6 +154,33 @@
 	return urgent === undefined || priority <= urgent.priority;
 }
 
+/**
+ * Whether a request comes before most of those that an engine holds: engines admit the more
+ * urgent first, and preempt the newest of the least urgent if memory runs out.
+ */
+export function overtakes(
+	{priority, resumedAfterMs}: StartRequest,
+	{recent}: StartState,
+): boolean {
+	const sum = (tokens: readonly number[]): number =>
+		tokens.reduce((total, count) => total + (count ?? 0), 0);
+	return (
+		resumedAfterMs === undefined &&
+		sum(recent.tokens.slice(priority + 1)) >
+			sum(recent.tokens) * OVERTAKEN_SHARE
+	);
+}
+
+/** Requests that an engine may get: an overtaking one also if one more than fits is there. */
+export function countStartable(
+	load: EngineLoad,
+	request: StartRequest,
+	state: StartState,
+): number {
+	const free = countFree(load, request.memoryTokens);
+	return overtakes(request, state) ? free + OVERTAKING_ROOM : free;
+}
+
 /** Whether an engine keeps room for a request of the most urgent kind. */
 export function keepsUrgentRoom(
 	{position}: StartEngine,
--- a/packages/lovage-admission/src/start-rule.ts
+++ b/packages/lovage-admission/src/start-rule.ts
@@ -2,10 +2,12 @@
 import {
 	countContested,
 	countFree,
+	countStartable,
 	countUnits,
 	type EngineLoad,
 	isMostUrgent,
 	keepsUrgentRoom,
+	overtakes,
 	ownsRoom,
 	type RuleContext,
 } from './start-room.js';
@@ -31,26 +33,40 @@
 const REMOTE_COST_MS = 1000;
 /** Cost of a data centre in which the stream failed: chosen only if no other has room. */
 const FAILED_COST_MS = 1_000_000;
+/**
+ * Mean times between two ends at an engine for which a request that overtakes may have to
+ * wait: 5% of exponential times are longer.
+ */
+const SLOT_WAIT_MEANS = 3;
 /** Cost of each running request, in milliseconds of prompt processing. */
 const RUNNING_COST_MS = 50;
-/** Time until an engine has processed the prompts ahead and `promptTokens`. */
-function computeFirstEventMs(
-	{engine, prefillTokens}: EngineLoad,
-	promptTokens: number,
-	input: StartInput,
-): number | undefined {
-	const speed = engine.tokensPerMs ?? input.tokensPerMs;
-	return speed === undefined
-		? undefined
-		: (prefillTokens + promptTokens) / speed;
+/** Prompt tokens that an engine processes until the first event of a request. */
+function countPromptTokens(
+	{prefillTokens}: EngineLoad,
+	request: StartRequest,
+	state: StartState,
+): number {
+	const ahead = overtakes(request, state) ? 0 : prefillTokens;
+	return ahead + request.promptTokens;
+}
+
+/** Time within which a request that an engine has no room for nearly always gets a slot there. */
+function computeSlotWaitMs(
+	load: EngineLoad,
+	{memoryTokens}: StartRequest,
+	{holdMs}: StartInput,
+): number {
+	const isFull = countFree(load, memoryTokens) <= 0;
+	return isFull && holdMs !== undefined
+		? (SLOT_WAIT_MEANS * holdMs) / countUnits(load.engine, memoryTokens)
+		: 0;
 }
 
-/** Whether another prompt leaves room for one of the most urgent kind. */
+/** Whether a request leaves room for one of the most urgent kind. */
 function leavesUrgentRoom(
 	load: EngineLoad,
 	request: StartRequest,
 	state: StartState,
-	input: StartInput,
 ): boolean {
 	const {urgent} = state;
 	if (
@@ -66,37 +82,27 @@
 		running + 1 >= engine.slots ||
 		usedTokens + request.memoryTokens + urgent.memoryTokens >
 			engine.memoryTokens;
-	if (
+	return !(
 		lacksRoom &&
 		keepsUrgentRoom(engine, countUnits(engine, urgent.memoryTokens), state)
-	) {
-		return false;
-	}
-
-	// Without a start, an estimate that is too low would stay.
-	if (load.prefillTokens <= 0) {
-		return true;
-	}
-
-	const afterMs = computeFirstEventMs(
-		load,
-		request.promptTokens + urgent.promptTokens,
-		input,
 	);
-	return afterMs === undefined || afterMs <= urgent.latencyTargetMs;
 }
 
 /** Whether the first event comes in time, of a late request before its deadline. */
 function isInTime(
 	load: EngineLoad,
 	request: StartRequest,
-	input: StartInput,
+	{state, input}: RuleContext,
 ): boolean {
-	const firstEventMs = computeFirstEventMs(load, request.promptTokens, input);
-	if (firstEventMs === undefined || request.resumedAfterMs !== undefined) {
+	const speed = load.engine.tokensPerMs ?? input.tokensPerMs;
+	if (speed === undefined || request.resumedAfterMs !== undefined) {
 		return true;
 	}
 
+	const firstEventMs =
+		computeSlotWaitMs(load, request, input) +
+		countPromptTokens(load, request, state) / speed;
+
 	const limitAt = isLate(request, input)
 		? request.deadlineAt
 		: request.targetAt;
@@ -124,12 +130,11 @@
 	request: StartRequest,
 	input: StartInput,
 ): number {
-	const {dataCentre} = load.engine;
-	const ms =
-		computeFirstEventMs(load, request.promptTokens, input) ??
-		(load.prefillTokens + request.promptTokens) / COMPARED_TOKENS_PER_MS;
+	const {dataCentre, tokensPerMs = input.tokensPerMs} = load.engine;
 	return (
-		ms +
+		computeSlotWaitMs(load, request, input) +
+		(load.prefillTokens + request.promptTokens) /
+			(tokensPerMs ?? COMPARED_TOKENS_PER_MS) +
 		load.running * RUNNING_COST_MS +
 		(dataCentre === input.dataCentre
 			? 0
@@ -148,7 +153,7 @@
 	const {state, input, unseen, kept} = context;
 	const free = loads.filter(
 		(load) =>
-			countFree(load, request.memoryTokens) > 0 &&
+			countStartable(load, request, state) > 0 &&
 			mayRun(load.engine, request) &&
 			!kept.has(load.engine.id),
 	);
@@ -159,9 +164,10 @@
 	const contested = countContested(loads, unseen, request.memoryTokens);
 	const able = free.filter(
 		(load) =>
-			ownsRoom(load, request, context, contested) &&
-			isInTime(load, request, input) &&
-			leavesUrgentRoom(load, request, state, input),
+			(overtakes(request, state) ||
+				ownsRoom(load, request, context, contested)) &&
+			isInTime(load, request, context) &&
+			leavesUrgentRoom(load, request, state),
 	);
 	const costs = able.map((load) => computeCostMs(load, request, input));
 	const lowest = Math.min(...costs);
--- a/packages/lovage-admission/src/start-types.ts
+++ b/packages/lovage-admission/src/start-types.ts
@@ -70,6 +70,8 @@
 	/** Number of new requests started so far. */
 	startCount: number;
 	urgent?: UrgentKind;
+	/** Prompt tokens that came lately, by priority; older ones count less. */
+	recent: Readonly<{tokens: readonly number[]; atMs: number}>;
 }>;
 
 /** State of a service without any start. */
@@ -77,6 +79,7 @@
 	virtualTimes: new Map(),
 	queueTimes: [],
 	startCount: 0,
+	recent: {tokens: [], atMs: 0},
 };
 
 /** What an entry knows when it decides. */
--- a/packages/lovage-admission/src/starts.ts
+++ b/packages/lovage-admission/src/starts.ts
@@ -1,4 +1,5 @@
-export {decideStarts, recordArrival} from './start-decision.js';
+export {recordArrival} from './start-arrivals.js';
+export {decideStarts} from './start-decision.js';
 export {
 	NO_STARTS,
 	type StartDecision,
--- a/packages/lovage-gateway/src/__tests__/unit/admission-load.ts
+++ b/packages/lovage-gateway/src/__tests__/unit/admission-load.ts
@@ -74,11 +74,25 @@
 	waiting: Readonly<Record<string, number>>;
 }>;
 
+type Prompt = Readonly<{
+	priority: number;
+	promptTokens: number;
+	memoryTokens: number;
+	/** Sends the first event; the prompt is processed. */
+	onFirstEvent: () => void;
+	onEnd: () => void;
+}>;
+
 type Engine = {
 	record: BackendRecord;
+	/** Requests that entries have sent, whether admitted or not. */
 	running: number;
 	usedTokens: number;
-	busyUntil: number;
+	admitted: number;
+	admittedTokens: number;
+	isBusy: boolean;
+	/** Sent and not admitted, in the order of arrival. */
+	queued: Prompt[];
 };
 
 /** Simulates entries, engines and reports of which each entry knows the last. */
@@ -114,7 +128,10 @@
 				},
 				running: 0,
 				usedTokens: 0,
-				busyUntil: 0,
+				admitted: 0,
+				admittedTokens: 0,
+				isBusy: false,
+				queued: [],
 			},
 		]),
 	);
@@ -225,6 +242,39 @@
 		return admission;
 	};
 
+	/** Admits and processes the most urgent prompt that fits; one at a time. */
+	const processNext = (engine: Engine): void => {
+		const [prompt] = engine.queued
+			.filter(
+				({memoryTokens}) =>
+					engine.admitted < load.slots &&
+					engine.admittedTokens + memoryTokens <= load.memoryTokens,
+			)
+			.toSorted((a, b) => a.priority - b.priority);
+		if (engine.isBusy || prompt === undefined) {
+			return;
+		}
+
+		engine.queued.splice(engine.queued.indexOf(prompt), 1);
+		engine.isBusy = true;
+		engine.admitted += 1;
+		engine.admittedTokens += prompt.memoryTokens;
+		setTimeout(() => {
+			engine.isBusy = false;
+			prompt.onFirstEvent();
+			setTimeout(
+				() => {
+					engine.admitted -= 1;
+					engine.admittedTokens -= prompt.memoryTokens;
+					prompt.onEnd();
+					processNext(engine);
+				},
+				load.outputMs * (0.8 + 0.4 * random()),
+			);
+			processNext(engine);
+		}, prompt.promptTokens / load.tokensPerMs);
+	};
+
 	const entries = Array.from({length: load.entries}, (_, i) => createEntry(i));
 	const arrive = (index: number): void => {
 		const kind = load.kinds[index]!;
@@ -263,25 +313,25 @@
 					doubled += isFull ? 1 : 0;
 				}
 
-				engine.busyUntil =
-					Math.max(now(), engine.busyUntil) + promptTokens / load.tokensPerMs;
-				setTimeout(() => {
-					reservation.markPrefilled();
-					if (counts) {
-						const isOnTime = now() - arrivedAt <= kind.latencyTargetMs;
-						tally.onTime += isOnTime ? 1 : 0;
-						tally.late += isOnTime ? 0 : 1;
-					}
-
-					setTimeout(
-						() => {
-							engine.running -= 1;
-							engine.usedTokens -= memoryTokens;
-							reservation.release();
-						},
-						load.outputMs * (0.8 + 0.4 * random()),
-					);
-				}, engine.busyUntil - now());
+				engine.queued.push({
+					priority,
+					promptTokens,
+					memoryTokens,
+					onFirstEvent() {
+						reservation.markPrefilled();
+						if (counts) {
+							const isOnTime = now() - arrivedAt <= kind.latencyTargetMs;
+							tally.onTime += isOnTime ? 1 : 0;
+							tally.late += isOnTime ? 0 : 1;
+						}
+					},
+					onEnd() {
+						engine.running -= 1;
+						engine.usedTokens -= memoryTokens;
+						reservation.release();
+					},
+				});
+				processNext(engine);
 			},
 			onRefused(_, retryAfterMs) {
 				if (counts) {
