--- a/packages/lovage-gateway/src/admission-queue.ts
+++ b/packages/lovage-gateway/src/admission-queue.ts
@@ -71,7 +71,7 @@
  * reports: only refusals and offers of free slots depend on the time, and a decision
  * looks at each engine.
  */
-const EVALUATION_INTERVAL_MS = 100;
+const EVALUATION_INTERVAL_MS = 200;
 /** `Retry-After` of streams that a draining entry refuses: others serve them at once. */
 const DRAIN_RETRY_AFTER_MS = 50;
 
