--- a/packages/lovage-coordinator/src/index.ts
+++ b/packages/lovage-coordinator/src/index.ts
@@ -13,6 +13,10 @@
 	RolloutRequest,
 	RolloutRequestOutcome,
 } from './rollout-messages.js';
+export {
+	decodeRolloutReadOutcome,
+	decodeRolloutRequestOutcome,
+} from './rollout-messages.js';
 export type {Rollouts} from './rollouts.js';
 export type {ReadOutcome} from './decode-messages.js';
 export {selectGossipPart} from './gossip-parts.js';
--- a/packages/lovagectl/src/app.ts
+++ b/packages/lovagectl/src/app.ts
@@ -7,6 +7,7 @@
 	subcommands,
 	type Type,
 } from 'cmd-ts';
+import {createRolloutCommands} from './app-rollout.js';
 import {apply} from './command-apply.js';
 import {drain} from './command-drain.js';
 import {follow} from './command-follow.js';
@@ -238,6 +239,7 @@
 			...createChangeCommands(host),
 			...createGroupCommands(host),
 			...createReportCommands(host),
+			rollout: createRolloutCommands(host),
 		},
 	});
 }
--- a/packages/lovagectl/src/options.ts
+++ b/packages/lovagectl/src/options.ts
@@ -10,7 +10,8 @@
 
 const MS_PER_SECOND = 1000;
 
-const secondsType = extendType(string, {
+/** Option type for a time in seconds, which is read as milliseconds. */
+export const secondsType = extendType(string, {
 	displayName: 'seconds',
 	async from(text) {
 		if (!/^\d+(\.\d+)?$/.test(text) || Number(text) === 0) {
--- a/packages/lovagectl/src/outcome.ts
+++ b/packages/lovagectl/src/outcome.ts
@@ -7,6 +7,8 @@
 	lines: readonly string[];
 	/** The same result as JSON, printed with `--json`. */
 	json: unknown;
+	/** Exit code, if not 0. */
+	exitCode?: number;
 }>;
 
 /** A failure of a command. */
@@ -16,6 +18,8 @@
 	messages: readonly string[];
 	/** Additional data, printed with `--json`. */
 	detail?: unknown;
+	/** Exit code, if not the one of the kind. */
+	exitCode?: number;
 }>;
 
 /** Result of a command. */
@@ -25,8 +29,9 @@
 export function createOutput(
 	lines: readonly string[],
 	json: unknown,
+	exitCode?: number,
 ): Result<Output, CommandError> {
-	return ok({lines, json});
+	return ok({lines, json, exitCode});
 }
 
 /** Creates a command error. */
--- a/packages/lovagectl/src/run-command-line.ts
+++ b/packages/lovagectl/src/run-command-line.ts
@@ -9,10 +9,14 @@
 	lines.forEach((line) => {
 		host.writeResult(line);
 	});
-	return EXIT_OK;
+	return output.exitCode ?? EXIT_OK;
 }
 
-function printError(error: CommandError, isJson: boolean, host: Host): number {
+function printError(
+	{exitCode, ...error}: CommandError,
+	isJson: boolean,
+	host: Host,
+): number {
 	error.messages.forEach((message) => {
 		host.writeMessage(message);
 	});
@@ -20,7 +24,7 @@
 		host.writeResult(JSON.stringify({error}));
 	}
 
-	return EXIT_CODES[error.kind];
+	return exitCode ?? EXIT_CODES[error.kind];
 }
 
 /** Runs lovagectl with the given arguments and returns the exit code. */
@@ -36,7 +40,10 @@
 		return exitCode === 0 ? EXIT_OK : EXIT_CODES.usage;
 	}
 
-	const {isJson, result}: HandlerResult = await parsed.value.value;
+	const {value} = parsed.value;
+	const handled: Promise<HandlerResult> =
+		'command' in value ? value.value : value;
+	const {isJson, result} = await handled;
 	return result.match(
 		(output) => printOutput(output, isJson, host),
 		(error) => printError(error, isJson, host),
