Add a model of roll-outs: orders, shares and verdicts

Cause: no model covered that an acknowledged order is kept, that shares stay within the log, and that a roll-out ends once, with its full share known to all entries. Change: a model under a change of the leader that loses what is not committed and the counts, in three small explorations; a variant for each of 14 guards.

--- a/packages/lovage-rollout/src/index.ts
+++ b/packages/lovage-rollout/src/index.ts
@@ -1,3 +1,9 @@
+export {
+	applyGuardedCommand,
+	applyRolloutCommand,
+	judgeOrder,
+	type OrderOutcome,
+} from './apply.js';
 export {
 	addCounts,
 	classifyTime,
@@ -29,17 +35,19 @@
 	type VersionDraw,
 } from './share.js';
 export {
-	applyRolloutCommand,
+	type IsRolloutGuarded,
+	ROLLOUT_GUARDS,
+	type RolloutGuard,
+} from './guards.js';
+export {
 	decodeRollouts,
 	EMPTY_ROLLOUTS,
 	encodeRollouts,
 	isRolloutCommand,
 	isRolloutDuration,
 	isRolloutName,
-	judgeOrder,
 	LAST_STEP,
 	MAX_DURATION_MS,
-	type OrderOutcome,
 	type RolloutCommand,
 	type RolloutOrder,
 	type RolloutStage,
--- a/packages/lovage-rollout/src/state.ts
+++ b/packages/lovage-rollout/src/state.ts
@@ -51,14 +51,6 @@
 			step: number;
 	  }>;
 
-/** What becomes of an order. */
-export type OrderOutcome =
-	| 'accepted'
-	/** The same order is the newest one of the service. */
-	| 'repeated'
-	/** An order for another version is running. */
-	| 'conflicting';
-
 /**
  * Shares of a service's requests that a new version gets, by step. The first one
  * gives evidence on services with hundreds of requests a second at a fifth of the
@@ -146,98 +138,6 @@
 	}
 }
 
-/** Decides about an order. */
-export function judgeOrder(
-	state: RolloutState,
-	{service, to}: Readonly<{service: string; to: string}>,
-): OrderOutcome {
-	const order = state.get(service)?.order;
-	if (order?.to === to) {
-		return 'repeated';
-	}
-
-	return order?.stage === 'running' ? 'conflicting' : 'accepted';
-}
-
-function applyChange(
-	known: ServiceRollout,
-	{
-		to,
-		ageMs,
-		stage,
-		step,
-	}: Extract<RolloutCommand, Readonly<{kind: 'rollout-change'}>>,
-): ServiceRollout {
-	const {order} = known;
-	// The change of a leader that was deposed meanwhile must not undo a newer one.
-	if (order?.to !== to || order.stage !== 'running' || step < order.step) {
-		return known;
-	}
-
-	const changed = {...known, order: {...order, ageMs, stage, step}};
-	switch (stage) {
-		case 'running': {
-			return changed;
-		}
-
-		case 'succeeded': {
-			return {...changed, current: to};
-		}
-
-		case 'reverted': {
-			return {
-				...changed,
-				allowed: known.allowed.filter(
-					(version) => version !== to || version === known.current,
-				),
-			};
-		}
-	}
-}
-
-/** Applies a change; one that the state doesn't admit changes nothing. */
-export function applyRolloutCommand(
-	state: RolloutState,
-	command: RolloutCommand,
-): RolloutState {
-	const {service} = command;
-	const known = state.get(service);
-	switch (command.kind) {
-		case 'rollout-first': {
-			const {version} = command;
-			if (known?.current !== undefined) {
-				return state;
-			}
-
-			const allowed = new Set([version, ...(known?.allowed ?? [])]);
-			return new Map(state).set(service, {
-				...known,
-				current: version,
-				allowed: [...allowed],
-			});
-		}
-
-		case 'rollout-order': {
-			const {to, durationMs} = command;
-			if (judgeOrder(state, command) !== 'accepted') {
-				return state;
-			}
-
-			return new Map(state).set(service, {
-				...known,
-				allowed: [...new Set([...(known?.allowed ?? []), to])],
-				order: {to, durationMs, ageMs: 0, stage: 'running', step: 0},
-			});
-		}
-
-		case 'rollout-change': {
-			return known === undefined
-				? state
-				: new Map(state).set(service, applyChange(known, command));
-		}
-	}
-}
-
 function isServiceRollout(value: unknown): value is ServiceRollout {
 	if (!isObject(value) || !Array.isArray(value.allowed)) {
 		return false;
--- a/packages/lovage-spec/src/models.ts
+++ b/packages/lovage-spec/src/models.ts
@@ -3,6 +3,7 @@
 import {generationModel} from './generation-model.js';
 import {logModels} from './log-models.js';
 import {ordersModel} from './orders-model.js';
+import {rolloutModel} from './rollout-model.js';
 import type {Model} from './model.js';
 
 /**
@@ -14,4 +15,5 @@
 	configurationModel,
 	generationModel,
 	ordersModel,
+	rolloutModel,
 ];
