Use whole milliseconds for the time of an attempt at a roll-out

Cause: in a trial with three control instances and real time, the last attempt before the deadline failed with "The value of delay is out of range": AbortSignal.timeout accepts whole milliseconds, and the remaining time has fractions. The tests' clock had none. Change: the time of an attempt is rounded up; the unit test's clock has fractions.

--- a/packages/lovagectl/src/__tests__/unit/rollout-retry.test.ts
+++ b/packages/lovagectl/src/__tests__/unit/rollout-retry.test.ts
@@ -32,7 +32,7 @@
 test('no attempt outlasts the deadline, also after the pause of a round', () => {
 	const search = {...SEARCH, nextAddressIndex: 2};
 	const result = err('timeout');
-	const late = {result, now: 4700, random: 0.5};
+	const late = {result, now: 4700.25, random: 0.5};
 	expect(decideNextAttempt(search, late)).toMatchObject({
 		pauseMs: 200,
 		timeoutMs: 100,
--- a/packages/lovagectl/src/rollout-retry.ts
+++ b/packages/lovagectl/src/rollout-retry.ts
@@ -72,6 +72,7 @@
 				search: state,
 				address: effect.address,
 				pauseMs,
-				timeoutMs: Math.min(ATTEMPT_MS, remainingMs),
+				// `AbortSignal.timeout` accepts whole milliseconds only.
+				timeoutMs: Math.ceil(Math.min(ATTEMPT_MS, remainingMs)),
 			};
 }
