Keep copies of KV caches only where runs leave half of the memory

Cause: each run has a copy at another engine, which loads do not contain. Change: where streams wait for engines (contracts name pressure), an engine gets no copy when its runs with the copy's size use more than half of its memory.

--- a/packages/lovage-gateway/src/stream-placement.ts
+++ b/packages/lovage-gateway/src/stream-placement.ts
@@ -14,6 +14,7 @@
 	openExchange,
 } from './backend-exchange.js';
 import {proveBeginning} from './beginning-check.js';
+import {hasCopyRoom} from './copy-room.js';
 import {
 	type AcceptedRequest,
 	createPlacementRequest,
@@ -271,7 +272,13 @@
 				[...attempts.listExcluded(), backend.id],
 				[...attempts.listFailedDataCentres(), backend.dataCentre],
 			);
-			return ctx.view.chooseCopyTarget(service.name, request, ctx.random());
+			const {view, random, admission} = ctx;
+			const target = view.chooseCopyTarget(service.name, request, random());
+			return target !== undefined &&
+				admission?.isOn(service) === true &&
+				!hasCopyRoom(view.readLoad(target.id), request)
+				? undefined
+				: target;
 		},
 		decideUnplaced() {
 			if (isOriginLost()) {
