--- a/packages/lovage-admission/src/start-arrivals.ts
+++ b/packages/lovage-admission/src/start-arrivals.ts
@@ -1,4 +1,4 @@
-import type {StartRequest, StartState} from './start-types.js';
+import type {RecentPrompts, StartRequest, StartState} from './start-types.js';
 
 /**
  * Time for which the kind with the highest priority keeps room for its next request, in
@@ -8,22 +8,32 @@
 /** Half-life of the prompts that came lately: some times the duration of a usual stream. */
 const RECENT_HALF_LIFE_MS = 10_000;
 
+/** Part of the prompt tokens that must be less urgent than a request that overtakes. */
+const OVERTAKEN_SHARE = 0.5;
+
 /** Adds the prompt of a request to those that came lately. */
 function recordPrompt(
-	{tokens, atMs}: StartState['recent'],
+	{tokens, atMs}: RecentPrompts,
 	{
 		priority,
 		promptTokens,
 		arrivedAt,
 	}: Pick<StartRequest, 'priority' | 'promptTokens' | 'arrivedAt'>,
-): StartState['recent'] {
+): RecentPrompts {
 	const kept = 0.5 ** (Math.max(0, arrivedAt - atMs) / RECENT_HALF_LIFE_MS);
+	const recent = Array.from(
+		{length: Math.max(tokens.length, priority + 1)},
+		(_, i) => (tokens[i] ?? 0) * kept + (i === priority ? promptTokens : 0),
+	);
+	const sum = (counts: readonly number[]): number =>
+		counts.reduce((total, count) => total + count, 0);
+	const limit = sum(recent) * OVERTAKEN_SHARE;
 	return {
-		tokens: Array.from(
-			{length: Math.max(tokens.length, priority + 1)},
-			(_, i) => (tokens[i] ?? 0) * kept + (i === priority ? promptTokens : 0),
-		),
+		tokens: recent,
 		atMs: Math.max(arrivedAt, atMs),
+		overtakingPriority: recent.findLastIndex(
+			(_, i) => sum(recent.slice(i + 1)) > limit,
+		),
 	};
 }
 
--- a/packages/lovage-admission/src/start-decision.ts
+++ b/packages/lovage-admission/src/start-decision.ts
@@ -152,12 +152,20 @@
 	state: StartState,
 	{engines, waiting}: StartInput,
 ): readonly EngineLoad[] {
-	const smallest = Math.min(...waiting.map(({memoryTokens}) => memoryTokens));
-	const overtaking = waiting.filter((request) => overtakes(request, state));
-	return createLoads(engines).filter(
-		(load) =>
-			countFree(load, smallest) > 0 ||
-			overtaking.some((request) => countStartable(load, request, state) > 0),
+	const findSmallest = (requests: readonly StartRequest[]) =>
+		requests.reduce<StartRequest | undefined>(
+			(smallest, request) =>
+				smallest === undefined || request.memoryTokens < smallest.memoryTokens
+					? request
+					: smallest,
+			undefined,
+		);
+	const candidates = [
+		findSmallest(waiting),
+		findSmallest(waiting.filter((request) => overtakes(request, state))),
+	].filter((request) => request !== undefined);
+	return createLoads(engines).filter((load) =>
+		candidates.some((request) => countStartable(load, request, state) > 0),
 	);
 }
 
--- a/packages/lovage-admission/src/start-room.ts
+++ b/packages/lovage-admission/src/start-room.ts
@@ -32,9 +32,6 @@
  */
 const OVERTAKING_ROOM = 1;
 
-/** Part of the prompt tokens that must be less urgent than a request that overtakes. */
-const OVERTAKEN_SHARE = 0.5;
-
 /** An engine with the starts that are decided so far. */
 export type EngineLoad = {
 	readonly engine: StartEngine;
@@ -162,13 +159,7 @@
 	{priority, resumedAfterMs}: StartRequest,
 	{recent}: StartState,
 ): boolean {
-	const sum = (tokens: readonly number[]): number =>
-		tokens.reduce((total, count) => total + (count ?? 0), 0);
-	return (
-		resumedAfterMs === undefined &&
-		sum(recent.tokens.slice(priority + 1)) >
-			sum(recent.tokens) * OVERTAKEN_SHARE
-	);
+	return resumedAfterMs === undefined && priority <= recent.overtakingPriority;
 }
 
 /** Requests that an engine may get: an overtaking one also if one more than fits is there. */
--- a/packages/lovage-admission/src/start-types.ts
+++ b/packages/lovage-admission/src/start-types.ts
@@ -61,6 +61,15 @@
 	isAlone: boolean;
 }>;
 
+/** Prompts that came lately. */
+export type RecentPrompts = Readonly<{
+	/** Tokens by priority; older ones count less. */
+	tokens: readonly number[];
+	atMs: number;
+	/** Lowest priority that comes before most of the tokens; -1 if none does. */
+	overtakingPriority: number;
+}>;
+
 /** What the starts of a service depend on besides the waiting requests. */
 export type StartState = Readonly<{
 	/** Virtual time by priority and customer, in tokens over the share. */
@@ -70,8 +79,7 @@
 	/** Number of new requests started so far. */
 	startCount: number;
 	urgent?: UrgentKind;
-	/** Prompt tokens that came lately, by priority; older ones count less. */
-	recent: Readonly<{tokens: readonly number[]; atMs: number}>;
+	recent: RecentPrompts;
 }>;
 
 /** State of a service without any start. */
@@ -79,7 +87,7 @@
 	virtualTimes: new Map(),
 	queueTimes: [],
 	startCount: 0,
-	recent: {tokens: [], atMs: 0},
+	recent: {tokens: [], atMs: 0, overtakingPriority: -1},
 };
 
 /** What an entry knows when it decides. */
