Use learned speeds only where a deployment's settings say so

Cause: placement by learned speeds had no switch. Change: a setting of the entry, on where contracts name pressure; elsewhere speeds are neither shared nor used.

--- a/packages/lovage-gateway/src/backend-view.ts
+++ b/packages/lovage-gateway/src/backend-view.ts
@@ -44,6 +44,8 @@
 		brittle: BrittleBackends;
 		/** Absent where roll-outs are not in force. */
 		rollouts?: RolloutVersions;
+		/** Whether learned speeds decide about placement; absent for yes. */
+		usesSpeeds?: boolean;
 		/** Position of this entry among those that serve. */
 		readRank: () => Readonly<{rank: number; instances: number}>;
 		/** Called when a backend server of a service accepted no connection. */
@@ -91,10 +93,7 @@
 		request: PlacementRequest,
 	) => LoadReservation;
 	reportHealth: (backend: BackendRecord, outcome: ExchangeOutcome) => void;
-	/**
-	 * Applies what a backend server said about itself in an answer to a request
-	 * that was sent at `sentAt`.
-	 */
+	/** Applies what a backend server said in an answer to a request sent at `sentAt`. */
 	recordNotice: (
 		backend: BackendRecord,
 		notice: BackendNotice,
--- a/packages/lovage-gateway/src/entry-settings.ts
+++ b/packages/lovage-gateway/src/entry-settings.ts
@@ -17,6 +17,8 @@
 	retryBudget: RetryBudgetPolicy;
 	/** Whether streams wait here until a model engine has room; absent for no. */
 	admission?: boolean;
+	/** Whether learned speeds of backend servers decide about placement; absent for no. */
+	learnedSpeeds?: boolean;
 	/**
 	 * Time between the stop signal and the forced end of the process, in
 	 * milliseconds.
--- a/packages/lovage-gateway/src/entry.ts
+++ b/packages/lovage-gateway/src/entry.ts
@@ -125,6 +125,7 @@
 		limits,
 		brittle,
 		...(rollouts === undefined ? {} : {rollouts}),
+		usesSpeeds: settings.learnedSpeeds ?? false,
 		readRank: peers.readRank,
 		onUnreachable(service) {
 			reach.suspect(service);
--- a/packages/lovage-gateway/src/server-speeds.ts
+++ b/packages/lovage-gateway/src/server-speeds.ts
@@ -71,6 +71,8 @@
 	listAll: () => Iterable<BackendRecord>;
 	/** Backend servers of a service that have not ended. */
 	listRegistered: (service: string) => readonly BackendRecord[];
+	/** Whether speeds are shared and decide about placement; absent for yes. */
+	usesSpeeds?: boolean;
 }>;
 
 /** What was known when a request was sent. */
@@ -100,6 +102,7 @@
 	metrics,
 	listAll,
 	listRegistered,
+	usesSpeeds = true,
 }: ServerSpeedsOptions): ServerSpeeds {
 	const own = new Map<string, OwnSums>();
 	const others = new Map<string, TimedSums>();
@@ -237,6 +240,10 @@
 		readTokensPerMs: (backend) =>
 			estimateSpeed(assess(backend.service), readSums(backend)),
 		findReader(service) {
+			if (!usesSpeeds) {
+				return undefined;
+			}
+
 			const speeds = assess(service);
 			return speeds.areDifferent
 				? (backend) => computeRelativeSpeed(speeds, readSums(backend))
@@ -245,7 +252,7 @@
 		createReport(control) {
 			const now = clock.now();
 			const since = reportedAt.get(control) ?? Number.NEGATIVE_INFINITY;
-			if (now - since < REPORT_PERIOD_MS) {
+			if (!usesSpeeds || now - since < REPORT_PERIOD_MS) {
 				return {};
 			}
 
