--- a/packages/lovage-spec/src/rollout-model-entries.ts
+++ b/packages/lovage-spec/src/rollout-model-entries.ts
@@ -125,7 +125,7 @@
 	};
 }
 
-/** Changes whether the leader hears from an entry. */
+/** Changes whether reports of an entry reach the leader. */
 export function changeContact(
 	world: World,
 	index: number,
