review: case 10, broken streams that nothing knows the version of

30 streams began together at one entry while two software versions served, and the entry was killed right after their first events.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+exec node target/review-2/case-10.js review/10
--- a/review/lib-2/client.ts
+++ b/review/lib-2/client.ts
@@ -12,6 +12,9 @@
 	path: string;
 	deadlineMs: number;
 	agent: Agent;
+	/** Headers of a stream that the client takes up again. */
+	resumed?: Readonly<{lastEventId: number; resumes: string}>;
+	onData?: () => void;
 }>;
 
 /** Draws the id of a client attempt. */
@@ -29,7 +32,7 @@
 /** Sends one client attempt to an entry. */
 export async function send(
 	{front}: Machine,
-	{id, kind, path, deadlineMs, agent}: Attempt,
+	{id, kind, path, deadlineMs, agent, resumed, onData}: Attempt,
 ): Promise<Answer> {
 	const hasBody = kind !== 'idempotent';
 	return call({
@@ -42,9 +45,16 @@
 			'X-Request-Id': id,
 			'X-Request-Deadline': String(deadlineMs),
 			...(kind === 'stream' ? STREAM_HEADERS : {}),
+			...(resumed === undefined
+				? {}
+				: {
+						'Last-Event-Id': String(resumed.lastEventId),
+						Resumes: resumed.resumes,
+					}),
 		},
 		...(hasBody ? {body: 'prompt'} : {}),
 		agent,
 		timeoutMs: deadlineMs,
+		...(onData === undefined ? {} : {onData}),
 	});
 }
--- a/review/lib-2/http.ts
+++ b/review/lib-2/http.ts
@@ -16,6 +16,8 @@
 	body?: string;
 	agent?: Agent;
 	timeoutMs?: number;
+	/** Called with each part of the answer's body. */
+	onData?: () => void;
 }>;
 
 /** What came back, whole or not; the status is 0 if nothing did. */
@@ -40,6 +42,7 @@
 	body,
 	agent,
 	timeoutMs = TIMEOUT_MS,
+	onData,
 }: Call): Promise<Answer> {
 	return new Promise((resolve) => {
 		const [host = '', port = ''] = address.split(':');
@@ -84,6 +87,7 @@
 			received = res;
 			res.on('data', (chunk: Uint8Array) => {
 				chunks.push(chunk);
+				onData?.();
 			});
 			res.on('error', fail);
 			res.on('end', () => {
--- a/review/lib-2/worker.ts
+++ b/review/lib-2/worker.ts
@@ -26,6 +26,8 @@
 	host: string;
 	id: string;
 	service: string;
+	/** Version of its software. */
+	version?: string;
 	/** Runs a request that was meant for it and has arrived whole. */
 	run: (req: IncomingMessage, res: ServerResponse) => void;
 }>;
@@ -79,6 +81,7 @@
 	host,
 	id,
 	service,
+	version = 'v1',
 	run,
 }: WorkerOptions): Promise<Worker> {
 	const born = Date.now();
@@ -121,7 +124,7 @@
 			service,
 			address,
 			zone: 'a',
-			version: 'v1',
+			version,
 			slots: SLOTS,
 			state,
 			'cold-left-ms': 0,
